--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core wire platform daemon agent entry cli testing
+EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
+SOURCES := packages tests tools
+
+.PHONY: demo test check format bench model setup clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt $(EDITABLE)
+	touch $@
+
+demo: setup
+	$(BIN)/lacewingcourse-local demo --entries 2 --endpoints 6
+
+test: setup
+	$(BIN)/python -m pytest
+
+check: setup
+	$(BIN)/black --check --quiet $(SOURCES)
+	$(BIN)/isort --check-only --quiet $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/python tools/check_core.py
+
+format: setup
+	$(BIN)/isort --quiet $(SOURCES)
+	$(BIN)/black --quiet $(SOURCES)
+
+model:
+	@for check in $(wildcard model/*/check); do $$check || exit 1; done
+
+clean:
+	rm -rf out
--- /dev/null
+++ b/packages/agent/src/lacewingcourse/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The side process beside an endpoint: gate, hops, drain, orders."""
--- /dev/null
+++ b/packages/agent/src/lacewingcourse/agent/engine.py
@@ -0,0 +1,221 @@
+"""Client of a model engine, and the order in which work is given to it."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+import attrs
+from tornado.httpclient import HTTPRequest
+
+from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
+from lacewingcourse.core.layers import LayerRange
+from lacewingcourse.wire.client import fetch, new_http_client
+from lacewingcourse.wire.codec import decode, encode
+
+if TYPE_CHECKING:
+    from lacewingcourse.core.effects import RunForward
+
+
+@attrs.frozen
+class ForwardItem:
+    """One item of an engine step.
+
+    Attributes:
+        sequence: Name of the engine's cache entry.
+        layers: Layers to run.
+        position: Position of the first input.
+        inputs: Token numbers or hidden values; more may follow a prompt.
+        prompt: Text to tokenise in front of the inputs, or None.
+        sample: Whether to sample a token after the last input.
+        temperature: Sampling temperature.
+        seed: Sampling seed.
+        priority: Lower runs sooner.
+    """
+
+    sequence: str
+    layers: LayerRange
+    position: int
+    inputs: tuple[int, ...]
+    prompt: str | None = None
+    sample: bool = False
+    temperature: float = 0.0
+    seed: int = 0
+    priority: float = 0.0
+
+
+@attrs.frozen
+class ForwardRequest:
+    """Items that the engine may run together."""
+
+    items: tuple[ForwardItem, ...]
+
+
+@attrs.frozen
+class ForwardOutput:
+    """The engine's result for one item.
+
+    Attributes:
+        sequence: Name of the engine's cache entry.
+        count: Positions that were run.
+        prompt_length: Tokens of the prompt, 0 if none was given.
+        outputs: Hidden values, empty when a token was sampled.
+        token: The sampled token, or None.
+        text: Its text.
+        error: Why the item failed, or empty.
+    """
+
+    sequence: str
+    count: int = 0
+    prompt_length: int = 0
+    outputs: tuple[int, ...] = ()
+    token: int | None = None
+    text: str = ""
+    error: str = ""
+
+
+@attrs.frozen
+class ForwardReply:
+    """The engine's results in the order of the items.
+
+    Attributes:
+        items: The results.
+        step_time: Seconds that the engine spent.
+    """
+
+    items: tuple[ForwardOutput, ...]
+    step_time: float
+
+
+@attrs.frozen
+class CancelRequest:
+    """Cache entries that the engine may drop."""
+
+    sequences: tuple[str, ...]
+
+
+@attrs.frozen
+class EngineState:
+    """What the engine says of itself.
+
+    Attributes:
+        model: Name of the model.
+        layers: Layers that it holds.
+        version: Version of the weights.
+        running: Items in its steps, as of its last load report.
+        queued: Items that wait, as of its last load report.
+    """
+
+    model: str
+    layers: LayerRange
+    version: str
+    running: int
+    queued: int
+
+
+def sequence_of(stream: str, attempt: int) -> str:
+    """Return the name of a stream's cache entry in the engine."""
+    return f"{stream}.{attempt}"
+
+
+def item_of(effect: RunForward) -> ForwardItem:
+    """Return the engine's item for a step that a decision asked for."""
+    sampling = effect.sampling
+    values = effect.values
+    prompt = None
+    if effect.prompt is not None:
+        prompt = effect.prompt.text
+        values = effect.prompt.delivered
+    return ForwardItem(
+        sequence=sequence_of(effect.stream, effect.attempt),
+        layers=effect.layers,
+        position=effect.position,
+        inputs=values,
+        prompt=prompt,
+        sample=sampling is not None,
+        temperature=sampling.temperature if sampling else 0.0,
+        seed=sampling.seed if sampling else 0,
+        priority=effect.priority,
+    )
+
+
+class EngineClient:
+    """Speaks the engine's HTTP interface.
+
+    Attributes:
+        url: Base URL of the engine.
+        http: The HTTP client.
+        timeout: Seconds that a step may take.
+    """
+
+    def __init__(self, url: str, timeout: float) -> None:
+        self.url = url
+        self.http = new_http_client()
+        self.timeout = timeout
+
+    async def forward(self, items: tuple[ForwardItem, ...]) -> ForwardReply | Refusal:
+        """Run items and return their results."""
+        return await self._post("/engine/forward", ForwardRequest(items), ForwardReply)
+
+    async def cancel(self, sequences: tuple[str, ...]) -> None:
+        """Let the engine drop cache entries; failures do not matter."""
+        await self._post("/engine/cancel", CancelRequest(sequences), dict)
+
+    async def state(self) -> EngineState | Refusal:
+        """Return what the engine says of itself."""
+        request = HTTPRequest(self.url + "/engine/state", request_timeout=3.0)
+        response = await fetch(self.http, request)
+        if response.code != 200:
+            return self._failed(response)
+        return decode(response.body, EngineState)
+
+    async def _post(self, path: str, message, kind):
+        request = HTTPRequest(
+            self.url + path,
+            method="POST",
+            body=encode(message),
+            headers={"Content-Type": "application/json"},
+            connect_timeout=2.0,
+            request_timeout=self.timeout,
+        )
+        response = await fetch(self.http, request)
+        if response.code != 200:
+            return self._failed(response)
+        return decode(response.body, kind)
+
+    def _failed(self, response) -> Refusal:
+        return Refusal(ErrorKind.ENDPOINT_FAILED, str(response.error), Outcome.UNKNOWN)
+
+
+class ForwardQueue:
+    """Work that waits for the engine, in order of priority, then of arrival.
+
+    Attributes:
+        heap: The waiting work.
+    """
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[float, int, RunForward]] = []
+        self._order = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self.heap)
+
+    def push(self, effect: RunForward) -> None:
+        """Add work."""
+        heapq.heappush(self.heap, (effect.priority, next(self._order), effect))
+
+    def take(self, limit: int) -> list[RunForward]:
+        """Remove and return the work that comes first."""
+        count = min(limit, len(self.heap))
+        return [heapq.heappop(self.heap)[2] for _ in range(count)]
+
+    def drop(self, stream: str, attempt: int) -> None:
+        """Remove the work of an attempt."""
+        self.heap = [
+            entry
+            for entry in self.heap
+            if (entry[2].stream, entry[2].attempt) != (stream, attempt)
+        ]
+        heapq.heapify(self.heap)
--- /dev/null
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -0,0 +1,105 @@
+"""The agent's request handlers."""
+
+from __future__ import annotations
+
+from lacewingcourse.core.messages import (
+    Call,
+    Credit,
+    HopBatch,
+    HopBatchReply,
+    OpenStage,
+    Revoke,
+    RevokeReply,
+    Status,
+    TokenBatchReply,
+)
+from lacewingcourse.daemon.handlers import WireHandler
+from lacewingcourse.wire import paths
+
+
+class OpenStageHandler(WireHandler):
+    """Takes part in an attempt, or refuses."""
+
+    def post(self) -> None:
+        message = self.message(OpenStage)
+        if message is None:
+            return
+        reply, effects = self.daemon.gate.open(message, self.daemon.now())
+        self.daemon.perform(effects)
+        self.reply(reply)
+
+
+class HopsHandler(WireHandler):
+    """Receives hops of other agents."""
+
+    def post(self) -> None:
+        batch = self.message(HopBatch)
+        if batch is None:
+            return
+        daemon = self.daemon
+        if batch.receiver_incarnation != daemon.incarnation:
+            self.reply(HopBatchReply(daemon.incarnation, False))
+            return
+        verdicts = []
+        for hop in batch.hops:
+            verdict, effects = daemon.gate.receive(hop, daemon.now())
+            verdicts.append(verdict)
+            daemon.perform(effects)
+        self.reply(HopBatchReply(daemon.incarnation, True, tuple(verdicts)))
+
+
+class RevokeHandler(WireHandler):
+    """Revokes attempts."""
+
+    def post(self) -> None:
+        message = self.message(Revoke)
+        if message is None:
+            return
+        daemon = self.daemon
+        if message.incarnation != daemon.incarnation:
+            self.reply(RevokeReply(daemon.incarnation, False, False))
+            return
+        reply, effects = daemon.gate.revoke(
+            message.stream, message.attempt, daemon.now()
+        )
+        daemon.perform(effects)
+        self.reply(reply)
+
+
+class CreditHandler(WireHandler):
+    """Takes credit for a stream."""
+
+    def post(self) -> None:
+        credit = self.message(Credit)
+        if credit is None:
+            return
+        self.daemon.take_credit(credit)
+        self.reply(TokenBatchReply())
+
+
+class StatusHandler(WireHandler):
+    """Tells the state of the agent and its endpoint."""
+
+    def post(self) -> None:
+        status: Status = self.daemon.status()
+        self.reply(status)
+
+
+class CallHandler(WireHandler):
+    """Runs a call of the plain service."""
+
+    async def post(self) -> None:
+        call = self.message(Call)
+        if call is None:
+            return
+        self.reply(await self.daemon.run_call(call))
+
+
+AGENT_ROUTES = [
+    (paths.OPEN_STAGE, OpenStageHandler),
+    (paths.HOPS, HopsHandler),
+    (paths.REVOKE, RevokeHandler),
+    (paths.CREDIT, CreditHandler),
+    (paths.STATUS, StatusHandler),
+    (paths.CALL, CallHandler),
+]
--- /dev/null
+++ b/packages/cli/src/lacewingcourse/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The lacewingcourse command."""
--- /dev/null
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -0,0 +1,25 @@
+"""The command line application."""
+
+from __future__ import annotations
+
+import sys
+from importlib.metadata import version
+
+from cleo.application import Application
+
+from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
+
+COMMANDS = [EntryCommand, AgentCommand]
+
+
+def build() -> Application:
+    """Return the application with all its commands."""
+    application = Application("lacewingcourse", version("lacewingcourse-cli"))
+    for command in COMMANDS:
+        application.add(command())
+    return application
+
+
+def main() -> None:
+    """Run the command that the arguments name."""
+    sys.exit(build().run())
--- /dev/null
+++ b/packages/core/src/lacewingcourse/core/effects.py
@@ -0,0 +1,141 @@
+"""Every effect that a decision can ask its daemon for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from lacewingcourse.core.errors import Refusal
+    from lacewingcourse.core.layers import LayerRange
+    from lacewingcourse.core.messages import (
+        Credit,
+        Hop,
+        OpenStage,
+        Prompt,
+        Revoke,
+        Sampling,
+        StageAddress,
+        Token,
+        Trouble,
+    )
+
+
+@attrs.frozen
+class RunForward:
+    """Run the engine over consecutive positions of a stream.
+
+    Attributes:
+        stream: Name of the stream.
+        attempt: Number of the attempt.
+        layers: Layers to run.
+        position: Position of the first value.
+        values: Inputs, or empty when the prompt is given.
+        prompt: Prompt to tokenise and run, for the first stage's first step.
+        sampling: How to sample after the last value, or None to return outputs.
+        prompt_length: Tokens of the caller's prompt; 0 while not known.
+        priority: Lower runs sooner.
+    """
+
+    stream: str
+    attempt: int
+    layers: LayerRange
+    position: int
+    values: tuple[int, ...]
+    prompt: Prompt | None
+    sampling: Sampling | None
+    prompt_length: int
+    priority: float
+
+
+@attrs.frozen
+class SendHop:
+    """Send a hop to the agent of another stage, or to this one."""
+
+    target: StageAddress
+    hop: Hop
+
+
+@attrs.frozen
+class SendToken:
+    """Send a token to the entry of its stream."""
+
+    entry_url: str
+    token: Token
+
+
+@attrs.frozen
+class SendTrouble:
+    """Tell the entry of a stream that its attempt cannot go on."""
+
+    entry_url: str
+    trouble: Trouble
+
+
+@attrs.frozen
+class CancelForward:
+    """Drop a stream's attempt from the engine."""
+
+    stream: str
+    attempt: int
+
+
+@attrs.frozen
+class SendOpen:
+    """Ask the agent of a stage to take part in an attempt."""
+
+    target: StageAddress
+    message: OpenStage
+
+
+@attrs.frozen
+class SendRevoke:
+    """Ask an agent never to run an attempt again."""
+
+    target: StageAddress
+    message: Revoke
+
+
+@attrs.frozen
+class SendCredit:
+    """Let a stream's last stage go further."""
+
+    target: StageAddress
+    message: Credit
+
+
+@attrs.frozen
+class DeliverToken:
+    """Hand a token to the caller."""
+
+    token: Token
+
+
+@attrs.frozen
+class FinishAnswer:
+    """End the caller's answer as whole.
+
+    Attributes:
+        reason: Finish reason as callers know it: `stop` or `length`.
+    """
+
+    reason: str
+
+
+@attrs.frozen
+class FailAnswer:
+    """End the caller's answer with an error."""
+
+    refusal: Refusal
+
+
+@attrs.frozen
+class ChooseRoute:
+    """Ask for a route that avoids some endpoints.
+
+    Attributes:
+        excluded: Names of the endpoints to avoid.
+    """
+
+    excluded: frozenset[str]
--- /dev/null
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -0,0 +1,383 @@
+"""Every message between the processes of lacewingcourse.
+
+Each request carries what identifies its receiver (an incarnation) and, where work
+is concerned, the stream and the attempt, so that a late or repeated copy is told
+from a current one.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+from lacewingcourse.core.errors import ErrorKind, Outcome
+from lacewingcourse.core.layers import LayerRange
+
+
+@attrs.frozen
+class Sampling:
+    """How tokens are chosen.
+
+    Attributes:
+        temperature: 0.0 always takes the likeliest token.
+        seed: Seed of the choice when the temperature is above 0.0.
+        max_tokens: Generated tokens at the most.
+        stop: Texts that end the answer; they are not part of it.
+    """
+
+    temperature: float = 0.0
+    seed: int = 0
+    max_tokens: int = 16
+    stop: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class StageAddress:
+    """Where a stage of an attempt runs.
+
+    Attributes:
+        endpoint: Name of the endpoint instance.
+        agent_url: Base URL of its agent.
+        incarnation: Incarnation of the agent.
+        layers: Layers that run there.
+    """
+
+    endpoint: str
+    agent_url: str
+    incarnation: str
+    layers: LayerRange
+
+
+@attrs.frozen
+class Prompt:
+    """What the first stage starts from.
+
+    Attributes:
+        text: The caller's prompt.
+        delivered: Tokens that the caller already has, in order.
+    """
+
+    text: str
+    delivered: tuple[int, ...] = ()
+
+
+@attrs.frozen
+class OpenStage:
+    """Entry to agent: take part in an attempt; with a prompt, also start it.
+
+    Attributes:
+        stream: Name of the stream, unique for all time.
+        attempt: Number of the attempt, from 1.
+        index: Which stage of the route the receiver is.
+        stages: The whole route.
+        entry_url: Where tokens and troubles are sent.
+        organisation: Whose request it is.
+        work_class: Class of work of the request.
+        priority: Lower runs sooner.
+        sampling: How tokens are chosen.
+        token_limit: Tokens that may be generated before further credit.
+        prompt: Given to the first stage only.
+    """
+
+    stream: str
+    attempt: int
+    index: int
+    stages: tuple[StageAddress, ...]
+    entry_url: str
+    organisation: str
+    work_class: str
+    priority: float
+    sampling: Sampling
+    token_limit: int
+    prompt: Prompt | None = None
+
+
+@attrs.frozen
+class OpenReply:
+    """Agent to entry: whether the stage was taken.
+
+    Attributes:
+        accepted: Whether the agent takes part.
+        incarnation: Incarnation of the agent that answers.
+        kind: Why not, or None.
+        reason: Why not, for a person.
+    """
+
+    accepted: bool
+    incarnation: str
+    kind: ErrorKind | None = None
+    reason: str = ""
+
+
+@attrs.frozen
+class Hop:
+    """Agent to agent: inputs of consecutive positions for one stage.
+
+    Attributes:
+        stream: Name of the stream.
+        attempt: Number of the attempt.
+        layers: Layers that the receiver runs on the values.
+        position: Position of the first value in the history.
+        values: Token numbers for the first stage, hidden values for others.
+        prompt_length: Tokens of the caller's prompt.
+    """
+
+    stream: str
+    attempt: int
+    layers: LayerRange
+    position: int
+    values: tuple[int, ...]
+    prompt_length: int
+
+
+@attrs.frozen
+class HopBatch:
+    """Agent to agent: all hops that were ready for one receiver.
+
+    Attributes:
+        sender: Name of the sending endpoint instance.
+        receiver_incarnation: Incarnation the hops are meant for.
+        hops: The hops, in the order in which they were made.
+    """
+
+    sender: str
+    receiver_incarnation: str
+    hops: tuple[Hop, ...]
+
+
+class HopVerdict(Enum):
+    """What a receiver did with a hop."""
+
+    ACCEPTED = "accepted"
+    HELD = "held"
+    REPEATED = "repeated"
+    STALE = "stale"
+    UNKNOWN_STREAM = "unknown_stream"
+    WRONG_RANGE = "wrong_range"
+    OVERFLOW = "overflow"
+
+
+@attrs.frozen
+class HopBatchReply:
+    """Agent to agent: verdicts in the order of the hops.
+
+    Attributes:
+        incarnation: Incarnation of the answering agent.
+        current: Whether the batch was meant for this incarnation.
+        verdicts: One verdict a hop; empty if not current.
+    """
+
+    incarnation: str
+    current: bool
+    verdicts: tuple[HopVerdict, ...] = ()
+
+
+@attrs.frozen
+class Token:
+    """Agent to entry: one generated token.
+
+    Attributes:
+        stream: Name of the stream.
+        attempt: Number of the attempt.
+        index: Which generated token of the answer it is, from 0.
+        token: Token number.
+        text: Text of the token.
+        prompt_length: Tokens of the caller's prompt.
+    """
+
+    stream: str
+    attempt: int
+    index: int
+    token: int
+    text: str
+    prompt_length: int
+
+
+@attrs.frozen
+class TokenBatch:
+    """Agent to entry: the tokens that one engine step made.
+
+    Attributes:
+        sender: Name of the sending endpoint instance.
+        incarnation: Incarnation of the sending agent.
+        tokens: The tokens.
+    """
+
+    sender: str
+    incarnation: str
+    tokens: tuple[Token, ...]
+
+
+@attrs.frozen
+class Credit:
+    """Entry to agent: how far a stream may go.
+
+    Attributes:
+        stream: Name of the stream.
+        attempt: Number of the attempt the credit is for.
+        token_limit: Tokens that may be generated; 0 ends the attempt.
+    """
+
+    stream: str
+    attempt: int
+    token_limit: int
+
+
+@attrs.frozen
+class TokenBatchReply:
+    """Entry to agent: fresh credits for streams of the batch."""
+
+    credits: tuple[Credit, ...] = ()
+
+
+@attrs.frozen
+class Trouble:
+    """Agent to entry: a stage of an attempt cannot go on.
+
+    Attributes:
+        stream: Name of the stream.
+        attempt: Number of the attempt.
+        endpoint: The endpoint that is at fault, as the sender sees it.
+        kind: What went wrong.
+        reason: What went wrong, for a person.
+    """
+
+    stream: str
+    attempt: int
+    endpoint: str
+    kind: ErrorKind
+    reason: str = ""
+
+
+@attrs.frozen
+class TroubleBatch:
+    """Agent to entry: troubles noticed together."""
+
+    sender: str
+    troubles: tuple[Trouble, ...]
+
+
+@attrs.frozen
+class Revoke:
+    """Entry to agent: never again run an attempt up to this one.
+
+    Attributes:
+        stream: Name of the stream.
+        attempt: Attempts up to this number are revoked.
+        incarnation: Incarnation the revocation is meant for.
+    """
+
+    stream: str
+    attempt: int
+    incarnation: str
+
+
+@attrs.frozen
+class RevokeReply:
+    """Agent to entry: the revocation holds.
+
+    Attributes:
+        incarnation: Incarnation of the answering agent.
+        current: Whether the revocation was meant for this incarnation.
+        started: Whether work of a revoked attempt had started here.
+    """
+
+    incarnation: str
+    current: bool
+    started: bool
+
+
+@attrs.frozen
+class Status:
+    """Agent to entry: state of the agent and its endpoint.
+
+    Attributes:
+        endpoint: Name of the endpoint instance.
+        incarnation: Incarnation of the agent.
+        availability_zone: Where it stands.
+        model: Model it holds layers of, or empty.
+        layers: Layers it holds, or None.
+        service: Plain service it runs, or empty.
+        version: Version of the model's weights.
+        leaving: Whether it takes no new work.
+        ready: Whether its engine or service answers.
+        running: Streams or calls running.
+        queued: Items that wait for the engine.
+        step_time: Seconds an engine step takes at present.
+        configuration_version: Version of the configuration in force.
+    """
+
+    endpoint: str
+    incarnation: str
+    availability_zone: str
+    model: str = ""
+    layers: LayerRange | None = None
+    service: str = ""
+    version: str = ""
+    leaving: bool = False
+    ready: bool = True
+    running: int = 0
+    queued: int = 0
+    step_time: float = 0.0
+    configuration_version: int = 0
+
+
+@attrs.frozen
+class Header:
+    """One header of a passed-through call."""
+
+    name: str
+    value: str
+
+
+@attrs.frozen
+class Call:
+    """Entry to agent: run one call of a plain service.
+
+    Attributes:
+        call: Name of the call, unique for all time.
+        incarnation: Incarnation the call is meant for.
+        organisation: Whose call it is.
+        service: Name of the service.
+        method: HTTP method.
+        path: Path and query below the service's root.
+        headers: Headers to pass on.
+        body: Body in base64.
+        key: Idempotency key, or empty for a call that may be repeated.
+    """
+
+    call: str
+    incarnation: str
+    organisation: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: str
+    key: str = ""
+
+
+@attrs.frozen
+class CallReply:
+    """Agent to entry: how the call ended.
+
+    Attributes:
+        incarnation: Incarnation of the answering agent.
+        status: HTTP status of the service's answer, 0 if there is none.
+        headers: Headers of the answer.
+        body: Body in base64.
+        kind: Why there is no answer, or None.
+        reason: Why there is none, for a person.
+        outcome: What is known of the call's effect when there is no answer.
+        replayed: Whether the answer is a stored one.
+    """
+
+    incarnation: str
+    status: int = 0
+    headers: tuple[Header, ...] = ()
+    body: str = ""
+    kind: ErrorKind | None = None
+    reason: str = ""
+    outcome: Outcome = Outcome.NOT_RUN
+    replayed: bool = False
--- /dev/null
+++ b/packages/core/src/lacewingcourse/core/routes.py
@@ -0,0 +1,134 @@
+"""Choice of the chain of endpoints that covers every layer of a model."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.layers import LayerRange
+from lacewingcourse.core.registry import Registry
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from lacewingcourse.core.endpoints import EndpointState
+
+
+@attrs.frozen
+class Stage:
+    """One endpoint's part of a route.
+
+    Attributes:
+        endpoint: Name of the endpoint instance.
+        incarnation: The incarnation of its agent that the route was made for.
+        agent_url: Base URL of the agent.
+        layers: The layers that run here; within those the endpoint holds.
+    """
+
+    endpoint: str
+    incarnation: str
+    agent_url: str
+    layers: LayerRange
+
+
+@attrs.frozen
+class Route:
+    """A chain of stages that covers [0, layer_count) without gap or overlap."""
+
+    stages: tuple[Stage, ...]
+
+    def endpoints(self) -> list[str]:
+        """Return the names of the endpoints in order."""
+        return [stage.endpoint for stage in self.stages]
+
+
+class RoutePolicy:
+    """A way to choose routes; variants override `choose`.
+
+    Attributes:
+        name: Name in the registry of policies.
+    """
+
+    name = ""
+
+    def choose(
+        self,
+        candidates: list[EndpointState],
+        layer_count: int,
+        rng: random.Random,
+        now: float,
+    ) -> Route | Refusal:
+        """Choose a route.
+
+        Args:
+            candidates: Endpoints that hold layers of the model and take new work.
+            layer_count: Layers of the model.
+            rng: Source of randomness.
+            now: Present time in seconds.
+
+        Returns:
+            The route, or a refusal of kind `NO_ROUTE`.
+        """
+        raise NotImplementedError
+
+
+POLICIES: Registry[type[RoutePolicy]] = Registry("route policy")
+
+
+def no_route(layer: int) -> Refusal:
+    """Return the refusal for a layer that nobody holds."""
+    return Refusal(ErrorKind.NO_ROUTE, f"no endpoint holds layer {layer}")
+
+
+def usable(
+    endpoints: Iterable[EndpointState],
+    model: str,
+    excluded: frozenset[str] = frozenset(),
+) -> list[EndpointState]:
+    """Return the endpoints that take new work for a model, in order of name."""
+    found = [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.model == model
+        and endpoint.layers is not None
+        and endpoint.id not in excluded
+        and endpoint.takes_new_work()
+    ]
+    return sorted(found, key=lambda endpoint: endpoint.id)
+
+
+def stage_of(endpoint: EndpointState, first: int, end: int) -> Stage:
+    """Return the stage that runs layers [first, end) on an endpoint."""
+    return Stage(
+        endpoint=endpoint.id,
+        incarnation=endpoint.incarnation,
+        agent_url=endpoint.agent_url,
+        layers=LayerRange(first, end),
+    )
+
+
+@POLICIES.register("random")
+class RandomPolicy(RoutePolicy):
+    """Choose each next stage at random among those that reach furthest."""
+
+    name = "random"
+
+    def choose(self, candidates, layer_count, rng, now):
+        stages: list[Stage] = []
+        layer = 0
+        while layer < layer_count:
+            holders = [
+                candidate
+                for candidate in candidates
+                if candidate.layers.first <= layer < candidate.layers.end
+            ]
+            if not holders:
+                return no_route(layer)
+            chosen = rng.choice(holders)
+            end = min(chosen.layers.end, layer_count)
+            stages.append(stage_of(chosen, layer, end))
+            layer = end
+        return Route(tuple(stages))
--- /dev/null
+++ b/packages/daemon/src/lacewingcourse/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""What every daemon of lacewingcourse shares: settings, logs, server, metrics."""
--- /dev/null
+++ b/packages/daemon/src/lacewingcourse/daemon/common_settings.py
@@ -0,0 +1,118 @@
+"""Settings that every daemon has, to be copied into each settings class."""
+
+from __future__ import annotations
+
+import environ
+
+from lacewingcourse.daemon.settings import (
+    boolean,
+    count,
+    one_of,
+    port,
+    positive,
+    secret,
+    url,
+)
+
+
+def listen_address() -> str:
+    """Return the setting for the address to listen on."""
+    return environ.var(default="127.0.0.1", help="IP number to listen on")
+
+
+def listen_port() -> int:
+    """Return the setting for the port to listen on."""
+    return environ.var(default="0", converter=port, help="TCP port to listen on")
+
+
+def advertised_url() -> str:
+    """Return the setting for the URL under which others reach the process."""
+    return environ.var(converter=url, help="Base URL under which peers reach it")
+
+
+def instance_id() -> str:
+    """Return the setting for the name of the instance."""
+    return environ.var(help="Name of the instance in the platform's instance list")
+
+
+def availability_zone() -> str:
+    """Return the setting for the availability zone."""
+    return environ.var(help="Availability zone of the instance")
+
+
+def shared_secret() -> str:
+    """Return the setting for the deployment's shared secret."""
+    return environ.var(converter=secret, help="Secret shared by all processes")
+
+
+def log_url() -> str:
+    """Return the setting for the log service."""
+    return environ.var(converter=url, help="Base URL of the platform's log service")
+
+
+def instance_list_url() -> str:
+    """Return the setting for the instance list."""
+    return environ.var(converter=url, help="Base URL of the platform's instance list")
+
+
+def log_format() -> str:
+    """Return the setting for the form of log lines."""
+    return environ.var(
+        default="human", converter=one_of("human", "json"), help="human or json"
+    )
+
+
+def log_level() -> str:
+    """Return the setting for the lowest level of log lines."""
+    return environ.var(
+        default="INFO",
+        converter=one_of("DEBUG", "INFO", "WARNING", "ERROR"),
+        help="Lowest level of log lines",
+    )
+
+
+def max_body_bytes() -> int:
+    """Return the setting for the size of a request's body."""
+    return environ.var(
+        default="4194304", converter=count, help="Bytes of a request's body at most"
+    )
+
+
+def idle_timeout() -> float:
+    """Return the setting for idle connections."""
+    return environ.var(
+        default="3600", converter=positive, help="Seconds a connection may be idle"
+    )
+
+
+def body_timeout() -> float:
+    """Return the setting for the arrival of a body."""
+    return environ.var(
+        default="30", converter=positive, help="Seconds in which a body must arrive"
+    )
+
+
+def drain_timeout() -> float:
+    """Return the setting for the longest drain."""
+    return environ.var(
+        default="600", converter=positive, help="Seconds that a drain may take"
+    )
+
+
+__all__ = [
+    "advertised_url",
+    "availability_zone",
+    "body_timeout",
+    "boolean",
+    "drain_timeout",
+    "idle_timeout",
+    "instance_id",
+    "instance_list_url",
+    "listen_address",
+    "listen_port",
+    "log_format",
+    "log_level",
+    "log_url",
+    "max_body_bytes",
+    "shared_secret",
+]
--- /dev/null
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -0,0 +1,165 @@
+"""The base of every daemon: server, signals, drain."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from loguru import logger
+from prometheus_client import CollectorRegistry, Counter
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from lacewingcourse.daemon.handlers import (
+    HealthHandler,
+    MetricsHandler,
+    ReadyHandler,
+    StateHandler,
+    UnknownPathHandler,
+)
+from lacewingcourse.wire.client import PeerClient
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+#: Bytes of headers that a request may have.
+MAX_HEADER_BYTES = 16 * 1024
+#: Seconds in which the headers of a request must arrive.
+HEADER_TIMEOUT = 10.0
+
+
+@attrs.frozen
+class Readiness:
+    """Whether a process takes new work.
+
+    Attributes:
+        ready: Whether it does.
+        reason: Why not.
+        configuration_version: Version of the configuration in force.
+    """
+
+    ready: bool
+    reason: str = ""
+    configuration_version: int = 0
+
+
+class BaseMetrics:
+    """Counters that every daemon has.
+
+    Attributes:
+        registry: Where the counters are registered.
+        strangers: Messages whose proof was missing or wrong.
+    """
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.strangers = Counter(
+            "lacewingcourse_strangers",
+            "Messages whose proof was missing or wrong",
+            registry=self.registry,
+        )
+
+
+class Daemon:
+    """One process: a server and its background tasks on one loop.
+
+    Variants override `routes`, `start_tasks`, `drain` and `readiness`.
+
+    Attributes:
+        settings: The settings in force.
+        metrics: Counters of the process.
+        peers: Client for messages to other processes.
+        stopping: Set when the process has been asked to end.
+        tasks: Background tasks.
+        port: TCP port that the process listens on.
+    """
+
+    metrics_class: type[BaseMetrics] = BaseMetrics
+
+    def __init__(self, settings: Any) -> None:
+        self.settings = settings
+        self.metrics = self.metrics_class()
+        self.peers = PeerClient(settings.shared_secret)
+        self.stopping = asyncio.Event()
+        self.tasks: set[asyncio.Task] = set()
+        self.port = 0
+
+    def now(self) -> float:
+        """Return the present time in seconds on a clock that never goes back."""
+        return time.monotonic()
+
+    def routes(self) -> list[tuple]:
+        """Return the handlers of the process's own paths."""
+        return []
+
+    def readiness(self) -> Readiness:
+        """Tell whether the process takes new work."""
+        return Readiness(not self.stopping.is_set())
+
+    def state(self) -> Any:
+        """Return the state that the state page shows."""
+        return self.readiness()
+
+    async def start_tasks(self) -> None:
+        """Start the background tasks."""
+
+    async def drain(self) -> None:
+        """Finish what is in flight after the process was asked to end."""
+
+    def spawn(self, work: Coroutine) -> asyncio.Task:
+        """Run work in the background until it ends."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).error("a background task failed")
+
+    def application(self) -> Application:
+        """Return the web application of the process."""
+        shared = {"daemon": self}
+        common = [
+            (r"/metrics", MetricsHandler, shared),
+            (r"/healthz", HealthHandler),
+            (r"/readyz", ReadyHandler, shared),
+            (r"/state", StateHandler, shared),
+        ]
+        return Application(
+            common + self.routes(),
+            default_handler_class=UnknownPathHandler,
+            log_function=lambda handler: None,
+        )
+
+    async def run(self) -> None:
+        """Serve until asked to end, then drain."""
+        server = HTTPServer(
+            self.application(),
+            max_body_size=self.settings.max_body_bytes,
+            max_buffer_size=self.settings.max_body_bytes + MAX_HEADER_BYTES,
+            max_header_size=MAX_HEADER_BYTES,
+            idle_connection_timeout=self.settings.idle_timeout,
+            body_timeout=self.settings.body_timeout,
+        )
+        sockets = bind_sockets(self.settings.listen_port, self.settings.listen_address)
+        self.port = sockets[0].getsockname()[1]
+        server.add_sockets(sockets)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        await self.start_tasks()
+        logger.info("started", port=self.port)
+        await self.stopping.wait()
+        logger.info("draining")
+        await self.drain()
+        server.stop()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        logger.info("ended")
--- /dev/null
+++ b/packages/entry/src/lacewingcourse/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that callers and operators talk to."""
--- /dev/null
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -0,0 +1,168 @@
+"""The entry's daemon: callers on one side, agents on the other."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import secrets
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+
+from lacewingcourse.core.endpoints import EndpointState
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.messages import Credit
+from lacewingcourse.core.routes import POLICIES, usable
+from lacewingcourse.core.streams import Phase
+from lacewingcourse.daemon.daemon import Daemon, Readiness
+from lacewingcourse.entry.answers import AnswerDriver
+from lacewingcourse.entry.api import API_ROUTES
+from lacewingcourse.entry.directory import Directory
+from lacewingcourse.entry.follower import ConfigurationFollower
+from lacewingcourse.entry.service_api import SERVICE_ROUTES
+from lacewingcourse.entry.wire_api import WIRE_ROUTES
+from lacewingcourse.platform.instances import InstanceListClient
+from lacewingcourse.platform.log import LogClient
+
+if TYPE_CHECKING:
+    from lacewingcourse.core.configuration import Configuration
+    from lacewingcourse.core.messages import TokenBatch
+    from lacewingcourse.core.routes import Route
+    from lacewingcourse.core.streams import StreamRequest
+    from lacewingcourse.entry.settings import EntrySettings
+
+#: Seconds between two looks for attempts that stand still.
+PROGRESS_INTERVAL = 0.25
+
+
+@attrs.frozen
+class EntryState:
+    """State of an entry as its state page shows it.
+
+    Attributes:
+        instance: Name of the instance.
+        readiness: Whether it takes new work.
+        streams: Answers in flight.
+        endpoints: What it knows of the endpoints.
+    """
+
+    instance: str
+    readiness: Readiness
+    streams: int
+    endpoints: tuple[EndpointState, ...]
+
+
+class Entry(Daemon):
+    """One entry instance.
+
+    Attributes:
+        directory: What is known of the endpoints.
+        follower: Follows the configuration.
+        answers: Answers in flight by stream.
+        policy: The route policy in force.
+        rng: Source of randomness for decisions.
+        calls_running: Plain calls in flight.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        super().__init__(settings)
+        instance_list = InstanceListClient(settings.instance_list_url)
+        self.directory = Directory(self, instance_list)
+        self.follower = ConfigurationFollower(LogClient(settings.log_url))
+        self.answers: dict[str, AnswerDriver] = {}
+        self.policy = POLICIES.get(settings.route_policy)()
+        self.rng = random.Random(secrets.randbits(64))
+        self.calls_running = 0
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self.follower.configuration
+
+    def routes(self) -> list[tuple]:
+        routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES
+        return [(path, handler, {"daemon": self}) for path, handler in routes]
+
+    def readiness(self) -> Readiness:
+        version = self.configuration.version
+        if self.stopping.is_set():
+            return Readiness(False, "leaving", version)
+        if not self.follower.caught_up:
+            return Readiness(False, "no configuration yet", version)
+        return Readiness(True, configuration_version=version)
+
+    def state(self) -> EntryState:
+        return EntryState(
+            instance=self.settings.instance_id,
+            readiness=self.readiness(),
+            streams=len(self.answers),
+            endpoints=tuple(self.directory.endpoints.values()),
+        )
+
+    async def start_tasks(self) -> None:
+        self.spawn(self.follower.follow())
+        self.spawn(self.directory.follow_list())
+        self.spawn(self.directory.follow_agents())
+        self.spawn(self._check_progress_for_ever())
+
+    async def _check_progress_for_ever(self) -> None:
+        while True:
+            await asyncio.sleep(PROGRESS_INTERVAL)
+            for answer in list(self.answers.values()):
+                answer.check_progress(self.now())
+
+    async def drain(self) -> None:
+        deadline = self.now() + self.settings.drain_timeout
+        while (self.answers or self.calls_running) and self.now() < deadline:
+            await asyncio.sleep(0.05)
+
+    def authenticate(self, header: str) -> str | Refusal:
+        """Return the organisation of an `Authorization` header."""
+        scheme, _, key = header.partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            return Refusal(ErrorKind.UNAUTHENTICATED, "no bearer key was sent")
+        key_hash = hashlib.sha256(key.strip().encode()).hexdigest()
+        for organisation in self.configuration.organisations.values():
+            if key_hash in organisation.key_hashes:
+                return organisation.name
+        return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
+
+    def choose_route(self, model: str, excluded: frozenset[str]) -> Route | Refusal:
+        """Return a route for a model."""
+        known = self.configuration.models.get(model)
+        if known is None:
+            return Refusal(ErrorKind.UNKNOWN_MODEL, f"no model {model!r}")
+        candidates = usable(self.directory.endpoints.values(), model, excluded)
+        return self.policy.choose(candidates, known.layer_count, self.rng, self.now())
+
+    def answer(self, request: StreamRequest) -> AnswerDriver:
+        """Start a streamed answer."""
+        driver = AnswerDriver(self, request)
+        self.answers[request.stream] = driver
+        driver.start()
+        return driver
+
+    def forget(self, driver: AnswerDriver) -> None:
+        """End a streamed answer."""
+        driver.abandon()
+        self.answers.pop(driver.stream, None)
+
+    def take_tokens(self, batch: TokenBatch) -> tuple[Credit, ...]:
+        """Hand tokens to their answers; end attempts that nobody waits for."""
+        credits = []
+        for token in batch.tokens:
+            answer = self.answers.get(token.stream)
+            if answer is None or answer.state.phase is Phase.ENDED:
+                credits.append(Credit(token.stream, token.attempt, 0))
+                continue
+            answer.on_token(token)
+        return tuple(credits)
+
+
+async def serve(settings: EntrySettings) -> None:
+    """Run an entry until it is asked to end."""
+    entry = Entry(settings)
+    logger.info("entry", instance=settings.instance_id)
+    await entry.run()
--- /dev/null
+++ b/packages/entry/src/lacewingcourse/entry/caller.py
@@ -0,0 +1,42 @@
+"""What all handlers for callers share."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.daemon.handlers import BaseHandler
+
+#: Header that names the class of work.
+CLASS_HEADER = "X-Work-Class"
+#: Header that names the idempotency key.
+KEY_HEADER = "Idempotency-Key"
+
+
+class CallerHandler(BaseHandler):
+    """Admits only callers with an organisation's key.
+
+    Attributes:
+        daemon: The entry.
+        organisation: Name of the caller's organisation.
+    """
+
+    def initialize(self, daemon: Any) -> None:
+        self.daemon = daemon
+        self.organisation = ""
+
+    def prepare(self) -> None:
+        readiness = self.daemon.readiness()
+        if not readiness.ready:
+            kind = ErrorKind.NOT_READY
+            if self.daemon.stopping.is_set():
+                kind = ErrorKind.DRAINING
+            self.refuse(Refusal(kind, readiness.reason, retry_after=1.0))
+            return
+        header = self.request.headers.get("Authorization", "")
+        organisation = self.daemon.authenticate(header)
+        if isinstance(organisation, Refusal):
+            self.set_header("WWW-Authenticate", "Bearer")
+            self.refuse(organisation)
+            return
+        self.organisation = organisation
--- /dev/null
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -0,0 +1,45 @@
+"""Settings of the entry."""
+
+from __future__ import annotations
+
+import environ
+
+from lacewingcourse.daemon import common_settings as common
+from lacewingcourse.daemon.settings import PREFIX, positive, secret
+
+
+@environ.config(prefix=PREFIX)
+class EntrySettings:
+    """Settings of one entry, each a flag and an environment variable."""
+
+    instance_id: str = common.instance_id()
+    availability_zone: str = common.availability_zone()
+    advertised_url: str = common.advertised_url()
+    shared_secret: str = common.shared_secret()
+    admin_token: str = environ.var(
+        converter=secret, help="Bearer token of the first administrator"
+    )
+    log_url: str = common.log_url()
+    instance_list_url: str = common.instance_list_url()
+    listen_address: str = common.listen_address()
+    listen_port: int = common.listen_port()
+    route_policy: str = environ.var(
+        default="random", help="Name of the route policy in force"
+    )
+    stall_timeout: float = environ.var(
+        default="5",
+        converter=positive,
+        help="Seconds without progress after which a stage is taken for lost",
+    )
+    message_timeout: float = environ.var(
+        default="3", converter=positive, help="Seconds a message to an agent may take"
+    )
+    call_timeout: float = environ.var(
+        default="30", converter=positive, help="Seconds a plain call may take"
+    )
+    log_format: str = common.log_format()
+    log_level: str = common.log_level()
+    max_body_bytes: int = common.max_body_bytes()
+    idle_timeout: float = common.idle_timeout()
+    body_timeout: float = common.body_timeout()
+    drain_timeout: float = common.drain_timeout()
--- /dev/null
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -0,0 +1,36 @@
+"""The entry's handlers for messages of agents."""
+
+from __future__ import annotations
+
+from lacewingcourse.core.messages import TokenBatch, TokenBatchReply, TroubleBatch
+from lacewingcourse.daemon.handlers import WireHandler
+from lacewingcourse.wire import paths
+
+
+class TokensHandler(WireHandler):
+    """Receives tokens."""
+
+    def post(self) -> None:
+        batch = self.message(TokenBatch)
+        if batch is None:
+            return
+        self.reply(TokenBatchReply(self.daemon.take_tokens(batch)))
+
+
+class TroublesHandler(WireHandler):
+    """Receives word of stages that cannot go on."""
+
+    def post(self) -> None:
+        batch = self.message(TroubleBatch)
+        if batch is None:
+            return
+        for trouble in batch.troubles:
+            answer = self.daemon.answers.get(trouble.stream)
+            if answer is not None:
+                answer.on_trouble(
+                    trouble.attempt, trouble.endpoint, trouble.kind, trouble.reason
+                )
+        self.reply(TokenBatchReply())
+
+
+WIRE_ROUTES = [(paths.TOKENS, TokensHandler), (paths.TROUBLES, TroublesHandler)]
--- /dev/null
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -0,0 +1,311 @@
+"""A whole deployment as separate processes on the loopback address."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import secrets
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+from urllib.request import Request, urlopen
+
+import attrs
+
+from lacewingcourse.core.configuration import (
+    Change,
+    ConfigurationRecord,
+    Model,
+    Organisation,
+    Service,
+)
+from lacewingcourse.platform.instances import Instance, InstanceRole, InstanceState
+from lacewingcourse.platform.log import Append
+from lacewingcourse.testing.layout import ZONES, EndpointPlan, plan_endpoints
+from lacewingcourse.testing.processes import (
+    Process,
+    free_ports,
+    python_command,
+    stop_all,
+    wait_until,
+)
+from lacewingcourse.wire.codec import encode
+
+#: Name of the model that a local deployment serves.
+MODEL = "mapchat"
+#: Name of the plain service.
+SERVICE = "tally"
+#: Organisations of a local deployment.
+ORGANISATIONS = ("blue-mahoe", "regie")
+#: Seconds in which a local deployment must be ready.
+START_TIMEOUT = 30.0
+
+
+@attrs.frozen
+class DeploymentOptions:
+    """What a local deployment consists of.
+
+    Attributes:
+        entries: Entries.
+        endpoints: Endpoints of the model.
+        layers: Layers of the model.
+        step_time: Seconds of an engine's step.
+        verbose: Whether the processes' log lines are shown.
+        entry_variables: Further settings of the entries.
+        agent_variables: Further settings of the agents.
+    """
+
+    entries: int = 1
+    endpoints: int = 4
+    layers: int = 24
+    step_time: float = 0.004
+    verbose: bool = False
+    entry_variables: dict[str, str] = attrs.field(factory=dict)
+    agent_variables: dict[str, str] = attrs.field(factory=dict)
+
+
+def put_json(url: str, message: Any, method: str = "PUT") -> Any:
+    """Send JSON and return the JSON that is answered."""
+    body = message if isinstance(message, bytes) else encode(message)
+    request = Request(
+        url, data=body, method=method, headers={"Content-Type": "application/json"}
+    )
+    with urlopen(request, timeout=10) as response:
+        text = response.read()
+    return json.loads(text) if text else None
+
+
+@attrs.define
+class EndpointProcesses:
+    """An endpoint and its agent."""
+
+    plan: EndpointPlan
+    engine: Process
+    agent: Process
+
+
+class Deployment:
+    """Starts, describes and stops a local deployment.
+
+    Attributes:
+        options: What it consists of.
+        shared_secret: Secret of its processes.
+        admin_token: Token of the first administrator.
+        keys: Key of each organisation.
+        platform: Stand-ins of the platform by name.
+        endpoints: Endpoints of the model.
+        service: The plain service and its agent.
+        entries: The entries.
+    """
+
+    def __init__(self, options: DeploymentOptions) -> None:
+        self.options = options
+        self.shared_secret = secrets.token_hex(16)
+        self.admin_token = secrets.token_hex(16)
+        self.keys = {name: f"key-{secrets.token_hex(12)}" for name in ORGANISATIONS}
+        self.platform: dict[str, Process] = {}
+        self.endpoints: list[EndpointProcesses] = []
+        self.service: EndpointProcesses | None = None
+        self.entries: list[Process] = []
+        self.log_directory = Path(tempfile.mkdtemp(prefix="lacewingcourse-"))
+
+    def processes(self) -> list[Process]:
+        """Return all processes, callers' side first."""
+        found = list(self.entries)
+        pairs = [*self.endpoints, *([self.service] if self.service else [])]
+        for pair in pairs:
+            found.append(pair.agent)
+        for pair in pairs:
+            found.append(pair.engine)
+        return found + list(self.platform.values())
+
+    def up(self) -> None:
+        """Start everything and wait until it is ready."""
+        self._start_platform()
+        self._start_endpoints()
+        self._start_entries()
+        self._list_instances()
+        self._publish()
+        wait_until(self.ready, START_TIMEOUT, "the deployment is not ready")
+
+    def down(self) -> None:
+        """Stop everything."""
+        stop_all(self.processes())
+
+    def _process(self, name: str, port: int, arguments, variables) -> Process:
+        log_path = None if self.options.verbose else self.log_directory / f"{name}.log"
+        url = f"http://127.0.0.1:{port}"
+        process = Process(name, url, arguments, variables, log_path)
+        process.start()
+        return process
+
+    def _standin(self, name: str, kind: str, *arguments: str) -> Process:
+        (port,) = free_ports(1)
+        command = python_command(
+            "lacewingcourse.testing", kind, f"--port={port}", *arguments
+        )
+        return self._process(name, port, command, {})
+
+    def _start_platform(self) -> None:
+        self.platform = {
+            "log_service": self._standin("log-service", "log"),
+            "instance_list": self._standin("instance-list", "instances"),
+            "weight_store": self._standin("weight-store", "weights"),
+        }
+        wait_until(
+            lambda: all(each.ready("/healthz") for each in self.platform.values()),
+            START_TIMEOUT,
+            "the platform is not ready",
+        )
+
+    def _daemon(self, kind: str, name: str, zone: str, variables) -> Process:
+        (port,) = free_ports(1)
+        shared = {
+            "LACEWINGCOURSE_INSTANCE_ID": name,
+            "LACEWINGCOURSE_AVAILABILITY_ZONE": zone,
+            "LACEWINGCOURSE_ADVERTISED_URL": f"http://127.0.0.1:{port}",
+            "LACEWINGCOURSE_LISTEN_PORT": str(port),
+            "LACEWINGCOURSE_SHARED_SECRET": self.shared_secret,
+            "LACEWINGCOURSE_LOG_URL": self.platform["log_service"].url,
+            "LACEWINGCOURSE_INSTANCE_LIST_URL": self.platform["instance_list"].url,
+        }
+        command = python_command("lacewingcourse.cli", kind)
+        return self._process(f"{kind}-{name}", port, command, {**shared, **variables})
+
+    def _start_endpoints(self) -> None:
+        options = self.options
+        for plan in plan_endpoints(options.endpoints, options.layers):
+            engine = self._standin(
+                f"engine-{plan.id}",
+                "engine",
+                f"--model={MODEL}",
+                f"--first={plan.layers.first}",
+                f"--end={plan.layers.end}",
+                f"--step-time={options.step_time}",
+            )
+            agent = self._agent(plan, engine, {})
+            self.endpoints.append(EndpointProcesses(plan, engine, agent))
+        plan = EndpointPlan("tally-1", ZONES[0], None)
+        service = self._standin("service-tally", "tally")
+        agent = self._agent(plan, service, {"LACEWINGCOURSE_SERVICE": SERVICE})
+        self.service = EndpointProcesses(plan, service, agent)
+
+    def _agent(self, plan: EndpointPlan, engine: Process, variables) -> Process:
+        return self._daemon(
+            "agent",
+            plan.id,
+            plan.availability_zone,
+            {
+                "LACEWINGCOURSE_ENDPOINT_URL": engine.url,
+                **self.options.agent_variables,
+                **variables,
+            },
+        )
+
+    def _start_entries(self) -> None:
+        for index in range(self.options.entries):
+            variables = {
+                "LACEWINGCOURSE_ADMIN_TOKEN": self.admin_token,
+                **self.options.entry_variables,
+            }
+            zone = ZONES[index % len(ZONES)]
+            entry = self._daemon("entry", f"entry-{index + 1}", zone, variables)
+            self.entries.append(entry)
+
+    def _list_instances(self) -> None:
+        for pair in [*self.endpoints, self.service]:
+            self.list_instance(pair, InstanceState.LIVE)
+        for index, entry in enumerate(self.entries):
+            zone = ZONES[index % len(ZONES)]
+            name = f"entry-{index + 1}"
+            instance = Instance(name, InstanceRole.ENTRY, zone, entry.url)
+            self._put_instance(instance)
+
+    def list_instance(self, pair: EndpointProcesses, state: InstanceState) -> None:
+        """Give the instance list an endpoint's state."""
+        plan = pair.plan
+        self._put_instance(
+            Instance(
+                plan.id,
+                InstanceRole.ENDPOINT,
+                plan.availability_zone,
+                pair.agent.url,
+                state,
+            )
+        )
+
+    def _put_instance(self, instance: Instance) -> None:
+        url = self.platform["instance_list"].url
+        put_json(f"{url}/instances/{instance.id}", instance)
+
+    def _publish(self) -> None:
+        """Publish the organisations, the model and the service."""
+        changes = [
+            Change("organisations", name, organisation=Organisation(name, (digest,)))
+            for name, digest in (
+                (name, hashlib.sha256(key.encode()).hexdigest())
+                for name, key in self.keys.items()
+            )
+        ]
+        model = Model(MODEL, self.options.layers)
+        service = Service(SERVICE, once=("POST /tallies",))
+        changes.append(Change("models", MODEL, model=model))
+        changes.append(Change("services", SERVICE, service=service))
+        record = ConfigurationRecord(
+            secrets.token_hex(16), 0, "launcher", time.time(), tuple(changes)
+        )
+        url = self.platform["log_service"].url
+        append = Append(encode(record).decode())
+        put_json(f"{url}/streams/configuration/records", append, "POST")
+
+    def ready(self) -> bool:
+        """Tell whether every process is ready and every entry knows all endpoints."""
+        pairs = [*self.endpoints, self.service]
+        if not all(pair.agent.ready() for pair in pairs):
+            return False
+        return all(entry.ready() and self._knows_all(entry) for entry in self.entries)
+
+    def _knows_all(self, entry: Process) -> bool:
+        with urlopen(entry.url + "/state", timeout=5) as response:
+            state = json.load(response)
+        ready = [each for each in state["endpoints"] if each["ready"]]
+        version = state["readiness"]["configuration_version"]
+        return version > 0 and len(ready) == len(self.endpoints) + 1
+
+    def describe(self) -> dict[str, Any]:
+        """Return the deployment as its state file shows it."""
+        return {
+            "pid": os.getpid(),
+            "entries": [{"url": each.url, "pid": each.pid} for each in self.entries],
+            "endpoints": [self._describe_endpoint(pair) for pair in self.endpoints],
+            "services": [
+                {
+                    "name": SERVICE,
+                    "url": self.service.engine.url,
+                    "pid": self.service.engine.pid,
+                    "agent_url": self.service.agent.url,
+                    "agent_pid": self.service.agent.pid,
+                }
+            ],
+            "models": [MODEL],
+            "platform": {name: each.url for name, each in self.platform.items()},
+            "organisations": [
+                {"name": name, "key": key} for name, key in self.keys.items()
+            ],
+            "admin_token": self.admin_token,
+        }
+
+    def _describe_endpoint(self, pair: EndpointProcesses) -> dict[str, Any]:
+        layers = pair.plan.layers
+        return {
+            "id": pair.plan.id,
+            "availability_zone": pair.plan.availability_zone,
+            "model": MODEL,
+            "layers": [layers.first, layers.end],
+            "url": pair.engine.url,
+            "pid": pair.engine.pid,
+            "agent_url": pair.agent.url,
+            "agent_pid": pair.agent.pid,
+        }
--- /dev/null
+++ b/packages/testing/src/lacewingcourse/testing/processes.py
@@ -0,0 +1,152 @@
+"""Starts and ends the processes of a local deployment."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+from urllib.error import URLError
+from urllib.request import urlopen
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+#: Seconds between two looks at a condition.
+POLL_INTERVAL = 0.03
+#: Seconds that a process may take to end before it is killed.
+END_TIMEOUT = 10.0
+
+
+class WaitTimeout(Exception):
+    """A condition did not come true."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return TCP ports of the loopback address that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def wait_until(condition, timeout: float, what: str) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        WaitTimeout: It did not hold in time.
+    """
+    deadline = time.monotonic() + timeout
+    while not condition():
+        if time.monotonic() > deadline:
+            raise WaitTimeout(what)
+        time.sleep(POLL_INTERVAL)
+
+
+def answers(url: str) -> bool:
+    """Tell whether a URL answers with status 200."""
+    try:
+        with urlopen(url, timeout=2) as response:
+            return response.status == 200
+    except (URLError, OSError):
+        return False
+
+
+@attrs.define
+class Process:
+    """A child process.
+
+    Attributes:
+        name: Name for people.
+        url: Base URL that it serves.
+        arguments: Its command line.
+        variables: Its environment beside the inherited one.
+        popen: The running child.
+    """
+
+    name: str
+    url: str
+    arguments: tuple[str, ...]
+    variables: Mapping[str, str]
+    log_path: Path | None = None
+    popen: subprocess.Popen | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self.popen.pid
+
+    def start(self) -> None:
+        """Start the child; its log lines go to a file or to this process's."""
+        environment = {**os.environ, **self.variables}
+        output = open(self.log_path, "ab") if self.log_path else None
+        try:
+            self.popen = subprocess.Popen(
+                self.arguments,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+        finally:
+            if output:
+                output.close()
+
+    def ready(self, path: str = "/readyz") -> bool:
+        """Tell whether the child answers that it is ready."""
+        return answers(self.url + path)
+
+    def alive(self) -> bool:
+        """Tell whether the child runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def kill(self) -> None:
+        """End the child at once."""
+        if self.alive():
+            self.popen.send_signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def terminate(self) -> None:
+        """Ask the child to end."""
+        if self.alive():
+            self.popen.send_signal(signal.SIGTERM)
+
+    def wait(self, timeout: float = END_TIMEOUT) -> int:
+        """Wait for the end of the child and return its exit code."""
+        return self.popen.wait(timeout)
+
+    def pause(self) -> None:
+        """Stop the child from running until it is resumed."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused child run again."""
+        self.popen.send_signal(signal.SIGCONT)
+
+
+def python_command(module: str, *arguments: str) -> tuple[str, ...]:
+    """Return the command line that runs a module with this Python."""
+    return (sys.executable, "-m", module, *arguments)
+
+
+def stop_all(processes: list[Process]) -> None:
+    """Ask all to end, and kill those that do not."""
+    for process in processes:
+        if process.popen is not None:
+            process.terminate()
+    for process in processes:
+        if process.popen is None:
+            continue
+        try:
+            process.wait(END_TIMEOUT)
+        except subprocess.TimeoutExpired:
+            process.kill()
--- /dev/null
+++ b/packages/testing/src/lacewingcourse/testing/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that the deployment brings."""
--- /dev/null
+++ b/packages/wire/src/lacewingcourse/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the processes of lacewingcourse, as JSON over HTTP."""
--- /dev/null
+++ b/packages/wire/src/lacewingcourse/wire/paths.py
@@ -0,0 +1,12 @@
+"""Paths of the messages between the processes of lacewingcourse."""
+
+from __future__ import annotations
+
+OPEN_STAGE = "/wire/open"
+HOPS = "/wire/hops"
+REVOKE = "/wire/revoke"
+CREDIT = "/wire/credit"
+STATUS = "/wire/status"
+CALL = "/wire/call"
+TOKENS = "/wire/tokens"
+TROUBLES = "/wire/troubles"
