Split the agent's daemon into stage runner and call runner

Cause: the agent's application held engine, hops and calls in one class of 330 lines, which several people are about to change at once.

Conclusion: packages can now be worked on side by side.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -1,60 +1,28 @@
-"""The agent's daemon: performs the effects of its gate."""
+"""The agent's daemon: one beside each endpoint."""
 
 from __future__ import annotations
 
 import asyncio
 import secrets
-from functools import partial
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
-from lacewingcourse.agent.engine import (
-    EngineClient,
-    EngineState,
-    ForwardOutput,
-    ForwardQueue,
-    item_of,
-    sequence_of,
-)
+from lacewingcourse.agent.call_runner import CallRunner
 from lacewingcourse.agent.handlers import AGENT_ROUTES
-from lacewingcourse.agent.outbox import Outbox
-from lacewingcourse.agent.service import ServiceClient
-from lacewingcourse.core.effects import (
-    CancelForward,
-    RunForward,
-    SendHop,
-    SendToken,
-    SendTrouble,
-)
-from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.messages import (
-    CallReply,
-    HopBatch,
-    HopBatchReply,
-    HopVerdict,
-    Status,
-    TokenBatch,
-    TokenBatchReply,
-    TroubleBatch,
-)
-from lacewingcourse.core.stages import ForwardResult, StageGate
+from lacewingcourse.agent.stage_runner import StageRunner
+from lacewingcourse.core.messages import Status
 from lacewingcourse.daemon.daemon import Daemon, Readiness
-from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from lacewingcourse.agent.settings import AgentSettings
-    from lacewingcourse.core.messages import Call, StageAddress
-    from lacewingcourse.core.stages import Effect
 
 #: Seconds between two looks at the endpoint.
 PROBE_INTERVAL = 0.5
-#: Times that a batch is sent before its receiver is reported.
-SEND_ATTEMPTS = 3
 #: Bytes of a fresh incarnation number.
 INCARNATION_BYTES = 8
+#: Seconds between two looks whether all work has ended.
+DRAIN_INTERVAL = 0.05
 
 
 class Agent(Daemon):
@@ -62,36 +30,21 @@
 
     Attributes:
         incarnation: Name of this start of the agent.
-        gate: Decides what runs here.
-        engine: Client of the engine, or None beside a plain service.
-        service: Client of the plain service, or None beside an engine.
-        engine_state: What the engine last said, or None while it does not answer.
-        queue: Work that waits for the engine.
-        in_flight: Steps given to the engine.
-        step_time: Seconds of the last step.
+        stages: Runs stages of a model, or None beside a plain service.
+        calls: Runs calls of a plain service, or None beside an engine.
+        leaving: Whether new work is refused.
     """
 
     def __init__(self, settings: AgentSettings) -> None:
         super().__init__(settings)
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
-        self.gate = StageGate(settings.instance_id, self.incarnation)
-        self.engine: EngineClient | None = None
-        self.service: ServiceClient | None = None
+        self.stages: StageRunner | None = None
+        self.calls: CallRunner | None = None
+        self.leaving = False
         if settings.service:
-            self.service = ServiceClient(
-                settings.endpoint_url, settings.endpoint_timeout
-            )
+            self.calls = CallRunner(self)
         else:
-            self.engine = EngineClient(settings.endpoint_url, settings.endpoint_timeout)
-        self.engine_state: EngineState | None = None
-        self.service_ready = False
-        self.calls_running = 0
-        self.queue = ForwardQueue()
-        self.in_flight = 0
-        self.step_time = 0.0
-        self.hop_outboxes: dict[tuple[str, str], Outbox] = {}
-        self.token_outboxes: dict[str, Outbox] = {}
-        self.trouble_outboxes: dict[str, Outbox] = {}
+            self.stages = StageRunner(self)
 
     def routes(self) -> list[tuple]:
         return [(path, handler, {"daemon": self}) for path, handler in AGENT_ROUTES]
@@ -105,27 +58,29 @@
 
     def endpoint_ready(self) -> bool:
         """Tell whether the endpoint answers."""
-        if self.service is not None:
-            return self.service_ready
-        return self.engine_state is not None
+        if self.calls is not None:
+            return self.calls.ready
+        return self.stages.engine_state is not None
+
+    def running(self) -> int:
+        """Return how many streams and calls run here."""
+        if self.calls is not None:
+            return self.calls.running
+        return len(self.stages.gate.stages)
 
     def status(self) -> Status:
         """Return the state of the agent and its endpoint."""
-        engine_state = self.engine_state
-        return Status(
-            endpoint=self.settings.instance_id,
+        settings = self.settings
+        status = Status(
+            endpoint=settings.instance_id,
             incarnation=self.incarnation,
-            availability_zone=self.settings.availability_zone,
-            model=engine_state.model if engine_state else "",
-            layers=engine_state.layers if engine_state else None,
-            service=self.settings.service,
-            version=engine_state.version if engine_state else "",
-            leaving=self.gate.leaving,
+            availability_zone=settings.availability_zone,
+            service=settings.service,
+            leaving=self.leaving,
             ready=self.endpoint_ready(),
-            running=len(self.gate.stages) + self.calls_running,
-            queued=len(self.queue),
-            step_time=self.step_time,
+            running=self.running(),
         )
+        return status if self.stages is None else self.stages.complete_status(status)
 
     def state(self) -> Status:
         return self.status()
@@ -138,204 +93,23 @@
         while True:
             await asyncio.sleep(PROBE_INTERVAL)
             await self.probe()
-            self.gate.forget(self.now())
+            if self.stages is not None:
+                self.stages.gate.forget(self.now())
 
     async def probe(self) -> None:
         """Look whether the endpoint answers."""
         before = self.endpoint_ready()
-        if self.service is not None:
-            self.service_ready = await self.service.answers()
-        else:
-            state = await self.engine.state()
-            self.engine_state = None if isinstance(state, Refusal) else state
+        await (self.calls or self.stages).probe()
         if self.endpoint_ready() != before:
             logger.info("endpoint answers", ready=self.endpoint_ready())
 
     async def drain(self) -> None:
-        self.gate.leaving = True
+        self.leaving = True
+        if self.stages is not None:
+            self.stages.gate.leaving = True
         deadline = self.now() + self.settings.drain_timeout
-        while (self.gate.stages or self.calls_running) and self.now() < deadline:
-            await asyncio.sleep(0.05)
-
-    async def run_call(self, call: Call) -> CallReply:
-        """Run a call of the plain service, or refuse it."""
-        refused = self._refusal_of(call)
-        if refused is not None:
-            return refused
-        self.calls_running += 1
-        try:
-            return await self.service.run(call, self.incarnation)
-        finally:
-            self.calls_running -= 1
-
-    def _refusal_of(self, call: Call) -> CallReply | None:
-        """Return the reply that refuses a call, or None."""
-        if call.incarnation != self.incarnation:
-            kind, reason = ErrorKind.STALE_INCARNATION, "meant for another incarnation"
-        elif self.gate.leaving:
-            kind, reason = ErrorKind.DRAINING, "the endpoint is leaving"
-        elif self.service is None or call.service != self.settings.service:
-            kind, reason = ErrorKind.UNKNOWN_SERVICE, "the service does not run here"
-        else:
-            return None
-        return CallReply(self.incarnation, kind=kind, reason=reason)
-
-    def perform(self, effects: Iterable[Effect]) -> None:
-        """Carry out effects of the gate."""
-        for effect in effects:
-            match effect:
-                case RunForward():
-                    self.queue.push(effect)
-                case CancelForward():
-                    self.queue.drop(effect.stream, effect.attempt)
-                    sequence = sequence_of(effect.stream, effect.attempt)
-                    self.spawn(self.engine.cancel((sequence,)))
-                case SendHop():
-                    self._send_hop(effect)
-                case SendToken():
-                    self._token_outbox(effect.entry_url).put(effect.token)
-                case SendTrouble():
-                    self._trouble_outbox(effect.entry_url).put(effect.trouble)
-        self._feed_engine()
-
-    def _feed_engine(self) -> None:
-        """Give waiting work to the engine while it has room."""
-        while self.queue and self.in_flight < self.settings.steps_in_flight:
-            batch = self.queue.take(self.settings.batch_items)
-            self.in_flight += 1
-            self.spawn(self._step(batch))
-
-    async def _step(self, batch: list[RunForward]) -> None:
-        """Run one batch on the engine and pass its results on."""
-        try:
-            reply = await self.engine.forward(tuple(item_of(work) for work in batch))
-        finally:
-            self.in_flight -= 1
-        if isinstance(reply, Refusal):
-            self._fail_batch(batch, reply)
-            return
-        self.step_time = reply.step_time
-        for work, output in zip(batch, reply.items, strict=True):
-            self._complete(work, output)
-        self._feed_engine()
-
-    def _fail_batch(self, batch: list[RunForward], refusal: Refusal) -> None:
-        """Report each attempt of a failed batch."""
-        for work in batch:
-            self._report(work.stream, work.attempt, refusal.reason)
-        self._feed_engine()
-
-    def _report(self, stream: str, attempt: int, reason: str) -> None:
-        """Report that this endpoint failed an attempt."""
-        endpoint = self.settings.instance_id
-        kind = ErrorKind.ENDPOINT_FAILED
-        self.perform(self.gate.fail(stream, attempt, endpoint, kind, reason))
-
-    def _complete(self, work: RunForward, output: ForwardOutput) -> None:
-        """Pass on the result of one item."""
-        if output.error:
-            self._report(work.stream, work.attempt, output.error)
-            return
-        result = ForwardResult(
-            stream=work.stream,
-            attempt=work.attempt,
-            position=work.position,
-            count=output.count,
-            outputs=output.outputs,
-            token=output.token,
-            text=output.text,
-            prompt_length=output.prompt_length or work.prompt_length,
-        )
-        self.perform(self.gate.complete(result, self.now()))
-
-    def _send_hop(self, effect: SendHop) -> None:
-        """Queue a hop for its receiver; run it at once if that is this agent."""
-        if effect.target.incarnation == self.incarnation:
-            _, effects = self.gate.receive(effect.hop, self.now())
-            self.perform(effects)
-            return
-        key = (effect.target.agent_url, effect.target.incarnation)
-        outbox = self.hop_outboxes.get(key)
-        if outbox is None:
-            send = partial(self._send_hops, effect.target)
-            outbox = self.hop_outboxes[key] = Outbox(send, self.spawn)
-        outbox.put(effect.hop)
-
-    async def _send_hops(self, target: StageAddress, hops: list) -> None:
-        """Send hops to the agent of another stage; report it if it fails."""
-        batch = HopBatch(self.settings.instance_id, target.incarnation, tuple(hops))
-        reply = await self._send(target.agent_url, paths.HOPS, batch, HopBatchReply)
-        if isinstance(reply, Refusal) or not reply.current:
-            reason = reply.reason if isinstance(reply, Refusal) else "restarted"
-            for hop in hops:
-                self._blame(hop, target.endpoint, reason)
-            return
-        for hop, verdict in zip(hops, reply.verdicts, strict=True):
-            if verdict in LOST_VERDICTS:
-                self._blame(hop, target.endpoint, verdict.value)
-
-    def _blame(self, hop, endpoint: str, reason: str) -> None:
-        """Report that another stage did not take a hop."""
-        kind = ErrorKind.STAGE_LOST
-        effects = self.gate.fail(hop.stream, hop.attempt, endpoint, kind, reason)
-        self.perform(effects)
-
-    async def _send(self, url: str, path: str, message, kind):
-        """Send a message that the receiver recognises when it is repeated."""
-        reply = None
-        for _ in range(SEND_ATTEMPTS):
-            reply = await self.peers.send(
-                url, path, message, kind, self.settings.hop_timeout
-            )
-            if not isinstance(reply, Refusal):
-                return reply
-        return reply
-
-    def _token_outbox(self, entry_url: str) -> Outbox:
-        if entry_url not in self.token_outboxes:
-            send = partial(self._send_tokens, entry_url)
-            self.token_outboxes[entry_url] = Outbox(send, self.spawn)
-        return self.token_outboxes[entry_url]
-
-    async def _send_tokens(self, entry_url: str, tokens: list) -> None:
-        """Send tokens to their entry and take the credits of its reply."""
-        batch = TokenBatch(self.settings.instance_id, self.incarnation, tuple(tokens))
-        reply = await self._send(entry_url, paths.TOKENS, batch, TokenBatchReply)
-        if isinstance(reply, Refusal):
-            self._entry_lost(tokens)
-            return
-        for credit in reply.credits:
-            self.take_credit(credit)
-
-    def take_credit(self, credit) -> None:
-        """Let a stream go further."""
-        self.perform(
-            self.gate.credit(
-                credit.stream, credit.attempt, credit.token_limit, self.now()
-            )
-        )
-
-    def _entry_lost(self, tokens: list) -> None:
-        """End the attempts whose entry cannot be reached."""
-        for token in tokens:
-            effects = self.gate.close(token.stream, token.attempt, self.now())
-            self.perform(effects)
-
-    def _trouble_outbox(self, entry_url: str) -> Outbox:
-        if entry_url not in self.trouble_outboxes:
-            send = partial(self._send_troubles, entry_url)
-            self.trouble_outboxes[entry_url] = Outbox(send, self.spawn)
-        return self.trouble_outboxes[entry_url]
-
-    async def _send_troubles(self, entry_url: str, troubles: list) -> None:
-        batch = TroubleBatch(self.settings.instance_id, tuple(troubles))
-        await self._send(entry_url, paths.TROUBLES, batch, TokenBatchReply)
-
-
-#: Verdicts after which an attempt cannot go on.
-LOST_VERDICTS = frozenset(
-    {HopVerdict.UNKNOWN_STREAM, HopVerdict.WRONG_RANGE, HopVerdict.OVERFLOW}
-)
+        while self.running() and self.now() < deadline:
+            await asyncio.sleep(DRAIN_INTERVAL)
 
 
 async def serve(settings: AgentSettings) -> None:
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -24,8 +24,8 @@
         message = self.message(OpenStage)
         if message is None:
             return
-        reply, effects = self.daemon.gate.open(message, self.daemon.now())
-        self.daemon.perform(effects)
+        reply, effects = self.daemon.stages.gate.open(message, self.daemon.now())
+        self.daemon.stages.perform(effects)
         self.reply(reply)
 
 
@@ -42,9 +42,9 @@
             return
         verdicts = []
         for hop in batch.hops:
-            verdict, effects = daemon.gate.receive(hop, daemon.now())
+            verdict, effects = daemon.stages.gate.receive(hop, daemon.now())
             verdicts.append(verdict)
-            daemon.perform(effects)
+            daemon.stages.perform(effects)
         self.reply(HopBatchReply(daemon.incarnation, True, tuple(verdicts)))
 
 
@@ -59,10 +59,10 @@
         if message.incarnation != daemon.incarnation:
             self.reply(RevokeReply(daemon.incarnation, False, False))
             return
-        reply, effects = daemon.gate.revoke(
+        reply, effects = daemon.stages.gate.revoke(
             message.stream, message.attempt, daemon.now()
         )
-        daemon.perform(effects)
+        daemon.stages.perform(effects)
         self.reply(reply)
 
 
@@ -73,7 +73,7 @@
         credit = self.message(Credit)
         if credit is None:
             return
-        self.daemon.take_credit(credit)
+        self.daemon.stages.take_credit(credit)
         self.reply(TokenBatchReply())
 
 
@@ -92,7 +92,7 @@
         call = self.message(Call)
         if call is None:
             return
-        self.reply(await self.daemon.run_call(call))
+        self.reply(await self.daemon.calls.run(call))
 
 
 AGENT_ROUTES = [
