Decide which requests crash their endpoints

Cause: a request that crashes each endpoint that runs it is sent again under other keys; nothing told it from a request that merely shared a batch with it.

Change: core/poison.py keeps strikes by fingerprint. A crash in company makes a suspect; two crashes alone on distinct endpoints convict; one run alone past the place clears. Not yet wired to the daemons.

--- /dev/null
+++ b/packages/core/src/lacewingcourse/core/poison.py
@@ -0,0 +1,262 @@
+"""Tells a request that crashes its endpoints from one that met bad luck.
+
+An endpoint's crash gives a strike to each request that may have caused it. A request
+with a strike is a suspect: it runs again alone, on endpoints of a small fixed order,
+until it is past the place of the crash. Crashes while it runs alone, on distinct
+endpoints, convict it; a run past the place clears it. A batch neighbour is therefore
+never convicted by the crashes that another request caused: those stop counting as
+soon as it has run alone once.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lacewingcourse.core.endpoints import EndpointState
+
+#: Endpoints that must crash under a request alone before it is convicted.
+SOLO_CRASHES = 2
+#: Seconds for which a strike counts.
+STRIKE_KEPT = 1800.0
+#: Seconds for which a verdict holds.
+VERDICT_KEPT = 3600.0
+#: Requests that are remembered at the most.
+MAX_RECORDS = 10_000
+#: Bytes of a fingerprint.
+FINGERPRINT_BYTES = 16
+
+
+class Standing(Enum):
+    """What is held of a request."""
+
+    CLEAN = "clean"
+    SUSPECT = "suspect"
+    POISON = "poison"
+
+
+@attrs.frozen
+class Strike:
+    """One crash of an endpoint while it ran a request.
+
+    Attributes:
+        fingerprint: Which request, whatever its key, caller or entry.
+        endpoint: Name of the crashed endpoint instance.
+        incarnation: Incarnation of its agent and number of the crash there.
+        solo: Whether the request ran alone.
+        age: Seconds since the crash when the strike was told.
+    """
+
+    fingerprint: str
+    endpoint: str
+    incarnation: str
+    solo: bool
+    age: float = 0.0
+
+
+@attrs.frozen
+class Clearance:
+    """Word that a suspect ran alone past the place of the crash.
+
+    Attributes:
+        fingerprint: Which request.
+        age: Seconds since then when the clearance was told.
+    """
+
+    fingerprint: str
+    age: float = 0.0
+
+
+@attrs.frozen
+class PoisonNotice:
+    """What entries tell each other of suspects, directly and through the log.
+
+    Attributes:
+        strikes: Crashes.
+        clearances: Suspects that turned out innocent.
+    """
+
+    strikes: tuple[Strike, ...] = ()
+    clearances: tuple[Clearance, ...] = ()
+
+
+@attrs.define
+class Record:
+    """What is known of one request.
+
+    Attributes:
+        shared: Times of crashes beside other requests, by endpoint and crash.
+        solo: Times of crashes alone, by endpoint.
+        cleared_at: When it last ran alone past the place, seconds, or None.
+        convicted_at: When it was convicted, seconds, or None.
+    """
+
+    shared: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    solo: dict[str, float] = attrs.field(factory=dict)
+    cleared_at: float | None = None
+    convicted_at: float | None = None
+
+
+def fingerprint_of(model: str, version: str, prompt: str) -> str:
+    """Return what identifies a request's content under any key and caller.
+
+    Args:
+        model: Name of the model.
+        version: Version of its weights; another version may cope with it.
+        prompt: The caller's prompt.
+    """
+    text = "\0".join((model, version, prompt))
+    return hashlib.blake2b(text.encode(), digest_size=FINGERPRINT_BYTES).hexdigest()
+
+
+@attrs.define
+class PoisonBook:
+    """Strikes and verdicts by fingerprint, the latest touched last.
+
+    Attributes:
+        records: What is known, bounded by `MAX_RECORDS`.
+    """
+
+    records: OrderedDict[str, Record] = attrs.field(factory=OrderedDict)
+
+    def strike(self, strike: Strike, now: float) -> Standing:
+        """Note a crash; a repeated strike counts once.
+
+        Args:
+            strike: The crash.
+            now: Present time in seconds.
+
+        Returns:
+            What is held of the request from now on.
+        """
+        record = self.records.setdefault(strike.fingerprint, Record())
+        self.records.move_to_end(strike.fingerprint)
+        at = now - strike.age
+        if strike.solo:
+            record.solo.setdefault(strike.endpoint, at)
+        else:
+            record.shared.setdefault((strike.endpoint, strike.incarnation), at)
+        if len(self._current_solo(record, now)) >= SOLO_CRASHES:
+            record.convicted_at = (
+                at if record.convicted_at is None else max(at, record.convicted_at)
+            )
+        self._bound()
+        return self.standing(strike.fingerprint, now)
+
+    def clear(self, clearance: Clearance, now: float) -> None:
+        """Note that a suspect ran alone past the place of the crash."""
+        record = self.records.get(clearance.fingerprint)
+        if record is None:
+            return
+        at = now - clearance.age
+        record.cleared_at = max(at, record.cleared_at or at)
+
+    def merge(self, notice: PoisonNotice, now: float) -> None:
+        """Take another entry's word; order and repetition do not matter."""
+        for strike in notice.strikes:
+            self.strike(strike, now)
+        for clearance in notice.clearances:
+            self.clear(clearance, now)
+
+    def standing(self, fingerprint: str, now: float) -> Standing:
+        """Return what is held of a request."""
+        record = self.records.get(fingerprint)
+        if record is None:
+            return Standing.CLEAN
+        convicted = record.convicted_at
+        if convicted is not None and now - convicted < VERDICT_KEPT:
+            return Standing.POISON
+        if self._current_solo(record, now) or self._current_shared(record, now):
+            return Standing.SUSPECT
+        return Standing.CLEAN
+
+    def crashed_endpoints(self, fingerprint: str, now: float) -> frozenset[str]:
+        """Return the endpoints that crashed while they ran a request alone."""
+        record = self.records.get(fingerprint)
+        if record is None:
+            return frozenset()
+        return frozenset(self._current_solo(record, now))
+
+    def convicted(self, now: float) -> list[str]:
+        """Return the fingerprints whose verdict holds."""
+        return [
+            fingerprint
+            for fingerprint in self.records
+            if self.standing(fingerprint, now) is Standing.POISON
+        ]
+
+    def forget(self, now: float) -> None:
+        """Drop what counts no longer."""
+        idle = [
+            fingerprint
+            for fingerprint in self.records
+            if self.standing(fingerprint, now) is Standing.CLEAN
+        ]
+        for fingerprint in idle:
+            del self.records[fingerprint]
+
+    def _current_solo(self, record: Record, now: float) -> list[str]:
+        """Return the endpoints whose crashes alone still count."""
+        return [
+            endpoint for endpoint, at in record.solo.items() if now - at < STRIKE_KEPT
+        ]
+
+    def _current_shared(self, record: Record, now: float) -> list[float]:
+        """Return the times of crashes in company since the last clearance."""
+        cleared = record.cleared_at
+        return [
+            at
+            for at in record.shared.values()
+            if now - at < STRIKE_KEPT and (cleared is None or at > cleared)
+        ]
+
+    def _bound(self) -> None:
+        """Forget the requests that were touched longest ago."""
+        while len(self.records) > MAX_RECORDS:
+            self.records.popitem(last=False)
+
+
+@attrs.frozen
+class CrashedItem:
+    """An item of an engine step that ended in a crash.
+
+    Attributes:
+        stream: Name of its stream.
+        attempt: Number of its attempt.
+        first_step: Whether it was the attempt's first step on the engine.
+    """
+
+    stream: str
+    attempt: int
+    first_step: bool
+
+
+def suspects_of(items: Iterable[CrashedItem]) -> list[CrashedItem]:
+    """Return the items that may have caused a crash.
+
+    An attempt that has already survived steps on the engine is suspected only if
+    there is no newcomer among the items.
+    """
+    listed = list(items)
+    newcomers = [item for item in listed if item.first_step]
+    return newcomers or listed
+
+
+def suspects_order(endpoints: Iterable[EndpointState]) -> list[EndpointState]:
+    """Return endpoints in the fixed order in which suspects use them.
+
+    Every entry computes the same order, so all suspects of a model meet on the same
+    few endpoints and the others never run one.
+    """
+    return sorted(endpoints, key=_suspects_rank)
+
+
+def _suspects_rank(endpoint: EndpointState) -> bytes:
+    return hashlib.blake2b(endpoint.id.encode(), digest_size=8).digest()
