Weigh strikes by whether the request had just started

Cause: after the loss of an endpoint every request of its batch would have been a suspect and have queued up to run alone, which costs recovery time.

Change: a newcomer's strike weighs 2, a survivor's 1, suspects start at 2. The entry's guard shares strikes and clearances with other entries directly and through the log; it is not wired into answers yet.

The bound for a request that crashes while it decodes rises from 3 to 4 endpoints; for one that crashes at its start it stays 3.

Conclusion: only newcomers of the crashed step run alone after one crash.

--- a/packages/core/src/lacewingcourse/core/poison.py
+++ b/packages/core/src/lacewingcourse/core/poison.py
@@ -1,11 +1,13 @@
 """Tells a request that crashes its endpoints from one that met bad luck.
 
 An endpoint's crash gives a strike to each request that may have caused it. A request
-with a strike is a suspect: it runs again alone, on endpoints of a small fixed order,
-until it is past the place of the crash. Crashes while it runs alone, on distinct
-endpoints, convict it; a run past the place clears it. A batch neighbour is therefore
-never convicted by the crashes that another request caused: those stop counting as
-soon as it has run alone once.
+whose strikes weigh enough is a suspect: it runs again alone, on endpoints of a small
+fixed order, until it is past the place of the crash. One crash is enough for a request
+that had just started there; one that had survived steps there needs two, so that a
+lost endpoint does not make its whole batch queue up to run alone. Crashes while it
+runs alone, on distinct endpoints, convict it; a run past the place clears it. A batch
+neighbour is therefore never convicted by the crashes that another request caused:
+those stop counting as soon as it has run alone once.
 """
 
 from __future__ import annotations
@@ -24,6 +26,12 @@
 
 #: Endpoints that must crash under a request alone before it is convicted.
 SOLO_CRASHES = 2
+#: Weight of strikes in company from which on a request is a suspect.
+SUSPECT_WEIGHT = 2
+#: Weight of a strike for a request that had just started on the endpoint.
+NEWCOMER_WEIGHT = 2
+#: Weight of a strike for a request that had survived steps there.
+SURVIVOR_WEIGHT = 1
 #: Seconds for which a strike counts.
 STRIKE_KEPT = 1800.0
 #: Seconds for which a verdict holds.
@@ -51,6 +59,7 @@
         endpoint: Name of the crashed endpoint instance.
         incarnation: Incarnation of its agent and number of the crash there.
         solo: Whether the request ran alone.
+        newcomer: Whether the request had just started there.
         age: Seconds since the crash when the strike was told.
     """
 
@@ -58,9 +67,23 @@
     endpoint: str
     incarnation: str
     solo: bool
+    newcomer: bool = True
     age: float = 0.0
 
 
+@attrs.frozen
+class SharedCrash:
+    """A crash beside other requests.
+
+    Attributes:
+        at: When it was, seconds.
+        weight: How much it speaks against the request.
+    """
+
+    at: float
+    weight: int
+
+
 @attrs.frozen
 class Clearance:
     """Word that a suspect ran alone past the place of the crash.
@@ -92,13 +115,13 @@
     """What is known of one request.
 
     Attributes:
-        shared: Times of crashes beside other requests, by endpoint and crash.
+        shared: Crashes beside other requests, by endpoint and crash.
         solo: Times of crashes alone, by endpoint.
         cleared_at: When it last ran alone past the place, seconds, or None.
         convicted_at: When it was convicted, seconds, or None.
     """
 
-    shared: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    shared: dict[tuple[str, str], SharedCrash] = attrs.field(factory=dict)
     solo: dict[str, float] = attrs.field(factory=dict)
     cleared_at: float | None = None
     convicted_at: float | None = None
@@ -142,7 +165,9 @@
         if strike.solo:
             record.solo.setdefault(strike.endpoint, at)
         else:
-            record.shared.setdefault((strike.endpoint, strike.incarnation), at)
+            weight = NEWCOMER_WEIGHT if strike.newcomer else SURVIVOR_WEIGHT
+            key = (strike.endpoint, strike.incarnation)
+            record.shared.setdefault(key, SharedCrash(at, weight))
         if len(self._current_solo(record, now)) >= SOLO_CRASHES:
             record.convicted_at = (
                 at if record.convicted_at is None else max(at, record.convicted_at)
@@ -173,7 +198,8 @@
         convicted = record.convicted_at
         if convicted is not None and now - convicted < VERDICT_KEPT:
             return Standing.POISON
-        if self._current_solo(record, now) or self._current_shared(record, now):
+        weight = sum(crash.weight for crash in self._current_shared(record, now))
+        if self._current_solo(record, now) or weight >= SUSPECT_WEIGHT:
             return Standing.SUSPECT
         return Standing.CLEAN
 
@@ -196,8 +222,9 @@
         """Drop what counts no longer."""
         idle = [
             fingerprint
-            for fingerprint in self.records
+            for fingerprint, record in self.records.items()
             if self.standing(fingerprint, now) is Standing.CLEAN
+            and not self._current_shared(record, now)
         ]
         for fingerprint in idle:
             del self.records[fingerprint]
@@ -208,13 +235,13 @@
             endpoint for endpoint, at in record.solo.items() if now - at < STRIKE_KEPT
         ]
 
-    def _current_shared(self, record: Record, now: float) -> list[float]:
-        """Return the times of crashes in company since the last clearance."""
+    def _current_shared(self, record: Record, now: float) -> list[SharedCrash]:
+        """Return the crashes in company since the last clearance."""
         cleared = record.cleared_at
         return [
-            at
-            for at in record.shared.values()
-            if now - at < STRIKE_KEPT and (cleared is None or at > cleared)
+            crash
+            for crash in record.shared.values()
+            if now - crash.at < STRIKE_KEPT and (cleared is None or crash.at > cleared)
         ]
 
     def _bound(self) -> None:
--- a/packages/core/tests/test_poison.py
+++ b/packages/core/tests/test_poison.py
@@ -27,6 +27,14 @@
     assert book.convicted(3.0) == ["f"]
 
 
+def test_survivor_becomes_a_suspect_at_its_second_crash():
+    book = PoisonBook()
+    first = Strike("f", "e1", "i.1", False, newcomer=False)
+    second = Strike("f", "e2", "i.1", False, newcomer=False)
+    assert book.strike(first, 0.0) is Standing.CLEAN
+    assert book.strike(second, 1.0) is Standing.SUSPECT
+
+
 def test_one_endpoint_that_keeps_crashing_convicts_nobody():
     book = PoisonBook()
     for crash in range(10):
@@ -81,6 +89,7 @@
     endpoint=st.sampled_from(["e1", "e2", "e3"]),
     incarnation=st.sampled_from(["i.1", "i.2"]),
     solo=st.booleans(),
+    newcomer=st.just(False),
     age=st.just(0.0),
 )
 
--- /dev/null
+++ b/packages/entry/src/lacewingcourse/entry/poison_guard.py
@@ -0,0 +1,152 @@
+"""Keeps entries of one mind about requests that crash their endpoints.
+
+Strikes and clearances go to the other entries directly, so that they count while the
+log is down, and to the log, so that an entry that starts later learns the verdicts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+
+from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.messages import TokenBatchReply
+from lacewingcourse.core.poison import (
+    STRIKE_KEPT,
+    Clearance,
+    PoisonBook,
+    PoisonNotice,
+    Standing,
+    Strike,
+)
+from lacewingcourse.wire import paths
+from lacewingcourse.wire.codec import decode, encode
+
+if TYPE_CHECKING:
+    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.platform.log import LogClient, LogRecord
+
+#: Stream of the log that holds the notices.
+POISON_STREAM = "poison"
+#: Seconds between two reads of that stream.
+READ_INTERVAL = 5.0
+#: Notices that wait for the log at the most; the oldest are dropped.
+MAX_WAITING = 1000
+#: Notices of one append at the most.
+APPEND_LIMIT = 100
+
+
+class PoisonGuard:
+    """What this entry holds of requests, and what it tells the others.
+
+    Attributes:
+        entry: The entry's daemon.
+        log: Client of the log service.
+        book: Strikes and verdicts.
+        waiting: Notices that are not yet in the log.
+        offset: The next offset to read.
+    """
+
+    def __init__(self, entry: Entry, log: LogClient) -> None:
+        self.entry = entry
+        self.log = log
+        self.book = PoisonBook()
+        self.waiting: list[PoisonNotice] = []
+        self.offset = 0
+
+    def standing(self, fingerprint: str) -> Standing:
+        """Return what is held of a request."""
+        return self.book.standing(fingerprint, self.entry.now())
+
+    def strike(self, strike: Strike) -> Standing:
+        """Note a crash that this entry heard of and tell the others."""
+        before = self.standing(strike.fingerprint)
+        standing = self.book.strike(strike, self.entry.now())
+        if standing is not before:
+            logger.warning(
+                "standing of a request changed",
+                fingerprint=strike.fingerprint,
+                standing=standing.value,
+            )
+        self._tell(PoisonNotice(strikes=(strike,)))
+        return standing
+
+    def clear(self, fingerprint: str) -> None:
+        """Note that a suspect ran alone past the place of its crash."""
+        clearance = Clearance(fingerprint)
+        self.book.clear(clearance, self.entry.now())
+        self._tell(PoisonNotice(clearances=(clearance,)))
+
+    def take(self, notice: PoisonNotice) -> None:
+        """Take another entry's word."""
+        self.book.merge(notice, self.entry.now())
+
+    def _tell(self, notice: PoisonNotice) -> None:
+        """Send a notice to the other entries and queue it for the log."""
+        self.waiting.append(notice)
+        del self.waiting[:-MAX_WAITING]
+        for url in self.entry.directory.entry_urls():
+            if url != self.entry.settings.advertised_url:
+                self.entry.spawn(self._send(url, notice))
+
+    async def _send(self, url: str, notice: PoisonNotice) -> None:
+        timeout = self.entry.settings.message_timeout
+        await self.entry.peers.send(url, paths.POISON, notice, TokenBatchReply, timeout)
+
+    async def follow(self) -> None:
+        """Append what waits and read what others appended, for ever."""
+        while True:
+            await self._append()
+            await self._read()
+            self.book.forget(self.entry.now())
+            await asyncio.sleep(READ_INTERVAL)
+
+    async def _append(self) -> None:
+        """Append waiting notices as one record; a repeated one does no harm."""
+        if not self.waiting:
+            return
+        batch = self.waiting[:APPEND_LIMIT]
+        joined = PoisonNotice(
+            strikes=tuple(strike for notice in batch for strike in notice.strikes),
+            clearances=tuple(each for notice in batch for each in notice.clearances),
+        )
+        offset = await self.log.append(POISON_STREAM, encode(joined).decode())
+        if not isinstance(offset, Refusal):
+            del self.waiting[: len(batch)]
+
+    async def _read(self) -> None:
+        """Read records up to the end of the stream."""
+        while True:
+            page = await self.log.read(POISON_STREAM, self.offset)
+            if isinstance(page, Refusal) or not page.records:
+                return
+            for record in page.records:
+                self._fold(record)
+
+    def _fold(self, record: LogRecord) -> None:
+        """Take the notices of one record, as old as the log says they are."""
+        self.offset = record.offset + 1
+        notice = decode(record.body.encode(), PoisonNotice)
+        if isinstance(notice, Refusal):
+            logger.error("unreadable notice", offset=record.offset)
+            return
+        age = max(0.0, time.time() - record.appended_at)
+        if age > STRIKE_KEPT:
+            return
+        self.take(aged(notice, age))
+
+
+def aged(notice: PoisonNotice, age: float) -> PoisonNotice:
+    """Return a notice as told some seconds later."""
+    return PoisonNotice(
+        strikes=tuple(
+            attrs.evolve(strike, age=strike.age + age) for strike in notice.strikes
+        ),
+        clearances=tuple(
+            attrs.evolve(each, age=each.age + age) for each in notice.clearances
+        ),
+    )
