Publish the configuration through an admin API and pass it on by version

Cause: every entry read the log itself, nothing was validated, a gap in the log's retention would have taken the loser of a race for its winner, and agents had no configuration at all.

Change: the fold, its validation and the replica are pure decisions in core. A record is accepted only on the version in force, so each version has one winner and a repeat applies once. Few entries read the log; a new version goes along a ring of entries and relay trees of agents, with a slow check. The admin API answers accepted, conflict, invalid, not published or unknown.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -9,10 +9,13 @@
 from loguru import logger
 
 from lacewingcourse.agent.call_runner import CallRunner
+from lacewingcourse.agent.follower import AgentConfigurationFollower
 from lacewingcourse.agent.handlers import AGENT_ROUTES
 from lacewingcourse.agent.stage_runner import StageRunner
 from lacewingcourse.core.messages import Status
+from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
 from lacewingcourse.daemon.daemon import Daemon, Readiness
+from lacewingcourse.platform.instances import InstanceListClient
 
 if TYPE_CHECKING:
     from lacewingcourse.agent.settings import AgentSettings
@@ -33,6 +36,7 @@
         stages: Runs stages of a model, or None beside a plain service.
         calls: Runs calls of a plain service, or None beside an engine.
         leaving: Whether new work is refused.
+        follower: Follows the configuration.
     """
 
     def __init__(self, settings: AgentSettings) -> None:
@@ -41,20 +45,25 @@
         self.stages: StageRunner | None = None
         self.calls: CallRunner | None = None
         self.leaving = False
+        self.follower = AgentConfigurationFollower(
+            self, InstanceListClient(settings.instance_list_url)
+        )
         if settings.service:
             self.calls = CallRunner(self)
         else:
             self.stages = StageRunner(self)
 
     def routes(self) -> list[tuple]:
-        return [(path, handler, {"daemon": self}) for path, handler in AGENT_ROUTES]
+        routes = AGENT_ROUTES + CONFIGURATION_ROUTES
+        return [(path, handler, {"daemon": self}) for path, handler in routes]
 
     def readiness(self) -> Readiness:
+        version = self.follower.replica.version
         if self.stopping.is_set():
-            return Readiness(False, "leaving")
+            return Readiness(False, "leaving", version)
         if not self.endpoint_ready():
-            return Readiness(False, "the endpoint does not answer")
-        return Readiness(True)
+            return Readiness(False, "the endpoint does not answer", version)
+        return Readiness(True, configuration_version=version)
 
     def endpoint_ready(self) -> bool:
         """Tell whether the endpoint answers."""
@@ -79,6 +88,7 @@
             leaving=self.leaving,
             ready=self.endpoint_ready(),
             running=self.running(),
+            configuration_version=self.follower.replica.version,
         )
         return status if self.stages is None else self.stages.complete_status(status)
 
@@ -88,6 +98,7 @@
     async def start_tasks(self) -> None:
         await self.probe()
         self.spawn(self._probe_for_ever())
+        self.spawn(self.follower.check_for_ever())
 
     async def _probe_for_ever(self) -> None:
         while True:
--- a/packages/core/src/lacewingcourse/core/configuration.py
+++ b/packages/core/src/lacewingcourse/core/configuration.py
@@ -1,10 +1,25 @@
-"""Configuration as a fold over the records of the log."""
+"""What operators publish: the typed values of the configuration."""
 
 from __future__ import annotations
 
+from enum import Enum
+
 import attrs
 
 
+class Role(Enum):
+    """What an operator may do; each role may do what those before it may."""
+
+    VIEWER = "viewer"
+    OPERATOR = "operator"
+    ADMINISTRATOR = "administrator"
+
+    def includes(self, other: Role) -> bool:
+        """Tell whether this role may do all that another may."""
+        order = list(Role)
+        return order.index(self) >= order.index(other)
+
+
 @attrs.frozen
 class WorkClass:
     """A class of work and its targets.
@@ -81,6 +96,21 @@
         return False
 
 
+@attrs.frozen
+class Operator:
+    """A person or program that uses the admin API.
+
+    Attributes:
+        name: Name of the operator, the author of its changes.
+        role: What it may do.
+        token_hash: SHA-256 of its bearer token, in hexadecimal.
+    """
+
+    name: str
+    role: Role = Role.VIEWER
+    token_hash: str = ""
+
+
 @attrs.frozen
 class Configuration:
     """All that operators have published.
@@ -91,6 +121,7 @@
         organisations: Organisations by name.
         models: Models by name.
         services: Plain services by name.
+        operators: Operators beside the first administrator, by name.
     """
 
     version: int = 0
@@ -98,6 +129,45 @@
     organisations: dict[str, Organisation] = attrs.field(factory=dict)
     models: dict[str, Model] = attrs.field(factory=dict)
     services: dict[str, Service] = attrs.field(factory=dict)
+    operators: dict[str, Operator] = attrs.field(factory=dict)
+
+    def collection(self, name: str) -> dict[str, Item]:
+        """Return the items of a collection by name."""
+        return getattr(self, name)
+
+
+#: Any value that is published under a name.
+Item = WorkClass | Organisation | Model | Service | Operator
+
+
+@attrs.frozen
+class Collection:
+    """One of the collections that the configuration consists of.
+
+    Attributes:
+        name: Name of the collection, also in paths and in `Configuration`.
+        noun: Name of one item, as in commands.
+        field: Field of a change that holds the item.
+        kind: Class of the items.
+    """
+
+    name: str
+    noun: str
+    field: str
+    kind: type
+
+
+#: All collections by name.
+COLLECTIONS = {
+    collection.name: collection
+    for collection in (
+        Collection("classes", "class", "work_class", WorkClass),
+        Collection("organisations", "organisation", "organisation", Organisation),
+        Collection("models", "model", "model", Model),
+        Collection("services", "service", "service", Service),
+        Collection("operators", "operator", "operator", Operator),
+    )
+}
 
 
 @attrs.frozen
@@ -105,12 +175,13 @@
     """One named item that is set, or deleted if all values are None.
 
     Attributes:
-        collection: `classes`, `organisations`, `models` or `services`.
+        collection: Name of one of `COLLECTIONS`.
         name: Name of the item.
         work_class: Its value in `classes`.
         organisation: Its value in `organisations`.
         model: Its value in `models`.
         service: Its value in `services`.
+        operator: Its value in `operators`.
     """
 
     collection: str
@@ -119,11 +190,16 @@
     organisation: Organisation | None = None
     model: Model | None = None
     service: Service | None = None
+    operator: Operator | None = None
 
     @property
-    def value(self) -> WorkClass | Organisation | Model | Service | None:
+    def value(self) -> Item | None:
         """The value that is set, or None for a deletion."""
-        return self.work_class or self.organisation or self.model or self.service
+        for collection in COLLECTIONS.values():
+            value = getattr(self, collection.field)
+            if value is not None:
+                return value
+        return None
 
 
 @attrs.frozen
@@ -144,26 +220,12 @@
     published_at: float
     changes: tuple[Change, ...]
 
+    @property
+    def version(self) -> int:
+        """The version that the record makes if it is accepted."""
+        return self.base_version + 1
 
-def fold(configuration: Configuration, record: ConfigurationRecord) -> Configuration:
-    """Return the configuration after a record; unchanged if the record lost a race.
 
-    Args:
-        configuration: State before the record.
-        record: The next record of the log.
-    """
-    if record.base_version != configuration.version:
-        return configuration
-    collections = {
-        "classes": dict(configuration.classes),
-        "organisations": dict(configuration.organisations),
-        "models": dict(configuration.models),
-        "services": dict(configuration.services),
-    }
-    for change in record.changes:
-        collection = collections[change.collection]
-        if change.value is None:
-            collection.pop(change.name, None)
-        else:
-            collection[change.name] = change.value
-    return Configuration(version=configuration.version + 1, **collections)
+def change_of(collection: str, name: str, item: Item | None) -> Change:
+    """Return the change that sets an item, or deletes it if it is None."""
+    return Change(collection, name, **{COLLECTIONS[collection].field: item})
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -16,11 +16,15 @@
 from lacewingcourse.core.messages import Credit
 from lacewingcourse.core.routes import POLICIES, usable
 from lacewingcourse.core.streams import Phase
+from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
 from lacewingcourse.daemon.daemon import Daemon, Readiness
+from lacewingcourse.entry.admin_api import ADMIN_ROUTES
 from lacewingcourse.entry.answers import AnswerDriver
 from lacewingcourse.entry.api import API_ROUTES
 from lacewingcourse.entry.directory import Directory
-from lacewingcourse.entry.follower import ConfigurationFollower
+from lacewingcourse.entry.follower import EntryConfigurationFollower
+from lacewingcourse.entry.publisher import Publisher
+from lacewingcourse.entry.rollout import RolloutWatcher
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
 from lacewingcourse.platform.instances import InstanceListClient
@@ -60,6 +64,8 @@
     Attributes:
         directory: What is known of the endpoints.
         follower: Follows the configuration.
+        publisher: Publishes changes of the configuration.
+        rollouts: Finds out which instances have a version in force.
         answers: Answers in flight by stream.
         policy: The route policy in force.
         rng: Source of randomness for decisions.
@@ -70,7 +76,11 @@
         super().__init__(settings)
         instance_list = InstanceListClient(settings.instance_list_url)
         self.directory = Directory(self, instance_list)
-        self.follower = ConfigurationFollower(LogClient(settings.log_url))
+        self.follower = EntryConfigurationFollower(
+            self, LogClient(settings.log_url), lambda: self.directory.listed
+        )
+        self.publisher = Publisher(self.follower)
+        self.rollouts = RolloutWatcher(self)
         self.answers: dict[str, AnswerDriver] = {}
         self.policy = POLICIES.get(settings.route_policy)()
         self.rng = random.Random(secrets.randbits(64))
@@ -83,13 +93,14 @@
 
     def routes(self) -> list[tuple]:
         routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES
+        routes += CONFIGURATION_ROUTES + ADMIN_ROUTES
         return [(path, handler, {"daemon": self}) for path, handler in routes]
 
     def readiness(self) -> Readiness:
         version = self.configuration.version
         if self.stopping.is_set():
             return Readiness(False, "leaving", version)
-        if not self.follower.caught_up:
+        if not self.follower.replica.usable:
             return Readiness(False, "no configuration yet", version)
         return Readiness(True, configuration_version=version)
 
@@ -102,7 +113,8 @@
         )
 
     async def start_tasks(self) -> None:
-        self.spawn(self.follower.follow())
+        self.spawn(self.follower.follow_log())
+        self.spawn(self.follower.check_for_ever())
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -35,6 +35,7 @@
         entry: The entry's daemon.
         client: Client of the instance list.
         instances: Endpoint instances that the list last showed, by name.
+        listed: All instances that the list last showed and that are not gone.
         endpoints: Endpoints whose agents have answered, by name.
     """
 
@@ -42,6 +43,7 @@
         self.entry = entry
         self.client = client
         self.instances: dict[str, Instance] = {}
+        self.listed: tuple[Instance, ...] = ()
         self.endpoints: dict[str, EndpointState] = {}
 
     async def follow_list(self) -> None:
@@ -49,6 +51,11 @@
         while True:
             listing = await self.client.read()
             if not isinstance(listing, Refusal):
+                self.listed = tuple(
+                    instance
+                    for instance in listing.instances
+                    if instance.state is not InstanceState.GONE
+                )
                 self.instances = {
                     instance.id: instance
                     for instance in listing.instances
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -21,6 +21,11 @@
     )
     log_url: str = common.log_url()
     instance_list_url: str = common.instance_list_url()
+    log_retention: float = environ.var(
+        default="86400",
+        converter=positive,
+        help="Seconds for which the log keeps a record",
+    )
     listen_address: str = common.listen_address()
     listen_port: int = common.listen_port()
     route_policy: str = environ.var(
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -7,7 +7,6 @@
 import os
 import secrets
 import tempfile
-import time
 from pathlib import Path
 from typing import Any
 from urllib.request import Request, urlopen
@@ -16,13 +15,11 @@
 
 from lacewingcourse.core.configuration import (
     Change,
-    ConfigurationRecord,
     Model,
     Organisation,
     Service,
 )
 from lacewingcourse.platform.instances import Instance, InstanceRole, InstanceState
-from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.layout import ZONES, EndpointPlan, plan_endpoints
 from lacewingcourse.testing.processes import (
     Process,
@@ -66,12 +63,13 @@
     agent_variables: dict[str, str] = attrs.field(factory=dict)
 
 
-def put_json(url: str, message: Any, method: str = "PUT") -> Any:
+def put_json(url: str, message: Any, method: str = "PUT", token: str = "") -> Any:
     """Send JSON and return the JSON that is answered."""
     body = message if isinstance(message, bytes) else encode(message)
-    request = Request(
-        url, data=body, method=method, headers={"Content-Type": "application/json"}
-    )
+    headers = {"Content-Type": "application/json"}
+    if token:
+        headers |= {"Authorization": f"Bearer {token}", "If-Match": "*"}
+    request = Request(url, data=body, method=method, headers=headers)
     with urlopen(request, timeout=10) as response:
         text = response.read()
     return json.loads(text) if text else None
@@ -253,12 +251,17 @@
         service = Service(SERVICE, once=("POST /tallies",))
         changes.append(Change("models", MODEL, model=model))
         changes.append(Change("services", SERVICE, service=service))
-        record = ConfigurationRecord(
-            secrets.token_hex(16), 0, "launcher", time.time(), tuple(changes)
-        )
-        url = self.platform["log_service"].url
-        append = Append(encode(record).decode())
-        put_json(f"{url}/streams/configuration/records", append, "POST")
+        document = {"base_version": 0, "changes": changes}
+        wait_until(self._administrable, START_TIMEOUT, "the first entry is not ready")
+        self.admin("POST", "/changes", document)
+
+    def _administrable(self) -> bool:
+        return self.entries[0].ready()
+
+    def admin(self, method: str, path: str, document: Any = None) -> Any:
+        """Send a request to the first entry's admin API and return the answer."""
+        url = f"{self.entries[0].url}/admin/v1{path}"
+        return put_json(url, document, method, self.admin_token)
 
     def ready(self) -> bool:
         """Tell whether every process is ready and every entry knows all endpoints."""
