Record every request's end in the entry and serve the burn report

Cause: the entry had no counters but the strangers, and nothing recorded how a request ended.

Change: each caller's request has one record from arrival to end, closed once; it feeds the windows, the summaries for the log and the Prometheus counters. /wire/burn gives an entry's counts to another entry, /admin/v1/report/burn merges all entries and the log's summaries.

--- a/packages/core/src/lacewingcourse/core/burn_ends.py
+++ b/packages/core/src/lacewingcourse/core/burn_ends.py
@@ -148,6 +148,8 @@
         gaps: Count of gaps by bucket of `GAP_BOUNDS`, one more for longer ones.
         late_gaps: Gaps longer than the class allows.
         worst_gap: The longest gap, seconds.
+        lost_at: When an attempt was lost that no token has followed yet, or None.
+        recoveries: Seconds from each lost attempt to the next token.
     """
 
     started_at: float
@@ -158,6 +160,13 @@
     gaps: list[int] = attrs.field(factory=lambda: [0] * (len(GAP_BOUNDS) + 1))
     late_gaps: int = 0
     worst_gap: float = 0.0
+    lost_at: float | None = None
+    recoveries: list[float] = attrs.field(factory=list)
+
+    def on_lost(self, now: float) -> None:
+        """Note that an attempt was lost after the first token."""
+        if self.lost_at is None:
+            self.lost_at = now
 
     def on_token(self, now: float) -> None:
         """Note the delivery of a token."""
@@ -167,6 +176,9 @@
         else:
             self._on_gap(now - self.last_at)
         self.last_at = now
+        if self.lost_at is not None:
+            self.recoveries.append(now - self.lost_at)
+            self.lost_at = None
 
     def _on_gap(self, gap: float) -> None:
         self.gaps[bisect_left(GAP_BOUNDS, gap)] += 1
--- a/packages/core/src/lacewingcourse/core/burn_fleet.py
+++ b/packages/core/src/lacewingcourse/core/burn_fleet.py
@@ -169,3 +169,25 @@
             list_problem=list_problem,
             log_problem=log_problem,
         )
+
+
+def select(
+    report: FleetBurn, work_class: str | None, organisation: str | None
+) -> FleetBurn:
+    """Return the part of a report that concerns a class and an organisation.
+
+    Args:
+        report: The report.
+        work_class: Name of the class of work, or None for all.
+        organisation: Name of the organisation, or None for all.
+    """
+
+    def wanted(line: BurnLine) -> bool:
+        if work_class is not None and line.work_class != work_class:
+            return False
+        return organisation is None or line.organisation == organisation
+
+    lines = tuple(line for line in report.lines if wanted(line))
+    classes = {line.work_class for line in lines}
+    series = tuple(point for point in report.series if point.work_class in classes)
+    return attrs.evolve(report, lines=lines, series=series)
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterable
 
+    from lacewingcourse.core.burn_ends import AnswerMeter
     from lacewingcourse.core.errors import ErrorKind as Kind
     from lacewingcourse.core.streams import Effect, StreamRequest
     from lacewingcourse.entry.application import Entry
@@ -44,6 +45,7 @@
         state: The state machine.
         events: What the caller has not yet been given.
         consumed: Tokens that the caller was given.
+        meter: Measures the answer, or None.
     """
 
     def __init__(self, entry: Entry, request: StreamRequest) -> None:
@@ -51,6 +53,7 @@
         self.state = StreamState(request, progress_at=entry.now())
         self.events: asyncio.Queue[Event] = asyncio.Queue()
         self.consumed = 0
+        self.meter: AnswerMeter | None = None
 
     @property
     def stream(self) -> str:
@@ -84,13 +87,28 @@
                 case SendCredit():
                     self.entry.spawn(self._credit(effect))
                 case DeliverToken():
+                    self._measure()
                     self.events.put_nowait(effect.token)
                 case FinishAnswer() | FailAnswer():
                     self.events.put_nowait(effect)
 
+    def _measure(self) -> None:
+        """Note the delivery of a token in the answer's meter."""
+        if self.meter is not None:
+            self.meter.on_token(self.entry.now())
+
     def _choose(self, excluded: frozenset[str]) -> None:
         route = self.entry.choose_route(self.state.request.model, excluded)
         self.perform(self.state.begin(route, self.entry.now()))
+        if not isinstance(route, Refusal):
+            self._count_attempt()
+
+    def _count_attempt(self) -> None:
+        """Count the attempt that has begun."""
+        delivered = len(self.state.delivered)
+        self.entry.metrics.on_attempt(self.state.attempt, delivered)
+        if delivered and self.meter is not None:
+            self.meter.on_lost(self.entry.now())
 
     async def _open(self, effect: SendOpen) -> None:
         reply = await self._send(
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -69,11 +69,14 @@
             priority=0.0,
             entry_url=self.daemon.settings.advertised_url,
         )
+        work_class = self.daemon.configuration.classes.get(request.work_class)
+        self.record.describe(work_class, request.model)
         self.driver = self.daemon.answer(request)
+        self.driver.meter = self.record.meter
         try:
             await self._answer(checked)
         except StreamClosedError:
-            pass
+            self.record.gone()
         finally:
             self.daemon.forget(self.driver)
 
@@ -120,6 +123,7 @@
                 case Token():
                     texts.append(event.text)
                 case FinishAnswer():
+                    self.record.whole = True
                     choice = self.whole_choice("".join(texts), event.reason)
                     self.reply(self._document(request, [choice], self.usage()))
                 case FailAnswer():
@@ -144,11 +148,13 @@
                         chunk = self._chunk(request, [], self.usage())
                         await self._send_event(chunk)
                     self.write(b"data: [DONE]\n\n")
+                    self.record.whole = True
                     self.finish()
                 case FailAnswer():
                     if first:
                         self.refuse(event.refusal)
                         continue
+                    self.record.refuse(event.refusal)
                     problem = problem_of(event.refusal)
                     await self._send_event({"error": problem})
                     self.finish()
@@ -195,6 +201,7 @@
         raise NotImplementedError
 
     def on_connection_close(self) -> None:
+        super().on_connection_close()
         if self.driver is not None:
             self.daemon.forget(self.driver)
 
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -19,8 +19,12 @@
 from lacewingcourse.daemon.daemon import Daemon, Readiness
 from lacewingcourse.entry.answers import AnswerDriver
 from lacewingcourse.entry.api import API_ROUTES
+from lacewingcourse.entry.burn_log import BurnLog
 from lacewingcourse.entry.directory import Directory
 from lacewingcourse.entry.follower import ConfigurationFollower
+from lacewingcourse.entry.metrics import EntryMetrics
+from lacewingcourse.entry.outcomes import Outcomes
+from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
 from lacewingcourse.platform.instances import InstanceListClient
@@ -64,8 +68,12 @@
         policy: The route policy in force.
         rng: Source of randomness for decisions.
         calls_running: Plain calls in flight.
+        outcomes: Counts how requests end.
+        burn_log: Keeps summaries of the counts in the log.
     """
 
+    metrics_class = EntryMetrics
+
     def __init__(self, settings: EntrySettings) -> None:
         super().__init__(settings)
         instance_list = InstanceListClient(settings.instance_list_url)
@@ -75,6 +83,16 @@
         self.policy = POLICIES.get(settings.route_policy)()
         self.rng = random.Random(secrets.randbits(64))
         self.calls_running = 0
+        run = secrets.token_hex(8)
+        self.outcomes = Outcomes(settings.instance_id, run, self.metrics)
+        self.burn_log = BurnLog(
+            self.follower.log,
+            self.outcomes.writer,
+            settings.burn_summary_interval,
+            self.rng,
+        )
+        self.follower.log.observe = self.metrics.on_log
+        self.metrics.watch(self)
 
     @property
     def configuration(self) -> Configuration:
@@ -82,7 +100,7 @@
         return self.follower.configuration
 
     def routes(self) -> list[tuple]:
-        routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES
+        routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES + REPORT_ROUTES
         return [(path, handler, {"daemon": self}) for path, handler in routes]
 
     def readiness(self) -> Readiness:
@@ -106,6 +124,7 @@
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
+        self.spawn(self.burn_log.append_for_ever())
 
     async def _check_progress_for_ever(self) -> None:
         while True:
@@ -114,9 +133,11 @@
                 answer.check_progress(self.now())
 
     async def drain(self) -> None:
+        self.metrics.drains.inc()
         deadline = self.now() + self.settings.drain_timeout
         while (self.answers or self.calls_running) and self.now() < deadline:
             await asyncio.sleep(0.05)
+        await self.burn_log.close()
 
     def authenticate(self, header: str) -> str | Refusal:
         """Return the organisation of an `Authorization` header."""
--- a/packages/entry/src/lacewingcourse/entry/caller.py
+++ b/packages/entry/src/lacewingcourse/entry/caller.py
@@ -19,11 +19,13 @@
     Attributes:
         daemon: The entry.
         organisation: Name of the caller's organisation.
+        record: How the request ends.
     """
 
     def initialize(self, daemon: Any) -> None:
         self.daemon = daemon
         self.organisation = ""
+        self.record = daemon.outcomes.begin(daemon.now())
 
     def prepare(self) -> None:
         readiness = self.daemon.readiness()
@@ -40,3 +42,15 @@
             self.refuse(organisation)
             return
         self.organisation = organisation
+        self.record.organisation = organisation
+
+    def refuse(self, refusal: Refusal) -> None:
+        self.record.refuse(refusal)
+        super().refuse(refusal)
+
+    def on_finish(self) -> None:
+        self.record.close(self.daemon.now())
+
+    def on_connection_close(self) -> None:
+        self.record.gone()
+        self.record.close(self.daemon.now())
--- /dev/null
+++ b/packages/entry/src/lacewingcourse/entry/report_api.py
@@ -0,0 +1,109 @@
+"""The burn report: of this entry for other entries, of all entries for operators."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import time
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from lacewingcourse.core.burn_fleet import FleetBurn, FleetMerge, Unreachable, select
+from lacewingcourse.core.burn_report import EntryBurn
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.daemon.handlers import BaseHandler, WireHandler
+from lacewingcourse.platform.instances import InstanceRole, InstanceState
+from lacewingcourse.wire import paths
+
+if TYPE_CHECKING:
+    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.platform.instances import Instance
+
+#: Entries that are asked at one time.
+ASKED_AT_ONCE = 16
+
+
+@attrs.frozen
+class BurnRequest:
+    """Entry to entry: ask for its counts."""
+
+
+class EntryBurnHandler(WireHandler):
+    """Gives this entry's counts to another entry."""
+
+    def post(self) -> None:
+        if self.message(BurnRequest) is not None:
+            self.reply(self.daemon.outcomes.burn())
+
+
+class BurnReportHandler(BaseHandler):
+    """Gives operators the burn of all entries."""
+
+    def initialize(self, daemon: Any) -> None:
+        self.daemon = daemon
+
+    def prepare(self) -> None:
+        scheme, _, token = self.request.headers.get("Authorization", "").partition(" ")
+        expected = self.daemon.settings.admin_token.encode()
+        known = hmac.compare_digest(token.strip().encode(), expected)
+        if scheme.lower() != "bearer" or not known:
+            self.set_header("WWW-Authenticate", "Bearer")
+            reason = "the token is missing or wrong"
+            self.refuse(Refusal(ErrorKind.UNAUTHENTICATED, reason))
+
+    async def get(self) -> None:
+        report = await fleet_burn(self.daemon)
+        work_class = self.get_query_argument("class", None)
+        organisation = self.get_query_argument("organisation", None)
+        self.reply(select(report, work_class, organisation))
+
+
+async def fleet_burn(entry: Entry) -> FleetBurn:
+    """Return the burn of all entries, as far as they or the log can be reached."""
+    merge = FleetMerge(time.time())
+    merge.add(entry.outcomes.burn())
+    listing = await entry.directory.client.read()
+    list_problem = ""
+    if isinstance(listing, Refusal):
+        list_problem = listing.reason
+    else:
+        others = [each for each in listing.instances if is_other_entry(entry, each)]
+        slots = asyncio.Semaphore(ASKED_AT_ONCE)
+        asked = (ask(entry, each, merge, slots) for each in others)
+        await asyncio.gather(*asked)
+    log_problem = await entry.burn_log.recover(merge)
+    return merge.report(list_problem, log_problem)
+
+
+def is_other_entry(entry: Entry, instance: Instance) -> bool:
+    """Tell whether an instance is an entry other than this, and not known as gone."""
+    return (
+        instance.role is InstanceRole.ENTRY
+        and instance.id != entry.settings.instance_id
+        and instance.state is not InstanceState.GONE
+    )
+
+
+async def ask(
+    entry: Entry, instance: Instance, merge: FleetMerge, slots: asyncio.Semaphore
+) -> None:
+    """Add another entry's counts to a report."""
+    async with slots:
+        burn = await entry.peers.send(
+            instance.url,
+            paths.BURN,
+            BurnRequest(),
+            EntryBurn,
+            entry.settings.message_timeout,
+        )
+    if isinstance(burn, Refusal):
+        merge.unreachable.append(Unreachable(instance.id, burn.reason))
+    else:
+        merge.add(burn)
+
+
+REPORT_ROUTES = [
+    (paths.BURN, EntryBurnHandler),
+    (r"/admin/v1/report/burn", BurnReportHandler),
+]
--- a/packages/entry/src/lacewingcourse/entry/service_api.py
+++ b/packages/entry/src/lacewingcourse/entry/service_api.py
@@ -4,12 +4,16 @@
 
 import base64
 import uuid
+from typing import TYPE_CHECKING
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Call, CallReply, Header
-from lacewingcourse.entry.caller import KEY_HEADER, CallerHandler
+from lacewingcourse.entry.caller import CLASS_HEADER, KEY_HEADER, CallerHandler
 from lacewingcourse.wire import paths
 
+if TYPE_CHECKING:
+    from lacewingcourse.core.configuration import Service
+
 #: Headers of a request that are not passed on.
 NOT_PASSED = frozenset(
     {"authorization", "connection", "content-length", "host", "idempotency-key"}
@@ -27,6 +31,8 @@
             reason = f"no service {service!r}"
             self.refuse(Refusal(ErrorKind.UNKNOWN_SERVICE, reason))
             return
+        work_class = self.daemon.configuration.classes.get(self._work_class(known))
+        self.record.describe(work_class, service)
         self.daemon.calls_running += 1
         try:
             reply = await self._run(service, path)
@@ -78,7 +84,12 @@
             key=request.headers.get(KEY_HEADER, ""),
         )
 
+    def _work_class(self, service: Service) -> str:
+        """Return the class of work that the caller or the service names."""
+        return self.request.headers.get(CLASS_HEADER) or service.work_class
+
     def _pass_back(self, reply: CallReply) -> None:
+        self.record.whole = True
         self.set_status(reply.status)
         self.clear_header("Content-Type")
         for header in reply.headers:
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -37,6 +37,11 @@
     call_timeout: float = environ.var(
         default="30", converter=positive, help="Seconds a plain call may take"
     )
+    burn_summary_interval: float = environ.var(
+        default="900",
+        converter=positive,
+        help="Seconds between two summaries of its counts in the log",
+    )
     log_format: str = common.log_format()
     log_level: str = common.log_level()
     max_body_bytes: int = common.max_body_bytes()
--- a/packages/platform/src/lacewingcourse/platform/log.py
+++ b/packages/platform/src/lacewingcourse/platform/log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 import attrs
 from tornado.httpclient import HTTPRequest
 
@@ -9,6 +11,9 @@
 from lacewingcourse.wire.client import fetch, never_sent, new_http_client
 from lacewingcourse.wire.codec import decode, encode
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 @attrs.frozen
 class LogRecord:
@@ -61,12 +66,20 @@
         url: Base URL of the log service.
         http: The HTTP client.
         timeout: Seconds to wait for an answer at the most.
+        observe: Told of each operation, its stream and its result, or None.
     """
 
     def __init__(self, url: str, timeout: float = 5.0) -> None:
         self.url = url
         self.http = new_http_client()
         self.timeout = timeout
+        self.observe: Callable[[str, str, object], None] | None = None
+
+    def _observed(self, operation: str, stream: str, result: Any) -> Any:
+        """Tell the observer of an operation and return its result."""
+        if self.observe is not None:
+            self.observe(operation, stream, result)
+        return result
 
     async def append(self, stream: str, body: str) -> int | Refusal:
         """Append a record.
@@ -85,8 +98,9 @@
         )
         response = await fetch(self.http, request)
         if response.code != 200:
-            return refusal_of(response)
+            return self._observed("append", stream, refusal_of(response))
         answer = decode(response.body, Appended)
+        self._observed("append", stream, answer)
         return answer if isinstance(answer, Refusal) else answer.offset
 
     async def read(
@@ -108,8 +122,8 @@
         )
         response = await fetch(self.http, request)
         if response.code != 200:
-            return refusal_of(response)
-        return decode(response.body, LogPage)
+            return self._observed("read", stream, refusal_of(response))
+        return self._observed("read", stream, decode(response.body, LogPage))
 
 
 def refusal_of(response) -> Refusal:
