Add a TCP fault proxy and options to put it before any process

Cause: failures of links and messages (late, doubled, lost, cut) could not be brought about between real processes. Change: `lacewingcourse-standin proxy` with links that are controlled over HTTP: delay, bandwidth, drop by direction, cut, half-open, and for requests hold, late copy, duplicate, lost request, lost answer, release in either order. `DeploymentOptions.proxied` names the processes behind it, `Deployment.proxy(name)` controls one link, `Deployment.restart(process)` starts a killed process under its address, and the fixture `start_deployment` builds deployments with options. Ports are taken from below the range of outgoing connections, so that restarts find theirs. Conclusion: tests of other matters can use the proxy from now on.

--- a/packages/testing/src/lacewingcourse/testing/demo.py
+++ b/packages/testing/src/lacewingcourse/testing/demo.py
@@ -11,7 +11,8 @@
 from tornado.httpclient import HTTPRequest
 
 from lacewingcourse.testing.caller import CallerResult, complete
-from lacewingcourse.testing.deployment import MODEL, SERVICE, Deployment, put_json
+from lacewingcourse.testing.deployment import MODEL, SERVICE, Deployment
+from lacewingcourse.testing.requests import put_json
 from lacewingcourse.testing.standins.model import expected_text
 from lacewingcourse.wire.client import fetch, new_http_client
 
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fnmatch
 import hashlib
 import json
 import os
@@ -10,7 +11,7 @@
 import time
 from pathlib import Path
 from typing import Any
-from urllib.request import Request, urlopen
+from urllib.request import urlopen
 
 import attrs
 
@@ -31,6 +32,9 @@
     stop_all,
     wait_until,
 )
+from lacewingcourse.testing.proxies import ProxyLink
+from lacewingcourse.testing.requests import put_json
+from lacewingcourse.testing.standins.proxy_control import NewLink
 from lacewingcourse.wire.codec import encode
 
 #: Name of the model that a local deployment serves.
@@ -55,6 +59,10 @@
         verbose: Whether the processes' log lines are shown.
         entry_variables: Further settings of the entries.
         agent_variables: Further settings of the agents.
+        proxied: Names of processes, or patterns such as `agent-*`, that others reach
+            through the fault proxy only. The names are `entry-1`,
+            `agent-endpoint-1`, `engine-endpoint-1`, `agent-tally-1`,
+            `service-tally`, `log-service`, `instance-list`, `weight-store`.
     """
 
     entries: int = 1
@@ -64,17 +72,16 @@
     verbose: bool = False
     entry_variables: dict[str, str] = attrs.field(factory=dict)
     agent_variables: dict[str, str] = attrs.field(factory=dict)
+    proxied: frozenset[str] = frozenset()
 
+    def is_proxied(self, name: str) -> bool:
+        """Tell whether a process stands behind the fault proxy."""
+        return any(fnmatch.fnmatchcase(name, pattern) for pattern in self.proxied)
 
-def put_json(url: str, message: Any, method: str = "PUT") -> Any:
-    """Send JSON and return the JSON that is answered."""
-    body = message if isinstance(message, bytes) else encode(message)
-    request = Request(
-        url, data=body, method=method, headers={"Content-Type": "application/json"}
-    )
-    with urlopen(request, timeout=10) as response:
-        text = response.read()
-    return json.loads(text) if text else None
+
+def port_of(url: str) -> str:
+    """Return the port of a URL of the loopback address."""
+    return url.rpartition(":")[2]
 
 
 @attrs.define
@@ -98,6 +105,7 @@
         endpoints: Endpoints of the model.
         service: The plain service and its agent.
         entries: The entries.
+        fault_proxy: The fault proxy, or None if nothing is proxied.
     """
 
     def __init__(self, options: DeploymentOptions) -> None:
@@ -109,6 +117,7 @@
         self.endpoints: list[EndpointProcesses] = []
         self.service: EndpointProcesses | None = None
         self.entries: list[Process] = []
+        self.fault_proxy: Process | None = None
         self.log_directory = Path(tempfile.mkdtemp(prefix="lacewingcourse-"))
 
     def processes(self) -> list[Process]:
@@ -119,10 +128,13 @@
             found.append(pair.agent)
         for pair in pairs:
             found.append(pair.engine)
-        return found + list(self.platform.values())
+        found += self.platform.values()
+        return [*found, self.fault_proxy] if self.fault_proxy else found
 
     def up(self) -> None:
         """Start everything and wait until it is ready."""
+        if self.options.proxied:
+            self._start_proxy()
         self._start_platform()
         self._start_endpoints()
         self._start_entries()
@@ -134,19 +146,54 @@
         """Stop everything."""
         stop_all(self.processes())
 
-    def _process(self, name: str, port: int, arguments, variables) -> Process:
+    def proxy(self, name: str) -> ProxyLink:
+        """Return the link of the fault proxy before a process."""
+        return ProxyLink(f"{self.fault_proxy.url}/links/{name}")
+
+    def restart(self, process: Process) -> None:
+        """Start a process again under its address and wait until it is ready."""
+        process.kill()
+        process.start()
+        path = "/readyz" if process in self._daemons() else "/healthz"
+        wait_until(
+            lambda: process.ready(path), START_TIMEOUT, f"{process.name} is not ready"
+        )
+
+    def _daemons(self) -> list[Process]:
+        pairs = [*self.endpoints, *([self.service] if self.service else [])]
+        return [*self.entries, *(pair.agent for pair in pairs)]
+
+    def _start_proxy(self) -> None:
+        self.fault_proxy = self._standin("fault-proxy", "proxy")
+        wait_until(
+            lambda: self.fault_proxy.ready("/healthz"),
+            START_TIMEOUT,
+            "the fault proxy is not ready",
+        )
+
+    def _urls(self, name: str) -> tuple[str, str]:
+        """Return the URL a process is reached under and the one it serves."""
+        (port,) = free_ports(1)
+        listen_url = f"http://127.0.0.1:{port}"
+        if not self.options.is_proxied(name):
+            return listen_url, listen_url
+        (proxy_port,) = free_ports(1)
+        control = f"{self.fault_proxy.url}/links/{name}"
+        put_json(control, NewLink(proxy_port, listen_url))
+        return f"http://127.0.0.1:{proxy_port}", listen_url
+
+    def _process(self, name: str, urls, arguments, variables) -> Process:
         log_path = None if self.options.verbose else self.log_directory / f"{name}.log"
-        url = f"http://127.0.0.1:{port}"
-        process = Process(name, url, arguments, variables, log_path)
+        process = Process(name, *urls, arguments, variables, log_path)
         process.start()
         return process
 
     def _standin(self, name: str, kind: str, *arguments: str) -> Process:
-        (port,) = free_ports(1)
+        urls = self._urls(name)
         command = python_command(
-            "lacewingcourse.testing", kind, f"--port={port}", *arguments
+            "lacewingcourse.testing", kind, f"--port={port_of(urls[1])}", *arguments
         )
-        return self._process(name, port, command, {})
+        return self._process(name, urls, command, {})
 
     def _start_platform(self) -> None:
         self.platform = {
@@ -161,18 +208,19 @@
         )
 
     def _daemon(self, kind: str, name: str, zone: str, variables) -> Process:
-        (port,) = free_ports(1)
+        process_name = name if kind == "entry" else f"{kind}-{name}"
+        urls = self._urls(process_name)
         shared = {
             "LACEWINGCOURSE_INSTANCE_ID": name,
             "LACEWINGCOURSE_AVAILABILITY_ZONE": zone,
-            "LACEWINGCOURSE_ADVERTISED_URL": f"http://127.0.0.1:{port}",
-            "LACEWINGCOURSE_LISTEN_PORT": str(port),
+            "LACEWINGCOURSE_ADVERTISED_URL": urls[0],
+            "LACEWINGCOURSE_LISTEN_PORT": port_of(urls[1]),
             "LACEWINGCOURSE_SHARED_SECRET": self.shared_secret,
             "LACEWINGCOURSE_LOG_URL": self.platform["log_service"].url,
             "LACEWINGCOURSE_INSTANCE_LIST_URL": self.platform["instance_list"].url,
         }
         command = python_command("lacewingcourse.cli", kind)
-        return self._process(f"{kind}-{name}", port, command, {**shared, **variables})
+        return self._process(process_name, urls, command, {**shared, **variables})
 
     def _start_endpoints(self) -> None:
         options = self.options
@@ -268,7 +316,7 @@
         return all(entry.ready() and self._knows_all(entry) for entry in self.entries)
 
     def _knows_all(self, entry: Process) -> bool:
-        with urlopen(entry.url + "/state", timeout=5) as response:
+        with urlopen(entry.listen_url + "/state", timeout=5) as response:
             state = json.load(response)
         ready = [each for each in state["endpoints"] if each["ready"]]
         version = state["readiness"]["configuration_version"]
--- a/packages/testing/src/lacewingcourse/testing/processes.py
+++ b/packages/testing/src/lacewingcourse/testing/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,8 @@
 
 #: Seconds between two looks at a condition.
 POLL_INTERVAL = 0.03
+#: Ports below the range that systems take for outgoing connections.
+PORT_RANGE = (10_000, 32_000)
 #: Seconds that a process may take to end before it is killed.
 END_TIMEOUT = 10.0
 
@@ -29,14 +32,27 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports of the loopback address that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return TCP ports of the loopback address that are free now.
+
+    They lie outside the range that the system takes for outgoing connections, so
+    that no connection takes one before its process listens or while it restarts.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        if port not in found and is_free(port):
+            found.append(port)
+    return found
+
+
+def is_free(port: int) -> bool:
+    """Tell whether nothing listens on a port of the loopback address."""
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_until(condition, timeout: float, what: str) -> None:
@@ -67,7 +83,8 @@
 
     Attributes:
         name: Name for people.
-        url: Base URL that it serves.
+        url: Base URL under which others reach it.
+        listen_url: Base URL that it serves; differs from `url` behind a proxy.
         arguments: Its command line.
         variables: Its environment beside the inherited one.
         popen: The running child.
@@ -75,6 +92,7 @@
 
     name: str
     url: str
+    listen_url: str
     arguments: tuple[str, ...]
     variables: Mapping[str, str]
     log_path: Path | None = None
@@ -102,8 +120,8 @@
                 output.close()
 
     def ready(self, path: str = "/readyz") -> bool:
-        """Tell whether the child answers that it is ready."""
-        return answers(self.url + path)
+        """Tell whether the child answers that it is ready, asked without proxy."""
+        return answers(self.listen_url + path)
 
     def alive(self) -> bool:
         """Tell whether the child runs."""
--- a/packages/testing/src/lacewingcourse/testing/standin_cli.py
+++ b/packages/testing/src/lacewingcourse/testing/standin_cli.py
@@ -16,6 +16,7 @@
     InstanceList,
 )
 from lacewingcourse.testing.standins.log import LOG_ROUTES, LogService
+from lacewingcourse.testing.standins.proxy_control import PROXY_ROUTES, FaultProxy
 from lacewingcourse.testing.standins.server import serve
 from lacewingcourse.testing.standins.tally import TALLY_ROUTES, TallyService
 from lacewingcourse.testing.standins.weights import WEIGHT_ROUTES, WeightStore
@@ -129,6 +130,16 @@
         return WeightStore(float(self.option("rate"))), WEIGHT_ROUTES
 
 
+class ProxyCommand(StandinCommand):
+    """Runs the fault proxy."""
+
+    name = "proxy"
+    description = "Run a TCP fault proxy; its port is the one of its control"
+
+    def standin(self):
+        return FaultProxy(self.option("address")), PROXY_ROUTES
+
+
 def main() -> None:
     """Run the stand-in that the arguments name."""
     application = Application("lacewingcourse-standin")
@@ -138,6 +149,7 @@
         LogCommand,
         InstancesCommand,
         WeightsCommand,
+        ProxyCommand,
     ):
         application.add(command())
     sys.exit(application.run())
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import ExitStack
 
 import pytest
 
@@ -11,14 +12,26 @@
 
 
 @pytest.fixture(scope="module")
-def deployment():
+def start_deployment():
+    """Return a function that starts a deployment with options of its own.
+
+    The deployment is stopped when the module's tests have ended.
+    """
+    with ExitStack() as stack:
+
+        def start(**options) -> Deployment:
+            started = Deployment(DeploymentOptions(**options))
+            stack.callback(started.down)
+            started.up()
+            return started
+
+        yield start
+
+
+@pytest.fixture(scope="module")
+def deployment(start_deployment):
     """A small deployment that the tests of a module share."""
-    started = Deployment(DeploymentOptions(entries=1, endpoints=4))
-    try:
-        started.up()
-        yield started
-    finally:
-        started.down()
+    return start_deployment(entries=1, endpoints=4)
 
 
 @pytest.fixture
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -9,7 +9,8 @@
 from openai import OpenAI
 
 from lacewingcourse.testing.caller import complete
-from lacewingcourse.testing.deployment import MODEL, put_json
+from lacewingcourse.testing.deployment import MODEL
+from lacewingcourse.testing.requests import put_json
 from lacewingcourse.testing.standins.model import expected_text
 
 
