Choose routes by predicted time from estimates learned online

Cause: the entry chose routes at random from a list that it scanned and sorted for each request, and knew nothing of the speed of an endpoint.

Change: agents fit step time over positions, the share of streams present and hop delays, and report them in Status and OpenReply.

--- a/packages/agent/src/lacewingcourse/agent/engine.py
+++ b/packages/agent/src/lacewingcourse/agent/engine.py
@@ -202,6 +202,10 @@
     def __len__(self) -> int:
         return len(self.heap)
 
+    def positions(self) -> int:
+        """Return the positions that wait."""
+        return sum(max(1, len(entry[2].values)) for entry in self.heap)
+
     def push(self, effect: RunForward) -> None:
         """Add work."""
         heapq.heappush(self.heap, (effect.priority, next(self._order), effect))
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from lacewingcourse.core.messages import (
     Call,
     Credit,
@@ -26,7 +28,7 @@
             return
         reply, effects = self.daemon.stages.gate.open(message, self.daemon.now())
         self.daemon.stages.perform(effects)
-        self.reply(reply)
+        self.reply(attrs.evolve(reply, load=self.daemon.stages.load()))
 
 
 class HopsHandler(WireHandler):
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -24,6 +24,7 @@
     SendTrouble,
 )
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.estimates import EndpointEstimates
 from lacewingcourse.core.messages import (
     HopBatch,
     HopBatchReply,
@@ -39,6 +40,7 @@
     from collections.abc import Iterable
 
     from lacewingcourse.agent.application import Agent
+    from lacewingcourse.core.estimates import LoadReport
     from lacewingcourse.core.messages import StageAddress, Status
     from lacewingcourse.core.stages import Effect
 
@@ -63,6 +65,9 @@
         queue: Work that waits for the engine.
         in_flight: Steps given to the engine.
         step_time: Seconds of the last step.
+        estimates: What was learned of the engine's speed.
+        present: Items given to the engine.
+        sources: Entries that have streams here.
     """
 
     def __init__(self, agent: Agent) -> None:
@@ -77,6 +82,9 @@
         self.queue = ForwardQueue()
         self.in_flight = 0
         self.step_time = 0.0
+        self.estimates = EndpointEstimates(self.settings.batch_items)
+        self.present = 0
+        self.sources = 0
         self.hop_outboxes: dict[tuple[str, str], Outbox] = {}
         self.token_outboxes: dict[str, Outbox] = {}
         self.trouble_outboxes: dict[str, Outbox] = {}
@@ -85,6 +93,8 @@
         """Look whether the engine answers."""
         state = await self.engine.state()
         self.engine_state = None if isinstance(state, Refusal) else state
+        entries = {each.message.entry_url for each in self.gate.stages.values()}
+        self.sources = len(entries)
 
     def complete_status(self, status: Status) -> Status:
         """Return a status with what the engine adds to it."""
@@ -98,6 +108,13 @@
             version=state.version,
             queued=len(self.queue),
             step_time=self.step_time,
+            load=self.load(),
+        )
+
+    def load(self) -> LoadReport:
+        """Return what was learned of the engine's speed and load."""
+        return self.estimates.report(
+            self.queue.positions(), self.sources, len(self.gate.stages)
         )
 
     def perform(self, effects: Iterable[Effect]) -> None:
@@ -123,18 +140,26 @@
         while self.queue and self.in_flight < self.settings.steps_in_flight:
             batch = self.queue.take(self.settings.batch_items)
             self.in_flight += 1
+            self.present += len(batch)
+            self.estimates.on_load(
+                self.present + len(self.queue), len(self.gate.stages)
+            )
             self.agent.spawn(self._step(batch))
 
     async def _step(self, batch: list[RunForward]) -> None:
         """Run one batch on the engine and pass its results on."""
+        started_at = self.agent.now()
         try:
             reply = await self.engine.forward(tuple(item_of(work) for work in batch))
         finally:
             self.in_flight -= 1
+            self.present -= len(batch)
         if isinstance(reply, Refusal):
             self._fail_batch(batch, reply)
             return
         self.step_time = reply.step_time
+        positions = sum(output.count for output in reply.items)
+        self.estimates.on_step(positions, started_at, self.agent.now())
         for work, output in zip(batch, reply.items, strict=True):
             self._complete(work, output)
         self._feed_engine()
@@ -156,6 +181,8 @@
         if output.error:
             self._report(work.stream, work.attempt, output.error)
             return
+        if work.prompt is not None:
+            self.estimates.on_prompt(len(work.prompt.text), output.prompt_length)
         result = ForwardResult(
             stream=work.stream,
             attempt=work.attempt,
@@ -184,12 +211,14 @@
     async def _send_hops(self, target: StageAddress, hops: list) -> None:
         """Send hops to the agent of another stage; report it if it fails."""
         batch = HopBatch(self.settings.instance_id, target.incarnation, tuple(hops))
+        sent_at = self.agent.now()
         reply = await self._send(target.agent_url, paths.HOPS, batch, HopBatchReply)
         if isinstance(reply, Refusal) or not reply.current:
             reason = reply.reason if isinstance(reply, Refusal) else "restarted"
             for hop in hops:
                 self._blame(hop, target.endpoint, reason)
             return
+        self.estimates.on_hop(target.endpoint, self.agent.now() - sent_at)
         for hop, verdict in zip(hops, reply.verdicts, strict=True):
             if verdict in LOST_VERDICTS:
                 self._blame(hop, target.endpoint, verdict.value)
--- a/packages/core/src/lacewingcourse/core/endpoints.py
+++ b/packages/core/src/lacewingcourse/core/endpoints.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lacewingcourse.core.estimates import LoadReport
 from lacewingcourse.core.layers import LayerRange
 
 
@@ -26,6 +27,8 @@
         queued: Items that wait for the engine at the time of the report.
         step_time: Seconds an engine step takes, 0.0 before the first.
         reported_at: When the report was received, on the receiver's clock, seconds.
+        load: What the agent has learned of speed and load.
+        admitted_share: Share of its turns at which it may be chosen, 0 to 1.
     """
 
     id: str
@@ -42,6 +45,8 @@
     queued: int = 0
     step_time: float = 0.0
     reported_at: float = 0.0
+    load: LoadReport = LoadReport()
+    admitted_share: float = 1.0
 
     def takes_new_work(self) -> bool:
         """Tell whether new work may be sent here."""
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -12,6 +12,7 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Outcome
+from lacewingcourse.core.estimates import LoadReport
 from lacewingcourse.core.layers import LayerRange
 
 
@@ -102,12 +103,14 @@
         incarnation: Incarnation of the agent that answers.
         kind: Why not, or None.
         reason: Why not, for a person.
+        load: What the agent has learned of speed and load, or None.
     """
 
     accepted: bool
     incarnation: str
     kind: ErrorKind | None = None
     reason: str = ""
+    load: LoadReport | None = None
 
 
 @attrs.frozen
@@ -306,6 +309,7 @@
         queued: Items that wait for the engine.
         step_time: Seconds an engine step takes at present.
         configuration_version: Version of the configuration in force.
+        load: What the agent has learned of speed and load.
     """
 
     endpoint: str
@@ -321,6 +325,7 @@
     queued: int = 0
     step_time: float = 0.0
     configuration_version: int = 0
+    load: LoadReport = LoadReport()
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/core/src/lacewingcourse/core/routes/__init__.py
@@ -0,0 +1,36 @@
+"""Choice of the chain of endpoints that covers every layer of a model."""
+
+from __future__ import annotations
+
+from lacewingcourse.core.routes import baselines, interleaved, shortest
+from lacewingcourse.core.routes.fleet import Dispatch, Fleet
+from lacewingcourse.core.routes.model import (
+    POLICIES,
+    Route,
+    RoutePolicy,
+    RouteRequest,
+    Stage,
+    no_route,
+    stage_of,
+    usable,
+)
+
+#: Policies that are kept to compare others with.
+BASELINES = ("random", "round_robin", "least_loaded")
+
+__all__ = [
+    "BASELINES",
+    "POLICIES",
+    "Dispatch",
+    "Fleet",
+    "Route",
+    "RoutePolicy",
+    "RouteRequest",
+    "Stage",
+    "baselines",
+    "interleaved",
+    "no_route",
+    "shortest",
+    "stage_of",
+    "usable",
+]
--- a/packages/core/src/lacewingcourse/core/routes.py
+++ b/packages/core/src/lacewingcourse/core/routes/model.py
@@ -1,4 +1,4 @@
-"""Choice of the chain of endpoints that covers every layer of a model."""
+"""Routes, what they are chosen for, and the registry of policies."""
 
 from __future__ import annotations
 
@@ -15,6 +15,10 @@
     from collections.abc import Iterable
 
     from lacewingcourse.core.endpoints import EndpointState
+    from lacewingcourse.core.routes.fleet import Fleet
+
+#: Seconds after which a refused request is worth trying again when layers are missing.
+NO_ROUTE_RETRY = 2.0
 
 
 @attrs.frozen
@@ -45,6 +49,27 @@
         return [stage.endpoint for stage in self.stages]
 
 
+@attrs.frozen
+class RouteRequest:
+    """What a route is wanted for.
+
+    Attributes:
+        model: Name of the model.
+        layer_count: Layers of the model.
+        prompt_length: Positions of the prompt, as far as known.
+        max_tokens: Tokens that are expected.
+        excluded: Names of the endpoints to avoid.
+        prefix: Hash of the prompt's beginning, or empty.
+    """
+
+    model: str
+    layer_count: int
+    prompt_length: int = 16
+    max_tokens: int = 64
+    excluded: frozenset[str] = frozenset()
+    prefix: str = ""
+
+
 class RoutePolicy:
     """A way to choose routes; variants override `choose`.
 
@@ -55,17 +80,13 @@
     name = ""
 
     def choose(
-        self,
-        candidates: list[EndpointState],
-        layer_count: int,
-        rng: random.Random,
-        now: float,
+        self, fleet: Fleet, request: RouteRequest, rng: random.Random, now: float
     ) -> Route | Refusal:
         """Choose a route.
 
         Args:
-            candidates: Endpoints that hold layers of the model and take new work.
-            layer_count: Layers of the model.
+            fleet: What is known of the endpoints.
+            request: What the route is wanted for.
             rng: Source of randomness.
             now: Present time in seconds.
 
@@ -80,7 +101,11 @@
 
 def no_route(layer: int) -> Refusal:
     """Return the refusal for a layer that nobody holds."""
-    return Refusal(ErrorKind.NO_ROUTE, f"no endpoint holds layer {layer}")
+    return Refusal(
+        ErrorKind.NO_ROUTE,
+        f"no endpoint holds layer {layer}",
+        retry_after=NO_ROUTE_RETRY,
+    )
 
 
 def usable(
@@ -110,25 +135,12 @@
     )
 
 
-@POLICIES.register("random")
-class RandomPolicy(RoutePolicy):
-    """Choose each next stage at random among those that reach furthest."""
-
-    name = "random"
-
-    def choose(self, candidates, layer_count, rng, now):
-        stages: list[Stage] = []
-        layer = 0
-        while layer < layer_count:
-            holders = [
-                candidate
-                for candidate in candidates
-                if candidate.layers.first <= layer < candidate.layers.end
-            ]
-            if not holders:
-                return no_route(layer)
-            chosen = rng.choice(holders)
-            end = min(chosen.layers.end, layer_count)
-            stages.append(stage_of(chosen, layer, end))
-            layer = end
-        return Route(tuple(stages))
+def route_of(endpoints: Iterable[EndpointState], layer_count: int) -> Route:
+    """Return the route that lets each endpoint run to the end of its layers."""
+    stages = []
+    layer = 0
+    for endpoint in endpoints:
+        end = min(endpoint.layers.end, layer_count)
+        stages.append(stage_of(endpoint, layer, end))
+        layer = end
+    return Route(tuple(stages))
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -89,7 +89,7 @@
                     self.events.put_nowait(effect)
 
     def _choose(self, excluded: frozenset[str]) -> None:
-        route = self.entry.choose_route(self.state.request.model, excluded)
+        route = self.entry.choose_route(self.state.request, excluded)
         self.perform(self.state.begin(route, self.entry.now()))
 
     async def _open(self, effect: SendOpen) -> None:
@@ -99,6 +99,8 @@
         if isinstance(reply, Refusal):
             self.entry.directory.mark_lost(effect.target.endpoint)
             reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
+        elif reply.load is not None:
+            self.entry.dispatcher.on_load(effect.target.endpoint, reply.load)
         message = effect.message
         self.perform(
             self.state.on_open_reply(
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -14,12 +14,12 @@
 from lacewingcourse.core.endpoints import EndpointState
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Credit
-from lacewingcourse.core.routes import POLICIES, usable
 from lacewingcourse.core.streams import Phase
 from lacewingcourse.daemon.daemon import Daemon, Readiness
 from lacewingcourse.entry.answers import AnswerDriver
 from lacewingcourse.entry.api import API_ROUTES
 from lacewingcourse.entry.directory import Directory
+from lacewingcourse.entry.dispatcher import Dispatcher
 from lacewingcourse.entry.follower import ConfigurationFollower
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
@@ -61,7 +61,7 @@
         directory: What is known of the endpoints.
         follower: Follows the configuration.
         answers: Answers in flight by stream.
-        policy: The route policy in force.
+        dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
         calls_running: Plain calls in flight.
     """
@@ -72,7 +72,7 @@
         self.directory = Directory(self, instance_list)
         self.follower = ConfigurationFollower(LogClient(settings.log_url))
         self.answers: dict[str, AnswerDriver] = {}
-        self.policy = POLICIES.get(settings.route_policy)()
+        self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
         self.calls_running = 0
 
@@ -129,13 +129,11 @@
                 return organisation.name
         return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
 
-    def choose_route(self, model: str, excluded: frozenset[str]) -> Route | Refusal:
-        """Return a route for a model."""
-        known = self.configuration.models.get(model)
-        if known is None:
-            return Refusal(ErrorKind.UNKNOWN_MODEL, f"no model {model!r}")
-        candidates = usable(self.directory.endpoints.values(), model, excluded)
-        return self.policy.choose(candidates, known.layer_count, self.rng, self.now())
+    def choose_route(
+        self, request: StreamRequest, excluded: frozenset[str]
+    ) -> Route | Refusal:
+        """Return a route for a request and count it as dispatched."""
+        return self.dispatcher.choose(request, excluded)
 
     def answer(self, request: StreamRequest) -> AnswerDriver:
         """Start a streamed answer."""
@@ -147,6 +145,7 @@
     def forget(self, driver: AnswerDriver) -> None:
         """End a streamed answer."""
         driver.abandon()
+        self.dispatcher.release(driver.stream)
         self.answers.pop(driver.stream, None)
 
     def take_tokens(self, batch: TokenBatch) -> tuple[Credit, ...]:
--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -10,6 +10,7 @@
 from lacewingcourse.core.endpoints import EndpointState
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.core.messages import Status
+from lacewingcourse.core.routes import Fleet
 from lacewingcourse.platform.instances import InstanceRole, InstanceState
 from lacewingcourse.wire import paths
 
@@ -42,7 +43,7 @@
         self.entry = entry
         self.client = client
         self.instances: dict[str, Instance] = {}
-        self.endpoints: dict[str, EndpointState] = {}
+        self.endpoints = Fleet()
 
     async def follow_list(self) -> None:
         """Read the instance list for ever."""
@@ -94,6 +95,7 @@
             queued=reply.queued,
             step_time=reply.step_time,
             reported_at=self.entry.now(),
+            load=reply.load,
         )
 
     def mark_lost(self, endpoint: str) -> None:
--- /dev/null
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -0,0 +1,78 @@
+"""Chooses routes for streams and counts what runs on them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.routes import POLICIES, RouteRequest
+
+if TYPE_CHECKING:
+    from lacewingcourse.core.estimates import LoadReport
+    from lacewingcourse.core.routes import Dispatch, Fleet, Route
+    from lacewingcourse.core.streams import StreamRequest
+    from lacewingcourse.entry.application import Entry
+
+#: Characters of a prompt that are taken for one position before any was seen.
+CHARACTERS_PER_POSITION = 4
+
+
+class Dispatcher:
+    """Chooses routes with the policy in force.
+
+    Attributes:
+        entry: The entry's daemon.
+        policy: The route policy in force.
+        dispatches: What each stream in flight occupies, by stream.
+    """
+
+    def __init__(self, entry: Entry, policy: str) -> None:
+        self.entry = entry
+        self.policy = POLICIES.get(policy)()
+        self.dispatches: dict[str, Dispatch] = {}
+
+    @property
+    def fleet(self) -> Fleet:
+        """What is known of the endpoints."""
+        return self.entry.directory.endpoints
+
+    def route_request(
+        self, request: StreamRequest, excluded: frozenset[str]
+    ) -> RouteRequest | Refusal:
+        """Return what a route is wanted for."""
+        model = self.entry.configuration.models.get(request.model)
+        if model is None:
+            reason = f"no model {request.model!r}"
+            return Refusal(ErrorKind.UNKNOWN_MODEL, reason)
+        return RouteRequest(
+            model=model.name,
+            layer_count=model.layer_count,
+            prompt_length=1 + len(request.prompt) // CHARACTERS_PER_POSITION,
+            max_tokens=request.sampling.max_tokens,
+            excluded=excluded,
+        )
+
+    def choose(
+        self, request: StreamRequest, excluded: frozenset[str]
+    ) -> Route | Refusal:
+        """Return a route for a request; what it had before counts as left."""
+        self.release(request.stream)
+        wanted = self.route_request(request, excluded)
+        if isinstance(wanted, Refusal):
+            return wanted
+        entry = self.entry
+        route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
+        if not isinstance(route, Refusal):
+            dispatch = self.fleet.dispatch(route, wanted.prompt_length)
+            self.dispatches[request.stream] = dispatch
+        return route
+
+    def release(self, stream: str) -> None:
+        """Note that a stream has left its route."""
+        dispatch = self.dispatches.pop(stream, None)
+        if dispatch is not None:
+            self.fleet.release(dispatch)
+
+    def on_load(self, endpoint: str, load: LoadReport) -> None:
+        """Take a load report that came with an answer."""
+        self.fleet.refresh(endpoint, load, self.entry.now())
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -24,7 +24,7 @@
     listen_address: str = common.listen_address()
     listen_port: int = common.listen_port()
     route_policy: str = environ.var(
-        default="random", help="Name of the route policy in force"
+        default="shortest", help="Name of the route policy in force"
     )
     stall_timeout: float = environ.var(
         default="5",
