Give the engine stand-in forks, exports, a prefix cache and lagging reports

Cause: the stand-in had no way to resume a sequence under another attempt, to move a cache, to cancel what waits, or to report late, so these could not be met in tests. Change: sequences keep the memories of their last 4096 positions, so that POST /engine/fork goes back to an earlier position; /engine/export and /engine/import; a bounded prefix cache whose hits shorten a prefill, with cache events that can be late and have gaps; load reports that lag; cancel also drops waiting items; an item over other layers than its sequence fails instead of mixing memories. Conclusion: resumption by fork and cache affinity can be built against the stand-in.

--- a/packages/testing/src/lacewingcourse/testing/standins/engine.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/engine.py
@@ -1,180 +1,41 @@
-"""Stand-in for a model engine that holds a range of layers."""
+"""HTTP interface of the engine stand-in, which holds a range of layers."""
 
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
-import os
 import time
 
 import attrs
 
-from lacewingcourse.agent.engine import (
-    CancelRequest,
-    EngineState,
-    ForwardItem,
-    ForwardOutput,
-    ForwardReply,
-    ForwardRequest,
-)
-from lacewingcourse.core.layers import LayerRange
-from lacewingcourse.testing.standins.model import (
-    model_seed,
-    run_layer,
-    sample,
-    token_text,
-    tokenise,
-)
+from lacewingcourse.agent.engine import CancelRequest, ForwardReply, ForwardRequest
+from lacewingcourse.testing.standins.engine_state import Engine
+from lacewingcourse.testing.standins.sequences import SequenceExport
 from lacewingcourse.testing.standins.server import StandinHandler
 
-#: Exit code of an engine that a request crashed.
-CRASHED = 70
+__all__ = ["ENGINE_ROUTES", "Engine"]
 
 
 @attrs.frozen
-class EngineFaults:
-    """Faults of an engine.
+class ForkRequest:
+    """Copy a sequence as it was before a position.
 
     Attributes:
-        crash_word: A prompt with this word ends the process.
-        hang: Whether steps never end.
-        fail: Whether steps fail at once.
-        slowdown: Factor on the time of a step.
+        source: Name of the sequence.
+        target: Name of the copy.
+        position: The copy's next position.
     """
 
-    crash_word: str = ""
-    hang: bool = False
-    fail: bool = False
-    slowdown: float = 1.0
-
-
-@attrs.define
-class CacheEntry:
-    """An engine's memory of one sequence.
-
-    Attributes:
-        layers: Layers that the memory is of.
-        position: The next position.
-        memories: Memory of each layer.
-    """
-
-    layers: LayerRange
+    source: str
+    target: str
     position: int
-    memories: list[int]
-
-
-@attrs.define
-class Waiting:
-    """An item that waits for a step."""
-
-    item: ForwardItem
-    done: asyncio.Future
-
-
-@attrs.define
-class Engine:
-    """State of an engine.
-
-    Attributes:
-        model: Name of the model.
-        version: Version of the weights.
-        layers: Layers that it holds.
-        step_time: Seconds of a step with one item.
-        item_time: Seconds that each position adds to a step.
-        batch_items: Items of a step at the most.
-        faults: Faults in force.
-        cache: Memory of sequences.
-    """
-
-    model: str
-    version: str
-    layers: LayerRange
-    step_time: float
-    item_time: float
-    batch_items: int
-    faults: EngineFaults = attrs.field(factory=EngineFaults)
-    cache: dict[str, CacheEntry] = attrs.field(factory=dict)
-    waiting: list[tuple[float, int, Waiting]] = attrs.field(factory=list)
-    order: itertools.count = attrs.field(factory=itertools.count)
-    wake: asyncio.Event = attrs.field(factory=asyncio.Event)
-    running: int = 0
-
-    def submit(self, item: ForwardItem) -> asyncio.Future:
-        """Queue an item; the future gets its output."""
-        done = asyncio.get_running_loop().create_future()
-        entry = (item.priority, next(self.order), Waiting(item, done))
-        heapq.heappush(self.waiting, entry)
-        self.wake.set()
-        return done
-
-    async def run(self) -> None:
-        """Run step after step for ever."""
-        while True:
-            await self.wake.wait()
-            self.wake.clear()
-            while self.waiting:
-                await self._step()
-
-    async def _step(self) -> None:
-        count = min(self.batch_items, len(self.waiting))
-        batch = [heapq.heappop(self.waiting)[2] for _ in range(count)]
-        self.running = count
-        outputs = [self._run(waiting.item) for waiting in batch]
-        positions = sum(output.count for output in outputs)
-        while self.faults.hang:
-            await asyncio.sleep(0.02)
-        duration = self.step_time + self.item_time * positions
-        await asyncio.sleep(duration * self.faults.slowdown)
-        self.running = 0
-        for waiting, output in zip(batch, outputs, strict=True):
-            if not waiting.done.done():
-                waiting.done.set_result(output)
-
-    def _run(self, item: ForwardItem) -> ForwardOutput:
-        """Run one item's positions through its layers."""
-        word = self.faults.crash_word
-        if word and item.prompt is not None and word in item.prompt.split():
-            os._exit(CRASHED)
-        if self.faults.fail:
-            return ForwardOutput(item.sequence, error="the engine failed")
-        if not self.layers.contains(item.layers):
-            return ForwardOutput(item.sequence, error="layers not held")
-        prompt = tokenise(item.prompt) if item.prompt is not None else []
-        inputs = [*prompt, *item.inputs]
-        if item.position == 0:
-            memories = [0] * len(item.layers)
-            self.cache[item.sequence] = CacheEntry(item.layers, 0, memories)
-        entry = self.cache.get(item.sequence)
-        if entry is None or entry.position != item.position:
-            return ForwardOutput(item.sequence, error="no cache for this position")
-        outputs = [self._run_position(entry, value) for value in inputs]
-        if not item.sample:
-            return ForwardOutput(
-                item.sequence, len(inputs), len(prompt), tuple(outputs)
-            )
-        token = sample(outputs[-1], item.temperature, item.seed)
-        return ForwardOutput(
-            item.sequence,
-            len(inputs),
-            len(prompt),
-            token=token,
-            text=token_text(token),
-        )
 
-    def _run_position(self, entry: CacheEntry, value: int) -> int:
-        seed = model_seed_of(self)
-        for index, layer in enumerate(range(entry.layers.first, entry.layers.end)):
-            value, entry.memories[index] = run_layer(
-                seed, layer, entry.memories[index], value
-            )
-        entry.position += 1
-        return value
 
+@attrs.frozen
+class ExportRequest:
+    """Hand out a sequence as it was before a position."""
 
-def model_seed_of(engine: Engine) -> int:
-    """Return the number of the engine's model and version."""
-    return model_seed(engine.model, engine.version)
+    sequence: str
+    position: int
 
 
 class ForwardHandler(StandinHandler):
@@ -191,35 +52,110 @@
 
 
 class CancelHandler(StandinHandler):
-    """Drops cache entries."""
+    """Drops sequences."""
 
     def post(self) -> None:
         request = self.message(CancelRequest)
         if request is None:
             return
         for sequence in request.sequences:
-            self.standin.cache.pop(sequence, None)
+            self.standin.cancel(sequence)
+        self.reply({})
+
+
+class TransferHandler(StandinHandler):
+    """Base of the handlers that copy sequences."""
+
+    def prepare(self) -> None:
+        if self.standin.faults.refuse_transfers:
+            self.refuse("transfers are refused")
+
+    def refuse(self, reason: str) -> None:
+        """Answer that the sequence cannot be had."""
+        self.set_status(409)
+        self.reply({"error": reason})
+
+
+class ForkHandler(TransferHandler):
+    """Copies a sequence under another name."""
+
+    def post(self) -> None:
+        request = self.message(ForkRequest)
+        if request is None:
+            return
+        sequences = self.standin.sequences
+        if sequences.fork(request.source, request.target, request.position):
+            self.reply({})
+            return
+        self.refuse("the sequence is not kept at this position")
+
+
+class ExportHandler(TransferHandler):
+    """Hands out a sequence."""
+
+    def post(self) -> None:
+        request = self.message(ExportRequest)
+        if request is None:
+            return
+        export = self.standin.sequences.export(request.sequence, request.position)
+        if export is None:
+            self.refuse("the sequence is not kept at this position")
+            return
+        self.reply(export)
+
+
+class ImportHandler(TransferHandler):
+    """Takes a sequence over."""
+
+    def post(self) -> None:
+        export = self.message(SequenceExport)
+        if export is None:
+            return
+        if not self.standin.layers.contains(export.layers):
+            self.refuse("layers not held")
+            return
+        self.standin.sequences.take(export)
         self.reply({})
 
 
 class StateHandler(StandinHandler):
-    """Tells what the engine holds."""
+    """Tells what the engine holds and its load."""
+
+    def get(self) -> None:
+        self.reply(self.standin.state())
+
+
+class EventsHandler(StandinHandler):
+    """Publishes cache events."""
+
+    def get(self) -> None:
+        first = int(self.get_argument("from", "0"))
+        until = time.monotonic() - self.standin.faults.event_delay
+        self.reply(self.standin.prefixes.published(first, until))
+
+
+class StatsHandler(StandinHandler):
+    """Counts for tests and measurements."""
 
     def get(self) -> None:
         engine = self.standin
         self.reply(
-            EngineState(
-                model=engine.model,
-                layers=engine.layers,
-                version=engine.version,
-                running=engine.running,
-                queued=len(engine.waiting),
-            )
+            {
+                "steps": engine.steps,
+                "sequences": sorted(engine.sequences.known),
+                "prefix_blocks": len(engine.prefixes.blocks),
+                "prefix_hits": engine.prefixes.hits,
+            }
         )
 
 
 ENGINE_ROUTES = [
     (r"/engine/forward", ForwardHandler),
     (r"/engine/cancel", CancelHandler),
+    (r"/engine/fork", ForkHandler),
+    (r"/engine/export", ExportHandler),
+    (r"/engine/import", ImportHandler),
     (r"/engine/state", StateHandler),
+    (r"/engine/events", EventsHandler),
+    (r"/stats", StatsHandler),
 ]
