--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -236,7 +236,11 @@
             agent = self._agent(plan, engine, {})
             self.endpoints.append(EndpointProcesses(plan, engine, agent))
         plan = EndpointPlan("tally-1", ZONES[0], None)
-        service = self._standin("service-tally", "tally")
+        service = self._standin(
+            "service-tally",
+            "tally",
+            f"--tallies={self.log_directory / 'tallies.jsonl'}",
+        )
         agent = self._agent(plan, service, {"LACEWINGCOURSE_SERVICE": SERVICE})
         self.service = EndpointProcesses(plan, service, agent)
 
--- a/packages/testing/src/lacewingcourse/testing/processes.py
+++ b/packages/testing/src/lacewingcourse/testing/processes.py
@@ -104,14 +104,17 @@
         return self.popen.pid
 
     def start(self) -> None:
-        """Start the child; its log lines go to a file or to this process's."""
+        """Start the child; its log lines go to a file or to this process's.
+
+        The child ends when this process does, because it watches its standard input.
+        """
         environment = {**os.environ, **self.variables}
         output = open(self.log_path, "ab") if self.log_path else None
         try:
             self.popen = subprocess.Popen(
                 self.arguments,
                 env=environment,
-                stdin=subprocess.DEVNULL,
+                stdin=subprocess.PIPE,
                 stdout=output,
                 stderr=output,
             )
@@ -152,8 +155,8 @@
 
 
 def python_command(module: str, *arguments: str) -> tuple[str, ...]:
-    """Return the command line that runs a module with this Python."""
-    return (sys.executable, "-m", module, *arguments)
+    """Return the command line that runs a module as a child of this process."""
+    return (sys.executable, "-m", "lacewingcourse.testing.child", module, *arguments)
 
 
 def stop_all(processes: list[Process]) -> None:
--- a/packages/testing/src/lacewingcourse/testing/standin_cli.py
+++ b/packages/testing/src/lacewingcourse/testing/standin_cli.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sys
+from pathlib import Path
 
 from cleo.application import Application
 from cleo.commands.command import Command
@@ -87,9 +88,15 @@
 
     name = "tally"
     description = "Run a stand-in for a plain service"
+    options = SHARED_OPTIONS + [
+        option("tallies", None, "File that keeps the tallies", flag=False),
+    ]
 
     def standin(self):
-        return TallyService(), TALLY_ROUTES
+        path = self.option("tallies")
+        service = TallyService(Path(path) if path else None)
+        service.load()
+        return service, TALLY_ROUTES
 
 
 class LogCommand(StandinCommand):
--- a/packages/testing/src/lacewingcourse/testing/standins/instances.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/instances.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 import attrs
@@ -16,10 +17,12 @@
 
     Attributes:
         lag: Seconds by which the list is behind.
+        delay: Seconds before each answer.
         down: Whether every read is refused.
     """
 
     lag: float = 0.0
+    delay: float = 0.0
     down: bool = False
 
 
@@ -62,7 +65,8 @@
 class InstancesHandler(StandinHandler):
     """Lists instances."""
 
-    def get(self) -> None:
+    async def get(self) -> None:
+        await asyncio.sleep(self.standin.faults.delay)
         if self.standin.faults.down:
             self.set_status(503)
             self.finish()
--- a/packages/testing/src/lacewingcourse/testing/standins/proxy_control.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/proxy_control.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import attrs
-import orjson
 
+from lacewingcourse.core.errors import Refusal
 from lacewingcourse.testing.standins.proxy import Link
 from lacewingcourse.testing.standins.proxy_faults import LinkFaults
-from lacewingcourse.testing.standins.server import NoFaults, StandinHandler
-from lacewingcourse.wire.codec import CONVERTER
+from lacewingcourse.testing.standins.server import (
+    NoFaults,
+    StandinHandler,
+    changed_faults,
+)
 
 
 @attrs.frozen
@@ -82,10 +85,13 @@
 
     def patch(self, name: str) -> None:
         link = self.standin.links[name]
-        changes = orjson.loads(self.request.body)
-        current = CONVERTER.unstructure(link.faults)
-        link.set_faults(CONVERTER.structure({**current, **changes}, LinkFaults))
-        self.reply(link.faults)
+        changed = changed_faults(link.faults, self.request.body)
+        if isinstance(changed, Refusal):
+            self.set_status(400)
+            self.reply({"error": changed.reason})
+            return
+        link.set_faults(changed)
+        self.reply(changed)
 
 
 class LinkActionHandler(StandinHandler):
--- a/packages/testing/src/lacewingcourse/testing/standins/server.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/server.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 import orjson
@@ -12,9 +12,11 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.wire.codec import CONVERTER, decode, encode
 
+T = TypeVar("T")
+
 
 class StandinHandler(RequestHandler):
     """Base of the handlers of a stand-in.
@@ -41,6 +43,16 @@
         return message
 
 
+def changed_faults(faults: T, body: bytes) -> T | Refusal:
+    """Return faults with the changes of a request, which names some of them."""
+    try:
+        changes = orjson.loads(body)
+        merged = {**CONVERTER.unstructure(faults), **changes}
+    except (ValueError, TypeError) as error:
+        return Refusal(ErrorKind.MALFORMED, str(error))
+    return decode(orjson.dumps(merged), type(faults))
+
+
 class FaultsHandler(StandinHandler):
     """Shows and switches the faults of a stand-in at run time."""
 
@@ -48,11 +60,13 @@
         self.reply(self.standin.faults)
 
     def put(self) -> None:
-        changes = orjson.loads(self.request.body)
-        current = CONVERTER.unstructure(self.standin.faults)
-        kind = type(self.standin.faults)
-        self.standin.faults = CONVERTER.structure({**current, **changes}, kind)
-        self.reply(self.standin.faults)
+        changed = changed_faults(self.standin.faults, self.request.body)
+        if isinstance(changed, Refusal):
+            self.set_status(400)
+            self.reply({"error": changed.reason})
+            return
+        self.standin.faults = changed
+        self.reply(changed)
 
 
 class HealthHandler(StandinHandler):
