--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -8,8 +8,10 @@
 from cleo.application import Application
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
+from lacewingcourse.cli.item_commands import ITEM_COMMANDS
+from lacewingcourse.cli.publishing_commands import PUBLISHING_COMMANDS
 
-COMMANDS = [EntryCommand, AgentCommand]
+COMMANDS = [EntryCommand, AgentCommand, *ITEM_COMMANDS, *PUBLISHING_COMMANDS]
 
 
 def build() -> Application:
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -14,6 +14,7 @@
 from lacewingcourse.core.configuration import ConfigurationRecord
 from lacewingcourse.core.configuration_fold import ConfigurationState
 from lacewingcourse.core.errors import ErrorKind, Outcome
+from lacewingcourse.core.estimates import LoadReport
 from lacewingcourse.core.layers import LayerRange
 
 
@@ -104,12 +105,14 @@
         incarnation: Incarnation of the agent that answers.
         kind: Why not, or None.
         reason: Why not, for a person.
+        load: What the agent has learned of speed and load, or None.
     """
 
     accepted: bool
     incarnation: str
     kind: ErrorKind | None = None
     reason: str = ""
+    load: LoadReport | None = None
 
 
 @attrs.frozen
@@ -308,6 +311,7 @@
         queued: Items that wait for the engine.
         step_time: Seconds an engine step takes at present.
         configuration_version: Version of the configuration in force.
+        load: What the agent has learned of speed and load.
     """
 
     endpoint: str
@@ -323,6 +327,7 @@
     queued: int = 0
     step_time: float = 0.0
     configuration_version: int = 0
+    load: LoadReport = LoadReport()
 
 
 @attrs.frozen
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -14,16 +14,20 @@
 from lacewingcourse.core.endpoints import EndpointState
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Credit
-from lacewingcourse.core.routes import POLICIES, usable
 from lacewingcourse.core.streams import Phase
 from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
 from lacewingcourse.daemon.daemon import Daemon, Readiness
 from lacewingcourse.entry.admin_api import ADMIN_ROUTES
 from lacewingcourse.entry.answers import AnswerDriver
 from lacewingcourse.entry.api import API_ROUTES
+from lacewingcourse.entry.burn_log import BurnLog
 from lacewingcourse.entry.directory import Directory
+from lacewingcourse.entry.dispatcher import Dispatcher
 from lacewingcourse.entry.follower import EntryConfigurationFollower
+from lacewingcourse.entry.metrics import EntryMetrics
+from lacewingcourse.entry.outcomes import Outcomes
 from lacewingcourse.entry.publisher import Publisher
+from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.rollout import RolloutWatcher
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
@@ -67,11 +71,15 @@
         publisher: Publishes changes of the configuration.
         rollouts: Finds out which instances have a version in force.
         answers: Answers in flight by stream.
-        policy: The route policy in force.
+        dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
         calls_running: Plain calls in flight.
+        outcomes: Counts how requests end.
+        burn_log: Keeps summaries of the counts in the log.
     """
 
+    metrics_class = EntryMetrics
+
     def __init__(self, settings: EntrySettings) -> None:
         super().__init__(settings)
         instance_list = InstanceListClient(settings.instance_list_url)
@@ -82,9 +90,19 @@
         self.publisher = Publisher(self.follower)
         self.rollouts = RolloutWatcher(self)
         self.answers: dict[str, AnswerDriver] = {}
-        self.policy = POLICIES.get(settings.route_policy)()
+        self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
         self.calls_running = 0
+        run = secrets.token_hex(8)
+        self.outcomes = Outcomes(settings.instance_id, run, self.metrics)
+        self.burn_log = BurnLog(
+            self.follower.log,
+            self.outcomes.writer,
+            settings.burn_summary_interval,
+            self.rng,
+        )
+        self.follower.log.observe = self.metrics.on_log
+        self.metrics.watch(self)
 
     @property
     def configuration(self) -> Configuration:
@@ -92,7 +110,7 @@
         return self.follower.configuration
 
     def routes(self) -> list[tuple]:
-        routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES
+        routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES + REPORT_ROUTES
         routes += CONFIGURATION_ROUTES + ADMIN_ROUTES
         return [(path, handler, {"daemon": self}) for path, handler in routes]
 
@@ -118,6 +136,7 @@
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
+        self.spawn(self.burn_log.append_for_ever())
 
     async def _check_progress_for_ever(self) -> None:
         while True:
@@ -126,9 +145,11 @@
                 answer.check_progress(self.now())
 
     async def drain(self) -> None:
+        self.metrics.drains.inc()
         deadline = self.now() + self.settings.drain_timeout
         while (self.answers or self.calls_running) and self.now() < deadline:
             await asyncio.sleep(0.05)
+        await self.burn_log.close()
 
     def authenticate(self, header: str) -> str | Refusal:
         """Return the organisation of an `Authorization` header."""
@@ -141,13 +162,11 @@
                 return organisation.name
         return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
 
-    def choose_route(self, model: str, excluded: frozenset[str]) -> Route | Refusal:
-        """Return a route for a model."""
-        known = self.configuration.models.get(model)
-        if known is None:
-            return Refusal(ErrorKind.UNKNOWN_MODEL, f"no model {model!r}")
-        candidates = usable(self.directory.endpoints.values(), model, excluded)
-        return self.policy.choose(candidates, known.layer_count, self.rng, self.now())
+    def choose_route(
+        self, request: StreamRequest, excluded: frozenset[str]
+    ) -> Route | Refusal:
+        """Return a route for a request and count it as dispatched."""
+        return self.dispatcher.choose(request, excluded)
 
     def answer(self, request: StreamRequest) -> AnswerDriver:
         """Start a streamed answer."""
@@ -159,6 +178,7 @@
     def forget(self, driver: AnswerDriver) -> None:
         """End a streamed answer."""
         driver.abandon()
+        self.dispatcher.release(driver.stream)
         self.answers.pop(driver.stream, None)
 
     def take_tokens(self, batch: TokenBatch) -> tuple[Credit, ...]:
--- a/packages/entry/src/lacewingcourse/entry/follower.py
+++ b/packages/entry/src/lacewingcourse/entry/follower.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from loguru import logger
-from prometheus_client import Counter
 
 from lacewingcourse.core.configuration_fold import ConfigurationEntry, snapshot_of
 from lacewingcourse.core.configuration_replica import StreamEntry, StreamPage
@@ -49,8 +48,6 @@
     Attributes:
         log: Client of the log service.
         members: Returns the instances that the platform's list shows.
-        reads: Reads of the log.
-        appends: Appends to the log.
         may_write: Tells whether this process may write snapshots; several writers at a
             time do no harm, so this only saves appends.
     """
@@ -63,17 +60,6 @@
         self.members = members
         self.may_write: Callable[[], bool] = lambda: True
         self._retry_interval = RETRY_INTERVAL
-        registry = daemon.metrics.registry
-        self.reads = Counter(
-            "lacewingcourse_configuration_log_reads",
-            "Reads of the configuration from the log",
-            registry=registry,
-        )
-        self.appends = Counter(
-            "lacewingcourse_configuration_log_appends",
-            "Appends of changes and snapshots to the log",
-            registry=registry,
-        )
 
     def urls(self, role: InstanceRole) -> dict[str, str]:
         """Return the URLs of the other instances of a role by name."""
@@ -133,7 +119,6 @@
 
     async def read(self, wait: float = 0.0) -> Refusal | None:
         """Read one page of the log and fold it."""
-        self.reads.inc()
         offset = self.replica.read_offset
         page = await self.log.read(CONFIGURATION_STREAM, offset, wait=wait)
         if isinstance(page, Refusal):
@@ -161,7 +146,6 @@
         return await self._append(ConfigurationEntry(change=record))
 
     async def _append(self, entry: ConfigurationEntry) -> int | Refusal:
-        self.appends.inc()
         return await self.log.append(CONFIGURATION_STREAM, encode(entry).decode())
 
     async def _write_snapshot_if_due(self) -> None:
--- a/packages/testing/src/lacewingcourse/testing/standin_cli.py
+++ b/packages/testing/src/lacewingcourse/testing/standin_cli.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sys
+from pathlib import Path
 
 from cleo.application import Application
 from cleo.commands.command import Command
@@ -16,6 +17,7 @@
     InstanceList,
 )
 from lacewingcourse.testing.standins.log import LOG_ROUTES, LogService
+from lacewingcourse.testing.standins.proxy_control import PROXY_ROUTES, FaultProxy
 from lacewingcourse.testing.standins.server import serve
 from lacewingcourse.testing.standins.tally import TALLY_ROUTES, TallyService
 from lacewingcourse.testing.standins.weights import WEIGHT_ROUTES, WeightStore
@@ -86,9 +88,15 @@
 
     name = "tally"
     description = "Run a stand-in for a plain service"
+    options = SHARED_OPTIONS + [
+        option("tallies", None, "File that keeps the tallies", flag=False),
+    ]
 
     def standin(self):
-        return TallyService(), TALLY_ROUTES
+        path = self.option("tallies")
+        service = TallyService(Path(path) if path else None)
+        service.load()
+        return service, TALLY_ROUTES
 
 
 class LogCommand(StandinCommand):
@@ -129,6 +137,16 @@
         return WeightStore(float(self.option("rate"))), WEIGHT_ROUTES
 
 
+class ProxyCommand(StandinCommand):
+    """Runs the fault proxy."""
+
+    name = "proxy"
+    description = "Run a TCP fault proxy; its port is the one of its control"
+
+    def standin(self):
+        return FaultProxy(self.option("address")), PROXY_ROUTES
+
+
 def main() -> None:
     """Run the stand-in that the arguments name."""
     application = Application("lacewingcourse-standin")
@@ -138,6 +156,7 @@
         LogCommand,
         InstancesCommand,
         WeightsCommand,
+        ProxyCommand,
     ):
         application.add(command())
     sys.exit(application.run())
