--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -5,12 +5,11 @@
 import fnmatch
 import hashlib
 import json
-import os
 import secrets
+import shutil
 import tempfile
 import time
 from pathlib import Path
-from typing import Any
 from urllib.request import urlopen
 
 import attrs
@@ -27,6 +26,7 @@
 from lacewingcourse.testing.layout import ZONES, EndpointPlan, plan_endpoints
 from lacewingcourse.testing.processes import (
     Process,
+    WaitTimeout,
     free_ports,
     python_command,
     stop_all,
@@ -47,6 +47,10 @@
 START_TIMEOUT = 30.0
 
 
+class StartError(Exception):
+    """A deployment could not be started."""
+
+
 @attrs.frozen
 class DeploymentOptions:
     """What a local deployment consists of.
@@ -132,19 +136,42 @@
         return [*found, self.fault_proxy] if self.fault_proxy else found
 
     def up(self) -> None:
-        """Start everything and wait until it is ready."""
-        if self.options.proxied:
-            self._start_proxy()
-        self._start_platform()
-        self._start_endpoints()
-        self._start_entries()
-        self._list_instances()
-        self._publish()
-        wait_until(self.ready, START_TIMEOUT, "the deployment is not ready")
-
-    def down(self) -> None:
-        """Stop everything."""
+        """Start everything and wait until it is ready.
+
+        Raises:
+            StartError: A process ended or was not ready in time.
+        """
+        try:
+            if self.options.proxied:
+                self._start_proxy()
+            self._start_platform()
+            self._start_endpoints()
+            self._start_entries()
+            self._list_instances()
+            self._publish()
+            self._wait_until(self.ready, "the deployment is not ready")
+        except WaitTimeout as error:
+            raise StartError(f"{error}; logs are in {self.log_directory}") from error
+
+    def down(self, keep_logs: bool = False) -> None:
+        """Stop everything and remove the log files unless they are wanted."""
         stop_all(self.processes())
+        if not keep_logs:
+            shutil.rmtree(self.log_directory, ignore_errors=True)
+
+    def _wait_until(self, condition, what: str) -> None:
+        """Wait until a condition holds while all processes run."""
+
+        def holds() -> bool:
+            for process in self.processes():
+                if not process.alive():
+                    raise StartError(
+                        f"{process.name} ended: {process.last_line()}; "
+                        f"logs are in {self.log_directory}"
+                    )
+            return condition()
+
+        wait_until(holds, START_TIMEOUT, what)
 
     def proxy(self, name: str) -> ProxyLink:
         """Return the link of the fault proxy before a process."""
@@ -165,10 +192,8 @@
 
     def _start_proxy(self) -> None:
         self.fault_proxy = self._standin("fault-proxy", "proxy")
-        wait_until(
-            lambda: self.fault_proxy.ready("/healthz"),
-            START_TIMEOUT,
-            "the fault proxy is not ready",
+        self._wait_until(
+            lambda: self.fault_proxy.ready("/healthz"), "the fault proxy is not ready"
         )
 
     def _urls(self, name: str) -> tuple[str, str]:
@@ -201,9 +226,8 @@
             "instance_list": self._standin("instance-list", "instances"),
             "weight_store": self._standin("weight-store", "weights"),
         }
-        wait_until(
+        self._wait_until(
             lambda: all(each.ready("/healthz") for each in self.platform.values()),
-            START_TIMEOUT,
             "the platform is not ready",
         )
 
@@ -325,39 +349,3 @@
         ready = [each for each in state["endpoints"] if each["ready"]]
         version = state["readiness"]["configuration_version"]
         return version > 0 and len(ready) == len(self.endpoints) + 1
-
-    def describe(self) -> dict[str, Any]:
-        """Return the deployment as its state file shows it."""
-        return {
-            "pid": os.getpid(),
-            "entries": [{"url": each.url, "pid": each.pid} for each in self.entries],
-            "endpoints": [self._describe_endpoint(pair) for pair in self.endpoints],
-            "services": [
-                {
-                    "name": SERVICE,
-                    "url": self.service.engine.url,
-                    "pid": self.service.engine.pid,
-                    "agent_url": self.service.agent.url,
-                    "agent_pid": self.service.agent.pid,
-                }
-            ],
-            "models": [MODEL],
-            "platform": {name: each.url for name, each in self.platform.items()},
-            "organisations": [
-                {"name": name, "key": key} for name, key in self.keys.items()
-            ],
-            "admin_token": self.admin_token,
-        }
-
-    def _describe_endpoint(self, pair: EndpointProcesses) -> dict[str, Any]:
-        layers = pair.plan.layers
-        return {
-            "id": pair.plan.id,
-            "availability_zone": pair.plan.availability_zone,
-            "model": MODEL,
-            "layers": [layers.first, layers.end],
-            "url": pair.engine.url,
-            "pid": pair.engine.pid,
-            "agent_url": pair.agent.url,
-            "agent_pid": pair.agent.pid,
-        }
--- a/packages/testing/src/lacewingcourse/testing/processes.py
+++ b/packages/testing/src/lacewingcourse/testing/processes.py
@@ -87,6 +87,7 @@
         listen_url: Base URL that it serves; differs from `url` behind a proxy.
         arguments: Its command line.
         variables: Its environment beside the inherited one.
+        log_path: File that gets its log lines, or None for this process's output.
         popen: The running child.
     """
 
@@ -130,6 +131,14 @@
         """Tell whether the child runs."""
         return self.popen is not None and self.popen.poll() is None
 
+    def last_line(self) -> str:
+        """Return the last line that the child wrote to its log file."""
+        if self.log_path is None or not self.log_path.exists():
+            return "its log lines stand above"
+        lines = self.log_path.read_text(errors="replace").split("\n")
+        written = [line for line in lines if line.strip()]
+        return written[-1] if written else "it wrote nothing"
+
     def kill(self) -> None:
         """End the child at once."""
         if self.alive():
