--- a/packages/agent/src/lacewingcourse/agent/settings.py
+++ b/packages/agent/src/lacewingcourse/agent/settings.py
@@ -5,6 +5,7 @@
 import environ
 
 from lacewingcourse.daemon import common_settings as common
+from lacewingcourse.daemon.checks import name_or_empty
 from lacewingcourse.daemon.settings import PREFIX, boolean, count, positive, url
 
 
@@ -19,7 +20,9 @@
         converter=url, help="Base URL of the engine or plain service beside it"
     )
     service: str = environ.var(
-        default="", help="Name of the plain service; empty beside a model engine"
+        default="",
+        converter=name_or_empty,
+        help="Name of the plain service; empty beside a model engine",
     )
     shared_secret: str = common.shared_secret()
     log_url: str = common.log_url()
--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -8,8 +8,9 @@
 from cleo.application import Application
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
+from lacewingcourse.cli.settings_command import SettingsCommand
 
-COMMANDS = [EntryCommand, AgentCommand]
+COMMANDS = [EntryCommand, AgentCommand, SettingsCommand]
 
 
 def build() -> Application:
--- a/packages/cli/src/lacewingcourse/cli/daemon_command.py
+++ b/packages/cli/src/lacewingcourse/cli/daemon_command.py
@@ -10,6 +10,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from lacewingcourse.daemon.daemon import ListenError
 from lacewingcourse.daemon.logs import configure_logs
 from lacewingcourse.daemon.settings import (
     SettingErrors,
@@ -24,6 +25,8 @@
 
 #: Exit code for bad settings.
 BAD_SETTINGS = 2
+#: Exit code for an address or port that cannot be used.
+CANNOT_LISTEN = 3
 
 
 def setting_options(kind: type) -> list:
@@ -71,7 +74,11 @@
                 self.line(f"{variable_of(name)}={value}")
             return 0
         configure_logs(settings.instance_id, settings.log_format, settings.log_level)
-        asyncio.run(self.serve(settings))
+        try:
+            asyncio.run(self.serve(settings))
+        except ListenError as error:
+            self.line_error(str(error))
+            return CANNOT_LISTEN
         return 0
 
     def serve(self, settings: Any) -> Coroutine:
--- a/packages/daemon/src/lacewingcourse/daemon/common_settings.py
+++ b/packages/daemon/src/lacewingcourse/daemon/common_settings.py
@@ -4,9 +4,12 @@
 
 import environ
 
-from lacewingcourse.daemon.settings import (
+from lacewingcourse.daemon.checks import (
+    address,
+    advertised,
     boolean,
     count,
+    name,
     one_of,
     port,
     positive,
@@ -17,7 +20,9 @@
 
 def listen_address() -> str:
     """Return the setting for the address to listen on."""
-    return environ.var(default="127.0.0.1", help="IP number to listen on")
+    return environ.var(
+        default="127.0.0.1", converter=address, help="IP number to listen on"
+    )
 
 
 def listen_port() -> int:
@@ -27,17 +32,22 @@
 
 def advertised_url() -> str:
     """Return the setting for the URL under which others reach the process."""
-    return environ.var(converter=url, help="Base URL under which peers reach it")
+    return environ.var(
+        converter=advertised,
+        help="Base URL with IP number and port under which peers reach it",
+    )
 
 
 def instance_id() -> str:
     """Return the setting for the name of the instance."""
-    return environ.var(help="Name of the instance in the platform's instance list")
+    return environ.var(
+        converter=name, help="Name of the instance in the platform's instance list"
+    )
 
 
 def availability_zone() -> str:
     """Return the setting for the availability zone."""
-    return environ.var(help="Availability zone of the instance")
+    return environ.var(converter=name, help="Availability zone of the instance")
 
 
 def shared_secret() -> str:
--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
+    from socket import socket
 
 #: Bytes of headers that a request may have.
 MAX_HEADER_BYTES = 16 * 1024
@@ -32,6 +33,10 @@
 HEADER_TIMEOUT = 10.0
 
 
+class ListenError(Exception):
+    """A process cannot listen on the address or port of its settings."""
+
+
 @attrs.frozen
 class Readiness:
     """Whether a process takes new work.
@@ -137,6 +142,21 @@
             log_function=lambda handler: None,
         )
 
+    def _bind(self) -> list[socket]:
+        """Return the listening sockets.
+
+        Raises:
+            ListenError: The address or the port cannot be used.
+        """
+        address, port = self.settings.listen_address, self.settings.listen_port
+        try:
+            return bind_sockets(port, address)
+        except OSError as error:
+            reason = error.strerror or str(error)
+            raise ListenError(
+                f"cannot listen on {address} port {port}: {reason}"
+            ) from error
+
     async def run(self) -> None:
         """Serve until asked to end, then drain."""
         server = HTTPServer(
@@ -147,7 +167,7 @@
             idle_connection_timeout=self.settings.idle_timeout,
             body_timeout=self.settings.body_timeout,
         )
-        sockets = bind_sockets(self.settings.listen_port, self.settings.listen_address)
+        sockets = self._bind()
         self.port = sockets[0].getsockname()[1]
         server.add_sockets(sockets)
         loop = asyncio.get_running_loop()
--- a/packages/daemon/src/lacewingcourse/daemon/settings.py
+++ b/packages/daemon/src/lacewingcourse/daemon/settings.py
@@ -2,17 +2,47 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_address
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import urlsplit
 
 import attrs
 import environ
 
+from lacewingcourse.daemon.checks import (
+    boolean,
+    count,
+    one_of,
+    port,
+    positive,
+    secret,
+    url,
+)
+
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterator, Mapping
 
 T = TypeVar("T")
 
+__all__ = [
+    "PREFIX",
+    "SettingError",
+    "SettingErrors",
+    "boolean",
+    "count",
+    "default_of",
+    "describe",
+    "flag_of",
+    "load_settings",
+    "one_of",
+    "port",
+    "positive",
+    "secret",
+    "setting_error",
+    "url",
+    "variable_of",
+]
+
 #: Prefix of every environment variable.
 PREFIX = "LACEWINGCOURSE"
 
@@ -42,66 +72,6 @@
     errors: tuple[SettingError, ...]
 
 
-def url(value: str) -> str:
-    """Check a base URL with an IP number or name and no path."""
-    parts = urlsplit(value)
-    if parts.scheme not in ("http", "https") or not parts.hostname or parts.path:
-        raise ValueError(f"{value!r} is not a base URL such as http://10.0.0.1:8000")
-    return value
-
-
-def port(value: str) -> int:
-    """Check a TCP port number; 0 lets the system choose."""
-    number = int(value)
-    if not 0 <= number <= 65535:
-        raise ValueError(f"{value} is not a port between 0 and 65535")
-    return number
-
-
-def positive(value: str) -> float:
-    """Check a number above zero."""
-    number = float(value)
-    if not number > 0:
-        raise ValueError(f"{value} is not above 0")
-    return number
-
-
-def count(value: str) -> int:
-    """Check a whole number of at least 1."""
-    number = int(value)
-    if number < 1:
-        raise ValueError(f"{value} is not a whole number of at least 1")
-    return number
-
-
-def secret(value: str) -> str:
-    """Check a secret of at least 16 characters."""
-    if len(value) < 16:
-        raise ValueError("shorter than 16 characters")
-    return value
-
-
-def boolean(value: str) -> bool:
-    """Check a yes or no."""
-    lowered = str(value).lower()
-    if lowered in ("1", "true", "yes", "on"):
-        return True
-    if lowered in ("0", "false", "no", "off"):
-        return False
-    raise ValueError(f"{value!r} is neither true nor false")
-
-
-def one_of(*names: str):
-    """Return a check for one of some names."""
-
-    def check(value: str) -> str:
-        if value not in names:
-            raise ValueError(f"{value!r} is not one of {', '.join(names)}")
-        return value
-
-    return check
-
-
 def flag_of(name: str) -> str:
     """Return the flag of a setting."""
     return "--" + name.replace("_", "-")
@@ -148,7 +118,25 @@
             errors.append(setting_error(name, reason))
     if errors:
         return SettingErrors(tuple(errors))
-    return environ.to_config(kind, merged)
+    settings = environ.to_config(kind, merged)
+    together = tuple(check_together(settings))
+    return SettingErrors(together) if together else settings
+
+
+def check_together(settings: object) -> Iterator[SettingError]:
+    """Yield what is wrong with settings that are right one by one."""
+    token = getattr(settings, "admin_token", None)
+    if token is not None and token == settings.shared_secret:
+        yield setting_error("admin_token", "must differ from the shared secret")
+    if settings.advertised_url in (settings.log_url, settings.instance_list_url):
+        yield setting_error("advertised_url", "is the URL of a platform service")
+    if getattr(settings, "endpoint_url", None) == settings.advertised_url:
+        yield setting_error("endpoint_url", "is the agent's own advertised URL")
+    listens_on_loopback = ip_address(settings.listen_address).is_loopback
+    advertised = ip_address(urlsplit(settings.advertised_url).hostname)
+    if listens_on_loopback and not advertised.is_loopback:
+        reason = f"peers that use {settings.advertised_url} cannot reach a loopback"
+        yield setting_error("listen_address", reason)
 
 
 def default_of(attribute: attrs.Attribute) -> str | None:
@@ -170,7 +158,7 @@
     try:
         converter(value)
     except (ValueError, TypeError) as error:
-        return str(error)
+        return " ".join(str(error).splitlines())
     return ""
 
 
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -4,7 +4,9 @@
 
 import environ
 
+from lacewingcourse.core.routes import POLICIES
 from lacewingcourse.daemon import common_settings as common
+from lacewingcourse.daemon.checks import registered
 from lacewingcourse.daemon.settings import PREFIX, positive, secret
 
 
@@ -24,7 +26,9 @@
     listen_address: str = common.listen_address()
     listen_port: int = common.listen_port()
     route_policy: str = environ.var(
-        default="shortest", help="Name of the route policy in force"
+        default="shortest",
+        converter=registered(POLICIES),
+        help=f"Route policy: {', '.join(POLICIES.names())}",
     )
     stall_timeout: float = environ.var(
         default="5",
