Admit by predicted time against class targets, in a fair order

Cause: every request started at once whatever the load, all with the same priority, so under a wake-up all answers would be late together and one organisation could take all.

Change: core/admission.py starts a request if its predicted times keep its class target, lets it wait while it can still meet it, and refuses it at once otherwise, not run, with a Retry-After booked from the rate at which answers end. core/fairness.py orders by pressing classes, served cost by organisation, then slack; every eighth pick takes the oldest. core/queueing.py gives engine work by due time, tokens apart from prompts; agents refuse before the start what their backlog cannot run in time.

Conclusion: a request with n older ones before it is taken within 8 * (n + 1) picks. Goodput against the bound is not measured yet.

--- a/packages/agent/src/lacewingcourse/agent/engine.py
+++ b/packages/agent/src/lacewingcourse/agent/engine.py
@@ -1,9 +1,7 @@
-"""Client of a model engine, and the order in which work is given to it."""
+"""Client of a model engine."""
 
 from __future__ import annotations
 
-import heapq
-import itertools
 from typing import TYPE_CHECKING
 
 import attrs
@@ -119,8 +117,13 @@
     return f"{stream}.{attempt}"
 
 
-def item_of(effect: RunForward) -> ForwardItem:
-    """Return the engine's item for a step that a decision asked for."""
+def item_of(effect: RunForward, due_at: float) -> ForwardItem:
+    """Return the engine's item for a step that a decision asked for.
+
+    Args:
+        effect: The step.
+        due_at: When it should be done, seconds; the engine runs the earliest first.
+    """
     sampling = effect.sampling
     values = effect.values
     prompt = None
@@ -136,7 +139,7 @@
         sample=sampling is not None,
         temperature=sampling.temperature if sampling else 0.0,
         seed=sampling.seed if sampling else 0,
-        priority=effect.priority,
+        priority=due_at,
     )
 
 
@@ -186,40 +189,3 @@
 
     def _failed(self, response) -> Refusal:
         return Refusal(ErrorKind.ENDPOINT_FAILED, str(response.error), Outcome.UNKNOWN)
-
-
-class ForwardQueue:
-    """Work that waits for the engine, in order of priority, then of arrival.
-
-    Attributes:
-        heap: The waiting work.
-    """
-
-    def __init__(self) -> None:
-        self.heap: list[tuple[float, int, RunForward]] = []
-        self._order = itertools.count()
-
-    def __len__(self) -> int:
-        return len(self.heap)
-
-    def positions(self) -> int:
-        """Return the positions that wait."""
-        return sum(max(1, len(entry[2].values)) for entry in self.heap)
-
-    def push(self, effect: RunForward) -> None:
-        """Add work."""
-        heapq.heappush(self.heap, (effect.priority, next(self._order), effect))
-
-    def take(self, limit: int) -> list[RunForward]:
-        """Remove and return the work that comes first."""
-        count = min(limit, len(self.heap))
-        return [heapq.heappop(self.heap)[2] for _ in range(count)]
-
-    def drop(self, stream: str, attempt: int) -> None:
-        """Remove the work of an attempt."""
-        self.heap = [
-            entry
-            for entry in self.heap
-            if (entry[2].stream, entry[2].attempt) != (stream, attempt)
-        ]
-        heapq.heapify(self.heap)
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -9,6 +9,7 @@
     Credit,
     HopBatch,
     HopBatchReply,
+    OpenReply,
     OpenStage,
     Revoke,
     RevokeReply,
@@ -26,6 +27,10 @@
         message = self.message(OpenStage)
         if message is None:
             return
+        kind = self.daemon.stages.refusal_of(message)
+        if kind is not None:
+            self.reply(OpenReply(False, self.daemon.incarnation, kind, "no capacity"))
+            return
         reply, effects = self.daemon.stages.gate.open(message, self.daemon.now())
         self.daemon.stages.perform(effects)
         self.reply(attrs.evolve(reply, load=self.daemon.stages.load()))
--- a/packages/agent/src/lacewingcourse/agent/settings.py
+++ b/packages/agent/src/lacewingcourse/agent/settings.py
@@ -32,6 +32,9 @@
     steps_in_flight: int = environ.var(
         default="2", converter=count, help="Steps given to the engine at one time"
     )
+    max_streams: int = environ.var(
+        default="512", converter=count, help="Streams that run here at one time at most"
+    )
     endpoint_timeout: float = environ.var(
         default="30", converter=positive, help="Seconds an endpoint may take"
     )
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -11,7 +11,6 @@
     EngineClient,
     EngineState,
     ForwardOutput,
-    ForwardQueue,
     item_of,
     sequence_of,
 )
@@ -33,6 +32,13 @@
     TokenBatchReply,
     TroubleBatch,
 )
+from lacewingcourse.core.queueing import (
+    AgentLoad,
+    ForwardQueue,
+    QueuedForward,
+    due_at,
+    refusal_kind,
+)
 from lacewingcourse.core.stages import ForwardResult, StageGate
 from lacewingcourse.wire import paths
 
@@ -41,7 +47,7 @@
 
     from lacewingcourse.agent.application import Agent
     from lacewingcourse.core.estimates import LoadReport
-    from lacewingcourse.core.messages import StageAddress, Status
+    from lacewingcourse.core.messages import OpenStage, StageAddress, Status
     from lacewingcourse.core.stages import Effect
 
 #: Times that a batch is sent before its receiver is reported.
@@ -122,7 +128,7 @@
         for effect in effects:
             match effect:
                 case RunForward():
-                    self.queue.push(effect)
+                    self._push(effect)
                 case CancelForward():
                     self.queue.drop(effect.stream, effect.attempt)
                     sequence = sequence_of(effect.stream, effect.attempt)
@@ -135,6 +141,24 @@
                     self._trouble_outbox(effect.entry_url).put(effect.trouble)
         self._feed_engine()
 
+    def refusal_of(self, message: OpenStage) -> ErrorKind | None:
+        """Return why a new stream is not let in, or None."""
+        if message.stream in self.gate.stages:
+            return None
+        backlog = self.queue.positions() * self.estimates.fit.position
+        load = AgentLoad(len(self.gate.stages), self.settings.max_streams, backlog)
+        return refusal_kind(message, load)
+
+    def _push(self, effect: RunForward) -> None:
+        """Queue work with the time at which it is due."""
+        stage = self.gate.stages.get(effect.stream)
+        pace = stage.message.pace if stage is not None else 0.0
+        positions = len(effect.values)
+        if effect.prompt is not None:
+            positions = self.estimates.prompt_positions(len(effect.prompt.text))
+            positions += len(effect.prompt.delivered)
+        self.queue.push(effect, due_at(effect, pace, self.agent.now()), positions)
+
     def _feed_engine(self) -> None:
         """Give waiting work to the engine while it has room."""
         while self.queue and self.in_flight < self.settings.steps_in_flight:
@@ -146,11 +170,13 @@
             )
             self.agent.spawn(self._step(batch))
 
-    async def _step(self, batch: list[RunForward]) -> None:
+    async def _step(self, queued: list[QueuedForward]) -> None:
         """Run one batch on the engine and pass its results on."""
         started_at = self.agent.now()
+        batch = [entry.effect for entry in queued]
+        items = tuple(item_of(entry.effect, entry.due_at) for entry in queued)
         try:
-            reply = await self.engine.forward(tuple(item_of(work) for work in batch))
+            reply = await self.engine.forward(items)
         finally:
             self.in_flight -= 1
             self.present -= len(batch)
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -75,10 +75,11 @@
         entry_url: Where tokens and troubles are sent.
         organisation: Whose request it is.
         work_class: Class of work of the request.
-        priority: Lower runs sooner.
+        priority: Seconds in which the first token is due; lower runs sooner.
         sampling: How tokens are chosen.
         token_limit: Tokens that may be generated before further credit.
         prompt: Given to the first stage only.
+        pace: Seconds between tokens that the class asks for, 0.0 for none.
     """
 
     stream: str
@@ -92,6 +93,7 @@
     sampling: Sampling
     token_limit: int
     prompt: Prompt | None = None
+    pace: float = 0.0
 
 
 @attrs.frozen
--- a/packages/core/src/lacewingcourse/core/routes/__init__.py
+++ b/packages/core/src/lacewingcourse/core/routes/__init__.py
@@ -14,6 +14,7 @@
     stage_of,
     usable,
 )
+from lacewingcourse.core.routes.prediction import predict
 
 #: Policies that are kept to compare others with.
 BASELINES = ("random", "round_robin", "least_loaded")
@@ -30,6 +31,7 @@
     "baselines",
     "interleaved",
     "no_route",
+    "predict",
     "shortest",
     "stage_of",
     "usable",
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -71,6 +71,7 @@
         sampling: How tokens are chosen.
         priority: Lower runs sooner.
         entry_url: Where agents reach this entry.
+        pace: Seconds between tokens that the class asks for, 0.0 for none.
     """
 
     stream: str
@@ -81,6 +82,7 @@
     sampling: Sampling
     priority: float
     entry_url: str
+    pace: float = 0.0
 
 
 @attrs.define
@@ -169,6 +171,7 @@
             sampling=request.sampling,
             token_limit=self.credit,
             prompt=prompt,
+            pace=request.pace,
         )
         return SendOpen(target, message)
 
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -84,8 +84,10 @@
                 case SendCredit():
                     self.entry.spawn(self._credit(effect))
                 case DeliverToken():
+                    self.entry.admission.on_token(self.stream)
                     self.events.put_nowait(effect.token)
                 case FinishAnswer() | FailAnswer():
+                    self.entry.free(self)
                     self.events.put_nowait(effect)
 
     def _choose(self, excluded: frozenset[str]) -> None:
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -53,6 +53,7 @@
     def initialize(self, daemon: Any) -> None:
         super().initialize(daemon)
         self.driver: AnswerDriver | None = None
+        self.waiting = ""
 
     async def post(self) -> None:
         checked = self._checked()
@@ -69,7 +70,12 @@
             priority=0.0,
             entry_url=self.daemon.settings.advertised_url,
         )
-        self.driver = self.daemon.answer(request)
+        self.waiting = request.stream
+        admitted = await self.daemon.admission.admit(request)
+        if isinstance(admitted, Refusal):
+            self.refuse(admitted)
+            return
+        self.driver = self.daemon.answer(admitted)
         try:
             await self._answer(checked)
         except StreamClosedError:
@@ -123,7 +129,7 @@
                     choice = self.whole_choice("".join(texts), event.reason)
                     self.reply(self._document(request, [choice], self.usage()))
                 case FailAnswer():
-                    self.refuse(event.refusal)
+                    self.refuse(self.daemon.admission.with_retry_after(event.refusal))
 
     async def _answer_events(self, request: CompletionRequest) -> None:
         """Send the answer token by token."""
@@ -147,7 +153,9 @@
                     self.finish()
                 case FailAnswer():
                     if first:
-                        self.refuse(event.refusal)
+                        self.refuse(
+                            self.daemon.admission.with_retry_after(event.refusal)
+                        )
                         continue
                     problem = problem_of(event.refusal)
                     await self._send_event({"error": problem})
@@ -197,6 +205,8 @@
     def on_connection_close(self) -> None:
         if self.driver is not None:
             self.daemon.forget(self.driver)
+        else:
+            self.daemon.admission.leave(self.waiting)
 
 
 class CompletionHandler(GenerationHandler):
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -16,6 +16,7 @@
 from lacewingcourse.core.messages import Credit
 from lacewingcourse.core.streams import Phase
 from lacewingcourse.daemon.daemon import Daemon, Readiness
+from lacewingcourse.entry.admission import AdmissionControl
 from lacewingcourse.entry.answers import AnswerDriver
 from lacewingcourse.entry.api import API_ROUTES
 from lacewingcourse.entry.directory import Directory
@@ -63,6 +64,7 @@
         answers: Answers in flight by stream.
         dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
+        admission: Lets requests start, wait or be refused.
         calls_running: Plain calls in flight.
     """
 
@@ -74,6 +76,7 @@
         self.answers: dict[str, AnswerDriver] = {}
         self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
+        self.admission = AdmissionControl(self)
         self.calls_running = 0
 
     @property
@@ -106,6 +109,7 @@
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
+        self.spawn(self.admission.review_for_ever())
 
     async def _check_progress_for_ever(self) -> None:
         while True:
@@ -145,9 +149,18 @@
     def forget(self, driver: AnswerDriver) -> None:
         """End a streamed answer."""
         driver.abandon()
-        self.dispatcher.release(driver.stream)
+        self.free(driver)
         self.answers.pop(driver.stream, None)
 
+    def free(self, driver: AnswerDriver) -> None:
+        """Give free what a streamed answer that has ended occupied."""
+        self.dispatcher.release(driver.stream)
+        failure = driver.state.failure
+        whole = failure is None
+        if failure is not None and failure.kind is ErrorKind.CALLER_GONE:
+            whole = None
+        self.admission.on_end(driver.stream, whole)
+
     def take_tokens(self, batch: TokenBatch) -> tuple[Credit, ...]:
         """Hand tokens to their answers; end attempts that nobody waits for."""
         credits = []
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -5,10 +5,11 @@
 from typing import TYPE_CHECKING
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.routes import POLICIES, RouteRequest
+from lacewingcourse.core.routes import POLICIES, RouteRequest, predict
 
 if TYPE_CHECKING:
     from lacewingcourse.core.estimates import LoadReport
+    from lacewingcourse.core.priorities import Prediction
     from lacewingcourse.core.routes import Dispatch, Fleet, Route
     from lacewingcourse.core.streams import StreamRequest
     from lacewingcourse.entry.application import Entry
@@ -24,12 +25,16 @@
         entry: The entry's daemon.
         policy: The route policy in force.
         dispatches: What each stream in flight occupies, by stream.
+        previews: Routes that were looked at for streams that wait.
+        reserved: Routes of streams that were admitted and have not yet begun.
     """
 
     def __init__(self, entry: Entry, policy: str) -> None:
         self.entry = entry
         self.policy = POLICIES.get(policy)()
         self.dispatches: dict[str, Dispatch] = {}
+        self.previews: dict[str, tuple[Route, RouteRequest]] = {}
+        self.reserved: dict[str, Route] = {}
 
     @property
     def fleet(self) -> Fleet:
@@ -56,6 +61,9 @@
         self, request: StreamRequest, excluded: frozenset[str]
     ) -> Route | Refusal:
         """Return a route for a request; what it had before counts as left."""
+        reserved = self.reserved.pop(request.stream, None)
+        if reserved is not None and not excluded and self._holds(reserved):
+            return reserved
         self.release(request.stream)
         wanted = self.route_request(request, excluded)
         if isinstance(wanted, Refusal):
@@ -67,8 +75,38 @@
             self.dispatches[request.stream] = dispatch
         return route
 
+    def preview(self, request: StreamRequest) -> Prediction | Refusal:
+        """Return what is predicted for a request, and keep the route for it."""
+        wanted = self.route_request(request, frozenset())
+        if isinstance(wanted, Refusal):
+            return wanted
+        entry = self.entry
+        route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
+        if isinstance(route, Refusal):
+            return route
+        self.previews[request.stream] = (route, wanted)
+        return predict(self.fleet, route, wanted)
+
+    def reserve(self, stream: str) -> None:
+        """Count the previewed route of a stream as dispatched."""
+        route, wanted = self.previews.pop(stream)
+        self.dispatches[stream] = self.fleet.dispatch(route, wanted.prompt_length)
+        self.reserved[stream] = route
+
+    def _holds(self, route: Route) -> bool:
+        """Tell whether every endpoint of a route still takes new work as it was."""
+        for stage in route.stages:
+            known = self.fleet.get(stage.endpoint)
+            if known is None or not known.takes_new_work():
+                return False
+            if known.incarnation != stage.incarnation:
+                return False
+        return True
+
     def release(self, stream: str) -> None:
         """Note that a stream has left its route."""
+        self.previews.pop(stream, None)
+        self.reserved.pop(stream, None)
         dispatch = self.dispatches.pop(stream, None)
         if dispatch is not None:
             self.fleet.release(dispatch)
