--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -70,16 +70,19 @@
             priority=0.0,
             entry_url=self.daemon.settings.advertised_url,
         )
+        work_class = self.daemon.configuration.classes.get(request.work_class)
+        self.record.describe(work_class, request.model)
         self.waiting = request.stream
         admitted = await self.daemon.admission.admit(request)
         if isinstance(admitted, Refusal):
             self.refuse(admitted)
             return
         self.driver = self.daemon.answer(admitted)
+        self.driver.meter = self.record.meter
         try:
             await self._answer(checked)
         except StreamClosedError:
-            pass
+            self.record.gone()
         finally:
             self.daemon.forget(self.driver)
 
@@ -126,6 +129,7 @@
                 case Token():
                     texts.append(event.text)
                 case FinishAnswer():
+                    self.record.whole = True
                     choice = self.whole_choice("".join(texts), event.reason)
                     self.reply(self._document(request, [choice], self.usage()))
                 case FailAnswer():
@@ -150,6 +154,7 @@
                         chunk = self._chunk(request, [], self.usage())
                         await self._send_event(chunk)
                     self.write(b"data: [DONE]\n\n")
+                    self.record.whole = True
                     self.finish()
                 case FailAnswer():
                     if first:
@@ -157,6 +162,7 @@
                             self.daemon.admission.with_retry_after(event.refusal)
                         )
                         continue
+                    self.record.refuse(event.refusal)
                     problem = problem_of(event.refusal)
                     await self._send_event({"error": problem})
                     self.finish()
@@ -203,6 +209,7 @@
         raise NotImplementedError
 
     def on_connection_close(self) -> None:
+        super().on_connection_close()
         if self.driver is not None:
             self.daemon.forget(self.driver)
         else:
