Count what an agent does: opens, hops, steps, batches, tokens, calls

Cause: the agent counted strangers only, so that an operator could not see why a stage was slow or refused work.

Change: AgentMetrics with one line in each handler and in the stage runner; gauges are read from the agent when they are asked for.

The burn test also compares the agents' sampled tokens and batch items with the entries' tokens.

Conclusion: no label carries an organisation or class here, so that an agent's number of series is constant.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -10,6 +10,7 @@
 
 from lacewingcourse.agent.call_runner import CallRunner
 from lacewingcourse.agent.handlers import AGENT_ROUTES
+from lacewingcourse.agent.metrics import AgentMetrics
 from lacewingcourse.agent.stage_runner import StageRunner
 from lacewingcourse.core.messages import Status
 from lacewingcourse.daemon.daemon import Daemon, Readiness
@@ -35,6 +36,8 @@
         leaving: Whether new work is refused.
     """
 
+    metrics_class = AgentMetrics
+
     def __init__(self, settings: AgentSettings) -> None:
         super().__init__(settings)
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
@@ -45,6 +48,7 @@
             self.calls = CallRunner(self)
         else:
             self.stages = StageRunner(self)
+        self.metrics.watch(self)
 
     def routes(self) -> list[tuple]:
         return [(path, handler, {"daemon": self}) for path, handler in AGENT_ROUTES]
@@ -105,6 +109,7 @@
 
     async def drain(self) -> None:
         self.leaving = True
+        self.metrics.drains.inc()
         if self.stages is not None:
             self.stages.gate.leaving = True
         deadline = self.now() + self.settings.drain_timeout
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -27,6 +27,7 @@
         if message is None:
             return
         reply, effects = self.daemon.stages.gate.open(message, self.daemon.now())
+        self.daemon.metrics.on_open(reply)
         self.daemon.stages.perform(effects)
         self.reply(attrs.evolve(reply, load=self.daemon.stages.load()))
 
@@ -46,6 +47,7 @@
         for hop in batch.hops:
             verdict, effects = daemon.stages.gate.receive(hop, daemon.now())
             verdicts.append(verdict)
+            daemon.metrics.on_hop(verdict)
             daemon.stages.perform(effects)
         self.reply(HopBatchReply(daemon.incarnation, True, tuple(verdicts)))
 
@@ -65,6 +67,7 @@
             message.stream, message.attempt, daemon.now()
         )
         daemon.stages.perform(effects)
+        daemon.metrics.revocations.inc()
         self.reply(reply)
 
 
@@ -94,7 +97,9 @@
         call = self.message(Call)
         if call is None:
             return
-        self.reply(await self.daemon.calls.run(call))
+        reply = await self.daemon.calls.run(call)
+        self.daemon.metrics.on_call(reply)
+        self.reply(reply)
 
 
 AGENT_ROUTES = [
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -154,7 +154,9 @@
         finally:
             self.in_flight -= 1
             self.present -= len(batch)
-        if isinstance(reply, Refusal):
+        failed = isinstance(reply, Refusal)
+        self.agent.metrics.on_step(len(batch), None if failed else reply.step_time)
+        if failed:
             self._fail_batch(batch, reply)
             return
         self.step_time = reply.step_time
@@ -178,6 +180,7 @@
 
     def _complete(self, work: RunForward, output: ForwardOutput) -> None:
         """Pass on the result of one item."""
+        self.agent.metrics.tokens.inc(output.token is not None)
         if output.error:
             self._report(work.stream, work.attempt, output.error)
             return
--- a/tests/integration/test_burn.py
+++ b/tests/integration/test_burn.py
@@ -201,11 +201,11 @@
     assert refused.value.code == 403
 
 
-def sample(deployment, name: str, **labels: str) -> float:
-    """Return the sum over all entries of the samples that match."""
+def sample(processes, name: str, **labels: str) -> float:
+    """Return the sum over processes of the samples that match."""
     total = 0.0
-    for entry in deployment.entries:
-        with urlopen(entry.url + "/metrics", timeout=5) as response:
+    for process in processes:
+        with urlopen(process.url + "/metrics", timeout=5) as response:
             text = response.read().decode()
         for family in text_string_to_metric_families(text):
             for each in family.samples:
@@ -215,14 +215,19 @@
 
 
 def test_counters_agree_with_the_traffic(deployment, traffic):
+    entries = deployment.entries
     name = "lacewingcourse_requests_total"
-    assert sample(deployment, name, work_class="rooms", result="whole") == 2
-    assert sample(deployment, name, work_class="tallies", result="whole") == 2
-    assert sample(deployment, name, result="caller_fault", kind="invalid_field") == 2
+    assert sample(entries, name, work_class="rooms", result="whole") == 2
+    assert sample(entries, name, work_class="tallies", result="whole") == 2
+    assert sample(entries, name, result="caller_fault", kind="invalid_field") == 2
     spent = "lacewingcourse_burn_spent_total"
-    assert sample(deployment, spent, work_class="rooms", budget="lateness") == 2
+    assert sample(entries, spent, work_class="rooms", budget="lateness") == 2
     gaps = "lacewingcourse_time_between_tokens_seconds_count"
-    assert sample(deployment, gaps, work_class="rooms") >= 4
+    assert sample(entries, gaps, work_class="rooms") >= 4
+    agents = [pair.agent for pair in deployment.endpoints]
+    sampled = sample(agents, "lacewingcourse_tokens_sampled_total")
+    assert sampled >= sample(entries, "lacewingcourse_tokens_total")
+    assert sample(agents, "lacewingcourse_engine_batch_items_sum") >= sampled
 
 
 def test_killed_entrys_counts_come_from_the_log(deployment, traffic):
