--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -8,8 +8,13 @@
 from cleo.application import Application
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
+from lacewingcourse.cli.report import ReportBurnCommand
 
-COMMANDS = [EntryCommand, AgentCommand]
+COMMANDS = [
+    EntryCommand,
+    AgentCommand,
+    ReportBurnCommand,
+]
 
 
 def build() -> Application:
