--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -8,9 +8,15 @@
 from cleo.application import Application
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
+from lacewingcourse.cli.report import ReportBurnCommand
 from lacewingcourse.cli.settings_command import SettingsCommand
 
-COMMANDS = [EntryCommand, AgentCommand, SettingsCommand]
+COMMANDS = [
+    EntryCommand,
+    AgentCommand,
+    SettingsCommand,
+    ReportBurnCommand,
+]
 
 
 def build() -> Application:
