--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -88,7 +88,9 @@
         self.queue = ForwardQueue()
         self.in_flight = 0
         self.step_time = 0.0
-        self.estimates = EndpointEstimates(self.settings.batch_items)
+        self.estimates = EndpointEstimates(
+            self.settings.batch_items, self.settings.max_streams
+        )
         self.present = 0
         self.sources = 0
         self.hop_outboxes: dict[tuple[str, str], Outbox] = {}
@@ -120,7 +122,10 @@
     def load(self) -> LoadReport:
         """Return what was learned of the engine's speed and load."""
         return self.estimates.report(
-            self.queue.positions(), self.sources, len(self.gate.stages)
+            self.queue.positions(),
+            self.sources,
+            len(self.gate.stages),
+            self.agent.now(),
         )
 
     def perform(self, effects: Iterable[Effect]) -> None:
--- a/packages/core/src/lacewingcourse/core/admission.py
+++ b/packages/core/src/lacewingcourse/core/admission.py
@@ -12,6 +12,7 @@
 from lacewingcourse.core.fairness import FairQueue, Waiting
 from lacewingcourse.core.priorities import (
     DEFAULT_PACE,
+    FULL,
     UNBOUNDED_SLACK,
     ClassStanding,
     Prediction,
@@ -227,6 +228,10 @@
 
     def _fits(self, waiting: Waiting, predicted: Prediction, now: float) -> bool:
         """Tell whether a request meets its target, and lets others meet theirs."""
+        if predicted.crowding == FULL:
+            return False
+        if not predicted.fresh and not self.running:
+            return True
         work_class = waiting.work_class
         standing = self.standing(waiting.class_name)
         share = HEADROOM if self.queue.over_share(waiting.organisation) else 1.0
--- a/packages/core/src/lacewingcourse/core/estimates.py
+++ b/packages/core/src/lacewingcourse/core/estimates.py
@@ -15,13 +15,17 @@
 #: How many times the expected duration a step may count for.
 CLIP_FACTOR = 5.0
 #: Seconds of a step's fixed part before any was seen.
-PRIOR_BASE = 0.02
+PRIOR_BASE = 0.004
 #: Seconds that a position adds to a step before any was seen.
-PRIOR_POSITION = 0.0005
+PRIOR_POSITION = 0.0001
 #: Share of an endpoint's streams that wait or run there, before any was seen.
 PRIOR_DUTY = 0.4
 #: Positions of a step that an engine takes, before its agent has told.
 PRIOR_LIMIT = 32
+#: Seconds without a step after which estimates no longer count as fresh.
+FRESH_FOR = 10.0
+#: Streams that an agent lets in, before it has told.
+PRIOR_STREAMS = 512
 #: Links that a report names at the most.
 REPORTED_LINKS = 8
 #: Links that an agent remembers at the most.
@@ -60,6 +64,9 @@
         backlog: Positions that wait for the engine.
         sources: Entries that have streams here.
         running: Streams that are open here.
+        stream_limit: Streams that may be open here.
+        fresh: Whether a step has ended lately. Work that nobody dares to send would
+            never show that an endpoint is fast again.
         links: Delays of the hops that were last sent.
     """
 
@@ -71,6 +78,8 @@
     backlog: int = 0
     sources: int = 0
     running: int = 0
+    stream_limit: int = 0
+    fresh: bool = False
     links: tuple[LinkReport, ...] = ()
 
 
@@ -144,6 +153,7 @@
 
     Attributes:
         step_limit: Items of one step at the most.
+        stream_limit: Streams that may be open here.
         fit: Step time over positions.
         duty: Share of the open streams that wait or run here.
         positions_per_character: How prompts turn into positions.
@@ -151,6 +161,7 @@
     """
 
     step_limit: int = PRIOR_LIMIT
+    stream_limit: int = PRIOR_STREAMS
     fit: StepFit = attrs.field(factory=StepFit)
     duty: Average = attrs.field(factory=Average)
     positions_per_character: Average = attrs.field(factory=Average)
@@ -196,8 +207,17 @@
         ratio = self.positions_per_character
         return max(1, round(characters * (ratio.value if ratio.count else 0.25)))
 
-    def report(self, backlog: int, sources: int, running: int) -> LoadReport:
-        """Return what entries are told."""
+    def report(
+        self, backlog: int, sources: int, running: int, now: float
+    ) -> LoadReport:
+        """Return what entries are told.
+
+        Args:
+            backlog: Positions that wait for the engine.
+            sources: Entries that have streams here.
+            running: Streams that are open here.
+            now: Present time in seconds.
+        """
         names = list(self.links)[-REPORTED_LINKS:]
         return LoadReport(
             steps=min(self.fit.count, 999),
@@ -208,6 +228,8 @@
             backlog=backlog,
             sources=sources,
             running=running,
+            stream_limit=self.stream_limit,
+            fresh=now - self._ended_at <= FRESH_FOR,
             links=tuple(
                 LinkReport(name, round(self.links[name].value, 6)) for name in names
             ),
--- a/packages/core/src/lacewingcourse/core/priorities.py
+++ b/packages/core/src/lacewingcourse/core/priorities.py
@@ -16,6 +16,8 @@
 
 #: Slack in seconds of a request whose class sets no deadline.
 UNBOUNDED_SLACK = 30.0
+#: Crowding of an endpoint that takes no further stream.
+FULL = float("inf")
 #: Seconds between tokens that an agent aims at when the class sets none.
 DEFAULT_PACE = 0.5
 #: Ends of answers over which a margin is taken.
@@ -43,7 +45,10 @@
         floor_first: Seconds to the first token on idle endpoints.
         floor_answer: Seconds to the whole answer on idle endpoints.
         floor_between: Seconds between tokens on idle endpoints.
-        crowding: Work present per room in a step, at the fullest endpoint.
+        crowding: Work present per room in a step, at the fullest endpoint; `FULL`
+            if one takes no further stream.
+        fresh: Whether all endpoints have run steps of late. Floors count only those
+            that have.
     """
 
     first_token: float
@@ -53,6 +58,7 @@
     floor_answer: float = 0.0
     floor_between: float = 0.0
     crowding: float = 0.0
+    fresh: bool = True
 
 
 @attrs.define
--- a/packages/core/src/lacewingcourse/core/routes/fleet.py
+++ b/packages/core/src/lacewingcourse/core/routes/fleet.py
@@ -12,6 +12,7 @@
     PRIOR_DUTY,
     PRIOR_LIMIT,
     PRIOR_POSITION,
+    PRIOR_STREAMS,
     Average,
     LinkEstimates,
 )
@@ -49,6 +50,8 @@
         sources: Entries that send streams there.
         reported: Streams that ran there at the last report.
         backlog: Positions that waited there at the last report.
+        fresh: Whether its estimates rest on steps of late.
+        stream_limit: Streams that may run there.
     """
 
     __slots__ = (
@@ -67,6 +70,8 @@
         "sources",
         "reported",
         "backlog",
+        "fresh",
+        "stream_limit",
     )
 
     def __init__(self, state: EndpointState) -> None:
@@ -85,6 +90,8 @@
         self.sources = 1
         self.reported = state.running
         self.backlog = state.load.backlog
+        self.fresh = False
+        self.stream_limit = PRIOR_STREAMS
 
     def running(self) -> int:
         """Return how many streams run there: the report, corrected.
@@ -318,8 +325,11 @@
         elif self.base.count:
             record.base = self.base.value
             record.position = self.position.value
+        record.fresh = load.fresh
         if load.step_limit:
             record.limit = load.step_limit
+        if load.stream_limit:
+            record.stream_limit = load.stream_limit
         for link in load.links:
             target = self.records.get(link.endpoint)
             if target is not None:
--- a/packages/core/src/lacewingcourse/core/routes/prediction.py
+++ b/packages/core/src/lacewingcourse/core/routes/prediction.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from lacewingcourse.core.priorities import Prediction
+from lacewingcourse.core.priorities import FULL, Prediction
 
 if TYPE_CHECKING:
     from lacewingcourse.core.routes.fleet import Fleet
@@ -20,15 +20,20 @@
         request: What the route is wanted for.
     """
     first = between = floor_first = floor_between = crowding = hops = 0.0
+    fresh = True
     before = None
     for stage in route.stages:
         record = fleet.records[stage.endpoint]
         first += record.prefill_time(request.prompt_length)
         between += record.decode_time()
-        floor_first += record.base + record.position * request.prompt_length
-        floor_between += record.base + record.position
-        present = (record.running() + 1) * record.duty
-        crowding = max(crowding, present / record.limit)
+        if record.fresh:
+            floor_first += record.base + record.position * request.prompt_length
+            floor_between += record.base + record.position
+        fresh = fresh and record.fresh
+        running = record.running() + 1
+        crowding = max(crowding, running * record.duty / record.limit)
+        if running > record.stream_limit:
+            crowding = FULL
         if before is not None:
             hops += fleet.hop_delay(before, record)
         before = record
@@ -41,4 +46,5 @@
         floor_answer=floor_first + hops + later * (floor_between + hops),
         floor_between=floor_between + hops,
         crowding=crowding,
+        fresh=fresh,
     )
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 
+import attrs
 from hypothesis import given, settings, strategies as st
 
 from lacewingcourse.core.admission import Admission, Refuse, Start
@@ -138,6 +139,17 @@
     assert started["small"] + waiting >= 0.95 * asked
 
 
+def test_stale_estimates_do_not_shut_a_class_out_for_good():
+    admission, capacity = admission_of(0)
+    fresh = capacity.predict
+    admission.predict = lambda stream: attrs.evolve(fresh(stream), fresh=False)
+    assert isinstance(admission.offer(ask("a", "o", 0.0), 0.0)[0], Start)
+    standing = admission.standing("naming")
+    standing.first_token.value = 5.0
+    assert standing.factor(standing.first_token, 0.0) == 5.0
+    assert standing.factor(standing.first_token, 60.0) < 1.1
+
+
 def test_refused_requests_do_not_return_together():
     admission, capacity = admission_of(10)
     for index in range(10):
