Add the load tool and the first sections of the bench

Cause: nothing measured what entry and agents cost, how fast an answer goes on after a kill, or let operators send load of their own.

Change: lacewingcourse load (library packages/load): open loop, bursts, closed loop, mixes, resends by Retry-After, HDR percentiles counted from the due time. packages/bench with the sections overhead, throughput, decisions and recovery, a max-flow bound, and comparison against an earlier revision. A stand-in that hosts several engines in one process.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core wire platform daemon agent entry cli testing
+PACKAGES := core wire load platform daemon agent entry cli testing bench
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
 SOURCES := packages tests tools
 
@@ -36,3 +36,14 @@
 
 clean:
 	rm -rf out
+
+SECTION ?=
+BASELINE ?=
+SCALE ?= 1
+SECONDS ?= 10
+LEVELS ?= 0.5,0.9,1.5,3
+POLICIES ?=
+
+bench: setup
+	$(BIN)/lacewingcourse-bench run --section=$(SECTION) --baseline=$(BASELINE) \
+		--scale=$(SCALE) --seconds=$(SECONDS) --levels=$(LEVELS) --policies=$(POLICIES)
--- /dev/null
+++ b/packages/bench/src/lacewingcourse/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the whole system on one machine."""
--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -8,8 +8,9 @@
 from cleo.application import Application
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
+from lacewingcourse.cli.load import LoadCommand
 
-COMMANDS = [EntryCommand, AgentCommand]
+COMMANDS = [EntryCommand, AgentCommand, LoadCommand]
 
 
 def build() -> Application:
--- /dev/null
+++ b/packages/load/src/lacewingcourse/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator for the callers' interface."""
--- a/packages/testing/src/lacewingcourse/testing/standin_cli.py
+++ b/packages/testing/src/lacewingcourse/testing/standin_cli.py
@@ -12,6 +12,11 @@
 
 from lacewingcourse.core.layers import LayerRange
 from lacewingcourse.testing.standins.engine import ENGINE_ROUTES, Engine
+from lacewingcourse.testing.standins.engine_host import (
+    ENGINE_HOST_ROUTES,
+    EngineSpec,
+    new_engine_host,
+)
 from lacewingcourse.testing.standins.instances import (
     INSTANCE_LIST_ROUTES,
     InstanceList,
@@ -21,6 +26,7 @@
 from lacewingcourse.testing.standins.server import serve
 from lacewingcourse.testing.standins.tally import TALLY_ROUTES, TallyService
 from lacewingcourse.testing.standins.weights import WEIGHT_ROUTES, WeightStore
+from lacewingcourse.wire.codec import CONVERTER
 
 SHARED_OPTIONS = [
     option("address", None, "IP number to listen on", flag=False, default="127.0.0.1"),
@@ -83,6 +89,21 @@
         return engine, ENGINE_ROUTES
 
 
+class EnginesCommand(StandinCommand):
+    """Runs several engines."""
+
+    name = "engines"
+    description = "Run stand-ins for several model engines in one process"
+    options = SHARED_OPTIONS + [
+        option("specs", None, "JSON file with a list of engines", flag=False),
+    ]
+
+    def standin(self):
+        text = Path(self.option("specs")).read_bytes()
+        specs = CONVERTER.loads(text, list[EngineSpec])
+        return new_engine_host(specs, self.option("address")), ENGINE_HOST_ROUTES
+
+
 class TallyCommand(StandinCommand):
     """Runs the tally service."""
 
@@ -152,6 +173,7 @@
     application = Application("lacewingcourse-standin")
     for command in (
         EngineCommand,
+        EnginesCommand,
         TallyCommand,
         LogCommand,
         InstancesCommand,
