--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -8,12 +8,14 @@
 from cleo.application import Application
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
+from lacewingcourse.cli.load import LoadCommand
 from lacewingcourse.cli.report import ReportBurnCommand
 from lacewingcourse.cli.settings_command import SettingsCommand
 
 COMMANDS = [
     EntryCommand,
     AgentCommand,
+    LoadCommand,
     SettingsCommand,
     ReportBurnCommand,
 ]
