--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -11,6 +11,7 @@
 from lacewingcourse.agent.call_runner import CallRunner
 from lacewingcourse.agent.follower import AgentConfigurationFollower
 from lacewingcourse.agent.handlers import AGENT_ROUTES
+from lacewingcourse.agent.metrics import AgentMetrics
 from lacewingcourse.agent.stage_runner import StageRunner
 from lacewingcourse.core.messages import Status
 from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
@@ -39,6 +40,8 @@
         follower: Follows the configuration.
     """
 
+    metrics_class = AgentMetrics
+
     def __init__(self, settings: AgentSettings) -> None:
         super().__init__(settings)
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
@@ -52,6 +55,7 @@
             self.calls = CallRunner(self)
         else:
             self.stages = StageRunner(self)
+        self.metrics.watch(self)
 
     def routes(self) -> list[tuple]:
         routes = AGENT_ROUTES + CONFIGURATION_ROUTES
@@ -116,6 +120,7 @@
 
     async def drain(self) -> None:
         self.leaving = True
+        self.metrics.drains.inc()
         if self.stages is not None:
             self.stages.gate.leaving = True
         deadline = self.now() + self.settings.drain_timeout
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -9,6 +9,7 @@
     Credit,
     HopBatch,
     HopBatchReply,
+    OpenReply,
     OpenStage,
     Revoke,
     RevokeReply,
@@ -26,7 +27,12 @@
         message = self.message(OpenStage)
         if message is None:
             return
+        kind = self.daemon.stages.refusal_of(message)
+        if kind is not None:
+            self.reply(OpenReply(False, self.daemon.incarnation, kind, "no capacity"))
+            return
         reply, effects = self.daemon.stages.gate.open(message, self.daemon.now())
+        self.daemon.metrics.on_open(reply)
         self.daemon.stages.perform(effects)
         self.reply(attrs.evolve(reply, load=self.daemon.stages.load()))
 
@@ -46,6 +52,7 @@
         for hop in batch.hops:
             verdict, effects = daemon.stages.gate.receive(hop, daemon.now())
             verdicts.append(verdict)
+            daemon.metrics.on_hop(verdict)
             daemon.stages.perform(effects)
         self.reply(HopBatchReply(daemon.incarnation, True, tuple(verdicts)))
 
@@ -65,6 +72,7 @@
             message.stream, message.attempt, daemon.now()
         )
         daemon.stages.perform(effects)
+        daemon.metrics.revocations.inc()
         self.reply(reply)
 
 
@@ -94,7 +102,9 @@
         call = self.message(Call)
         if call is None:
             return
-        self.reply(await self.daemon.calls.run(call))
+        reply = await self.daemon.calls.run(call)
+        self.daemon.metrics.on_call(reply)
+        self.reply(reply)
 
 
 AGENT_ROUTES = [
--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -9,9 +9,20 @@
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
 from lacewingcourse.cli.item_commands import ITEM_COMMANDS
+from lacewingcourse.cli.load import LoadCommand
 from lacewingcourse.cli.publishing_commands import PUBLISHING_COMMANDS
-
-COMMANDS = [EntryCommand, AgentCommand, *ITEM_COMMANDS, *PUBLISHING_COMMANDS]
+from lacewingcourse.cli.report import ReportBurnCommand
+from lacewingcourse.cli.settings_command import SettingsCommand
+
+COMMANDS = [
+    EntryCommand,
+    AgentCommand,
+    LoadCommand,
+    SettingsCommand,
+    ReportBurnCommand,
+    *ITEM_COMMANDS,
+    *PUBLISHING_COMMANDS,
+]
 
 
 def build() -> Application:
--- a/packages/core/src/lacewingcourse/core/configuration_replica.py
+++ b/packages/core/src/lacewingcourse/core/configuration_replica.py
@@ -116,12 +116,12 @@
         """The next offset to read."""
         return self.state.offset if self.scan is None else self.scan.offset
 
-    def take_page(self, page: StreamPage, now: float) -> bool:
+    def take_page(self, page: StreamPage, began: float) -> bool:
         """Fold a page of the log; return whether the version went forward.
 
         Args:
             page: Records from `read_offset` on.
-            now: Present time, seconds.
+            began: When the read was sent, seconds; what was appended before is in it.
         """
         before = self.version
         if page.first_offset > self.read_offset:
@@ -133,7 +133,7 @@
             self._search(page)
         if self.scan is None and self.state.offset >= page.next_offset:
             self.complete = True
-            self.read_at = now
+            self.read_at = max(self.read_at or 0.0, began)
         return self.version > before
 
     def _take_entry(self, entry: StreamEntry) -> None:
--- a/packages/entry/src/lacewingcourse/entry/follower.py
+++ b/packages/entry/src/lacewingcourse/entry/follower.py
@@ -119,13 +119,14 @@
 
     async def read(self, wait: float = 0.0) -> Refusal | None:
         """Read one page of the log and fold it."""
+        began = self.daemon.now()
         offset = self.replica.read_offset
         page = await self.log.read(CONFIGURATION_STREAM, offset, wait=wait)
         if isinstance(page, Refusal):
             return page
         if offset > self.replica.read_offset:
             return None
-        if self.replica.take_page(stream_page(page), self.daemon.now()):
+        if self.replica.take_page(stream_page(page), began):
             self.on_change()
         if self.replica.scan is not None and not page.records:
             reason = "records were dropped before they were read"
