Let operators read state and status; print names without markup

Cause: the state page showed neither routes nor how the layers are held, and an organisation's name with an angle bracket was read as markup.

Change: /admin/v1/state with typed answers, routes, model holdings, endpoints and versions; `lacewingcourse state` and `status` on top (status ends with exit code 1 if a layer is held less than twice or the entry is not ready). The burn table fits 110 columns; the page puts burning classes first. Output is printed raw.

Conclusion: the stream names and organisations need the token, /state stays as it was for probes.

--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -9,11 +9,14 @@
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
 from lacewingcourse.cli.report import ReportBurnCommand
+from lacewingcourse.cli.state import StateCommand, StatusCommand
 
 COMMANDS = [
     EntryCommand,
     AgentCommand,
     ReportBurnCommand,
+    StateCommand,
+    StatusCommand,
 ]
 
 
--- a/packages/cli/src/lacewingcourse/cli/report.py
+++ b/packages/cli/src/lacewingcourse/cli/report.py
@@ -16,6 +16,7 @@
     token_of,
     token_option,
 )
+from lacewingcourse.cli.output import print_plain, print_table
 from lacewingcourse.core.burn_fleet import FleetBurn
 from lacewingcourse.core.burn_report import Speed
 from lacewingcourse.core.errors import Refusal
@@ -80,14 +81,8 @@
 
             Path(self.option("html")).write_text(page_of(report), encoding="utf-8")
         if self.option("json"):
-            self.line(encode(report).decode())
+            print_plain(self, encode(report).decode())
             return
         limit = None if self.option("all") else report_text.SHOWN_ORGANISATIONS
         for table in report_text.tables(report, limit):
-            self.line(f"<b>{table.title}</b>")
-            if table.rows:
-                rows = [list(row) for row in table.rows]
-                self.table(list(table.headers), rows).render()
-            for note in table.notes:
-                self.line(note)
-            self.line("")
+            print_table(self, table)
--- a/packages/cli/src/lacewingcourse/cli/report_html.py
+++ b/packages/cli/src/lacewingcourse/cli/report_html.py
@@ -10,7 +10,7 @@
 from lacewingcourse.core.burn_report import Speed
 
 if TYPE_CHECKING:
-    from lacewingcourse.cli.report_text import Table
+    from lacewingcourse.cli.output import Table
     from lacewingcourse.core.burn_fleet import FleetBurn
     from lacewingcourse.core.burn_report import BurnLine, SeriesPoint
 
@@ -34,10 +34,12 @@
 .scroll { overflow-x: auto; }
 table { border-collapse: collapse; font-size: .86rem;
   font-variant-numeric: tabular-nums; }
-th, td { padding: .28rem .7rem; border-bottom: 1px solid #e7eaee; text-align: right;
+th, td { padding: .28rem .55rem; border-bottom: 1px solid #e7eaee; text-align: right;
   white-space: nowrap; }
 th { color: #5b6675; font-weight: 600; }
-th:nth-child(-n+2), td:nth-child(-n+2) { text-align: left; }
+th:nth-child(-n+2):not(.group), td:nth-child(-n+2) { text-align: left; }
+th.group { text-align: center; border-left: 4px solid #fff; background: #f5f6f8; }
+tr.all td { font-weight: 600; }
 td.hot { background: #fbdcdc; color: #951c1c; font-weight: 600; }
 td.warm { background: #fff0cc; color: #7a5200; }
 .note { color: #5b6675; font-size: .88rem; margin: .5rem 0 0; }
@@ -53,6 +55,7 @@
     classes = [line for line in report.lines if line.organisation is None]
     if not classes:
         classes = list({line.work_class: line for line in report.lines}.values())
+    classes.sort(key=urgency)
     sections = [class_section(report, line) for line in classes]
     if not sections:
         sections = ["<section><p>No request has ended yet.</p></section>"]
@@ -86,6 +89,12 @@
     return "\n".join(parts)
 
 
+def urgency(line: BurnLine) -> tuple:
+    """Return a sort key that puts classes first whose budgets burn fastest."""
+    speeds = {alarm.speed for alarm in line.alarms}
+    return (Speed.FAST not in speeds, Speed.SLOW not in speeds, not line.work_class)
+
+
 def badge(line: BurnLine) -> str:
     """Return the state of a class in a few words."""
     if not any(rate.counts.allowed_incomplete for rate in line.rates):
@@ -94,9 +103,9 @@
         return '<span class="badge ok">no alarm</span>'
     texts = []
     for alarm in line.alarms:
-        kind = "fast" if alarm.speed is Speed.FAST else "slow"
-        text = f"{alarm.speed.value} burn of {alarm.budget.value}"
-        texts.append(f'<span class="badge {kind}">{text}</span>')
+        speed = alarm.speed.value
+        text = f"{speed} burn of {alarm.budget.value}"
+        texts.append(f'<span class="badge {speed}">{text}</span>')
     return "".join(texts)
 
 
@@ -109,17 +118,32 @@
 def burn_cells(report: FleetBurn, lines: list[BurnLine]) -> str:
     """Return the burn rates of a class and its worst organisations."""
     shown = lines[: report_text.SHOWN_ORGANISATIONS + 1]
-    rows = [f"<tr>{line_cells(line)}</tr>" for line in shown]
-    titles = ["organisation", "alarms", "ended 1h", "whole 1h", "in time 1h"]
-    titles += [f"incomplete {name}" for name in report.windows]
-    titles += [f"late {name}" for name in report.windows]
-    heads = "".join(f"<th>{title}</th>" for title in titles)
-    table = f"<table><tr>{heads}</tr>{''.join(rows)}</table>"
+    rows = [f"<tr{row_class(line)}>{line_cells(line)}</tr>" for line in shown]
+    table = f"<table>{burn_heads(report)}{''.join(rows)}</table>"
     hidden = len(lines) - len(shown)
     note = f'<p class="note">{hidden} more organisations spent less.</p>'
     return f'<div class="scroll">{table}</div>' + (note if hidden else "")
 
 
+def burn_heads(report: FleetBurn) -> str:
+    """Return the two header rows of a table of burn rates."""
+    span = len(report.windows)
+    groups = (
+        '<th colspan="2"></th><th class="group" colspan="3">last hour</th>'
+        f'<th class="group" colspan="{span}">burn rate, incomplete</th>'
+        f'<th class="group" colspan="{span}">burn rate, late</th>'
+    )
+    titles = ["organisation", "alarms", "ended", "whole", "in time"]
+    titles += [*report.windows, *report.windows]
+    heads = "".join(f"<th>{title}</th>" for title in titles)
+    return f"<tr>{groups}</tr><tr>{heads}</tr>"
+
+
+def row_class(line: BurnLine) -> str:
+    """Return the attribute that sets off the row of a whole class."""
+    return ' class="all"' if line.organisation is None else ""
+
+
 def line_cells(line: BurnLine) -> str:
     """Return the cells of one line, marking what burns."""
     cells = report_text.burn_row(line)
--- a/packages/cli/src/lacewingcourse/cli/report_plots.py
+++ b/packages/cli/src/lacewingcourse/cli/report_plots.py
@@ -90,7 +90,8 @@
 def burn_plot(points: list[SeriesPoint], now: float, name: str) -> str:
     """Return the burn rates of the last six hours, as SVG."""
     window = BURN_WINDOW
-    axes = new_axes("Burn rate in 30 minutes", "hours before the report")
+    title = f"Burn rate in 30 minutes, drawn up to {TOP_RATE:g}"
+    axes = new_axes(title, "hours before the report")
     chosen = of_window(points, window)
     places = [middle(point, window, now, 3600) for point in chosen]
     rates = [rate_of(window.name, point.counts) for point in chosen]
--- a/packages/cli/src/lacewingcourse/cli/report_text.py
+++ b/packages/cli/src/lacewingcourse/cli/report_text.py
@@ -5,8 +5,7 @@
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING
 
-import attrs
-
+from lacewingcourse.cli.output import Table
 from lacewingcourse.core.burn_fleet import Source
 from lacewingcourse.core.burn_windows import WINDOWS
 
@@ -23,23 +22,6 @@
 HOUR = 1
 
 
-@attrs.frozen
-class Table:
-    """A table with its title.
-
-    Attributes:
-        title: What it shows.
-        headers: Names of the columns.
-        rows: Cells as text.
-        notes: Lines below it.
-    """
-
-    title: str
-    headers: tuple[str, ...]
-    rows: tuple[tuple[str, ...], ...]
-    notes: tuple[str, ...] = ()
-
-
 def tables(report: FleetBurn, limit: int | None) -> tuple[Table, ...]:
     """Return a report's tables.
 
@@ -54,7 +36,7 @@
     """Return a burn rate for a person."""
     if rate is None:
         return "-"
-    return f"{rate:.1f}" if rate < 100 else f"{rate:.0f}"
+    return f"{rate:.1f}" if rate < 9.95 else f"{rate:.0f}"
 
 
 def time_text(seconds: float) -> str:
@@ -77,9 +59,10 @@
 
 
 def alarms_text(line: BurnLine) -> str:
-    """Return the alarms of a line."""
+    """Return the fastest alarm of each budget of a line."""
+    strongest = {alarm.budget: alarm.speed for alarm in reversed(line.alarms)}
     return ", ".join(
-        f"{alarm.speed.value.upper()} {alarm.budget.value}" for alarm in line.alarms
+        f"{speed.value.upper()} {budget.value}" for budget, speed in strongest.items()
     )
 
 
@@ -99,14 +82,14 @@
     shown = shown_lines(report, limit)
     hidden = len(report.lines) - len(shown)
     headers = ("class", "organisation", "ended 1h", "whole 1h", "in time 1h")
-    headers += tuple(f"incomplete {name}" for name in report.windows)
-    headers += tuple(f"late {name}" for name in report.windows)
+    windows = " ".join(report.windows)
+    headers += (f"incomplete {windows}", f"late {windows}", "alarms")
     notes = ["Burn rates: 1.0 spends the budget just as fast as it accrues."]
     if hidden:
         notes.append(f"{hidden} organisations that spent less are not shown.")
     rows = tuple(burn_row(line) for line in shown)
     title = f"Burn at {time_text(report.generated_at)}"
-    return Table(title, (*headers, "alarms"), rows, tuple(notes))
+    return Table(title, headers, rows, tuple(notes))
 
 
 def burn_row(line: BurnLine) -> tuple[str, ...]:
@@ -118,8 +101,8 @@
         str(hour.ended),
         share_text(hour.whole, hour.requests),
         share_text(hour.timed - hour.late, hour.timed),
-        *(rate_text(rate.completeness) for rate in line.rates),
-        *(rate_text(rate.lateness) for rate in line.rates),
+        " ".join(rate_text(rate.completeness).rjust(4) for rate in line.rates),
+        " ".join(rate_text(rate.lateness).rjust(4) for rate in line.rates),
         alarms_text(line),
     )
 
--- a/packages/cli/tests/test_report.py
+++ b/packages/cli/tests/test_report.py
@@ -6,15 +6,18 @@
 import re
 
 import pytest
+from cleo.testers.command_tester import CommandTester
 
+from lacewingcourse.cli.report import FAST_ALARM, ReportBurnCommand
 from lacewingcourse.cli.report_html import page_of
 from lacewingcourse.cli.report_text import burn_table, coverage_table, kinds_table
 from lacewingcourse.core.burn_ends import Lateness, RequestEnd, Result
-from lacewingcourse.core.burn_fleet import FleetMerge, Unreachable
+from lacewingcourse.core.burn_fleet import FleetBurn, FleetMerge, Unreachable
 from lacewingcourse.core.burn_history import BurnSummary
 from lacewingcourse.core.burn_report import burn_of
 from lacewingcourse.core.burn_windows import BurnBook
 from lacewingcourse.core.errors import ErrorKind
+from lacewingcourse.wire.codec import decode
 
 NOW = 1_764_700_000.0
 ORGANISATIONS = ["portmore", "mandeville", "<b>hall & co</b>", "quimper"]
@@ -97,5 +100,15 @@
     assert ids and len(ids) == len(set(ids))
 
 
+def test_command_prints_names_as_they_are(report, monkeypatch):
+    monkeypatch.setattr("lacewingcourse.cli.report.ask", lambda *asked: report)
+    tester = CommandTester(ReportBurnCommand())
+    assert tester.execute("--entry http://127.0.0.1:1 --fail-on-fast") == FAST_ALARM
+    assert "<b>hall & co</b>" in tester.io.fetch_output()
+    assert tester.execute("--entry http://127.0.0.1:1 --json") == 0
+    printed = tester.io.fetch_output()
+    assert decode(printed.encode(), FleetBurn) == report
+
+
 def test_page_without_traffic_says_so():
     assert "No request has ended yet." in page_of(FleetMerge(NOW).report())
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -26,6 +26,7 @@
 from lacewingcourse.entry.outcomes import Outcomes
 from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
+from lacewingcourse.entry.state_api import STATE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
 from lacewingcourse.platform.instances import InstanceListClient
 from lacewingcourse.platform.log import LogClient
@@ -101,6 +102,7 @@
 
     def routes(self) -> list[tuple]:
         routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES + REPORT_ROUTES
+        routes += STATE_ROUTES
         return [(path, handler, {"daemon": self}) for path, handler in routes]
 
     def readiness(self) -> Readiness:
--- a/packages/entry/src/lacewingcourse/entry/report_api.py
+++ b/packages/entry/src/lacewingcourse/entry/report_api.py
@@ -37,8 +37,12 @@
             self.reply(self.daemon.outcomes.burn())
 
 
-class BurnReportHandler(BaseHandler):
-    """Gives operators the burn of all entries."""
+class OperatorHandler(BaseHandler):
+    """Admits operators only.
+
+    Attributes:
+        daemon: The entry.
+    """
 
     def initialize(self, daemon: Any) -> None:
         self.daemon = daemon
@@ -52,6 +56,10 @@
             reason = "the token is missing or wrong"
             self.refuse(Refusal(ErrorKind.UNAUTHENTICATED, reason))
 
+
+class BurnReportHandler(OperatorHandler):
+    """Gives operators the burn of all entries."""
+
     async def get(self) -> None:
         report = await fleet_burn(self.daemon)
         work_class = self.get_query_argument("class", None)
--- a/tests/integration/test_burn.py
+++ b/tests/integration/test_burn.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import json
+import os
 import secrets
+import subprocess
+import sys
 import time
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
@@ -201,6 +204,36 @@
     assert refused.value.code == 403
 
 
+def command(deployment, *arguments: str) -> subprocess.CompletedProcess:
+    """Run the command as an operator of the first entry."""
+    return subprocess.run(
+        [sys.executable, "-m", "lacewingcourse.cli", *arguments],
+        env={
+            **os.environ,
+            "LACEWINGCOURSE_ENTRY": deployment.entries[0].url,
+            "LACEWINGCOURSE_TOKEN": deployment.admin_token,
+        },
+        capture_output=True,
+        text=True,
+        timeout=GUARD,
+    )
+
+
+def test_operator_reads_state_and_report(deployment, traffic, tmp_path):
+    page = tmp_path / "burn.html"
+    shown = command(deployment, "report", "burn", f"--html={page}")
+    assert (shown.returncode, shown.stderr) == (0, "")
+    assert "rooms" in shown.stdout and "Coverage" in shown.stdout
+    assert page.read_text().startswith("<!doctype html>")
+    state = json.loads(command(deployment, "state", "--json").stdout)
+    assert state["readiness"]["configuration_version"] > 0
+    assert state["models"][0]["least"] == 0
+    assert "mapchat" in command(deployment, "state").stdout
+    status = command(deployment, "status")
+    assert status.returncode == 1
+    assert "mapchat: no endpoint holds the layers 0..24" in status.stdout
+
+
 def sample(processes, name: str, **labels: str) -> float:
     """Return the sum over processes of the samples that match."""
     total = 0.0
