--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -87,9 +87,11 @@
                 case SendCredit():
                     self.entry.spawn(self._credit(effect))
                 case DeliverToken():
+                    self.entry.admission.on_token(self.stream)
                     self._measure()
                     self.events.put_nowait(effect.token)
                 case FinishAnswer() | FailAnswer():
+                    self.entry.free(self)
                     self.events.put_nowait(effect)
 
     def _measure(self) -> None:
