--- a/packages/entry/src/lacewingcourse/entry/metrics.py
+++ b/packages/entry/src/lacewingcourse/entry/metrics.py
@@ -98,6 +98,7 @@
         requests: Requests that ended, by class of work, result and error kind.
         organisation_requests: Requests that ended, by organisation and result.
         burn_spent: Requests that spent a budget.
+        burn_counted: Requests that a budget is reckoned from.
         burn_allowed: Requests that a budget allows to spend it.
         tokens: Tokens delivered.
         first_token: Time to the first token.
@@ -122,6 +123,9 @@
         self.burn_spent = self._counter(
             "burn_spent", "Requests that spent a budget", "work_class", "budget"
         )
+        self.burn_counted = self._counter(
+            "burn_counted", "Requests in a budget", "work_class", "budget"
+        )
         self.burn_allowed = self._counter(
             "burn_allowed", "Requests that a budget allows", "work_class", "budget"
         )
@@ -215,6 +219,7 @@
         if allowed is None:
             return
         self.burn_spent.labels(work_class, budget.value).inc(spent)
+        self.burn_counted.labels(work_class, budget.value).inc()
         allowance = max(allowed, BUDGET_FLOOR)
         self.burn_allowed.labels(work_class, budget.value).inc(allowance)
 
