Run each key at most once, at a home agent fixed in the log

Cause: any entry sent a call with a key to any endpoint, so a resend ran twice. A call whose reply was lost was reported without asking whether it had started. curl sends a request again by itself on a reused connection that ends without an answer, so even one call could run twice and a later "refused" could hide an earlier run. The whole-path test used a UUIDv7 of 2024, which is now refused as expired; it makes a fresh key and checks that the service saw it, which is stricter.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import secrets
+import time
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from lacewingcourse.agent.call_runner import CallRunner
 from lacewingcourse.agent.handlers import AGENT_ROUTES
+from lacewingcourse.agent.journal import Journal
 from lacewingcourse.agent.stage_runner import StageRunner
+from lacewingcourse.core.keys import model_target, service_target
 from lacewingcourse.core.messages import Status
 from lacewingcourse.daemon.daemon import Daemon, Readiness
 
@@ -19,8 +22,8 @@
 
 #: Seconds between two looks at the endpoint.
 PROBE_INTERVAL = 0.5
-#: Bytes of a fresh incarnation number.
-INCARNATION_BYTES = 8
+#: Random bytes of a fresh incarnation.
+INCARNATION_BYTES = 4
 #: Seconds between two looks whether all work has ended.
 DRAIN_INTERVAL = 0.05
 
@@ -32,12 +35,14 @@
         incarnation: Name of this start of the agent.
         stages: Runs stages of a model, or None beside a plain service.
         calls: Runs calls of a plain service, or None beside an engine.
+        journal: Keys whose home this is; None until the endpoint is known.
         leaving: Whether new work is refused.
     """
 
     def __init__(self, settings: AgentSettings) -> None:
         super().__init__(settings)
-        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.incarnation = new_incarnation()
+        self.journal: Journal | None = None
         self.stages: StageRunner | None = None
         self.calls: CallRunner | None = None
         self.leaving = False
@@ -100,9 +105,22 @@
         """Look whether the endpoint answers."""
         before = self.endpoint_ready()
         await (self.calls or self.stages).probe()
+        if self.journal is None:
+            self._start_journal()
         if self.endpoint_ready() != before:
             logger.info("endpoint answers", ready=self.endpoint_ready())
 
+    def _start_journal(self) -> None:
+        """Begin to be a home of keys once it is known what runs here."""
+        if self.calls is not None:
+            target = service_target(self.settings.service)
+        elif self.stages.engine_state is not None:
+            target = model_target(self.stages.engine_state.model)
+        else:
+            return
+        self.journal = Journal(self, target)
+        self.journal.start()
+
     async def drain(self) -> None:
         self.leaving = True
         if self.stages is not None:
@@ -110,6 +128,14 @@
         deadline = self.now() + self.settings.drain_timeout
         while self.running() and self.now() < deadline:
             await asyncio.sleep(DRAIN_INTERVAL)
+        deadline = self.now() + self.settings.handover_timeout
+        while self.journal and self.journal.book.held() and self.now() < deadline:
+            await asyncio.sleep(DRAIN_INTERVAL)
+
+
+def new_incarnation() -> str:
+    """Return the name of a start; of two starts the later has the greater name."""
+    return f"{time.time_ns():016x}{secrets.token_hex(INCARNATION_BYTES)}"
 
 
 async def serve(settings: AgentSettings) -> None:
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -4,14 +4,21 @@
 
 import attrs
 
+from lacewingcourse.core.claims import Permission, Verdict
+from lacewingcourse.core.errors import ErrorKind, Outcome
 from lacewingcourse.core.messages import (
     Call,
+    Claim,
+    ClaimReply,
     Credit,
     HopBatch,
     HopBatchReply,
     OpenStage,
     Revoke,
+    RevokeCall,
     RevokeReply,
+    Settle,
+    SettleReply,
     Status,
     TokenBatchReply,
 )
@@ -97,6 +104,55 @@
         self.reply(await self.daemon.calls.run(call))
 
 
+class RevokeCallHandler(WireHandler):
+    """Revokes a call of the plain service."""
+
+    def post(self) -> None:
+        message = self.message(RevokeCall)
+        if message is not None:
+            self.reply(self.daemon.calls.revoke(message))
+
+
+class ClaimHandler(WireHandler):
+    """Claims a key for a request that an entry runs."""
+
+    async def post(self) -> None:
+        claim = self.message(Claim)
+        if claim is None:
+            return
+        if self.daemon.journal is None:
+            kind = ErrorKind.CLAIM_UNAVAILABLE
+            reason = "the endpoint has not answered yet"
+            self.reply(ClaimReply(self.daemon.incarnation, kind=kind, reason=reason))
+            return
+        verdict = await self.daemon.journal.claim(claim, leased=True)
+        self.reply(claim_reply(verdict, self.daemon.incarnation))
+
+
+class SettleHandler(WireHandler):
+    """Takes an entry's word on how a granted claim ended."""
+
+    def post(self) -> None:
+        message = self.message(Settle)
+        if message is None:
+            return
+        journal = self.daemon.journal
+        known = journal is not None and journal.take_settle(message)
+        self.reply(SettleReply(self.daemon.incarnation, known))
+
+
+def claim_reply(verdict: Verdict, incarnation: str) -> ClaimReply:
+    """Return the message that tells an entry of a verdict."""
+    if verdict.permission is Permission.GRANTED:
+        return ClaimReply(incarnation, granted=True)
+    if verdict.permission is Permission.REPLAYED:
+        return ClaimReply(incarnation, answer=verdict.answer, outcome=Outcome.RAN)
+    refusal = verdict.refusal
+    return ClaimReply(
+        incarnation, kind=refusal.kind, reason=refusal.reason, outcome=refusal.outcome
+    )
+
+
 AGENT_ROUTES = [
     (paths.OPEN_STAGE, OpenStageHandler),
     (paths.HOPS, HopsHandler),
@@ -104,4 +160,7 @@
     (paths.CREDIT, CreditHandler),
     (paths.STATUS, StatusHandler),
     (paths.CALL, CallHandler),
+    (paths.REVOKE_CALL, RevokeCallHandler),
+    (paths.CLAIM, ClaimHandler),
+    (paths.SETTLE, SettleHandler),
 ]
--- a/packages/agent/src/lacewingcourse/agent/service.py
+++ b/packages/agent/src/lacewingcourse/agent/service.py
@@ -9,7 +9,13 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome
 from lacewingcourse.core.messages import CallReply, Header
-from lacewingcourse.wire.client import NO_ANSWER, fetch, never_sent, new_http_client
+from lacewingcourse.wire.client import (
+    NO_ANSWER,
+    fetch,
+    never_sent,
+    new_http_client,
+    use_fresh_connection,
+)
 
 if TYPE_CHECKING:
     from lacewingcourse.core.messages import Call
@@ -58,6 +64,7 @@
             follow_redirects=False,
             connect_timeout=2.0,
             request_timeout=self.timeout,
+            prepare_curl_callback=use_fresh_connection if call.key else None,
         )
         response = await fetch(self.http, request)
         if response.code == NO_ANSWER:
--- a/packages/agent/src/lacewingcourse/agent/settings.py
+++ b/packages/agent/src/lacewingcourse/agent/settings.py
@@ -43,6 +43,41 @@
         converter=boolean,
         help="Whether the endpoint itself refuses old fencing numbers",
     )
+    key_prompt_window: float = environ.var(
+        default="30",
+        converter=positive,
+        help="Seconds after its making in which a UUIDv7 key is claimed without log",
+    )
+    key_accept_window: float = environ.var(
+        default="79200",
+        converter=positive,
+        help="Seconds after its making in which a UUIDv7 key may first be used",
+    )
+    key_tenure: float = common.key_tenure()
+    key_skew: float = common.key_skew()
+    key_retention: float = common.key_retention()
+    claim_timeout: float = environ.var(
+        default="5", converter=positive, help="Seconds a claim may wait for the log"
+    )
+    journal_interval: float = environ.var(
+        default="0.05", converter=positive, help="Seconds between two journal records"
+    )
+    handover_after: float = environ.var(
+        default="5",
+        converter=positive,
+        help="Seconds without the endpoint after which keys get another home",
+    )
+    handover_timeout: float = environ.var(
+        default="10",
+        converter=positive,
+        help="Seconds that a leaving agent may wait for the log to move its keys",
+    )
+    answer_bytes: int = environ.var(
+        default="16777216", converter=count, help="Bytes of stored answers at most"
+    )
+    answer_time: float = environ.var(
+        default="3600", converter=positive, help="Seconds an answer is stored"
+    )
     log_format: str = common.log_format()
     log_level: str = common.log_level()
     max_body_bytes: int = common.max_body_bytes()
--- a/packages/core/src/lacewingcourse/core/errors.py
+++ b/packages/core/src/lacewingcourse/core/errors.py
@@ -39,6 +39,7 @@
     KEY_IN_FUTURE = "key_in_future"
     KEY_REQUIRED = "key_required"
     ANSWER_NOT_KEPT = "answer_not_kept"
+    OUTCOME_UNKNOWN = "outcome_unknown"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     NOT_READY = "not_ready"
     DRAINING = "draining"
@@ -98,6 +99,7 @@
     ErrorKind.KEY_IN_FUTURE: Answer(422, "The key's time lies in the future"),
     ErrorKind.KEY_REQUIRED: Answer(422, "The call needs an Idempotency-Key"),
     ErrorKind.ANSWER_NOT_KEPT: Answer(409, "The answer is no longer kept"),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(409, "Whether the key's request ran is unknown"),
     ErrorKind.CLAIM_UNAVAILABLE: Answer(503, "The key cannot be claimed now", True),
     ErrorKind.NOT_READY: Answer(503, "The instance is not ready", True),
     ErrorKind.DRAINING: Answer(503, "The instance is leaving", True),
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -336,6 +336,86 @@
     value: str
 
 
+@attrs.frozen
+class Claim:
+    """Entry to home agent: let a key's request run here, or here and now.
+
+    Attributes:
+        claimant: Name of the call or stream that wants to run, unique for all time.
+        incarnation: Incarnation of the home that the claim is meant for.
+        target: The service or model whose key it is.
+        organisation: Whose key it is.
+        key: The idempotency key.
+        epoch: Epoch in which the home got the key's shard, as the sender knows it.
+        fingerprint: Tells the request from others under the same key.
+    """
+
+    claimant: str
+    incarnation: str
+    target: str
+    organisation: str
+    key: str
+    epoch: int
+    fingerprint: str
+
+
+@attrs.frozen
+class ClaimReply:
+    """Home agent to entry: whether the request may run.
+
+    Attributes:
+        incarnation: Incarnation of the answering agent.
+        granted: Whether it may.
+        answer: Stored answer of the key, or None.
+        kind: Why it may not, or None.
+        reason: Why it may not, for a person.
+        outcome: What is known of the effect of the key's request.
+    """
+
+    incarnation: str
+    granted: bool = False
+    answer: str | None = None
+    kind: ErrorKind | None = None
+    reason: str = ""
+    outcome: Outcome = Outcome.NOT_RUN
+
+
+@attrs.frozen
+class Settle:
+    """Entry to home agent: how a granted claim ended, or that it still runs.
+
+    Attributes:
+        claim: The claim.
+        outcome: How it ended, or None while it runs.
+        answer: The whole answer, or None.
+    """
+
+    claim: Claim
+    outcome: Outcome | None = None
+    answer: str | None = None
+
+
+@attrs.frozen
+class SettleReply:
+    """Home agent to entry: whether the claim was known here."""
+
+    incarnation: str
+    known: bool
+
+
+@attrs.frozen
+class RevokeCall:
+    """Entry to agent: never start a call; answered by `RevokeReply`.
+
+    Attributes:
+        call: Name of the call.
+        incarnation: Incarnation the call was sent to.
+    """
+
+    call: str
+    incarnation: str
+
+
 @attrs.frozen
 class Call:
     """Entry to agent: run one call of a plain service.
@@ -350,6 +430,7 @@
         headers: Headers to pass on.
         body: Body in base64.
         key: Idempotency key, or empty for a call that may be repeated.
+        claim: Claim of the key, or None if there is no key.
     """
 
     call: str
@@ -361,6 +442,7 @@
     headers: tuple[Header, ...]
     body: str
     key: str = ""
+    claim: Claim | None = None
 
 
 @attrs.frozen
--- a/packages/daemon/src/lacewingcourse/daemon/common_settings.py
+++ b/packages/daemon/src/lacewingcourse/daemon/common_settings.py
@@ -55,6 +55,33 @@
     return environ.var(converter=url, help="Base URL of the platform's instance list")
 
 
+def key_tenure() -> float:
+    """Return the setting for the tenure of a home of keys."""
+    return environ.var(
+        default="21600",
+        converter=positive,
+        help="Seconds that a home of keys may serve without the log",
+    )
+
+
+def key_skew() -> float:
+    """Return the setting for the difference of clocks."""
+    return environ.var(
+        default="5",
+        converter=positive,
+        help="Seconds by which the clocks of processes and callers may differ",
+    )
+
+
+def key_retention() -> float:
+    """Return the setting for the memory of keys."""
+    return environ.var(
+        default="82800",
+        converter=positive,
+        help="Seconds that keys are remembered; below the log's retention",
+    )
+
+
 def log_format() -> str:
     """Return the setting for the form of log lines."""
     return environ.var(
@@ -108,6 +135,9 @@
     "idle_timeout",
     "instance_id",
     "instance_list_url",
+    "key_retention",
+    "key_skew",
+    "key_tenure",
     "listen_address",
     "listen_port",
     "log_format",
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -15,6 +15,7 @@
 from lacewingcourse.core.streams import StreamRequest
 from lacewingcourse.daemon.handlers import problem_of
 from lacewingcourse.entry.caller import CLASS_HEADER, CallerHandler
+from lacewingcourse.entry.keyed import keyed_or_new
 from lacewingcourse.entry.openai import parse_chat, parse_completion
 
 if TYPE_CHECKING:
@@ -71,7 +72,11 @@
         )
         work_class = self.daemon.configuration.classes.get(request.work_class)
         self.record.describe(work_class, request.model)
-        self.driver = self.daemon.answer(request)
+        driver = await keyed_or_new(self, request)
+        if isinstance(driver, Refusal):
+            self.refuse(driver)
+            return
+        self.driver = driver
         self.driver.meter = self.record.meter
         try:
             await self._answer(checked)
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -19,9 +19,12 @@
 from lacewingcourse.entry.answers import AnswerDriver
 from lacewingcourse.entry.api import API_ROUTES
 from lacewingcourse.entry.burn_log import BurnLog
+from lacewingcourse.entry.call_sender import CallSender
 from lacewingcourse.entry.directory import Directory
 from lacewingcourse.entry.dispatcher import Dispatcher
 from lacewingcourse.entry.follower import ConfigurationFollower
+from lacewingcourse.entry.home_keeper import HomeKeeper
+from lacewingcourse.entry.keyed import KeyedAnswers
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
 from lacewingcourse.entry.report_api import REPORT_ROUTES
@@ -50,12 +53,14 @@
         readiness: Whether it takes new work.
         streams: Answers in flight.
         endpoints: What it knows of the endpoints.
+        homes_complete: Whether every key has a home.
     """
 
     instance: str
     readiness: Readiness
     streams: int
     endpoints: tuple[EndpointState, ...]
+    homes_complete: bool
 
 
 class Entry(Daemon):
@@ -70,6 +75,9 @@
         calls_running: Plain calls in flight.
         outcomes: Counts how requests end.
         burn_log: Keeps summaries of the counts in the log.
+        homes: Which agents are homes of keys.
+        calls: Sends plain calls.
+        keyed: Answers of requests with a key.
     """
 
     metrics_class = EntryMetrics
@@ -93,6 +101,9 @@
         )
         self.follower.log.observe = self.metrics.on_log
         self.metrics.watch(self)
+        self.homes = HomeKeeper(self)
+        self.calls = CallSender(self)
+        self.keyed = KeyedAnswers(self)
 
     @property
     def configuration(self) -> Configuration:
@@ -117,10 +128,12 @@
             readiness=self.readiness(),
             streams=len(self.answers),
             endpoints=tuple(self.directory.endpoints.values()),
+            homes_complete=self.homes.complete(),
         )
 
     async def start_tasks(self) -> None:
         self.spawn(self.follower.follow())
+        self.homes.start()
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
--- a/packages/entry/src/lacewingcourse/entry/caller.py
+++ b/packages/entry/src/lacewingcourse/entry/caller.py
@@ -11,6 +11,8 @@
 CLASS_HEADER = "X-Work-Class"
 #: Header that names the idempotency key.
 KEY_HEADER = "Idempotency-Key"
+#: Header of an answer that was stored for a key.
+REPLAYED_HEADER = "Idempotency-Replayed"
 
 
 class CallerHandler(BaseHandler):
--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -36,6 +36,7 @@
         entry: The entry's daemon.
         client: Client of the instance list.
         instances: Endpoint instances that the list last showed, by name.
+        gone: Endpoint instances that the list says have ended.
         endpoints: Endpoints whose agents have answered, by name.
     """
 
@@ -43,6 +44,7 @@
         self.entry = entry
         self.client = client
         self.instances: dict[str, Instance] = {}
+        self.gone: frozenset[str] = frozenset()
         self.endpoints = Fleet()
 
     async def follow_list(self) -> None:
@@ -50,6 +52,11 @@
         while True:
             listing = await self.client.read()
             if not isinstance(listing, Refusal):
+                self.gone = frozenset(
+                    instance.id
+                    for instance in listing.instances
+                    if instance.state is InstanceState.GONE
+                )
                 self.instances = {
                     instance.id: instance
                     for instance in listing.instances
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -42,6 +42,12 @@
         converter=positive,
         help="Seconds between two summaries of its counts in the log",
     )
+    claim_timeout: float = environ.var(
+        default="8", converter=positive, help="Seconds a claim of a key may take"
+    )
+    key_tenure: float = common.key_tenure()
+    key_skew: float = common.key_skew()
+    key_retention: float = common.key_retention()
     log_format: str = common.log_format()
     log_level: str = common.log_level()
     max_body_bytes: int = common.max_body_bytes()
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -54,6 +54,7 @@
     Attributes:
         entries: Entries.
         endpoints: Endpoints of the model.
+        services: Endpoints of the plain service.
         layers: Layers of the model.
         step_time: Seconds of an engine's step.
         verbose: Whether the processes' log lines are shown.
@@ -62,11 +63,13 @@
         proxied: Names of processes, or patterns such as `agent-*`, that others reach
             through the fault proxy only. The names are `entry-1`,
             `agent-endpoint-1`, `engine-endpoint-1`, `agent-tally-1`,
-            `service-tally`, `log-service`, `instance-list`, `weight-store`.
+            `service-tally`, `service-tally-2`, `log-service`, `instance-list`,
+            `weight-store`.
     """
 
     entries: int = 1
     endpoints: int = 4
+    services: int = 1
     layers: int = 24
     step_time: float = 0.004
     verbose: bool = False
@@ -103,7 +106,7 @@
         keys: Key of each organisation.
         platform: Stand-ins of the platform by name.
         endpoints: Endpoints of the model.
-        service: The plain service and its agent.
+        services: Endpoints of the plain service.
         entries: The entries.
         fault_proxy: The fault proxy, or None if nothing is proxied.
     """
@@ -115,15 +118,20 @@
         self.keys = {name: f"key-{secrets.token_hex(12)}" for name in ORGANISATIONS}
         self.platform: dict[str, Process] = {}
         self.endpoints: list[EndpointProcesses] = []
-        self.service: EndpointProcesses | None = None
+        self.services: list[EndpointProcesses] = []
         self.entries: list[Process] = []
         self.fault_proxy: Process | None = None
         self.log_directory = Path(tempfile.mkdtemp(prefix="lacewingcourse-"))
 
+    @property
+    def service(self) -> EndpointProcesses:
+        """The first endpoint of the plain service."""
+        return self.services[0]
+
     def processes(self) -> list[Process]:
         """Return all processes, callers' side first."""
         found = list(self.entries)
-        pairs = [*self.endpoints, *([self.service] if self.service else [])]
+        pairs = [*self.endpoints, *self.services]
         for pair in pairs:
             found.append(pair.agent)
         for pair in pairs:
@@ -160,7 +168,7 @@
         )
 
     def _daemons(self) -> list[Process]:
-        pairs = [*self.endpoints, *([self.service] if self.service else [])]
+        pairs = [*self.endpoints, *self.services]
         return [*self.entries, *(pair.agent for pair in pairs)]
 
     def _start_proxy(self) -> None:
@@ -235,14 +243,20 @@
             )
             agent = self._agent(plan, engine, {})
             self.endpoints.append(EndpointProcesses(plan, engine, agent))
-        plan = EndpointPlan("tally-1", ZONES[0], None)
+        for number in range(1, options.services + 1):
+            self.services.append(self._start_service(number))
+
+    def _start_service(self, number: int) -> EndpointProcesses:
+        suffix = "" if number == 1 else f"-{number}"
+        zone = ZONES[(number - 1) % len(ZONES)]
+        plan = EndpointPlan(f"{SERVICE}-{number}", zone, None)
         service = self._standin(
-            "service-tally",
+            f"service-{SERVICE}{suffix}",
             "tally",
-            f"--tallies={self.log_directory / 'tallies.jsonl'}",
+            f"--tallies={self.log_directory / f'tallies{suffix}.jsonl'}",
         )
         agent = self._agent(plan, service, {"LACEWINGCOURSE_SERVICE": SERVICE})
-        self.service = EndpointProcesses(plan, service, agent)
+        return EndpointProcesses(plan, service, agent)
 
     def _agent(self, plan: EndpointPlan, engine: Process, variables) -> Process:
         return self._daemon(
@@ -267,7 +281,7 @@
             self.entries.append(entry)
 
     def _list_instances(self) -> None:
-        for pair in [*self.endpoints, self.service]:
+        for pair in [*self.endpoints, *self.services]:
             self.list_instance(pair, InstanceState.LIVE)
         for index, entry in enumerate(self.entries):
             zone = ZONES[index % len(ZONES)]
@@ -314,7 +328,7 @@
 
     def ready(self) -> bool:
         """Tell whether every process is ready and every entry knows all endpoints."""
-        pairs = [*self.endpoints, self.service]
+        pairs = [*self.endpoints, *self.services]
         if not all(pair.agent.ready() for pair in pairs):
             return False
         return all(entry.ready() and self._knows_all(entry) for entry in self.entries)
@@ -324,7 +338,8 @@
             state = json.load(response)
         ready = [each for each in state["endpoints"] if each["ready"]]
         version = state["readiness"]["configuration_version"]
-        return version > 0 and len(ready) == len(self.endpoints) + 1
+        known = len(ready) == len(self.endpoints) + len(self.services)
+        return version > 0 and known and state["homes_complete"]
 
     def describe(self) -> dict[str, Any]:
         """Return the deployment as its state file shows it."""
@@ -335,11 +350,12 @@
             "services": [
                 {
                     "name": SERVICE,
-                    "url": self.service.engine.url,
-                    "pid": self.service.engine.pid,
-                    "agent_url": self.service.agent.url,
-                    "agent_pid": self.service.agent.pid,
+                    "url": pair.engine.url,
+                    "pid": pair.engine.pid,
+                    "agent_url": pair.agent.url,
+                    "agent_pid": pair.agent.pid,
                 }
+                for pair in self.services
             ],
             "models": [MODEL],
             "platform": {name: each.url for name, each in self.platform.items()},
--- a/packages/wire/src/lacewingcourse/wire/client.py
+++ b/packages/wire/src/lacewingcourse/wire/client.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, TypeVar
 
+import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
@@ -44,6 +45,16 @@
     return getattr(response.error, "errno", None) in NOT_CONNECTED
 
 
+def use_fresh_connection(curl: pycurl.Curl) -> None:
+    """Make curl send a request at most once.
+
+    On a connection that was used before, curl sends any request again if the
+    connection ends without an answer, although the receiver may have acted on it.
+    """
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
 class PeerClient:
     """Sends messages and returns their replies.
 
@@ -57,7 +68,13 @@
         self.secret = secret
 
     async def send(
-        self, url: str, path: str, message: Any, kind: type[T], timeout: float
+        self,
+        url: str,
+        path: str,
+        message: Any,
+        kind: type[T],
+        timeout: float,
+        once: bool = False,
     ) -> T | Refusal:
         """Send a message and wait for its reply.
 
@@ -67,6 +84,7 @@
             message: The message.
             kind: Class of the reply.
             timeout: Seconds to wait at the most.
+            once: Whether the message must never be sent twice by the client.
 
         Returns:
             The reply, or a refusal. Outcome `NOT_RUN` says that the receiver got
@@ -83,6 +101,7 @@
             },
             connect_timeout=min(timeout, 2.0),
             request_timeout=timeout,
+            prepare_curl_callback=use_fresh_connection if once else None,
         )
         return read_reply(await fetch(self.http, request), kind)
 
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import json
+import random
+import time
 from urllib.request import Request, urlopen
 
 import pytest
 from openai import OpenAI
 
+from lacewingcourse.core.keys import mint_key
 from lacewingcourse.testing.caller import complete
 from lacewingcourse.testing.deployment import MODEL
 from lacewingcourse.testing.requests import put_json
@@ -52,17 +55,18 @@
 
 
 def test_plain_service_call_passes_through(deployment):
+    key = mint_key(time.time(), random.Random(1))
     request = Request(
         deployment.entries[0].url + "/services/tally/tallies",
         data=b'{"door": 1}',
         headers={
             "Authorization": f"Bearer {deployment.keys['regie']}",
-            "Idempotency-Key": "0190b6a0-0000-7000-8000-000000000001",
+            "Idempotency-Key": key,
         },
     )
     with urlopen(request, timeout=10) as response:
         assert response.status == 201
-        assert json.load(response)["number"] == 1
+        assert json.load(response) == {"number": 1, "key": key}
     listed = put_json(f"{deployment.service.engine.url}/tallies", b"", "GET")
     assert [tally["body"] for tally in listed["tallies"]] == ['{"door": 1}']
 
