--- a/packages/entry/src/lacewingcourse/entry/keyed.py
+++ b/packages/entry/src/lacewingcourse/entry/keyed.py
@@ -64,6 +64,7 @@
 
     delivered: tuple[str, ...]
     prompt_length: int
+    failure: Refusal | None = None
 
 
 class ReplayedAnswer:
@@ -97,18 +98,16 @@
 
     Attributes:
         keyed: What claims and settles.
-        driver: The streamed answer.
+        driver: The streamed answer, once it was let in.
         claim: The granted claim.
         home_url: Base URL of the home's agent.
         texts: Texts of the tokens so far.
         settled: Whether the claim's end was decided.
     """
 
-    def __init__(
-        self, keyed: KeyedAnswers, driver: AnswerDriver, claim: Claim, home_url: str
-    ) -> None:
+    def __init__(self, keyed: KeyedAnswers, claim: Claim, home_url: str) -> None:
         self.keyed = keyed
-        self.driver = driver
+        self.driver: AnswerDriver | None = None
         self.claim = claim
         self.home_url = home_url
         self.texts: list[str] = []
@@ -142,15 +141,16 @@
                 case FinishAnswer():
                     await self._settle_whole(event.reason)
                 case FailAnswer():
-                    await self._settle(event.refusal.outcome, None)
+                    await self.settle(event.refusal.outcome, None)
             yield event
 
     async def _settle_whole(self, reason: str) -> None:
         prompt_length = self.driver.state.prompt_length
         stored = StoredAnswer(tuple(self.texts), reason, prompt_length)
-        await self._settle(Outcome.RAN, encode(stored).decode())
+        await self.settle(Outcome.RAN, encode(stored).decode())
 
-    async def _settle(self, outcome: Outcome, answer: str | None) -> None:
+    async def settle(self, outcome: Outcome, answer: str | None) -> None:
+        """Tell the home how the answer ended, once."""
         if self.settled:
             return
         self.settled = True
@@ -162,7 +162,7 @@
         """Release the stages; the rest of the answer is never made."""
         self.driver.abandon()
         if not self.settled:
-            self.keyed.entry.spawn(self._settle(Outcome.UNKNOWN, None))
+            self.keyed.entry.spawn(self.settle(Outcome.UNKNOWN, None))
 
     async def renew(self) -> None:
         """Tell the home that the answer is under way, until it has ended."""
@@ -198,7 +198,7 @@
             claim = self._claim(request, key, fingerprint, target, shard)
             result = await self._ask(shard.home.agent_url, claim)
             if isinstance(result, ClaimReply) and result.kind is None:
-                return self._begin(request, shard, claim, result)
+                return await self._begin(request, shard, claim, result)
             result = refusal_of(result)
             if result.kind is not ErrorKind.CLAIM_UNAVAILABLE:
                 return result
@@ -239,16 +239,20 @@
         self.entry.spawn(self.settle(home_url, give_back))
         return attrs.evolve(reply, outcome=Outcome.NOT_RUN)
 
-    def _begin(
+    async def _begin(
         self, request: StreamRequest, shard: Shard, claim: Claim, reply: ClaimReply
     ) -> KeyedAnswer | ReplayedAnswer | Refusal:
         """Run the request of a granted claim, or tell the stored answer."""
         if not reply.granted:
             stored = decode(reply.answer.encode(), StoredAnswer)
             return ReplayedAnswer(request.stream, stored)
-        driver = self.entry.answer(request)
-        answer = KeyedAnswer(self, driver, claim, shard.home.agent_url)
+        answer = KeyedAnswer(self, claim, shard.home.agent_url)
         self.entry.spawn(answer.renew())
+        driver = await start(self.entry, request)
+        if isinstance(driver, Refusal):
+            await answer.settle(driver.outcome, None)
+            return driver
+        answer.driver = driver
         return answer
 
     async def settle(self, home_url: str, message: Settle) -> None:
@@ -280,13 +284,21 @@
     return refusal
 
 
-async def keyed_or_new(
+async def start(entry: Entry, request: StreamRequest) -> AnswerDriver | Refusal:
+    """Start an answer as soon as it may."""
+    admitted = await entry.admission.admit(request)
+    if isinstance(admitted, Refusal):
+        return admitted
+    return entry.answer(admitted)
+
+
+async def answer_of(
     handler: CallerHandler, request: StreamRequest
 ) -> AnswerDriver | KeyedAnswer | ReplayedAnswer | Refusal:
     """Return the answer of a caller's request, by its key if it has one."""
     text = handler.request.headers.get(KEY_HEADER)
     if text is None:
-        return handler.daemon.answer(request)
+        return await start(handler.daemon, request)
     key = parse_key(text)
     if isinstance(key, Refusal):
         return key
