--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -12,6 +12,7 @@
 from lacewingcourse.agent.call_runner import CallRunner
 from lacewingcourse.agent.handlers import AGENT_ROUTES
 from lacewingcourse.agent.journal import Journal
+from lacewingcourse.agent.metrics import AgentMetrics
 from lacewingcourse.agent.stage_runner import StageRunner
 from lacewingcourse.core.keys import model_target, service_target
 from lacewingcourse.core.messages import Status
@@ -39,6 +40,8 @@
         leaving: Whether new work is refused.
     """
 
+    metrics_class = AgentMetrics
+
     def __init__(self, settings: AgentSettings) -> None:
         super().__init__(settings)
         self.incarnation = new_incarnation()
@@ -50,6 +53,7 @@
             self.calls = CallRunner(self)
         else:
             self.stages = StageRunner(self)
+        self.metrics.watch(self)
 
     def routes(self) -> list[tuple]:
         return [(path, handler, {"daemon": self}) for path, handler in AGENT_ROUTES]
@@ -123,6 +127,7 @@
 
     async def drain(self) -> None:
         self.leaving = True
+        self.metrics.drains.inc()
         if self.stages is not None:
             self.stages.gate.leaving = True
         deadline = self.now() + self.settings.drain_timeout
--- a/packages/agent/src/lacewingcourse/agent/journal.py
+++ b/packages/agent/src/lacewingcourse/agent/journal.py
@@ -21,7 +21,7 @@
 )
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.homes import HomesFold, HomesRecord, release
-from lacewingcourse.core.keys import scope_of
+from lacewingcourse.core.keys import parse_key, scope_of
 from lacewingcourse.platform.homes import HOMES_STREAM, HomesReader, home_settings
 from lacewingcourse.platform.log import LogClient
 from lacewingcourse.wire.codec import decode, encode
@@ -110,6 +110,7 @@
     async def claim(self, claim: Claim, leased: bool = False) -> Verdict:
         """Decide about a claim; waits for the log where the key needs it."""
         await self._learn_epoch(claim)
+        await self._await_time(claim)
         verdict = self.book.claim(claim, self.wall(), leased)
         if verdict.permission is Permission.GRANTED:
             self.wake.set()
@@ -123,6 +124,15 @@
             return refused(verdict.scope, Refusal(kind, reason, Outcome.UNKNOWN))
         return verdict
 
+    async def _await_time(self, claim: Claim) -> None:
+        """Wait until the time of a key has come if that is in a moment."""
+        key = parse_key(claim.key)
+        if isinstance(key, Refusal) or key.minted_at is None:
+            return
+        ahead = key.minted_at - self.wall()
+        if 0 < ahead <= self.agent.settings.instance_skew:
+            await asyncio.sleep(ahead)
+
     async def _learn_epoch(self, claim: Claim) -> None:
         """Wait a moment if the claim's sender knows newer homes than this agent."""
         deadline = self.agent.now() + EPOCH_TIMEOUT
--- a/packages/agent/src/lacewingcourse/agent/settings.py
+++ b/packages/agent/src/lacewingcourse/agent/settings.py
@@ -5,6 +5,7 @@
 import environ
 
 from lacewingcourse.daemon import common_settings as common
+from lacewingcourse.daemon.checks import name_or_empty
 from lacewingcourse.daemon.settings import PREFIX, boolean, count, positive, url
 
 
@@ -19,7 +20,9 @@
         converter=url, help="Base URL of the engine or plain service beside it"
     )
     service: str = environ.var(
-        default="", help="Name of the plain service; empty beside a model engine"
+        default="",
+        converter=name_or_empty,
+        help="Name of the plain service; empty beside a model engine",
     )
     shared_secret: str = common.shared_secret()
     log_url: str = common.log_url()
@@ -58,6 +61,7 @@
     )
     key_tenure: float = common.key_tenure()
     key_skew: float = common.key_skew()
+    instance_skew: float = common.instance_skew()
     key_retention: float = common.key_retention()
     claim_timeout: float = environ.var(
         default="5", converter=positive, help="Seconds a claim may wait for the log"
@@ -71,7 +75,7 @@
         help="Seconds without the endpoint after which keys get another home",
     )
     handover_timeout: float = environ.var(
-        default="10",
+        default="5",
         converter=positive,
         help="Seconds that a leaving agent may wait for the log to move its keys",
     )
--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -8,8 +8,17 @@
 from cleo.application import Application
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
-
-COMMANDS = [EntryCommand, AgentCommand]
+from lacewingcourse.cli.load import LoadCommand
+from lacewingcourse.cli.report import ReportBurnCommand
+from lacewingcourse.cli.settings_command import SettingsCommand
+
+COMMANDS = [
+    EntryCommand,
+    AgentCommand,
+    LoadCommand,
+    SettingsCommand,
+    ReportBurnCommand,
+]
 
 
 def build() -> Application:
--- a/packages/core/src/lacewingcourse/core/claims.py
+++ b/packages/core/src/lacewingcourse/core/claims.py
@@ -225,7 +225,8 @@
 
     def accept_window(self) -> float:
         """Return the time in which a key may first be used; shorter than its memory."""
-        longest = self.homes.retention - 2 * self.homes.key_skew
+        homes = self.homes
+        longest = homes.retention - homes.key_skew - homes.instance_skew
         return min(self.settings.accept_window, longest)
 
     def claim(self, claim: Claim, now: float, leased: bool = False) -> Verdict:
@@ -247,7 +248,7 @@
         key = parse_key(claim.key)
         if isinstance(key, Refusal):
             return refused(scope, key)
-        refusal = self._refusal(shard, key.minted_at, now)
+        refusal = self._refusal(claim, shard, key.minted_at, now)
         if refusal is not None:
             return refused(scope, refusal)
         return self._claim(claim, scope, key.minted_at, now, leased)
@@ -295,7 +296,7 @@
         return refused(scope, Refusal(ErrorKind.OUTCOME_UNKNOWN, reason, entry.outcome))
 
     def _refusal(
-        self, shard: Shard, minted_at: float | None, now: float
+        self, claim: Claim, shard: Shard, minted_at: float | None, now: float
     ) -> Refusal | None:
         """Return why a key that is not known may not be claimed, or None."""
         if self.yielding:
@@ -315,7 +316,8 @@
             outcome = Outcome.NOT_RUN if known else Outcome.UNKNOWN
             reason = "the key was made too long ago; make a new one"
             return Refusal(ErrorKind.KEY_EXPIRED, reason, outcome)
-        if any(self._hides(past, minted_at) for past in shard.past):
+        hidden = any(self._hides(past, minted_at) for past in shard.past)
+        if hidden and not claim.first_use:
             reason = "the key's former home was lost and may have run its request"
             return Refusal(ErrorKind.OUTCOME_UNKNOWN, reason, Outcome.UNKNOWN)
         return None
@@ -332,18 +334,17 @@
         """Return the time up to which keys may be missing in the journal."""
         if self.log_keeps_from is None:
             return 0.0
-        return self.log_keeps_from + self.homes.key_skew
+        return self.log_keeps_from + self.homes.instance_skew
 
     def _hides(self, past: Tenancy, minted_at: float) -> bool:
         """Tell whether a former home may have run a key without a trace."""
         if past.exact or past.incarnation == self.incarnation:
             return False
-        known = max(
-            past.since - self.homes.key_skew, self.journalled.get(past.incarnation, 0.0)
-        )
+        skew = self.homes.instance_skew
+        known = max(past.since - skew, self.journalled.get(past.incarnation, 0.0))
         until = past.until
         if past.ended_at is not None:
-            until = min(until, past.ended_at + 2 * self.homes.key_skew)
+            until = min(until, past.ended_at + skew)
         return known - self.settings.prompt_window < minted_at <= until
 
     def _claim(
@@ -354,8 +355,13 @@
         now: float,
         leased: bool,
     ) -> Verdict:
-        """Claim a key that is not known."""
-        prompt = minted_at is not None and minted_at > now - self.settings.prompt_window
+        """Claim a key that is not known.
+
+        Without the log only a key made within a bound of time before now is claimed,
+        so that a later home knows which keys this one may have run.
+        """
+        oldest = now - self.settings.prompt_window
+        prompt = minted_at is not None and oldest < minted_at <= now
         if not prompt and not self.log_answers:
             return refused(scope, unavailable(ADVICE))
         entry = KeyEntry(
--- a/packages/core/src/lacewingcourse/core/homes.py
+++ b/packages/core/src/lacewingcourse/core/homes.py
@@ -26,12 +26,14 @@
 
     Attributes:
         tenure: How far beyond the present a home may be given keys.
-        key_skew: How far the clocks of two processes may differ.
+        key_skew: How far a caller's clock may be ahead.
+        instance_skew: How far the clocks of two instances may differ.
         retention: How long keys are remembered.
     """
 
     tenure: float = 21600.0
     key_skew: float = 5.0
+    instance_skew: float = 1.0
     retention: float = 82800.0
 
 
@@ -226,7 +228,7 @@
     seen = known.get(home.endpoint)
     replaced = seen is not None and seen.incarnation > home.incarnation
     alive = seen is not None and seen.incarnation == home.incarnation and seen.ready
-    expired = now > home.until + settings.key_skew and not alive
+    expired = now > home.until + settings.instance_skew and not alive
     if not (replaced or expired or home.endpoint in gone):
         return shard
     ended_at = now if replaced or home.endpoint in gone else None
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -350,6 +350,7 @@
         key: The idempotency key.
         epoch: Epoch in which the home got the key's shard, as the sender knows it.
         fingerprint: Tells the request from others under the same key.
+        first_use: Whether the sender made the key for this very request.
     """
 
     claimant: str
@@ -359,6 +360,7 @@
     key: str
     epoch: int
     fingerprint: str
+    first_use: bool = False
 
 
 @attrs.frozen
--- a/packages/entry/src/lacewingcourse/entry/call_sender.py
+++ b/packages/entry/src/lacewingcourse/entry/call_sender.py
@@ -10,6 +10,7 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.keys import service_target
 from lacewingcourse.core.messages import CallReply, Claim, RevokeCall, RevokeReply
+from lacewingcourse.entry.home_keeper import no_home
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
@@ -73,9 +74,37 @@
             and endpoint.takes_new_work()
         ]
 
-    async def send_home(self, call: Call, fingerprint: str) -> CallReply | Refusal:
-        """Run a call with a key at the key's home, at most once."""
+    async def send_home(
+        self, call: Call, fingerprint: str, first_use: bool
+    ) -> CallReply | Refusal:
+        """Run a call with a key at the key's home, at most once.
+
+        Args:
+            call: The call.
+            fingerprint: Tells the call from others under the same key.
+            first_use: Whether the key was made for this very call.
+        """
+        result = await self._send_to_homes(call, fingerprint, first_use)
+        restarted = result.kind is ErrorKind.STALE_INCARNATION
+        if restarted and result.outcome is Outcome.NOT_RUN:
+            return no_home("the key's home has restarted")
+        return result
+
+    async def _send_to_homes(
+        self, call: Call, fingerprint: str, first_use: bool
+    ) -> CallReply | Refusal:
+        """Run a call at its key's home, and at the next one if the key moves."""
         target = service_target(call.service)
+        draft = Claim(
+            claimant="",
+            incarnation="",
+            target=target,
+            organisation=call.organisation,
+            key=call.key,
+            epoch=0,
+            fingerprint=fingerprint,
+            first_use=first_use,
+        )
         epoch = 0
         result: CallReply | Refusal | None = None
         for _ in range(MAX_SENDS):
@@ -85,24 +114,21 @@
             if shard.epoch == epoch:
                 return result
             epoch = shard.epoch
-            result = await self._send_to_home(call, fingerprint, target, shard)
+            result = await self._send_to_home(call, draft, shard)
             if result.kind not in MOVED or result.outcome is not Outcome.NOT_RUN:
                 return result
             await self.entry.homes.wait_for_change(REHOME_TIMEOUT)
         return result
 
     async def _send_to_home(
-        self, call: Call, fingerprint: str, target: str, shard: Shard
+        self, call: Call, draft: Claim, shard: Shard
     ) -> CallReply | Refusal:
         home = shard.home
-        claim = Claim(
+        claim = attrs.evolve(
+            draft,
             claimant=uuid.uuid4().hex,
             incarnation=home.incarnation,
-            target=target,
-            organisation=call.organisation,
-            key=call.key,
             epoch=shard.epoch,
-            fingerprint=fingerprint,
         )
         return await self._send(
             home.agent_url, attrs.evolve(call, claim=claim), home.incarnation
--- a/packages/entry/src/lacewingcourse/entry/home_keeper.py
+++ b/packages/entry/src/lacewingcourse/entry/home_keeper.py
@@ -41,6 +41,7 @@
         log: Client of the log service.
         reader: Follows the stream of homes.
         changed: Set and replaced whenever homes may have changed.
+        log_answers: Whether the last read of the log succeeded.
         started_at: When the process started, seconds.
     """
 
@@ -49,6 +50,7 @@
         self.log = LogClient(entry.settings.log_url)
         self.reader = HomesReader(self.log, HomesFold())
         self.changed = asyncio.Event()
+        self.log_answers = False
         self.started_at = entry.now()
 
     def start(self) -> None:
@@ -86,7 +88,9 @@
         return shard
 
     async def wait_for_change(self, timeout: float) -> None:
-        """Wait until homes may have changed."""
+        """Wait until homes may have changed, unless the log cannot tell."""
+        if not self.log_answers:
+            return
         try:
             await asyncio.wait_for(self.changed.wait(), timeout)
         except TimeoutError:
@@ -95,7 +99,8 @@
     async def _follow(self) -> None:
         while True:
             before = dict(self.reader.fold.records)
-            if not await self.reader.read(READ_WAIT):
+            self.log_answers = await self.reader.read(READ_WAIT)
+            if not self.log_answers:
                 await asyncio.sleep(RETRY_INTERVAL)
                 continue
             if self.reader.fold.records != before:
--- a/packages/entry/src/lacewingcourse/entry/service_api.py
+++ b/packages/entry/src/lacewingcourse/entry/service_api.py
@@ -89,7 +89,8 @@
         if key is None:
             return await self.daemon.calls.send_anywhere(call)
         fingerprint = fingerprint_of(call.method, call.path, self.request.body)
-        return await self.daemon.calls.send_home(call, fingerprint)
+        first_use = KEY_HEADER not in self.request.headers
+        return await self.daemon.calls.send_home(call, fingerprint, first_use)
 
     def _call(self, service: str, path: str, key: Key | None) -> Call:
         """Return the call; its name and receiver are set for each sending."""
--- a/packages/platform/src/lacewingcourse/platform/homes.py
+++ b/packages/platform/src/lacewingcourse/platform/homes.py
@@ -23,6 +23,7 @@
     return HomeSettings(
         tenure=settings.key_tenure,
         key_skew=settings.key_skew,
+        instance_skew=settings.instance_skew,
         retention=settings.key_retention,
     )
 
