Bound retries by a budget and leave out endpoints that fail too often

Cause: every lost attempt was retried up to eight times whatever the load and the deadline, and an endpoint that fails fast looked idle and so attracted work.

Change: core/retries.py pays retries from a fifth of the traffic; an answer under way may be continued on debt, bounded by the answers in flight; none after the deadline. core/outliers.py leaves endpoints out after three failures in a row or half of the ends, at most 3 in 10 of those with the same layers and half of a zone, for 2 to 60 s; one taken back gets a fifth of its turns until it does well. Attempts that only load kept from a route are refused as such, not as no_route.

--- a/packages/core/src/lacewingcourse/core/admission.py
+++ b/packages/core/src/lacewingcourse/core/admission.py
@@ -35,6 +35,8 @@
 PACE_KEPT = 10.0
 #: Longest and shortest `Retry-After`, seconds.
 RETRY_AFTER_RANGE = (1.0, 60.0)
+#: Requests a second that are taken to end while nothing is known.
+LEAST_RATE = 1.0
 #: Share by which a `Retry-After` is spread at random.
 RETRY_SPREAD = 0.25
 
@@ -128,6 +130,7 @@
         standings: How classes fare, by name.
         calendar: When refused requests should return.
         durations: Average seconds of answers.
+        last_rate: Requests a second that ended, when one last did.
         paces: When each pace was last asked for, by seconds between tokens.
     """
 
@@ -141,6 +144,7 @@
     calendar: RetryCalendar = attrs.field(factory=RetryCalendar)
     durations: Average = attrs.field(factory=Average)
     paces: dict[float, float] = attrs.field(factory=dict)
+    last_rate: float = 0.0
 
     def standing(self, class_name: str) -> ClassStanding:
         """Return how a class fares."""
@@ -218,7 +222,7 @@
     def rate(self) -> float:
         """Return the requests a second that end, by Little's law."""
         if not self.running or not self.durations.count:
-            return 1.0
+            return max(LEAST_RATE, self.last_rate)
         return len(self.running) / max(self.durations.value, 0.001)
 
     def _wait(self, waiting: Waiting) -> float:
@@ -357,6 +361,7 @@
         running = self.running.pop(stream, None)
         if running is None:
             return []
+        self.last_rate = (len(self.running) + 1) / max(self.durations.value, 0.001)
         self.queue.end(running.waiting.organisation)
         self.durations.add(now - running.meter.started_at)
         if whole is not None:
--- a/packages/core/src/lacewingcourse/core/routes/fleet.py
+++ b/packages/core/src/lacewingcourse/core/routes/fleet.py
@@ -16,6 +16,7 @@
     Average,
     LinkEstimates,
 )
+from lacewingcourse.core.outliers import Peers
 
 if TYPE_CHECKING:
     import random
@@ -27,6 +28,8 @@
 
 #: Share of a step that work waits on average for the step that runs.
 RESIDUAL = 0.5
+#: Share of its turns of an endpoint that has just been taken back.
+PROBATION_SHARE = 0.2
 #: Draws after which a small admitted share no longer keeps an endpoint out.
 DRAWS = 4
 
@@ -50,6 +53,7 @@
         sources: Entries that send streams there.
         reported: Streams that ran there at the last report.
         backlog: Positions that waited there at the last report.
+        probation: Whether it was left out and has not done well since.
         fresh: Whether its estimates rest on steps of late.
         stream_limit: Streams that may run there.
     """
@@ -71,6 +75,7 @@
         "reported",
         "backlog",
         "fresh",
+        "probation",
         "stream_limit",
     )
 
@@ -91,6 +96,7 @@
         self.reported = state.running
         self.backlog = state.load.backlog
         self.fresh = False
+        self.probation = False
         self.stream_limit = PRIOR_STREAMS
 
     def running(self) -> int:
@@ -315,6 +321,8 @@
         state = record.state
         load = state.load
         record.share = state.admitted_share
+        if record.probation:
+            record.share = min(record.share, PROBATION_SHARE)
         record.sources = max(1, load.sources)
         if load.steps:
             record.base = load.step_base
@@ -354,10 +362,42 @@
         if group is not None:
             group.remove(record)
         record.ejected = ejected
+        record.probation = not ejected
+        self._learn(record)
         if group is not None:
             group.add(record)
             self.index(record.state.model).version += 1
 
+    def trust(self, name: str) -> None:
+        """Let an endpoint that was taken back have all its turns again."""
+        record = self.records.get(name)
+        if record is not None and record.probation:
+            record.probation = False
+            record.share = record.state.admitted_share
+
+    def peers(self, name: str) -> Peers | None:
+        """Return the endpoints among which one is judged; None if it takes no work.
+
+        This looks at all endpoints of the model; it is asked for failures only.
+        """
+        record = self.records.get(name)
+        if record is None or record.group is None:
+            return None
+        zone = record.state.availability_zone
+        in_zone = [
+            each
+            for group in self.models[record.state.model].ordered
+            for each in (*group.members, *group.ejected)
+            if each.state.availability_zone == zone
+        ]
+        group = record.group
+        return Peers(
+            group=len(group.members) + len(group.ejected),
+            group_ejected=len(group.ejected),
+            zone=len(in_zone),
+            zone_ejected=sum(each.ejected for each in in_zone),
+        )
+
     def dispatch(self, route: Route, prompt_length: int) -> Dispatch:
         """Note that a stream is sent on a route."""
         names = tuple(route.endpoints())
--- a/packages/core/src/lacewingcourse/core/routes/model.py
+++ b/packages/core/src/lacewingcourse/core/routes/model.py
@@ -17,9 +17,6 @@
     from lacewingcourse.core.endpoints import EndpointState
     from lacewingcourse.core.routes.fleet import Fleet
 
-#: Seconds after which a refused request is worth trying again when layers are missing.
-NO_ROUTE_RETRY = 2.0
-
 
 @attrs.frozen
 class Stage:
@@ -101,11 +98,7 @@
 
 def no_route(layer: int) -> Refusal:
     """Return the refusal for a layer that nobody holds."""
-    return Refusal(
-        ErrorKind.NO_ROUTE,
-        f"no endpoint holds layer {layer}",
-        retry_after=NO_ROUTE_RETRY,
-    )
+    return Refusal(ErrorKind.NO_ROUTE, f"no endpoint holds layer {layer}")
 
 
 def usable(
--- a/packages/entry/src/lacewingcourse/entry/admission.py
+++ b/packages/entry/src/lacewingcourse/entry/admission.py
@@ -59,6 +59,7 @@
         """Return the request with its priority once it may start, or a refusal."""
         verdict = asyncio.get_running_loop().create_future()
         self.offers[request.stream] = Offer(request, verdict)
+        self.entry.recovery.budget.on_request()
         now = self.entry.now()
         classes = self.entry.configuration.classes
         prompt_length = len(request.prompt) // 4
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -119,8 +119,10 @@
         if isinstance(reply, Refusal):
             self.entry.directory.mark_lost(effect.target.endpoint)
             reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
-        elif reply.load is not None:
-            self.entry.dispatcher.on_load(effect.target.endpoint, reply.load)
+        else:
+            self.entry.dispatcher.on_open_reply(
+                self.stream, effect.target.endpoint, reply
+            )
         message = effect.message
         self.perform(
             self.state.on_open_reply(
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -25,6 +25,7 @@
 from lacewingcourse.entry.follower import ConfigurationFollower
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
+from lacewingcourse.entry.recovery import Recovery
 from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
@@ -68,6 +69,7 @@
         answers: Answers in flight by stream.
         dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
+        recovery: Judges lost attempts and the endpoints that failed them.
         admission: Lets requests start, wait or be refused.
         calls_running: Plain calls in flight.
         outcomes: Counts how requests end.
@@ -84,6 +86,7 @@
         self.answers: dict[str, AnswerDriver] = {}
         self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
+        self.recovery = Recovery(self)
         self.admission = AdmissionControl(self)
         self.calls_running = 0
         run = secrets.token_hex(8)
@@ -128,6 +131,7 @@
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
         self.spawn(self.admission.review_for_ever())
+        self.spawn(self.recovery.review_for_ever())
         self.spawn(self.burn_log.append_for_ever())
 
     async def _check_progress_for_ever(self) -> None:
@@ -175,11 +179,12 @@
 
     def free(self, driver: AnswerDriver) -> None:
         """Give free what a streamed answer that has ended occupied."""
-        self.dispatcher.release(driver.stream)
+        endpoints = self.dispatcher.release(driver.stream)
         failure = driver.state.failure
         whole = failure is None
         if failure is not None and failure.kind is ErrorKind.CALLER_GONE:
             whole = None
+        self.recovery.on_end(driver.stream, whole is True, endpoints)
         self.admission.on_end(driver.stream, whole)
 
     def take_tokens(self, batch: TokenBatch) -> tuple[Credit, ...]:
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -8,7 +8,7 @@
 from lacewingcourse.core.routes import POLICIES, RouteRequest, predict
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.estimates import LoadReport
+    from lacewingcourse.core.messages import OpenReply
     from lacewingcourse.core.priorities import Prediction
     from lacewingcourse.core.routes import Dispatch, Fleet, Route
     from lacewingcourse.core.streams import StreamRequest
@@ -65,14 +65,19 @@
         if reserved is not None and not excluded and self._holds(reserved):
             return reserved
         self.release(request.stream)
+        if excluded:
+            refusal = self.entry.recovery.refusal_of(request, excluded)
+            if refusal is not None:
+                return refusal
         wanted = self.route_request(request, excluded)
         if isinstance(wanted, Refusal):
             return wanted
         entry = self.entry
         route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
-        if not isinstance(route, Refusal):
-            dispatch = self.fleet.dispatch(route, wanted.prompt_length)
-            self.dispatches[request.stream] = dispatch
+        if isinstance(route, Refusal):
+            return entry.recovery.load_refusal(request.stream) or route
+        dispatch = self.fleet.dispatch(route, wanted.prompt_length)
+        self.dispatches[request.stream] = dispatch
         return route
 
     def preview(self, request: StreamRequest) -> Prediction | Refusal:
@@ -103,14 +108,19 @@
                 return False
         return True
 
-    def release(self, stream: str) -> None:
-        """Note that a stream has left its route."""
+    def release(self, stream: str) -> tuple[str, ...]:
+        """Note that a stream has left its route; return the endpoints of it."""
         self.previews.pop(stream, None)
         self.reserved.pop(stream, None)
         dispatch = self.dispatches.pop(stream, None)
-        if dispatch is not None:
-            self.fleet.release(dispatch)
-
-    def on_load(self, endpoint: str, load: LoadReport) -> None:
-        """Take a load report that came with an answer."""
-        self.fleet.refresh(endpoint, load, self.entry.now())
+        if dispatch is None:
+            return ()
+        self.fleet.release(dispatch)
+        return dispatch.endpoints
+
+    def on_open_reply(self, stream: str, endpoint: str, reply: OpenReply) -> None:
+        """Take what an agent says of its load, and why it refused a stage."""
+        if reply.load is not None:
+            self.fleet.refresh(endpoint, reply.load, self.entry.now())
+        if not reply.accepted and reply.kind is not None:
+            self.entry.recovery.on_refused(stream, endpoint, reply.kind)
--- a/packages/entry/src/lacewingcourse/entry/metrics.py
+++ b/packages/entry/src/lacewingcourse/entry/metrics.py
@@ -107,10 +107,14 @@
         recovery_time: Time from a lost attempt to the next token.
         log_operations: Appends and reads of the log.
         drains: Times that the process was asked to end.
+        retries: Lost attempts, by whether another was allowed.
+        ejections: Times that an endpoint was left out as an outlier.
     """
 
     def __init__(self) -> None:
         super().__init__()
+        self.retries = self._counter("retries", "Lost attempts", "allowed")
+        self.ejections = self._counter("ejections", "Endpoints left out")
         self.classes = BoundedLabel(MAX_CLASSES)
         self.organisations = BoundedLabel(MAX_ORGANISATIONS)
         self.requests = self._counter(
