Find the stage at fault instead of blaming the first

Cause: a silent stream was noticed only after a fixed five seconds and the first stage was blamed, so that a paused agent or hanging engine further down the route was chosen again; endpoints once excluded stayed so; a stream was cut for good when no route was left. Change: silence is judged by the learned time between tokens; the stages are asked how far they came and diagnose() names the endpoint; agents report late engine steps, judged by learned step times; a broken answer waits for a route within a bound and then ends with a truthful error; a lost revocation is repeated; only stages that may have got the prompt can make an outcome unknown; stop texts end an answer, also across tokens.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -60,7 +60,7 @@
         """Tell whether the endpoint answers."""
         if self.calls is not None:
             return self.calls.ready
-        return self.stages.engine_state is not None
+        return self.stages.engine_state is not None and not self.stages.engine_late
 
     def running(self) -> int:
         """Return how many streams and calls run here."""
@@ -88,6 +88,8 @@
     async def start_tasks(self) -> None:
         await self.probe()
         self.spawn(self._probe_for_ever())
+        if self.stages is not None:
+            self.spawn(self.stages.watch_engine())
 
     async def _probe_for_ever(self) -> None:
         while True:
@@ -95,6 +97,7 @@
             await self.probe()
             if self.stages is not None:
                 self.stages.gate.forget(self.now())
+                self.stages.courier.forget_idle()
 
     async def probe(self) -> None:
         """Look whether the endpoint answers."""
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from lacewingcourse.core.errors import ErrorKind
 from lacewingcourse.core.messages import (
     Call,
     Credit,
     HopBatch,
     HopBatchReply,
+    OpenReply,
     OpenStage,
+    ReportRequest,
     Revoke,
     RevokeReply,
     Status,
@@ -24,8 +27,13 @@
         message = self.message(OpenStage)
         if message is None:
             return
-        reply, effects = self.daemon.stages.gate.open(message, self.daemon.now())
-        self.daemon.stages.perform(effects)
+        daemon = self.daemon
+        if not daemon.endpoint_ready():
+            kind, reason = ErrorKind.ENDPOINT_FAILED, "the engine does not answer"
+            self.reply(OpenReply(False, daemon.incarnation, kind, reason))
+            return
+        reply, effects = daemon.stages.gate.open(message, daemon.now())
+        daemon.stages.perform(effects)
         self.reply(reply)
 
 
@@ -77,6 +85,15 @@
         self.reply(TokenBatchReply())
 
 
+class ReportHandler(WireHandler):
+    """Tells how far a stage has come."""
+
+    def post(self) -> None:
+        request = self.message(ReportRequest)
+        if request is not None:
+            self.reply(self.daemon.stages.report(request))
+
+
 class StatusHandler(WireHandler):
     """Tells the state of the agent and its endpoint."""
 
@@ -100,6 +117,7 @@
     (paths.HOPS, HopsHandler),
     (paths.REVOKE, RevokeHandler),
     (paths.CREDIT, CreditHandler),
+    (paths.REPORT, ReportHandler),
     (paths.STATUS, StatusHandler),
     (paths.CALL, CallHandler),
 ]
--- a/packages/agent/src/lacewingcourse/agent/outbox.py
+++ b/packages/agent/src/lacewingcourse/agent/outbox.py
@@ -23,31 +23,44 @@
         items: Items that wait.
         send: Sends a batch; it does its own retries.
         spawn: Runs work in the background.
-        busy: Whether a batch is in flight.
+        clock: Returns the present time in seconds.
+        busy_since: When the batch in flight was first sent, or None.
     """
 
     def __init__(
         self,
         send: Callable[[list[T]], Awaitable[None]],
         spawn: Callable[[Any], Any],
+        clock: Callable[[], float],
     ) -> None:
         self.items: list[T] = []
         self.send = send
         self.spawn = spawn
-        self.busy = False
+        self.clock = clock
+        self.busy_since: float | None = None
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits and nothing is in flight."""
+        return self.busy_since is None
+
+    def wait(self) -> float:
+        """Return the seconds that the batch in flight has waited for its receipt."""
+        return 0.0 if self.busy_since is None else self.clock() - self.busy_since
 
     def put(self, item: T) -> None:
         """Add an item and send as soon as the receiver is free."""
         self.items.append(item)
-        if not self.busy:
-            self.busy = True
+        if self.busy_since is None:
+            self.busy_since = self.clock()
             self.spawn(self._drain())
 
     async def _drain(self) -> None:
         try:
             while self.items:
+                self.busy_since = self.clock()
                 batch = self.items[:BATCH_LIMIT]
                 del self.items[:BATCH_LIMIT]
                 await self.send(batch)
         finally:
-            self.busy = False
+            self.busy_since = None
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from functools import partial
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
+from lacewingcourse.agent.courier import Courier
 from lacewingcourse.agent.engine import (
     EngineClient,
     EngineState,
@@ -15,7 +17,6 @@
     item_of,
     sequence_of,
 )
-from lacewingcourse.agent.outbox import Outbox
 from lacewingcourse.core.effects import (
     CancelForward,
     RunForward,
@@ -24,30 +25,41 @@
     SendTrouble,
 )
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.messages import (
-    HopBatch,
-    HopBatchReply,
-    HopVerdict,
-    TokenBatch,
-    TokenBatchReply,
-    TroubleBatch,
-)
+from lacewingcourse.core.messages import StageReport
 from lacewingcourse.core.stages import ForwardResult, StageGate
-from lacewingcourse.wire import paths
+from lacewingcourse.core.step_times import StepTimes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from lacewingcourse.agent.application import Agent
-    from lacewingcourse.core.messages import StageAddress, Status
+    from lacewingcourse.core.messages import Credit, ReportRequest, Status
     from lacewingcourse.core.stages import Effect
 
-#: Times that a batch is sent before its receiver is reported.
-SEND_ATTEMPTS = 3
-#: Verdicts after which an attempt cannot go on.
-LOST_VERDICTS = frozenset(
-    {HopVerdict.UNKNOWN_STREAM, HopVerdict.WRONG_RANGE, HopVerdict.OVERFLOW}
-)
+#: Seconds between two looks for late steps.
+WATCH_INTERVAL = 0.1
+
+
+@attrs.define(eq=False)
+class StepInFlight:
+    """A step that the engine was given.
+
+    Attributes:
+        batch: Its work.
+        started_at: When it was given, seconds.
+        late_at: When it is late, seconds.
+    """
+
+    batch: list[RunForward]
+    started_at: float
+    late_at: float
+
+
+def positions_of(work: RunForward) -> int:
+    """Return how many positions a piece of work has at the most."""
+    if work.prompt is None:
+        return len(work.values)
+    return len(work.prompt.text) + len(work.prompt.delivered)
 
 
 class StageRunner:
@@ -61,8 +73,11 @@
         engine: Client of the engine.
         engine_state: What the engine last said, or None while it does not answer.
         queue: Work that waits for the engine.
-        in_flight: Steps given to the engine.
+        steps: Steps given to the engine.
         step_time: Seconds of the last step.
+        step_times: Learned times of steps.
+        engine_late: Whether the engine is late with a step.
+        courier: Carries what goes to other processes.
     """
 
     def __init__(self, agent: Agent) -> None:
@@ -75,11 +90,11 @@
         )
         self.engine_state: EngineState | None = None
         self.queue = ForwardQueue()
-        self.in_flight = 0
+        self.steps: set[StepInFlight] = set()
         self.step_time = 0.0
-        self.hop_outboxes: dict[tuple[str, str], Outbox] = {}
-        self.token_outboxes: dict[str, Outbox] = {}
-        self.trouble_outboxes: dict[str, Outbox] = {}
+        self.step_times = StepTimes()
+        self.engine_late = False
+        self.courier = Courier(self)
 
     async def probe(self) -> None:
         """Look whether the engine answers."""
@@ -113,27 +128,36 @@
                 case SendHop():
                     self._send_hop(effect)
                 case SendToken():
-                    self._token_outbox(effect.entry_url).put(effect.token)
+                    self.courier.put_token(effect.entry_url, effect.token)
                 case SendTrouble():
-                    self._trouble_outbox(effect.entry_url).put(effect.trouble)
+                    self.courier.put_trouble(effect.entry_url, effect.trouble)
         self._feed_engine()
 
     def _feed_engine(self) -> None:
         """Give waiting work to the engine while it has room."""
-        while self.queue and self.in_flight < self.settings.steps_in_flight:
+        while self.queue and len(self.steps) < self.settings.steps_in_flight:
             batch = self.queue.take(self.settings.batch_items)
-            self.in_flight += 1
-            self.agent.spawn(self._step(batch))
+            now = self.agent.now()
+            positions = sum(positions_of(work) for work in batch)
+            allowance = self.step_times.allowance(
+                positions, self.settings.endpoint_timeout
+            )
+            step = StepInFlight(batch, now, now + allowance)
+            self.steps.add(step)
+            self.agent.spawn(self._step(step))
 
-    async def _step(self, batch: list[RunForward]) -> None:
+    async def _step(self, step: StepInFlight) -> None:
         """Run one batch on the engine and pass its results on."""
+        batch = step.batch
         try:
             reply = await self.engine.forward(tuple(item_of(work) for work in batch))
         finally:
-            self.in_flight -= 1
+            self.steps.discard(step)
         if isinstance(reply, Refusal):
             self._fail_batch(batch, reply)
             return
+        positions = sum(output.count for output in reply.items)
+        self.step_times.note(positions, self.agent.now() - step.started_at)
         self.step_time = reply.step_time
         for work, output in zip(batch, reply.items, strict=True):
             self._complete(work, output)
@@ -147,8 +171,18 @@
 
     def _report(self, stream: str, attempt: int, reason: str) -> None:
         """Report that this endpoint failed an attempt."""
-        endpoint = self.settings.instance_id
-        kind = ErrorKind.ENDPOINT_FAILED
+        self.fail(
+            stream,
+            attempt,
+            self.settings.instance_id,
+            ErrorKind.ENDPOINT_FAILED,
+            reason,
+        )
+
+    def fail(
+        self, stream: str, attempt: int, endpoint: str, kind: ErrorKind, reason: str
+    ) -> None:
+        """Report that an attempt cannot go on because of an endpoint."""
         self.perform(self.gate.fail(stream, attempt, endpoint, kind, reason))
 
     def _complete(self, work: RunForward, output: ForwardOutput) -> None:
@@ -174,60 +208,9 @@
             _, effects = self.gate.receive(effect.hop, self.agent.now())
             self.perform(effects)
             return
-        key = (effect.target.agent_url, effect.target.incarnation)
-        outbox = self.hop_outboxes.get(key)
-        if outbox is None:
-            send = partial(self._send_hops, effect.target)
-            outbox = self.hop_outboxes[key] = Outbox(send, self.agent.spawn)
-        outbox.put(effect.hop)
-
-    async def _send_hops(self, target: StageAddress, hops: list) -> None:
-        """Send hops to the agent of another stage; report it if it fails."""
-        batch = HopBatch(self.settings.instance_id, target.incarnation, tuple(hops))
-        reply = await self._send(target.agent_url, paths.HOPS, batch, HopBatchReply)
-        if isinstance(reply, Refusal) or not reply.current:
-            reason = reply.reason if isinstance(reply, Refusal) else "restarted"
-            for hop in hops:
-                self._blame(hop, target.endpoint, reason)
-            return
-        for hop, verdict in zip(hops, reply.verdicts, strict=True):
-            if verdict in LOST_VERDICTS:
-                self._blame(hop, target.endpoint, verdict.value)
-
-    def _blame(self, hop, endpoint: str, reason: str) -> None:
-        """Report that another stage did not take a hop."""
-        kind = ErrorKind.STAGE_LOST
-        effects = self.gate.fail(hop.stream, hop.attempt, endpoint, kind, reason)
-        self.perform(effects)
-
-    async def _send(self, url: str, path: str, message, kind):
-        """Send a message that the receiver recognises when it is repeated."""
-        reply = None
-        for _ in range(SEND_ATTEMPTS):
-            reply = await self.agent.peers.send(
-                url, path, message, kind, self.settings.hop_timeout
-            )
-            if not isinstance(reply, Refusal):
-                return reply
-        return reply
-
-    def _token_outbox(self, entry_url: str) -> Outbox:
-        if entry_url not in self.token_outboxes:
-            send = partial(self._send_tokens, entry_url)
-            self.token_outboxes[entry_url] = Outbox(send, self.agent.spawn)
-        return self.token_outboxes[entry_url]
-
-    async def _send_tokens(self, entry_url: str, tokens: list) -> None:
-        """Send tokens to their entry and take the credits of its reply."""
-        batch = TokenBatch(self.settings.instance_id, self.incarnation, tuple(tokens))
-        reply = await self._send(entry_url, paths.TOKENS, batch, TokenBatchReply)
-        if isinstance(reply, Refusal):
-            self._entry_lost(tokens)
-            return
-        for credit in reply.credits:
-            self.take_credit(credit)
+        self.courier.put_hop(effect)
 
-    def take_credit(self, credit) -> None:
+    def take_credit(self, credit: Credit) -> None:
         """Let a stream go further."""
         self.perform(
             self.gate.credit(
@@ -235,18 +218,45 @@
             )
         )
 
-    def _entry_lost(self, tokens: list) -> None:
-        """End the attempts whose entry cannot be reached."""
-        for token in tokens:
-            effects = self.gate.close(token.stream, token.attempt, self.agent.now())
-            self.perform(effects)
+    def close(self, stream: str, attempt: int) -> None:
+        """End an attempt that nobody waits for."""
+        self.perform(self.gate.close(stream, attempt, self.agent.now()))
+
+    def report(self, request: ReportRequest) -> StageReport:
+        """Tell how far a stage has come and what it waits for."""
+        state = self.gate.stages.get(request.stream)
+        if state is None:
+            return StageReport(self.incarnation, 0)
+        stages = state.message.stages
+        following = stages[(state.message.index + 1) % len(stages)]
+        token_wait = 0.0
+        if state.is_last:
+            token_wait = self.courier.token_wait(state.message.entry_url)
+        return StageReport(
+            incarnation=self.incarnation,
+            attempt=state.message.attempt,
+            accepted=state.next_position,
+            done=state.done_position,
+            engine_late=self.engine_late,
+            hop_wait=self.courier.hop_wait(following),
+            token_wait=token_wait,
+        )
 
-    def _trouble_outbox(self, entry_url: str) -> Outbox:
-        if entry_url not in self.trouble_outboxes:
-            send = partial(self._send_troubles, entry_url)
-            self.trouble_outboxes[entry_url] = Outbox(send, self.agent.spawn)
-        return self.trouble_outboxes[entry_url]
+    async def watch_engine(self) -> None:
+        """Report the streams of steps that are late, for ever."""
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL)
+            now = self.agent.now()
+            late = [step for step in self.steps if step.late_at < now]
+            if late and not self.engine_late:
+                self._leave_engine()
+            self.engine_late = bool(late)
 
-    async def _send_troubles(self, entry_url: str, troubles: list) -> None:
-        batch = TroubleBatch(self.settings.instance_id, tuple(troubles))
-        await self._send(entry_url, paths.TROUBLES, batch, TokenBatchReply)
+    def _leave_engine(self) -> None:
+        """Report every stream that has work at an engine that does not answer."""
+        logger.warning("the engine is late", steps=len(self.steps))
+        self.engine_late = True
+        waiting = self.queue.take(len(self.queue))
+        given = [work for step in self.steps for work in step.batch]
+        for work in [*given, *waiting]:
+            self._report(work.stream, work.attempt, "a step of the engine is late")
--- a/packages/core/src/lacewingcourse/core/effects.py
+++ b/packages/core/src/lacewingcourse/core/effects.py
@@ -14,6 +14,7 @@
         Hop,
         OpenStage,
         Prompt,
+        ReportRequest,
         Revoke,
         Sampling,
         StageAddress,
@@ -136,6 +137,23 @@
 
     Attributes:
         excluded: Names of the endpoints to avoid.
+        delay: Seconds to wait first.
     """
 
     excluded: frozenset[str]
+    delay: float = 0.0
+
+
+@attrs.frozen
+class AskReport:
+    """Ask the agent of a stage how far it has come.
+
+    Attributes:
+        index: Which stage of the route it is.
+        target: Where the stage runs.
+        message: The question.
+    """
+
+    index: int
+    target: StageAddress
+    message: ReportRequest
--- a/packages/core/src/lacewingcourse/core/stages.py
+++ b/packages/core/src/lacewingcourse/core/stages.py
@@ -63,6 +63,7 @@
     Attributes:
         message: The opening message.
         next_position: The position that the stage runs next.
+        done_position: The position behind the last that the engine has run.
         started: Whether any of it was given to the engine.
         token_limit: Tokens that may be generated before further credit.
         held: Hops that came before their turn, by position.
@@ -72,6 +73,7 @@
 
     message: OpenStage
     next_position: int = 0
+    done_position: int = 0
     started: bool = False
     token_limit: int = 0
     held: dict[int, Hop] = attrs.field(factory=dict)
@@ -238,6 +240,7 @@
         state.touched_at = now
         end = result.position + result.count
         state.next_position = max(state.next_position, end)
+        state.done_position = max(state.done_position, end)
         if state.is_last:
             return self._emit(state, result, end)
         following = state.message.stages[state.message.index + 1]
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -7,7 +7,9 @@
 
 import attrs
 
+from lacewingcourse.core.diagnosis import diagnose
 from lacewingcourse.core.effects import (
+    AskReport,
     ChooseRoute,
     DeliverToken,
     FailAnswer,
@@ -22,18 +24,24 @@
     OpenReply,
     OpenStage,
     Prompt,
+    ReportRequest,
     Revoke,
     Sampling,
     StageAddress,
     Token,
 )
+from lacewingcourse.core.pace import Pace
+from lacewingcourse.core.stop_texts import StopMatcher
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.messages import RevokeReply
+    from collections.abc import Iterable
+
+    from lacewingcourse.core.messages import RevokeReply, StageReport
     from lacewingcourse.core.routes import Route
 
 Effect = (
-    ChooseRoute
+    AskReport
+    | ChooseRoute
     | DeliverToken
     | FailAnswer
     | FinishAnswer
@@ -44,8 +52,24 @@
 
 #: Tokens that the last stage may be ahead of the caller.
 CREDIT_WINDOW = 64
-#: Attempts after which a stream is given up.
-MAX_ATTEMPTS = 8
+#: Attempts in a row without a token after which a stream is given up.
+MAX_FRUITLESS = 8
+#: Fruitless attempts that are repeated without delay.
+PROMPT_RETRIES = 2
+#: Seconds before the first delayed attempt; doubled with each further one.
+RETRY_DELAY = 0.1
+#: Seconds between two attempts at the most.
+MAX_RETRY_DELAY = 1.0
+#: Seconds between two looks for a route.
+ROUTE_INTERVAL = 0.25
+#: Seconds after which a caller may try again when there is no route.
+NO_ROUTE_RETRY_AFTER = 2.0
+#: Seconds without a token after which the stages are asked, at the least.
+MIN_SILENCE = 0.25
+#: Seconds without a first token after which the stages are asked.
+FIRST_SILENCE = 1.0
+#: Seconds between two questions to the stages at the most.
+MAX_SILENCE = 5.0
 
 
 class Phase(Enum):
@@ -83,6 +107,17 @@
     entry_url: str
 
 
+def same_agent(one: StageAddress, other: StageAddress) -> bool:
+    """Tell whether two stages are run by the same incarnation of an agent."""
+    return (one.endpoint, one.incarnation) == (other.endpoint, other.incarnation)
+
+
+def distinct(stages: Iterable[StageAddress]) -> list[StageAddress]:
+    """Return one address of each agent's incarnation."""
+    found = {(stage.endpoint, stage.incarnation): stage for stage in stages}
+    return list(found.values())
+
+
 @attrs.define
 class StreamState:
     """One streamed answer.
@@ -99,12 +134,21 @@
         prompt_length: Tokens of the prompt, 0 while not known.
         consumed: Tokens that the caller has read.
         credit: Token limit that was last given out.
-        excluded: Endpoints that the next attempt avoids.
+        stop: Finds the texts that end the answer.
+        excluded: Endpoints that the next attempt avoids while others will do.
+        route_patience: Seconds for which a broken answer waits for a route.
+        fruitless: Attempts in a row that ended without a token.
+        route_wanted_since: Since when there is no route, seconds, or None.
         sent_to: Every stage that an opening message was sent to.
+        prompted: Stages that may have got the prompt; no other can start work.
         unrevoked: Stages whose revocation is not yet acknowledged.
         any_started: Whether work is known to have started.
         failure: The refusal that the caller gets after the revocations.
         progress_at: When the stream last went ahead, seconds.
+        pace: Learned time between two tokens.
+        ask_at: When the stages are asked how far they have come, seconds.
+        unanswered: Questions in a row that found no fault.
+        reports: Answers of the stages that were asked, None while not asking.
     """
 
     request: StreamRequest
@@ -118,12 +162,25 @@
     prompt_length: int = 0
     consumed: int = 0
     credit: int = 0
+    stop: StopMatcher = attrs.field()
     excluded: set[str] = attrs.field(factory=set)
+    route_patience: float = 10.0
+    fruitless: int = 0
+    route_wanted_since: float | None = None
     sent_to: list[StageAddress] = attrs.field(factory=list)
+    prompted: list[StageAddress] = attrs.field(factory=list)
     unrevoked: list[StageAddress] = attrs.field(factory=list)
     any_started: bool = False
     failure: Refusal | None = None
     progress_at: float = 0.0
+    pace: Pace = attrs.field(factory=Pace)
+    ask_at: float = 0.0
+    unanswered: int = 0
+    reports: dict[int, StageReport | None] | None = None
+
+    @stop.default
+    def _new_stop(self) -> StopMatcher:
+        return StopMatcher(self.request.sampling.stop)
 
     def begin(self, route: Route | Refusal, now: float) -> list[Effect]:
         """Open the stages of a new attempt, last stage first.
@@ -131,8 +188,11 @@
         The first stage is opened after all others have accepted, with the prompt,
         so that no work starts before the whole route is ready.
         """
+        if self.phase is not Phase.CHOOSING:
+            return []
         if isinstance(route, Refusal):
-            return self.give_up(route, now)
+            return self._no_route(route, now)
+        self.route_wanted_since = None
         self.attempt += 1
         self.stages = tuple(
             StageAddress(
@@ -149,6 +209,20 @@
             return [self._open(0)]
         return [self._open(index) for index in range(1, len(self.stages))]
 
+    def _no_route(self, refusal: Refusal, now: float) -> list[Effect]:
+        """Try the excluded endpoints again, wait while it can help, or give up."""
+        if self.excluded:
+            self.excluded.clear()
+            return [ChooseRoute(frozenset(), RETRY_DELAY)]
+        if self.route_wanted_since is None:
+            self.route_wanted_since = now
+        waited = now - self.route_wanted_since
+        if self.delivered and waited < self.route_patience:
+            return [ChooseRoute(frozenset(), ROUTE_INTERVAL)]
+        return self.give_up(
+            attrs.evolve(refusal, retry_after=NO_ROUTE_RETRY_AFTER), now
+        )
+
     def _open(self, index: int) -> SendOpen:
         """Return the effect that opens one stage."""
         target = self.stages[index]
@@ -157,6 +231,7 @@
         prompt = None
         if index == 0:
             prompt = Prompt(request.prompt, tuple(self.delivered))
+            self.prompted.append(target)
         message = OpenStage(
             stream=request.stream,
             attempt=self.attempt,
@@ -173,17 +248,35 @@
         return SendOpen(target, message)
 
     def on_open_reply(
-        self, attempt: int, index: int, reply: OpenReply, now: float
+        self,
+        attempt: int,
+        index: int,
+        reply: OpenReply,
+        now: float,
+        reached: bool = True,
     ) -> list[Effect]:
-        """Note a stage's answer; start the first stage when all others are open."""
+        """Note a stage's answer; start the first stage when all others are open.
+
+        Args:
+            attempt: Number of the attempt that was opened.
+            index: Which stage of its route was asked.
+            reply: The answer.
+            now: Present time in seconds.
+            reached: Whether the message may have reached the agent.
+        """
+        if not reached and attempt == self.attempt and index == 0:
+            self.prompted.remove(self.stages[0])
         if self.phase is not Phase.OPENING or attempt != self.attempt:
             return []
         if not reply.accepted:
-            return self._retry(self.stages[index].endpoint, reply.kind, now)
+            return self._retry((self.stages[index].endpoint,), reply.kind, now)
         self.opened.add(index)
         self.progress_at = now
         if index == 0:
             self.phase = Phase.RUNNING
+            self.ask_at = now + FIRST_SILENCE
+            self.unanswered = 0
+            self.reports = None
             return []
         if len(self.opened) == len(self.stages) - 1:
             return [self._open(0)]
@@ -191,34 +284,87 @@
 
     def on_token(self, token: Token, now: float) -> list[Effect]:
         """Deliver a token if it is the next; hold it if early, else drop it."""
-        if token.attempt != self.attempt or self.phase is Phase.ENDED:
+        if token.attempt != self.attempt:
             return []
-        if self.phase is Phase.REVOKING:
+        if self.phase in (Phase.ENDED, Phase.REVOKING):
             return []
-        self.phase = Phase.RUNNING
+        if self.phase is Phase.OPENING:
+            self.phase = Phase.RUNNING
         self.any_started = True
         self.prompt_length = token.prompt_length
         if token.index < len(self.delivered):
             return []
         self.early[token.index] = token
         effects: list[Effect] = []
-        while len(self.delivered) in self.early:
+        while len(self.delivered) in self.early and self.phase is not Phase.ENDED:
             following = self.early.pop(len(self.delivered))
-            self.progress_at = now
-            self.delivered.append(following.token)
-            self.texts.append(following.text)
-            effects.append(DeliverToken(following))
-            if len(self.delivered) >= self.request.sampling.max_tokens:
-                effects.extend(self.finish("length"))
-                break
+            effects.extend(self._deliver(following, now))
         return effects
 
+    def _deliver(self, token: Token, now: float) -> list[Effect]:
+        """Hand the next token to the caller; end the answer if it is the last."""
+        self._note_progress(now)
+        self.delivered.append(token.token)
+        text = self.stop.feed(token.text)
+        effects: list[Effect] = []
+        if self.stop.found:
+            effects.extend(self.finish("stop"))
+        elif len(self.delivered) >= self.request.sampling.max_tokens:
+            text += self.stop.rest()
+            effects.extend(self.finish("length"))
+        self.texts.append(text)
+        return [DeliverToken(attrs.evolve(token, text=text)), *effects]
+
+    def _note_progress(self, now: float) -> None:
+        """Learn the time between tokens and put off the next question."""
+        if self.fruitless == 0 and self.unanswered == 0 and self.delivered:
+            self.pace.note(now - self.progress_at)
+        self.fruitless = 0
+        self.unanswered = 0
+        self.reports = None
+        self.progress_at = now
+        self.ask_at = now + self.pace.limit(MIN_SILENCE, FIRST_SILENCE)
+
+    def check(self, now: float) -> list[Effect]:
+        """Ask the stages how far they have come if the stream is silent."""
+        if self.phase is not Phase.RUNNING or self.reports is not None:
+            return []
+        if now < self.ask_at or len(self.delivered) >= self.credit:
+            return []
+        self.reports = {}
+        message = ReportRequest(self.request.stream, self.attempt)
+        questions: list[Effect] = [
+            AskReport(index, stage, message) for index, stage in enumerate(self.stages)
+        ]
+        return [*questions, self._credit()]
+
+    def on_report(
+        self, attempt: int, index: int, report: StageReport | None, now: float
+    ) -> list[Effect]:
+        """Note how far a stage has come; leave the stage that is at fault."""
+        if attempt != self.attempt or self.phase is not Phase.RUNNING:
+            return []
+        if self.reports is None:
+            return []
+        self.reports[index] = report
+        if len(self.reports) < len(self.stages):
+            return []
+        ordered = [self.reports[each] for each in range(len(self.stages))]
+        self.reports = None
+        finding = diagnose(attempt, self.stages, ordered)
+        if finding is not None:
+            return self._retry(finding.endpoints, finding.kind, now)
+        self.unanswered += 1
+        usual = self.pace.limit(MIN_SILENCE, FIRST_SILENCE)
+        self.ask_at = now + min(MAX_SILENCE, usual * 2**self.unanswered)
+        return []
+
     def finish(self, reason: str) -> list[Effect]:
         """End the answer as whole and release its stages."""
         self.phase = Phase.ENDED
         return [*self._revocations(self.stages), FinishAnswer(reason)]
 
-    def _revocations(self, stages: tuple[StageAddress, ...]) -> list[Effect]:
+    def _revocations(self, stages: Iterable[StageAddress]) -> list[Effect]:
         """Return the effects that revoke the newest attempt at some stages."""
         effects: list[Effect] = []
         for stage in stages:
@@ -232,48 +378,72 @@
         limit = count + CREDIT_WINDOW
         if self.phase is not Phase.RUNNING or limit < self.credit + CREDIT_WINDOW // 2:
             return []
+        if len(self.delivered) >= self.credit:
+            self.progress_at = now
+            self.ask_at = now + FIRST_SILENCE
         self.credit = limit
-        credit = Credit(self.request.stream, self.attempt, limit)
-        return [SendCredit(self.stages[-1], credit)]
+        return [self._credit()]
+
+    def _credit(self) -> SendCredit:
+        """Return the effect that tells the last stage how far it may go."""
+        credit = Credit(self.request.stream, self.attempt, self.credit)
+        return SendCredit(self.stages[-1], credit)
 
     def on_trouble(
         self, attempt: int, endpoint: str, kind: ErrorKind, now: float
     ) -> list[Effect]:
         """Start over from what was delivered, without the endpoint at fault."""
-        if attempt != self.attempt or self.phase in (Phase.ENDED, Phase.REVOKING):
+        if attempt != self.attempt:
             return []
-        return self._retry(endpoint, kind, now)
+        if self.phase not in (Phase.OPENING, Phase.RUNNING):
+            return []
+        return self._retry((endpoint,), kind, now)
 
-    def _retry(self, endpoint: str, kind: ErrorKind | None, now: float) -> list[Effect]:
-        """Ask for a route without an endpoint, or give up."""
-        self.excluded.add(endpoint)
+    def _retry(
+        self, endpoints: Iterable[str], kind: ErrorKind | None, now: float
+    ) -> list[Effect]:
+        """Ask for a route without some endpoints, or give up."""
+        self.excluded.update(endpoints)
+        self.fruitless += 1
         effects = self._revocations(self.stages)
-        if self.attempt >= MAX_ATTEMPTS:
+        if self.fruitless >= MAX_FRUITLESS:
             refusal = Refusal(kind or ErrorKind.STAGE_LOST, "too many stages were lost")
             return self.give_up(refusal, now)
         self.phase = Phase.CHOOSING
-        return [*effects, ChooseRoute(frozenset(self.excluded))]
+        return [*effects, ChooseRoute(frozenset(self.excluded), self._retry_delay())]
+
+    def _retry_delay(self) -> float:
+        """Return the seconds before the next attempt."""
+        delayed = self.fruitless - PROMPT_RETRIES
+        if delayed <= 0:
+            return 0.0
+        return min(MAX_RETRY_DELAY, RETRY_DELAY * 2 ** (delayed - 1))
 
     def give_up(self, refusal: Refusal, now: float) -> list[Effect]:
-        """Revoke all that was sent, then tell the caller what is known."""
+        """Revoke all that was sent; tell the caller as soon as the outcome is known."""
         self.failure = refusal
-        unique = {(stage.endpoint, stage.incarnation): stage for stage in self.sent_to}
-        self.unrevoked = list(unique.values())
+        self.unrevoked = distinct(self.prompted)
         self.phase = Phase.REVOKING
+        revocations = self._revocations(distinct(self.sent_to))
         if not self.unrevoked:
-            return self._fail(Outcome.NOT_RUN)
-        return self._revocations(tuple(self.unrevoked))
+            return [*revocations, *self._fail(Outcome.NOT_RUN)]
+        if self.delivered or self.any_started:
+            return [*revocations, *self._fail(Outcome.RAN)]
+        return revocations
 
     def on_revoke_reply(
         self, stage: StageAddress, reply: RevokeReply | None, now: float
     ) -> list[Effect]:
         """Note a revocation's answer, None if lost; answer the caller after all."""
-        if self.phase is not Phase.REVOKING or stage not in self.unrevoked:
+        if self.phase is not Phase.REVOKING:
+            return []
+        asked = [each for each in self.unrevoked if same_agent(each, stage)]
+        if not asked:
             return []
         if reply is None or not reply.current:
             return self._fail(Outcome.UNKNOWN)
         self.any_started = self.any_started or reply.started
-        self.unrevoked.remove(stage)
+        self.unrevoked.remove(asked[0])
         if self.unrevoked:
             return []
         return self._fail(Outcome.NOT_RUN)
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from lacewingcourse.core.effects import (
+    AskReport,
     ChooseRoute,
     DeliverToken,
     FailAnswer,
@@ -20,6 +21,7 @@
 from lacewingcourse.core.messages import (
     OpenReply,
     RevokeReply,
+    StageReport,
     Token,
     TokenBatchReply,
 )
@@ -35,6 +37,13 @@
 
 Event = Token | FinishAnswer | FailAnswer
 
+#: Seconds in which a stage's agent must say how far it has come.
+REPORT_TIMEOUT = 1.0
+#: Seconds before a revocation is repeated the first time; doubled with each repeat.
+REVOKE_DELAY = 0.2
+#: Times that a revocation is sent; later its agent asks whether the stream lives.
+REVOKE_TRIES = 7
+
 
 class AnswerDriver:
     """One streamed answer.
@@ -48,7 +57,11 @@
 
     def __init__(self, entry: Entry, request: StreamRequest) -> None:
         self.entry = entry
-        self.state = StreamState(request, progress_at=entry.now())
+        self.state = StreamState(
+            request,
+            route_patience=entry.settings.route_patience,
+            progress_at=entry.now(),
+        )
         self.events: asyncio.Queue[Event] = asyncio.Queue()
         self.consumed = 0
 
@@ -76,7 +89,9 @@
         for effect in effects:
             match effect:
                 case ChooseRoute():
-                    self._choose(effect.excluded)
+                    self._choose(effect)
+                case AskReport():
+                    self.entry.spawn(self._ask(effect))
                 case SendOpen():
                     self.entry.spawn(self._open(effect))
                 case SendRevoke():
@@ -88,31 +103,64 @@
                 case FinishAnswer() | FailAnswer():
                     self.events.put_nowait(effect)
 
-    def _choose(self, excluded: frozenset[str]) -> None:
-        route = self.entry.choose_route(self.state.request.model, excluded)
+    def _choose(self, effect: ChooseRoute) -> None:
+        """Begin an attempt, now or after the delay that was asked for."""
+        if effect.delay > 0:
+            self.entry.spawn(self._choose_later(effect))
+            return
+        model = self.state.request.model
+        route = self.entry.choose_route(model, effect.excluded)
         self.perform(self.state.begin(route, self.entry.now()))
 
+    async def _choose_later(self, effect: ChooseRoute) -> None:
+        await asyncio.sleep(effect.delay)
+        self._choose(ChooseRoute(effect.excluded))
+
+    async def _ask(self, effect: AskReport) -> None:
+        """Ask a stage how far it has come."""
+        message = effect.message
+        report = await self.entry.peers.send(
+            effect.target.agent_url, paths.REPORT, message, StageReport, REPORT_TIMEOUT
+        )
+        if isinstance(report, Refusal):
+            report = None
+        self.perform(
+            self.state.on_report(
+                message.attempt, effect.index, report, self.entry.now()
+            )
+        )
+
     async def _open(self, effect: SendOpen) -> None:
         reply = await self._send(
             effect.target.agent_url, paths.OPEN_STAGE, effect.message, OpenReply
         )
+        reached = True
         if isinstance(reply, Refusal):
+            reached = reply.outcome is not Outcome.NOT_RUN
             self.entry.directory.mark_lost(effect.target.endpoint)
             reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
         message = effect.message
         self.perform(
             self.state.on_open_reply(
-                message.attempt, message.index, reply, self.entry.now()
+                message.attempt, message.index, reply, self.entry.now(), reached
             )
         )
 
     async def _revoke(self, effect: SendRevoke) -> None:
-        reply = await self._send(
-            effect.target.agent_url, paths.REVOKE, effect.message, RevokeReply
-        )
-        if isinstance(reply, Refusal):
-            reply = None
-        self.perform(self.state.on_revoke_reply(effect.target, reply, self.entry.now()))
+        """Revoke an attempt; repeat it in the background to release the stage."""
+        delay = REVOKE_DELAY
+        for _ in range(REVOKE_TRIES):
+            reply = await self._send(
+                effect.target.agent_url, paths.REVOKE, effect.message, RevokeReply
+            )
+            lost = isinstance(reply, Refusal)
+            answer = None if lost else reply
+            now = self.entry.now()
+            self.perform(self.state.on_revoke_reply(effect.target, answer, now))
+            if not lost:
+                return
+            await asyncio.sleep(delay)
+            delay *= 2
 
     async def _credit(self, effect: SendCredit) -> None:
         await self._send(
@@ -136,25 +184,22 @@
         self.perform(self.state.on_trouble(attempt, endpoint, kind, self.entry.now()))
 
     def check_progress(self, now: float) -> None:
-        """Take the attempt for lost if it stands still while the caller reads."""
+        """Leave a stage that is known to be lost; look into a silent stream."""
         if self.state.phase not in (Phase.OPENING, Phase.RUNNING):
             return
-        if self.consumed < len(self.state.delivered):
-            return
-        if now - self.state.progress_at < self.entry.settings.stall_timeout:
-            return
-        suspect = self._suspect()
-        self.on_trouble(
-            self.state.attempt, suspect, ErrorKind.STAGE_LOST, "no progress"
-        )
-
-    def _suspect(self) -> str:
-        """Return the stage that most likely stands still."""
         for stage in self.state.stages:
             known = self.entry.directory.endpoints.get(stage.endpoint)
-            if known is None or not known.ready:
-                return stage.endpoint
-        return self.state.stages[0].endpoint
+            if known is None:
+                continue
+            if not known.ready or known.incarnation != stage.incarnation:
+                self.on_trouble(
+                    self.state.attempt,
+                    stage.endpoint,
+                    ErrorKind.STAGE_LOST,
+                    "its agent or endpoint does not answer",
+                )
+                return
+        self.perform(self.state.check(now))
 
     def abandon(self) -> None:
         """Release all stages after the caller went away."""
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -134,6 +134,8 @@
                     if first:
                         self.set_header("Content-Type", EVENT_STREAM)
                         self.set_header("Cache-Control", "no-store")
+                    elif not event.text:
+                        continue
                     choice = self.chunk_choice(event.text, None, first)
                     first = False
                     await self._send_event(self._chunk(request, [choice], None))
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -34,7 +34,7 @@
     from lacewingcourse.entry.settings import EntrySettings
 
 #: Seconds between two looks for attempts that stand still.
-PROGRESS_INTERVAL = 0.25
+PROGRESS_INTERVAL = 0.1
 
 
 @attrs.frozen
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -26,10 +26,10 @@
     route_policy: str = environ.var(
         default="random", help="Name of the route policy in force"
     )
-    stall_timeout: float = environ.var(
-        default="5",
+    route_patience: float = environ.var(
+        default="10",
         converter=positive,
-        help="Seconds without progress after which a stage is taken for lost",
+        help="Seconds for which a broken answer waits for a route",
     )
     message_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a message to an agent may take"
