--- a/packages/agent/src/lacewingcourse/agent/courier.py
+++ b/packages/agent/src/lacewingcourse/agent/courier.py
@@ -100,6 +100,7 @@
     async def _send_hops(self, target: StageAddress, hops: list[Hop]) -> None:
         """Send hops to the agent of another stage; report it if it fails."""
         batch = HopBatch(self.settings.instance_id, target.incarnation, tuple(hops))
+        sent_at = self.agent.now()
         reply = await self._send(
             target.agent_url,
             paths.HOPS,
@@ -113,6 +114,7 @@
             for hop in hops:
                 self._blame(hop, target.endpoint, reason)
             return
+        self.runner.estimates.on_hop(target.endpoint, self.agent.now() - sent_at)
         for hop, verdict in zip(hops, reply.verdicts, strict=True):
             if verdict in LOST_VERDICTS:
                 self._blame(hop, target.endpoint, verdict.value)
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+
 from lacewingcourse.core.errors import ErrorKind
 from lacewingcourse.core.messages import (
     Call,
@@ -34,7 +36,7 @@
             return
         reply, effects = daemon.stages.gate.open(message, daemon.now())
         daemon.stages.perform(effects)
-        self.reply(reply)
+        self.reply(attrs.evolve(reply, load=daemon.stages.load()))
 
 
 class HopsHandler(WireHandler):
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -25,6 +25,7 @@
     SendTrouble,
 )
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.estimates import EndpointEstimates
 from lacewingcourse.core.messages import StageReport
 from lacewingcourse.core.stages import ForwardResult, StageGate
 from lacewingcourse.core.step_times import StepTimes
@@ -33,6 +34,7 @@
     from collections.abc import Iterable
 
     from lacewingcourse.agent.application import Agent
+    from lacewingcourse.core.estimates import LoadReport
     from lacewingcourse.core.messages import Credit, ReportRequest, Status
     from lacewingcourse.core.stages import Effect
 
@@ -78,6 +80,9 @@
         step_times: Learned times of steps.
         engine_late: Whether the engine is late with a step.
         courier: Carries what goes to other processes.
+        estimates: What was learned of the engine's speed.
+        present: Items given to the engine.
+        sources: Entries that have streams here.
     """
 
     def __init__(self, agent: Agent) -> None:
@@ -95,11 +100,16 @@
         self.step_times = StepTimes()
         self.engine_late = False
         self.courier = Courier(self)
+        self.estimates = EndpointEstimates(self.settings.batch_items)
+        self.present = 0
+        self.sources = 0
 
     async def probe(self) -> None:
         """Look whether the engine answers."""
         state = await self.engine.state()
         self.engine_state = None if isinstance(state, Refusal) else state
+        entries = {each.message.entry_url for each in self.gate.stages.values()}
+        self.sources = len(entries)
 
     def complete_status(self, status: Status) -> Status:
         """Return a status with what the engine adds to it."""
@@ -113,6 +123,13 @@
             version=state.version,
             queued=len(self.queue),
             step_time=self.step_time,
+            load=self.load(),
+        )
+
+    def load(self) -> LoadReport:
+        """Return what was learned of the engine's speed and load."""
+        return self.estimates.report(
+            self.queue.positions(), self.sources, len(self.gate.stages)
         )
 
     def perform(self, effects: Iterable[Effect]) -> None:
@@ -144,6 +161,10 @@
             )
             step = StepInFlight(batch, now, now + allowance)
             self.steps.add(step)
+            self.present += len(batch)
+            self.estimates.on_load(
+                self.present + len(self.queue), len(self.gate.stages)
+            )
             self.agent.spawn(self._step(step))
 
     async def _step(self, step: StepInFlight) -> None:
@@ -153,12 +174,14 @@
             reply = await self.engine.forward(tuple(item_of(work) for work in batch))
         finally:
             self.steps.discard(step)
+            self.present -= len(batch)
         if isinstance(reply, Refusal):
             self._fail_batch(batch, reply)
             return
         positions = sum(output.count for output in reply.items)
         self.step_times.note(positions, self.agent.now() - step.started_at)
         self.step_time = reply.step_time
+        self.estimates.on_step(positions, step.started_at, self.agent.now())
         for work, output in zip(batch, reply.items, strict=True):
             self._complete(work, output)
         self._feed_engine()
@@ -190,6 +213,8 @@
         if output.error:
             self._report(work.stream, work.attempt, output.error)
             return
+        if work.prompt is not None:
+            self.estimates.on_prompt(len(work.prompt.text), output.prompt_length)
         result = ForwardResult(
             stream=work.stream,
             attempt=work.attempt,
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -108,8 +108,7 @@
         if effect.delay > 0:
             self.entry.spawn(self._choose_later(effect))
             return
-        model = self.state.request.model
-        route = self.entry.choose_route(model, effect.excluded)
+        route = self.entry.choose_route(self.state.request, effect.excluded)
         self.perform(self.state.begin(route, self.entry.now()))
 
     async def _choose_later(self, effect: ChooseRoute) -> None:
@@ -139,6 +138,8 @@
             reached = reply.outcome is not Outcome.NOT_RUN
             self.entry.directory.mark_lost(effect.target.endpoint)
             reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
+        elif reply.load is not None:
+            self.entry.dispatcher.on_load(effect.target.endpoint, reply.load)
         message = effect.message
         self.perform(
             self.state.on_open_reply(
