Name the attempts that may have crashed an engine

Cause: entries could not tell which of a batch's attempts may have caused a crash. Change: an engine connection that breaks in mid-step is a crash with a name of its own; all its work is reported once, the suspects with that name; attempts marked solo run their first two steps alone on the engine.

--- a/packages/agent/src/lacewingcourse/agent/courier.py
+++ b/packages/agent/src/lacewingcourse/agent/courier.py
@@ -14,6 +14,7 @@
     HopVerdict,
     TokenBatch,
     TokenBatchReply,
+    Trouble,
     TroubleBatch,
 )
 from lacewingcourse.core.pace import Pace
@@ -121,9 +122,8 @@
 
     def _blame(self, hop: Hop, endpoint: str, reason: str) -> None:
         """Report that another stage did not take a hop."""
-        self.runner.fail(
-            hop.stream, hop.attempt, endpoint, ErrorKind.STAGE_LOST, reason
-        )
+        kind = ErrorKind.STAGE_LOST
+        self.runner.fail(Trouble(hop.stream, hop.attempt, endpoint, kind, reason))
 
     async def _send_tokens(self, entry_url: str, tokens: list[Token]) -> None:
         """Send tokens to their entry and take the credits of its reply."""
--- a/packages/agent/src/lacewingcourse/agent/engine.py
+++ b/packages/agent/src/lacewingcourse/agent/engine.py
@@ -18,6 +18,10 @@
     from lacewingcourse.core.effects import RunForward
 
 
+#: curl's codes for a connection that broke: empty reply, send and receive failures.
+BROKEN_CONNECTION = frozenset({52, 55, 56})
+
+
 @attrs.frozen
 class ForwardItem:
     """One item of an engine step.
@@ -114,6 +118,17 @@
     queued: int
 
 
+@attrs.frozen
+class EngineCrash:
+    """The engine's connection broke in mid-step.
+
+    Attributes:
+        reason: What the client saw.
+    """
+
+    reason: str
+
+
 def sequence_of(stream: str, attempt: int) -> str:
     """Return the name of a stream's cache entry in the engine."""
     return f"{stream}.{attempt}"
@@ -154,9 +169,15 @@
         self.http = new_http_client()
         self.timeout = timeout
 
-    async def forward(self, items: tuple[ForwardItem, ...]) -> ForwardReply | Refusal:
+    async def forward(
+        self, items: tuple[ForwardItem, ...]
+    ) -> ForwardReply | EngineCrash | Refusal:
         """Run items and return their results."""
-        return await self._post("/engine/forward", ForwardRequest(items), ForwardReply)
+        request = ForwardRequest(items)
+        response = await self._fetch("/engine/forward", request)
+        if getattr(response.error, "errno", None) in BROKEN_CONNECTION:
+            return EngineCrash(str(response.error))
+        return self._read(response, ForwardReply)
 
     async def cancel(self, sequences: tuple[str, ...]) -> None:
         """Let the engine drop cache entries; failures do not matter."""
@@ -171,6 +192,9 @@
         return decode(response.body, EngineState)
 
     async def _post(self, path: str, message, kind):
+        return self._read(await self._fetch(path, message), kind)
+
+    async def _fetch(self, path: str, message):
         request = HTTPRequest(
             self.url + path,
             method="POST",
@@ -179,7 +203,9 @@
             connect_timeout=2.0,
             request_timeout=self.timeout,
         )
-        response = await fetch(self.http, request)
+        return await fetch(self.http, request)
+
+    def _read(self, response, kind):
         if response.code != 200:
             return self._failed(response)
         return decode(response.body, kind)
@@ -206,14 +232,30 @@
         """Return the positions that wait."""
         return sum(max(1, len(entry[2].values)) for entry in self.heap)
 
+    def next_is_solo(self) -> bool:
+        """Tell whether the work that comes first has to run alone."""
+        return bool(self.heap) and self.heap[0][2].solo
+
     def push(self, effect: RunForward) -> None:
         """Add work."""
         heapq.heappush(self.heap, (effect.priority, next(self._order), effect))
 
     def take(self, limit: int) -> list[RunForward]:
-        """Remove and return the work that comes first."""
-        count = min(limit, len(self.heap))
-        return [heapq.heappop(self.heap)[2] for _ in range(count)]
+        """Remove and return the work that comes first; solo work comes by itself."""
+        taken: list[RunForward] = []
+        while self.heap and len(taken) < limit:
+            if self.heap[0][2].solo and taken:
+                break
+            taken.append(heapq.heappop(self.heap)[2])
+            if taken[-1].solo:
+                break
+        return taken
+
+    def clear(self) -> list[RunForward]:
+        """Remove and return all work."""
+        waiting = [entry[2] for entry in self.heap]
+        self.heap = []
+        return waiting
 
     def drop(self, stream: str, attempt: int) -> None:
         """Remove the work of an attempt."""
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -11,6 +11,7 @@
 from lacewingcourse.agent.courier import Courier
 from lacewingcourse.agent.engine import (
     EngineClient,
+    EngineCrash,
     EngineState,
     ForwardOutput,
     ForwardQueue,
@@ -26,7 +27,8 @@
 )
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.estimates import EndpointEstimates
-from lacewingcourse.core.messages import StageReport
+from lacewingcourse.core.messages import StageReport, Trouble
+from lacewingcourse.core.poison import CrashedItem, suspects_of
 from lacewingcourse.core.stages import ForwardResult, StageGate
 from lacewingcourse.core.step_times import StepTimes
 
@@ -50,11 +52,13 @@
         batch: Its work.
         started_at: When it was given, seconds.
         late_at: When it is late, seconds.
+        reported: Whether its streams were told of a crash.
     """
 
     batch: list[RunForward]
     started_at: float
     late_at: float
+    reported: bool = False
 
 
 def positions_of(work: RunForward) -> int:
@@ -79,6 +83,7 @@
         step_time: Seconds of the last step.
         step_times: Learned times of steps.
         engine_late: Whether the engine is late with a step.
+        crashes: Crashes of the engine that were seen.
         courier: Carries what goes to other processes.
         estimates: What was learned of the engine's speed.
         present: Items given to the engine.
@@ -99,6 +104,7 @@
         self.step_time = 0.0
         self.step_times = StepTimes()
         self.engine_late = False
+        self.crashes = 0
         self.courier = Courier(self)
         self.estimates = EndpointEstimates(self.settings.batch_items)
         self.present = 0
@@ -152,7 +158,7 @@
 
     def _feed_engine(self) -> None:
         """Give waiting work to the engine while it has room."""
-        while self.queue and len(self.steps) < self.settings.steps_in_flight:
+        while self.queue and self._engine_has_room():
             batch = self.queue.take(self.settings.batch_items)
             now = self.agent.now()
             positions = sum(positions_of(work) for work in batch)
@@ -167,14 +173,27 @@
             )
             self.agent.spawn(self._step(step))
 
+    def _engine_has_room(self) -> bool:
+        """Tell whether the work that comes first may be given to the engine."""
+        if self.queue.next_is_solo():
+            return not self.steps
+        if any(step.batch[0].solo for step in self.steps):
+            return False
+        return len(self.steps) < self.settings.steps_in_flight
+
     async def _step(self, step: StepInFlight) -> None:
         """Run one batch on the engine and pass its results on."""
         batch = step.batch
         try:
             reply = await self.engine.forward(tuple(item_of(work) for work in batch))
         finally:
-            self.steps.discard(step)
             self.present -= len(batch)
+        if isinstance(reply, EngineCrash):
+            self._on_crash(reply)
+        self.steps.discard(step)
+        if isinstance(reply, EngineCrash):
+            self._feed_engine()
+            return
         if isinstance(reply, Refusal):
             self._fail_batch(batch, reply)
             return
@@ -186,32 +205,59 @@
             self._complete(work, output)
         self._feed_engine()
 
+    def _on_crash(self, crash: EngineCrash) -> None:
+        """Report all work of the engine once; name the attempts that may be guilty."""
+        fresh = [step for step in self.steps if not step.reported]
+        if not fresh:
+            return
+        self.crashes += 1
+        self.engine_state = None
+        name = f"{self.incarnation}.{self.crashes}"
+        logger.warning("the engine crashed", crash=name)
+        items = {
+            CrashedItem(work.stream, work.attempt, work.position == 0): work
+            for step in fresh
+            for work in step.batch
+        }
+        suspects = set(suspects_of(items))
+        for step in fresh:
+            step.reported = True
+        for item, work in items.items():
+            self._report(
+                work, crash.reason, name if item in suspects else "", item.first_step
+            )
+
     def _fail_batch(self, batch: list[RunForward], refusal: Refusal) -> None:
         """Report each attempt of a failed batch."""
         for work in batch:
-            self._report(work.stream, work.attempt, refusal.reason)
+            self._report(work, refusal.reason)
         self._feed_engine()
 
-    def _report(self, stream: str, attempt: int, reason: str) -> None:
+    def _report(
+        self, work: RunForward, reason: str, crash: str = "", newcomer: bool = False
+    ) -> None:
         """Report that this endpoint failed an attempt."""
         self.fail(
-            stream,
-            attempt,
-            self.settings.instance_id,
-            ErrorKind.ENDPOINT_FAILED,
-            reason,
+            Trouble(
+                stream=work.stream,
+                attempt=work.attempt,
+                endpoint=self.settings.instance_id,
+                kind=ErrorKind.ENDPOINT_FAILED,
+                reason=reason,
+                crash=crash,
+                newcomer=newcomer,
+                solo=work.solo,
+            )
         )
 
-    def fail(
-        self, stream: str, attempt: int, endpoint: str, kind: ErrorKind, reason: str
-    ) -> None:
-        """Report that an attempt cannot go on because of an endpoint."""
-        self.perform(self.gate.fail(stream, attempt, endpoint, kind, reason))
+    def fail(self, trouble: Trouble) -> None:
+        """Report that an attempt cannot go on."""
+        self.perform(self.gate.fail(trouble))
 
     def _complete(self, work: RunForward, output: ForwardOutput) -> None:
         """Pass on the result of one item."""
         if output.error:
-            self._report(work.stream, work.attempt, output.error)
+            self._report(work, output.error)
             return
         if work.prompt is not None:
             self.estimates.on_prompt(len(work.prompt.text), output.prompt_length)
@@ -281,7 +327,7 @@
         """Report every stream that has work at an engine that does not answer."""
         logger.warning("the engine is late", steps=len(self.steps))
         self.engine_late = True
-        waiting = self.queue.take(len(self.queue))
+        waiting = self.queue.clear()
         given = [work for step in self.steps for work in step.batch]
         for work in [*given, *waiting]:
-            self._report(work.stream, work.attempt, "a step of the engine is late")
+            self._report(work, "a step of the engine is late")
--- a/packages/core/src/lacewingcourse/core/effects.py
+++ b/packages/core/src/lacewingcourse/core/effects.py
@@ -37,6 +37,7 @@
         sampling: How to sample after the last value, or None to return outputs.
         prompt_length: Tokens of the caller's prompt; 0 while not known.
         priority: Lower runs sooner.
+        solo: Whether nothing else may run on the engine meanwhile.
     """
 
     stream: str
@@ -48,6 +49,7 @@
     sampling: Sampling | None
     prompt_length: int
     priority: float
+    solo: bool = False
 
 
 @attrs.frozen
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -79,6 +79,7 @@
         sampling: How tokens are chosen.
         token_limit: Tokens that may be generated before further credit.
         prompt: Given to the first stage only.
+        solo: Whether its first steps run alone on the engine.
     """
 
     stream: str
@@ -92,6 +93,7 @@
     sampling: Sampling
     token_limit: int
     prompt: Prompt | None = None
+    solo: bool = False
 
 
 @attrs.frozen
@@ -275,6 +277,9 @@
         endpoint: The endpoint that is at fault, as the sender sees it.
         kind: What went wrong.
         reason: What went wrong, for a person.
+        crash: Name of the engine's crash that the attempt may have caused, or empty.
+        newcomer: Whether it was the attempt's first step there.
+        solo: Whether the step ran alone on the engine.
     """
 
     stream: str
@@ -282,6 +287,9 @@
     endpoint: str
     kind: ErrorKind
     reason: str = ""
+    crash: str = ""
+    newcomer: bool = False
+    solo: bool = False
 
 
 @attrs.frozen
--- a/packages/core/src/lacewingcourse/core/stages.py
+++ b/packages/core/src/lacewingcourse/core/stages.py
@@ -27,6 +27,8 @@
 
 #: Hops that may wait for an earlier one of the same attempt.
 HELD_HOPS = 64
+#: First steps of an attempt that run alone if it is to run alone.
+SOLO_STEPS = 2
 #: Seconds for which a revocation is remembered after its last use.
 REVOCATION_KEPT = 900.0
 
@@ -64,7 +66,7 @@
         message: The opening message.
         next_position: The position that the stage runs next.
         done_position: The position behind the last that the engine has run.
-        started: Whether any of it was given to the engine.
+        steps: Pieces of work that the engine was given.
         token_limit: Tokens that may be generated before further credit.
         held: Hops that came before their turn, by position.
         waiting: The hop back to the first stage that waits for credit.
@@ -74,7 +76,7 @@
     message: OpenStage
     next_position: int = 0
     done_position: int = 0
-    started: bool = False
+    steps: int = 0
     token_limit: int = 0
     held: dict[int, Hop] = attrs.field(factory=dict)
     waiting: SendHop | None = None
@@ -85,6 +87,16 @@
         """The address of this stage."""
         return self.message.stages[self.message.index]
 
+    @property
+    def started(self) -> bool:
+        """Whether any of it was given to the engine."""
+        return self.steps > 0
+
+    def next_is_solo(self) -> bool:
+        """Count one more piece of work; tell whether it has to run alone."""
+        self.steps += 1
+        return self.message.solo and self.steps <= SOLO_STEPS
+
     @property
     def is_last(self) -> bool:
         """Whether this stage samples the tokens."""
@@ -177,7 +189,6 @@
 
     def _first_forward(self, state: StageState) -> RunForward:
         """Return the step that tokenises and runs the prompt."""
-        state.started = True
         message = state.message
         return RunForward(
             stream=message.stream,
@@ -189,6 +200,7 @@
             sampling=message.sampling if state.is_last else None,
             prompt_length=0,
             priority=message.priority,
+            solo=state.next_is_solo(),
         )
 
     def receive(self, hop: Hop, now: float) -> tuple[HopVerdict, list[Effect]]:
@@ -216,7 +228,6 @@
 
     def _forward(self, state: StageState, hop: Hop, now: float) -> RunForward:
         """Return the step that runs a hop and count its positions as run."""
-        state.started = True
         state.touched_at = now
         state.next_position = hop.position + len(hop.values)
         message = state.message
@@ -230,6 +241,7 @@
             sampling=message.sampling if state.is_last else None,
             prompt_length=hop.prompt_length,
             priority=message.priority,
+            solo=state.next_is_solo(),
         )
 
     def complete(self, result: ForwardResult, now: float) -> list[Effect]:
@@ -330,14 +342,11 @@
         )
         return RevokeReply(self.incarnation, True, started), effects
 
-    def fail(
-        self, stream: str, attempt: int, endpoint: str, kind: ErrorKind, reason: str
-    ) -> list[Effect]:
+    def fail(self, trouble: Trouble) -> list[Effect]:
         """Report that an attempt cannot go on, to the stream's entry."""
-        state = self.stages.get(stream)
-        if state is None or state.message.attempt != attempt:
+        state = self.stages.get(trouble.stream)
+        if state is None or state.message.attempt != trouble.attempt:
             return []
-        trouble = Trouble(stream, attempt, endpoint, kind, reason)
         return [SendTrouble(state.message.entry_url, trouble)]
 
     def forget(self, now: float) -> None:
