Run again only what a lost stage held

Cause: a new attempt ran the prompt and all delivered tokens again on every stage, one stage after the other, so recovery grew with the whole model's prefill. Change: surviving stages go on with their engine's cache under the new attempt; the stage before the replaced one sends its kept outputs again from a bounded buffer, or runs again itself when they were dropped; a stage ahead of the sampled tokens runs again unless the last stage still has the token.

--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -15,6 +15,7 @@
     ReportRequest,
     Revoke,
     RevokeReply,
+    StartStage,
     Status,
     TokenBatchReply,
 )
@@ -39,6 +40,23 @@
         self.reply(attrs.evolve(reply, load=daemon.stages.load()))
 
 
+class StartStageHandler(WireHandler):
+    """Starts a stage of a resumed attempt."""
+
+    def post(self) -> None:
+        message = self.message(StartStage)
+        if message is None:
+            return
+        daemon = self.daemon
+        if message.incarnation != daemon.incarnation:
+            kind, reason = ErrorKind.STALE_INCARNATION, "meant for another incarnation"
+            self.reply(OpenReply(False, daemon.incarnation, kind, reason))
+            return
+        reply, effects = daemon.stages.gate.start(message, daemon.now())
+        daemon.stages.perform(effects)
+        self.reply(reply)
+
+
 class HopsHandler(WireHandler):
     """Receives hops of other agents."""
 
@@ -116,6 +134,7 @@
 
 AGENT_ROUTES = [
     (paths.OPEN_STAGE, OpenStageHandler),
+    (paths.START_STAGE, StartStageHandler),
     (paths.HOPS, HopsHandler),
     (paths.REVOKE, RevokeHandler),
     (paths.CREDIT, CreditHandler),
--- a/packages/agent/src/lacewingcourse/agent/settings.py
+++ b/packages/agent/src/lacewingcourse/agent/settings.py
@@ -35,6 +35,11 @@
     endpoint_timeout: float = environ.var(
         default="30", converter=positive, help="Seconds an endpoint may take"
     )
+    resume_buffer_bytes: int = environ.var(
+        default="16777216",
+        converter=count,
+        help="Bytes of outputs kept to resume streams after a stage is lost",
+    )
     hop_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a hop may take to be taken"
     )
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -29,7 +29,8 @@
 from lacewingcourse.core.estimates import EndpointEstimates
 from lacewingcourse.core.messages import StageReport, Trouble
 from lacewingcourse.core.poison import CrashedItem, suspects_of
-from lacewingcourse.core.stages import ForwardResult, StageGate
+from lacewingcourse.core.stage_state import ForwardResult
+from lacewingcourse.core.stages import StageGate
 from lacewingcourse.core.step_times import StepTimes
 
 if TYPE_CHECKING:
@@ -94,7 +95,11 @@
         self.agent = agent
         self.settings = agent.settings
         self.incarnation = agent.incarnation
-        self.gate = StageGate(self.settings.instance_id, self.incarnation)
+        self.gate = StageGate(
+            self.settings.instance_id,
+            self.incarnation,
+            output_budget=self.settings.resume_buffer_bytes,
+        )
         self.engine = EngineClient(
             self.settings.endpoint_url, self.settings.endpoint_timeout
         )
@@ -240,7 +245,7 @@
         self.fail(
             Trouble(
                 stream=work.stream,
-                attempt=work.attempt,
+                attempt=self.gate.attempt_of(work.stream, work.attempt),
                 endpoint=self.settings.instance_id,
                 kind=ErrorKind.ENDPOINT_FAILED,
                 reason=reason,
--- a/packages/core/src/lacewingcourse/core/effects.py
+++ b/packages/core/src/lacewingcourse/core/effects.py
@@ -18,6 +18,7 @@
         Revoke,
         Sampling,
         StageAddress,
+        StartStage,
         Token,
         Trouble,
     )
@@ -29,7 +30,7 @@
 
     Attributes:
         stream: Name of the stream.
-        attempt: Number of the attempt.
+        attempt: Number of the attempt that began the engine's sequence.
         layers: Layers to run.
         position: Position of the first value.
         values: Inputs, or empty when the prompt is given.
@@ -78,7 +79,7 @@
 
 @attrs.frozen
 class CancelForward:
-    """Drop a stream's attempt from the engine."""
+    """Drop the sequence that a stream's attempt began from the engine."""
 
     stream: str
     attempt: int
@@ -92,6 +93,15 @@
     message: OpenStage
 
 
+@attrs.frozen
+class SendStart:
+    """Tell a stage of a resumed attempt what it does first."""
+
+    index: int
+    target: StageAddress
+    message: StartStage
+
+
 @attrs.frozen
 class SendRevoke:
     """Ask an agent never to run an attempt again."""
@@ -140,10 +150,12 @@
     Attributes:
         excluded: Names of the endpoints to avoid.
         delay: Seconds to wait first.
+        stages: The route to mend by replacing the excluded; empty for a new route.
     """
 
     excluded: frozenset[str]
     delay: float = 0.0
+    stages: tuple[StageAddress, ...] = ()
 
 
 @attrs.frozen
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -80,6 +80,8 @@
         token_limit: Tokens that may be generated before further credit.
         prompt: Given to the first stage only.
         solo: Whether its first steps run alone on the engine.
+        resume: Whether to keep what an older attempt has here and wait for a
+            `StartStage`.
     """
 
     stream: str
@@ -94,6 +96,45 @@
     token_limit: int
     prompt: Prompt | None = None
     solo: bool = False
+    resume: bool = False
+
+
+@attrs.frozen
+class KeptState:
+    """What a stage still has of an older attempt.
+
+    Attributes:
+        positions: Positions that its engine has run or was given.
+        sendable_from: First position whose output it can send again.
+        prompt_length: Tokens of the caller's prompt.
+    """
+
+    positions: int
+    sendable_from: int
+    prompt_length: int
+
+
+@attrs.frozen
+class StartStage:
+    """Entry to agent: what a stage of a resumed attempt does first.
+
+    Attributes:
+        stream: Name of the stream.
+        attempt: Number of the attempt.
+        incarnation: Incarnation the message is meant for.
+        keep: Whether the stage goes on from the positions it has.
+        send_from: First position whose output the next stage needs.
+        prompt: Prompt and tokens to run from the start, or None.
+        inputs: Tokens to run after the positions that it has.
+    """
+
+    stream: str
+    attempt: int
+    incarnation: str
+    keep: bool
+    send_from: int
+    prompt: Prompt | None = None
+    inputs: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -106,6 +147,7 @@
         kind: Why not, or None.
         reason: Why not, for a person.
         load: What the agent has learned of speed and load, or None.
+        kept: What the stage still has of an older attempt, or None.
     """
 
     accepted: bool
@@ -113,6 +155,7 @@
     kind: ErrorKind | None = None
     reason: str = ""
     load: LoadReport | None = None
+    kept: KeptState | None = None
 
 
 @attrs.frozen
--- a/packages/core/src/lacewingcourse/core/stages.py
+++ b/packages/core/src/lacewingcourse/core/stages.py
@@ -17,92 +17,27 @@
     HopVerdict,
     OpenReply,
     OpenStage,
+    Prompt,
     RevokeReply,
-    StageAddress,
+    StartStage,
     Token,
     Trouble,
 )
+from lacewingcourse.core.output_buffer import SampledToken
+from lacewingcourse.core.stage_state import ForwardResult, StageState
 
 Effect = RunForward | SendHop | SendToken | SendTrouble | CancelForward
 
 #: Hops that may wait for an earlier one of the same attempt.
 HELD_HOPS = 64
-#: First steps of an attempt that run alone if it is to run alone.
-SOLO_STEPS = 2
+#: Bytes that a kept output takes.
+OUTPUT_BYTES = 64
+#: Bytes of kept outputs of all stages at the most.
+OUTPUT_BUDGET = 16 * 1024 * 1024
 #: Seconds for which a revocation is remembered after its last use.
 REVOCATION_KEPT = 900.0
 
 
-@attrs.frozen
-class ForwardResult:
-    """What the engine returned for one `RunForward`.
-
-    Attributes:
-        stream: Name of the stream.
-        attempt: Number of the attempt.
-        position: Position of the first value that was run.
-        count: Positions that were run.
-        outputs: Hidden values, or empty when a token was sampled.
-        token: Sampled token number, or None.
-        text: Text of the sampled token.
-        prompt_length: Tokens of the caller's prompt.
-    """
-
-    stream: str
-    attempt: int
-    position: int
-    count: int
-    outputs: tuple[int, ...]
-    token: int | None
-    text: str
-    prompt_length: int
-
-
-@attrs.define
-class StageState:
-    """One attempt's stage on this endpoint.
-
-    Attributes:
-        message: The opening message.
-        next_position: The position that the stage runs next.
-        done_position: The position behind the last that the engine has run.
-        steps: Pieces of work that the engine was given.
-        token_limit: Tokens that may be generated before further credit.
-        held: Hops that came before their turn, by position.
-        waiting: The hop back to the first stage that waits for credit.
-        touched_at: When the stage last changed, seconds.
-    """
-
-    message: OpenStage
-    next_position: int = 0
-    done_position: int = 0
-    steps: int = 0
-    token_limit: int = 0
-    held: dict[int, Hop] = attrs.field(factory=dict)
-    waiting: SendHop | None = None
-    touched_at: float = 0.0
-
-    @property
-    def address(self) -> StageAddress:
-        """The address of this stage."""
-        return self.message.stages[self.message.index]
-
-    @property
-    def started(self) -> bool:
-        """Whether any of it was given to the engine."""
-        return self.steps > 0
-
-    def next_is_solo(self) -> bool:
-        """Count one more piece of work; tell whether it has to run alone."""
-        self.steps += 1
-        return self.message.solo and self.steps <= SOLO_STEPS
-
-    @property
-    def is_last(self) -> bool:
-        """Whether this stage samples the tokens."""
-        return self.message.index == len(self.message.stages) - 1
-
-
 @attrs.define
 class Revocation:
     """Attempts of a stream that may never run here again.
@@ -128,6 +63,8 @@
         leaving: Whether new streams are refused.
         stages: Newest attempt's stage by stream.
         revocations: Revoked attempts by stream.
+        output_budget: Bytes of kept outputs of all stages at the most.
+        output_bytes: Bytes of kept outputs at present.
     """
 
     endpoint: str
@@ -135,6 +72,8 @@
     leaving: bool = False
     stages: dict[str, StageState] = attrs.field(factory=dict)
     revocations: dict[str, Revocation] = attrs.field(factory=dict)
+    output_budget: int = OUTPUT_BUDGET
+    output_bytes: int = 0
 
     def open(self, message: OpenStage, now: float) -> tuple[OpenReply, list[Effect]]:
         """Take part in an attempt, or refuse.
@@ -147,17 +86,116 @@
         current = self.stages.get(message.stream)
         if current is not None and current.message.attempt == message.attempt:
             return OpenReply(True, self.incarnation), []
+        if current is not None and self._may_keep(current, message):
+            current.adopt(message, now)
+            return OpenReply(True, self.incarnation, kept=current.kept()), []
         effects: list[Effect] = []
         if current is not None:
-            effects.append(CancelForward(message.stream, current.message.attempt))
-        state = StageState(message, token_limit=message.token_limit, touched_at=now)
+            effects.append(CancelForward(message.stream, current.sequence))
+            self._drop_outputs(current)
+        state = StageState(
+            message,
+            message.attempt,
+            paused=message.resume,
+            token_limit=message.token_limit,
+            touched_at=now,
+        )
         if current is not None and current.started:
             self._remember_start(message.stream, current.message.attempt, now)
         self.stages[message.stream] = state
         if message.prompt is not None:
-            effects.append(self._first_forward(state))
+            effects.append(self._first_forward(state, message.prompt))
         return OpenReply(True, self.incarnation), effects
 
+    def _may_keep(self, state: StageState, message: OpenStage) -> bool:
+        """Tell whether an older attempt's stage can go on in a newer one."""
+        return (
+            message.resume
+            and state.address.layers == message.stages[message.index].layers
+            and state.next_position > 0
+        )
+
+    def start(self, message: StartStage, now: float) -> tuple[OpenReply, list[Effect]]:
+        """Do what comes first in a resumed attempt; a repeat has no effect."""
+        state = self.stages.get(message.stream)
+        if state is None or state.message.attempt != message.attempt:
+            return self._refuse(ErrorKind.STALE_ATTEMPT, "the attempt is gone"), []
+        if not state.paused:
+            return OpenReply(True, self.incarnation), []
+        if message.keep and not self._has_outputs(state, message.send_from):
+            reason = "the outputs are no longer kept"
+            return self._refuse(ErrorKind.UNKNOWN_STREAM, reason), []
+        state.paused = False
+        state.touched_at = now
+        state.send_from = message.send_from
+        effects: list[Effect] = []
+        if not message.keep and state.sequence != message.attempt:
+            effects.append(CancelForward(message.stream, state.sequence))
+            self._drop_outputs(state)
+            state.reset()
+        if message.prompt is not None:
+            effects.append(self._first_forward(state, message.prompt))
+        effects.extend(self._send_kept(state))
+        if message.inputs:
+            effects.append(self._run_inputs(state, message.inputs, now))
+        effects.extend(self._run_held(state, now))
+        return OpenReply(True, self.incarnation), effects
+
+    def _has_outputs(self, state: StageState, position: int) -> bool:
+        """Tell whether a stage's outputs from a position on are kept or to come."""
+        return position >= state.done_position or position >= state.outputs.first
+
+    def _send_kept(self, state: StageState) -> list[Effect]:
+        """Send the kept outputs again that the next stage needs."""
+        outputs = state.outputs.since(state.send_from)
+        if not outputs:
+            return []
+        position = state.outputs.end - len(outputs)
+        if not state.is_last:
+            return [self._next_hop(state, position, tuple(outputs))]
+        effects: list[Effect] = []
+        for index, sampled in enumerate(outputs):
+            effects.extend(self._emit(state, sampled, position + index + 1))
+        return effects
+
+    def _run_inputs(
+        self, state: StageState, inputs: tuple[int, ...], now: float
+    ) -> RunForward:
+        """Return the step that runs tokens after the positions a stage has."""
+        hop = Hop(
+            stream=state.message.stream,
+            attempt=state.message.attempt,
+            layers=state.address.layers,
+            position=state.next_position,
+            values=inputs,
+            prompt_length=state.prompt_length,
+        )
+        return self._forward(state, hop, now)
+
+    def _run_held(self, state: StageState, now: float) -> list[Effect]:
+        """Run the held hops whose turn has come and drop those that are past."""
+        effects: list[Effect] = []
+        while state.next_position in state.held:
+            following = state.held.pop(state.next_position)
+            effects.append(self._forward(state, following, now))
+        for position in [each for each in state.held if each < state.next_position]:
+            del state.held[position]
+        return effects
+
+    def _drop_outputs(self, state: StageState) -> None:
+        """Forget the outputs of a stage."""
+        self.output_bytes -= OUTPUT_BYTES * len(state.outputs)
+        state.outputs.clear()
+
+    def _keep_outputs(self, state: StageState, position: int, outputs) -> None:
+        """Keep outputs within the budget; beyond it the longest are dropped."""
+        before = len(state.outputs)
+        state.outputs.append(position, outputs)
+        self.output_bytes += OUTPUT_BYTES * (len(state.outputs) - before)
+        while self.output_bytes > self.output_budget:
+            longest = max(self.stages.values(), key=lambda each: len(each.outputs))
+            self._drop_outputs(longest)
+
     def _refusal_of(self, message: OpenStage) -> OpenReply | None:
         """Return the reply that refuses an opening message, or None."""
         address = message.stages[message.index]
@@ -187,16 +225,16 @@
             kept_until=now + REVOCATION_KEPT,
         )
 
-    def _first_forward(self, state: StageState) -> RunForward:
+    def _first_forward(self, state: StageState, prompt: Prompt) -> RunForward:
         """Return the step that tokenises and runs the prompt."""
         message = state.message
         return RunForward(
             stream=message.stream,
-            attempt=message.attempt,
+            attempt=state.sequence,
             layers=state.address.layers,
             position=0,
             values=(),
-            prompt=message.prompt,
+            prompt=prompt,
             sampling=message.sampling if state.is_last else None,
             prompt_length=0,
             priority=message.priority,
@@ -215,15 +253,12 @@
             return HopVerdict.WRONG_RANGE, []
         if hop.position < state.next_position:
             return HopVerdict.REPEATED, []
-        if hop.position > state.next_position:
+        if state.paused or hop.position > state.next_position:
             if len(state.held) >= HELD_HOPS:
                 return HopVerdict.OVERFLOW, []
             state.held[hop.position] = hop
             return HopVerdict.HELD, []
-        effects = [self._forward(state, hop, now)]
-        while state.next_position in state.held:
-            following = state.held.pop(state.next_position)
-            effects.append(self._forward(state, following, now))
+        effects = [self._forward(state, hop, now), *self._run_held(state, now)]
         return HopVerdict.ACCEPTED, effects
 
     def _forward(self, state: StageState, hop: Hop, now: float) -> RunForward:
@@ -233,7 +268,7 @@
         message = state.message
         return RunForward(
             stream=hop.stream,
-            attempt=hop.attempt,
+            attempt=state.sequence,
             layers=hop.layers,
             position=hop.position,
             values=hop.values,
@@ -245,40 +280,60 @@
         )
 
     def complete(self, result: ForwardResult, now: float) -> list[Effect]:
-        """Pass on what the engine returned; results of old attempts are dropped."""
+        """Pass on what the engine returned; results of old sequences are dropped."""
         state = self.stages.get(result.stream)
-        if state is None or state.message.attempt != result.attempt:
+        if state is None or state.sequence != result.attempt:
             return []
         state.touched_at = now
+        state.prompt_length = result.prompt_length
         end = result.position + result.count
         state.next_position = max(state.next_position, end)
         state.done_position = max(state.done_position, end)
         if state.is_last:
-            return self._emit(state, result, end)
+            sampled = SampledToken(result.token, result.text)
+            self._keep_outputs(state, end - 1, [sampled])
+            sent = [] if state.paused else self._emit(state, sampled, end)
+        else:
+            self._keep_outputs(state, result.position, result.outputs)
+            sent = self._send_outputs(state, result)
+        if state.paused:
+            return []
+        return [*sent, *self._run_held(state, now)]
+
+    def _send_outputs(self, state: StageState, result: ForwardResult) -> list[Effect]:
+        """Send the outputs of a step that the next stage needs."""
+        position = max(result.position, state.send_from)
+        values = result.outputs[position - result.position :]
+        if state.paused or not values:
+            return []
+        return [self._next_hop(state, position, values)]
+
+    def _next_hop(self, state: StageState, position: int, values) -> SendHop:
+        """Return the effect that sends outputs to the next stage."""
         following = state.message.stages[state.message.index + 1]
         hop = Hop(
-            stream=result.stream,
-            attempt=result.attempt,
+            stream=state.message.stream,
+            attempt=state.message.attempt,
             layers=following.layers,
-            position=result.position,
-            values=result.outputs,
-            prompt_length=result.prompt_length,
+            position=position,
+            values=values,
+            prompt_length=state.prompt_length,
         )
-        return [SendHop(following, hop)]
+        return SendHop(following, hop)
 
     def _emit(
-        self, state: StageState, result: ForwardResult, position: int
+        self, state: StageState, sampled: SampledToken, position: int
     ) -> list[Effect]:
         """Send the sampled token to the entry and back to the first stage."""
         message = state.message
-        index = position - result.prompt_length
+        index = position - state.prompt_length
         token = Token(
-            stream=result.stream,
-            attempt=result.attempt,
+            stream=message.stream,
+            attempt=message.attempt,
             index=index,
-            token=result.token,
-            text=result.text,
-            prompt_length=result.prompt_length,
+            token=sampled.token,
+            text=sampled.text,
+            prompt_length=state.prompt_length,
         )
         effects: list[Effect] = [SendToken(message.entry_url, token)]
         made = index + 1
@@ -286,18 +341,18 @@
             return effects
         first = message.stages[0]
         back = Hop(
-            stream=result.stream,
-            attempt=result.attempt,
+            stream=message.stream,
+            attempt=message.attempt,
             layers=first.layers,
             position=position,
-            values=(result.token,),
-            prompt_length=result.prompt_length,
+            values=(sampled.token,),
+            prompt_length=state.prompt_length,
         )
+        effect = SendHop(first, back)
         if made >= state.token_limit:
-            state.waiting = SendHop(first, back)
+            state.waiting = effect
             return effects
-        effects.append(SendHop(first, back))
-        return effects
+        return [*effects, effect]
 
     def credit(
         self, stream: str, attempt: int, token_limit: int, now: float
@@ -334,7 +389,8 @@
         if state is not None and state.message.attempt <= attempt:
             started = started or state.started
             del self.stages[stream]
-            effects.append(CancelForward(stream, state.message.attempt))
+            self._drop_outputs(state)
+            effects.append(CancelForward(stream, state.sequence))
         self.revocations[stream] = Revocation(
             attempt=max(attempt, known.attempt if known else 0),
             started=started,
@@ -342,6 +398,13 @@
         )
         return RevokeReply(self.incarnation, True, started), effects
 
+    def attempt_of(self, stream: str, sequence: int) -> int:
+        """Return the attempt that uses an engine's sequence now, 0 if none does."""
+        state = self.stages.get(stream)
+        if state is None or state.sequence != sequence:
+            return 0
+        return state.message.attempt
+
     def fail(self, trouble: Trouble) -> list[Effect]:
         """Report that an attempt cannot go on, to the stream's entry."""
         state = self.stages.get(trouble.stream)
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -17,6 +17,7 @@
     SendCredit,
     SendOpen,
     SendRevoke,
+    SendStart,
 )
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.messages import (
@@ -28,15 +29,17 @@
     Revoke,
     Sampling,
     StageAddress,
+    StartStage,
     Token,
 )
 from lacewingcourse.core.pace import Pace
+from lacewingcourse.core.resume import plan_resume
 from lacewingcourse.core.stop_texts import StopMatcher
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from lacewingcourse.core.messages import RevokeReply, StageReport
+    from lacewingcourse.core.messages import KeptState, RevokeReply, StageReport
     from lacewingcourse.core.routes import Route
 
 Effect = (
@@ -48,6 +51,7 @@
     | SendCredit
     | SendOpen
     | SendRevoke
+    | SendStart
 )
 
 #: Tokens that the last stage may be ahead of the caller.
@@ -130,6 +134,9 @@
         opened: Indices of its stages that have accepted.
         delivered: Token numbers that the caller has, in order.
         texts: Texts of the delivered tokens.
+        keepable: Stages that go on in the next attempt if its route has them.
+        resuming: Whether the newest attempt goes on from an older one.
+        kept: What stages of a resumed attempt have of the older, by index.
         early: Tokens that came before their turn, by index.
         prompt_length: Tokens of the prompt, 0 while not known.
         consumed: Tokens that the caller has read.
@@ -156,6 +163,9 @@
     attempt: int = 0
     stages: tuple[StageAddress, ...] = ()
     opened: set[int] = attrs.field(factory=set)
+    keepable: set[StageAddress] = attrs.field(factory=set)
+    resuming: bool = False
+    kept: dict[int, KeptState | None] = attrs.field(factory=dict)
     delivered: list[int] = attrs.field(factory=list)
     texts: list[str] = attrs.field(factory=list)
     early: dict[int, Token] = attrs.field(factory=dict)
@@ -186,39 +196,44 @@
         """Open the stages of a new attempt, last stage first.
 
         The first stage is opened after all others have accepted, with the prompt,
-        so that no work starts before the whole route is ready.
+        so that no work starts before the whole route is ready. Stages of a resumed
+        attempt are opened together and then told what to do first.
         """
         if self.phase is not Phase.CHOOSING:
             return []
         if isinstance(route, Refusal):
             return self._no_route(route, now)
         self.route_wanted_since = None
-        self.attempt += 1
-        self.stages = tuple(
+        stages = tuple(
             StageAddress(
                 stage.endpoint, stage.agent_url, stage.incarnation, stage.layers
             )
             for stage in route.stages
         )
+        left = self._revocations(self.keepable.difference(stages))
+        self.keepable.intersection_update(stages)
+        self.stages = stages
+        self.attempt += 1
+        self.resuming = bool(self.keepable)
+        self.kept = {}
         self.opened = set()
         self.early = {}
         self.phase = Phase.OPENING
         self.progress_at = now
         self.credit = max(self.credit, self.consumed + CREDIT_WINDOW)
-        if len(self.stages) == 1:
-            return [self._open(0)]
-        return [self._open(index) for index in range(1, len(self.stages))]
+        first = 0 if self.resuming or len(self.stages) == 1 else 1
+        return [*left, *(self._open(each) for each in range(first, len(stages)))]
 
     def _no_route(self, refusal: Refusal, now: float) -> list[Effect]:
         """Try the excluded endpoints again, wait while it can help, or give up."""
         if self.excluded:
             self.excluded.clear()
-            return [ChooseRoute(frozenset(), RETRY_DELAY)]
+            return [self._choose_again(RETRY_DELAY)]
         if self.route_wanted_since is None:
             self.route_wanted_since = now
         waited = now - self.route_wanted_since
         if self.delivered and waited < self.route_patience:
-            return [ChooseRoute(frozenset(), ROUTE_INTERVAL)]
+            return [self._choose_again(ROUTE_INTERVAL)]
         return self.give_up(
             attrs.evolve(refusal, retry_after=NO_ROUTE_RETRY_AFTER), now
         )
@@ -229,7 +244,7 @@
         self.sent_to.append(target)
         request = self.request
         prompt = None
-        if index == 0:
+        if index == 0 and not self.resuming:
             prompt = Prompt(request.prompt, tuple(self.delivered))
             self.prompted.append(target)
         message = OpenStage(
@@ -244,6 +259,7 @@
             sampling=request.sampling,
             token_limit=self.credit,
             prompt=prompt,
+            resume=self.resuming,
         )
         return SendOpen(target, message)
 
@@ -265,23 +281,70 @@
             reached: Whether the message may have reached the agent.
         """
         if not reached and attempt == self.attempt and index == 0:
-            self.prompted.remove(self.stages[0])
+            if not self.resuming:
+                self.prompted.remove(self.stages[0])
         if self.phase is not Phase.OPENING or attempt != self.attempt:
             return []
         if not reply.accepted:
             return self._retry((self.stages[index].endpoint,), reply.kind, now)
         self.opened.add(index)
         self.progress_at = now
+        if self.resuming:
+            self.kept[index] = reply.kept
+            return self._start_stages(now) if len(self.kept) == len(self.stages) else []
         if index == 0:
-            self.phase = Phase.RUNNING
-            self.ask_at = now + FIRST_SILENCE
-            self.unanswered = 0
-            self.reports = None
+            self._run(now)
+            self.keepable = set(self.stages)
             return []
         if len(self.opened) == len(self.stages) - 1:
             return [self._open(0)]
         return []
 
+    def _run(self, now: float) -> None:
+        """Wait for tokens of the newest attempt."""
+        self.phase = Phase.RUNNING
+        self.ask_at = now + FIRST_SILENCE
+        self.unanswered = 0
+        self.reports = None
+
+    def _start_stages(self, now: float) -> list[Effect]:
+        """Tell each stage of a resumed attempt what it does first."""
+        self._run(now)
+        self.keepable = set()
+        kept = [self.kept[index] for index in range(len(self.stages))]
+        plans = plan_resume(kept, self.prompt_length, self.delivered)
+        effects: list[Effect] = []
+        for index, (stage, plan) in enumerate(zip(self.stages, plans, strict=True)):
+            prompt = None
+            if plan.with_prompt:
+                prompt = Prompt(self.request.prompt, tuple(self.delivered))
+                self.prompted.append(stage)
+            message = StartStage(
+                stream=self.request.stream,
+                attempt=self.attempt,
+                incarnation=stage.incarnation,
+                keep=plan.keep,
+                send_from=plan.send_from,
+                prompt=prompt,
+                inputs=plan.inputs,
+            )
+            effects.append(SendStart(index, stage, message))
+        return effects
+
+    def on_start_reply(
+        self, attempt: int, index: int, reply: OpenReply, now: float
+    ) -> list[Effect]:
+        """Note that a stage of a resumed attempt has started, or start over."""
+        if attempt != self.attempt or self.phase is not Phase.RUNNING:
+            return []
+        if reply.accepted:
+            self.keepable.add(self.stages[index])
+            return []
+        if reply.kind is ErrorKind.UNKNOWN_STREAM:
+            self.keepable.clear()
+            return self._retry((), reply.kind, now)
+        return self._retry((self.stages[index].endpoint,), reply.kind, now)
+
     def on_token(self, token: Token, now: float) -> list[Effect]:
         """Deliver a token if it is the next; hold it if early, else drop it."""
         if token.attempt != self.attempt:
@@ -405,12 +468,20 @@
         """Ask for a route without some endpoints, or give up."""
         self.excluded.update(endpoints)
         self.fruitless += 1
-        effects = self._revocations(self.stages)
+        self.keepable = {
+            stage for stage in self.keepable if stage.endpoint not in self.excluded
+        }
+        effects = self._revocations(set(self.stages) - self.keepable)
         if self.fruitless >= MAX_FRUITLESS:
             refusal = Refusal(kind or ErrorKind.STAGE_LOST, "too many stages were lost")
             return self.give_up(refusal, now)
         self.phase = Phase.CHOOSING
-        return [*effects, ChooseRoute(frozenset(self.excluded), self._retry_delay())]
+        return [*effects, self._choose_again(self._retry_delay())]
+
+    def _choose_again(self, delay: float) -> ChooseRoute:
+        """Return the effect that asks for the next route."""
+        stages = self.stages if self.keepable else ()
+        return ChooseRoute(frozenset(self.excluded), delay, stages)
 
     def _retry_delay(self) -> float:
         """Return the seconds before the next attempt."""
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
 from loguru import logger
 
 from lacewingcourse.core.effects import (
@@ -16,6 +17,7 @@
     SendCredit,
     SendOpen,
     SendRevoke,
+    SendStart,
 )
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.messages import (
@@ -33,6 +35,7 @@
 
     from lacewingcourse.core.burn_ends import AnswerMeter
     from lacewingcourse.core.errors import ErrorKind as Kind
+    from lacewingcourse.core.routes import Route
     from lacewingcourse.core.streams import Effect, StreamRequest
     from lacewingcourse.entry.application import Entry
 
@@ -99,6 +102,8 @@
                     self.entry.spawn(self._open(effect))
                 case SendRevoke():
                     self.entry.spawn(self._revoke(effect))
+                case SendStart():
+                    self.entry.spawn(self._start(effect))
                 case SendCredit():
                     self.entry.spawn(self._credit(effect))
                 case DeliverToken():
@@ -117,7 +122,7 @@
         if effect.delay > 0:
             self.entry.spawn(self._choose_later(effect))
             return
-        route = self.entry.choose_route(self.state.request, effect.excluded)
+        route = self._route(effect)
         self.perform(self.state.begin(route, self.entry.now()))
         if self.state.phase is Phase.OPENING:
             self._count_attempt()
@@ -131,7 +136,16 @@
 
     async def _choose_later(self, effect: ChooseRoute) -> None:
         await asyncio.sleep(effect.delay)
-        self._choose(ChooseRoute(effect.excluded))
+        self._choose(attrs.evolve(effect, delay=0.0))
+
+    def _route(self, effect: ChooseRoute) -> Route | Refusal:
+        """Return the mended route if stages can be replaced, else a new one."""
+        request = self.state.request
+        if effect.stages:
+            mended = self.entry.dispatcher.mend(request, effect.stages, effect.excluded)
+            if mended is not None:
+                return mended
+        return self.entry.choose_route(request, effect.excluded)
 
     async def _ask(self, effect: AskReport) -> None:
         """Ask a stage how far it has come."""
@@ -165,6 +179,20 @@
             )
         )
 
+    async def _start(self, effect: SendStart) -> None:
+        """Start a stage of a resumed attempt."""
+        message = effect.message
+        reply = await self._send(
+            effect.target.agent_url, paths.START_STAGE, message, OpenReply
+        )
+        if isinstance(reply, Refusal):
+            reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
+        self.perform(
+            self.state.on_start_reply(
+                message.attempt, effect.index, reply, self.entry.now()
+            )
+        )
+
     async def _revoke(self, effect: SendRevoke) -> None:
         """Revoke an attempt; repeat it in the background to release the stage."""
         delay = REVOKE_DELAY
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -5,11 +5,13 @@
 from typing import TYPE_CHECKING
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.routes import POLICIES, RouteRequest
+from lacewingcourse.core.resume import replacements
+from lacewingcourse.core.routes import POLICIES, Route, RouteRequest, stage_of
 
 if TYPE_CHECKING:
     from lacewingcourse.core.estimates import LoadReport
-    from lacewingcourse.core.routes import Dispatch, Fleet, Route
+    from lacewingcourse.core.messages import StageAddress
+    from lacewingcourse.core.routes import Dispatch, Fleet
     from lacewingcourse.core.streams import StreamRequest
     from lacewingcourse.entry.application import Entry
 
@@ -67,6 +69,35 @@
             self.dispatches[request.stream] = dispatch
         return route
 
+    def mend(
+        self,
+        request: StreamRequest,
+        stages: tuple[StageAddress, ...],
+        excluded: frozenset[str],
+    ) -> Route | None:
+        """Return a route with its excluded stages replaced, or None if none can."""
+        avoided = excluded.union(stage.endpoint for stage in stages)
+        mended = []
+        for stage in stages:
+            known = self.fleet.get(stage.endpoint)
+            current = known is not None and known.incarnation == stage.incarnation
+            if stage.endpoint not in excluded and current and known.ready:
+                mended.append(stage_of(known, stage.layers.first, stage.layers.end))
+                continue
+            able = replacements(
+                self.fleet.values(), request.model, stage.layers, avoided
+            )
+            if not able:
+                return None
+            pair = self.entry.rng.sample(able, min(2, len(able)))
+            chosen = min(pair, key=lambda endpoint: endpoint.load.running)
+            avoided = avoided.union({chosen.id})
+            mended.append(stage_of(chosen, stage.layers.first, stage.layers.end))
+        route = Route(tuple(mended))
+        self.release(request.stream)
+        self.dispatches[request.stream] = self.fleet.dispatch(route, 1)
+        return route
+
     def release(self, stream: str) -> None:
         """Note that a stream has left its route."""
         dispatch = self.dispatches.pop(stream, None)
--- a/packages/wire/src/lacewingcourse/wire/paths.py
+++ b/packages/wire/src/lacewingcourse/wire/paths.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 OPEN_STAGE = "/wire/open"
+START_STAGE = "/wire/start"
 HOPS = "/wire/hops"
 REVOKE = "/wire/revoke"
 CREDIT = "/wire/credit"
