--- a/packages/agent/src/lacewingcourse/agent/engine.py
+++ b/packages/agent/src/lacewingcourse/agent/engine.py
@@ -1,9 +1,7 @@
-"""Client of a model engine, and the order in which work is given to it."""
+"""Client of a model engine."""
 
 from __future__ import annotations
 
-import heapq
-import itertools
 from typing import TYPE_CHECKING
 
 import attrs
@@ -134,8 +132,13 @@
     return f"{stream}.{attempt}"
 
 
-def item_of(effect: RunForward) -> ForwardItem:
-    """Return the engine's item for a step that a decision asked for."""
+def item_of(effect: RunForward, due_at: float) -> ForwardItem:
+    """Return the engine's item for a step that a decision asked for.
+
+    Args:
+        effect: The step.
+        due_at: When it should be done, seconds; the engine runs the earliest first.
+    """
     sampling = effect.sampling
     values = effect.values
     prompt = None
@@ -151,7 +154,7 @@
         sample=sampling is not None,
         temperature=sampling.temperature if sampling else 0.0,
         seed=sampling.seed if sampling else 0,
-        priority=effect.priority,
+        priority=due_at,
     )
 
 
@@ -212,56 +215,3 @@
 
     def _failed(self, response) -> Refusal:
         return Refusal(ErrorKind.ENDPOINT_FAILED, str(response.error), Outcome.UNKNOWN)
-
-
-class ForwardQueue:
-    """Work that waits for the engine, in order of priority, then of arrival.
-
-    Attributes:
-        heap: The waiting work.
-    """
-
-    def __init__(self) -> None:
-        self.heap: list[tuple[float, int, RunForward]] = []
-        self._order = itertools.count()
-
-    def __len__(self) -> int:
-        return len(self.heap)
-
-    def positions(self) -> int:
-        """Return the positions that wait."""
-        return sum(max(1, len(entry[2].values)) for entry in self.heap)
-
-    def next_is_solo(self) -> bool:
-        """Tell whether the work that comes first has to run alone."""
-        return bool(self.heap) and self.heap[0][2].solo
-
-    def push(self, effect: RunForward) -> None:
-        """Add work."""
-        heapq.heappush(self.heap, (effect.priority, next(self._order), effect))
-
-    def take(self, limit: int) -> list[RunForward]:
-        """Remove and return the work that comes first; solo work comes by itself."""
-        taken: list[RunForward] = []
-        while self.heap and len(taken) < limit:
-            if self.heap[0][2].solo and taken:
-                break
-            taken.append(heapq.heappop(self.heap)[2])
-            if taken[-1].solo:
-                break
-        return taken
-
-    def clear(self) -> list[RunForward]:
-        """Remove and return all work."""
-        waiting = [entry[2] for entry in self.heap]
-        self.heap = []
-        return waiting
-
-    def drop(self, stream: str, attempt: int) -> None:
-        """Remove the work of an attempt."""
-        self.heap = [
-            entry
-            for entry in self.heap
-            if (entry[2].stream, entry[2].attempt) != (stream, attempt)
-        ]
-        heapq.heapify(self.heap)
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -4,9 +4,12 @@
 
 import attrs
 
-from lacewingcourse.core.errors import ErrorKind
+from lacewingcourse.core.claims import Permission, Verdict
+from lacewingcourse.core.errors import ErrorKind, Outcome
 from lacewingcourse.core.messages import (
     Call,
+    Claim,
+    ClaimReply,
     Credit,
     HopBatch,
     HopBatchReply,
@@ -14,7 +17,10 @@
     OpenStage,
     ReportRequest,
     Revoke,
+    RevokeCall,
     RevokeReply,
+    Settle,
+    SettleReply,
     StartStage,
     Status,
     TokenBatchReply,
@@ -35,7 +41,12 @@
             kind, reason = ErrorKind.ENDPOINT_FAILED, "the engine does not answer"
             self.reply(OpenReply(False, daemon.incarnation, kind, reason))
             return
+        kind = daemon.stages.refusal_of(message)
+        if kind is not None:
+            self.reply(OpenReply(False, daemon.incarnation, kind, "no capacity"))
+            return
         reply, effects = daemon.stages.gate.open(message, daemon.now())
+        daemon.metrics.on_open(reply)
         daemon.stages.perform(effects)
         self.reply(attrs.evolve(reply, load=daemon.stages.load()))
 
@@ -72,6 +83,7 @@
         for hop in batch.hops:
             verdict, effects = daemon.stages.gate.receive(hop, daemon.now())
             verdicts.append(verdict)
+            daemon.metrics.on_hop(verdict)
             daemon.stages.perform(effects)
         self.reply(HopBatchReply(daemon.incarnation, True, tuple(verdicts)))
 
@@ -91,6 +103,7 @@
             message.stream, message.attempt, daemon.now()
         )
         daemon.stages.perform(effects)
+        daemon.metrics.revocations.inc()
         self.reply(reply)
 
 
@@ -129,7 +142,58 @@
         call = self.message(Call)
         if call is None:
             return
-        self.reply(await self.daemon.calls.run(call))
+        reply = await self.daemon.calls.run(call)
+        self.daemon.metrics.on_call(reply)
+        self.reply(reply)
+
+
+class RevokeCallHandler(WireHandler):
+    """Revokes a call of the plain service."""
+
+    def post(self) -> None:
+        message = self.message(RevokeCall)
+        if message is not None:
+            self.reply(self.daemon.calls.revoke(message))
+
+
+class ClaimHandler(WireHandler):
+    """Claims a key for a request that an entry runs."""
+
+    async def post(self) -> None:
+        claim = self.message(Claim)
+        if claim is None:
+            return
+        if self.daemon.journal is None:
+            kind = ErrorKind.CLAIM_UNAVAILABLE
+            reason = "the endpoint has not answered yet"
+            self.reply(ClaimReply(self.daemon.incarnation, kind=kind, reason=reason))
+            return
+        verdict = await self.daemon.journal.claim(claim, leased=True)
+        self.reply(claim_reply(verdict, self.daemon.incarnation))
+
+
+class SettleHandler(WireHandler):
+    """Takes an entry's word on how a granted claim ended."""
+
+    def post(self) -> None:
+        message = self.message(Settle)
+        if message is None:
+            return
+        journal = self.daemon.journal
+        known = journal is not None and journal.take_settle(message)
+        self.reply(SettleReply(self.daemon.incarnation, known))
+
+
+def claim_reply(verdict: Verdict, incarnation: str) -> ClaimReply:
+    """Return the message that tells an entry of a verdict."""
+    if verdict.permission is Permission.GRANTED:
+        return ClaimReply(incarnation, granted=True)
+    if verdict.permission is Permission.REPLAYED:
+        return ClaimReply(incarnation, answer=verdict.answer, outcome=Outcome.RAN)
+    refusal = verdict.refusal
+    return ClaimReply(
+        incarnation, kind=refusal.kind, reason=refusal.reason, outcome=refusal.outcome
+    )
 
 
 AGENT_ROUTES = [
@@ -141,4 +205,7 @@
     (paths.REPORT, ReportHandler),
     (paths.STATUS, StatusHandler),
     (paths.CALL, CallHandler),
+    (paths.REVOKE_CALL, RevokeCallHandler),
+    (paths.CLAIM, ClaimHandler),
+    (paths.SETTLE, SettleHandler),
 ]
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -14,7 +14,7 @@
     EngineCrash,
     EngineState,
     ForwardOutput,
-    ForwardQueue,
+    ForwardReply,
     item_of,
     sequence_of,
 )
@@ -29,6 +29,13 @@
 from lacewingcourse.core.estimates import EndpointEstimates
 from lacewingcourse.core.messages import StageReport, Trouble
 from lacewingcourse.core.poison import CrashedItem, suspects_of
+from lacewingcourse.core.queueing import (
+    AgentLoad,
+    ForwardQueue,
+    QueuedForward,
+    due_at,
+    refusal_kind,
+)
 from lacewingcourse.core.stage_state import ForwardResult
 from lacewingcourse.core.stages import StageGate
 from lacewingcourse.core.step_times import StepTimes
@@ -38,7 +45,12 @@
 
     from lacewingcourse.agent.application import Agent
     from lacewingcourse.core.estimates import LoadReport
-    from lacewingcourse.core.messages import Credit, ReportRequest, Status
+    from lacewingcourse.core.messages import (
+        Credit,
+        OpenStage,
+        ReportRequest,
+        Status,
+    )
     from lacewingcourse.core.stages import Effect
 
 #: Seconds between two looks for late steps.
@@ -111,7 +123,9 @@
         self.engine_late = False
         self.crashes = 0
         self.courier = Courier(self)
-        self.estimates = EndpointEstimates(self.settings.batch_items)
+        self.estimates = EndpointEstimates(
+            self.settings.batch_items, self.settings.max_streams
+        )
         self.present = 0
         self.sources = 0
 
@@ -140,7 +154,10 @@
     def load(self) -> LoadReport:
         """Return what was learned of the engine's speed and load."""
         return self.estimates.report(
-            self.queue.positions(), self.sources, len(self.gate.stages)
+            self.queue.positions(),
+            self.sources,
+            len(self.gate.stages),
+            self.agent.now(),
         )
 
     def perform(self, effects: Iterable[Effect]) -> None:
@@ -148,7 +165,7 @@
         for effect in effects:
             match effect:
                 case RunForward():
-                    self.queue.push(effect)
+                    self._push(effect)
                 case CancelForward():
                     self.queue.drop(effect.stream, effect.attempt)
                     sequence = sequence_of(effect.stream, effect.attempt)
@@ -161,10 +178,29 @@
                     self.courier.put_trouble(effect.entry_url, effect.trouble)
         self._feed_engine()
 
+    def refusal_of(self, message: OpenStage) -> ErrorKind | None:
+        """Return why a new stream is not let in, or None."""
+        if message.stream in self.gate.stages:
+            return None
+        backlog = self.queue.positions() * self.estimates.fit.position
+        load = AgentLoad(len(self.gate.stages), self.settings.max_streams, backlog)
+        return refusal_kind(message, load)
+
+    def _push(self, effect: RunForward) -> None:
+        """Queue work with the time at which it is due."""
+        stage = self.gate.stages.get(effect.stream)
+        pace = stage.message.pace if stage is not None else 0.0
+        positions = len(effect.values)
+        if effect.prompt is not None:
+            positions = self.estimates.prompt_positions(len(effect.prompt.text))
+            positions += len(effect.prompt.delivered)
+        self.queue.push(effect, due_at(effect, pace, self.agent.now()), positions)
+
     def _feed_engine(self) -> None:
         """Give waiting work to the engine while it has room."""
         while self.queue and self._engine_has_room():
-            batch = self.queue.take(self.settings.batch_items)
+            queued = self.queue.take(self.settings.batch_items)
+            batch = [entry.effect for entry in queued]
             now = self.agent.now()
             positions = sum(positions_of(work) for work in batch)
             allowance = self.step_times.allowance(
@@ -176,7 +212,7 @@
             self.estimates.on_load(
                 self.present + len(self.queue), len(self.gate.stages)
             )
-            self.agent.spawn(self._step(step))
+            self.agent.spawn(self._step(step, queued))
 
     def _engine_has_room(self) -> bool:
         """Tell whether the work that comes first may be given to the engine."""
@@ -186,20 +222,23 @@
             return False
         return len(self.steps) < self.settings.steps_in_flight
 
-    async def _step(self, step: StepInFlight) -> None:
+    async def _step(self, step: StepInFlight, queued: list[QueuedForward]) -> None:
         """Run one batch on the engine and pass its results on."""
         batch = step.batch
+        items = tuple(item_of(entry.effect, entry.due_at) for entry in queued)
         try:
-            reply = await self.engine.forward(tuple(item_of(work) for work in batch))
+            reply = await self.engine.forward(items)
         finally:
             self.present -= len(batch)
         if isinstance(reply, EngineCrash):
             self._on_crash(reply)
         self.steps.discard(step)
+        failed = not isinstance(reply, ForwardReply)
+        self.agent.metrics.on_step(len(batch), None if failed else reply.step_time)
         if isinstance(reply, EngineCrash):
             self._feed_engine()
             return
-        if isinstance(reply, Refusal):
+        if failed:
             self._fail_batch(batch, reply)
             return
         positions = sum(output.count for output in reply.items)
@@ -261,6 +300,7 @@
 
     def _complete(self, work: RunForward, output: ForwardOutput) -> None:
         """Pass on the result of one item."""
+        self.agent.metrics.tokens.inc(output.token is not None)
         if output.error:
             self._report(work, output.error)
             return
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -99,6 +99,7 @@
         sampling: How tokens are chosen.
         priority: Lower runs sooner.
         entry_url: Where agents reach this entry.
+        pace: Seconds between tokens that the class asks for, 0.0 for none.
     """
 
     stream: str
@@ -109,6 +110,7 @@
     sampling: Sampling
     priority: float
     entry_url: str
+    pace: float = 0.0
 
 
 def same_agent(one: StageAddress, other: StageAddress) -> bool:
@@ -260,6 +262,7 @@
             token_limit=self.credit,
             prompt=prompt,
             resume=self.resuming,
+            pace=request.pace,
         )
         return SendOpen(target, message)
 
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -15,6 +15,7 @@
 from lacewingcourse.core.streams import StreamRequest
 from lacewingcourse.daemon.handlers import problem_of
 from lacewingcourse.entry.caller import CLASS_HEADER, CallerHandler
+from lacewingcourse.entry.keyed import answer_of
 from lacewingcourse.entry.openai import parse_chat, parse_completion
 
 if TYPE_CHECKING:
@@ -53,6 +54,7 @@
     def initialize(self, daemon: Any) -> None:
         super().initialize(daemon)
         self.driver: AnswerDriver | None = None
+        self.waiting = ""
 
     async def post(self) -> None:
         checked = self._checked()
@@ -71,7 +73,12 @@
         )
         work_class = self.daemon.configuration.classes.get(request.work_class)
         self.record.describe(work_class, request.model)
-        self.driver = self.daemon.answer(request)
+        self.waiting = request.stream
+        driver = await answer_of(self, request)
+        if isinstance(driver, Refusal):
+            self.refuse(driver)
+            return
+        self.driver = driver
         self.driver.meter = self.record.meter
         try:
             await self._answer(checked)
@@ -127,7 +134,7 @@
                     choice = self.whole_choice("".join(texts), event.reason)
                     self.reply(self._document(request, [choice], self.usage()))
                 case FailAnswer():
-                    self.refuse(event.refusal)
+                    self.refuse(self.daemon.admission.with_retry_after(event.refusal))
 
     async def _answer_events(self, request: CompletionRequest) -> None:
         """Send the answer token by token."""
@@ -154,7 +161,9 @@
                     self.finish()
                 case FailAnswer():
                     if first:
-                        self.refuse(event.refusal)
+                        self.refuse(
+                            self.daemon.admission.with_retry_after(event.refusal)
+                        )
                         continue
                     self.record.refuse(event.refusal)
                     problem = problem_of(event.refusal)
@@ -206,6 +215,8 @@
         super().on_connection_close()
         if self.driver is not None:
             self.daemon.forget(self.driver)
+        else:
+            self.daemon.admission.leave(self.waiting)
 
 
 class CompletionHandler(GenerationHandler):
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -16,16 +16,21 @@
 from lacewingcourse.core.messages import Credit
 from lacewingcourse.core.streams import Phase
 from lacewingcourse.daemon.daemon import Daemon, Readiness
+from lacewingcourse.entry.admission import AdmissionControl
 from lacewingcourse.entry.answers import AnswerDriver
 from lacewingcourse.entry.api import API_ROUTES
 from lacewingcourse.entry.burn_log import BurnLog
+from lacewingcourse.entry.call_sender import CallSender
 from lacewingcourse.entry.directory import Directory
 from lacewingcourse.entry.dispatcher import Dispatcher
 from lacewingcourse.entry.follower import ConfigurationFollower
+from lacewingcourse.entry.home_keeper import HomeKeeper
+from lacewingcourse.entry.keyed import KeyedAnswers
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
 from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
+from lacewingcourse.entry.state_api import STATE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
 from lacewingcourse.platform.instances import InstanceListClient
 from lacewingcourse.platform.log import LogClient
@@ -50,12 +55,14 @@
         readiness: Whether it takes new work.
         streams: Answers in flight.
         endpoints: What it knows of the endpoints.
+        homes_complete: Whether every key has a home.
     """
 
     instance: str
     readiness: Readiness
     streams: int
     endpoints: tuple[EndpointState, ...]
+    homes_complete: bool
 
 
 class Entry(Daemon):
@@ -67,9 +74,13 @@
         answers: Answers in flight by stream.
         dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
+        admission: Lets requests start, wait or be refused.
         calls_running: Plain calls in flight.
         outcomes: Counts how requests end.
         burn_log: Keeps summaries of the counts in the log.
+        homes: Which agents are homes of keys.
+        calls: Sends plain calls.
+        keyed: Answers of requests with a key.
     """
 
     metrics_class = EntryMetrics
@@ -82,6 +93,7 @@
         self.answers: dict[str, AnswerDriver] = {}
         self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
+        self.admission = AdmissionControl(self)
         self.calls_running = 0
         run = secrets.token_hex(8)
         self.outcomes = Outcomes(settings.instance_id, run, self.metrics)
@@ -93,6 +105,9 @@
         )
         self.follower.log.observe = self.metrics.on_log
         self.metrics.watch(self)
+        self.homes = HomeKeeper(self)
+        self.calls = CallSender(self)
+        self.keyed = KeyedAnswers(self)
 
     @property
     def configuration(self) -> Configuration:
@@ -101,6 +116,7 @@
 
     def routes(self) -> list[tuple]:
         routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES + REPORT_ROUTES
+        routes += STATE_ROUTES
         return [(path, handler, {"daemon": self}) for path, handler in routes]
 
     def readiness(self) -> Readiness:
@@ -117,13 +133,16 @@
             readiness=self.readiness(),
             streams=len(self.answers),
             endpoints=tuple(self.directory.endpoints.values()),
+            homes_complete=self.homes.complete(),
         )
 
     async def start_tasks(self) -> None:
         self.spawn(self.follower.follow())
+        self.homes.start()
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
+        self.spawn(self.admission.review_for_ever())
         self.spawn(self.burn_log.append_for_ever())
 
     async def _check_progress_for_ever(self) -> None:
@@ -166,9 +185,18 @@
     def forget(self, driver: AnswerDriver) -> None:
         """End a streamed answer."""
         driver.abandon()
-        self.dispatcher.release(driver.stream)
+        self.free(driver)
         self.answers.pop(driver.stream, None)
 
+    def free(self, driver: AnswerDriver) -> None:
+        """Give free what a streamed answer that has ended occupied."""
+        self.dispatcher.release(driver.stream)
+        failure = driver.state.failure
+        whole = failure is None
+        if failure is not None and failure.kind is ErrorKind.CALLER_GONE:
+            whole = None
+        self.admission.on_end(driver.stream, whole)
+
     def take_tokens(self, batch: TokenBatch) -> tuple[Credit, ...]:
         """Hand tokens to their answers; end attempts that nobody waits for."""
         credits = []
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -5,12 +5,11 @@
 import fnmatch
 import hashlib
 import json
-import os
 import secrets
+import shutil
 import tempfile
 import time
 from pathlib import Path
-from typing import Any
 from urllib.request import urlopen
 
 import attrs
@@ -27,6 +26,7 @@
 from lacewingcourse.testing.layout import ZONES, EndpointPlan, plan_endpoints
 from lacewingcourse.testing.processes import (
     Process,
+    WaitTimeout,
     free_ports,
     python_command,
     stop_all,
@@ -43,10 +43,16 @@
 SERVICE = "tally"
 #: Organisations of a local deployment.
 ORGANISATIONS = ("blue-mahoe", "regie")
+#: Seconds that a leaving agent waits for the log, which may have ended before it.
+HANDOVER_TIMEOUT = "1"
 #: Seconds in which a local deployment must be ready.
 START_TIMEOUT = 30.0
 
 
+class StartError(Exception):
+    """A deployment could not be started."""
+
+
 @attrs.frozen
 class DeploymentOptions:
     """What a local deployment consists of.
@@ -54,6 +60,7 @@
     Attributes:
         entries: Entries.
         endpoints: Endpoints of the model.
+        services: Endpoints of the plain service.
         layers: Layers of the model.
         step_time: Seconds of an engine's step.
         verbose: Whether the processes' log lines are shown.
@@ -62,11 +69,13 @@
         proxied: Names of processes, or patterns such as `agent-*`, that others reach
             through the fault proxy only. The names are `entry-1`,
             `agent-endpoint-1`, `engine-endpoint-1`, `agent-tally-1`,
-            `service-tally`, `log-service`, `instance-list`, `weight-store`.
+            `service-tally`, `service-tally-2`, `log-service`, `instance-list`,
+            `weight-store`.
     """
 
     entries: int = 1
     endpoints: int = 4
+    services: int = 1
     layers: int = 24
     step_time: float = 0.004
     verbose: bool = False
@@ -103,7 +112,7 @@
         keys: Key of each organisation.
         platform: Stand-ins of the platform by name.
         endpoints: Endpoints of the model.
-        service: The plain service and its agent.
+        services: Endpoints of the plain service.
         entries: The entries.
         fault_proxy: The fault proxy, or None if nothing is proxied.
     """
@@ -115,15 +124,20 @@
         self.keys = {name: f"key-{secrets.token_hex(12)}" for name in ORGANISATIONS}
         self.platform: dict[str, Process] = {}
         self.endpoints: list[EndpointProcesses] = []
-        self.service: EndpointProcesses | None = None
+        self.services: list[EndpointProcesses] = []
         self.entries: list[Process] = []
         self.fault_proxy: Process | None = None
         self.log_directory = Path(tempfile.mkdtemp(prefix="lacewingcourse-"))
 
+    @property
+    def service(self) -> EndpointProcesses:
+        """The first endpoint of the plain service."""
+        return self.services[0]
+
     def processes(self) -> list[Process]:
         """Return all processes, callers' side first."""
         found = list(self.entries)
-        pairs = [*self.endpoints, *([self.service] if self.service else [])]
+        pairs = [*self.endpoints, *self.services]
         for pair in pairs:
             found.append(pair.agent)
         for pair in pairs:
@@ -132,19 +146,42 @@
         return [*found, self.fault_proxy] if self.fault_proxy else found
 
     def up(self) -> None:
-        """Start everything and wait until it is ready."""
-        if self.options.proxied:
-            self._start_proxy()
-        self._start_platform()
-        self._start_endpoints()
-        self._start_entries()
-        self._list_instances()
-        self._publish()
-        wait_until(self.ready, START_TIMEOUT, "the deployment is not ready")
-
-    def down(self) -> None:
-        """Stop everything."""
+        """Start everything and wait until it is ready.
+
+        Raises:
+            StartError: A process ended or was not ready in time.
+        """
+        try:
+            if self.options.proxied:
+                self._start_proxy()
+            self._start_platform()
+            self._start_endpoints()
+            self._start_entries()
+            self._list_instances()
+            self._publish()
+            self._wait_until(self.ready, "the deployment is not ready")
+        except WaitTimeout as error:
+            raise StartError(f"{error}; logs are in {self.log_directory}") from error
+
+    def down(self, keep_logs: bool = False) -> None:
+        """Stop everything and remove the log files unless they are wanted."""
         stop_all(self.processes())
+        if not keep_logs:
+            shutil.rmtree(self.log_directory, ignore_errors=True)
+
+    def _wait_until(self, condition, what: str) -> None:
+        """Wait until a condition holds while all processes run."""
+
+        def holds() -> bool:
+            for process in self.processes():
+                if not process.alive():
+                    raise StartError(
+                        f"{process.name} ended: {process.last_line()}; "
+                        f"logs are in {self.log_directory}"
+                    )
+            return condition()
+
+        wait_until(holds, START_TIMEOUT, what)
 
     def proxy(self, name: str) -> ProxyLink:
         """Return the link of the fault proxy before a process."""
@@ -160,15 +197,13 @@
         )
 
     def _daemons(self) -> list[Process]:
-        pairs = [*self.endpoints, *([self.service] if self.service else [])]
+        pairs = [*self.endpoints, *self.services]
         return [*self.entries, *(pair.agent for pair in pairs)]
 
     def _start_proxy(self) -> None:
         self.fault_proxy = self._standin("fault-proxy", "proxy")
-        wait_until(
-            lambda: self.fault_proxy.ready("/healthz"),
-            START_TIMEOUT,
-            "the fault proxy is not ready",
+        self._wait_until(
+            lambda: self.fault_proxy.ready("/healthz"), "the fault proxy is not ready"
         )
 
     def _urls(self, name: str) -> tuple[str, str]:
@@ -201,9 +236,8 @@
             "instance_list": self._standin("instance-list", "instances"),
             "weight_store": self._standin("weight-store", "weights"),
         }
-        wait_until(
+        self._wait_until(
             lambda: all(each.ready("/healthz") for each in self.platform.values()),
-            START_TIMEOUT,
             "the platform is not ready",
         )
 
@@ -235,14 +269,20 @@
             )
             agent = self._agent(plan, engine, {})
             self.endpoints.append(EndpointProcesses(plan, engine, agent))
-        plan = EndpointPlan("tally-1", ZONES[0], None)
+        for number in range(1, options.services + 1):
+            self.services.append(self._start_service(number))
+
+    def _start_service(self, number: int) -> EndpointProcesses:
+        suffix = "" if number == 1 else f"-{number}"
+        zone = ZONES[(number - 1) % len(ZONES)]
+        plan = EndpointPlan(f"{SERVICE}-{number}", zone, None)
         service = self._standin(
-            "service-tally",
+            f"service-{SERVICE}{suffix}",
             "tally",
-            f"--tallies={self.log_directory / 'tallies.jsonl'}",
+            f"--tallies={self.log_directory / f'tallies{suffix}.jsonl'}",
         )
         agent = self._agent(plan, service, {"LACEWINGCOURSE_SERVICE": SERVICE})
-        self.service = EndpointProcesses(plan, service, agent)
+        return EndpointProcesses(plan, service, agent)
 
     def _agent(self, plan: EndpointPlan, engine: Process, variables) -> Process:
         return self._daemon(
@@ -251,6 +291,7 @@
             plan.availability_zone,
             {
                 "LACEWINGCOURSE_ENDPOINT_URL": engine.url,
+                "LACEWINGCOURSE_HANDOVER_TIMEOUT": HANDOVER_TIMEOUT,
                 **self.options.agent_variables,
                 **variables,
             },
@@ -267,7 +308,7 @@
             self.entries.append(entry)
 
     def _list_instances(self) -> None:
-        for pair in [*self.endpoints, self.service]:
+        for pair in [*self.endpoints, *self.services]:
             self.list_instance(pair, InstanceState.LIVE)
         for index, entry in enumerate(self.entries):
             zone = ZONES[index % len(ZONES)]
@@ -314,7 +355,7 @@
 
     def ready(self) -> bool:
         """Tell whether every process is ready and every entry knows all endpoints."""
-        pairs = [*self.endpoints, self.service]
+        pairs = [*self.endpoints, *self.services]
         if not all(pair.agent.ready() for pair in pairs):
             return False
         return all(entry.ready() and self._knows_all(entry) for entry in self.entries)
@@ -324,40 +365,5 @@
             state = json.load(response)
         ready = [each for each in state["endpoints"] if each["ready"]]
         version = state["readiness"]["configuration_version"]
-        return version > 0 and len(ready) == len(self.endpoints) + 1
-
-    def describe(self) -> dict[str, Any]:
-        """Return the deployment as its state file shows it."""
-        return {
-            "pid": os.getpid(),
-            "entries": [{"url": each.url, "pid": each.pid} for each in self.entries],
-            "endpoints": [self._describe_endpoint(pair) for pair in self.endpoints],
-            "services": [
-                {
-                    "name": SERVICE,
-                    "url": self.service.engine.url,
-                    "pid": self.service.engine.pid,
-                    "agent_url": self.service.agent.url,
-                    "agent_pid": self.service.agent.pid,
-                }
-            ],
-            "models": [MODEL],
-            "platform": {name: each.url for name, each in self.platform.items()},
-            "organisations": [
-                {"name": name, "key": key} for name, key in self.keys.items()
-            ],
-            "admin_token": self.admin_token,
-        }
-
-    def _describe_endpoint(self, pair: EndpointProcesses) -> dict[str, Any]:
-        layers = pair.plan.layers
-        return {
-            "id": pair.plan.id,
-            "availability_zone": pair.plan.availability_zone,
-            "model": MODEL,
-            "layers": [layers.first, layers.end],
-            "url": pair.engine.url,
-            "pid": pair.engine.pid,
-            "agent_url": pair.agent.url,
-            "agent_pid": pair.agent.pid,
-        }
+        known = len(ready) == len(self.endpoints) + len(self.services)
+        return version > 0 and known and state["homes_complete"]
--- a/tests/integration/test_burn.py
+++ b/tests/integration/test_burn.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import json
+import os
 import secrets
+import subprocess
+import sys
 import time
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
@@ -36,7 +39,7 @@
 GUARD = 30.0
 #: Requests of the traffic that end in each entry.
 ENDS_OF_AN_ENTRY = 5
-ROOMS = WorkClass("rooms", first_token=20.0, answer=0.000001, completeness=0.99)
+ROOMS = WorkClass("rooms", first_token=20.0, answer=2.0, completeness=0.99)
 TALLIES = WorkClass("tallies", answer=20.0)
 
 
@@ -114,26 +117,57 @@
         assert response.status == 200
 
 
+async def complete_rooms(deployment, entry, organisation, max_tokens):
+    """Ask for a completion of the class `rooms`."""
+    return await complete(
+        new_http_client(),
+        entry.url,
+        deployment.keys[organisation],
+        MODEL,
+        "name the rooms",
+        max_tokens,
+        headers={"X-Work-Class": ROOMS.name},
+    )
+
+
 def ask(deployment, entry, organisation, max_tokens):
     """Ask for a completion of the class `rooms` and return what the caller got."""
+    return asyncio.run(complete_rooms(deployment, entry, organisation, max_tokens))
+
+
+def hang_engines(deployment, hang: bool) -> None:
+    for pair in deployment.endpoints:
+        put_json(f"{pair.engine.url}/faults", json.dumps({"hang": hang}).encode())
+
+
+def answer_late(deployment) -> list:
+    """Let each entry give one whole answer, later than its class allows."""
 
     async def call():
-        return await complete(
-            new_http_client(),
-            entry.url,
-            deployment.keys[organisation],
-            MODEL,
-            "name the rooms",
-            max_tokens,
-            headers={"X-Work-Class": ROOMS.name},
-        )
+        hang_engines(deployment, True)
+        asked = [
+            asyncio.ensure_future(complete_rooms(deployment, entry, "regie", 3))
+            for entry in deployment.entries
+        ]
+        loop = asyncio.get_running_loop()
+        for entry in deployment.entries:
+            while await loop.run_in_executor(None, streams_of, entry) == 0:
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(ROOMS.answer + 0.1)
+        hang_engines(deployment, False)
+        return await asyncio.gather(*asked)
 
     return asyncio.run(call())
 
 
+def streams_of(entry) -> int:
+    with urlopen(entry.url + "/state", timeout=5) as response:
+        return json.load(response)["streams"]
+
+
 def leave_early(deployment, entry) -> None:
     """Read one event of a long answer and go away."""
-    body = {"model": MODEL, "prompt": "a", "max_tokens": 4000, "stream": True}
+    body = {"model": MODEL, "prompt": "a", "max_tokens": 60, "stream": True}
     request = Request(
         entry.url + "/v1/completions",
         data=json.dumps(body).encode(),
@@ -150,8 +184,8 @@
 @pytest.fixture(scope="module")
 def traffic(deployment):
     """Requests that end in each way, through both entries."""
+    assert all(result.whole for result in answer_late(deployment))
     for entry in deployment.entries:
-        assert ask(deployment, entry, "regie", 3).whole
         assert ask(deployment, entry, "blue-mahoe", 0).status == 422
         call_service(deployment, entry)
         leave_early(deployment, entry)
@@ -201,11 +235,41 @@
     assert refused.value.code == 403
 
 
-def sample(deployment, name: str, **labels: str) -> float:
-    """Return the sum over all entries of the samples that match."""
+def command(deployment, *arguments: str) -> subprocess.CompletedProcess:
+    """Run the command as an operator of the first entry."""
+    return subprocess.run(
+        [sys.executable, "-m", "lacewingcourse.cli", *arguments],
+        env={
+            **os.environ,
+            "LACEWINGCOURSE_ENTRY": deployment.entries[0].url,
+            "LACEWINGCOURSE_TOKEN": deployment.admin_token,
+        },
+        capture_output=True,
+        text=True,
+        timeout=GUARD,
+    )
+
+
+def test_operator_reads_state_and_report(deployment, traffic, tmp_path):
+    page = tmp_path / "burn.html"
+    shown = command(deployment, "report", "burn", f"--html={page}")
+    assert (shown.returncode, shown.stderr) == (0, "")
+    assert "rooms" in shown.stdout and "Coverage" in shown.stdout
+    assert page.read_text().startswith("<!doctype html>")
+    state = json.loads(command(deployment, "state", "--json").stdout)
+    assert state["readiness"]["configuration_version"] > 0
+    assert state["models"][0]["least"] == 0
+    assert "mapchat" in command(deployment, "state").stdout
+    status = command(deployment, "status")
+    assert status.returncode == 1
+    assert "mapchat: no endpoint holds the layers 0..24" in status.stdout
+
+
+def sample(processes, name: str, **labels: str) -> float:
+    """Return the sum over processes of the samples that match."""
     total = 0.0
-    for entry in deployment.entries:
-        with urlopen(entry.url + "/metrics", timeout=5) as response:
+    for process in processes:
+        with urlopen(process.url + "/metrics", timeout=5) as response:
             text = response.read().decode()
         for family in text_string_to_metric_families(text):
             for each in family.samples:
@@ -215,14 +279,19 @@
 
 
 def test_counters_agree_with_the_traffic(deployment, traffic):
+    entries = deployment.entries
     name = "lacewingcourse_requests_total"
-    assert sample(deployment, name, work_class="rooms", result="whole") == 2
-    assert sample(deployment, name, work_class="tallies", result="whole") == 2
-    assert sample(deployment, name, result="caller_fault", kind="invalid_field") == 2
+    assert sample(entries, name, work_class="rooms", result="whole") == 2
+    assert sample(entries, name, work_class="tallies", result="whole") == 2
+    assert sample(entries, name, result="caller_fault", kind="invalid_field") == 2
     spent = "lacewingcourse_burn_spent_total"
-    assert sample(deployment, spent, work_class="rooms", budget="lateness") == 2
+    assert sample(entries, spent, work_class="rooms", budget="lateness") == 2
     gaps = "lacewingcourse_time_between_tokens_seconds_count"
-    assert sample(deployment, gaps, work_class="rooms") >= 4
+    assert sample(entries, gaps, work_class="rooms") >= 4
+    agents = [pair.agent for pair in deployment.endpoints]
+    sampled = sample(agents, "lacewingcourse_tokens_sampled_total")
+    assert sampled >= sample(entries, "lacewingcourse_tokens_total")
+    assert sample(agents, "lacewingcourse_engine_batch_items_sum") >= sampled
 
 
 def test_killed_entrys_counts_come_from_the_log(deployment, traffic):
