--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -30,10 +30,10 @@
         converter=registered(POLICIES),
         help=f"Route policy: {', '.join(POLICIES.names())}",
     )
-    stall_timeout: float = environ.var(
-        default="5",
+    route_patience: float = environ.var(
+        default="10",
         converter=positive,
-        help="Seconds without progress after which a stage is taken for lost",
+        help="Seconds for which a broken answer waits for a route",
     )
     message_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a message to an agent may take"
