--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -11,6 +11,7 @@
 from lacewingcourse.cli.load import LoadCommand
 from lacewingcourse.cli.report import ReportBurnCommand
 from lacewingcourse.cli.settings_command import SettingsCommand
+from lacewingcourse.cli.state import StateCommand, StatusCommand
 
 COMMANDS = [
     EntryCommand,
@@ -18,6 +19,8 @@
     LoadCommand,
     SettingsCommand,
     ReportBurnCommand,
+    StateCommand,
+    StatusCommand,
 ]
 
 
