--- a/packages/core/src/lacewingcourse/core/burn_fleet.py
+++ b/packages/core/src/lacewingcourse/core/burn_fleet.py
@@ -11,6 +11,7 @@
     BurnLine,
     BurnMerge,
     EntryBurn,
+    Selection,
     SeriesPoint,
     Speed,
 )
@@ -145,12 +146,18 @@
             "".join(reasons[:1]),
         )
 
-    def report(self, list_problem: str = "", log_problem: str = "") -> FleetBurn:
+    def report(
+        self,
+        list_problem: str = "",
+        log_problem: str = "",
+        chosen: Selection = Selection(),
+    ) -> FleetBurn:
         """Return the report.
 
         Args:
             list_problem: Why the instance list was not read, or empty.
             log_problem: Why the log was not read to its end, or empty.
+            chosen: Which lines are wanted.
         """
         runs = self.history.runs.values() if self.history else ()
         recovered = [self._recovered(run) for run in runs]
@@ -163,31 +170,13 @@
         return FleetBurn(
             generated_at=self.now,
             windows=tuple(window.name for window in WINDOWS),
-            lines=self.merge.lines(),
-            series=self.merge.points(),
+            lines=self.merge.lines(chosen),
+            series=tuple(
+                point
+                for point in self.merge.points()
+                if chosen.takes_class(point.work_class)
+            ),
             coverage=(*self.coverage, *recovered, *missing),
             list_problem=list_problem,
             log_problem=log_problem,
         )
-
-
-def select(
-    report: FleetBurn, work_class: str | None, organisation: str | None
-) -> FleetBurn:
-    """Return the part of a report that concerns a class and an organisation.
-
-    Args:
-        report: The report.
-        work_class: Name of the class of work, or None for all.
-        organisation: Name of the organisation, or None for all.
-    """
-
-    def wanted(line: BurnLine) -> bool:
-        if work_class is not None and line.work_class != work_class:
-            return False
-        return organisation is None or line.organisation == organisation
-
-    lines = tuple(line for line in report.lines if wanted(line))
-    classes = {line.work_class for line in lines}
-    series = tuple(point for point in report.series if point.work_class in classes)
-    return attrs.evolve(report, lines=lines, series=series)
--- a/packages/core/src/lacewingcourse/core/burn_report.py
+++ b/packages/core/src/lacewingcourse/core/burn_report.py
@@ -10,10 +10,16 @@
 from lacewingcourse.core.burn_windows import OTHER, WINDOWS, Counts, Pair
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from lacewingcourse.core.burn_windows import BurnBook
 
 #: Rows that one entry reports; the others are summed up a class.
-MAX_ROWS = 512
+MAX_ROWS = 256
+#: Lines of organisations that a report over all entries has.
+MAX_LINES = 512
+#: Pairs that are merged in one step.
+STEP_PAIRS = 256
 #: Burn rate that spends a month's budget in two days.
 FAST_RATE = 14.4
 #: Burn rate that spends the budget just as fast as it accrues.
@@ -215,6 +221,29 @@
     return tuple(Counts() for _ in WINDOWS)
 
 
+@attrs.frozen
+class Selection:
+    """Which lines of a report are wanted.
+
+    Attributes:
+        work_class: Name of the only class of work, or None for all.
+        organisation: Name of the only organisation, or None for all.
+        limit: Organisations' lines at the most; those that spent most are taken.
+    """
+
+    work_class: str | None = None
+    organisation: str | None = None
+    limit: int = MAX_LINES
+
+    def takes_class(self, name: str) -> bool:
+        """Tell whether a class of work is wanted."""
+        return self.work_class is None or name == self.work_class
+
+    def takes_organisation(self, name: str) -> bool:
+        """Tell whether an organisation is wanted."""
+        return self.organisation is None or name == self.organisation
+
+
 @attrs.define
 class BurnMerge:
     """Sums up rows of many entries.
@@ -229,7 +258,10 @@
 
     def add_counts(self, pair: Pair, window: int, counts: Counts) -> None:
         """Add counts of a pair to one window."""
-        self.pairs.setdefault(pair, no_counts())[window].merge(counts)
+        windows = self.pairs.get(pair)
+        if windows is None:
+            windows = self.pairs[pair] = no_counts()
+        windows[window].merge(counts)
 
     def add(self, burn: EntryBurn) -> None:
         """Add what one entry counted."""
@@ -245,7 +277,10 @@
     ) -> None:
         """Add counts of a class to one bucket of a window."""
         key = (work_class, window, start)
-        self.series.setdefault(key, Counts()).merge(counts)
+        known = self.series.get(key)
+        if known is None:
+            known = self.series[key] = Counts()
+        known.merge(counts)
 
     def rows(self, limit: int | None = None) -> tuple[BurnRow, ...]:
         """Return a row for each pair; past a limit, one for the rest of a class.
@@ -275,18 +310,28 @@
             )
         )
 
-    def lines(self) -> tuple[BurnLine, ...]:
-        """Return the burn of every class, each followed by its organisations."""
-        rows = self.rows()
+    def lines(self, chosen: Selection) -> tuple[BurnLine, ...]:
+        """Return the burn of every class, each followed by its organisations.
+
+        Args:
+            chosen: Which lines are wanted.
+        """
+        rows = [row for row in self.rows() if chosen.takes_class(row.work_class)]
+        totals: dict[str, tuple[Counts, ...]] = {}
+        for row in rows:
+            total = totals.setdefault(row.work_class, no_counts())
+            for sum_of_all, counts in zip(total, row.windows, strict=True):
+                sum_of_all.merge(counts)
+        members = [row for row in rows if chosen.takes_organisation(row.organisation)]
         lines = []
-        for work_class in sorted({row.work_class for row in rows}):
-            members = [row for row in rows if row.work_class == work_class]
-            whole = no_counts()
-            for row in members:
-                for total, counts in zip(whole, row.windows, strict=True):
-                    total.merge(counts)
-            lines.append(line_of(BurnRow(work_class, "", whole), None))
-            lines.extend(line_of(row, row.organisation) for row in members)
+        for work_class, total in sorted(totals.items()):
+            if chosen.organisation is None:
+                lines.append(line_of(BurnRow(work_class, "", total), None))
+            lines.extend(
+                line_of(row, row.organisation)
+                for row in members[: chosen.limit]
+                if row.work_class == work_class
+            )
         return tuple(lines)
 
 
@@ -297,23 +342,41 @@
     return (-spent, -longest.ended, pair.work_class, pair.organisation)
 
 
-def burn_of(book: BurnBook, instance: str, run: str, now: float) -> EntryBurn:
-    """Return what one entry counted, in bounded size.
+def collect(book: BurnBook, merge: BurnMerge, now: float) -> Iterator[None]:
+    """Add what one entry counted to a merge in small steps.
+
+    Done at a stretch, all buckets together would hold up the process's loop.
 
     Args:
-        book: Its counts.
-        instance: Name of the instance.
-        run: Which start of the process this is.
+        book: The counts.
+        merge: Where they go.
         now: The present time, seconds since the epoch.
     """
-    merge = BurnMerge()
     for index, ring in enumerate(book.rings):
-        for pair, counts in ring.totals(now).items():
-            merge.add_counts(pair, index, counts)
-        for number, bucket in ring.buckets.items():
+        ring.prune(now)
+        for number, bucket in list(ring.buckets.items()):
             start = float(number * ring.window.bucket)
-            for pair, counts in bucket.items():
+            pairs = list(bucket.items())
+            for place, (pair, counts) in enumerate(pairs, 1):
+                merge.add_counts(pair, index, counts)
                 merge.add_point(pair.work_class, ring.window.name, start, counts)
+                if place % STEP_PAIRS == 0:
+                    yield
+            yield
+
+
+def burn_from(
+    merge: BurnMerge, book: BurnBook, instance: str, run: str, now: float
+) -> EntryBurn:
+    """Return what one entry counted, in bounded size.
+
+    Args:
+        merge: All that the entry counted.
+        book: Where it was counted.
+        instance: Name of the instance.
+        run: Which start of the process this is.
+        now: The present time, seconds since the epoch.
+    """
     return EntryBurn(
         instance=instance,
         run=run,
@@ -322,3 +385,11 @@
         rows=merge.rows(MAX_ROWS),
         series=merge.points(),
     )
+
+
+def burn_of(book: BurnBook, instance: str, run: str, now: float) -> EntryBurn:
+    """Return what one entry counted, all in one step."""
+    merge = BurnMerge()
+    for _ in collect(book, merge, now):
+        pass
+    return burn_from(merge, book, instance, run, now)
--- a/packages/core/src/lacewingcourse/core/burn_windows.py
+++ b/packages/core/src/lacewingcourse/core/burn_windows.py
@@ -137,9 +137,21 @@
         self.late_answer += end.lateness.answer
 
     def merge(self, other: Counts) -> None:
-        """Add the counts of another."""
-        for name in NUMBERS:
-            setattr(self, name, getattr(self, name) + getattr(other, name))
+        """Add the counts of another; written out, as reports do little else."""
+        self.whole += other.whole
+        self.refused += other.refused
+        self.ran += other.ran
+        self.partial += other.partial
+        self.unknown += other.unknown
+        self.caller_fault += other.caller_fault
+        self.caller_gone += other.caller_gone
+        self.late += other.late
+        self.late_first_token += other.late_first_token
+        self.late_between_tokens += other.late_between_tokens
+        self.late_answer += other.late_answer
+        self.timed += other.timed
+        self.allowed_incomplete += other.allowed_incomplete
+        self.allowed_late += other.allowed_late
         for kind, count in other.kinds.items():
             self.kinds[kind] = self.kinds.get(kind, 0) + count
 
@@ -176,16 +188,11 @@
         if number not in self.buckets:
             self.prune(now)
             self.buckets[number] = {}
-        return self.buckets[number].setdefault(pair, Counts())
-
-    def totals(self, now: float) -> dict[Pair, Counts]:
-        """Return the counts of each pair over the window."""
-        self.prune(now)
-        totals: dict[Pair, Counts] = {}
-        for bucket in self.buckets.values():
-            for pair, counts in bucket.items():
-                totals.setdefault(pair, Counts()).merge(counts)
-        return totals
+        bucket = self.buckets[number]
+        counts = bucket.get(pair)
+        if counts is None:
+            counts = bucket[pair] = Counts()
+        return counts
 
 
 @attrs.define
@@ -196,7 +203,7 @@
         since: When counting began, seconds since the epoch.
         max_pairs: Pairs that are counted apart; others share one a class.
         rings: One ring a window, in the order of `WINDOWS`.
-        pairs: Pairs that are counted apart.
+        pairs: Pairs that are counted apart, one object each for all buckets.
     """
 
     since: float
@@ -204,7 +211,7 @@
     rings: tuple[Ring, ...] = attrs.field(
         factory=lambda: tuple(Ring(window) for window in WINDOWS)
     )
-    pairs: set[Pair] = attrs.field(factory=set)
+    pairs: dict[Pair, Pair] = attrs.field(factory=dict)
 
     def add(self, end: RequestEnd, now: float) -> Pair:
         """Count a request's end and return the pair under which it is counted.
@@ -221,11 +228,18 @@
     def _pair(self, end: RequestEnd, now: float) -> Pair:
         """Return the pair under which an end is counted."""
         pair = Pair(end.work_class, end.organisation)
-        if pair in self.pairs:
-            return pair
+        known = self.pairs.get(pair)
+        if known is not None:
+            return known
         if len(self.pairs) >= self.max_pairs:
-            self.pairs = set(self.rings[-1].totals(now))
+            self.pairs = self._recent_pairs(now)
         if len(self.pairs) >= self.max_pairs:
             return Pair(end.work_class, OTHER)
-        self.pairs.add(pair)
+        self.pairs[pair] = pair
         return pair
+
+    def _recent_pairs(self, now: float) -> dict[Pair, Pair]:
+        """Return the pairs that the longest window still holds."""
+        longest = self.rings[-1]
+        longest.prune(now)
+        return {pair: pair for bucket in longest.buckets.values() for pair in bucket}
--- a/packages/entry/src/lacewingcourse/entry/outcomes.py
+++ b/packages/entry/src/lacewingcourse/entry/outcomes.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
 from lacewingcourse.core.burn_ends import AnswerMeter, Result, result_of
 from lacewingcourse.core.burn_history import SummaryWriter
-from lacewingcourse.core.burn_report import burn_of
+from lacewingcourse.core.burn_report import BurnMerge, burn_from, collect
 from lacewingcourse.core.burn_windows import BurnBook
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 
@@ -51,9 +52,13 @@
         self.writer.add(pair, end)
         self.metrics.on_end(end, meter)
 
-    def burn(self) -> EntryBurn:
-        """Return what this entry counted."""
-        return burn_of(self.book, self.instance, self.run, time.time())
+    async def burn(self) -> EntryBurn:
+        """Return what this entry counted; other work goes on meanwhile."""
+        merge = BurnMerge()
+        now = time.time()
+        for _ in collect(self.book, merge, now):
+            await asyncio.sleep(0)
+        return burn_from(merge, self.book, self.instance, self.run, now)
 
 
 class RequestRecord:
--- a/packages/entry/src/lacewingcourse/entry/report_api.py
+++ b/packages/entry/src/lacewingcourse/entry/report_api.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from lacewingcourse.core.burn_fleet import FleetBurn, FleetMerge, Unreachable, select
-from lacewingcourse.core.burn_report import EntryBurn
+from lacewingcourse.core.burn_fleet import FleetBurn, FleetMerge, Unreachable
+from lacewingcourse.core.burn_report import EntryBurn, Selection
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.daemon.handlers import BaseHandler, WireHandler
 from lacewingcourse.platform.instances import InstanceRole, InstanceState
@@ -32,9 +32,9 @@
 class EntryBurnHandler(WireHandler):
     """Gives this entry's counts to another entry."""
 
-    def post(self) -> None:
+    async def post(self) -> None:
         if self.message(BurnRequest) is not None:
-            self.reply(self.daemon.outcomes.burn())
+            self.reply(await self.daemon.outcomes.burn())
 
 
 class OperatorHandler(BaseHandler):
@@ -61,16 +61,22 @@
     """Gives operators the burn of all entries."""
 
     async def get(self) -> None:
-        report = await fleet_burn(self.daemon)
-        work_class = self.get_query_argument("class", None)
-        organisation = self.get_query_argument("organisation", None)
-        self.reply(select(report, work_class, organisation))
+        chosen = Selection(
+            self.get_query_argument("class", None),
+            self.get_query_argument("organisation", None),
+        )
+        self.reply(await fleet_burn(self.daemon, chosen))
+
 
+async def fleet_burn(entry: Entry, chosen: Selection) -> FleetBurn:
+    """Return the burn of all entries, as far as they or the log can be reached.
 
-async def fleet_burn(entry: Entry) -> FleetBurn:
-    """Return the burn of all entries, as far as they or the log can be reached."""
+    Args:
+        entry: The entry that is asked.
+        chosen: Which lines are wanted.
+    """
     merge = FleetMerge(time.time())
-    merge.add(entry.outcomes.burn())
+    merge.add(await entry.outcomes.burn())
     listing = await entry.directory.client.read()
     list_problem = ""
     if isinstance(listing, Refusal):
@@ -81,7 +87,7 @@
         asked = (ask(entry, each, merge, slots) for each in others)
         await asyncio.gather(*asked)
     log_problem = await entry.burn_log.recover(merge)
-    return merge.report(list_problem, log_problem)
+    return merge.report(list_problem, log_problem, chosen)
 
 
 def is_other_entry(entry: Entry, instance: Instance) -> bool:
--- a/tests/integration/test_burn.py
+++ b/tests/integration/test_burn.py
@@ -40,12 +40,13 @@
 #: Requests of the traffic that end in each entry.
 ENDS_OF_AN_ENTRY = 5
 ROOMS = WorkClass("rooms", first_token=20.0, answer=2.0, completeness=0.99)
+NOTES = WorkClass("notes", completeness=0.99)
 TALLIES = WorkClass("tallies", answer=20.0)
 
 
 @pytest.fixture(scope="module")
 def deployment():
-    """Two entries that summarise their counts often, and two classes of work."""
+    """Two entries that summarise their counts often, and three classes of work."""
     variables = {"LACEWINGCOURSE_BURN_SUMMARY_INTERVAL": "0.2"}
     options = DeploymentOptions(entries=2, endpoints=2, entry_variables=variables)
     started = Deployment(options)
@@ -63,11 +64,12 @@
 
 
 def publish_classes(deployment) -> None:
-    """Publish two classes and give the service one of them."""
+    """Publish the classes and give the service one of them."""
     version = readiness(deployment.entries[0])["configuration_version"]
     service = Service(SERVICE, once=("POST /tallies",), work_class=TALLIES.name)
     changes = (
         Change("classes", ROOMS.name, work_class=ROOMS),
+        Change("classes", NOTES.name, work_class=NOTES),
         Change("classes", TALLIES.name, work_class=TALLIES),
         Change("services", SERVICE, service=service),
     )
@@ -117,8 +119,8 @@
         assert response.status == 200
 
 
-async def complete_rooms(deployment, entry, organisation, max_tokens):
-    """Ask for a completion of the class `rooms`."""
+async def complete_as(deployment, entry, organisation, work_class, max_tokens):
+    """Ask for a completion of a class of work."""
     return await complete(
         new_http_client(),
         entry.url,
@@ -126,13 +128,13 @@
         MODEL,
         "name the rooms",
         max_tokens,
-        headers={"X-Work-Class": ROOMS.name},
+        headers={"X-Work-Class": work_class.name},
     )
 
 
 def ask(deployment, entry, organisation, max_tokens):
-    """Ask for a completion of the class `rooms` and return what the caller got."""
-    return asyncio.run(complete_rooms(deployment, entry, organisation, max_tokens))
+    """Ask for a completion of the class `notes` and return what the caller got."""
+    return asyncio.run(complete_as(deployment, entry, organisation, NOTES, max_tokens))
 
 
 def hang_engines(deployment, hang: bool) -> None:
@@ -146,7 +148,7 @@
     async def call():
         hang_engines(deployment, True)
         asked = [
-            asyncio.ensure_future(complete_rooms(deployment, entry, "regie", 3))
+            asyncio.ensure_future(complete_as(deployment, entry, "regie", ROOMS, 3))
             for entry in deployment.entries
         ]
         loop = asyncio.get_running_loop()
@@ -167,14 +169,14 @@
 
 def leave_early(deployment, entry) -> None:
     """Read one event of a long answer and go away."""
-    body = {"model": MODEL, "prompt": "a", "max_tokens": 60, "stream": True}
+    body = {"model": MODEL, "prompt": "a", "max_tokens": 4000, "stream": True}
     request = Request(
         entry.url + "/v1/completions",
         data=json.dumps(body).encode(),
         headers={
             "Authorization": f"Bearer {deployment.keys['regie']}",
             "Content-Type": "application/json",
-            "X-Work-Class": ROOMS.name,
+            "X-Work-Class": NOTES.name,
         },
     )
     with urlopen(request, timeout=10) as response:
@@ -194,7 +196,7 @@
     for entry in deployment.entries:
         assert not ask(deployment, entry, "blue-mahoe", 3).whole
     wait_until(
-        lambda: line(report(deployment), ROOMS.name).rates[0].counts.caller_gone == 2,
+        lambda: line(report(deployment), NOTES.name).rates[0].counts.caller_gone == 2,
         GUARD,
         "the callers that left are not counted",
     )
@@ -202,13 +204,14 @@
 
 def check_counts(found: FleetBurn) -> None:
     """Check that a report holds all the traffic, each request once."""
-    counts = [rate.counts for rate in line(found, ROOMS.name).rates]
-    for each in counts:
-        assert (each.whole, each.incomplete, each.caller_gone) == (2, 2, 2)
+    for each in [rate.counts for rate in line(found, ROOMS.name).rates]:
+        assert (each.whole, each.ended) == (2, 2)
         assert (each.late, each.late_answer, each.late_first_token) == (2, 2, 0)
+    for each in [rate.counts for rate in line(found, NOTES.name).rates]:
+        assert (each.whole, each.incomplete, each.caller_gone) == (0, 2, 2)
         assert sum(each.kinds.values()) == 4
     assert line(found, ROOMS.name, "regie").rates[0].counts.whole == 2
-    assert line(found, ROOMS.name, "blue-mahoe").rates[0].counts.incomplete == 2
+    assert line(found, NOTES.name, "blue-mahoe").rates[0].counts.incomplete == 2
     assert line(found, "", "blue-mahoe").rates[0].counts.caller_fault == 2
     tallies = line(found, TALLIES.name).rates[0]
     assert (tallies.counts.whole, tallies.completeness, tallies.lateness) == (2, 0, 0)
@@ -219,8 +222,11 @@
     check_counts(found)
     assert {each.source for each in found.coverage} == {Source.COUNTERS}
     assert {each.instance for each in found.coverage} == {"entry-1", "entry-2"}
+    rate = line(found, NOTES.name).rates[0]
+    assert rate.completeness == pytest.approx(2 / (2 * 0.01))
+    assert rate.lateness is None
     rate = line(found, ROOMS.name).rates[0]
-    assert rate.completeness == pytest.approx(2 / (4 * 0.01))
+    assert rate.completeness == 0
     assert rate.lateness == pytest.approx(2 / (2 * 0.05))
     chosen = report(deployment, "?class=rooms&organisation=regie")
     assert [each.organisation for each in chosen.lines] == ["regie"]
