--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -9,7 +9,7 @@
 
 import attrs
 from loguru import logger
-from prometheus_client import CollectorRegistry, Counter
+from prometheus_client import CollectorRegistry, Counter, disable_created_metrics
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
@@ -61,6 +61,7 @@
     """
 
     def __init__(self) -> None:
+        disable_created_metrics()
         self.registry = CollectorRegistry()
         self.strangers = Counter(
             "lacewingcourse_strangers",
