Prove that merging counts adds every number

Change: a test that merges distinct numbers in each field; a gauge for the requests that wait to be let in.

Conclusion: a number added to the counts and forgotten in the merge fails.

--- a/packages/core/tests/test_burn.py
+++ b/packages/core/tests/test_burn.py
@@ -18,7 +18,14 @@
 from lacewingcourse.core.burn_fleet import FleetMerge, Source
 from lacewingcourse.core.burn_history import SummaryWriter
 from lacewingcourse.core.burn_report import Budget, Speed, burn_of
-from lacewingcourse.core.burn_windows import OTHER, WINDOWS, BurnBook, Pair
+from lacewingcourse.core.burn_windows import (
+    NUMBERS,
+    OTHER,
+    WINDOWS,
+    BurnBook,
+    Counts,
+    Pair,
+)
 from lacewingcourse.core.configuration import WorkClass
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 
@@ -124,6 +131,16 @@
                 assert getattr(right.counts, field.name) == pytest.approx(expected)
 
 
+def test_merge_adds_every_number():
+    counts = Counts(*range(1, len(NUMBERS) + 1), kinds={"overloaded": 3})
+    total = Counts(kinds={"no_route": 1})
+    total.merge(counts)
+    total.merge(counts)
+    found = [getattr(total, name) for name in NUMBERS]
+    assert found == [2 * number for number in range(1, len(NUMBERS) + 1)]
+    assert total.kinds == {"no_route": 1, "overloaded": 6}
+
+
 def lines_after(ends, now=DAY):
     book = BurnBook(0.0)
     for at, each in ends:
--- a/packages/entry/src/lacewingcourse/entry/metrics.py
+++ b/packages/entry/src/lacewingcourse/entry/metrics.py
@@ -172,6 +172,7 @@
             "configuration_version": lambda: entry.configuration.version,
             "ready": lambda: entry.readiness().ready,
             "answers_running": lambda: len(entry.answers),
+            "admission_queue_length": lambda: entry.admission.decisions.queue.size,
             "calls_running": lambda: entry.calls_running,
             "endpoints_usable": lambda: sum(
                 each.takes_new_work() for each in endpoints.values()
@@ -252,6 +253,7 @@
     "configuration_version": "Version of the configuration in force",
     "ready": "Whether the process takes new work",
     "answers_running": "Streamed answers in flight",
+    "admission_queue_length": "Requests that wait to be let in",
     "calls_running": "Plain calls in flight",
     "endpoints_usable": "Endpoints that take new work",
     "endpoints_known": "Endpoints whose agents have answered",
