--- a/packages/agent/src/lacewingcourse/agent/journal.py
+++ b/packages/agent/src/lacewingcourse/agent/journal.py
@@ -80,6 +80,7 @@
             home_settings(settings),
         )
         self.log = LogClient(settings.log_url)
+        self.log.observe = agent.metrics.on_log
         self.homes = HomesReader(self.log, HomesFold())
         self.offset = 0
         self.reads = 0
--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -14,6 +14,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
+from lacewingcourse.core.errors import Refusal
 from lacewingcourse.daemon.handlers import (
     HealthHandler,
     MetricsHandler,
@@ -58,6 +59,7 @@
     Attributes:
         registry: Where the counters are registered.
         strangers: Messages whose proof was missing or wrong.
+        log_operations: Appends and reads of the log.
     """
 
     def __init__(self) -> None:
@@ -68,6 +70,23 @@
             "Messages whose proof was missing or wrong",
             registry=self.registry,
         )
+        self.log_operations = Counter(
+            "lacewingcourse_log_operations",
+            "Operations on the log",
+            ("operation", "stream", "outcome"),
+            registry=self.registry,
+        )
+
+    def on_log(self, operation: str, stream: str, result: object) -> None:
+        """Count an operation on the log.
+
+        Args:
+            operation: `append` or `read`.
+            stream: Name of the stream.
+            result: What came of it; a refusal if it failed.
+        """
+        outcome = result.outcome.value if isinstance(result, Refusal) else "ok"
+        self.log_operations.labels(operation, stream, outcome).inc()
 
 
 class Daemon:
--- a/packages/entry/src/lacewingcourse/entry/home_keeper.py
+++ b/packages/entry/src/lacewingcourse/entry/home_keeper.py
@@ -48,6 +48,7 @@
     def __init__(self, entry: Entry) -> None:
         self.entry = entry
         self.log = LogClient(entry.settings.log_url)
+        self.log.observe = entry.metrics.on_log
         self.reader = HomesReader(self.log, HomesFold())
         self.changed = asyncio.Event()
         self.log_answers = False
--- a/packages/entry/src/lacewingcourse/entry/metrics.py
+++ b/packages/entry/src/lacewingcourse/entry/metrics.py
@@ -10,7 +10,6 @@
 from lacewingcourse.core.burn_ends import GAP_BOUNDS, INCOMPLETE, Result
 from lacewingcourse.core.burn_report import Budget
 from lacewingcourse.core.burn_windows import BUDGET_FLOOR, OTHER
-from lacewingcourse.core.errors import Refusal
 from lacewingcourse.daemon.daemon import BaseMetrics
 
 if TYPE_CHECKING:
@@ -106,7 +105,6 @@
         gaps: Time between tokens.
         attempts: Routes that were tried.
         recovery_time: Time from a lost attempt to the next token.
-        log_operations: Appends and reads of the log.
         drains: Times that the process was asked to end.
         retries: Lost attempts, by whether another was allowed.
         ejections: Times that an endpoint was left out as an outlier.
@@ -146,9 +144,6 @@
         self.recovery_time = self._histogram(
             "recovery_seconds", "Time from a lost attempt to the next token"
         )
-        self.log_operations = self._counter(
-            "log_operations", "Operations on the log", "operation", "stream", "outcome"
-        )
         self.drains = self._counter("drains", "Times asked to end")
         self.gauges = {
             name: Gauge("lacewingcourse_" + name, text, registry=self.registry)
@@ -240,13 +235,6 @@
             reason = "recovery" if delivered else "retry"
         self.attempts.labels(reason).inc()
 
-    def on_log(self, operation: str, stream: str, result: object) -> None:
-        """Count an operation on the log."""
-        outcome = "ok"
-        if isinstance(result, Refusal):
-            outcome = result.outcome.value
-        self.log_operations.labels(operation, stream, outcome).inc()
-
 
 #: Gauges by name, with what they show.
 GAUGES = {
