--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -35,7 +35,6 @@
 
     from lacewingcourse.core.burn_ends import AnswerMeter
     from lacewingcourse.core.errors import ErrorKind as Kind
-    from lacewingcourse.core.routes import Route
     from lacewingcourse.core.streams import Effect, StreamRequest
     from lacewingcourse.entry.application import Entry
 
@@ -124,7 +123,9 @@
         if effect.delay > 0:
             self.entry.spawn(self._choose_later(effect))
             return
-        route = self._route(effect)
+        route = self.entry.choose_route(
+            self.state.request, effect.excluded, effect.stages
+        )
         self.perform(self.state.begin(route, self.entry.now()))
         if self.state.phase is Phase.OPENING:
             self._count_attempt()
@@ -140,15 +141,6 @@
         await asyncio.sleep(effect.delay)
         self._choose(attrs.evolve(effect, delay=0.0))
 
-    def _route(self, effect: ChooseRoute) -> Route | Refusal:
-        """Return the mended route if stages can be replaced, else a new one."""
-        request = self.state.request
-        if effect.stages:
-            mended = self.entry.dispatcher.mend(request, effect.stages, effect.excluded)
-            if mended is not None:
-                return mended
-        return self.entry.choose_route(request, effect.excluded)
-
     async def _ask(self, effect: AskReport) -> None:
         """Ask a stage how far it has come."""
         message = effect.message
@@ -172,8 +164,10 @@
             reached = reply.outcome is not Outcome.NOT_RUN
             self.entry.directory.mark_lost(effect.target.endpoint)
             reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
-        elif reply.load is not None:
-            self.entry.dispatcher.on_load(effect.target.endpoint, reply.load)
+        else:
+            self.entry.dispatcher.on_open_reply(
+                self.stream, effect.target.endpoint, reply
+            )
         message = effect.message
         self.perform(
             self.state.on_open_reply(
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -28,6 +28,7 @@
 from lacewingcourse.entry.keyed import KeyedAnswers
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
+from lacewingcourse.entry.recovery import Recovery
 from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
 from lacewingcourse.entry.state_api import STATE_ROUTES
@@ -37,7 +38,7 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.core.configuration import Configuration
-    from lacewingcourse.core.messages import TokenBatch
+    from lacewingcourse.core.messages import StageAddress, TokenBatch
     from lacewingcourse.core.routes import Route
     from lacewingcourse.core.streams import StreamRequest
     from lacewingcourse.entry.settings import EntrySettings
@@ -74,6 +75,7 @@
         answers: Answers in flight by stream.
         dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
+        recovery: Judges lost attempts and the endpoints that failed them.
         admission: Lets requests start, wait or be refused.
         calls_running: Plain calls in flight.
         outcomes: Counts how requests end.
@@ -93,6 +95,7 @@
         self.answers: dict[str, AnswerDriver] = {}
         self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
+        self.recovery = Recovery(self)
         self.admission = AdmissionControl(self)
         self.calls_running = 0
         run = secrets.token_hex(8)
@@ -143,6 +146,7 @@
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
         self.spawn(self.admission.review_for_ever())
+        self.spawn(self.recovery.review_for_ever())
         self.spawn(self.burn_log.append_for_ever())
 
     async def _check_progress_for_ever(self) -> None:
@@ -170,10 +174,13 @@
         return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
 
     def choose_route(
-        self, request: StreamRequest, excluded: frozenset[str]
+        self,
+        request: StreamRequest,
+        excluded: frozenset[str],
+        stages: tuple[StageAddress, ...] = (),
     ) -> Route | Refusal:
         """Return a route for a request and count it as dispatched."""
-        return self.dispatcher.choose(request, excluded)
+        return self.dispatcher.choose(request, excluded, stages)
 
     def answer(self, request: StreamRequest) -> AnswerDriver:
         """Start a streamed answer."""
@@ -190,11 +197,12 @@
 
     def free(self, driver: AnswerDriver) -> None:
         """Give free what a streamed answer that has ended occupied."""
-        self.dispatcher.release(driver.stream)
+        endpoints = self.dispatcher.release(driver.stream)
         failure = driver.state.failure
         whole = failure is None
         if failure is not None and failure.kind is ErrorKind.CALLER_GONE:
             whole = None
+        self.recovery.on_end(driver.stream, whole is True, endpoints)
         self.admission.on_end(driver.stream, whole)
 
     def take_tokens(self, batch: TokenBatch) -> tuple[Credit, ...]:
