--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -35,7 +35,6 @@
 
     from lacewingcourse.core.burn_ends import AnswerMeter
     from lacewingcourse.core.errors import ErrorKind as Kind
-    from lacewingcourse.core.routes import Route
     from lacewingcourse.core.streams import Effect, StreamRequest
     from lacewingcourse.entry.application import Entry
 
@@ -124,7 +123,9 @@
         if effect.delay > 0:
             self.entry.spawn(self._choose_later(effect))
             return
-        route = self._route(effect)
+        route = self.entry.choose_route(
+            self.state.request, effect.excluded, effect.stages
+        )
         self.perform(self.state.begin(route, self.entry.now()))
         if self.state.phase is Phase.OPENING:
             self._count_attempt()
@@ -140,15 +141,6 @@
         await asyncio.sleep(effect.delay)
         self._choose(attrs.evolve(effect, delay=0.0))
 
-    def _route(self, effect: ChooseRoute) -> Route | Refusal:
-        """Return the mended route if stages can be replaced, else a new one."""
-        request = self.state.request
-        if effect.stages:
-            mended = self.entry.dispatcher.mend(request, effect.stages, effect.excluded)
-            if mended is not None:
-                return mended
-        return self.entry.choose_route(request, effect.excluded)
-
     async def _ask(self, effect: AskReport) -> None:
         """Ask a stage how far it has come."""
         message = effect.message
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -65,9 +65,18 @@
         )
 
     def choose(
-        self, request: StreamRequest, excluded: frozenset[str]
+        self,
+        request: StreamRequest,
+        excluded: frozenset[str],
+        stages: tuple[StageAddress, ...] = (),
     ) -> Route | Refusal:
-        """Return a route for a request; what it had before counts as left."""
+        """Return a route for a request; what it had before counts as left.
+
+        Args:
+            request: The request.
+            excluded: Endpoints to avoid.
+            stages: A route to mend if its excluded stages can be replaced.
+        """
         reserved = self.reserved.pop(request.stream, None)
         if reserved is not None and not excluded and self._holds(reserved):
             return reserved
@@ -80,18 +89,17 @@
         if isinstance(wanted, Refusal):
             return wanted
         entry = self.entry
-        route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
+        route = self._mended(request.model, stages, excluded)
+        if route is None:
+            route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
         if isinstance(route, Refusal):
             return entry.recovery.load_refusal(request.stream) or route
         dispatch = self.fleet.dispatch(route, wanted.prompt_length)
         self.dispatches[request.stream] = dispatch
         return route
 
-    def mend(
-        self,
-        request: StreamRequest,
-        stages: tuple[StageAddress, ...],
-        excluded: frozenset[str],
+    def _mended(
+        self, model: str, stages: tuple[StageAddress, ...], excluded: frozenset[str]
     ) -> Route | None:
         """Return a route with its excluded stages replaced, or None if none can."""
         avoided = excluded.union(stage.endpoint for stage in stages)
@@ -102,19 +110,14 @@
             if stage.endpoint not in excluded and current and known.ready:
                 mended.append(stage_of(known, stage.layers.first, stage.layers.end))
                 continue
-            able = replacements(
-                self.fleet.values(), request.model, stage.layers, avoided
-            )
+            able = replacements(self.fleet.values(), model, stage.layers, avoided)
             if not able:
                 return None
             pair = self.entry.rng.sample(able, min(2, len(able)))
             chosen = min(pair, key=lambda endpoint: endpoint.load.running)
             avoided = avoided.union({chosen.id})
             mended.append(stage_of(chosen, stage.layers.first, stage.layers.end))
-        route = Route(tuple(mended))
-        self.release(request.stream)
-        self.dispatches[request.stream] = self.fleet.dispatch(route, 1)
-        return route
+        return Route(tuple(mended)) if mended else None
 
     def preview(self, request: StreamRequest) -> Prediction | Refusal:
         """Return what is predicted for a request, and keep the route for it."""
