--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -4,15 +4,24 @@
 
 import attrs
 
+from lacewingcourse.core.claims import Permission, Verdict
+from lacewingcourse.core.errors import ErrorKind, Outcome
 from lacewingcourse.core.messages import (
     Call,
+    Claim,
+    ClaimReply,
     Credit,
     HopBatch,
     HopBatchReply,
     OpenReply,
     OpenStage,
+    ReportRequest,
     Revoke,
+    RevokeCall,
     RevokeReply,
+    Settle,
+    SettleReply,
+    StartStage,
     Status,
     TokenBatchReply,
 )
@@ -27,14 +36,36 @@
         message = self.message(OpenStage)
         if message is None:
             return
-        kind = self.daemon.stages.refusal_of(message)
+        daemon = self.daemon
+        if not daemon.endpoint_ready():
+            kind, reason = ErrorKind.ENDPOINT_FAILED, "the engine does not answer"
+            self.reply(OpenReply(False, daemon.incarnation, kind, reason))
+            return
+        kind = daemon.stages.refusal_of(message)
         if kind is not None:
-            self.reply(OpenReply(False, self.daemon.incarnation, kind, "no capacity"))
+            self.reply(OpenReply(False, daemon.incarnation, kind, "no capacity"))
+            return
+        reply, effects = daemon.stages.gate.open(message, daemon.now())
+        daemon.metrics.on_open(reply)
+        daemon.stages.perform(effects)
+        self.reply(attrs.evolve(reply, load=daemon.stages.load()))
+
+
+class StartStageHandler(WireHandler):
+    """Starts a stage of a resumed attempt."""
+
+    def post(self) -> None:
+        message = self.message(StartStage)
+        if message is None:
             return
-        reply, effects = self.daemon.stages.gate.open(message, self.daemon.now())
-        self.daemon.metrics.on_open(reply)
-        self.daemon.stages.perform(effects)
-        self.reply(attrs.evolve(reply, load=self.daemon.stages.load()))
+        daemon = self.daemon
+        if message.incarnation != daemon.incarnation:
+            kind, reason = ErrorKind.STALE_INCARNATION, "meant for another incarnation"
+            self.reply(OpenReply(False, daemon.incarnation, kind, reason))
+            return
+        reply, effects = daemon.stages.gate.start(message, daemon.now())
+        daemon.stages.perform(effects)
+        self.reply(reply)
 
 
 class HopsHandler(WireHandler):
@@ -87,6 +118,15 @@
         self.reply(TokenBatchReply())
 
 
+class ReportHandler(WireHandler):
+    """Tells how far a stage has come."""
+
+    def post(self) -> None:
+        request = self.message(ReportRequest)
+        if request is not None:
+            self.reply(self.daemon.stages.report(request))
+
+
 class StatusHandler(WireHandler):
     """Tells the state of the agent and its endpoint."""
 
@@ -107,11 +147,65 @@
         self.reply(reply)
 
 
+class RevokeCallHandler(WireHandler):
+    """Revokes a call of the plain service."""
+
+    def post(self) -> None:
+        message = self.message(RevokeCall)
+        if message is not None:
+            self.reply(self.daemon.calls.revoke(message))
+
+
+class ClaimHandler(WireHandler):
+    """Claims a key for a request that an entry runs."""
+
+    async def post(self) -> None:
+        claim = self.message(Claim)
+        if claim is None:
+            return
+        if self.daemon.journal is None:
+            kind = ErrorKind.CLAIM_UNAVAILABLE
+            reason = "the endpoint has not answered yet"
+            self.reply(ClaimReply(self.daemon.incarnation, kind=kind, reason=reason))
+            return
+        verdict = await self.daemon.journal.claim(claim, leased=True)
+        self.reply(claim_reply(verdict, self.daemon.incarnation))
+
+
+class SettleHandler(WireHandler):
+    """Takes an entry's word on how a granted claim ended."""
+
+    def post(self) -> None:
+        message = self.message(Settle)
+        if message is None:
+            return
+        journal = self.daemon.journal
+        known = journal is not None and journal.take_settle(message)
+        self.reply(SettleReply(self.daemon.incarnation, known))
+
+
+def claim_reply(verdict: Verdict, incarnation: str) -> ClaimReply:
+    """Return the message that tells an entry of a verdict."""
+    if verdict.permission is Permission.GRANTED:
+        return ClaimReply(incarnation, granted=True)
+    if verdict.permission is Permission.REPLAYED:
+        return ClaimReply(incarnation, answer=verdict.answer, outcome=Outcome.RAN)
+    refusal = verdict.refusal
+    return ClaimReply(
+        incarnation, kind=refusal.kind, reason=refusal.reason, outcome=refusal.outcome
+    )
+
+
 AGENT_ROUTES = [
     (paths.OPEN_STAGE, OpenStageHandler),
+    (paths.START_STAGE, StartStageHandler),
     (paths.HOPS, HopsHandler),
     (paths.REVOKE, RevokeHandler),
     (paths.CREDIT, CreditHandler),
+    (paths.REPORT, ReportHandler),
     (paths.STATUS, StatusHandler),
     (paths.CALL, CallHandler),
+    (paths.REVOKE_CALL, RevokeCallHandler),
+    (paths.CLAIM, ClaimHandler),
+    (paths.SETTLE, SettleHandler),
 ]
--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -13,6 +13,7 @@
 from lacewingcourse.cli.publishing_commands import PUBLISHING_COMMANDS
 from lacewingcourse.cli.report import ReportBurnCommand
 from lacewingcourse.cli.settings_command import SettingsCommand
+from lacewingcourse.cli.state import StateCommand, StatusCommand
 
 COMMANDS = [
     EntryCommand,
@@ -22,6 +23,8 @@
     ReportBurnCommand,
     *ITEM_COMMANDS,
     *PUBLISHING_COMMANDS,
+    StateCommand,
+    StatusCommand,
 ]
 
 
--- a/packages/core/src/lacewingcourse/core/configuration_validation.py
+++ b/packages/core/src/lacewingcourse/core/configuration_validation.py
@@ -204,18 +204,9 @@
             return invalid(f"{pointer}/{name}", reason)
     if item.name != change.name:
         return invalid(f"{pointer}/name", "differs from the name of the change")
-    if isinstance(item, WorkClass) and not has_lateness_target(item):
-        reason = "needs at least one of first_token, between_tokens and answer"
-        return invalid(pointer, reason)
     return None
 
 
-def has_lateness_target(work_class: WorkClass) -> bool:
-    """Tell whether a class has a target for lateness."""
-    targets = (work_class.first_token, work_class.between_tokens, work_class.answer)
-    return any(target is not None for target in targets)
-
-
 def apply_changes(
     configuration: Configuration, changes: tuple[Change, ...]
 ) -> Configuration:
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -5,9 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
 from loguru import logger
 
 from lacewingcourse.core.effects import (
+    AskReport,
     ChooseRoute,
     DeliverToken,
     FailAnswer,
@@ -15,11 +17,13 @@
     SendCredit,
     SendOpen,
     SendRevoke,
+    SendStart,
 )
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.messages import (
     OpenReply,
     RevokeReply,
+    StageReport,
     Token,
     TokenBatchReply,
 )
@@ -36,6 +40,13 @@
 
 Event = Token | FinishAnswer | FailAnswer
 
+#: Seconds in which a stage's agent must say how far it has come.
+REPORT_TIMEOUT = 1.0
+#: Seconds before a revocation is repeated the first time; doubled with each repeat.
+REVOKE_DELAY = 0.2
+#: Times that a revocation is sent; later its agent asks whether the stream lives.
+REVOKE_TRIES = 7
+
 
 class AnswerDriver:
     """One streamed answer.
@@ -50,7 +61,11 @@
 
     def __init__(self, entry: Entry, request: StreamRequest) -> None:
         self.entry = entry
-        self.state = StreamState(request, progress_at=entry.now())
+        self.state = StreamState(
+            request,
+            route_patience=entry.settings.route_patience,
+            progress_at=entry.now(),
+        )
         self.events: asyncio.Queue[Event] = asyncio.Queue()
         self.consumed = 0
         self.meter: AnswerMeter | None = None
@@ -79,11 +94,15 @@
         for effect in effects:
             match effect:
                 case ChooseRoute():
-                    self._choose(effect.excluded)
+                    self._choose(effect)
+                case AskReport():
+                    self.entry.spawn(self._ask(effect))
                 case SendOpen():
                     self.entry.spawn(self._open(effect))
                 case SendRevoke():
                     self.entry.spawn(self._revoke(effect))
+                case SendStart():
+                    self.entry.spawn(self._start(effect))
                 case SendCredit():
                     self.entry.spawn(self._credit(effect))
                 case DeliverToken():
@@ -99,10 +118,16 @@
         if self.meter is not None:
             self.meter.on_token(self.entry.now())
 
-    def _choose(self, excluded: frozenset[str]) -> None:
-        route = self.entry.choose_route(self.state.request, excluded)
+    def _choose(self, effect: ChooseRoute) -> None:
+        """Begin an attempt, now or after the delay that was asked for."""
+        if effect.delay > 0:
+            self.entry.spawn(self._choose_later(effect))
+            return
+        route = self.entry.choose_route(
+            self.state.request, effect.excluded, effect.stages
+        )
         self.perform(self.state.begin(route, self.entry.now()))
-        if not isinstance(route, Refusal):
+        if self.state.phase is Phase.OPENING:
             self._count_attempt()
 
     def _count_attempt(self) -> None:
@@ -112,29 +137,73 @@
         if delivered and self.meter is not None:
             self.meter.on_lost(self.entry.now())
 
+    async def _choose_later(self, effect: ChooseRoute) -> None:
+        await asyncio.sleep(effect.delay)
+        self._choose(attrs.evolve(effect, delay=0.0))
+
+    async def _ask(self, effect: AskReport) -> None:
+        """Ask a stage how far it has come."""
+        message = effect.message
+        report = await self.entry.peers.send(
+            effect.target.agent_url, paths.REPORT, message, StageReport, REPORT_TIMEOUT
+        )
+        if isinstance(report, Refusal):
+            report = None
+        self.perform(
+            self.state.on_report(
+                message.attempt, effect.index, report, self.entry.now()
+            )
+        )
+
     async def _open(self, effect: SendOpen) -> None:
         reply = await self._send(
             effect.target.agent_url, paths.OPEN_STAGE, effect.message, OpenReply
         )
+        reached = True
         if isinstance(reply, Refusal):
+            reached = reply.outcome is not Outcome.NOT_RUN
             self.entry.directory.mark_lost(effect.target.endpoint)
             reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
-        elif reply.load is not None:
-            self.entry.dispatcher.on_load(effect.target.endpoint, reply.load)
+        else:
+            self.entry.dispatcher.on_open_reply(
+                self.stream, effect.target.endpoint, reply
+            )
         message = effect.message
         self.perform(
             self.state.on_open_reply(
-                message.attempt, message.index, reply, self.entry.now()
+                message.attempt, message.index, reply, self.entry.now(), reached
             )
         )
 
-    async def _revoke(self, effect: SendRevoke) -> None:
+    async def _start(self, effect: SendStart) -> None:
+        """Start a stage of a resumed attempt."""
+        message = effect.message
         reply = await self._send(
-            effect.target.agent_url, paths.REVOKE, effect.message, RevokeReply
+            effect.target.agent_url, paths.START_STAGE, message, OpenReply
         )
         if isinstance(reply, Refusal):
-            reply = None
-        self.perform(self.state.on_revoke_reply(effect.target, reply, self.entry.now()))
+            reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
+        self.perform(
+            self.state.on_start_reply(
+                message.attempt, effect.index, reply, self.entry.now()
+            )
+        )
+
+    async def _revoke(self, effect: SendRevoke) -> None:
+        """Revoke an attempt; repeat it in the background to release the stage."""
+        delay = REVOKE_DELAY
+        for _ in range(REVOKE_TRIES):
+            reply = await self._send(
+                effect.target.agent_url, paths.REVOKE, effect.message, RevokeReply
+            )
+            lost = isinstance(reply, Refusal)
+            answer = None if lost else reply
+            now = self.entry.now()
+            self.perform(self.state.on_revoke_reply(effect.target, answer, now))
+            if not lost:
+                return
+            await asyncio.sleep(delay)
+            delay *= 2
 
     async def _credit(self, effect: SendCredit) -> None:
         await self._send(
@@ -158,25 +227,22 @@
         self.perform(self.state.on_trouble(attempt, endpoint, kind, self.entry.now()))
 
     def check_progress(self, now: float) -> None:
-        """Take the attempt for lost if it stands still while the caller reads."""
+        """Leave a stage that is known to be lost; look into a silent stream."""
         if self.state.phase not in (Phase.OPENING, Phase.RUNNING):
             return
-        if self.consumed < len(self.state.delivered):
-            return
-        if now - self.state.progress_at < self.entry.settings.stall_timeout:
-            return
-        suspect = self._suspect()
-        self.on_trouble(
-            self.state.attempt, suspect, ErrorKind.STAGE_LOST, "no progress"
-        )
-
-    def _suspect(self) -> str:
-        """Return the stage that most likely stands still."""
         for stage in self.state.stages:
             known = self.entry.directory.endpoints.get(stage.endpoint)
-            if known is None or not known.ready:
-                return stage.endpoint
-        return self.state.stages[0].endpoint
+            if known is None:
+                continue
+            if not known.ready or known.incarnation != stage.incarnation:
+                self.on_trouble(
+                    self.state.attempt,
+                    stage.endpoint,
+                    ErrorKind.STAGE_LOST,
+                    "its agent or endpoint does not answer",
+                )
+                return
+        self.perform(self.state.check(now))
 
     def abandon(self) -> None:
         """Release all stages after the caller went away."""
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -22,28 +22,33 @@
 from lacewingcourse.entry.answers import AnswerDriver
 from lacewingcourse.entry.api import API_ROUTES
 from lacewingcourse.entry.burn_log import BurnLog
+from lacewingcourse.entry.call_sender import CallSender
 from lacewingcourse.entry.directory import Directory
 from lacewingcourse.entry.dispatcher import Dispatcher
 from lacewingcourse.entry.follower import EntryConfigurationFollower
+from lacewingcourse.entry.home_keeper import HomeKeeper
+from lacewingcourse.entry.keyed import KeyedAnswers
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
 from lacewingcourse.entry.publisher import Publisher
+from lacewingcourse.entry.recovery import Recovery
 from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.rollout import RolloutWatcher
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
+from lacewingcourse.entry.state_api import STATE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
 from lacewingcourse.platform.instances import InstanceListClient
 from lacewingcourse.platform.log import LogClient
 
 if TYPE_CHECKING:
     from lacewingcourse.core.configuration import Configuration
-    from lacewingcourse.core.messages import TokenBatch
+    from lacewingcourse.core.messages import StageAddress, TokenBatch
     from lacewingcourse.core.routes import Route
     from lacewingcourse.core.streams import StreamRequest
     from lacewingcourse.entry.settings import EntrySettings
 
 #: Seconds between two looks for attempts that stand still.
-PROGRESS_INTERVAL = 0.25
+PROGRESS_INTERVAL = 0.1
 
 
 @attrs.frozen
@@ -55,12 +60,14 @@
         readiness: Whether it takes new work.
         streams: Answers in flight.
         endpoints: What it knows of the endpoints.
+        homes_complete: Whether every key has a home.
     """
 
     instance: str
     readiness: Readiness
     streams: int
     endpoints: tuple[EndpointState, ...]
+    homes_complete: bool
 
 
 class Entry(Daemon):
@@ -74,10 +81,14 @@
         answers: Answers in flight by stream.
         dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
+        recovery: Judges lost attempts and the endpoints that failed them.
         admission: Lets requests start, wait or be refused.
         calls_running: Plain calls in flight.
         outcomes: Counts how requests end.
         burn_log: Keeps summaries of the counts in the log.
+        homes: Which agents are homes of keys.
+        calls: Sends plain calls.
+        keyed: Answers of requests with a key.
     """
 
     metrics_class = EntryMetrics
@@ -94,6 +105,7 @@
         self.answers: dict[str, AnswerDriver] = {}
         self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
+        self.recovery = Recovery(self)
         self.admission = AdmissionControl(self)
         self.calls_running = 0
         run = secrets.token_hex(8)
@@ -106,6 +118,9 @@
         )
         self.follower.log.observe = self.metrics.on_log
         self.metrics.watch(self)
+        self.homes = HomeKeeper(self)
+        self.calls = CallSender(self)
+        self.keyed = KeyedAnswers(self)
 
     @property
     def configuration(self) -> Configuration:
@@ -115,6 +130,7 @@
     def routes(self) -> list[tuple]:
         routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES + REPORT_ROUTES
         routes += CONFIGURATION_ROUTES + ADMIN_ROUTES
+        routes += STATE_ROUTES
         return [(path, handler, {"daemon": self}) for path, handler in routes]
 
     def readiness(self) -> Readiness:
@@ -131,15 +147,18 @@
             readiness=self.readiness(),
             streams=len(self.answers),
             endpoints=tuple(self.directory.endpoints.values()),
+            homes_complete=self.homes.complete(),
         )
 
     async def start_tasks(self) -> None:
         self.spawn(self.follower.follow_log())
         self.spawn(self.follower.check_for_ever())
+        self.homes.start()
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
         self.spawn(self.admission.review_for_ever())
+        self.spawn(self.recovery.review_for_ever())
         self.spawn(self.burn_log.append_for_ever())
 
     async def _check_progress_for_ever(self) -> None:
@@ -167,10 +186,13 @@
         return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
 
     def choose_route(
-        self, request: StreamRequest, excluded: frozenset[str]
+        self,
+        request: StreamRequest,
+        excluded: frozenset[str],
+        stages: tuple[StageAddress, ...] = (),
     ) -> Route | Refusal:
         """Return a route for a request and count it as dispatched."""
-        return self.dispatcher.choose(request, excluded)
+        return self.dispatcher.choose(request, excluded, stages)
 
     def answer(self, request: StreamRequest) -> AnswerDriver:
         """Start a streamed answer."""
@@ -187,11 +209,12 @@
 
     def free(self, driver: AnswerDriver) -> None:
         """Give free what a streamed answer that has ended occupied."""
-        self.dispatcher.release(driver.stream)
+        endpoints = self.dispatcher.release(driver.stream)
         failure = driver.state.failure
         whole = failure is None
         if failure is not None and failure.kind is ErrorKind.CALLER_GONE:
             whole = None
+        self.recovery.on_end(driver.stream, whole is True, endpoints)
         self.admission.on_end(driver.stream, whole)
 
     def take_tokens(self, batch: TokenBatch) -> tuple[Credit, ...]:
--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -37,6 +37,7 @@
         client: Client of the instance list.
         instances: Endpoint instances that the list last showed, by name.
         listed: All instances that the list last showed and that are not gone.
+        gone: Endpoint instances that the list says have ended.
         endpoints: Endpoints whose agents have answered, by name.
     """
 
@@ -45,6 +46,7 @@
         self.client = client
         self.instances: dict[str, Instance] = {}
         self.listed: tuple[Instance, ...] = ()
+        self.gone: frozenset[str] = frozenset()
         self.endpoints = Fleet()
 
     async def follow_list(self) -> None:
@@ -57,6 +59,11 @@
                     for instance in listing.instances
                     if instance.state is not InstanceState.GONE
                 )
+                self.gone = frozenset(
+                    instance.id
+                    for instance in listing.instances
+                    if instance.state is InstanceState.GONE
+                )
                 self.instances = {
                     instance.id: instance
                     for instance in listing.instances
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -5,12 +5,19 @@
 from typing import TYPE_CHECKING
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.routes import POLICIES, RouteRequest, predict
+from lacewingcourse.core.resume import replacements
+from lacewingcourse.core.routes import (
+    POLICIES,
+    Route,
+    RouteRequest,
+    predict,
+    stage_of,
+)
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.estimates import LoadReport
+    from lacewingcourse.core.messages import OpenReply, StageAddress
     from lacewingcourse.core.priorities import Prediction
-    from lacewingcourse.core.routes import Dispatch, Fleet, Route
+    from lacewingcourse.core.routes import Dispatch, Fleet
     from lacewingcourse.core.streams import StreamRequest
     from lacewingcourse.entry.application import Entry
 
@@ -58,23 +65,60 @@
         )
 
     def choose(
-        self, request: StreamRequest, excluded: frozenset[str]
+        self,
+        request: StreamRequest,
+        excluded: frozenset[str],
+        stages: tuple[StageAddress, ...] = (),
     ) -> Route | Refusal:
-        """Return a route for a request; what it had before counts as left."""
+        """Return a route for a request; what it had before counts as left.
+
+        Args:
+            request: The request.
+            excluded: Endpoints to avoid.
+            stages: A route to mend if its excluded stages can be replaced.
+        """
         reserved = self.reserved.pop(request.stream, None)
         if reserved is not None and not excluded and self._holds(reserved):
             return reserved
         self.release(request.stream)
+        if excluded:
+            refusal = self.entry.recovery.refusal_of(request, excluded)
+            if refusal is not None:
+                return refusal
         wanted = self.route_request(request, excluded)
         if isinstance(wanted, Refusal):
             return wanted
         entry = self.entry
-        route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
-        if not isinstance(route, Refusal):
-            dispatch = self.fleet.dispatch(route, wanted.prompt_length)
-            self.dispatches[request.stream] = dispatch
+        route = self._mended(request.model, stages, excluded)
+        if route is None:
+            route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
+        if isinstance(route, Refusal):
+            return entry.recovery.load_refusal(request.stream) or route
+        dispatch = self.fleet.dispatch(route, wanted.prompt_length)
+        self.dispatches[request.stream] = dispatch
         return route
 
+    def _mended(
+        self, model: str, stages: tuple[StageAddress, ...], excluded: frozenset[str]
+    ) -> Route | None:
+        """Return a route with its excluded stages replaced, or None if none can."""
+        avoided = excluded.union(stage.endpoint for stage in stages)
+        mended = []
+        for stage in stages:
+            known = self.fleet.get(stage.endpoint)
+            current = known is not None and known.incarnation == stage.incarnation
+            if stage.endpoint not in excluded and current and known.ready:
+                mended.append(stage_of(known, stage.layers.first, stage.layers.end))
+                continue
+            able = replacements(self.fleet.values(), model, stage.layers, avoided)
+            if not able:
+                return None
+            pair = self.entry.rng.sample(able, min(2, len(able)))
+            chosen = min(pair, key=lambda endpoint: endpoint.load.running)
+            avoided = avoided.union({chosen.id})
+            mended.append(stage_of(chosen, stage.layers.first, stage.layers.end))
+        return Route(tuple(mended)) if mended else None
+
     def preview(self, request: StreamRequest) -> Prediction | Refusal:
         """Return what is predicted for a request, and keep the route for it."""
         wanted = self.route_request(request, frozenset())
@@ -103,14 +147,19 @@
                 return False
         return True
 
-    def release(self, stream: str) -> None:
-        """Note that a stream has left its route."""
+    def release(self, stream: str) -> tuple[str, ...]:
+        """Note that a stream has left its route; return the endpoints of it."""
         self.previews.pop(stream, None)
         self.reserved.pop(stream, None)
         dispatch = self.dispatches.pop(stream, None)
-        if dispatch is not None:
-            self.fleet.release(dispatch)
-
-    def on_load(self, endpoint: str, load: LoadReport) -> None:
-        """Take a load report that came with an answer."""
-        self.fleet.refresh(endpoint, load, self.entry.now())
+        if dispatch is None:
+            return ()
+        self.fleet.release(dispatch)
+        return dispatch.endpoints
+
+    def on_open_reply(self, stream: str, endpoint: str, reply: OpenReply) -> None:
+        """Take what an agent says of its load, and why it refused a stage."""
+        if reply.load is not None:
+            self.fleet.refresh(endpoint, reply.load, self.entry.now())
+        if not reply.accepted and reply.kind is not None:
+            self.entry.recovery.on_refused(stream, endpoint, reply.kind)
--- a/packages/entry/src/lacewingcourse/entry/metrics.py
+++ b/packages/entry/src/lacewingcourse/entry/metrics.py
@@ -10,7 +10,6 @@
 from lacewingcourse.core.burn_ends import GAP_BOUNDS, INCOMPLETE, Result
 from lacewingcourse.core.burn_report import Budget
 from lacewingcourse.core.burn_windows import BUDGET_FLOOR, OTHER
-from lacewingcourse.core.errors import Refusal
 from lacewingcourse.daemon.daemon import BaseMetrics
 
 if TYPE_CHECKING:
@@ -98,6 +97,7 @@
         requests: Requests that ended, by class of work, result and error kind.
         organisation_requests: Requests that ended, by organisation and result.
         burn_spent: Requests that spent a budget.
+        burn_counted: Requests that a budget is reckoned from.
         burn_allowed: Requests that a budget allows to spend it.
         tokens: Tokens delivered.
         first_token: Time to the first token.
@@ -105,12 +105,15 @@
         gaps: Time between tokens.
         attempts: Routes that were tried.
         recovery_time: Time from a lost attempt to the next token.
-        log_operations: Appends and reads of the log.
         drains: Times that the process was asked to end.
+        retries: Lost attempts, by whether another was allowed.
+        ejections: Times that an endpoint was left out as an outlier.
     """
 
     def __init__(self) -> None:
         super().__init__()
+        self.retries = self._counter("retries", "Lost attempts", "allowed")
+        self.ejections = self._counter("ejections", "Endpoints left out")
         self.classes = BoundedLabel(MAX_CLASSES)
         self.organisations = BoundedLabel(MAX_ORGANISATIONS)
         self.requests = self._counter(
@@ -122,6 +125,9 @@
         self.burn_spent = self._counter(
             "burn_spent", "Requests that spent a budget", "work_class", "budget"
         )
+        self.burn_counted = self._counter(
+            "burn_counted", "Requests in a budget", "work_class", "budget"
+        )
         self.burn_allowed = self._counter(
             "burn_allowed", "Requests that a budget allows", "work_class", "budget"
         )
@@ -138,9 +144,6 @@
         self.recovery_time = self._histogram(
             "recovery_seconds", "Time from a lost attempt to the next token"
         )
-        self.log_operations = self._counter(
-            "log_operations", "Operations on the log", "operation", "stream", "outcome"
-        )
         self.drains = self._counter("drains", "Times asked to end")
         self.gauges = {
             name: Gauge("lacewingcourse_" + name, text, registry=self.registry)
@@ -163,6 +166,7 @@
         sources = {
             "ready": lambda: entry.readiness().ready,
             "answers_running": lambda: len(entry.answers),
+            "admission_queue_length": lambda: entry.admission.decisions.queue.size,
             "calls_running": lambda: entry.calls_running,
             "endpoints_usable": lambda: sum(
                 each.takes_new_work() for each in endpoints.values()
@@ -214,6 +218,7 @@
         if allowed is None:
             return
         self.burn_spent.labels(work_class, budget.value).inc(spent)
+        self.burn_counted.labels(work_class, budget.value).inc()
         allowance = max(allowed, BUDGET_FLOOR)
         self.burn_allowed.labels(work_class, budget.value).inc(allowance)
 
@@ -229,18 +234,12 @@
             reason = "recovery" if delivered else "retry"
         self.attempts.labels(reason).inc()
 
-    def on_log(self, operation: str, stream: str, result: object) -> None:
-        """Count an operation on the log."""
-        outcome = "ok"
-        if isinstance(result, Refusal):
-            outcome = result.outcome.value
-        self.log_operations.labels(operation, stream, outcome).inc()
-
 
 #: Gauges by name, with what they show.
 GAUGES = {
     "ready": "Whether the process takes new work",
     "answers_running": "Streamed answers in flight",
+    "admission_queue_length": "Requests that wait to be let in",
     "calls_running": "Plain calls in flight",
     "endpoints_usable": "Endpoints that take new work",
     "endpoints_known": "Endpoints whose agents have answered",
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -35,10 +35,10 @@
         converter=registered(POLICIES),
         help=f"Route policy: {', '.join(POLICIES.names())}",
     )
-    stall_timeout: float = environ.var(
-        default="5",
+    route_patience: float = environ.var(
+        default="10",
         converter=positive,
-        help="Seconds without progress after which a stage is taken for lost",
+        help="Seconds for which a broken answer waits for a route",
     )
     message_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a message to an agent may take"
@@ -51,6 +51,13 @@
         converter=positive,
         help="Seconds between two summaries of its counts in the log",
     )
+    claim_timeout: float = environ.var(
+        default="8", converter=positive, help="Seconds a claim of a key may take"
+    )
+    key_tenure: float = common.key_tenure()
+    key_skew: float = common.key_skew()
+    instance_skew: float = common.instance_skew()
+    key_retention: float = common.key_retention()
     log_format: str = common.log_format()
     log_level: str = common.log_level()
     max_body_bytes: int = common.max_body_bytes()
--- a/packages/wire/src/lacewingcourse/wire/paths.py
+++ b/packages/wire/src/lacewingcourse/wire/paths.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 OPEN_STAGE = "/wire/open"
+START_STAGE = "/wire/start"
 HOPS = "/wire/hops"
 REVOKE = "/wire/revoke"
 CREDIT = "/wire/credit"
+REPORT = "/wire/report"
 STATUS = "/wire/status"
 CALL = "/wire/call"
 TOKENS = "/wire/tokens"
@@ -13,3 +15,6 @@
 POISON = "/wire/poison"
 CONFIGURATION = "/wire/configuration"
 BURN = "/wire/burn"
+CLAIM = "/wire/claim"
+SETTLE = "/wire/settle"
+REVOKE_CALL = "/wire/revoke-call"
