--- a/packages/core/src/lacewingcourse/core/diagnosis.py
+++ b/packages/core/src/lacewingcourse/core/diagnosis.py
@@ -52,6 +52,15 @@
     return None
 
 
+def standstill(reports: Sequence[StageReport]) -> tuple[int, ...] | None:
+    """Return the stages' positions if each has run all that it got, else None."""
+    if reports[0].done == 0:
+        return None
+    if any(report.accepted != report.done for report in reports):
+        return None
+    return tuple(report.done for report in reports)
+
+
 def _silent(attempt, stages, reports) -> Finding | None:
     """Find agents that do not answer."""
     lost = _names(stages, reports, lambda report: report is None)
--- a/packages/core/src/lacewingcourse/core/stages.py
+++ b/packages/core/src/lacewingcourse/core/stages.py
@@ -251,7 +251,7 @@
             return HopVerdict.STALE if older else HopVerdict.UNKNOWN_STREAM, []
         if hop.layers != state.address.layers:
             return HopVerdict.WRONG_RANGE, []
-        if hop.position < state.next_position:
+        if hop.position < state.next_position and not state.paused:
             return HopVerdict.REPEATED, []
         if state.paused or hop.position > state.next_position:
             if len(state.held) >= HELD_HOPS:
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lacewingcourse.core.diagnosis import diagnose
+from lacewingcourse.core.diagnosis import diagnose, standstill
 from lacewingcourse.core.effects import (
     AskReport,
     ChooseRoute,
@@ -74,6 +74,8 @@
 MIN_SILENCE = 0.25
 #: Seconds without a first token after which the stages are asked.
 FIRST_SILENCE = 1.0
+#: Questions that find the stages without work before the stream starts over.
+STANDSTILLS = 2
 #: Seconds between two questions to the stages at the most.
 MAX_SILENCE = 5.0
 
@@ -159,6 +161,7 @@
         pace: Learned time between two tokens.
         ask_at: When the stages are asked how far they have come, seconds.
         unanswered: Questions in a row that found no fault.
+        stood_at: Positions of the stages when they last had no work, or None.
         reports: Answers of the stages that were asked, None while not asking.
     """
 
@@ -190,6 +193,7 @@
     pace: Pace = attrs.field(factory=Pace)
     ask_at: float = 0.0
     unanswered: int = 0
+    stood_at: tuple[int, ...] | None = None
     reports: dict[int, StageReport | None] | None = None
 
     @stop.default
@@ -424,7 +428,13 @@
         finding = diagnose(attempt, self.stages, ordered)
         if finding is not None:
             return self._retry(finding.endpoints, finding.kind, now)
+        positions = standstill(ordered)
+        stuck = positions is not None and positions == self.stood_at
+        self.stood_at = positions
         self.unanswered += 1
+        if stuck and self.unanswered > STANDSTILLS:
+            self.keepable.clear()
+            return self._retry((), ErrorKind.STAGE_LOST, now)
         usual = self.pace.limit(MIN_SILENCE, FIRST_SILENCE)
         self.ask_at = now + min(MAX_SILENCE, usual * 2**self.unanswered)
         return []
