--- a/packages/agent/src/lacewingcourse/agent/metrics.py
+++ b/packages/agent/src/lacewingcourse/agent/metrics.py
@@ -80,7 +80,7 @@
             "leaving": lambda: agent.leaving,
             "work_running": agent.running,
             "engine_queue_length": lambda: len(stages.queue) if stages else 0,
-            "engine_steps_in_flight": lambda: stages.in_flight if stages else 0,
+            "engine_steps_in_flight": lambda: len(stages.steps) if stages else 0,
         }
         for name, source in sources.items():
             self.gauges[name].set_function(source)
--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -9,11 +9,12 @@
 
 import attrs
 from loguru import logger
-from prometheus_client import CollectorRegistry, Counter
+from prometheus_client import CollectorRegistry, Counter, disable_created_metrics
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
+from lacewingcourse.core.errors import Refusal
 from lacewingcourse.daemon.handlers import (
     HealthHandler,
     MetricsHandler,
@@ -58,15 +59,34 @@
     Attributes:
         registry: Where the counters are registered.
         strangers: Messages whose proof was missing or wrong.
+        log_operations: Appends and reads of the log.
     """
 
     def __init__(self) -> None:
+        disable_created_metrics()
         self.registry = CollectorRegistry()
         self.strangers = Counter(
             "lacewingcourse_strangers",
             "Messages whose proof was missing or wrong",
             registry=self.registry,
         )
+        self.log_operations = Counter(
+            "lacewingcourse_log_operations",
+            "Operations on the log",
+            ("operation", "stream", "outcome"),
+            registry=self.registry,
+        )
+
+    def on_log(self, operation: str, stream: str, result: object) -> None:
+        """Count an operation on the log.
+
+        Args:
+            operation: `append` or `read`.
+            stream: Name of the stream.
+            result: What came of it; a refusal if it failed.
+        """
+        outcome = result.outcome.value if isinstance(result, Refusal) else "ok"
+        self.log_operations.labels(operation, stream, outcome).inc()
 
 
 class Daemon:
