--- a/packages/cli/src/lacewingcourse/cli/admin_client.py
+++ b/packages/cli/src/lacewingcourse/cli/admin_client.py
@@ -93,7 +93,11 @@
             connect_timeout=CONNECT_TIMEOUT,
             request_timeout=ANSWER_TIMEOUT + wait,
         )
-        response = await fetch(new_http_client(), request)
+        http = new_http_client()
+        try:
+            response = await fetch(http, request)
+        finally:
+            http.close()
         if response.code == NO_ANSWER:
             return AdminAnswer(NO_ANSWER, None, str(response.error))
         try:
--- a/packages/platform/src/lacewingcourse/platform/log.py
+++ b/packages/platform/src/lacewingcourse/platform/log.py
@@ -8,7 +8,12 @@
 from tornado.httpclient import HTTPRequest
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
-from lacewingcourse.wire.client import fetch, never_sent, new_http_client
+from lacewingcourse.wire.client import (
+    fetch,
+    never_sent,
+    new_http_client,
+    use_fresh_connection,
+)
 from lacewingcourse.wire.codec import decode, encode
 
 if TYPE_CHECKING:
@@ -93,6 +98,7 @@
             method="POST",
             body=encode(Append(body)),
             headers={"Content-Type": "application/json"},
+            prepare_curl_callback=use_fresh_connection,
             connect_timeout=min(self.timeout, 2.0),
             request_timeout=self.timeout,
         )
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -60,6 +60,7 @@
         services: Endpoints of the plain service.
         layers: Layers of the model.
         step_time: Seconds of an engine's step.
+        log_retention: Seconds for which the log keeps a record.
         verbose: Whether the processes' log lines are shown.
         entry_variables: Further settings of the entries.
         agent_variables: Further settings of the agents.
@@ -75,6 +76,7 @@
     services: int = 1
     layers: int = 24
     step_time: float = 0.004
+    log_retention: float = 86400.0
     verbose: bool = False
     entry_variables: dict[str, str] = attrs.field(factory=dict)
     agent_variables: dict[str, str] = attrs.field(factory=dict)
@@ -229,7 +231,9 @@
 
     def _start_platform(self) -> None:
         self.platform = {
-            "log_service": self._standin("log-service", "log"),
+            "log_service": self._standin(
+                "log-service", "log", f"--retention={self.options.log_retention}"
+            ),
             "instance_list": self._standin("instance-list", "instances"),
             "weight_store": self._standin("weight-store", "weights"),
         }
