--- a/packages/core/src/lacewingcourse/core/poison.py
+++ b/packages/core/src/lacewingcourse/core/poison.py
@@ -22,8 +22,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from lacewingcourse.core.endpoints import EndpointState
-
 #: Endpoints that must crash under a request alone before it is convicted.
 SOLO_CRASHES = 2
 #: Weight of strikes in company from which on a request is a suspect.
@@ -274,16 +272,3 @@
     listed = list(items)
     newcomers = [item for item in listed if item.first_step]
     return newcomers or listed
-
-
-def suspects_order(endpoints: Iterable[EndpointState]) -> list[EndpointState]:
-    """Return endpoints in the fixed order in which suspects use them.
-
-    Every entry computes the same order, so all suspects of a model meet on the same
-    few endpoints and the others never run one.
-    """
-    return sorted(endpoints, key=_suspects_rank)
-
-
-def _suspects_rank(endpoint: EndpointState) -> bytes:
-    return hashlib.blake2b(endpoint.id.encode(), digest_size=8).digest()
--- a/packages/core/src/lacewingcourse/core/routes/__init__.py
+++ b/packages/core/src/lacewingcourse/core/routes/__init__.py
@@ -15,6 +15,7 @@
     usable,
 )
 from lacewingcourse.core.routes.prediction import predict
+from lacewingcourse.core.routes.suspects import suspects_route
 
 #: Policies that are kept to compare others with.
 BASELINES = ("random", "round_robin", "least_loaded")
@@ -34,5 +35,6 @@
     "predict",
     "shortest",
     "stage_of",
+    "suspects_route",
     "usable",
 ]
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -158,6 +158,7 @@
         ask_at: When the stages are asked how far they have come, seconds.
         unanswered: Questions in a row that found no fault.
         reports: Answers of the stages that were asked, None while not asking.
+        solo: Whether the next attempt's first steps run alone on their engines.
     """
 
     request: StreamRequest
@@ -189,6 +190,7 @@
     ask_at: float = 0.0
     unanswered: int = 0
     reports: dict[int, StageReport | None] | None = None
+    solo: bool = False
 
     @stop.default
     def _new_stop(self) -> StopMatcher:
@@ -263,6 +265,7 @@
             prompt=prompt,
             resume=self.resuming,
             pace=request.pace,
+            solo=self.solo,
         )
         return SendOpen(target, message)
 
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -35,6 +35,7 @@
 
     from lacewingcourse.core.burn_ends import AnswerMeter
     from lacewingcourse.core.errors import ErrorKind as Kind
+    from lacewingcourse.core.messages import Trouble
     from lacewingcourse.core.routes import Route
     from lacewingcourse.core.streams import Effect, StreamRequest
     from lacewingcourse.entry.application import Entry
@@ -45,6 +46,8 @@
 REPORT_TIMEOUT = 1.0
 #: Seconds before a revocation is repeated the first time; doubled with each repeat.
 REVOKE_DELAY = 0.2
+#: Tokens that a suspect makes before it counts as past the place of its crash.
+CLEARING_TOKENS = 2
 #: Times that a revocation is sent; later its agent asks whether the stream lives.
 REVOKE_TRIES = 7
 
@@ -58,6 +61,7 @@
         events: What the caller has not yet been given.
         consumed: Tokens that the caller was given.
         meter: Measures the answer, or None.
+        cleared_at: Tokens with which a suspect counts as innocent, or None.
     """
 
     def __init__(self, entry: Entry, request: StreamRequest) -> None:
@@ -70,6 +74,7 @@
         self.events: asyncio.Queue[Event] = asyncio.Queue()
         self.consumed = 0
         self.meter: AnswerMeter | None = None
+        self.cleared_at: int | None = None
 
     @property
     def stream(self) -> str:
@@ -109,6 +114,7 @@
                 case DeliverToken():
                     self.entry.admission.on_token(self.stream)
                     self._measure()
+                    self._clear_suspect()
                     self.events.put_nowait(effect.token)
                 case FinishAnswer() | FailAnswer():
                     self.entry.free(self)
@@ -119,6 +125,17 @@
         if self.meter is not None:
             self.meter.on_token(self.entry.now())
 
+    def _clear_suspect(self) -> None:
+        """Clear a suspect that has run alone past the place of its crash."""
+        state = self.state
+        made = len(state.delivered)
+        if self.cleared_at is None:
+            return
+        if made < self.cleared_at and state.phase is not Phase.ENDED:
+            return
+        self.cleared_at = None
+        self.entry.poison.clear(self.entry.poison.fingerprint(state.request))
+
     def _choose(self, effect: ChooseRoute) -> None:
         """Begin an attempt, now or after the delay that was asked for."""
         if effect.delay > 0:
@@ -143,6 +160,11 @@
     def _route(self, effect: ChooseRoute) -> Route | Refusal:
         """Return the mended route if stages can be replaced, else a new one."""
         request = self.state.request
+        self.state.solo = self.entry.poison.suspects(request)
+        self.cleared_at = None
+        if self.state.solo:
+            self.cleared_at = len(self.state.delivered) + CLEARING_TOKENS
+            return self.entry.dispatcher.choose_for_suspect(request, effect.excluded)
         if effect.stages:
             mended = self.entry.dispatcher.mend(request, effect.stages, effect.excluded)
             if mended is not None:
@@ -226,6 +248,19 @@
         """Take a token from an agent."""
         self.perform(self.state.on_token(token, self.entry.now()))
 
+    def on_stage_trouble(self, trouble: Trouble) -> None:
+        """Take an agent's word; end the answer if its request is poison."""
+        state = self.state
+        refusal = self.entry.poison.judge(state.request, trouble)
+        if refusal is None or trouble.attempt != state.attempt:
+            self.on_trouble(
+                trouble.attempt, trouble.endpoint, trouble.kind, trouble.reason
+            )
+            return
+        if state.phase in (Phase.OPENING, Phase.RUNNING):
+            state.any_started = True
+            self.perform(state.give_up(refusal, self.entry.now()))
+
     def on_trouble(self, attempt: int, endpoint: str, kind: Kind, reason: str) -> None:
         """Take an agent's word that an attempt cannot go on."""
         if attempt == self.state.attempt:
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -73,6 +73,10 @@
         )
         work_class = self.daemon.configuration.classes.get(request.work_class)
         self.record.describe(work_class, request.model)
+        poison = self.daemon.poison.refusal_of(request)
+        if poison is not None:
+            self.refuse(poison)
+            return
         self.waiting = request.stream
         driver = await answer_of(self, request)
         if isinstance(driver, Refusal):
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -28,6 +28,7 @@
 from lacewingcourse.entry.keyed import KeyedAnswers
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
+from lacewingcourse.entry.poison_guard import PoisonGuard
 from lacewingcourse.entry.recovery import Recovery
 from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
@@ -75,6 +76,7 @@
         answers: Answers in flight by stream.
         dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
+        poison: Knows the requests that crash their endpoints.
         recovery: Judges lost attempts and the endpoints that failed them.
         admission: Lets requests start, wait or be refused.
         calls_running: Plain calls in flight.
@@ -95,6 +97,7 @@
         self.answers: dict[str, AnswerDriver] = {}
         self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
+        self.poison = PoisonGuard(self, self.follower.log)
         self.recovery = Recovery(self)
         self.admission = AdmissionControl(self)
         self.calls_running = 0
@@ -147,6 +150,7 @@
         self.spawn(self._check_progress_for_ever())
         self.spawn(self.admission.review_for_ever())
         self.spawn(self.recovery.review_for_ever())
+        self.spawn(self.poison.follow())
         self.spawn(self.burn_log.append_for_ever())
 
     async def _check_progress_for_ever(self) -> None:
--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -46,6 +46,11 @@
         self.instances: dict[str, Instance] = {}
         self.gone: frozenset[str] = frozenset()
         self.endpoints = Fleet()
+        self.entries: dict[str, Instance] = {}
+
+    def entry_urls(self) -> list[str]:
+        """Return the base URLs of all entries that the list shows."""
+        return [instance.url for instance in self.entries.values()]
 
     async def follow_list(self) -> None:
         """Read the instance list for ever."""
@@ -57,6 +62,12 @@
                     for instance in listing.instances
                     if instance.state is InstanceState.GONE
                 )
+                self.entries = {
+                    instance.id: instance
+                    for instance in listing.instances
+                    if instance.role is InstanceRole.ENTRY
+                    and instance.state is not InstanceState.GONE
+                }
                 self.instances = {
                     instance.id: instance
                     for instance in listing.instances
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -12,6 +12,8 @@
     RouteRequest,
     predict,
     stage_of,
+    suspects_route,
+    usable,
 )
 
 if TYPE_CHECKING:
@@ -87,6 +89,27 @@
         self.dispatches[request.stream] = dispatch
         return route
 
+    def choose_for_suspect(
+        self, request: StreamRequest, excluded: frozenset[str]
+    ) -> Route | Refusal:
+        """Return the route on the endpoints that run suspects.
+
+        Endpoints that already crashed under the request are avoided, since only
+        crashes of distinct endpoints convict.
+        """
+        self.release(request.stream)
+        avoided = excluded | self.entry.poison.crashed(request)
+        wanted = self.route_request(request, avoided)
+        if isinstance(wanted, Refusal):
+            return wanted
+        candidates = usable(self.fleet.values(), request.model, avoided)
+        route = suspects_route(candidates, wanted.layer_count)
+        if isinstance(route, Refusal):
+            return route
+        dispatch = self.fleet.dispatch(route, wanted.prompt_length)
+        self.dispatches[request.stream] = dispatch
+        return route
+
     def mend(
         self,
         request: StreamRequest,
--- a/packages/entry/src/lacewingcourse/entry/poison_guard.py
+++ b/packages/entry/src/lacewingcourse/entry/poison_guard.py
@@ -13,20 +13,24 @@
 import attrs
 from loguru import logger
 
-from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.messages import TokenBatchReply
 from lacewingcourse.core.poison import (
+    SOLO_CRASHES,
     STRIKE_KEPT,
     Clearance,
     PoisonBook,
     PoisonNotice,
     Standing,
     Strike,
+    fingerprint_of,
 )
 from lacewingcourse.wire import paths
 from lacewingcourse.wire.codec import decode, encode
 
 if TYPE_CHECKING:
+    from lacewingcourse.core.messages import Trouble
+    from lacewingcourse.core.streams import StreamRequest
     from lacewingcourse.entry.application import Entry
     from lacewingcourse.platform.log import LogClient, LogRecord
 
@@ -62,6 +66,44 @@
         """Return what is held of a request."""
         return self.book.standing(fingerprint, self.entry.now())
 
+    def fingerprint(self, request: StreamRequest) -> str:
+        """Return what identifies a request's content."""
+        model = self.entry.configuration.models.get(request.model)
+        version = model.version if model is not None else ""
+        return fingerprint_of(request.model, version, request.prompt)
+
+    def refusal_of(self, request: StreamRequest) -> Refusal | None:
+        """Return why a request is never run again, or None."""
+        if self.standing(self.fingerprint(request)) is not Standing.POISON:
+            return None
+        reason = f"the same request crashed {SOLO_CRASHES} endpoints that ran it alone"
+        kind = ErrorKind.REQUEST_CRASHES_ENDPOINTS
+        return Refusal(kind, reason, Outcome.RAN)
+
+    def judge(self, request: StreamRequest, trouble: Trouble) -> Refusal | None:
+        """Note an agent's word of a crash; return why the request ends, or None."""
+        if not trouble.crash:
+            return None
+        self.strike(
+            Strike(
+                fingerprint=self.fingerprint(request),
+                endpoint=trouble.endpoint,
+                incarnation=trouble.crash,
+                solo=trouble.solo,
+                newcomer=trouble.newcomer,
+            )
+        )
+        return self.refusal_of(request)
+
+    def suspects(self, request: StreamRequest) -> bool:
+        """Tell whether a request may only run alone."""
+        return self.standing(self.fingerprint(request)) is Standing.SUSPECT
+
+    def crashed(self, request: StreamRequest) -> frozenset[str]:
+        """Return the endpoints that crashed while they ran a request alone."""
+        fingerprint = self.fingerprint(request)
+        return self.book.crashed_endpoints(fingerprint, self.entry.now())
+
     def strike(self, strike: Strike) -> Standing:
         """Note a crash that this entry heard of and tell the others."""
         before = self.standing(strike.fingerprint)
--- a/packages/entry/src/lacewingcourse/entry/wire_api.py
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lacewingcourse.core.messages import TokenBatch, TokenBatchReply, TroubleBatch
+from lacewingcourse.core.poison import PoisonNotice
 from lacewingcourse.daemon.handlers import WireHandler
 from lacewingcourse.wire import paths
 
@@ -27,10 +28,23 @@
         for trouble in batch.troubles:
             answer = self.daemon.answers.get(trouble.stream)
             if answer is not None:
-                answer.on_trouble(
-                    trouble.attempt, trouble.endpoint, trouble.kind, trouble.reason
-                )
+                answer.on_stage_trouble(trouble)
         self.reply(TokenBatchReply())
 
 
-WIRE_ROUTES = [(paths.TOKENS, TokensHandler), (paths.TROUBLES, TroublesHandler)]
+class PoisonHandler(WireHandler):
+    """Receives other entries' word on requests that crash their endpoints."""
+
+    def post(self) -> None:
+        notice = self.message(PoisonNotice)
+        if notice is None:
+            return
+        self.daemon.poison.take(notice)
+        self.reply(TokenBatchReply())
+
+
+WIRE_ROUTES = [
+    (paths.TOKENS, TokensHandler),
+    (paths.TROUBLES, TroublesHandler),
+    (paths.POISON, PoisonHandler),
+]
