Share a target among the stages of a route; learn margins from fresh predictions

Cause: trials under load showed two faults. Prompts were due a whole first-token target after each hop, so at three stages the first token came up to three targets late.

Change: margins rest on predictions from fresh estimates only, and take a lower quantile of few ratios; due times give each stage an equal part of the target; a prompt is predicted to wait as long as a token does.

--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -157,12 +157,15 @@
     def _push(self, effect: RunForward) -> None:
         """Queue work with the time at which it is due."""
         stage = self.gate.stages.get(effect.stream)
-        pace = stage.message.pace if stage is not None else 0.0
+        pace, stages = 0.0, 1
+        if stage is not None:
+            pace, stages = stage.message.pace, len(stage.message.stages)
         positions = len(effect.values)
         if effect.prompt is not None:
             positions = self.estimates.prompt_positions(len(effect.prompt.text))
             positions += len(effect.prompt.delivered)
-        self.queue.push(effect, due_at(effect, pace, self.agent.now()), positions)
+        due = due_at(effect, pace, stages, self.agent.now())
+        self.queue.push(effect, due, positions)
 
     def _feed_engine(self) -> None:
         """Give waiting work to the engine while it has room."""
--- a/packages/core/src/lacewingcourse/core/priorities.py
+++ b/packages/core/src/lacewingcourse/core/priorities.py
@@ -25,7 +25,7 @@
 #: Ends from which on a margin is taken.
 MARGIN_FROM = 8
 #: Least and greatest margin on a prediction.
-MARGIN_RANGE = (0.5, 5.0)
+MARGIN_RANGE = (0.5, 3.0)
 #: Seconds in which a margin fades while no answer ends.
 MARGIN_KEPT = 10.0
 #: Weight of the newest answer in the share of a class that is in time.
@@ -81,7 +81,7 @@
         count = len(self.ratios)
         if count >= MARGIN_FROM:
             ordered = sorted(self.ratios)
-            value = ordered[min(count - 1, int(share * count))]
+            value = ordered[int(share * (count - 1))]
             self.value = min(max(value, MARGIN_RANGE[0]), MARGIN_RANGE[1])
 
 
@@ -119,7 +119,7 @@
         self.last_end = now
         in_time = whole and not meter.lateness(now).late
         self.in_time.add(1.0 if in_time else 0.0, STANDING_WEIGHT)
-        if not whole:
+        if not whole or not predicted.fresh:
             return
         if meter.first_token is not None:
             self.first_token.add(meter.first_token, predicted.first_token, share)
@@ -133,6 +133,8 @@
 
         Otherwise a class that admits nothing would never learn that it could.
         """
+        if not margin.ratios:
+            return 1.0
         age = max(0.0, now - self.last_end)
         return 1.0 + (margin.value - 1.0) * math.exp(-age / MARGIN_KEPT)
 
--- a/packages/core/src/lacewingcourse/core/queueing.py
+++ b/packages/core/src/lacewingcourse/core/queueing.py
@@ -119,17 +119,21 @@
         self.waiting_positions = sum(entry.positions for entry in kept)
 
 
-def due_at(effect: RunForward, pace: float, now: float) -> float:
+def due_at(effect: RunForward, pace: float, stages: int, now: float) -> float:
     """Return when work should be done.
 
+    Each stage of a route may use an equal part of the time.
+
     Args:
         effect: The work.
         pace: Seconds between tokens that its class asks for; 0.0 for none.
+        stages: Stages of its route.
         now: Present time in seconds.
     """
+    allowed = pace or DEFAULT_PACE
     if effect.prompt is not None or len(effect.values) > 1:
-        return now + max(0.0, effect.priority)
-    return now + (pace or DEFAULT_PACE)
+        allowed = max(0.0, effect.priority)
+    return now + allowed / max(1, stages)
 
 
 @attrs.frozen
--- a/packages/core/src/lacewingcourse/core/routes/fleet.py
+++ b/packages/core/src/lacewingcourse/core/routes/fleet.py
@@ -125,14 +125,13 @@
     def prefill_time(self, positions: int) -> float:
         """Return the seconds that a prompt is predicted to spend there."""
         waiting = self.backlog + self.sent_positions * self.sources
-        step = self.base + self.position * (waiting + positions)
-        if self.in_flight or self.reported + self.delta > 0:
-            return step + RESIDUAL * self.base
-        return step
+        return self.decode_time() + self.position * (waiting + positions - 1)
 
     def request_time(self, prompt_length: int, tokens: int) -> float:
         """Return the seconds that a request is predicted to spend there."""
-        return self.prefill_time(prompt_length) + tokens * self.decode_time()
+        waiting = self.backlog + self.sent_positions * self.sources
+        prefill = self.position * (waiting + prompt_length - 1)
+        return prefill + (1 + tokens) * self.decode_time()
 
     def token_rate(self, items: float) -> float:
         """Return the tokens a second that steps of so many items make."""
--- a/packages/core/tests/test_queueing.py
+++ b/packages/core/tests/test_queueing.py
@@ -48,7 +48,7 @@
     due = {}
     for index, (prompt, slack, positions) in enumerate(items):
         effect = work(str(index), prompt, slack)
-        due[effect.stream] = due_at(effect, 0.05, float(index))
+        due[effect.stream] = due_at(effect, 0.05, 2, float(index))
         queue.push(effect, due[effect.stream], positions if prompt else 1)
     while len(queue):
         least = min(due.values())
