--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -15,11 +15,13 @@
     HopBatchReply,
     OpenReply,
     OpenStage,
+    ReportRequest,
     Revoke,
     RevokeCall,
     RevokeReply,
     Settle,
     SettleReply,
+    StartStage,
     Status,
     TokenBatchReply,
 )
@@ -34,14 +36,36 @@
         message = self.message(OpenStage)
         if message is None:
             return
-        kind = self.daemon.stages.refusal_of(message)
+        daemon = self.daemon
+        if not daemon.endpoint_ready():
+            kind, reason = ErrorKind.ENDPOINT_FAILED, "the engine does not answer"
+            self.reply(OpenReply(False, daemon.incarnation, kind, reason))
+            return
+        kind = daemon.stages.refusal_of(message)
         if kind is not None:
-            self.reply(OpenReply(False, self.daemon.incarnation, kind, "no capacity"))
+            self.reply(OpenReply(False, daemon.incarnation, kind, "no capacity"))
+            return
+        reply, effects = daemon.stages.gate.open(message, daemon.now())
+        daemon.metrics.on_open(reply)
+        daemon.stages.perform(effects)
+        self.reply(attrs.evolve(reply, load=daemon.stages.load()))
+
+
+class StartStageHandler(WireHandler):
+    """Starts a stage of a resumed attempt."""
+
+    def post(self) -> None:
+        message = self.message(StartStage)
+        if message is None:
             return
-        reply, effects = self.daemon.stages.gate.open(message, self.daemon.now())
-        self.daemon.metrics.on_open(reply)
-        self.daemon.stages.perform(effects)
-        self.reply(attrs.evolve(reply, load=self.daemon.stages.load()))
+        daemon = self.daemon
+        if message.incarnation != daemon.incarnation:
+            kind, reason = ErrorKind.STALE_INCARNATION, "meant for another incarnation"
+            self.reply(OpenReply(False, daemon.incarnation, kind, reason))
+            return
+        reply, effects = daemon.stages.gate.start(message, daemon.now())
+        daemon.stages.perform(effects)
+        self.reply(reply)
 
 
 class HopsHandler(WireHandler):
@@ -94,6 +118,15 @@
         self.reply(TokenBatchReply())
 
 
+class ReportHandler(WireHandler):
+    """Tells how far a stage has come."""
+
+    def post(self) -> None:
+        request = self.message(ReportRequest)
+        if request is not None:
+            self.reply(self.daemon.stages.report(request))
+
+
 class StatusHandler(WireHandler):
     """Tells the state of the agent and its endpoint."""
 
@@ -165,9 +198,11 @@
 
 AGENT_ROUTES = [
     (paths.OPEN_STAGE, OpenStageHandler),
+    (paths.START_STAGE, StartStageHandler),
     (paths.HOPS, HopsHandler),
     (paths.REVOKE, RevokeHandler),
     (paths.CREDIT, CreditHandler),
+    (paths.REPORT, ReportHandler),
     (paths.STATUS, StatusHandler),
     (paths.CALL, CallHandler),
     (paths.REVOKE_CALL, RevokeCallHandler),
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -35,10 +35,10 @@
         converter=one_of("targets", "none"),
         help="targets, or none to let every request start (to compare with)",
     )
-    stall_timeout: float = environ.var(
-        default="5",
+    route_patience: float = environ.var(
+        default="10",
         converter=positive,
-        help="Seconds without progress after which a stage is taken for lost",
+        help="Seconds for which a broken answer waits for a route",
     )
     message_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a message to an agent may take"
