Count hops passed on, batches sent again and batches given up

Cause: the agent's sending had no counters, so that a degraded link showed in nothing but late tokens.

Change: three counters in the courier, and their lines in the metrics page.

Conclusion: retries and failures of hops are visible.

--- a/packages/agent/src/lacewingcourse/agent/courier.py
+++ b/packages/agent/src/lacewingcourse/agent/courier.py
@@ -63,6 +63,7 @@
 
     def put_hop(self, effect: SendHop) -> None:
         """Queue a hop for its receiver."""
+        self.agent.metrics.hops_sent.inc()
         target = effect.target
         key = (target.agent_url, target.incarnation)
         self._outbox(self.hops, key, self._send_hops, target).put(effect.hop)
@@ -169,9 +170,10 @@
                 self.pace.note(self.agent.now() - started)
                 return reply
             absent = reply.outcome is Outcome.NOT_RUN
-            if absent and not wait_for_start:
-                return reply
-            if self.agent.now() + delay >= deadline:
+            given_up = absent and not wait_for_start
+            if given_up or self.agent.now() + delay >= deadline:
+                self.agent.metrics.send_failures.inc()
                 return reply
+            self.agent.metrics.send_retries.inc()
             await asyncio.sleep(delay)
             delay = min(MAX_REPEAT_DELAY, delay * 2)
--- a/packages/agent/src/lacewingcourse/agent/metrics.py
+++ b/packages/agent/src/lacewingcourse/agent/metrics.py
@@ -35,6 +35,9 @@
     Attributes:
         opens: Stages that were asked for, by answer.
         hops: Hops that came in, by verdict.
+        hops_sent: Hops that were passed on to other agents.
+        send_retries: Batches that were sent again.
+        send_failures: Batches whose receiver was given up.
         tokens: Tokens that were sampled here.
         steps: Steps that the engine ended, by outcome.
         batch_items: Items of a step.
@@ -48,6 +51,9 @@
         super().__init__()
         self.opens = self._counter("stage_opens", "Stages asked for", "answer")
         self.hops = self._counter("hops", "Hops that came in", "verdict")
+        self.hops_sent = self._counter("hops_sent", "Hops passed on")
+        self.send_retries = self._counter("send_retries", "Batches sent again")
+        self.send_failures = self._counter("send_failures", "Batches given up")
         self.tokens = self._counter("tokens_sampled", "Tokens sampled here")
         self.steps = self._counter("engine_steps", "Steps that ended", "outcome")
         self.batch_items = self._histogram(
