--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -64,6 +64,8 @@
 RETRY_DELAY = 0.1
 #: Seconds between two attempts at the most.
 MAX_RETRY_DELAY = 1.0
+#: Reasons for having no route that may pass while a broken answer waits.
+WAITABLE = frozenset({ErrorKind.NO_ROUTE, ErrorKind.OVERLOADED})
 #: Seconds between two looks for a route.
 ROUTE_INTERVAL = 0.25
 #: Seconds after which a caller may try again when there is no route.
@@ -228,7 +230,9 @@
 
     def _no_route(self, refusal: Refusal, now: float) -> list[Effect]:
         """Try the excluded endpoints again, wait while it can help, or give up."""
-        if self.excluded:
+        if refusal.kind not in WAITABLE:
+            return self.give_up(refusal, now)
+        if self.excluded and refusal.kind is ErrorKind.NO_ROUTE:
             self.excluded.clear()
             return [self._choose_again(RETRY_DELAY)]
         if self.route_wanted_since is None:
@@ -236,9 +240,9 @@
         waited = now - self.route_wanted_since
         if self.delivered and waited < self.route_patience:
             return [self._choose_again(ROUTE_INTERVAL)]
-        return self.give_up(
-            attrs.evolve(refusal, retry_after=NO_ROUTE_RETRY_AFTER), now
-        )
+        if refusal.retry_after is None:
+            refusal = attrs.evolve(refusal, retry_after=NO_ROUTE_RETRY_AFTER)
+        return self.give_up(refusal, now)
 
     def _open(self, index: int) -> SendOpen:
         """Return the effect that opens one stage."""
