--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -86,7 +86,9 @@
         if reserved is not None and not excluded and self._holds(reserved):
             return reserved
         self.release(request.stream)
-        if excluded:
+        if not excluded:
+            self.entry.recovery.avoided.pop(request.stream, None)
+        else:
             refusal = self.entry.recovery.refusal_of(request, excluded)
             if refusal is not None:
                 return refusal
