--- a/packages/agent/src/lacewingcourse/agent/engine.py
+++ b/packages/agent/src/lacewingcourse/agent/engine.py
@@ -9,7 +9,12 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.layers import LayerRange
-from lacewingcourse.wire.client import fetch, new_http_client
+from lacewingcourse.wire.client import (
+    NOT_CONNECTED,
+    fetch,
+    new_http_client,
+    use_fresh_connection,
+)
 from lacewingcourse.wire.codec import decode, encode
 
 if TYPE_CHECKING:
@@ -173,12 +178,22 @@
         self.timeout = timeout
 
     async def forward(
-        self, items: tuple[ForwardItem, ...]
+        self, items: tuple[ForwardItem, ...], solo: bool = False
     ) -> ForwardReply | EngineCrash | Refusal:
-        """Run items and return their results."""
+        """Run items and return their results.
+
+        On a connection that was used before, curl tries again when it breaks, so a
+        refused connection may hide a crash. A step that runs alone gets a connection
+        of its own, because its crash is held against its request.
+
+        Args:
+            items: The items.
+            solo: Whether they run alone on the engine.
+        """
         request = ForwardRequest(items)
-        response = await self._fetch("/engine/forward", request)
-        if getattr(response.error, "errno", None) in BROKEN_CONNECTION:
+        response = await self._fetch("/engine/forward", request, once=solo)
+        broken = BROKEN_CONNECTION if solo else BROKEN_CONNECTION | NOT_CONNECTED
+        if getattr(response.error, "errno", None) in broken:
             return EngineCrash(str(response.error))
         return self._read(response, ForwardReply)
 
@@ -197,7 +212,7 @@
     async def _post(self, path: str, message, kind):
         return self._read(await self._fetch(path, message), kind)
 
-    async def _fetch(self, path: str, message):
+    async def _fetch(self, path: str, message, once: bool = False):
         request = HTTPRequest(
             self.url + path,
             method="POST",
@@ -205,6 +220,7 @@
             headers={"Content-Type": "application/json"},
             connect_timeout=2.0,
             request_timeout=self.timeout,
+            prepare_curl_callback=use_fresh_connection if once else None,
         )
         return await fetch(self.http, request)
 
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -25,7 +25,7 @@
     SendToken,
     SendTrouble,
 )
-from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.estimates import EndpointEstimates
 from lacewingcourse.core.messages import StageReport, Trouble
 from lacewingcourse.core.poison import CrashedItem, suspects_of
@@ -229,10 +229,14 @@
         """Run one batch on the engine and pass its results on."""
         batch = step.batch
         items = tuple(item_of(entry.effect, entry.due_at) for entry in queued)
+        answered = self.engine_state is not None
         try:
-            reply = await self.engine.forward(items)
+            reply = await self.engine.forward(items, batch[0].solo)
         finally:
             self.present -= len(batch)
+        if isinstance(reply, EngineCrash) and not answered:
+            kind = ErrorKind.ENDPOINT_FAILED
+            reply = Refusal(kind, reply.reason, Outcome.UNKNOWN)
         if isinstance(reply, EngineCrash):
             self._on_crash(reply)
         self.steps.discard(step)
@@ -269,10 +273,10 @@
         suspects = set(suspects_of(items))
         for step in fresh:
             step.reported = True
+        alone = len(items) == 1
         for item, work in items.items():
-            self._report(
-                work, crash.reason, name if item in suspects else "", item.first_step
-            )
+            guilty = name if item in suspects else ""
+            self._report(work, crash.reason, guilty, item.first_step, alone)
 
     def _fail_batch(self, batch: list[RunForward], refusal: Refusal) -> None:
         """Report each attempt of a failed batch."""
@@ -281,9 +285,17 @@
         self._feed_engine()
 
     def _report(
-        self, work: RunForward, reason: str, crash: str = "", newcomer: bool = False
+        self,
+        work: RunForward,
+        reason: str,
+        crash: str = "",
+        newcomer: bool = False,
+        alone: bool = False,
     ) -> None:
-        """Report that this endpoint failed an attempt."""
+        """Report that this endpoint failed an attempt.
+
+        A newcomer that happened to be alone counts as run alone.
+        """
         self.fail(
             Trouble(
                 stream=work.stream,
@@ -293,7 +305,7 @@
                 reason=reason,
                 crash=crash,
                 newcomer=newcomer,
-                solo=work.solo,
+                solo=work.solo or (newcomer and alone),
             )
         )
 
