Measure how soon an accepted change is in force and what it costs

Cause: the 6 s and the 2 KB/s of the plan were unmeasured for the configuration.

Change: make bench-configuration starts a deployment, publishes at rest, at ten times the mean rate and after an outage, and prints delays, appends, reads and bytes.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
 SOURCES := packages tests tools
 
-.PHONY: demo test check format bench model setup clean
+.PHONY: demo test check format bench model setup clean bench-configuration
 
 setup: $(VENV)/.installed
 
@@ -47,3 +47,9 @@
 bench: setup
 	$(BIN)/lacewingcourse-bench run --section=$(SECTION) --baseline=$(BASELINE) \
 		--scale=$(SCALE) --seconds=$(SECONDS) --levels=$(LEVELS) --policies=$(POLICIES)
+
+PROCESSES ?= 10,50
+
+bench-configuration: setup
+	$(BIN)/python -m lacewingcourse.bench.configuration --processes=$(PROCESSES) \
+		--seconds=$(SECONDS)
