--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -10,13 +10,16 @@
 from loguru import logger
 
 from lacewingcourse.agent.call_runner import CallRunner
+from lacewingcourse.agent.follower import AgentConfigurationFollower
 from lacewingcourse.agent.handlers import AGENT_ROUTES
 from lacewingcourse.agent.journal import Journal
 from lacewingcourse.agent.metrics import AgentMetrics
 from lacewingcourse.agent.stage_runner import StageRunner
 from lacewingcourse.core.keys import model_target, service_target
 from lacewingcourse.core.messages import Status
+from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
 from lacewingcourse.daemon.daemon import Daemon, Readiness
+from lacewingcourse.platform.instances import InstanceListClient
 
 if TYPE_CHECKING:
     from lacewingcourse.agent.settings import AgentSettings
@@ -38,6 +41,7 @@
         calls: Runs calls of a plain service, or None beside an engine.
         journal: Keys whose home this is; None until the endpoint is known.
         leaving: Whether new work is refused.
+        follower: Follows the configuration.
     """
 
     metrics_class = AgentMetrics
@@ -49,6 +53,9 @@
         self.stages: StageRunner | None = None
         self.calls: CallRunner | None = None
         self.leaving = False
+        self.follower = AgentConfigurationFollower(
+            self, InstanceListClient(settings.instance_list_url)
+        )
         if settings.service:
             self.calls = CallRunner(self)
         else:
@@ -56,14 +63,16 @@
         self.metrics.watch(self)
 
     def routes(self) -> list[tuple]:
-        return [(path, handler, {"daemon": self}) for path, handler in AGENT_ROUTES]
+        routes = AGENT_ROUTES + CONFIGURATION_ROUTES
+        return [(path, handler, {"daemon": self}) for path, handler in routes]
 
     def readiness(self) -> Readiness:
+        version = self.follower.replica.version
         if self.stopping.is_set():
-            return Readiness(False, "leaving")
+            return Readiness(False, "leaving", version)
         if not self.endpoint_ready():
-            return Readiness(False, "the endpoint does not answer")
-        return Readiness(True)
+            return Readiness(False, "the endpoint does not answer", version)
+        return Readiness(True, configuration_version=version)
 
     def endpoint_ready(self) -> bool:
         """Tell whether the endpoint answers."""
@@ -88,6 +97,7 @@
             leaving=self.leaving,
             ready=self.endpoint_ready(),
             running=self.running(),
+            configuration_version=self.follower.replica.version,
         )
         return status if self.stages is None else self.stages.complete_status(status)
 
@@ -97,6 +107,7 @@
     async def start_tasks(self) -> None:
         await self.probe()
         self.spawn(self._probe_for_ever())
+        self.spawn(self.follower.check_for_ever())
         if self.stages is not None:
             self.spawn(self.stages.watch_engine())
 
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -15,7 +15,9 @@
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Credit
 from lacewingcourse.core.streams import Phase
+from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
 from lacewingcourse.daemon.daemon import Daemon, Readiness
+from lacewingcourse.entry.admin_api import ADMIN_ROUTES
 from lacewingcourse.entry.admission import AdmissionControl
 from lacewingcourse.entry.answers import AnswerDriver
 from lacewingcourse.entry.api import API_ROUTES
@@ -23,14 +25,16 @@
 from lacewingcourse.entry.call_sender import CallSender
 from lacewingcourse.entry.directory import Directory
 from lacewingcourse.entry.dispatcher import Dispatcher
-from lacewingcourse.entry.follower import ConfigurationFollower
+from lacewingcourse.entry.follower import EntryConfigurationFollower
 from lacewingcourse.entry.home_keeper import HomeKeeper
 from lacewingcourse.entry.keyed import KeyedAnswers
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
 from lacewingcourse.entry.poison_guard import PoisonGuard
+from lacewingcourse.entry.publisher import Publisher
 from lacewingcourse.entry.recovery import Recovery
 from lacewingcourse.entry.report_api import REPORT_ROUTES
+from lacewingcourse.entry.rollout import RolloutWatcher
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
 from lacewingcourse.entry.state_api import STATE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
@@ -73,6 +77,8 @@
     Attributes:
         directory: What is known of the endpoints.
         follower: Follows the configuration.
+        publisher: Publishes changes of the configuration.
+        rollouts: Finds out which instances have a version in force.
         answers: Answers in flight by stream.
         dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
@@ -93,7 +99,11 @@
         super().__init__(settings)
         instance_list = InstanceListClient(settings.instance_list_url)
         self.directory = Directory(self, instance_list)
-        self.follower = ConfigurationFollower(LogClient(settings.log_url))
+        self.follower = EntryConfigurationFollower(
+            self, LogClient(settings.log_url), lambda: self.directory.listed
+        )
+        self.publisher = Publisher(self.follower)
+        self.rollouts = RolloutWatcher(self)
         self.answers: dict[str, AnswerDriver] = {}
         self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
@@ -122,6 +132,7 @@
 
     def routes(self) -> list[tuple]:
         routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES + REPORT_ROUTES
+        routes += CONFIGURATION_ROUTES + ADMIN_ROUTES
         routes += STATE_ROUTES
         return [(path, handler, {"daemon": self}) for path, handler in routes]
 
@@ -129,7 +140,7 @@
         version = self.configuration.version
         if self.stopping.is_set():
             return Readiness(False, "leaving", version)
-        if not self.follower.caught_up:
+        if not self.follower.replica.usable:
             return Readiness(False, "no configuration yet", version)
         return Readiness(True, configuration_version=version)
 
@@ -143,7 +154,8 @@
         )
 
     async def start_tasks(self) -> None:
-        self.spawn(self.follower.follow())
+        self.spawn(self.follower.follow_log())
+        self.spawn(self.follower.check_for_ever())
         self.homes.start()
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
--- a/tests/integration/test_burn.py
+++ b/tests/integration/test_burn.py
@@ -5,10 +5,8 @@
 import asyncio
 import json
 import os
-import secrets
 import subprocess
 import sys
-import time
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
@@ -18,22 +16,20 @@
 from lacewingcourse.core.burn_fleet import FleetBurn, Source
 from lacewingcourse.core.configuration import (
     Change,
-    ConfigurationRecord,
     Service,
     WorkClass,
 )
-from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.caller import complete
 from lacewingcourse.testing.deployment import (
     MODEL,
     SERVICE,
     Deployment,
     DeploymentOptions,
-    put_json,
 )
 from lacewingcourse.testing.processes import wait_until
+from lacewingcourse.testing.requests import put_json
 from lacewingcourse.wire.client import new_http_client
-from lacewingcourse.wire.codec import decode, encode
+from lacewingcourse.wire.codec import decode
 
 #: Guard against a wait that never ends, seconds.
 GUARD = 30.0
@@ -73,12 +69,8 @@
         Change("classes", TALLIES.name, work_class=TALLIES),
         Change("services", SERVICE, service=service),
     )
-    record = ConfigurationRecord(
-        secrets.token_hex(16), version, "test", time.time(), changes
-    )
-    url = deployment.platform["log_service"].url
-    append = Append(encode(record).decode())
-    put_json(f"{url}/streams/configuration/records", append, "POST")
+    document = {"base_version": version, "changes": changes}
+    deployment.admin("POST", "/changes", document)
     wait_until(
         lambda: all(
             readiness(entry)["configuration_version"] > version
