--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -9,8 +9,9 @@
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
 from lacewingcourse.cli.load import LoadCommand
+from lacewingcourse.cli.settings_command import SettingsCommand
 
-COMMANDS = [EntryCommand, AgentCommand, LoadCommand]
+COMMANDS = [EntryCommand, AgentCommand, LoadCommand, SettingsCommand]
 
 
 def build() -> Application:
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -53,6 +53,7 @@
     def initialize(self, daemon: Any) -> None:
         super().initialize(daemon)
         self.driver: AnswerDriver | None = None
+        self.waiting = ""
 
     async def post(self) -> None:
         checked = self._checked()
@@ -71,7 +72,12 @@
         )
         work_class = self.daemon.configuration.classes.get(request.work_class)
         self.record.describe(work_class, request.model)
-        self.driver = self.daemon.answer(request)
+        self.waiting = request.stream
+        admitted = await self.daemon.admission.admit(request)
+        if isinstance(admitted, Refusal):
+            self.refuse(admitted)
+            return
+        self.driver = self.daemon.answer(admitted)
         self.driver.meter = self.record.meter
         try:
             await self._answer(checked)
@@ -127,7 +133,7 @@
                     choice = self.whole_choice("".join(texts), event.reason)
                     self.reply(self._document(request, [choice], self.usage()))
                 case FailAnswer():
-                    self.refuse(event.refusal)
+                    self.refuse(self.daemon.admission.with_retry_after(event.refusal))
 
     async def _answer_events(self, request: CompletionRequest) -> None:
         """Send the answer token by token."""
@@ -152,7 +158,9 @@
                     self.finish()
                 case FailAnswer():
                     if first:
-                        self.refuse(event.refusal)
+                        self.refuse(
+                            self.daemon.admission.with_retry_after(event.refusal)
+                        )
                         continue
                     self.record.refuse(event.refusal)
                     problem = problem_of(event.refusal)
@@ -204,6 +212,8 @@
         super().on_connection_close()
         if self.driver is not None:
             self.daemon.forget(self.driver)
+        else:
+            self.daemon.admission.leave(self.waiting)
 
 
 class CompletionHandler(GenerationHandler):
