--- a/packages/bench/src/lacewingcourse/bench/cli.py
+++ b/packages/bench/src/lacewingcourse/bench/cli.py
@@ -14,6 +14,8 @@
 
 from lacewingcourse.bench import (  # noqa: F401
     decisions,
+    failures,
+    goodput,
     overhead,
     recovery,
     throughput,
--- a/packages/entry/src/lacewingcourse/entry/admission.py
+++ b/packages/entry/src/lacewingcourse/entry/admission.py
@@ -57,6 +57,8 @@
 
     async def admit(self, request: StreamRequest) -> StreamRequest | Refusal:
         """Return the request with its priority once it may start, or a refusal."""
+        if self.entry.settings.admission == "off":
+            return request
         verdict = asyncio.get_running_loop().create_future()
         self.offers[request.stream] = Offer(request, verdict)
         now = self.entry.now()
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -7,7 +7,7 @@
 from lacewingcourse.core.routes import POLICIES
 from lacewingcourse.daemon import common_settings as common
 from lacewingcourse.daemon.checks import registered
-from lacewingcourse.daemon.settings import PREFIX, positive, secret
+from lacewingcourse.daemon.settings import PREFIX, one_of, positive, secret
 
 
 @environ.config(prefix=PREFIX)
@@ -30,6 +30,11 @@
         converter=registered(POLICIES),
         help=f"Route policy: {', '.join(POLICIES.names())}",
     )
+    admission: str = environ.var(
+        default="targets",
+        converter=one_of("targets", "off"),
+        help="targets, or off to start every request at once (for comparisons)",
+    )
     stall_timeout: float = environ.var(
         default="5",
         converter=positive,
--- a/packages/load/src/lacewingcourse/load/client.py
+++ b/packages/load/src/lacewingcourse/load/client.py
@@ -149,7 +149,7 @@
     Args:
         http: The HTTP client.
         url: Base URL of an entry.
-        model: Name of the model.
+        model: Name of the model where the class names none.
         sample: Holds the request; gets the result.
         patience: Seconds after which the caller goes away.
     """
@@ -162,7 +162,7 @@
     if planned.work_class.name:
         headers[CLASS_HEADER] = planned.work_class.name
     body = {
-        "model": model,
+        "model": planned.work_class.model or model,
         "prompt": planned.prompt,
         "max_tokens": planned.max_tokens,
         "stream": True,
--- a/packages/load/src/lacewingcourse/load/mix.py
+++ b/packages/load/src/lacewingcourse/load/mix.py
@@ -44,6 +44,7 @@
         prompt: Distribution of words in a prompt.
         answer: Distribution of tokens in an answer.
         target: What its answers are judged by.
+        model: Name of its model; empty for that of the mix.
     """
 
     name: str = ""
@@ -51,6 +52,7 @@
     prompt: str = "fixed:8"
     answer: str = "fixed:16"
     target: Target = Target()
+    model: str = ""
 
 
 @attrs.frozen
--- a/packages/load/src/lacewingcourse/load/runner.py
+++ b/packages/load/src/lacewingcourse/load/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,8 @@
         patience: Seconds after which a caller goes away.
         resends: Times that a refused request is sent again.
         in_flight: Requests in flight at the most; those above are not sent.
+        horizon: Seconds from the start after which refused requests no longer
+            come back.
     """
 
     urls: tuple[str, ...]
@@ -38,6 +41,7 @@
     patience: float = 60.0
     resends: int = 3
     in_flight: int = 2000
+    horizon: float = math.inf
 
 
 @attrs.define
@@ -70,16 +74,13 @@
     def __init__(self, options: RunOptions) -> None:
         self.options = options
         self.result = RunResult(time.monotonic())
-        self.http = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=options.in_flight
-        )
+        self.http: CurlAsyncHTTPClient | None = None
         self.urls = itertools.cycle(options.urls)
         self.running = 0
 
     async def run_open(self, planned: Iterable[PlannedRequest]) -> RunResult:
         """Send each request at its due time, however many are in flight."""
-        started_cpu = time.process_time()
-        self.result.started_at = time.monotonic()
+        started_cpu = self._start()
         tasks = []
         for request in planned:
             due_at = self.result.started_at + request.due
@@ -96,12 +97,19 @@
         self, planned: Iterator[PlannedRequest], callers: int, seconds: float
     ) -> RunResult:
         """Let a number of callers send one request after the other."""
-        started_cpu = time.process_time()
-        self.result.started_at = time.monotonic()
+        started_cpu = self._start()
         end_at = self.result.started_at + seconds
         await asyncio.gather(*(self._caller(planned, end_at) for _ in range(callers)))
         return self._finish(started_cpu)
 
+    def _start(self) -> float:
+        """Begin on the running loop; return the processor time so far."""
+        self.http = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=self.options.in_flight
+        )
+        self.result.started_at = time.monotonic()
+        return time.process_time()
+
     def _finish(self, started_cpu: float) -> RunResult:
         self.result.ended_at = time.monotonic()
         self.result.cpu_seconds = time.process_time() - started_cpu
@@ -118,18 +126,24 @@
     async def _request(self, request: PlannedRequest, due_at: float) -> None:
         """Send a request; after a refusal come back when it says."""
         try:
-            for tries in range(self.options.resends + 1):
+            for tries in itertools.count():
                 sample = Sample(request, due_at, tries)
                 self.result.samples.append(sample)
                 await self._send(sample)
                 if not sample.refused or sample.retry_after is None:
                     return
                 due_at = sample.ended_at + sample.retry_after
-                if tries < self.options.resends:
-                    await sleep_until(due_at)
+                if not self._comes_back(tries, due_at):
+                    return
+                await sleep_until(due_at)
         finally:
             self.running -= 1
 
+    def _comes_back(self, tries: int, due_at: float) -> bool:
+        """Tell whether a refused request is sent again."""
+        end_at = self.result.started_at + self.options.horizon
+        return tries < self.options.resends and due_at <= end_at
+
     async def _send(self, sample: Sample) -> None:
         options = self.options
         await send(self.http, next(self.urls), options.model, sample, options.patience)
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -146,6 +146,7 @@
                 self._start_proxy()
             self._start_platform()
             self._start_endpoints()
+            self._start_service()
             self._start_entries()
             self._list_instances()
             self._publish()
@@ -259,6 +260,8 @@
             )
             agent = self._agent(plan, engine, {})
             self.endpoints.append(EndpointProcesses(plan, engine, agent))
+
+    def _start_service(self) -> None:
         plan = EndpointPlan("tally-1", ZONES[0], None)
         service = self._standin(
             "service-tally",
