--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -88,7 +88,9 @@
         self.queue = ForwardQueue()
         self.in_flight = 0
         self.step_time = 0.0
-        self.estimates = EndpointEstimates(self.settings.batch_items)
+        self.estimates = EndpointEstimates(
+            self.settings.batch_items, self.settings.max_streams
+        )
         self.present = 0
         self.sources = 0
         self.hop_outboxes: dict[tuple[str, str], Outbox] = {}
@@ -120,7 +122,10 @@
     def load(self) -> LoadReport:
         """Return what was learned of the engine's speed and load."""
         return self.estimates.report(
-            self.queue.positions(), self.sources, len(self.gate.stages)
+            self.queue.positions(),
+            self.sources,
+            len(self.gate.stages),
+            self.agent.now(),
         )
 
     def perform(self, effects: Iterable[Effect]) -> None:
@@ -180,7 +185,9 @@
         finally:
             self.in_flight -= 1
             self.present -= len(batch)
-        if isinstance(reply, Refusal):
+        failed = isinstance(reply, Refusal)
+        self.agent.metrics.on_step(len(batch), None if failed else reply.step_time)
+        if failed:
             self._fail_batch(batch, reply)
             return
         self.step_time = reply.step_time
@@ -204,6 +211,7 @@
 
     def _complete(self, work: RunForward, output: ForwardOutput) -> None:
         """Pass on the result of one item."""
+        self.agent.metrics.tokens.inc(output.token is not None)
         if output.error:
             self._report(work.stream, work.attempt, output.error)
             return
--- a/packages/bench/src/lacewingcourse/bench/fleet_deployment.py
+++ b/packages/bench/src/lacewingcourse/bench/fleet_deployment.py
@@ -23,11 +23,9 @@
     ConfigurationRecord,
     Model,
     Organisation,
-    Service,
 )
 from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.deployment import (
-    SERVICE,
     START_TIMEOUT,
     Deployment,
     DeploymentOptions,
@@ -97,6 +95,7 @@
             entries=ENTRIES,
             endpoints=len(fleet),
             layers=LAYERS,
+            services=0,
             agent_variables=agent_variables,
             entry_variables=subject.variables(),
         )
@@ -112,9 +111,7 @@
 
     def processes(self) -> list[Process]:
         agents = [pair.agent for pair in self.endpoints]
-        service = [self.service.agent, self.service.engine] if self.service else []
-        hosts = list(self.hosts.values())
-        return [*self.entries, *agents, *service, *hosts, *self.platform.values()]
+        return [*self.entries, *agents, *self.hosts.values(), *self.platform.values()]
 
     def groups(self) -> dict[str, list[int]]:
         """Return the process ids by role."""
@@ -166,9 +163,7 @@
             Change("models", name, model=Model(name, LAYERS))
             for name in (LARGE_MODEL, SMALL_MODEL)
         ]
-        service = Service(SERVICE, once=("POST /tallies",))
-        services = [Change("services", SERVICE, service=service)]
-        changes = (*organisations, *classes, *models, *services)
+        changes = (*organisations, *classes, *models)
         record = ConfigurationRecord(
             secrets.token_hex(16), 0, "bench", time.time(), changes
         )
--- a/packages/bench/src/lacewingcourse/bench/goodput.py
+++ b/packages/bench/src/lacewingcourse/bench/goodput.py
@@ -164,7 +164,9 @@
     rng = random.Random(options.seed)
     span = BURST_SECONDS * options.scale
     dues = ARRIVALS.get("burst")(found.total_requests, span, rng)
-    runner = LoadRunner(run_options(deployment, mix, BURST_RESENDS, BURST_HORIZON * span))
+    runner = LoadRunner(
+        run_options(deployment, mix, BURST_RESENDS, BURST_HORIZON * span)
+    )
     meter = CpuMeter(deployment.groups())
     result = asyncio.run(runner.run_open(plan(mix, dues, rng)))
     cpu = meter.read()
--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -9,9 +9,19 @@
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
 from lacewingcourse.cli.load import LoadCommand
+from lacewingcourse.cli.report import ReportBurnCommand
 from lacewingcourse.cli.settings_command import SettingsCommand
-
-COMMANDS = [EntryCommand, AgentCommand, LoadCommand, SettingsCommand]
+from lacewingcourse.cli.state import StateCommand, StatusCommand
+
+COMMANDS = [
+    EntryCommand,
+    AgentCommand,
+    LoadCommand,
+    SettingsCommand,
+    ReportBurnCommand,
+    StateCommand,
+    StatusCommand,
+]
 
 
 def build() -> Application:
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -43,6 +43,8 @@
 SERVICE = "tally"
 #: Organisations of a local deployment.
 ORGANISATIONS = ("blue-mahoe", "regie")
+#: Seconds that a leaving agent waits for the log, which may have ended before it.
+HANDOVER_TIMEOUT = "1"
 #: Seconds in which a local deployment must be ready.
 START_TIMEOUT = 30.0
 
@@ -58,6 +60,7 @@
     Attributes:
         entries: Entries.
         endpoints: Endpoints of the model.
+        services: Endpoints of the plain service.
         layers: Layers of the model.
         step_time: Seconds of an engine's step.
         verbose: Whether the processes' log lines are shown.
@@ -66,11 +69,13 @@
         proxied: Names of processes, or patterns such as `agent-*`, that others reach
             through the fault proxy only. The names are `entry-1`,
             `agent-endpoint-1`, `engine-endpoint-1`, `agent-tally-1`,
-            `service-tally`, `log-service`, `instance-list`, `weight-store`.
+            `service-tally`, `service-tally-2`, `log-service`, `instance-list`,
+            `weight-store`.
     """
 
     entries: int = 1
     endpoints: int = 4
+    services: int = 1
     layers: int = 24
     step_time: float = 0.004
     verbose: bool = False
@@ -107,7 +112,7 @@
         keys: Key of each organisation.
         platform: Stand-ins of the platform by name.
         endpoints: Endpoints of the model.
-        service: The plain service and its agent.
+        services: Endpoints of the plain service.
         entries: The entries.
         fault_proxy: The fault proxy, or None if nothing is proxied.
     """
@@ -119,15 +124,20 @@
         self.keys = {name: f"key-{secrets.token_hex(12)}" for name in ORGANISATIONS}
         self.platform: dict[str, Process] = {}
         self.endpoints: list[EndpointProcesses] = []
-        self.service: EndpointProcesses | None = None
+        self.services: list[EndpointProcesses] = []
         self.entries: list[Process] = []
         self.fault_proxy: Process | None = None
         self.log_directory = Path(tempfile.mkdtemp(prefix="lacewingcourse-"))
 
+    @property
+    def service(self) -> EndpointProcesses:
+        """The first endpoint of the plain service."""
+        return self.services[0]
+
     def processes(self) -> list[Process]:
         """Return all processes, callers' side first."""
         found = list(self.entries)
-        pairs = [*self.endpoints, *([self.service] if self.service else [])]
+        pairs = [*self.endpoints, *self.services]
         for pair in pairs:
             found.append(pair.agent)
         for pair in pairs:
@@ -146,7 +156,6 @@
                 self._start_proxy()
             self._start_platform()
             self._start_endpoints()
-            self._start_service()
             self._start_entries()
             self._list_instances()
             self._publish()
@@ -188,7 +197,7 @@
         )
 
     def _daemons(self) -> list[Process]:
-        pairs = [*self.endpoints, *([self.service] if self.service else [])]
+        pairs = [*self.endpoints, *self.services]
         return [*self.entries, *(pair.agent for pair in pairs)]
 
     def _start_proxy(self) -> None:
@@ -260,16 +269,20 @@
             )
             agent = self._agent(plan, engine, {})
             self.endpoints.append(EndpointProcesses(plan, engine, agent))
+        for number in range(1, options.services + 1):
+            self.services.append(self._start_service(number))
 
-    def _start_service(self) -> None:
-        plan = EndpointPlan("tally-1", ZONES[0], None)
+    def _start_service(self, number: int) -> EndpointProcesses:
+        suffix = "" if number == 1 else f"-{number}"
+        zone = ZONES[(number - 1) % len(ZONES)]
+        plan = EndpointPlan(f"{SERVICE}-{number}", zone, None)
         service = self._standin(
-            "service-tally",
+            f"service-{SERVICE}{suffix}",
             "tally",
-            f"--tallies={self.log_directory / 'tallies.jsonl'}",
+            f"--tallies={self.log_directory / f'tallies{suffix}.jsonl'}",
         )
         agent = self._agent(plan, service, {"LACEWINGCOURSE_SERVICE": SERVICE})
-        self.service = EndpointProcesses(plan, service, agent)
+        return EndpointProcesses(plan, service, agent)
 
     def _agent(self, plan: EndpointPlan, engine: Process, variables) -> Process:
         return self._daemon(
@@ -278,6 +291,7 @@
             plan.availability_zone,
             {
                 "LACEWINGCOURSE_ENDPOINT_URL": engine.url,
+                "LACEWINGCOURSE_HANDOVER_TIMEOUT": HANDOVER_TIMEOUT,
                 **self.options.agent_variables,
                 **variables,
             },
@@ -294,7 +308,7 @@
             self.entries.append(entry)
 
     def _list_instances(self) -> None:
-        for pair in [*self.endpoints, self.service]:
+        for pair in [*self.endpoints, *self.services]:
             self.list_instance(pair, InstanceState.LIVE)
         for index, entry in enumerate(self.entries):
             zone = ZONES[index % len(ZONES)]
@@ -341,7 +355,7 @@
 
     def ready(self) -> bool:
         """Tell whether every process is ready and every entry knows all endpoints."""
-        pairs = [*self.endpoints, self.service]
+        pairs = [*self.endpoints, *self.services]
         if not all(pair.agent.ready() for pair in pairs):
             return False
         return all(entry.ready() and self._knows_all(entry) for entry in self.entries)
@@ -351,4 +365,5 @@
             state = json.load(response)
         ready = [each for each in state["endpoints"] if each["ready"]]
         version = state["readiness"]["configuration_version"]
-        return version > 0 and len(ready) == len(self.endpoints) + 1
+        known = len(ready) == len(self.endpoints) + len(self.services)
+        return version > 0 and known and state["homes_complete"]
