Measure the slopes that the capacity page is worked out from

Cause: state, messages, processor time and memory at the size of two years were not known for any role.

Change: section slopes: memory of a stream, endpoint and organisation, time of a token, request and change, processes at rest, bytes of each message.

--- a/packages/bench/src/lacewingcourse/bench/cli.py
+++ b/packages/bench/src/lacewingcourse/bench/cli.py
@@ -18,6 +18,7 @@
     goodput,
     overhead,
     recovery,
+    slopes,
     throughput,
 )
 from lacewingcourse.bench.baseline import baseline_subject
--- /dev/null
+++ b/packages/bench/src/lacewingcourse/bench/slopes.py
@@ -0,0 +1,265 @@
+"""Section `slopes`: what each stream, endpoint, token and change costs a process."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import secrets
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+from urllib.request import urlopen
+
+import attrs
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from lacewingcourse.bench.decisions import fleet_of
+from lacewingcourse.bench.figures import Figure, Outcome, single
+from lacewingcourse.bench.machine import cpu_seconds, resident_bytes
+from lacewingcourse.bench.messages import message_figures
+from lacewingcourse.bench.sections import SECTIONS
+from lacewingcourse.bench.small import ENDPOINTS, request_for, small_deployment
+from lacewingcourse.core.configuration import (
+    Change,
+    ConfigurationRecord,
+    Organisation,
+)
+from lacewingcourse.load.client import send
+from lacewingcourse.load.mix import ClassLoad, Mix, OrganisationLoad, plan
+from lacewingcourse.load.runner import LoadRunner, RunOptions
+from lacewingcourse.platform.log import Append
+from lacewingcourse.testing.deployment import MODEL, put_json
+from lacewingcourse.testing.processes import wait_until
+from lacewingcourse.wire.codec import encode
+
+if TYPE_CHECKING:
+    from lacewingcourse.bench.sections import Options
+    from lacewingcourse.testing.deployment import Deployment
+
+STEP_TIME = 0.002
+#: Seconds over which processes are watched at rest.
+REST = 6.0
+#: Callers of the runs that cost processor time.
+CALLERS = 16
+#: Tokens of a short and of a long answer.
+SHORT, LONG = 1, 33
+#: Streams that stand still while memory is read.
+STREAMS = 300
+#: Changes of configuration, and organisations in one of them.
+CHANGES, ORGANISATIONS = 100, 1000
+#: Seconds in which changes must be in force.
+FORCE_TIMEOUT = 60.0
+#: Sizes of the fleet between which memory is compared.
+SMALL_FLEET, LARGE_FLEET = 30, 3500
+MICROSECONDS = 1_000_000
+KILOBYTE = 1024
+#: Streams must stand still for longer than the measurement takes.
+ENTRY_VARIABLES = {
+    "LACEWINGCOURSE_ADMISSION": "off",
+    "LACEWINGCOURSE_STALL_TIMEOUT": "300",
+}
+
+
+@attrs.frozen
+class Spent:
+    """Processor seconds of the roles.
+
+    Attributes:
+        entry: Of the entry.
+        agents: Of all agents of the model together.
+    """
+
+    entry: float
+    agents: float
+
+    def since(self, before: Spent) -> Spent:
+        """Return what was spent since another reading."""
+        return Spent(self.entry - before.entry, self.agents - before.agents)
+
+
+def spent(deployment: Deployment) -> Spent:
+    """Read the processor time so far."""
+    agents = sum(cpu_seconds(pair.agent.pid) for pair in deployment.endpoints)
+    return Spent(cpu_seconds(deployment.entries[0].pid), agents)
+
+
+@SECTIONS.register("slopes")
+def slopes(options: Options) -> Outcome:
+    """Measure what docs/CAPACITY.md is worked out from."""
+    figures = message_figures()
+    with small_deployment(options, ENDPOINTS, STEP_TIME, ENTRY_VARIABLES) as deployment:
+        figures += status_size(deployment)
+        figures += resident(deployment)
+        figures += rest_cost(deployment)
+        figures += work_cost(options, deployment)
+        figures += stream_memory(deployment)
+        figures += configuration_cost(deployment)
+    figures += endpoint_memory()
+    return Outcome("slopes", tuple(figures))
+
+
+def status_size(deployment: Deployment) -> list[Figure]:
+    """Return the bytes of an agent's status."""
+    with urlopen(deployment.endpoints[0].agent.url + "/state", timeout=5) as response:
+        size = len(response.read())
+    return [single("message: status of an agent, body", "bytes", size)]
+
+
+def resident(deployment: Deployment) -> list[Figure]:
+    """Return the memory of fresh processes."""
+    entry = resident_bytes(deployment.entries[0].pid)
+    agent = resident_bytes(deployment.endpoints[0].agent.pid)
+    return [
+        single("memory: entry after start", "MB", entry / KILOBYTE**2),
+        single("memory: agent after start", "MB", agent / KILOBYTE**2),
+    ]
+
+
+def rest_cost(deployment: Deployment) -> list[Figure]:
+    """Return the processor time of processes without work."""
+    before = spent(deployment)
+    time.sleep(REST)
+    used = spent(deployment).since(before)
+    share = used.entry / REST * 100
+    agent = used.agents / REST * 100 / len(deployment.endpoints)
+    known = len(deployment.endpoints) + 1
+    return [
+        single(f"rest: entry that knows {known} endpoints", "% of a core", share),
+        single("rest: agent", "% of a core", agent),
+    ]
+
+
+def work_cost(options: Options, deployment: Deployment) -> list[Figure]:
+    """Return the processor time of a request and of a token, from two lengths."""
+    seconds = options.seconds / 2
+    run_closed(deployment, SHORT, 1.0)
+    short, requests = run_closed(deployment, SHORT, seconds)
+    long, answers = run_closed(deployment, LONG, seconds)
+    entry = (short.entry / requests, long.entry / answers)
+    agents = (short.agents / requests, long.agents / answers)
+    figures = []
+    for role, (one, many) in (("entry", entry), ("agents of 3 stages", agents)):
+        token = (many - one) / (LONG - SHORT)
+        figures.append(single(f"cpu: {role}, a token", "us", token * MICROSECONDS))
+        request = (one - token) * MICROSECONDS
+        figures.append(single(f"cpu: {role}, a request", "us", request))
+    return figures
+
+
+def run_closed(deployment, tokens: int, seconds: float) -> tuple[Spent, int]:
+    """Run a closed loop; return what it cost and how many answers it gave."""
+    name, key = next(iter(deployment.keys.items()))
+    work = ClassLoad(answer=f"fixed:{tokens}")
+    mix = Mix(MODEL, (work,), (OrganisationLoad(name, key),))
+    urls = (deployment.entries[0].url,)
+    runner = LoadRunner(RunOptions(urls, MODEL, resends=0))
+    requests = plan(mix, itertools.repeat(0.0), random.Random(tokens))
+    before = spent(deployment)
+    result = asyncio.run(runner.run_closed(requests, CALLERS, seconds))
+    used = spent(deployment).since(before)
+    return used, max(1, sum(sample.whole for sample in result.samples))
+
+
+def stream_memory(deployment: Deployment) -> list[Figure]:
+    """Return the memory of a stream that stands still, per role."""
+    return asyncio.run(hold_streams(deployment))
+
+
+async def hold_streams(deployment: Deployment) -> list[Figure]:
+    """Open many streams, read the memory, let them go."""
+    entry = deployment.entries[0]
+    agents = [pair.agent.pid for pair in deployment.endpoints]
+    before = resident_bytes(entry.pid)
+    agents_before = sum(map(resident_bytes, agents))
+    await asyncio.to_thread(set_hang, deployment, True)
+    http = CurlAsyncHTTPClient(force_instance=True, max_clients=STREAMS)
+    samples = [
+        request_for(deployment, f"note {number}", SHORT) for number in range(STREAMS)
+    ]
+    tasks = [
+        asyncio.ensure_future(send(http, entry.url, MODEL, sample, 120.0))
+        for sample in samples
+    ]
+    await asyncio.sleep(REST)
+    entry_bytes = (resident_bytes(entry.pid) - before) / STREAMS
+    stage_bytes = sum(map(resident_bytes, agents)) - agents_before
+    await asyncio.to_thread(set_hang, deployment, False)
+    await asyncio.gather(*tasks)
+    per_stage = stage_bytes / STREAMS / 3
+    return [
+        single("memory: entry, a stream", "KB", entry_bytes / KILOBYTE),
+        single("memory: agent, a stage of a stream", "KB", per_stage / KILOBYTE),
+    ]
+
+
+def set_hang(deployment: Deployment, hang: bool) -> None:
+    """Let all engines stand still, or go on."""
+    for pair in deployment.endpoints:
+        put_json(f"{pair.engine.url}/faults", {"hang": hang})
+
+
+def configuration_cost(deployment: Deployment) -> list[Figure]:
+    """Return what changes of configuration and organisations cost the entry."""
+    entry = deployment.entries[0]
+    version = version_in_force(deployment)
+    before = spent(deployment)
+    started = time.monotonic()
+    for index in range(CHANGES):
+        publish(deployment, version + index, [f"changed-{index}"])
+    wait_for_version(deployment, version + CHANGES)
+    idle = time.monotonic() - started
+    used = spent(deployment).since(before).entry
+    memory = resident_bytes(entry.pid)
+    names = [f"many-{index}" for index in range(ORGANISATIONS)]
+    publish(deployment, version + CHANGES, names)
+    wait_for_version(deployment, version + CHANGES + 1)
+    grown = (resident_bytes(entry.pid) - memory) / ORGANISATIONS / KILOBYTE
+    change = used / CHANGES * MICROSECONDS
+    return [
+        single(f"cpu: entry, a change ({idle:.1f} s in all)", "us", change),
+        single("memory: entry, an organisation", "KB", grown),
+    ]
+
+
+def version_in_force(deployment: Deployment) -> int:
+    """Return the entry's version of the configuration."""
+    state = put_json(deployment.entries[0].url + "/readyz", None, "GET")
+    return state["configuration_version"]
+
+
+def wait_for_version(deployment: Deployment, version: int) -> None:
+    """Wait until a version is in force."""
+    wait_until(
+        lambda: version_in_force(deployment) >= version,
+        FORCE_TIMEOUT,
+        f"version {version} is not in force",
+    )
+
+
+def publish(deployment: Deployment, base_version: int, names: list[str]) -> None:
+    """Append a record that registers organisations."""
+    changes = tuple(
+        Change("organisations", name, organisation=Organisation(name, ("0" * 64,)))
+        for name in names
+    )
+    record = ConfigurationRecord(
+        secrets.token_hex(16), base_version, "bench", time.time(), changes
+    )
+    url = deployment.platform["log_service"].url
+    append = Append(encode(record).decode())
+    put_json(f"{url}/streams/configuration/records", append, "POST")
+
+
+def endpoint_memory() -> list[Figure]:
+    """Return the memory of an endpoint in the decision library."""
+    tracemalloc.start()
+    try:
+        fleet_of(SMALL_FLEET)
+        before, _ = tracemalloc.get_traced_memory()
+        fleet = fleet_of(LARGE_FLEET)
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    size = (after - before) / len(fleet) / KILOBYTE
+    return [single("memory: entry, an endpoint it knows", "KB", size)]
--- a/packages/bench/src/lacewingcourse/bench/small.py
+++ b/packages/bench/src/lacewingcourse/bench/small.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     from lacewingcourse.bench.sections import Options
 
@@ -25,7 +25,10 @@
 
 @contextmanager
 def small_deployment(
-    options: Options, endpoints: int, step_time: float
+    options: Options,
+    endpoints: int,
+    step_time: float,
+    entry_variables: Mapping[str, str] | None = None,
 ) -> Iterator[Deployment]:
     """Run a deployment with one entry and the version that is measured."""
     variables = options.subject.variables()
@@ -35,7 +38,7 @@
             endpoints=endpoints,
             layers=LAYERS,
             step_time=step_time,
-            entry_variables=variables,
+            entry_variables={**variables, **(entry_variables or {})},
             agent_variables=variables,
         )
     )
