Work out the needs of each role at the designed size from the slopes

Cause: slopes alone do not say what exceeds the budget at the size of two years; long sections printed nothing until their end.

Change: the slopes section prints what an entry and an agent need at the designed size and how often that is the control budget; goodput and failures print each result as it comes.

--- a/packages/bench/src/lacewingcourse/bench/cli.py
+++ b/packages/bench/src/lacewingcourse/bench/cli.py
@@ -76,6 +76,7 @@
             levels=tuple(float(each) for each in split(self.option("levels"))),
             policies=tuple(split(self.option("policies"))),
             seed=int(self.option("seed")),
+            progress=self.line,
         )
 
     def run_section(self, name: str, subject: Subject) -> Outcome:
--- a/packages/bench/src/lacewingcourse/bench/failures.py
+++ b/packages/bench/src/lacewingcourse/bench/failures.py
@@ -150,6 +150,7 @@
             for failure in FAILURES.names():
                 deployment.use_policy(policy, admission_of(policy))
                 results.append(run_failure(options, deployment, policy, failure))
+                options.progress(result_line(results[-1]))
                 revive(deployment, failure)
     return Outcome("failures", tuple(figures_of(results)), text_of(results))
 
@@ -217,13 +218,16 @@
     """Return all results as a table."""
     header = f"{'policy':<16}{'failure':<10}{'before':>8}{'lowest':>8}{'after':>8}"
     lines = [header + f"{'95% bound':>12}{'95% former':>12}{'cut':>5}"]
-    for each in results:
-        lines.append(
-            f"{each.policy:<16}{each.failure:<10}{each.before:>8.2f}"
-            f"{each.lowest:>8.2f}{each.after:>8.2f}"
-            f"{seconds(each.to_bound):>12}{seconds(each.to_former):>12}{each.cut:>5}"
-        )
-    return "\n".join(lines)
+    return "\n".join([*lines, *(result_line(each) for each in results)])
+
+
+def result_line(each: FailureResult) -> str:
+    """Return a result as one line."""
+    return (
+        f"{each.policy:<16}{each.failure:<10}{each.before:>8.2f}"
+        f"{each.lowest:>8.2f}{each.after:>8.2f}"
+        f"{seconds(each.to_bound):>12}{seconds(each.to_former):>12}{each.cut:>5}"
+    )
 
 
 def seconds(value: float | None) -> str:
--- a/packages/bench/src/lacewingcourse/bench/goodput.py
+++ b/packages/bench/src/lacewingcourse/bench/goodput.py
@@ -123,14 +123,19 @@
     """Measure every policy at every load, and in a burst."""
     policies = options.policies or tuple(POLICIES.names())
     results = []
+
+    def keep(result: LevelResult) -> None:
+        results.append(result)
+        options.progress(result_line(result))
+
     with fleet_deployment(options) as deployment:
         found = bounds(deployment.fleet)
         mix = mix_of(deployment.keys, found, options.scale)
         for policy in policies:
             deployment.use_policy(policy, admission_of(policy))
             for level in options.levels:
-                results.append(run_level(options, deployment, mix, policy, level))
-            results.append(run_burst(options, deployment, mix, policy))
+                keep(run_level(options, deployment, mix, policy, level))
+            keep(run_burst(options, deployment, mix, policy))
     return Outcome("goodput", tuple(figures_of(results)), text_of(results, found))
 
 
--- a/packages/bench/src/lacewingcourse/bench/messages.py
+++ b/packages/bench/src/lacewingcourse/bench/messages.py
@@ -17,6 +17,7 @@
     Token,
     TokenBatch,
 )
+from lacewingcourse.platform.instances import Instance, InstanceRole
 from lacewingcourse.wire.auth import AUTH_HEADER, sign
 from lacewingcourse.wire.codec import encode
 
@@ -89,7 +90,10 @@
         ("token, alone", "/wire/tokens", tokens(1)),
         (f"tokens, {BATCH} in a batch", "/wire/tokens", tokens(BATCH)),
     ]
-    return [
+    figures = [
         single(f"message: {name}", "bytes", wire_size(path, message))
         for name, path, message in sizes
     ]
+    instance = Instance("endpoint-1234", InstanceRole.ENDPOINT, "kgn-hall-a", URL)
+    size = len(encode(instance)) + 1
+    return [*figures, single("instance list: an instance", "bytes", size)]
--- a/packages/bench/src/lacewingcourse/bench/sections.py
+++ b/packages/bench/src/lacewingcourse/bench/sections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -9,8 +10,6 @@
 from lacewingcourse.core.registry import Registry
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from lacewingcourse.bench.figures import Outcome
 
 
@@ -42,6 +41,7 @@
         levels: Loads as multiples of the bound.
         policies: Route policies; empty for all of the registry.
         seed: Seed of all that is drawn.
+        progress: Gets a line whenever a part of a long section is done.
     """
 
     subject: Subject
@@ -50,6 +50,7 @@
     levels: tuple[float, ...] = (0.5, 0.9, 1.5, 3.0)
     policies: tuple[str, ...] = ()
     seed: int = 1
+    progress: Callable[[str], None] = print
 
 
 SECTIONS: Registry[Callable[[Options], Outcome]] = Registry("section")
--- a/packages/bench/src/lacewingcourse/bench/slopes.py
+++ b/packages/bench/src/lacewingcourse/bench/slopes.py
@@ -14,10 +14,11 @@
 import attrs
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from lacewingcourse.bench.capacity import Slopes, capacity_table, needs, slopes_of
 from lacewingcourse.bench.decisions import fleet_of
 from lacewingcourse.bench.figures import Figure, Outcome, single
 from lacewingcourse.bench.machine import cpu_seconds, resident_bytes
-from lacewingcourse.bench.messages import message_figures
+from lacewingcourse.bench.messages import message_figures, wire_size
 from lacewingcourse.bench.sections import SECTIONS
 from lacewingcourse.bench.small import ENDPOINTS, request_for, small_deployment
 from lacewingcourse.core.configuration import (
@@ -25,12 +26,14 @@
     ConfigurationRecord,
     Organisation,
 )
+from lacewingcourse.entry.directory import LIST_INTERVAL, STATUS_INTERVAL
 from lacewingcourse.load.client import send
 from lacewingcourse.load.mix import ClassLoad, Mix, OrganisationLoad, plan
 from lacewingcourse.load.runner import LoadRunner, RunOptions
 from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.deployment import MODEL, put_json
 from lacewingcourse.testing.processes import wait_until
+from lacewingcourse.wire import paths
 from lacewingcourse.wire.codec import encode
 
 if TYPE_CHECKING:
@@ -40,8 +43,11 @@
 STEP_TIME = 0.002
 #: Seconds over which processes are watched at rest.
 REST = 6.0
-#: Callers of the runs that cost processor time.
-CALLERS = 16
+#: Callers of the runs that cost processor time: few, and so many that messages
+#: are batched.
+CALLERS, CROWD = 16, 96
+#: Endpoints of the deployment whose entry is compared with the small one at rest.
+MANY_ENDPOINTS = 18
 #: Tokens of a short and of a long answer.
 SHORT, LONG = 1, 33
 #: Streams that stand still while memory is read.
@@ -59,6 +65,24 @@
     "LACEWINGCOURSE_ADMISSION": "off",
     "LACEWINGCOURSE_STALL_TIMEOUT": "300",
 }
+#: Which figure is which slope.
+SLOPE_NAMES = {
+    "entry_token": f"cpu: entry, a token, {CROWD} callers",
+    "entry_request": "cpu: entry, a request",
+    "entry_change": "cpu: entry, a change",
+    "entry_endpoint": "rest: entry, an endpoint it knows",
+    "entry_stream": "memory: entry, a stream",
+    "entry_known": "memory: entry, an endpoint it knows",
+    "entry_organisation": "memory: entry, an organisation",
+    "entry_start": "memory: entry after start",
+    "agents_token": f"cpu: agents of 3 stages, a token, {CROWD} callers",
+    "agents_request": "cpu: agents of 3 stages, a request",
+    "agent_rest": "rest: agent",
+    "agent_stage": "memory: agent, a stage of a stream",
+    "agent_start": "memory: agent after start",
+    "status_bytes": "message: status, question and answer",
+    "instance_bytes": "instance list: an instance",
+}
 
 
 @attrs.frozen
@@ -91,19 +115,29 @@
     with small_deployment(options, ENDPOINTS, STEP_TIME, ENTRY_VARIABLES) as deployment:
         figures += status_size(deployment)
         figures += resident(deployment)
-        figures += rest_cost(deployment)
+        few = rest_cost(deployment)
         figures += work_cost(options, deployment)
         figures += stream_memory(deployment)
         figures += configuration_cost(deployment)
+    with small_deployment(options, MANY_ENDPOINTS, STEP_TIME) as deployment:
+        many = rest_cost(deployment)
+    figures += [*few, many[0], endpoint_slope(few[0], many[0])]
     figures += endpoint_memory()
-    return Outcome("slopes", tuple(figures))
+    slopes_found = Slopes(
+        **slopes_of(figures, SLOPE_NAMES),
+        polls=1.0 / STATUS_INTERVAL,
+        reads=1.0 / LIST_INTERVAL,
+    )
+    text = capacity_table(needs(slopes_found))
+    return Outcome("slopes", tuple(figures), text)
 
 
 def status_size(deployment: Deployment) -> list[Figure]:
-    """Return the bytes of an agent's status."""
+    """Return the bytes of a question for an agent's status and its answer."""
     with urlopen(deployment.endpoints[0].agent.url + "/state", timeout=5) as response:
-        size = len(response.read())
-    return [single("message: status of an agent, body", "bytes", size)]
+        size = len(response.read()) + len(str(response.headers))
+    question = wire_size(paths.STATUS, {})
+    return [single("message: status, question and answer", "bytes", question + size)]
 
 
 def resident(deployment: Deployment) -> list[Figure]:
@@ -130,24 +164,37 @@
     ]
 
 
+def endpoint_slope(few: Figure, many: Figure) -> Figure:
+    """Return what one more known endpoint costs an entry at rest."""
+    added = (many.median - few.median) / (MANY_ENDPOINTS - ENDPOINTS)
+    return single("rest: entry, an endpoint it knows", "% of a core", added)
+
+
 def work_cost(options: Options, deployment: Deployment) -> list[Figure]:
     """Return the processor time of a request and of a token, from two lengths."""
     seconds = options.seconds / 2
-    run_closed(deployment, SHORT, 1.0)
-    short, requests = run_closed(deployment, SHORT, seconds)
-    long, answers = run_closed(deployment, LONG, seconds)
-    entry = (short.entry / requests, long.entry / answers)
-    agents = (short.agents / requests, long.agents / answers)
+    run_closed(deployment, SHORT, 1.0, CALLERS)
+    short, requests = run_closed(deployment, SHORT, seconds, CALLERS)
     figures = []
-    for role, (one, many) in (("entry", entry), ("agents of 3 stages", agents)):
-        token = (many - one) / (LONG - SHORT)
-        figures.append(single(f"cpu: {role}, a token", "us", token * MICROSECONDS))
-        request = (one - token) * MICROSECONDS
-        figures.append(single(f"cpu: {role}, a request", "us", request))
+    for callers in (CALLERS, CROWD):
+        long, answers = run_closed(deployment, LONG, seconds, callers)
+        roles = (
+            ("entry", short.entry / requests, long.entry / answers),
+            ("agents of 3 stages", short.agents / requests, long.agents / answers),
+        )
+        for role, one, many in roles:
+            token = (many - one) / (LONG - SHORT) * MICROSECONDS
+            label = f"cpu: {role}, a token, {callers} callers"
+            figures.append(single(label, "us", token))
+            if callers == CALLERS:
+                request = one * MICROSECONDS - token
+                figures.append(single(f"cpu: {role}, a request", "us", request))
     return figures
 
 
-def run_closed(deployment, tokens: int, seconds: float) -> tuple[Spent, int]:
+def run_closed(
+    deployment, tokens: int, seconds: float, callers: int
+) -> tuple[Spent, int]:
     """Run a closed loop; return what it cost and how many answers it gave."""
     name, key = next(iter(deployment.keys.items()))
     work = ClassLoad(answer=f"fixed:{tokens}")
@@ -156,7 +203,7 @@
     runner = LoadRunner(RunOptions(urls, MODEL, resends=0))
     requests = plan(mix, itertools.repeat(0.0), random.Random(tokens))
     before = spent(deployment)
-    result = asyncio.run(runner.run_closed(requests, CALLERS, seconds))
+    result = asyncio.run(runner.run_closed(requests, callers, seconds))
     used = spent(deployment).since(before)
     return used, max(1, sum(sample.whole for sample in result.samples))
 
@@ -204,11 +251,9 @@
     entry = deployment.entries[0]
     version = version_in_force(deployment)
     before = spent(deployment)
-    started = time.monotonic()
     for index in range(CHANGES):
         publish(deployment, version + index, [f"changed-{index}"])
     wait_for_version(deployment, version + CHANGES)
-    idle = time.monotonic() - started
     used = spent(deployment).since(before).entry
     memory = resident_bytes(entry.pid)
     names = [f"many-{index}" for index in range(ORGANISATIONS)]
@@ -217,7 +262,7 @@
     grown = (resident_bytes(entry.pid) - memory) / ORGANISATIONS / KILOBYTE
     change = used / CHANGES * MICROSECONDS
     return [
-        single(f"cpu: entry, a change ({idle:.1f} s in all)", "us", change),
+        single("cpu: entry, a change", "us", change),
         single("memory: entry, an organisation", "KB", grown),
     ]
 
