Tell callers who left from answers that were cut

Cause: an answer whose caller ran out of patience counted as cut, so that a run without admission seemed to break promises.

Change: the load tool counts such requests as left; cut and lost keep their meaning for callers who waited. The goodput section lists refusals by kind.

Conclusion: cut can again be compared with zero.

--- a/packages/bench/src/lacewingcourse/bench/goodput.py
+++ b/packages/bench/src/lacewingcourse/bench/goodput.py
@@ -206,8 +206,8 @@
 
 HEADER = (
     f"{'policy':<16}{'load':>6}{'goodput':>9}{'in target':>11}{'late':>7}"
-    f"{'refused':>9}{'cut':>5}{'lost':>6}{'p95 s':>8}{'large':>7}{'small':>7}"
-    f"{'seconds':>9}"
+    f"{'refused':>9}{'left':>6}{'cut':>5}{'lost':>6}{'p95 s':>8}"
+    f"{'large':>7}{'small':>7}{'seconds':>9}"
 )
 
 
@@ -218,6 +218,8 @@
     lines += [result_line(each) for each in results]
     lines += ["", "share of requests in target, by class:"]
     lines += [classes_line(each) for each in results]
+    lines += ["", "refused by kind:"]
+    lines += [refusals_line(each) for each in results]
     lines += ["", "processor use:"]
     for each in results:
         generator = f"load generator {each.report.generator_cpu:.2f}"
@@ -233,8 +235,8 @@
     refused = sum(total.refused.values())
     return (
         f"{each.policy:<16}{each.level:>6}{each.share_of_bound:>9.2f}"
-        f"{each.in_target:>11.2f}{total.late:>7}{refused:>9}{total.cut:>5}"
-        f"{total.lost:>6}{total.answer.p95:>8.1f}{large:>7.2f}{small:>7.2f}"
+        f"{each.in_target:>11.2f}{total.late:>7}{refused:>9}{total.left:>6}"
+        f"{total.cut:>5}{total.lost:>6}{total.answer.p95:>8.1f}{large:>7.2f}{small:>7.2f}"
         f"{each.seconds:>9.1f}"
     )
 
@@ -259,3 +261,10 @@
         f"{group.name} {group.share_in_target:.2f}" for group in each.report.classes
     ]
     return f"{each.policy:<16}{each.level:>6}  " + ", ".join(shares)
+
+
+def refusals_line(each: LevelResult) -> str:
+    """Return the refusals by kind as one line."""
+    refused = each.report.total.refused
+    kinds = [f"{kind} {count}" for kind, count in sorted(refused.items())]
+    return f"{each.policy:<16}{each.level:>6}  " + (", ".join(kinds) or "none")
--- a/packages/load/src/lacewingcourse/load/client.py
+++ b/packages/load/src/lacewingcourse/load/client.py
@@ -23,6 +23,8 @@
 DONE = b"data: [DONE]"
 #: Kind of a request whose answer never came or was cut.
 LOST = "connection_lost"
+#: Kind of a request whose caller went away before the answer was whole.
+LEFT = "caller_left"
 
 
 @attrs.define
@@ -67,12 +69,17 @@
     @property
     def refused(self) -> bool:
         """Whether nothing of an answer came, but a reason did."""
-        return bool(self.kind) and not self.tokens and self.kind != LOST
+        return bool(self.kind) and not self.tokens and self.kind not in (LOST, LEFT)
+
+    @property
+    def left(self) -> bool:
+        """Whether the caller went away before the answer was whole."""
+        return self.kind == LEFT
 
     @property
     def cut(self) -> bool:
-        """Whether the answer began and did not end whole."""
-        return not self.whole and self.tokens > 0
+        """Whether the answer began, but was not made whole for a caller who waited."""
+        return not self.whole and self.tokens > 0 and not self.left
 
     @property
     def first_token(self) -> float:
@@ -176,16 +183,28 @@
         request_timeout=patience,
         streaming_callback=meter.feed,
     )
+    sent_at = time.monotonic()
     response = await fetch(http, request)
     sample.ended_at = time.monotonic()
     sample.status = response.code
-    read_end(sample, response, meter.rest)
+    waited = sample.ended_at - sent_at >= patience
+    read_end(sample, response, meter.rest, waited)
+
 
+def read_end(sample: Sample, response, rest: bytes, waited: bool) -> None:
+    """Note why an answer is not whole.
 
-def read_end(sample: Sample, response, rest: bytes) -> None:
-    """Note why an answer is not whole."""
+    Args:
+        sample: Gets the reason.
+        response: What the HTTP client returned.
+        rest: Body that was not an event.
+        waited: Whether the caller's patience had run out.
+    """
     if sample.finished or sample.kind:
         return
+    if response.code == NO_ANSWER and waited:
+        sample.kind = LEFT
+        return
     if response.code in (200, NO_ANSWER):
         sample.kind = LOST
         sample.outcome = "unknown"
--- a/packages/load/src/lacewingcourse/load/report.py
+++ b/packages/load/src/lacewingcourse/load/report.py
@@ -68,7 +68,8 @@
         in_target: Whole answers within the class target.
         late: Whole answers past the class target.
         refused: Refusals by kind.
-        cut: Answers that began and did not end whole.
+        left: Requests whose caller went away before the answer was whole.
+        cut: Answers that began and did not end whole for a caller who waited.
         lost: Requests without answer and without reason.
         tokens: Tokens that came.
         first_token: Time to the first token, from the due time.
@@ -83,6 +84,7 @@
     in_target: int
     late: int
     refused: dict[str, int]
+    left: int
     cut: int
     lost: int
     tokens: int
@@ -101,6 +103,7 @@
     whole = [sample for sample in samples if sample.whole]
     in_target = sum(sample.in_target for sample in whole)
     refused = Counter(sample.kind for sample in samples if sample.refused)
+    left = sum(sample.left for sample in samples)
     cut = sum(sample.cut for sample in samples)
     return GroupSummary(
         name=name,
@@ -110,8 +113,9 @@
         in_target=in_target,
         late=len(whole) - in_target,
         refused=dict(refused),
+        left=left,
         cut=cut,
-        lost=len(samples) - len(whole) - refused.total() - cut,
+        lost=len(samples) - len(whole) - refused.total() - left - cut,
         tokens=sum(sample.tokens for sample in samples),
         first_token=percentiles(
             sample.first_token for sample in samples if sample.tokens
@@ -166,7 +170,7 @@
     return tuple(summarise(name, found[name]) for name in sorted(found))
 
 
-COLUMNS = "requests sent whole in-target late refused cut lost".split()
+COLUMNS = "requests sent whole in-target late refused left cut lost".split()
 
 
 def table(made: Report) -> str:
@@ -192,7 +196,7 @@
     """Return the counts of a group as one line."""
     refused = sum(row.refused.values())
     counts = (row.requests, row.sent, row.whole, row.in_target, row.late)
-    counts += (refused, row.cut, row.lost)
+    counts += (refused, row.left, row.cut, row.lost)
     return "".join(f"{count:>10}" for count in counts)
 
 
--- a/packages/load/tests/test_report.py
+++ b/packages/load/tests/test_report.py
@@ -42,14 +42,15 @@
         sample(kind="overloaded", ended_at=10.1, status=503, tries=1),
         sample(kind="stage_lost", tokens=2, ended_at=12.0),
         sample(kind="connection_lost", ended_at=12.0),
+        sample(kind="caller_left", tokens=1, ended_at=70.0),
     ]
     made = report(RunResult(10.0, 20.0, samples))
     total = made.total
-    assert (total.requests, total.sent) == (6, 7)
+    assert (total.requests, total.sent) == (7, 8)
     assert (total.whole, total.in_target, total.late) == (3, 1, 2)
     assert total.refused == {"overloaded": 2}
-    assert (total.cut, total.lost) == (1, 1)
-    assert total.sent == total.whole + 2 + total.cut + total.lost
+    assert (total.left, total.cut, total.lost) == (1, 1, 1)
+    assert total.sent == total.whole + 2 + total.left + total.cut + total.lost
     assert "overloaded: 2" in table(made)
 
 
