--- a/packages/bench/src/lacewingcourse/bench/goodput.py
+++ b/packages/bench/src/lacewingcourse/bench/goodput.py
@@ -235,8 +235,9 @@
     refused = sum(total.refused.values())
     return (
         f"{each.policy:<16}{each.level:>6}{each.share_of_bound:>9.2f}"
-        f"{each.in_target:>11.2f}{total.late:>7}{refused:>9}{total.left:>6}"
-        f"{total.cut:>5}{total.lost:>6}{total.answer.p95:>8.1f}{large:>7.2f}{small:>7.2f}"
+        f"{each.in_target:>11.2f}{total.late:>7}{refused:>9}"
+        f"{total.left:>6}{total.cut:>5}{total.lost:>6}{total.answer.p95:>8.1f}"
+        f"{large:>7.2f}{small:>7.2f}"
         f"{each.seconds:>9.1f}"
     )
 
