--- a/packages/agent/src/lacewingcourse/agent/engine.py
+++ b/packages/agent/src/lacewingcourse/agent/engine.py
@@ -9,13 +9,22 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.layers import LayerRange
-from lacewingcourse.wire.client import fetch, new_http_client
+from lacewingcourse.wire.client import (
+    NOT_CONNECTED,
+    fetch,
+    new_http_client,
+    use_fresh_connection,
+)
 from lacewingcourse.wire.codec import decode, encode
 
 if TYPE_CHECKING:
     from lacewingcourse.core.effects import RunForward
 
 
+#: curl's codes for a connection that broke: empty reply, send and receive failures.
+BROKEN_CONNECTION = frozenset({52, 55, 56})
+
+
 @attrs.frozen
 class ForwardItem:
     """One item of an engine step.
@@ -112,6 +121,17 @@
     queued: int
 
 
+@attrs.frozen
+class EngineCrash:
+    """The engine's connection broke in mid-step.
+
+    Attributes:
+        reason: What the client saw.
+    """
+
+    reason: str
+
+
 def sequence_of(stream: str, attempt: int) -> str:
     """Return the name of a stream's cache entry in the engine."""
     return f"{stream}.{attempt}"
@@ -157,9 +177,25 @@
         self.http = new_http_client()
         self.timeout = timeout
 
-    async def forward(self, items: tuple[ForwardItem, ...]) -> ForwardReply | Refusal:
-        """Run items and return their results."""
-        return await self._post("/engine/forward", ForwardRequest(items), ForwardReply)
+    async def forward(
+        self, items: tuple[ForwardItem, ...], solo: bool = False
+    ) -> ForwardReply | EngineCrash | Refusal:
+        """Run items and return their results.
+
+        On a connection that was used before, curl tries again when it breaks, so a
+        refused connection may hide a crash. A step that runs alone gets a connection
+        of its own, because its crash is held against its request.
+
+        Args:
+            items: The items.
+            solo: Whether they run alone on the engine.
+        """
+        request = ForwardRequest(items)
+        response = await self._fetch("/engine/forward", request, once=solo)
+        broken = BROKEN_CONNECTION if solo else BROKEN_CONNECTION | NOT_CONNECTED
+        if getattr(response.error, "errno", None) in broken:
+            return EngineCrash(str(response.error))
+        return self._read(response, ForwardReply)
 
     async def cancel(self, sequences: tuple[str, ...]) -> None:
         """Let the engine drop cache entries; failures do not matter."""
@@ -174,6 +210,9 @@
         return decode(response.body, EngineState)
 
     async def _post(self, path: str, message, kind):
+        return self._read(await self._fetch(path, message), kind)
+
+    async def _fetch(self, path: str, message, once: bool = False):
         request = HTTPRequest(
             self.url + path,
             method="POST",
@@ -181,8 +220,11 @@
             headers={"Content-Type": "application/json"},
             connect_timeout=2.0,
             request_timeout=self.timeout,
+            prepare_curl_callback=use_fresh_connection if once else None,
         )
-        response = await fetch(self.http, request)
+        return await fetch(self.http, request)
+
+    def _read(self, response, kind):
         if response.code != 200:
             return self._failed(response)
         return decode(response.body, kind)
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
-from functools import partial
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
+from lacewingcourse.agent.courier import Courier
 from lacewingcourse.agent.engine import (
     EngineClient,
+    EngineCrash,
     EngineState,
     ForwardOutput,
+    ForwardReply,
     item_of,
     sequence_of,
 )
-from lacewingcourse.agent.outbox import Outbox
 from lacewingcourse.core.effects import (
     CancelForward,
     RunForward,
@@ -22,16 +25,10 @@
     SendToken,
     SendTrouble,
 )
-from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.estimates import EndpointEstimates
-from lacewingcourse.core.messages import (
-    HopBatch,
-    HopBatchReply,
-    HopVerdict,
-    TokenBatch,
-    TokenBatchReply,
-    TroubleBatch,
-)
+from lacewingcourse.core.messages import StageReport, Trouble
+from lacewingcourse.core.poison import CrashedItem, suspects_of
 from lacewingcourse.core.queueing import (
     AgentLoad,
     ForwardQueue,
@@ -39,23 +36,49 @@
     due_at,
     refusal_kind,
 )
-from lacewingcourse.core.stages import ForwardResult, StageGate
-from lacewingcourse.wire import paths
+from lacewingcourse.core.stage_state import ForwardResult
+from lacewingcourse.core.stages import StageGate
+from lacewingcourse.core.step_times import StepTimes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from lacewingcourse.agent.application import Agent
     from lacewingcourse.core.estimates import LoadReport
-    from lacewingcourse.core.messages import OpenStage, StageAddress, Status
+    from lacewingcourse.core.messages import (
+        Credit,
+        OpenStage,
+        ReportRequest,
+        Status,
+    )
     from lacewingcourse.core.stages import Effect
 
-#: Times that a batch is sent before its receiver is reported.
-SEND_ATTEMPTS = 3
-#: Verdicts after which an attempt cannot go on.
-LOST_VERDICTS = frozenset(
-    {HopVerdict.UNKNOWN_STREAM, HopVerdict.WRONG_RANGE, HopVerdict.OVERFLOW}
-)
+#: Seconds between two looks for late steps.
+WATCH_INTERVAL = 0.1
+
+
+@attrs.define(eq=False)
+class StepInFlight:
+    """A step that the engine was given.
+
+    Attributes:
+        batch: Its work.
+        started_at: When it was given, seconds.
+        late_at: When it is late, seconds.
+        reported: Whether its streams were told of a crash.
+    """
+
+    batch: list[RunForward]
+    started_at: float
+    late_at: float
+    reported: bool = False
+
+
+def positions_of(work: RunForward) -> int:
+    """Return how many positions a piece of work has at the most."""
+    if work.prompt is None:
+        return len(work.values)
+    return len(work.prompt.text) + len(work.prompt.delivered)
 
 
 class StageRunner:
@@ -69,8 +92,12 @@
         engine: Client of the engine.
         engine_state: What the engine last said, or None while it does not answer.
         queue: Work that waits for the engine.
-        in_flight: Steps given to the engine.
+        steps: Steps given to the engine.
         step_time: Seconds of the last step.
+        step_times: Learned times of steps.
+        engine_late: Whether the engine is late with a step.
+        crashes: Crashes of the engine that were seen.
+        courier: Carries what goes to other processes.
         estimates: What was learned of the engine's speed.
         present: Items given to the engine.
         sources: Entries that have streams here.
@@ -80,22 +107,27 @@
         self.agent = agent
         self.settings = agent.settings
         self.incarnation = agent.incarnation
-        self.gate = StageGate(self.settings.instance_id, self.incarnation)
+        self.gate = StageGate(
+            self.settings.instance_id,
+            self.incarnation,
+            output_budget=self.settings.resume_buffer_bytes,
+        )
         self.engine = EngineClient(
             self.settings.endpoint_url, self.settings.endpoint_timeout
         )
         self.engine_state: EngineState | None = None
         self.queue = ForwardQueue()
-        self.in_flight = 0
+        self.steps: set[StepInFlight] = set()
         self.step_time = 0.0
+        self.step_times = StepTimes()
+        self.engine_late = False
+        self.crashes = 0
+        self.courier = Courier(self)
         self.estimates = EndpointEstimates(
             self.settings.batch_items, self.settings.max_streams
         )
         self.present = 0
         self.sources = 0
-        self.hop_outboxes: dict[tuple[str, str], Outbox] = {}
-        self.token_outboxes: dict[str, Outbox] = {}
-        self.trouble_outboxes: dict[str, Outbox] = {}
 
     async def probe(self) -> None:
         """Look whether the engine answers."""
@@ -141,9 +173,9 @@
                 case SendHop():
                     self._send_hop(effect)
                 case SendToken():
-                    self._token_outbox(effect.entry_url).put(effect.token)
+                    self.courier.put_token(effect.entry_url, effect.token)
                 case SendTrouble():
-                    self._trouble_outbox(effect.entry_url).put(effect.trouble)
+                    self.courier.put_trouble(effect.entry_url, effect.trouble)
         self._feed_engine()
 
     def refusal_of(self, message: OpenStage) -> ErrorKind | None:
@@ -157,63 +189,135 @@
     def _push(self, effect: RunForward) -> None:
         """Queue work with the time at which it is due."""
         stage = self.gate.stages.get(effect.stream)
-        pace = stage.message.pace if stage is not None else 0.0
+        pace, stages = 0.0, 1
+        if stage is not None:
+            pace, stages = stage.message.pace, len(stage.message.stages)
         positions = len(effect.values)
         if effect.prompt is not None:
             positions = self.estimates.prompt_positions(len(effect.prompt.text))
             positions += len(effect.prompt.delivered)
-        self.queue.push(effect, due_at(effect, pace, self.agent.now()), positions)
+        due = due_at(effect, pace, stages, self.agent.now())
+        self.queue.push(effect, due, positions)
 
     def _feed_engine(self) -> None:
         """Give waiting work to the engine while it has room."""
-        while self.queue and self.in_flight < self.settings.steps_in_flight:
-            batch = self.queue.take(self.settings.batch_items)
-            self.in_flight += 1
+        while self.queue and self._engine_has_room():
+            queued = self.queue.take(self.settings.batch_items)
+            batch = [entry.effect for entry in queued]
+            now = self.agent.now()
+            positions = sum(positions_of(work) for work in batch)
+            allowance = self.step_times.allowance(
+                positions, self.settings.endpoint_timeout
+            )
+            step = StepInFlight(batch, now, now + allowance)
+            self.steps.add(step)
             self.present += len(batch)
             self.estimates.on_load(
                 self.present + len(self.queue), len(self.gate.stages)
             )
-            self.agent.spawn(self._step(batch))
+            self.agent.spawn(self._step(step, queued))
+
+    def _engine_has_room(self) -> bool:
+        """Tell whether the work that comes first may be given to the engine."""
+        if self.queue.next_is_solo():
+            return not self.steps
+        if any(step.batch[0].solo for step in self.steps):
+            return False
+        return len(self.steps) < self.settings.steps_in_flight
 
-    async def _step(self, queued: list[QueuedForward]) -> None:
+    async def _step(self, step: StepInFlight, queued: list[QueuedForward]) -> None:
         """Run one batch on the engine and pass its results on."""
-        started_at = self.agent.now()
-        batch = [entry.effect for entry in queued]
+        batch = step.batch
         items = tuple(item_of(entry.effect, entry.due_at) for entry in queued)
+        answered = self.engine_state is not None
         try:
-            reply = await self.engine.forward(items)
+            reply = await self.engine.forward(items, batch[0].solo)
         finally:
-            self.in_flight -= 1
             self.present -= len(batch)
-        failed = isinstance(reply, Refusal)
+        if isinstance(reply, EngineCrash) and not answered:
+            kind = ErrorKind.ENDPOINT_FAILED
+            reply = Refusal(kind, reply.reason, Outcome.UNKNOWN)
+        if isinstance(reply, EngineCrash):
+            self._on_crash(reply)
+        self.steps.discard(step)
+        failed = not isinstance(reply, ForwardReply)
         self.agent.metrics.on_step(len(batch), None if failed else reply.step_time)
+        if isinstance(reply, EngineCrash):
+            self._feed_engine()
+            return
         if failed:
             self._fail_batch(batch, reply)
             return
-        self.step_time = reply.step_time
         positions = sum(output.count for output in reply.items)
-        self.estimates.on_step(positions, started_at, self.agent.now())
+        self.step_times.note(positions, self.agent.now() - step.started_at)
+        self.step_time = reply.step_time
+        self.estimates.on_step(positions, step.started_at, self.agent.now())
         for work, output in zip(batch, reply.items, strict=True):
             self._complete(work, output)
         self._feed_engine()
 
+    def _on_crash(self, crash: EngineCrash) -> None:
+        """Report all work of the engine once; name the attempts that may be guilty."""
+        fresh = [step for step in self.steps if not step.reported]
+        if not fresh:
+            return
+        self.crashes += 1
+        self.engine_state = None
+        name = f"{self.incarnation}.{self.crashes}"
+        logger.warning("the engine crashed", crash=name)
+        items = {
+            CrashedItem(work.stream, work.attempt, work.position == 0): work
+            for step in fresh
+            for work in step.batch
+        }
+        suspects = set(suspects_of(items))
+        for step in fresh:
+            step.reported = True
+        alone = len(items) == 1
+        for item, work in items.items():
+            guilty = name if item in suspects else ""
+            self._report(work, crash.reason, guilty, item.first_step, alone)
+
     def _fail_batch(self, batch: list[RunForward], refusal: Refusal) -> None:
         """Report each attempt of a failed batch."""
         for work in batch:
-            self._report(work.stream, work.attempt, refusal.reason)
+            self._report(work, refusal.reason)
         self._feed_engine()
 
-    def _report(self, stream: str, attempt: int, reason: str) -> None:
-        """Report that this endpoint failed an attempt."""
-        endpoint = self.settings.instance_id
-        kind = ErrorKind.ENDPOINT_FAILED
-        self.perform(self.gate.fail(stream, attempt, endpoint, kind, reason))
+    def _report(
+        self,
+        work: RunForward,
+        reason: str,
+        crash: str = "",
+        newcomer: bool = False,
+        alone: bool = False,
+    ) -> None:
+        """Report that this endpoint failed an attempt.
+
+        A newcomer that happened to be alone counts as run alone.
+        """
+        self.fail(
+            Trouble(
+                stream=work.stream,
+                attempt=self.gate.attempt_of(work.stream, work.attempt),
+                endpoint=self.settings.instance_id,
+                kind=ErrorKind.ENDPOINT_FAILED,
+                reason=reason,
+                crash=crash,
+                newcomer=newcomer,
+                solo=work.solo or (newcomer and alone),
+            )
+        )
+
+    def fail(self, trouble: Trouble) -> None:
+        """Report that an attempt cannot go on."""
+        self.perform(self.gate.fail(trouble))
 
     def _complete(self, work: RunForward, output: ForwardOutput) -> None:
         """Pass on the result of one item."""
         self.agent.metrics.tokens.inc(output.token is not None)
         if output.error:
-            self._report(work.stream, work.attempt, output.error)
+            self._report(work, output.error)
             return
         if work.prompt is not None:
             self.estimates.on_prompt(len(work.prompt.text), output.prompt_length)
@@ -235,62 +339,9 @@
             _, effects = self.gate.receive(effect.hop, self.agent.now())
             self.perform(effects)
             return
-        key = (effect.target.agent_url, effect.target.incarnation)
-        outbox = self.hop_outboxes.get(key)
-        if outbox is None:
-            send = partial(self._send_hops, effect.target)
-            outbox = self.hop_outboxes[key] = Outbox(send, self.agent.spawn)
-        outbox.put(effect.hop)
-
-    async def _send_hops(self, target: StageAddress, hops: list) -> None:
-        """Send hops to the agent of another stage; report it if it fails."""
-        batch = HopBatch(self.settings.instance_id, target.incarnation, tuple(hops))
-        sent_at = self.agent.now()
-        reply = await self._send(target.agent_url, paths.HOPS, batch, HopBatchReply)
-        if isinstance(reply, Refusal) or not reply.current:
-            reason = reply.reason if isinstance(reply, Refusal) else "restarted"
-            for hop in hops:
-                self._blame(hop, target.endpoint, reason)
-            return
-        self.estimates.on_hop(target.endpoint, self.agent.now() - sent_at)
-        for hop, verdict in zip(hops, reply.verdicts, strict=True):
-            if verdict in LOST_VERDICTS:
-                self._blame(hop, target.endpoint, verdict.value)
-
-    def _blame(self, hop, endpoint: str, reason: str) -> None:
-        """Report that another stage did not take a hop."""
-        kind = ErrorKind.STAGE_LOST
-        effects = self.gate.fail(hop.stream, hop.attempt, endpoint, kind, reason)
-        self.perform(effects)
-
-    async def _send(self, url: str, path: str, message, kind):
-        """Send a message that the receiver recognises when it is repeated."""
-        reply = None
-        for _ in range(SEND_ATTEMPTS):
-            reply = await self.agent.peers.send(
-                url, path, message, kind, self.settings.hop_timeout
-            )
-            if not isinstance(reply, Refusal):
-                return reply
-        return reply
-
-    def _token_outbox(self, entry_url: str) -> Outbox:
-        if entry_url not in self.token_outboxes:
-            send = partial(self._send_tokens, entry_url)
-            self.token_outboxes[entry_url] = Outbox(send, self.agent.spawn)
-        return self.token_outboxes[entry_url]
-
-    async def _send_tokens(self, entry_url: str, tokens: list) -> None:
-        """Send tokens to their entry and take the credits of its reply."""
-        batch = TokenBatch(self.settings.instance_id, self.incarnation, tuple(tokens))
-        reply = await self._send(entry_url, paths.TOKENS, batch, TokenBatchReply)
-        if isinstance(reply, Refusal):
-            self._entry_lost(tokens)
-            return
-        for credit in reply.credits:
-            self.take_credit(credit)
+        self.courier.put_hop(effect)
 
-    def take_credit(self, credit) -> None:
+    def take_credit(self, credit: Credit) -> None:
         """Let a stream go further."""
         self.perform(
             self.gate.credit(
@@ -298,18 +349,45 @@
             )
         )
 
-    def _entry_lost(self, tokens: list) -> None:
-        """End the attempts whose entry cannot be reached."""
-        for token in tokens:
-            effects = self.gate.close(token.stream, token.attempt, self.agent.now())
-            self.perform(effects)
+    def close(self, stream: str, attempt: int) -> None:
+        """End an attempt that nobody waits for."""
+        self.perform(self.gate.close(stream, attempt, self.agent.now()))
 
-    def _trouble_outbox(self, entry_url: str) -> Outbox:
-        if entry_url not in self.trouble_outboxes:
-            send = partial(self._send_troubles, entry_url)
-            self.trouble_outboxes[entry_url] = Outbox(send, self.agent.spawn)
-        return self.trouble_outboxes[entry_url]
+    def report(self, request: ReportRequest) -> StageReport:
+        """Tell how far a stage has come and what it waits for."""
+        state = self.gate.stages.get(request.stream)
+        if state is None:
+            return StageReport(self.incarnation, 0)
+        stages = state.message.stages
+        following = stages[(state.message.index + 1) % len(stages)]
+        token_wait = 0.0
+        if state.is_last:
+            token_wait = self.courier.token_wait(state.message.entry_url)
+        return StageReport(
+            incarnation=self.incarnation,
+            attempt=state.message.attempt,
+            accepted=state.next_position,
+            done=state.done_position,
+            engine_late=self.engine_late,
+            hop_wait=self.courier.hop_wait(following),
+            token_wait=token_wait,
+        )
 
-    async def _send_troubles(self, entry_url: str, troubles: list) -> None:
-        batch = TroubleBatch(self.settings.instance_id, tuple(troubles))
-        await self._send(entry_url, paths.TROUBLES, batch, TokenBatchReply)
+    async def watch_engine(self) -> None:
+        """Report the streams of steps that are late, for ever."""
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL)
+            now = self.agent.now()
+            late = [step for step in self.steps if step.late_at < now]
+            if late and not self.engine_late:
+                self._leave_engine()
+            self.engine_late = bool(late)
+
+    def _leave_engine(self) -> None:
+        """Report every stream that has work at an engine that does not answer."""
+        logger.warning("the engine is late", steps=len(self.steps))
+        self.engine_late = True
+        waiting = self.queue.clear()
+        given = [work for step in self.steps for work in step.batch]
+        for work in [*given, *waiting]:
+            self._report(work, "a step of the engine is late")
--- a/packages/bench/src/lacewingcourse/bench/goodput.py
+++ b/packages/bench/src/lacewingcourse/bench/goodput.py
@@ -94,7 +94,7 @@
 
 def admission_of(policy: str) -> str:
     """Return the admission that a policy runs with: baselines have none."""
-    return "off" if policy in BASELINES else "targets"
+    return "none" if policy in BASELINES else "targets"
 
 
 def run_options(
--- a/packages/bench/src/lacewingcourse/bench/slopes.py
+++ b/packages/bench/src/lacewingcourse/bench/slopes.py
@@ -62,7 +62,7 @@
 KILOBYTE = 1024
 #: Streams must stand still for longer than the measurement takes.
 ENTRY_VARIABLES = {
-    "LACEWINGCOURSE_ADMISSION": "off",
+    "LACEWINGCOURSE_ADMISSION": "none",
     "LACEWINGCOURSE_STALL_TIMEOUT": "300",
 }
 #: Which figure is which slope.
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -5,9 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
 from loguru import logger
 
 from lacewingcourse.core.effects import (
+    AskReport,
     ChooseRoute,
     DeliverToken,
     FailAnswer,
@@ -15,11 +17,13 @@
     SendCredit,
     SendOpen,
     SendRevoke,
+    SendStart,
 )
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.messages import (
     OpenReply,
     RevokeReply,
+    StageReport,
     Token,
     TokenBatchReply,
 )
@@ -31,11 +35,21 @@
 
     from lacewingcourse.core.burn_ends import AnswerMeter
     from lacewingcourse.core.errors import ErrorKind as Kind
+    from lacewingcourse.core.messages import Trouble
     from lacewingcourse.core.streams import Effect, StreamRequest
     from lacewingcourse.entry.application import Entry
 
 Event = Token | FinishAnswer | FailAnswer
 
+#: Seconds in which a stage's agent must say how far it has come.
+REPORT_TIMEOUT = 1.0
+#: Seconds before a revocation is repeated the first time; doubled with each repeat.
+REVOKE_DELAY = 0.2
+#: Tokens that a suspect makes before it counts as past the place of its crash.
+CLEARING_TOKENS = 2
+#: Times that a revocation is sent; later its agent asks whether the stream lives.
+REVOKE_TRIES = 7
+
 
 class AnswerDriver:
     """One streamed answer.
@@ -46,14 +60,20 @@
         events: What the caller has not yet been given.
         consumed: Tokens that the caller was given.
         meter: Measures the answer, or None.
+        cleared_at: Tokens with which a suspect counts as innocent, or None.
     """
 
     def __init__(self, entry: Entry, request: StreamRequest) -> None:
         self.entry = entry
-        self.state = StreamState(request, progress_at=entry.now())
+        self.state = StreamState(
+            request,
+            route_patience=entry.settings.route_patience,
+            progress_at=entry.now(),
+        )
         self.events: asyncio.Queue[Event] = asyncio.Queue()
         self.consumed = 0
         self.meter: AnswerMeter | None = None
+        self.cleared_at: int | None = None
 
     @property
     def stream(self) -> str:
@@ -79,16 +99,21 @@
         for effect in effects:
             match effect:
                 case ChooseRoute():
-                    self._choose(effect.excluded)
+                    self._choose(effect)
+                case AskReport():
+                    self.entry.spawn(self._ask(effect))
                 case SendOpen():
                     self.entry.spawn(self._open(effect))
                 case SendRevoke():
                     self.entry.spawn(self._revoke(effect))
+                case SendStart():
+                    self.entry.spawn(self._start(effect))
                 case SendCredit():
                     self.entry.spawn(self._credit(effect))
                 case DeliverToken():
                     self.entry.admission.on_token(self.stream)
                     self._measure()
+                    self._clear_suspect()
                     self.events.put_nowait(effect.token)
                 case FinishAnswer() | FailAnswer():
                     self.entry.free(self)
@@ -99,10 +124,35 @@
         if self.meter is not None:
             self.meter.on_token(self.entry.now())
 
-    def _choose(self, excluded: frozenset[str]) -> None:
-        route = self.entry.choose_route(self.state.request, excluded)
+    def _note_suspect(self) -> None:
+        """Let the next attempt run alone if its request is a suspect."""
+        state = self.state
+        state.solo = self.entry.poison.suspects(state.request)
+        made = len(state.delivered)
+        self.cleared_at = made + CLEARING_TOKENS if state.solo else None
+
+    def _clear_suspect(self) -> None:
+        """Clear a suspect that has run alone past the place of its crash."""
+        state = self.state
+        made = len(state.delivered)
+        if self.cleared_at is None:
+            return
+        if made < self.cleared_at and state.phase is not Phase.ENDED:
+            return
+        self.cleared_at = None
+        self.entry.poison.clear(self.entry.poison.fingerprint(state.request))
+
+    def _choose(self, effect: ChooseRoute) -> None:
+        """Begin an attempt, now or after the delay that was asked for."""
+        if effect.delay > 0:
+            self.entry.spawn(self._choose_later(effect))
+            return
+        self._note_suspect()
+        route = self.entry.choose_route(
+            self.state.request, effect.excluded, effect.stages
+        )
         self.perform(self.state.begin(route, self.entry.now()))
-        if not isinstance(route, Refusal):
+        if self.state.phase is Phase.OPENING:
             self._count_attempt()
 
     def _count_attempt(self) -> None:
@@ -112,11 +162,31 @@
         if delivered and self.meter is not None:
             self.meter.on_lost(self.entry.now())
 
+    async def _choose_later(self, effect: ChooseRoute) -> None:
+        await asyncio.sleep(effect.delay)
+        self._choose(attrs.evolve(effect, delay=0.0))
+
+    async def _ask(self, effect: AskReport) -> None:
+        """Ask a stage how far it has come."""
+        message = effect.message
+        report = await self.entry.peers.send(
+            effect.target.agent_url, paths.REPORT, message, StageReport, REPORT_TIMEOUT
+        )
+        if isinstance(report, Refusal):
+            report = None
+        self.perform(
+            self.state.on_report(
+                message.attempt, effect.index, report, self.entry.now()
+            )
+        )
+
     async def _open(self, effect: SendOpen) -> None:
         reply = await self._send(
             effect.target.agent_url, paths.OPEN_STAGE, effect.message, OpenReply
         )
+        reached = True
         if isinstance(reply, Refusal):
+            reached = reply.outcome is not Outcome.NOT_RUN
             self.entry.directory.mark_lost(effect.target.endpoint)
             reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
         else:
@@ -126,17 +196,39 @@
         message = effect.message
         self.perform(
             self.state.on_open_reply(
-                message.attempt, message.index, reply, self.entry.now()
+                message.attempt, message.index, reply, self.entry.now(), reached
             )
         )
 
-    async def _revoke(self, effect: SendRevoke) -> None:
+    async def _start(self, effect: SendStart) -> None:
+        """Start a stage of a resumed attempt."""
+        message = effect.message
         reply = await self._send(
-            effect.target.agent_url, paths.REVOKE, effect.message, RevokeReply
+            effect.target.agent_url, paths.START_STAGE, message, OpenReply
         )
         if isinstance(reply, Refusal):
-            reply = None
-        self.perform(self.state.on_revoke_reply(effect.target, reply, self.entry.now()))
+            reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
+        self.perform(
+            self.state.on_start_reply(
+                message.attempt, effect.index, reply, self.entry.now()
+            )
+        )
+
+    async def _revoke(self, effect: SendRevoke) -> None:
+        """Revoke an attempt; repeat it in the background to release the stage."""
+        delay = REVOKE_DELAY
+        for _ in range(REVOKE_TRIES):
+            reply = await self._send(
+                effect.target.agent_url, paths.REVOKE, effect.message, RevokeReply
+            )
+            lost = isinstance(reply, Refusal)
+            answer = None if lost else reply
+            now = self.entry.now()
+            self.perform(self.state.on_revoke_reply(effect.target, answer, now))
+            if not lost:
+                return
+            await asyncio.sleep(delay)
+            delay *= 2
 
     async def _credit(self, effect: SendCredit) -> None:
         await self._send(
@@ -151,6 +243,19 @@
         """Take a token from an agent."""
         self.perform(self.state.on_token(token, self.entry.now()))
 
+    def on_stage_trouble(self, trouble: Trouble) -> None:
+        """Take an agent's word; end the answer if its request is poison."""
+        state = self.state
+        refusal = self.entry.poison.judge(state.request, trouble)
+        if refusal is None or trouble.attempt != state.attempt:
+            self.on_trouble(
+                trouble.attempt, trouble.endpoint, trouble.kind, trouble.reason
+            )
+            return
+        if state.phase in (Phase.OPENING, Phase.RUNNING):
+            state.any_started = True
+            self.perform(state.give_up(refusal, self.entry.now()))
+
     def on_trouble(self, attempt: int, endpoint: str, kind: Kind, reason: str) -> None:
         """Take an agent's word that an attempt cannot go on."""
         if attempt == self.state.attempt:
@@ -160,25 +265,22 @@
         self.perform(self.state.on_trouble(attempt, endpoint, kind, self.entry.now()))
 
     def check_progress(self, now: float) -> None:
-        """Take the attempt for lost if it stands still while the caller reads."""
+        """Leave a stage that is known to be lost; look into a silent stream."""
         if self.state.phase not in (Phase.OPENING, Phase.RUNNING):
             return
-        if self.consumed < len(self.state.delivered):
-            return
-        if now - self.state.progress_at < self.entry.settings.stall_timeout:
-            return
-        suspect = self._suspect()
-        self.on_trouble(
-            self.state.attempt, suspect, ErrorKind.STAGE_LOST, "no progress"
-        )
-
-    def _suspect(self) -> str:
-        """Return the stage that most likely stands still."""
         for stage in self.state.stages:
             known = self.entry.directory.endpoints.get(stage.endpoint)
-            if known is None or not known.ready:
-                return stage.endpoint
-        return self.state.stages[0].endpoint
+            if known is None:
+                continue
+            if not known.ready or known.incarnation != stage.incarnation:
+                self.on_trouble(
+                    self.state.attempt,
+                    stage.endpoint,
+                    ErrorKind.STAGE_LOST,
+                    "its agent or endpoint does not answer",
+                )
+                return
+        self.perform(self.state.check(now))
 
     def abandon(self) -> None:
         """Release all stages after the caller went away."""
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -73,6 +73,10 @@
         )
         work_class = self.daemon.configuration.classes.get(request.work_class)
         self.record.describe(work_class, request.model)
+        poison = self.daemon.poison.refusal_of(request)
+        if poison is not None:
+            self.refuse(poison)
+            return
         self.waiting = request.stream
         driver = await answer_of(self, request)
         if isinstance(driver, Refusal):
@@ -145,6 +149,8 @@
                     if first:
                         self.set_header("Content-Type", EVENT_STREAM)
                         self.set_header("Cache-Control", "no-store")
+                    elif not event.text:
+                        continue
                     choice = self.chunk_choice(event.text, None, first)
                     first = False
                     await self._send_event(self._chunk(request, [choice], None))
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -28,6 +28,7 @@
 from lacewingcourse.entry.keyed import KeyedAnswers
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
+from lacewingcourse.entry.poison_guard import PoisonGuard
 from lacewingcourse.entry.recovery import Recovery
 from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
@@ -38,13 +39,13 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.core.configuration import Configuration
-    from lacewingcourse.core.messages import TokenBatch
+    from lacewingcourse.core.messages import StageAddress, TokenBatch
     from lacewingcourse.core.routes import Route
     from lacewingcourse.core.streams import StreamRequest
     from lacewingcourse.entry.settings import EntrySettings
 
 #: Seconds between two looks for attempts that stand still.
-PROGRESS_INTERVAL = 0.25
+PROGRESS_INTERVAL = 0.1
 
 
 @attrs.frozen
@@ -75,6 +76,7 @@
         answers: Answers in flight by stream.
         dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
+        poison: Knows the requests that crash their endpoints.
         recovery: Judges lost attempts and the endpoints that failed them.
         admission: Lets requests start, wait or be refused.
         calls_running: Plain calls in flight.
@@ -95,6 +97,7 @@
         self.answers: dict[str, AnswerDriver] = {}
         self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
+        self.poison = PoisonGuard(self, self.follower.log)
         self.recovery = Recovery(self)
         self.admission = AdmissionControl(self)
         self.calls_running = 0
@@ -147,6 +150,7 @@
         self.spawn(self._check_progress_for_ever())
         self.spawn(self.admission.review_for_ever())
         self.spawn(self.recovery.review_for_ever())
+        self.spawn(self.poison.follow())
         self.spawn(self.burn_log.append_for_ever())
 
     async def _check_progress_for_ever(self) -> None:
@@ -174,10 +178,13 @@
         return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
 
     def choose_route(
-        self, request: StreamRequest, excluded: frozenset[str]
+        self,
+        request: StreamRequest,
+        excluded: frozenset[str],
+        stages: tuple[StageAddress, ...] = (),
     ) -> Route | Refusal:
         """Return a route for a request and count it as dispatched."""
-        return self.dispatcher.choose(request, excluded)
+        return self.dispatcher.choose(request, excluded, stages)
 
     def answer(self, request: StreamRequest) -> AnswerDriver:
         """Start a streamed answer."""
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -5,12 +5,21 @@
 from typing import TYPE_CHECKING
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.routes import POLICIES, RouteRequest, predict
+from lacewingcourse.core.resume import replacements
+from lacewingcourse.core.routes import (
+    POLICIES,
+    Route,
+    RouteRequest,
+    predict,
+    stage_of,
+    suspects_route,
+    usable,
+)
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.messages import OpenReply
+    from lacewingcourse.core.messages import OpenReply, StageAddress
     from lacewingcourse.core.priorities import Prediction
-    from lacewingcourse.core.routes import Dispatch, Fleet, Route
+    from lacewingcourse.core.routes import Dispatch, Fleet
     from lacewingcourse.core.streams import StreamRequest
     from lacewingcourse.entry.application import Entry
 
@@ -58,14 +67,28 @@
         )
 
     def choose(
-        self, request: StreamRequest, excluded: frozenset[str]
+        self,
+        request: StreamRequest,
+        excluded: frozenset[str],
+        stages: tuple[StageAddress, ...] = (),
     ) -> Route | Refusal:
-        """Return a route for a request; what it had before counts as left."""
+        """Return a route for a request; what it had before counts as left.
+
+        Args:
+            request: The request.
+            excluded: Endpoints to avoid.
+            stages: A route to mend if its excluded stages can be replaced.
+        """
+        suspect = self.entry.poison.suspects(request)
         reserved = self.reserved.pop(request.stream, None)
+        if suspect:
+            reserved = None
         if reserved is not None and not excluded and self._holds(reserved):
             return reserved
         self.release(request.stream)
-        if excluded:
+        if not excluded:
+            self.entry.recovery.avoided.pop(request.stream, None)
+        else:
             refusal = self.entry.recovery.refusal_of(request, excluded)
             if refusal is not None:
                 return refusal
@@ -73,13 +96,51 @@
         if isinstance(wanted, Refusal):
             return wanted
         entry = self.entry
-        route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
+        if suspect:
+            route = self._suspects_route(request, wanted)
+        else:
+            route = self._mended(request.model, stages, excluded)
+        if route is None:
+            route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
         if isinstance(route, Refusal):
             return entry.recovery.load_refusal(request.stream) or route
         dispatch = self.fleet.dispatch(route, wanted.prompt_length)
         self.dispatches[request.stream] = dispatch
         return route
 
+    def _suspects_route(
+        self, request: StreamRequest, wanted: RouteRequest
+    ) -> Route | Refusal:
+        """Return the route on the endpoints that run suspects.
+
+        Endpoints that already crashed under the request are avoided, since only
+        crashes of distinct endpoints convict.
+        """
+        avoided = wanted.excluded | self.entry.poison.crashed(request)
+        candidates = usable(self.fleet.values(), request.model, avoided)
+        return suspects_route(candidates, wanted.layer_count)
+
+    def _mended(
+        self, model: str, stages: tuple[StageAddress, ...], excluded: frozenset[str]
+    ) -> Route | None:
+        """Return a route with its excluded stages replaced, or None if none can."""
+        avoided = excluded.union(stage.endpoint for stage in stages)
+        mended = []
+        for stage in stages:
+            known = self.fleet.get(stage.endpoint)
+            current = known is not None and known.incarnation == stage.incarnation
+            if stage.endpoint not in excluded and current and known.ready:
+                mended.append(stage_of(known, stage.layers.first, stage.layers.end))
+                continue
+            able = replacements(self.fleet.values(), model, stage.layers, avoided)
+            if not able:
+                return None
+            pair = self.entry.rng.sample(able, min(2, len(able)))
+            chosen = min(pair, key=lambda endpoint: endpoint.load.running)
+            avoided = avoided.union({chosen.id})
+            mended.append(stage_of(chosen, stage.layers.first, stage.layers.end))
+        return Route(tuple(mended)) if mended else None
+
     def preview(self, request: StreamRequest) -> Prediction | Refusal:
         """Return what is predicted for a request, and keep the route for it."""
         wanted = self.route_request(request, frozenset())
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -32,13 +32,13 @@
     )
     admission: str = environ.var(
         default="targets",
-        converter=one_of("targets", "off"),
-        help="targets, or off to start every request at once (for comparisons)",
+        converter=one_of("targets", "none"),
+        help="targets, or none to let every request start (to compare with)",
     )
-    stall_timeout: float = environ.var(
-        default="5",
+    route_patience: float = environ.var(
+        default="10",
         converter=positive,
-        help="Seconds without progress after which a stage is taken for lost",
+        help="Seconds for which a broken answer waits for a route",
     )
     message_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a message to an agent may take"
--- a/packages/wire/src/lacewingcourse/wire/paths.py
+++ b/packages/wire/src/lacewingcourse/wire/paths.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 OPEN_STAGE = "/wire/open"
+START_STAGE = "/wire/start"
 HOPS = "/wire/hops"
 REVOKE = "/wire/revoke"
 CREDIT = "/wire/credit"
+REPORT = "/wire/report"
 STATUS = "/wire/status"
 CALL = "/wire/call"
 TOKENS = "/wire/tokens"
