--- a/packages/bench/src/lacewingcourse/bench/cli.py
+++ b/packages/bench/src/lacewingcourse/bench/cli.py
@@ -14,8 +14,11 @@
 
 from lacewingcourse.bench import (  # noqa: F401
     decisions,
+    failures,
+    goodput,
     overhead,
     recovery,
+    slopes,
     throughput,
 )
 from lacewingcourse.bench.baseline import baseline_subject
@@ -73,6 +76,7 @@
             levels=tuple(float(each) for each in split(self.option("levels"))),
             policies=tuple(split(self.option("policies"))),
             seed=int(self.option("seed")),
+            progress=self.line,
         )
 
     def run_section(self, name: str, subject: Subject) -> Outcome:
--- a/packages/bench/src/lacewingcourse/bench/decisions.py
+++ b/packages/bench/src/lacewingcourse/bench/decisions.py
@@ -9,7 +9,7 @@
 from lacewingcourse.bench.figures import Outcome, figure
 from lacewingcourse.bench.sections import SECTIONS
 from lacewingcourse.core.endpoints import EndpointState
-from lacewingcourse.core.routes import POLICIES, usable
+from lacewingcourse.core.routes import POLICIES, Fleet, RouteRequest
 from lacewingcourse.testing.layout import plan_endpoints
 
 if TYPE_CHECKING:
@@ -19,15 +19,16 @@
 SIZES = (30, 300, 3500)
 #: Batches of decisions, and decisions in each.
 BATCHES = 7
-DECISIONS = 40
+DECISIONS = 100
 LAYERS = 24
 MICROSECONDS = 1_000_000
 
 
-def fleet_of(size: int) -> list[EndpointState]:
+def fleet_of(size: int) -> Fleet:
     """Return endpoints as an entry knows them."""
-    return [
-        EndpointState(
+    fleet = Fleet()
+    for index, plan in enumerate(plan_endpoints(size, LAYERS)):
+        fleet[plan.id] = EndpointState(
             id=plan.id,
             incarnation=f"incarnation-{index}",
             availability_zone=plan.availability_zone,
@@ -37,16 +38,16 @@
             step_time=0.01 * (1 + index % 8),
             running=index % 5,
         )
-        for index, plan in enumerate(plan_endpoints(size, LAYERS))
-    ]
+    return fleet
 
 
-def cpu_per_decision(policy, endpoints, rng: random.Random) -> float:
-    """Return the processor microseconds of one decision, the filter included."""
+def cpu_per_decision(policy, fleet: Fleet, rng: random.Random) -> float:
+    """Return the processor microseconds of one decision and its two notes."""
     started = time.process_time()
+    request = RouteRequest("mapchat", LAYERS)
     for index in range(DECISIONS):
-        candidates = usable(endpoints, "mapchat")
-        policy.choose(candidates, LAYERS, rng, float(index))
+        route = policy.choose(fleet, request, rng, float(index))
+        fleet.release(fleet.dispatch(route, request.prompt_length))
     return (time.process_time() - started) / DECISIONS * MICROSECONDS
 
 
@@ -57,9 +58,9 @@
     figures = []
     for name in options.policies or POLICIES.names():
         for size in SIZES:
-            endpoints = fleet_of(size)
+            fleet = fleet_of(size)
             policy = POLICIES.get(name)()
-            cpu_per_decision(policy, endpoints, rng)
-            values = [cpu_per_decision(policy, endpoints, rng) for _ in range(BATCHES)]
+            cpu_per_decision(policy, fleet, rng)
+            values = [cpu_per_decision(policy, fleet, rng) for _ in range(BATCHES)]
             figures.append(figure(f"{name}, {size} endpoints", "us/decision", values))
     return Outcome("decisions", tuple(figures))
