--- a/packages/core/src/lacewingcourse/core/effects.py
+++ b/packages/core/src/lacewingcourse/core/effects.py
@@ -14,9 +14,11 @@
         Hop,
         OpenStage,
         Prompt,
+        ReportRequest,
         Revoke,
         Sampling,
         StageAddress,
+        StartStage,
         Token,
         Trouble,
     )
@@ -28,7 +30,7 @@
 
     Attributes:
         stream: Name of the stream.
-        attempt: Number of the attempt.
+        attempt: Number of the attempt that began the engine's sequence.
         layers: Layers to run.
         position: Position of the first value.
         values: Inputs, or empty when the prompt is given.
@@ -36,6 +38,7 @@
         sampling: How to sample after the last value, or None to return outputs.
         prompt_length: Tokens of the caller's prompt; 0 while not known.
         priority: Lower runs sooner.
+        solo: Whether nothing else may run on the engine meanwhile.
     """
 
     stream: str
@@ -47,6 +50,7 @@
     sampling: Sampling | None
     prompt_length: int
     priority: float
+    solo: bool = False
 
 
 @attrs.frozen
@@ -75,7 +79,7 @@
 
 @attrs.frozen
 class CancelForward:
-    """Drop a stream's attempt from the engine."""
+    """Drop the sequence that a stream's attempt began from the engine."""
 
     stream: str
     attempt: int
@@ -89,6 +93,15 @@
     message: OpenStage
 
 
+@attrs.frozen
+class SendStart:
+    """Tell a stage of a resumed attempt what it does first."""
+
+    index: int
+    target: StageAddress
+    message: StartStage
+
+
 @attrs.frozen
 class SendRevoke:
     """Ask an agent never to run an attempt again."""
@@ -136,6 +149,25 @@
 
     Attributes:
         excluded: Names of the endpoints to avoid.
+        delay: Seconds to wait first.
+        stages: The route to mend by replacing the excluded; empty for a new route.
     """
 
     excluded: frozenset[str]
+    delay: float = 0.0
+    stages: tuple[StageAddress, ...] = ()
+
+
+@attrs.frozen
+class AskReport:
+    """Ask the agent of a stage how far it has come.
+
+    Attributes:
+        index: Which stage of the route it is.
+        target: Where the stage runs.
+        message: The question.
+    """
+
+    index: int
+    target: StageAddress
+    message: ReportRequest
--- a/packages/core/src/lacewingcourse/core/queueing.py
+++ b/packages/core/src/lacewingcourse/core/queueing.py
@@ -66,6 +66,17 @@
         """Return the positions that wait."""
         return self.waiting_positions
 
+    def next_is_solo(self) -> bool:
+        """Tell whether the work that comes first has to run alone."""
+        return bool(self.heap) and self.heap[0].effect.solo
+
+    def clear(self) -> list[RunForward]:
+        """Remove and return all work."""
+        waiting = [entry.effect for entry in self.heap]
+        self.heap = []
+        self.waiting_positions = 0
+        return waiting
+
     def push(self, effect: RunForward, due_at: float, positions: int) -> None:
         """Add work.
 
@@ -84,7 +95,8 @@
         """Remove and return the work of the next step.
 
         The work that is due first always goes. Prompts join only up to a number of
-        positions, so that they do not hold up the tokens of other answers.
+        positions, so that they do not hold up the tokens of other answers. Work that
+        has to run alone goes by itself.
 
         Args:
             limit: Items at the most.
@@ -93,9 +105,13 @@
         taken: list[QueuedForward] = []
         passed: list[QueuedForward] = []
         room = prefill_positions
+        if self.next_is_solo():
+            limit = 1
         while self.heap and len(taken) < limit:
             entry = heapq.heappop(self.heap)
-            if entry.decodes or not taken or entry.positions <= room:
+            if entry.effect.solo and taken:
+                passed.append(entry)
+            elif entry.decodes or not taken or entry.positions <= room:
                 taken.append(entry)
                 room -= 0 if entry.decodes else entry.positions
             else:
@@ -119,17 +135,21 @@
         self.waiting_positions = sum(entry.positions for entry in kept)
 
 
-def due_at(effect: RunForward, pace: float, now: float) -> float:
+def due_at(effect: RunForward, pace: float, stages: int, now: float) -> float:
     """Return when work should be done.
 
+    Each stage of a route may use an equal part of the time.
+
     Args:
         effect: The work.
         pace: Seconds between tokens that its class asks for; 0.0 for none.
+        stages: Stages of its route.
         now: Present time in seconds.
     """
+    allowed = pace or DEFAULT_PACE
     if effect.prompt is not None or len(effect.values) > 1:
-        return now + max(0.0, effect.priority)
-    return now + (pace or DEFAULT_PACE)
+        allowed = max(0.0, effect.priority)
+    return now + allowed / max(1, stages)
 
 
 @attrs.frozen
--- a/packages/entry/src/lacewingcourse/entry/admission.py
+++ b/packages/entry/src/lacewingcourse/entry/admission.py
@@ -23,6 +23,8 @@
 REVIEW_INTERVAL = 0.05
 #: Prompt positions that cost an endpoint as much as one generated token.
 PROMPT_POSITIONS_PER_TOKEN = 8
+#: Kinds whose refusals say themselves when to come back.
+BOOKED = frozenset({ErrorKind.REQUEST_CRASHES_ENDPOINTS, ErrorKind.KEY_IN_PROGRESS})
 
 
 @attrs.define
@@ -57,6 +59,8 @@
 
     async def admit(self, request: StreamRequest) -> StreamRequest | Refusal:
         """Return the request with its priority once it may start, or a refusal."""
+        if self.entry.settings.admission == "none":
+            return request
         verdict = asyncio.get_running_loop().create_future()
         self.offers[request.stream] = Offer(request, verdict)
         self.entry.recovery.budget.on_request()
@@ -87,16 +91,19 @@
                     )
                 case Refuse():
                     self.entry.dispatcher.release(effect.stream)
-                    verdict = self.with_retry_after(effect.refusal)
+                    verdict = effect.refusal
+                    if verdict.retry_after is None:
+                        verdict = self.with_retry_after(verdict)
             if not offer.verdict.done():
                 offer.verdict.set_result(verdict)
 
     def with_retry_after(self, refusal: Refusal) -> Refusal:
         """Return a refusal that says when to come back, if that is worth it."""
-        if refusal.retry_after is not None or not refusal.answer.retryable:
+        if not refusal.answer.retryable or refusal.kind in BOOKED:
             return refusal
         retry_after = self.decisions.retry_after(self.entry.now())
-        return attrs.evolve(refusal, retry_after=retry_after)
+        least = refusal.retry_after or 0.0
+        return attrs.evolve(refusal, retry_after=max(least, retry_after))
 
     def leave(self, stream: str) -> None:
         """Note that the caller of a request that waits has gone."""
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -38,13 +38,13 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.core.configuration import Configuration
-    from lacewingcourse.core.messages import TokenBatch
+    from lacewingcourse.core.messages import StageAddress, TokenBatch
     from lacewingcourse.core.routes import Route
     from lacewingcourse.core.streams import StreamRequest
     from lacewingcourse.entry.settings import EntrySettings
 
 #: Seconds between two looks for attempts that stand still.
-PROGRESS_INTERVAL = 0.25
+PROGRESS_INTERVAL = 0.1
 
 
 @attrs.frozen
@@ -174,10 +174,13 @@
         return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
 
     def choose_route(
-        self, request: StreamRequest, excluded: frozenset[str]
+        self,
+        request: StreamRequest,
+        excluded: frozenset[str],
+        stages: tuple[StageAddress, ...] = (),
     ) -> Route | Refusal:
         """Return a route for a request and count it as dispatched."""
-        return self.dispatcher.choose(request, excluded)
+        return self.dispatcher.choose(request, excluded, stages)
 
     def answer(self, request: StreamRequest) -> AnswerDriver:
         """Start a streamed answer."""
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -7,7 +7,7 @@
 from lacewingcourse.core.routes import POLICIES
 from lacewingcourse.daemon import common_settings as common
 from lacewingcourse.daemon.checks import registered
-from lacewingcourse.daemon.settings import PREFIX, positive, secret
+from lacewingcourse.daemon.settings import PREFIX, one_of, positive, secret
 
 
 @environ.config(prefix=PREFIX)
@@ -30,10 +30,15 @@
         converter=registered(POLICIES),
         help=f"Route policy: {', '.join(POLICIES.names())}",
     )
-    stall_timeout: float = environ.var(
-        default="5",
+    admission: str = environ.var(
+        default="targets",
+        converter=one_of("targets", "none"),
+        help="targets, or none to let every request start (to compare with)",
+    )
+    route_patience: float = environ.var(
+        default="10",
         converter=positive,
-        help="Seconds without progress after which a stage is taken for lost",
+        help="Seconds for which a broken answer waits for a route",
     )
     message_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a message to an agent may take"
