Make waiting cheap for many organisations and split the large modules

Cause: with 990 organisations waiting, an arrival cost 1247 microseconds of CPU, an end 3446 and a review 2124 (10 organisations: 178, 304, 449): every arrival ran the whole queue, heads were sorted whole, and each look at a class built a fresh standing.

Change: lanes are counted by depth, so an arrival looks at its own lane only; only the four best heads are taken; a request that waits is looked at when an answer ends and at each review. routes/fleet.py is split into records, index and fleet; the booking of returns moved out of admission.py.

--- a/packages/core/src/lacewingcourse/core/admission.py
+++ b/packages/core/src/lacewingcourse/core/admission.py
@@ -18,6 +18,7 @@
     Prediction,
     slack_of,
 )
+from lacewingcourse.core.retry_calendar import RetryCalendar
 
 if TYPE_CHECKING:
     import random
@@ -33,12 +34,8 @@
 TRIED_LANES = 4
 #: Seconds for which a class that was last seen holds others to its pace.
 PACE_KEPT = 10.0
-#: Longest and shortest `Retry-After`, seconds.
-RETRY_AFTER_RANGE = (1.0, 60.0)
 #: Requests a second that are taken to end while nothing is known.
 LEAST_RATE = 1.0
-#: Share by which a `Retry-After` is spread at random.
-RETRY_SPREAD = 0.25
 
 
 @attrs.frozen
@@ -87,34 +84,6 @@
     meter: AnswerMeter
 
 
-@attrs.define
-class RetryCalendar:
-    """Spreads the return of refused requests over the time that capacity needs.
-
-    Attributes:
-        booked_until: When the last refused request was told to return, seconds.
-    """
-
-    booked_until: float = 0.0
-
-    def book(self, wait: float, rate: float, rng: random.Random, now: float) -> float:
-        """Return the seconds after which a refused request should return.
-
-        Args:
-            wait: Seconds until the requests that wait have started.
-            rate: Requests a second that end.
-            rng: Source of randomness.
-            now: Present time in seconds.
-        """
-        shortest, longest = RETRY_AFTER_RANGE
-        start = max(now + wait, self.booked_until)
-        self.booked_until = min(start + 1.0 / max(rate, 0.1), now + longest)
-        if start - now >= longest:
-            return rng.uniform(longest / 2, longest)
-        spread = 1.0 + rng.random() * RETRY_SPREAD
-        return max(shortest, (start - now) * spread)
-
-
 @attrs.define
 class Admission:
     """State of an entry's admission.
@@ -148,10 +117,16 @@
 
     def standing(self, class_name: str) -> ClassStanding:
         """Return how a class fares."""
-        return self.standings.setdefault(class_name, ClassStanding())
+        standing = self.standings.get(class_name)
+        if standing is None:
+            standing = self.standings[class_name] = ClassStanding()
+        return standing
 
     def offer(self, waiting: Waiting, now: float) -> list[Effect]:
-        """Take a new request: start it, let it wait, or refuse it."""
+        """Take a new request: start it, let it wait, or refuse it.
+
+        One that waits is looked at when an answer ends and at each review.
+        """
         predicted = self.predict(waiting.stream)
         if isinstance(predicted, Refusal):
             return [Refuse(waiting.stream, predicted)]
@@ -172,7 +147,7 @@
             return effects
         self.queue.push(waiting)
         self.waiting[waiting.stream] = waiting
-        return [*effects, *self.pump(now)]
+        return effects
 
     def _note_pace(self, work_class: WorkClass | None, now: float) -> None:
         """Remember that requests of a pace come in."""
@@ -315,8 +290,7 @@
 
     def _start_one(self, effects: list[Effect], now: float) -> bool:
         """Start the first request that fits; refuse those found too late."""
-        tried = 0
-        for waiting in self.queue.order(self._presses):
+        for waiting in self.queue.order(self._presses, TRIED_LANES):
             predicted = self.predict(waiting.stream)
             if isinstance(predicted, Refusal):
                 self._withdraw(waiting)
@@ -332,9 +306,6 @@
                 del self.waiting[waiting.stream]
                 effects.append(self._start(waiting, predicted, now))
                 return True
-            tried += 1
-            if tried >= TRIED_LANES:
-                return False
         return False
 
     def _presses(self, waiting: Waiting) -> bool:
--- a/packages/core/src/lacewingcourse/core/fairness.py
+++ b/packages/core/src/lacewingcourse/core/fairness.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -75,14 +77,17 @@
         limit: Requests that may wait.
         lanes: Waiting requests by organisation and class, oldest first.
         accounts: Accounts of organisations with requests here.
+        deeper: Count of the lanes with more requests than the index.
         size: Requests that wait.
         picks: Count of the picks.
-        level: Served cost of the organisation that was last picked.
+        level: Served cost that a new organisation starts with: the highest at which
+            a request was started.
     """
 
     limit: int = 1024
     lanes: dict[tuple[str, str], deque[Waiting]] = attrs.field(factory=dict)
     accounts: dict[str, Account] = attrs.field(factory=dict)
+    deeper: list[int] = attrs.field(factory=list)
     size: int = 0
     picks: int = 0
     level: float = 0.0
@@ -104,6 +109,9 @@
         lane = self.lanes.setdefault(
             (waiting.organisation, waiting.class_name), deque()
         )
+        if len(lane) == len(self.deeper):
+            self.deeper.append(0)
+        self.deeper[len(lane)] += 1
         lane.append(waiting)
         self.size += 1
         self.account(waiting.organisation).waiting += 1
@@ -116,6 +124,7 @@
             lane.popleft()
         else:
             lane.remove(waiting)
+        self.deeper[len(lane)] -= 1
         if not lane:
             del self.lanes[key]
         self.size -= 1
@@ -128,26 +137,31 @@
         if not account.waiting and not account.running:
             del self.accounts[organisation]
 
-    def order(self, presses: Callable[[Waiting], bool]) -> list[Waiting]:
-        """Return the first request of each lane, in the order of their turns.
+    def order(self, presses: Callable[[Waiting], bool], count: int) -> list[Waiting]:
+        """Return first requests of lanes, in the order of their turns.
 
         Args:
             presses: Tells whether the class of a request presses for its target.
+            count: Requests to return at the most.
         """
         heads = [lane[0] for lane in self.lanes.values()]
         if not heads:
             return []
         if self.picks % OLDEST_EVERY == OLDEST_EVERY - 1:
-            return sorted(heads, key=lambda head: head.number)
+            return heapq.nsmallest(count, heads, key=lambda head: head.number)
         least = min(self.accounts[head.organisation].served for head in heads)
         allowed = least + LEAD * self._mean_cost
 
+        pressing: dict[str, bool] = {}
+
         def rank(head: Waiting) -> tuple:
-            served = self.accounts[head.organisation].served
-            ahead = max(0.0, served - allowed)
-            return (not presses(head), ahead, head.latest_start, head.number)
+            name = head.class_name
+            if name not in pressing:
+                pressing[name] = presses(head)
+            ahead = max(0.0, self.accounts[head.organisation].served - allowed)
+            return (not pressing[name], ahead, head.latest_start, head.number)
 
-        return sorted(heads, key=rank)
+        return heapq.nsmallest(count, heads, key=rank)
 
     def pick(self, waiting: Waiting) -> None:
         """Take a request out to run it; this counts as one pick."""
@@ -158,11 +172,9 @@
     def start(self, waiting: Waiting) -> None:
         """Charge a request that starts to its organisation."""
         account = self.account(waiting.organisation)
+        self.level = max(self.level, account.served)
         account.served += waiting.cost
         account.running += 1
-        self.level = max(
-            self.level, min(each.served for each in self.accounts.values())
-        )
 
     def end(self, organisation: str) -> None:
         """Note that a request of an organisation has ended."""
@@ -173,12 +185,7 @@
     def ahead_of(self, organisation: str, class_name: str) -> int:
         """Return how many requests would go before a new one, in a fair order."""
         own = len(self.lanes.get((organisation, class_name), ()))
-        others = sum(
-            min(len(lane), own + 1)
-            for key, lane in self.lanes.items()
-            if key != (organisation, class_name)
-        )
-        return own + others
+        return sum(self.deeper[: own + 1])
 
     def over_share(self, organisation: str) -> bool:
         """Tell whether an organisation has more here than an equal share."""
@@ -196,15 +203,7 @@
 
     def places(self) -> Iterator[tuple[Waiting, int]]:
         """Yield every request with the count of those before it in a fair order."""
-        lengths = sorted(len(lane) for lane in self.lanes.values())
-        deeper = len(lengths)
-        shorter = 0
-        before = [0]
-        for depth in range(lengths[-1] if lengths else 0):
-            while shorter < len(lengths) and lengths[shorter] <= depth:
-                shorter += 1
-            deeper = len(lengths) - shorter
-            before.append(before[-1] + deeper)
+        before = [0, *itertools.accumulate(self.deeper)]
         for lane in list(self.lanes.values()):
             for depth, waiting in enumerate(list(lane)):
                 yield waiting, before[depth]
--- a/packages/core/src/lacewingcourse/core/routes/baselines.py
+++ b/packages/core/src/lacewingcourse/core/routes/baselines.py
@@ -7,8 +7,9 @@
 from lacewingcourse.core.routes.model import POLICIES, RoutePolicy, no_route, route_of
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.routes.fleet import EndpointRecord, Fleet
+    from lacewingcourse.core.routes.fleet import Fleet
     from lacewingcourse.core.routes.model import RouteRequest
+    from lacewingcourse.core.routes.records import EndpointRecord
 
 
 class GreedyPolicy(RoutePolicy):
--- a/packages/core/src/lacewingcourse/core/routes/interleaved.py
+++ b/packages/core/src/lacewingcourse/core/routes/interleaved.py
@@ -11,8 +11,10 @@
 from lacewingcourse.core.routes.shortest import ShortestPolicy
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.routes.fleet import EndpointRecord, Fleet, Group
+    from lacewingcourse.core.routes.fleet import Fleet
+    from lacewingcourse.core.routes.index import Group
     from lacewingcourse.core.routes.model import RouteRequest
+    from lacewingcourse.core.routes.records import EndpointRecord
 
 #: Seconds after which the flow is solved again.
 SOLVED_FOR = 2.0
--- a/packages/core/src/lacewingcourse/core/routes/shortest.py
+++ b/packages/core/src/lacewingcourse/core/routes/shortest.py
@@ -9,8 +9,10 @@
 from lacewingcourse.core.routes.model import POLICIES, RoutePolicy, no_route, route_of
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.routes.fleet import EndpointRecord, Fleet, Group
+    from lacewingcourse.core.routes.fleet import Fleet
+    from lacewingcourse.core.routes.index import Group
     from lacewingcourse.core.routes.model import Route, RouteRequest
+    from lacewingcourse.core.routes.records import EndpointRecord
 
 #: Endpoints of each group that are compared.
 CHOICES = 2
--- a/packages/core/tests/test_fairness.py
+++ b/packages/core/tests/test_fairness.py
@@ -17,7 +17,7 @@
 
 
 def pick_first(queue: FairQueue, presses=lambda waiting: False) -> Waiting:
-    first = queue.order(presses)[0]
+    first = queue.order(presses, 4)[0]
     queue.pick(first)
     return first
 
