--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -12,6 +12,8 @@
     RouteRequest,
     predict,
     stage_of,
+    suspects_route,
+    usable,
 )
 
 if TYPE_CHECKING:
@@ -77,7 +79,10 @@
             excluded: Endpoints to avoid.
             stages: A route to mend if its excluded stages can be replaced.
         """
+        suspect = self.entry.poison.suspects(request)
         reserved = self.reserved.pop(request.stream, None)
+        if suspect:
+            reserved = None
         if reserved is not None and not excluded and self._holds(reserved):
             return reserved
         self.release(request.stream)
@@ -91,7 +96,10 @@
         if isinstance(wanted, Refusal):
             return wanted
         entry = self.entry
-        route = self._mended(request.model, stages, excluded)
+        if suspect:
+            route = self._suspects_route(request, wanted)
+        else:
+            route = self._mended(request.model, stages, excluded)
         if route is None:
             route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
         if isinstance(route, Refusal):
@@ -100,6 +108,18 @@
         self.dispatches[request.stream] = dispatch
         return route
 
+    def _suspects_route(
+        self, request: StreamRequest, wanted: RouteRequest
+    ) -> Route | Refusal:
+        """Return the route on the endpoints that run suspects.
+
+        Endpoints that already crashed under the request are avoided, since only
+        crashes of distinct endpoints convict.
+        """
+        avoided = wanted.excluded | self.entry.poison.crashed(request)
+        candidates = usable(self.fleet.values(), request.model, avoided)
+        return suspects_route(candidates, wanted.layer_count)
+
     def _mended(
         self, model: str, stages: tuple[StageAddress, ...], excluded: frozenset[str]
     ) -> Route | None:
