Let agents, entries and endpoints leave without cutting answers off

Cause: entries learned of a leaving agent only by asking; a drain beyond its bound cut its streams without a word; an entry could end before the last bytes were written. Change: an agent tells the entries it knows at once; beyond its bound it reports its streams, which go on elsewhere; an entry beyond its bound ends its answers with an error of kind draining; the end of an answer waits until it is written; a draining entry closes the connections it refuses on.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -27,6 +27,8 @@
 INCARNATION_BYTES = 4
 #: Seconds between two looks whether all work has ended.
 DRAIN_INTERVAL = 0.05
+#: Seconds in which entries take over the streams of a drain that took too long.
+HANDOVER_TIMEOUT = 5.0
 
 
 class Agent(Daemon):
@@ -128,14 +130,33 @@
         self.journal = Journal(self, target)
         self.journal.start()
 
+    def _idle(self) -> bool:
+        """Tell whether nothing runs here and everything has been sent."""
+        if self.running():
+            return False
+        return self.stages is None or self.stages.courier.idle
+
+    async def _wait_until_idle(self, timeout: float) -> None:
+        """Wait until nothing runs here, for some seconds at the most."""
+        deadline = self.now() + timeout
+        while not self._idle() and self.now() < deadline:
+            await asyncio.sleep(DRAIN_INTERVAL)
+
     async def drain(self) -> None:
         self.leaving = True
         self.metrics.drains.inc()
         if self.stages is not None:
             self.stages.gate.leaving = True
-        deadline = self.now() + self.settings.drain_timeout
-        while self.running() and self.now() < deadline:
-            await asyncio.sleep(DRAIN_INTERVAL)
+        if self.stages is not None:
+            self.spawn(
+                self.stages.courier.tell_leaving(
+                    list(self.stages.entry_urls), self.status()
+                )
+            )
+        await self._wait_until_idle(self.settings.drain_timeout)
+        if self.stages is not None:
+            self.stages.close_all()
+            await self._wait_until_idle(HANDOVER_TIMEOUT)
         deadline = self.now() + self.settings.handover_timeout
         while self.journal and self.journal.book.held() and self.now() < deadline:
             await asyncio.sleep(DRAIN_INTERVAL)
--- a/packages/agent/src/lacewingcourse/agent/courier.py
+++ b/packages/agent/src/lacewingcourse/agent/courier.py
@@ -21,9 +21,11 @@
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from lacewingcourse.agent.stage_runner import StageRunner
     from lacewingcourse.core.effects import SendHop
-    from lacewingcourse.core.messages import Hop, StageAddress, Token
+    from lacewingcourse.core.messages import Hop, StageAddress, Status, Token
 
 #: Verdicts after which an attempt cannot go on.
 LOST_VERDICTS = frozenset(
@@ -92,6 +94,24 @@
         outbox = self.tokens.get(entry_url)
         return outbox.wait() if outbox else 0.0
 
+    @property
+    def idle(self) -> bool:
+        """Whether everything has been sent."""
+        boxes = [*self.hops.values(), *self.tokens.values(), *self.troubles.values()]
+        return all(outbox.idle for outbox in boxes)
+
+    async def tell_leaving(self, entry_urls: Iterable[str], status: Status) -> None:
+        """Tell entries at once that this endpoint takes no new work."""
+        timeout = self.settings.hop_timeout
+        await asyncio.gather(
+            *(
+                self.agent.peers.send(
+                    url, paths.LEAVING, status, TokenBatchReply, timeout
+                )
+                for url in entry_urls
+            )
+        )
+
     def forget_idle(self) -> None:
         """Drop the outboxes that are empty, so that gone receivers leave nothing."""
         for outboxes in (self.hops, self.tokens, self.troubles):
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -37,6 +37,7 @@
         if message is None:
             return
         daemon = self.daemon
+        daemon.stages.note_entry(message.entry_url)
         if not daemon.endpoint_ready():
             kind, reason = ErrorKind.ENDPOINT_FAILED, "the engine does not answer"
             self.reply(OpenReply(False, daemon.incarnation, kind, reason))
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -53,6 +53,8 @@
     )
     from lacewingcourse.core.stages import Effect
 
+#: Entries that are remembered to be told when the agent leaves.
+KEPT_ENTRIES = 1000
 #: Seconds between two looks for late steps.
 WATCH_INTERVAL = 0.1
 
@@ -97,6 +99,7 @@
         step_times: Learned times of steps.
         engine_late: Whether the engine is late with a step.
         crashes: Crashes of the engine that were seen.
+        entry_urls: Entries that sent streams here, the latest last.
         courier: Carries what goes to other processes.
         estimates: What was learned of the engine's speed.
         present: Items given to the engine.
@@ -122,6 +125,7 @@
         self.step_times = StepTimes()
         self.engine_late = False
         self.crashes = 0
+        self.entry_urls: dict[str, None] = {}
         self.courier = Courier(self)
         self.estimates = EndpointEstimates(
             self.settings.batch_items, self.settings.max_streams
@@ -129,6 +133,27 @@
         self.present = 0
         self.sources = 0
 
+    def note_entry(self, url: str) -> None:
+        """Remember an entry that sends streams here, the latest last."""
+        self.entry_urls.pop(url, None)
+        self.entry_urls[url] = None
+        if len(self.entry_urls) > KEPT_ENTRIES:
+            del self.entry_urls[next(iter(self.entry_urls))]
+
+    def close_all(self) -> None:
+        """Tell the entries of all streams that the endpoint cannot go on."""
+        for state in list(self.gate.stages.values()):
+            message = state.message
+            self.fail(
+                Trouble(
+                    message.stream,
+                    message.attempt,
+                    self.settings.instance_id,
+                    ErrorKind.DRAINING,
+                    "the endpoint has to end",
+                )
+            )
+
     async def probe(self) -> None:
         """Look whether the engine answers."""
         state = await self.engine.state()
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -244,6 +244,12 @@
                 return
         self.perform(self.state.check(now))
 
+    def end(self, refusal: Refusal) -> None:
+        """End the answer with an error because the entry has to end."""
+        if self.state.phase in (Phase.ENDED, Phase.REVOKING):
+            return
+        self.perform(self.state.give_up(refusal, self.entry.now()))
+
     def abandon(self) -> None:
         """Release all stages after the caller went away."""
         if self.state.phase is Phase.ENDED:
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -13,7 +13,7 @@
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Token
 from lacewingcourse.core.streams import StreamRequest
-from lacewingcourse.daemon.handlers import problem_of
+from lacewingcourse.daemon.handlers import JSON, problem_of
 from lacewingcourse.entry.caller import CLASS_HEADER, CallerHandler
 from lacewingcourse.entry.keyed import answer_of
 from lacewingcourse.entry.openai import parse_chat, parse_completion
@@ -132,7 +132,9 @@
                 case FinishAnswer():
                     self.record.whole = True
                     choice = self.whole_choice("".join(texts), event.reason)
-                    self.reply(self._document(request, [choice], self.usage()))
+                    document = self._document(request, [choice], self.usage())
+                    self.set_header("Content-Type", JSON)
+                    await self.finish(orjson.dumps(document))
                 case FailAnswer():
                     self.refuse(self.daemon.admission.with_retry_after(event.refusal))
 
@@ -158,7 +160,7 @@
                         await self._send_event(chunk)
                     self.write(b"data: [DONE]\n\n")
                     self.record.whole = True
-                    self.finish()
+                    await self.finish()
                 case FailAnswer():
                     if first:
                         self.refuse(
@@ -168,7 +170,7 @@
                     self.record.refuse(event.refusal)
                     problem = problem_of(event.refusal)
                     await self._send_event({"error": problem})
-                    self.finish()
+                    await self.finish()
 
     async def _send_event(self, document: Any) -> None:
         self.write(b"data: " + orjson.dumps(document) + b"\n\n")
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -45,6 +45,10 @@
 
 #: Seconds between two looks for attempts that stand still.
 PROGRESS_INTERVAL = 0.1
+#: Seconds between two looks whether everything has ended.
+DRAIN_INTERVAL = 0.05
+#: Seconds for the last word to callers of a drain that took too long.
+LAST_WORD_TIMEOUT = 5.0
 
 
 @attrs.frozen
@@ -155,11 +159,19 @@
             for answer in list(self.answers.values()):
                 answer.check_progress(self.now())
 
+    async def _wait_until_idle(self, timeout: float) -> None:
+        """Wait until nothing is in flight, for some seconds at the most."""
+        deadline = self.now() + timeout
+        while (self.answers or self.calls_running) and self.now() < deadline:
+            await asyncio.sleep(DRAIN_INTERVAL)
+
     async def drain(self) -> None:
         self.metrics.drains.inc()
-        deadline = self.now() + self.settings.drain_timeout
-        while (self.answers or self.calls_running) and self.now() < deadline:
-            await asyncio.sleep(0.05)
+        await self._wait_until_idle(self.settings.drain_timeout)
+        refusal = Refusal(ErrorKind.DRAINING, "the entry has to end", retry_after=1.0)
+        for answer in list(self.answers.values()):
+            answer.end(refusal)
+        await self._wait_until_idle(LAST_WORD_TIMEOUT)
         await self.burn_log.close()
 
     def authenticate(self, header: str) -> str | Refusal:
--- a/packages/entry/src/lacewingcourse/entry/caller.py
+++ b/packages/entry/src/lacewingcourse/entry/caller.py
@@ -35,6 +35,7 @@
             kind = ErrorKind.NOT_READY
             if self.daemon.stopping.is_set():
                 kind = ErrorKind.DRAINING
+                self.set_header("Connection", "close")
             self.refuse(Refusal(kind, readiness.reason, retry_after=1.0))
             return
         header = self.request.headers.get("Authorization", "")
--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -105,6 +105,12 @@
             load=reply.load,
         )
 
+    def mark_leaving(self, status: Status) -> None:
+        """Send no new work to an endpoint whose agent says that it leaves."""
+        known = self.endpoints.get(status.endpoint)
+        if known is not None and known.incarnation == status.incarnation:
+            self.endpoints[status.endpoint] = attrs.evolve(known, leaving=True)
+
     def mark_lost(self, endpoint: str) -> None:
         """Send nothing to an endpoint until its agent answers again."""
         known = self.endpoints.get(endpoint)
--- a/packages/entry/src/lacewingcourse/entry/wire_api.py
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from lacewingcourse.core.messages import TokenBatch, TokenBatchReply, TroubleBatch
+from lacewingcourse.core.messages import (
+    Status,
+    TokenBatch,
+    TokenBatchReply,
+    TroubleBatch,
+)
 from lacewingcourse.daemon.handlers import WireHandler
 from lacewingcourse.wire import paths
 
@@ -33,4 +38,19 @@
         self.reply(TokenBatchReply())
 
 
-WIRE_ROUTES = [(paths.TOKENS, TokensHandler), (paths.TROUBLES, TroublesHandler)]
+class LeavingHandler(WireHandler):
+    """Receives word of an endpoint that takes no new work."""
+
+    def post(self) -> None:
+        status = self.message(Status)
+        if status is None:
+            return
+        self.daemon.directory.mark_leaving(status)
+        self.reply(TokenBatchReply())
+
+
+WIRE_ROUTES = [
+    (paths.TOKENS, TokensHandler),
+    (paths.TROUBLES, TroublesHandler),
+    (paths.LEAVING, LeavingHandler),
+]
