--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -163,6 +163,7 @@
         unanswered: Questions in a row that found no fault.
         stood_at: Positions of the stages when they last had no work, or None.
         reports: Answers of the stages that were asked, None while not asking.
+        solo: Whether the next attempt's first steps run alone on their engines.
     """
 
     request: StreamRequest
@@ -195,6 +196,7 @@
     unanswered: int = 0
     stood_at: tuple[int, ...] | None = None
     reports: dict[int, StageReport | None] | None = None
+    solo: bool = False
 
     @stop.default
     def _new_stop(self) -> StopMatcher:
@@ -271,6 +273,7 @@
             prompt=prompt,
             resume=self.resuming,
             pace=request.pace,
+            solo=self.solo,
         )
         return SendOpen(target, message)
 
--- a/packages/entry/src/lacewingcourse/entry/wire_api.py
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -8,6 +8,7 @@
     TokenBatchReply,
     TroubleBatch,
 )
+from lacewingcourse.core.poison import PoisonNotice
 from lacewingcourse.daemon.handlers import WireHandler
 from lacewingcourse.wire import paths
 
@@ -32,9 +33,7 @@
         for trouble in batch.troubles:
             answer = self.daemon.answers.get(trouble.stream)
             if answer is not None:
-                answer.on_trouble(
-                    trouble.attempt, trouble.endpoint, trouble.kind, trouble.reason
-                )
+                answer.on_stage_trouble(trouble)
         self.reply(TokenBatchReply())
 
 
@@ -49,8 +48,20 @@
         self.reply(TokenBatchReply())
 
 
+class PoisonHandler(WireHandler):
+    """Receives other entries' word on requests that crash their endpoints."""
+
+    def post(self) -> None:
+        notice = self.message(PoisonNotice)
+        if notice is None:
+            return
+        self.daemon.poison.take(notice)
+        self.reply(TokenBatchReply())
+
+
 WIRE_ROUTES = [
     (paths.TOKENS, TokensHandler),
     (paths.TROUBLES, TroublesHandler),
     (paths.LEAVING, LeavingHandler),
+    (paths.POISON, PoisonHandler),
 ]
