Append configuration records in their present form in the admission tests and bench

Change: they append a ConfigurationEntry; the slopes give each organisation a key of its own. No check is touched.

--- a/packages/bench/src/lacewingcourse/bench/fleet_deployment.py
+++ b/packages/bench/src/lacewingcourse/bench/fleet_deployment.py
@@ -24,6 +24,7 @@
     Model,
     Organisation,
 )
+from lacewingcourse.core.configuration_fold import ConfigurationEntry
 from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.deployment import (
     START_TIMEOUT,
@@ -168,7 +169,7 @@
             secrets.token_hex(16), 0, "bench", time.time(), changes
         )
         url = self.platform["log_service"].url
-        append = Append(encode(record).decode())
+        append = Append(encode(ConfigurationEntry(record)).decode())
         put_json(f"{url}/streams/configuration/records", append, "POST")
 
     def _organisation(self, name: str) -> Organisation:
--- a/packages/bench/src/lacewingcourse/bench/slopes.py
+++ b/packages/bench/src/lacewingcourse/bench/slopes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import itertools
 import random
 import secrets
@@ -26,6 +27,7 @@
     ConfigurationRecord,
     Organisation,
 )
+from lacewingcourse.core.configuration_fold import ConfigurationEntry
 from lacewingcourse.entry.directory import LIST_INTERVAL, STATUS_INTERVAL
 from lacewingcourse.load.client import send
 from lacewingcourse.load.mix import ClassLoad, Mix, OrganisationLoad, plan
@@ -282,17 +284,22 @@
     )
 
 
+def key_of(name: str) -> str:
+    """Return the hash of a key that only one organisation has."""
+    return hashlib.sha256(name.encode()).hexdigest()
+
+
 def publish(deployment: Deployment, base_version: int, names: list[str]) -> None:
     """Append a record that registers organisations."""
     changes = tuple(
-        Change("organisations", name, organisation=Organisation(name, ("0" * 64,)))
+        Change("organisations", name, organisation=Organisation(name, (key_of(name),)))
         for name in names
     )
     record = ConfigurationRecord(
         secrets.token_hex(16), base_version, "bench", time.time(), changes
     )
     url = deployment.platform["log_service"].url
-    append = Append(encode(record).decode())
+    append = Append(encode(ConfigurationEntry(record)).decode())
     put_json(f"{url}/streams/configuration/records", append, "POST")
 
 
--- a/tests/integration/test_admission.py
+++ b/tests/integration/test_admission.py
@@ -14,6 +14,7 @@
 from tornado.httpclient import HTTPRequest
 
 from lacewingcourse.core.configuration import Change, ConfigurationRecord, WorkClass
+from lacewingcourse.core.configuration_fold import ConfigurationEntry
 from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.caller import complete
 from lacewingcourse.testing.deployment import (
@@ -67,7 +68,7 @@
         secrets.token_hex(16), version, "test", time.time(), changes
     )
     url = deployment.platform["log_service"].url
-    append = Append(encode(record).decode())
+    append = Append(encode(ConfigurationEntry(record)).decode())
     put_json(f"{url}/streams/configuration/records", append, "POST")
     wait_until(
         lambda: configuration_version(deployment) > version,
