Register the configuration's counters with every daemon's metrics

Cause: the shared follower registered its counters itself, so the check that alert rules name only metrics that exist did not find the version's gauge in the entry's metrics.

Change: BaseMetrics holds the configuration's counters; the follower uses them. The rule check is untouched.

--- a/packages/daemon/src/lacewingcourse/daemon/configuration.py
+++ b/packages/daemon/src/lacewingcourse/daemon/configuration.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from prometheus_client import CollectorRegistry
+
     from lacewingcourse.core.configuration import Configuration
     from lacewingcourse.daemon.daemon import Daemon
 
@@ -42,8 +44,7 @@
         diverged: Peers of the same version with another lineage.
     """
 
-    def __init__(self, daemon: Daemon) -> None:
-        registry = daemon.metrics.registry
+    def __init__(self, registry: CollectorRegistry) -> None:
         self.version = Gauge(
             "lacewingcourse_configuration_version",
             "Version of the configuration in force",
@@ -85,7 +86,7 @@
     def __init__(self, daemon: Daemon) -> None:
         self.daemon = daemon
         self.replica = ConfigurationReplica()
-        self.metrics = ConfigurationMetrics(daemon)
+        self.metrics: ConfigurationMetrics = daemon.metrics.configuration
         self.rng = random.Random(secrets.randbits(64))
         self.changed = asyncio.Event()
         self._known: dict[str, int] = {}
--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -15,6 +15,7 @@
 from tornado.web import Application
 
 from lacewingcourse.core.errors import Refusal
+from lacewingcourse.daemon.configuration import ConfigurationMetrics
 from lacewingcourse.daemon.handlers import (
     HealthHandler,
     MetricsHandler,
@@ -59,12 +60,14 @@
     Attributes:
         registry: Where the counters are registered.
         strangers: Messages whose proof was missing or wrong.
+        configuration: Counters of the configuration.
         log_operations: Appends and reads of the log.
     """
 
     def __init__(self) -> None:
         disable_created_metrics()
         self.registry = CollectorRegistry()
+        self.configuration = ConfigurationMetrics(self.registry)
         self.strangers = Counter(
             "lacewingcourse_strangers",
             "Messages whose proof was missing or wrong",
