Wait for the version everywhere before the history is read at another entry

Cause: one run of three failed: the test learned from one entry that the publication was accepted, and read the history at another that had not been told yet.

Change: the test waits until no live instance lags, which it now also asserts, and then checks the same history at the other entry.

Conclusion: the fault was the test's order of questions; the check is stricter now.

--- a/tests/integration/test_publishing.py
+++ b/tests/integration/test_publishing.py
@@ -227,6 +227,8 @@
     wait_until(known, GUARD, "the publication stays unknown")
     shown = ask("GET", "/classes/unknown", entry=1)
     assert shown.document["item"]["answer"] == 9
+    reached = ask("GET", f"/rollouts/{version(ask, entry=1)}?timeout=30", entry=1)
+    assert reached.document["lagging"] == []
     records = ask("GET", "/classes/unknown/history").document["records"]
     assert [each["publish_id"] for each in records] == [publish_id]
 
