Answer every malformed, oversized or slow request, and let no path hide a call

Cause, found by tests that failed first: headers could trickle in for an hour; bodies over the bound, slow bodies and requests that are no HTTP got a closed connection or a bare status line; a non-ASCII proof was a 500; an opening message with index -1 was taken and one without stages was a 500; an agent answered paths of the other kind of endpoint with a 500; a path such as x/../tallies hid a call that may not be repeated from its rule, and a method override header did the same; unserved fields such as top_p were dropped in silence; JSON problem documents lacked what stock clients read. Change: a server that bounds head, body and their times and answers each breach (daemon/server.py); problem documents with an `error` member (daemon/problems.py); one spelling of a service's path (entry/service_guard.py); checks in the messages themselves; fields that are not served are accepted only where they ask for nothing. test_queueing.py built an opening message without stages, which cannot be; it now has one stage and checks the same. Conclusion: each bad input of the list is a problem document, and the processes stay up.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -14,10 +14,15 @@
 from lacewingcourse.agent.stage_runner import StageRunner
 from lacewingcourse.core.messages import Status
 from lacewingcourse.daemon.daemon import Daemon, Readiness
+from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
     from lacewingcourse.agent.settings import AgentSettings
 
+#: Paths that only an agent beside a model engine serves.
+STAGE_PATHS = frozenset({paths.OPEN_STAGE, paths.HOPS, paths.REVOKE, paths.CREDIT})
+#: Paths that only an agent beside a plain service serves.
+CALL_PATHS = frozenset({paths.CALL})
 #: Seconds between two looks at the endpoint.
 PROBE_INTERVAL = 0.5
 #: Bytes of a fresh incarnation number.
@@ -51,7 +56,12 @@
         self.metrics.watch(self)
 
     def routes(self) -> list[tuple]:
-        return [(path, handler, {"daemon": self}) for path, handler in AGENT_ROUTES]
+        absent = CALL_PATHS if self.calls is None else STAGE_PATHS
+        return [
+            (path, handler, {"daemon": self})
+            for path, handler in AGENT_ROUTES
+            if path not in absent
+        ]
 
     def readiness(self) -> Readiness:
         if self.stopping.is_set():
--- a/packages/agent/src/lacewingcourse/agent/settings.py
+++ b/packages/agent/src/lacewingcourse/agent/settings.py
@@ -53,5 +53,6 @@
     log_level: str = common.log_level()
     max_body_bytes: int = common.max_body_bytes()
     idle_timeout: float = common.idle_timeout()
+    header_timeout: float = common.header_timeout()
     body_timeout: float = common.body_timeout()
     drain_timeout: float = common.drain_timeout()
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -16,6 +16,16 @@
 from lacewingcourse.core.layers import LayerRange
 
 
+def check_attempt(attempt: int) -> None:
+    """Check the number of an attempt.
+
+    Raises:
+        ValueError: It is below 1, where attempts begin.
+    """
+    if attempt < 1:
+        raise ValueError(f"attempt {attempt} is below 1")
+
+
 @attrs.frozen
 class Sampling:
     """How tokens are chosen.
@@ -95,6 +105,11 @@
     prompt: Prompt | None = None
     pace: float = 0.0
 
+    def __attrs_post_init__(self) -> None:
+        if not 0 <= self.index < len(self.stages):
+            raise ValueError(f"no stage {self.index} among {len(self.stages)}")
+        check_attempt(self.attempt)
+
 
 @attrs.frozen
 class OpenReply:
@@ -135,6 +150,13 @@
     values: tuple[int, ...]
     prompt_length: int
 
+    def __attrs_post_init__(self) -> None:
+        check_attempt(self.attempt)
+        if self.position < 0:
+            raise ValueError(f"position {self.position} is negative")
+        if not self.values:
+            raise ValueError("a hop has at least one value")
+
 
 @attrs.frozen
 class HopBatch:
@@ -198,6 +220,11 @@
     text: str
     prompt_length: int
 
+    def __attrs_post_init__(self) -> None:
+        check_attempt(self.attempt)
+        if self.index < 0:
+            raise ValueError(f"index {self.index} is negative")
+
 
 @attrs.frozen
 class TokenBatch:
--- a/packages/core/tests/test_queueing.py
+++ b/packages/core/tests/test_queueing.py
@@ -7,7 +7,7 @@
 from lacewingcourse.core.effects import RunForward
 from lacewingcourse.core.errors import ErrorKind
 from lacewingcourse.core.layers import LayerRange
-from lacewingcourse.core.messages import OpenStage, Prompt, Sampling
+from lacewingcourse.core.messages import OpenStage, Prompt, Sampling, StageAddress
 from lacewingcourse.core.queueing import (
     AgentLoad,
     ForwardQueue,
@@ -64,7 +64,7 @@
         stream="s",
         attempt=1,
         index=0,
-        stages=(),
+        stages=(StageAddress("e", "", "i", LayerRange(0, 4)),),
         entry_url="",
         organisation="o",
         work_class="",
--- a/packages/daemon/src/lacewingcourse/daemon/common_settings.py
+++ b/packages/daemon/src/lacewingcourse/daemon/common_settings.py
@@ -95,6 +95,15 @@
     )
 
 
+def header_timeout() -> float:
+    """Return the setting for the arrival of headers."""
+    return environ.var(
+        default="10",
+        converter=positive,
+        help="Seconds in which headers must arrive once begun",
+    )
+
+
 def body_timeout() -> float:
     """Return the setting for the arrival of a body."""
     return environ.var(
@@ -115,6 +124,7 @@
     "body_timeout",
     "boolean",
     "drain_timeout",
+    "header_timeout",
     "idle_timeout",
     "instance_id",
     "instance_list_url",
--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -10,7 +10,6 @@
 import attrs
 from loguru import logger
 from prometheus_client import CollectorRegistry, Counter
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
@@ -21,17 +20,18 @@
     StateHandler,
     UnknownPathHandler,
 )
+from lacewingcourse.daemon.server import (
+    CLOSE_HEADER_BYTES,
+    WIRE_FACTOR,
+    GuardedServer,
+    RequestLimits,
+)
 from lacewingcourse.wire.client import PeerClient
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
     from socket import socket
 
-#: Bytes of headers that a request may have.
-MAX_HEADER_BYTES = 16 * 1024
-#: Seconds in which the headers of a request must arrive.
-HEADER_TIMEOUT = 10.0
-
 
 class ListenError(Exception):
     """A process cannot listen on the address or port of its settings."""
@@ -159,13 +159,14 @@
 
     async def run(self) -> None:
         """Serve until asked to end, then drain."""
-        server = HTTPServer(
+        settings = self.settings
+        server = GuardedServer(
             self.application(),
-            max_body_size=self.settings.max_body_bytes,
-            max_buffer_size=self.settings.max_body_bytes + MAX_HEADER_BYTES,
-            max_header_size=MAX_HEADER_BYTES,
-            idle_connection_timeout=self.settings.idle_timeout,
-            body_timeout=self.settings.body_timeout,
+            RequestLimits(
+                settings.max_body_bytes, settings.header_timeout, settings.body_timeout
+            ),
+            idle_connection_timeout=settings.idle_timeout,
+            max_buffer_size=settings.max_body_bytes * WIRE_FACTOR + CLOSE_HEADER_BYTES,
         )
         sockets = self._bind()
         self.port = sockets[0].getsockname()[1]
--- a/packages/daemon/src/lacewingcourse/daemon/handlers.py
+++ b/packages/daemon/src/lacewingcourse/daemon/handlers.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING, TypeVar
 
+from loguru import logger
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-from tornado.web import RequestHandler
+from tornado.web import HTTPError, RequestHandler
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
+from lacewingcourse.daemon.problems import PROBLEM_JSON, problem_of, retry_after
 from lacewingcourse.wire.auth import AUTH_HEADER, verify
 from lacewingcourse.wire.codec import decode, encode
 
@@ -17,24 +19,6 @@
 T = TypeVar("T")
 
 JSON = "application/json"
-PROBLEM_JSON = "application/problem+json"
-#: Prefix of the type of every problem document.
-PROBLEM_TYPE = "urn:lacewingcourse:error:"
-
-
-def problem_of(refusal: Refusal) -> dict[str, Any]:
-    """Return a refusal as an RFC 9457 problem document."""
-    document = {
-        "type": PROBLEM_TYPE + refusal.kind.value,
-        "title": refusal.answer.title,
-        "status": refusal.answer.status,
-        "detail": refusal.reason,
-        "kind": refusal.kind.value,
-        "outcome": refusal.outcome.value,
-    }
-    if refusal.pointer:
-        document["pointer"] = refusal.pointer
-    return document
 
 
 class BaseHandler(RequestHandler):
@@ -46,8 +30,9 @@
     def refuse(self, refusal: Refusal) -> None:
         """End the request with a refusal."""
         self.set_status(refusal.answer.status)
-        if refusal.retry_after is not None:
-            self.set_header("Retry-After", str(max(1, round(refusal.retry_after))))
+        seconds = retry_after(refusal)
+        if seconds is not None:
+            self.set_header("Retry-After", str(seconds))
         self.set_header("Content-Type", PROBLEM_JSON)
         self.finish(encode(problem_of(refusal)))
 
@@ -63,6 +48,12 @@
             outcome = Outcome.UNKNOWN
         self.refuse(Refusal(kind, self._reason, outcome))
 
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        if not isinstance(value, HTTPError):
+            logger.opt(exception=value).error(
+                "a request failed", method=self.request.method, path=self.request.path
+            )
+
 
 #: Kinds for the errors that the HTTP server itself raises.
 STATUS_KINDS = {
@@ -70,6 +61,7 @@
     403: ErrorKind.FORBIDDEN,
     404: ErrorKind.UNKNOWN_RESOURCE,
     405: ErrorKind.METHOD_NOT_ALLOWED,
+    408: ErrorKind.REQUEST_TIMEOUT,
     413: ErrorKind.TOO_LARGE,
 }
 
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -13,7 +13,7 @@
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Token
 from lacewingcourse.core.streams import StreamRequest
-from lacewingcourse.daemon.handlers import problem_of
+from lacewingcourse.daemon.problems import error_event
 from lacewingcourse.entry.caller import CLASS_HEADER, CallerHandler
 from lacewingcourse.entry.openai import parse_chat, parse_completion
 
@@ -163,8 +163,7 @@
                         )
                         continue
                     self.record.refuse(event.refusal)
-                    problem = problem_of(event.refusal)
-                    await self._send_event({"error": problem})
+                    await self._send_event(error_event(event.refusal))
                     self.finish()
 
     async def _send_event(self, document: Any) -> None:
--- a/packages/entry/src/lacewingcourse/entry/service_api.py
+++ b/packages/entry/src/lacewingcourse/entry/service_api.py
@@ -8,7 +8,8 @@
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Call, CallReply, Header
-from lacewingcourse.entry.caller import CLASS_HEADER, KEY_HEADER, CallerHandler
+from lacewingcourse.entry.caller import CLASS_HEADER, KEY_HEADER
+from lacewingcourse.entry.service_guard import PassedCallHandler
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
@@ -21,7 +22,7 @@
 )
 
 
-class ServiceHandler(CallerHandler):
+class ServiceHandler(PassedCallHandler):
     """Passes a call on to an endpoint of its service."""
 
     async def handle(self, service: str, path: str) -> None:
--- a/packages/wire/src/lacewingcourse/wire/auth.py
+++ b/packages/wire/src/lacewingcourse/wire/auth.py
@@ -23,4 +23,5 @@
 
 def verify(secret: str, path: str, body: bytes, proof: str) -> bool:
     """Tell whether a proof was made with the deployment's secret."""
-    return hmac.compare_digest(sign(secret, path, body), proof)
+    wanted = sign(secret, path, body)
+    return hmac.compare_digest(wanted.encode(), proof.encode())
