--- a/packages/testing/src/lacewingcourse/testing/state_file.py
+++ b/packages/testing/src/lacewingcourse/testing/state_file.py
@@ -26,11 +26,12 @@
         "services": [
             {
                 "name": SERVICE,
-                "url": deployment.service.engine.url,
-                "pid": deployment.service.engine.pid,
-                "agent_url": deployment.service.agent.url,
-                "agent_pid": deployment.service.agent.pid,
+                "url": pair.engine.url,
+                "pid": pair.engine.pid,
+                "agent_url": pair.agent.url,
+                "agent_pid": pair.agent.pid,
             }
+            for pair in deployment.services
         ],
         "models": [MODEL],
         "platform": {name: each.url for name, each in deployment.platform.items()},
