Judge the demo's refusals against what the endpoints really ran

Cause: the demo counted refusals without asking whether they told the truth, sent one form of completion only, and never sent a key again.

--- a/packages/testing/src/lacewingcourse/testing/caller.py
+++ b/packages/testing/src/lacewingcourse/testing/caller.py
@@ -93,11 +93,33 @@
     headers: dict[str, str] | None = None,
 ) -> CallerResult:
     """Ask for a streamed completion and read it to its end."""
+    body = {"model": model, "prompt": prompt, "max_tokens": max_tokens, "stream": True}
+    url = entry_url + "/v1/completions"
+    return await ask(http, url, key, body, on_text, headers)
+
+
+async def ask(
+    http: AsyncHTTPClient,
+    url: str,
+    key: str,
+    body: dict,
+    on_text: Callable[[CallerResult], None] | None = None,
+    headers: dict[str, str] | None = None,
+) -> CallerResult:
+    """Ask for an answer of the model, streamed or in one piece, and read it.
+
+    Args:
+        http: The HTTP client.
+        url: URL of the interface, such as `http://10.0.0.1:8000/v1/completions`.
+        key: Key of the organisation.
+        body: The request.
+        on_text: Called at each token of a streamed answer.
+        headers: Further headers.
+    """
     result = CallerResult()
     reader = EventReader(result, on_text)
-    body = {"model": model, "prompt": prompt, "max_tokens": max_tokens, "stream": True}
     request = HTTPRequest(
-        entry_url + "/v1/completions",
+        url,
         method="POST",
         body=json.dumps(body),
         headers={
@@ -112,9 +134,20 @@
     result.status = response.code
     if response.code != 200:
         result.error = parse_problem(reader.rest)
+    elif not body.get("stream"):
+        take_whole(result, json.loads(reader.rest))
     return result
 
 
+def take_whole(result: CallerResult, document: dict) -> None:
+    """Take an answer that came in one piece."""
+    (choice,) = document["choices"]
+    result.text = choice["text"] if "text" in choice else choice["message"]["content"]
+    result.finish_reason = choice["finish_reason"]
+    result.token_count = document["usage"]["completion_tokens"]
+    result.done = True
+
+
 def parse_problem(body: bytes) -> dict:
     """Return the problem document of a refusal."""
     try:
--- a/packages/testing/src/lacewingcourse/testing/standins/engine.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/engine.py
@@ -145,6 +145,7 @@
                 "sequences": sorted(engine.sequences.known),
                 "prefix_blocks": len(engine.prefixes.blocks),
                 "prefix_hits": engine.prefixes.hits,
+                "prompts": list(engine.prompts),
             }
         )
 
--- a/packages/testing/src/lacewingcourse/testing/standins/engine_state.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/engine_state.py
@@ -7,6 +7,7 @@
 import itertools
 import os
 import time
+from collections import deque
 
 import attrs
 
@@ -25,6 +26,8 @@
 
 #: Exit code of an engine that a request crashed.
 CRASHED = 70
+#: Prompts that are remembered, for tests.
+PROMPT_LIMIT = 10_000
 #: Seconds between two looks whether a hang was lifted.
 HANG_INTERVAL = 0.02
 
@@ -54,6 +57,7 @@
         waiting: Items that wait for a step, by priority, then by arrival.
         running: Items of the step that runs.
         steps: Steps that were run.
+        prompts: The last prompts that were run.
     """
 
     model: str
@@ -70,6 +74,7 @@
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     running: int = 0
     steps: int = 0
+    prompts: deque[str] = attrs.field(factory=lambda: deque(maxlen=PROMPT_LIMIT))
     report: EngineState | None = None
     reported_at: float = 0.0
 
@@ -122,7 +127,10 @@
         sequence = self._sequence(item)
         if isinstance(sequence, str):
             return ForwardOutput(item.sequence, error=sequence)
-        prompt = tokenise(item.prompt) if item.prompt is not None else []
+        prompt = []
+        if item.prompt is not None:
+            self.prompts.append(item.prompt)
+            prompt = tokenise(item.prompt)
         inputs = [*prompt, *item.inputs]
         outputs = [self._run_position(sequence, value) for value in inputs]
         if not item.sample:
