--- a/packages/entry/src/lacewingcourse/entry/metrics.py
+++ b/packages/entry/src/lacewingcourse/entry/metrics.py
@@ -98,6 +98,7 @@
         requests: Requests that ended, by class of work, result and error kind.
         organisation_requests: Requests that ended, by organisation and result.
         burn_spent: Requests that spent a budget.
+        burn_counted: Requests that a budget is reckoned from.
         burn_allowed: Requests that a budget allows to spend it.
         tokens: Tokens delivered.
         first_token: Time to the first token.
@@ -107,10 +108,14 @@
         recovery_time: Time from a lost attempt to the next token.
         log_operations: Appends and reads of the log.
         drains: Times that the process was asked to end.
+        retries: Lost attempts, by whether another was allowed.
+        ejections: Times that an endpoint was left out as an outlier.
     """
 
     def __init__(self) -> None:
         super().__init__()
+        self.retries = self._counter("retries", "Lost attempts", "allowed")
+        self.ejections = self._counter("ejections", "Endpoints left out")
         self.classes = BoundedLabel(MAX_CLASSES)
         self.organisations = BoundedLabel(MAX_ORGANISATIONS)
         self.requests = self._counter(
@@ -122,6 +127,9 @@
         self.burn_spent = self._counter(
             "burn_spent", "Requests that spent a budget", "work_class", "budget"
         )
+        self.burn_counted = self._counter(
+            "burn_counted", "Requests in a budget", "work_class", "budget"
+        )
         self.burn_allowed = self._counter(
             "burn_allowed", "Requests that a budget allows", "work_class", "budget"
         )
@@ -215,6 +223,7 @@
         if allowed is None:
             return
         self.burn_spent.labels(work_class, budget.value).inc(spent)
+        self.burn_counted.labels(work_class, budget.value).inc()
         allowance = max(allowed, BUDGET_FLOOR)
         self.burn_allowed.labels(work_class, budget.value).inc(allowance)
 
