--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -88,7 +88,7 @@
     def __init__(self, settings: Any) -> None:
         self.settings = settings
         self.metrics = self.metrics_class()
-        self.peers = PeerClient(settings.shared_secret)
+        self.peers = PeerClient(settings.shared_secret, settings.instance_id)
         self.stopping = asyncio.Event()
         self.tasks: set[asyncio.Task] = set()
         self.port = 0
--- a/packages/wire/src/lacewingcourse/wire/client.py
+++ b/packages/wire/src/lacewingcourse/wire/client.py
@@ -61,11 +61,13 @@
     Attributes:
         http: The HTTP client.
         secret: The deployment's shared secret.
+        sender: Name of the sending instance.
     """
 
-    def __init__(self, secret: str) -> None:
+    def __init__(self, secret: str, sender: str) -> None:
         self.http = new_http_client()
         self.secret = secret
+        self.sender = sender
 
     async def send(
         self,
@@ -98,6 +100,7 @@
             headers={
                 AUTH_HEADER: sign(self.secret, path, body),
                 "Content-Type": "application/json",
+                "User-Agent": self.sender,
             },
             connect_timeout=min(timeout, 2.0),
             request_timeout=timeout,
--- a/tests/integration/test_fault_proxy.py
+++ b/tests/integration/test_fault_proxy.py
@@ -22,7 +22,7 @@
 def deployment(start_deployment):
     """A deployment whose endpoints stand behind the fault proxy."""
     return start_deployment(
-        endpoints=2, proxied=frozenset({"agent-endpoint-*", "service-tally"})
+        entries=2, endpoints=2, proxied=frozenset({"agent-*", "service-tally"})
     )
 
 
@@ -141,3 +141,20 @@
     result = run(lambda http: complete(http, url, key, MODEL, "slow links", 20))
     layers = deployment.options.layers
     assert result.text == expected_text(MODEL, "1", layers, "slow links", 20)
+
+
+def knows_tally(entry) -> bool:
+    """Tell whether an entry takes the plain service's endpoint for ready."""
+    with urlopen(entry.listen_url + "/state", timeout=TIMEOUT) as response:
+        endpoints = json.load(response)["endpoints"]
+    return any(each["id"] == "tally-1" and each["ready"] for each in endpoints)
+
+
+def test_one_sender_is_cut_off_while_another_is_not(deployment):
+    agent = deployment.proxy("agent-tally-1")
+    cut_off, other = deployment.entries
+    agent.set(lose_requests=-1, match="User-Agent: entry-1\r")
+    wait_until(lambda: not knows_tally(cut_off), TIMEOUT, "entry-1 is not cut off")
+    wait_until(lambda: knows_tally(other), TIMEOUT, "entry-2 is cut off")
+    agent.clear()
+    wait_until(lambda: knows_tally(cut_off), TIMEOUT, "entry-1 stays cut off")
