--- a/packages/agent/src/lacewingcourse/agent/engine.py
+++ b/packages/agent/src/lacewingcourse/agent/engine.py
@@ -16,6 +16,10 @@
     from lacewingcourse.core.effects import RunForward
 
 
+#: curl's codes for a connection that broke: empty reply, send and receive failures.
+BROKEN_CONNECTION = frozenset({52, 55, 56})
+
+
 @attrs.frozen
 class ForwardItem:
     """One item of an engine step.
@@ -112,6 +116,17 @@
     queued: int
 
 
+@attrs.frozen
+class EngineCrash:
+    """The engine's connection broke in mid-step.
+
+    Attributes:
+        reason: What the client saw.
+    """
+
+    reason: str
+
+
 def sequence_of(stream: str, attempt: int) -> str:
     """Return the name of a stream's cache entry in the engine."""
     return f"{stream}.{attempt}"
@@ -157,9 +172,15 @@
         self.http = new_http_client()
         self.timeout = timeout
 
-    async def forward(self, items: tuple[ForwardItem, ...]) -> ForwardReply | Refusal:
+    async def forward(
+        self, items: tuple[ForwardItem, ...]
+    ) -> ForwardReply | EngineCrash | Refusal:
         """Run items and return their results."""
-        return await self._post("/engine/forward", ForwardRequest(items), ForwardReply)
+        request = ForwardRequest(items)
+        response = await self._fetch("/engine/forward", request)
+        if getattr(response.error, "errno", None) in BROKEN_CONNECTION:
+            return EngineCrash(str(response.error))
+        return self._read(response, ForwardReply)
 
     async def cancel(self, sequences: tuple[str, ...]) -> None:
         """Let the engine drop cache entries; failures do not matter."""
@@ -174,6 +195,9 @@
         return decode(response.body, EngineState)
 
     async def _post(self, path: str, message, kind):
+        return self._read(await self._fetch(path, message), kind)
+
+    async def _fetch(self, path: str, message):
         request = HTTPRequest(
             self.url + path,
             method="POST",
@@ -182,7 +206,9 @@
             connect_timeout=2.0,
             request_timeout=self.timeout,
         )
-        response = await fetch(self.http, request)
+        return await fetch(self.http, request)
+
+    def _read(self, response, kind):
         if response.code != 200:
             return self._failed(response)
         return decode(response.body, kind)
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -89,6 +89,9 @@
         sampling: How tokens are chosen.
         token_limit: Tokens that may be generated before further credit.
         prompt: Given to the first stage only.
+        solo: Whether its first steps run alone on the engine.
+        resume: Whether to keep what an older attempt has here and wait for a
+            `StartStage`.
         pace: Seconds between tokens that the class asks for, 0.0 for none.
     """
 
@@ -104,6 +107,46 @@
     token_limit: int
     prompt: Prompt | None = None
     pace: float = 0.0
+    solo: bool = False
+    resume: bool = False
+
+
+@attrs.frozen
+class KeptState:
+    """What a stage still has of an older attempt.
+
+    Attributes:
+        positions: Positions that its engine has run or was given.
+        sendable_from: First position whose output it can send again.
+        prompt_length: Tokens of the caller's prompt.
+    """
+
+    positions: int
+    sendable_from: int
+    prompt_length: int
+
+
+@attrs.frozen
+class StartStage:
+    """Entry to agent: what a stage of a resumed attempt does first.
+
+    Attributes:
+        stream: Name of the stream.
+        attempt: Number of the attempt.
+        incarnation: Incarnation the message is meant for.
+        keep: Whether the stage goes on from the positions it has.
+        send_from: First position whose output the next stage needs.
+        prompt: Prompt and tokens to run from the start, or None.
+        inputs: Tokens to run after the positions that it has.
+    """
+
+    stream: str
+    attempt: int
+    incarnation: str
+    keep: bool
+    send_from: int
+    prompt: Prompt | None = None
+    inputs: tuple[int, ...] = ()
 
     def __attrs_post_init__(self) -> None:
         if not 0 <= self.index < len(self.stages):
@@ -121,6 +164,7 @@
         kind: Why not, or None.
         reason: Why not, for a person.
         load: What the agent has learned of speed and load, or None.
+        kept: What the stage still has of an older attempt, or None.
     """
 
     accepted: bool
@@ -128,6 +172,38 @@
     kind: ErrorKind | None = None
     reason: str = ""
     load: LoadReport | None = None
+    kept: KeptState | None = None
+
+
+@attrs.frozen
+class ReportRequest:
+    """Entry to agent: say how far a stage of an attempt has come."""
+
+    stream: str
+    attempt: int
+
+
+@attrs.frozen
+class StageReport:
+    """Agent to entry: how far a stage has come and what it waits for.
+
+    Attributes:
+        incarnation: Incarnation of the answering agent.
+        attempt: Attempt that the agent holds of the stream, 0 if none.
+        accepted: Positions that the stage has accepted.
+        done: Positions that its engine has run.
+        engine_late: Whether its engine has work and is late with it.
+        hop_wait: Seconds the oldest hop to the next stage waits for its receipt.
+        token_wait: Seconds the oldest token to the entry waits for its receipt.
+    """
+
+    incarnation: str
+    attempt: int
+    accepted: int = 0
+    done: int = 0
+    engine_late: bool = False
+    hop_wait: float = 0.0
+    token_wait: float = 0.0
 
 
 @attrs.frozen
@@ -273,6 +349,9 @@
         endpoint: The endpoint that is at fault, as the sender sees it.
         kind: What went wrong.
         reason: What went wrong, for a person.
+        crash: Name of the engine's crash that the attempt may have caused, or empty.
+        newcomer: Whether it was the attempt's first step there.
+        solo: Whether the step ran alone on the engine.
     """
 
     stream: str
@@ -280,6 +359,9 @@
     endpoint: str
     kind: ErrorKind
     reason: str = ""
+    crash: str = ""
+    newcomer: bool = False
+    solo: bool = False
 
 
 @attrs.frozen
