--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -25,7 +25,7 @@
     SendToken,
     SendTrouble,
 )
-from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.estimates import EndpointEstimates
 from lacewingcourse.core.messages import StageReport, Trouble
 from lacewingcourse.core.poison import CrashedItem, suspects_of
@@ -53,6 +53,8 @@
     )
     from lacewingcourse.core.stages import Effect
 
+#: Entries that are remembered to be told when the agent leaves.
+KEPT_ENTRIES = 1000
 #: Seconds between two looks for late steps.
 WATCH_INTERVAL = 0.1
 
@@ -97,6 +99,7 @@
         step_times: Learned times of steps.
         engine_late: Whether the engine is late with a step.
         crashes: Crashes of the engine that were seen.
+        entry_urls: Entries that sent streams here, the latest last.
         courier: Carries what goes to other processes.
         estimates: What was learned of the engine's speed.
         present: Items given to the engine.
@@ -122,6 +125,7 @@
         self.step_times = StepTimes()
         self.engine_late = False
         self.crashes = 0
+        self.entry_urls: dict[str, None] = {}
         self.courier = Courier(self)
         self.estimates = EndpointEstimates(
             self.settings.batch_items, self.settings.max_streams
@@ -129,6 +133,27 @@
         self.present = 0
         self.sources = 0
 
+    def note_entry(self, url: str) -> None:
+        """Remember an entry that sends streams here, the latest last."""
+        self.entry_urls.pop(url, None)
+        self.entry_urls[url] = None
+        if len(self.entry_urls) > KEPT_ENTRIES:
+            del self.entry_urls[next(iter(self.entry_urls))]
+
+    def close_all(self) -> None:
+        """Tell the entries of all streams that the endpoint cannot go on."""
+        for state in list(self.gate.stages.values()):
+            message = state.message
+            self.fail(
+                Trouble(
+                    message.stream,
+                    message.attempt,
+                    self.settings.instance_id,
+                    ErrorKind.DRAINING,
+                    "the endpoint has to end",
+                )
+            )
+
     async def probe(self) -> None:
         """Look whether the engine answers."""
         state = await self.engine.state()
@@ -189,12 +214,15 @@
     def _push(self, effect: RunForward) -> None:
         """Queue work with the time at which it is due."""
         stage = self.gate.stages.get(effect.stream)
-        pace = stage.message.pace if stage is not None else 0.0
+        pace, stages = 0.0, 1
+        if stage is not None:
+            pace, stages = stage.message.pace, len(stage.message.stages)
         positions = len(effect.values)
         if effect.prompt is not None:
             positions = self.estimates.prompt_positions(len(effect.prompt.text))
             positions += len(effect.prompt.delivered)
-        self.queue.push(effect, due_at(effect, pace, self.agent.now()), positions)
+        due = due_at(effect, pace, stages, self.agent.now())
+        self.queue.push(effect, due, positions)
 
     def _feed_engine(self) -> None:
         """Give waiting work to the engine while it has room."""
@@ -226,10 +254,14 @@
         """Run one batch on the engine and pass its results on."""
         batch = step.batch
         items = tuple(item_of(entry.effect, entry.due_at) for entry in queued)
+        answered = self.engine_state is not None
         try:
-            reply = await self.engine.forward(items)
+            reply = await self.engine.forward(items, batch[0].solo)
         finally:
             self.present -= len(batch)
+        if isinstance(reply, EngineCrash) and not answered:
+            kind = ErrorKind.ENDPOINT_FAILED
+            reply = Refusal(kind, reply.reason, Outcome.UNKNOWN)
         if isinstance(reply, EngineCrash):
             self._on_crash(reply)
         self.steps.discard(step)
@@ -266,10 +298,10 @@
         suspects = set(suspects_of(items))
         for step in fresh:
             step.reported = True
+        alone = len(items) == 1
         for item, work in items.items():
-            self._report(
-                work, crash.reason, name if item in suspects else "", item.first_step
-            )
+            guilty = name if item in suspects else ""
+            self._report(work, crash.reason, guilty, item.first_step, alone)
 
     def _fail_batch(self, batch: list[RunForward], refusal: Refusal) -> None:
         """Report each attempt of a failed batch."""
@@ -278,9 +310,17 @@
         self._feed_engine()
 
     def _report(
-        self, work: RunForward, reason: str, crash: str = "", newcomer: bool = False
+        self,
+        work: RunForward,
+        reason: str,
+        crash: str = "",
+        newcomer: bool = False,
+        alone: bool = False,
     ) -> None:
-        """Report that this endpoint failed an attempt."""
+        """Report that this endpoint failed an attempt.
+
+        A newcomer that happened to be alone counts as run alone.
+        """
         self.fail(
             Trouble(
                 stream=work.stream,
@@ -290,7 +330,7 @@
                 reason=reason,
                 crash=crash,
                 newcomer=newcomer,
-                solo=work.solo,
+                solo=work.solo or (newcomer and alone),
             )
         )
 
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lacewingcourse.core.diagnosis import diagnose
+from lacewingcourse.core.diagnosis import diagnose, standstill
 from lacewingcourse.core.effects import (
     AskReport,
     ChooseRoute,
@@ -64,6 +64,8 @@
 RETRY_DELAY = 0.1
 #: Seconds between two attempts at the most.
 MAX_RETRY_DELAY = 1.0
+#: Reasons for having no route that may pass while a broken answer waits.
+WAITABLE = frozenset({ErrorKind.NO_ROUTE, ErrorKind.OVERLOADED})
 #: Seconds between two looks for a route.
 ROUTE_INTERVAL = 0.25
 #: Seconds after which a caller may try again when there is no route.
@@ -72,6 +74,8 @@
 MIN_SILENCE = 0.25
 #: Seconds without a first token after which the stages are asked.
 FIRST_SILENCE = 1.0
+#: Questions that find the stages without work before the stream starts over.
+STANDSTILLS = 2
 #: Seconds between two questions to the stages at the most.
 MAX_SILENCE = 5.0
 
@@ -157,7 +161,9 @@
         pace: Learned time between two tokens.
         ask_at: When the stages are asked how far they have come, seconds.
         unanswered: Questions in a row that found no fault.
+        stood_at: Positions of the stages when they last had no work, or None.
         reports: Answers of the stages that were asked, None while not asking.
+        solo: Whether the next attempt's first steps run alone on their engines.
     """
 
     request: StreamRequest
@@ -188,7 +194,9 @@
     pace: Pace = attrs.field(factory=Pace)
     ask_at: float = 0.0
     unanswered: int = 0
+    stood_at: tuple[int, ...] | None = None
     reports: dict[int, StageReport | None] | None = None
+    solo: bool = False
 
     @stop.default
     def _new_stop(self) -> StopMatcher:
@@ -228,7 +236,9 @@
 
     def _no_route(self, refusal: Refusal, now: float) -> list[Effect]:
         """Try the excluded endpoints again, wait while it can help, or give up."""
-        if self.excluded:
+        if refusal.kind not in WAITABLE:
+            return self.give_up(refusal, now)
+        if self.excluded and refusal.kind is ErrorKind.NO_ROUTE:
             self.excluded.clear()
             return [self._choose_again(RETRY_DELAY)]
         if self.route_wanted_since is None:
@@ -236,9 +246,9 @@
         waited = now - self.route_wanted_since
         if self.delivered and waited < self.route_patience:
             return [self._choose_again(ROUTE_INTERVAL)]
-        return self.give_up(
-            attrs.evolve(refusal, retry_after=NO_ROUTE_RETRY_AFTER), now
-        )
+        if refusal.retry_after is None:
+            refusal = attrs.evolve(refusal, retry_after=NO_ROUTE_RETRY_AFTER)
+        return self.give_up(refusal, now)
 
     def _open(self, index: int) -> SendOpen:
         """Return the effect that opens one stage."""
@@ -263,6 +273,7 @@
             prompt=prompt,
             resume=self.resuming,
             pace=request.pace,
+            solo=self.solo,
         )
         return SendOpen(target, message)
 
@@ -420,7 +431,13 @@
         finding = diagnose(attempt, self.stages, ordered)
         if finding is not None:
             return self._retry(finding.endpoints, finding.kind, now)
+        positions = standstill(ordered)
+        stuck = positions is not None and positions == self.stood_at
+        self.stood_at = positions
         self.unanswered += 1
+        if stuck and self.unanswered > STANDSTILLS:
+            self.keepable.clear()
+            return self._retry((), ErrorKind.STAGE_LOST, now)
         usual = self.pace.limit(MIN_SILENCE, FIRST_SILENCE)
         self.ask_at = now + min(MAX_SILENCE, usual * 2**self.unanswered)
         return []
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -13,6 +13,7 @@
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Token
 from lacewingcourse.core.streams import StreamRequest
+from lacewingcourse.daemon.handlers import JSON
 from lacewingcourse.daemon.problems import error_event
 from lacewingcourse.entry.caller import CLASS_HEADER, CallerHandler
 from lacewingcourse.entry.keyed import answer_of
@@ -73,6 +74,10 @@
         )
         work_class = self.daemon.configuration.classes.get(request.work_class)
         self.record.describe(work_class, request.model)
+        poison = self.daemon.poison.refusal_of(request)
+        if poison is not None:
+            self.refuse(poison)
+            return
         self.waiting = request.stream
         driver = await answer_of(self, request)
         if isinstance(driver, Refusal):
@@ -132,7 +137,9 @@
                 case FinishAnswer():
                     self.record.whole = True
                     choice = self.whole_choice("".join(texts), event.reason)
-                    self.reply(self._document(request, [choice], self.usage()))
+                    document = self._document(request, [choice], self.usage())
+                    self.set_header("Content-Type", JSON)
+                    await self.finish(orjson.dumps(document))
                 case FailAnswer():
                     self.refuse(self.daemon.admission.with_retry_after(event.refusal))
 
@@ -158,7 +165,7 @@
                         await self._send_event(chunk)
                     self.write(b"data: [DONE]\n\n")
                     self.record.whole = True
-                    self.finish()
+                    await self.finish()
                 case FailAnswer():
                     if first:
                         self.refuse(
@@ -167,7 +174,7 @@
                         continue
                     self.record.refuse(event.refusal)
                     await self._send_event(error_event(event.refusal))
-                    self.finish()
+                    await self.finish()
 
     async def _send_event(self, document: Any) -> None:
         self.write(b"data: " + orjson.dumps(document) + b"\n\n")
--- a/packages/entry/src/lacewingcourse/entry/metrics.py
+++ b/packages/entry/src/lacewingcourse/entry/metrics.py
@@ -10,7 +10,6 @@
 from lacewingcourse.core.burn_ends import GAP_BOUNDS, INCOMPLETE, Result
 from lacewingcourse.core.burn_report import Budget
 from lacewingcourse.core.burn_windows import BUDGET_FLOOR, OTHER
-from lacewingcourse.core.errors import Refusal
 from lacewingcourse.daemon.daemon import BaseMetrics
 
 if TYPE_CHECKING:
@@ -106,7 +105,6 @@
         gaps: Time between tokens.
         attempts: Routes that were tried.
         recovery_time: Time from a lost attempt to the next token.
-        log_operations: Appends and reads of the log.
         drains: Times that the process was asked to end.
         retries: Lost attempts, by whether another was allowed.
         ejections: Times that an endpoint was left out as an outlier.
@@ -146,9 +144,6 @@
         self.recovery_time = self._histogram(
             "recovery_seconds", "Time from a lost attempt to the next token"
         )
-        self.log_operations = self._counter(
-            "log_operations", "Operations on the log", "operation", "stream", "outcome"
-        )
         self.drains = self._counter("drains", "Times asked to end")
         self.gauges = {
             name: Gauge("lacewingcourse_" + name, text, registry=self.registry)
@@ -169,9 +164,9 @@
         """Read the gauges from an entry whenever they are asked for."""
         endpoints = entry.directory.endpoints
         sources = {
-            "configuration_version": lambda: entry.configuration.version,
             "ready": lambda: entry.readiness().ready,
             "answers_running": lambda: len(entry.answers),
+            "admission_queue_length": lambda: entry.admission.decisions.queue.size,
             "calls_running": lambda: entry.calls_running,
             "endpoints_usable": lambda: sum(
                 each.takes_new_work() for each in endpoints.values()
@@ -239,19 +234,12 @@
             reason = "recovery" if delivered else "retry"
         self.attempts.labels(reason).inc()
 
-    def on_log(self, operation: str, stream: str, result: object) -> None:
-        """Count an operation on the log."""
-        outcome = "ok"
-        if isinstance(result, Refusal):
-            outcome = result.outcome.value
-        self.log_operations.labels(operation, stream, outcome).inc()
-
 
 #: Gauges by name, with what they show.
 GAUGES = {
-    "configuration_version": "Version of the configuration in force",
     "ready": "Whether the process takes new work",
     "answers_running": "Streamed answers in flight",
+    "admission_queue_length": "Requests that wait to be let in",
     "calls_running": "Plain calls in flight",
     "endpoints_usable": "Endpoints that take new work",
     "endpoints_known": "Endpoints whose agents have answered",
--- a/packages/entry/src/lacewingcourse/entry/recovery.py
+++ b/packages/entry/src/lacewingcourse/entry/recovery.py
@@ -64,7 +64,7 @@
             if self.refused.get((request.stream, endpoint)) not in NOT_FAULTS:
                 self._on_failure(endpoint, now)
         running = self.entry.admission.decisions.running.get(request.stream)
-        if running is None:
+        if running is None or not failed:
             return None
         lost = LostAttempt(
             running.waiting.work_class,
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -7,7 +7,7 @@
 from lacewingcourse.core.routes import POLICIES
 from lacewingcourse.daemon import common_settings as common
 from lacewingcourse.daemon.checks import registered
-from lacewingcourse.daemon.settings import PREFIX, positive, secret
+from lacewingcourse.daemon.settings import PREFIX, one_of, positive, secret
 
 
 @environ.config(prefix=PREFIX)
@@ -23,6 +23,11 @@
     )
     log_url: str = common.log_url()
     instance_list_url: str = common.instance_list_url()
+    log_retention: float = environ.var(
+        default="86400",
+        converter=positive,
+        help="Seconds for which the log keeps a record",
+    )
     listen_address: str = common.listen_address()
     listen_port: int = common.listen_port()
     route_policy: str = environ.var(
@@ -30,6 +35,11 @@
         converter=registered(POLICIES),
         help=f"Route policy: {', '.join(POLICIES.names())}",
     )
+    admission: str = environ.var(
+        default="targets",
+        converter=one_of("targets", "none"),
+        help="targets, or none to let every request start (to compare with)",
+    )
     route_patience: float = environ.var(
         default="10",
         converter=positive,
