--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -20,10 +20,17 @@
 from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
 from lacewingcourse.daemon.daemon import Daemon, Readiness
 from lacewingcourse.platform.instances import InstanceListClient
+from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
     from lacewingcourse.agent.settings import AgentSettings
 
+#: Paths that only an agent beside a model engine serves.
+STAGE_PATHS = frozenset(
+    {paths.OPEN_STAGE, paths.START_STAGE, paths.HOPS, paths.REVOKE, paths.CREDIT}
+)
+#: Paths that only an agent beside a plain service serves.
+CALL_PATHS = frozenset({paths.CALL})
 #: Seconds between two looks at the endpoint.
 PROBE_INTERVAL = 0.5
 #: Random bytes of a fresh incarnation.
@@ -65,8 +72,12 @@
         self.metrics.watch(self)
 
     def routes(self) -> list[tuple]:
-        routes = AGENT_ROUTES + CONFIGURATION_ROUTES
-        return [(path, handler, {"daemon": self}) for path, handler in routes]
+        absent = CALL_PATHS if self.calls is None else STAGE_PATHS
+        return [
+            (path, handler, {"daemon": self})
+            for path, handler in AGENT_ROUTES + CONFIGURATION_ROUTES
+            if path not in absent
+        ]
 
     def readiness(self) -> Readiness:
         version = self.follower.replica.version
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -18,6 +18,16 @@
 from lacewingcourse.core.layers import LayerRange
 
 
+def check_attempt(attempt: int) -> None:
+    """Check the number of an attempt.
+
+    Raises:
+        ValueError: It is below 1, where attempts begin.
+    """
+    if attempt < 1:
+        raise ValueError(f"attempt {attempt} is below 1")
+
+
 @attrs.frozen
 class Sampling:
     """How tokens are chosen.
@@ -102,6 +112,11 @@
     solo: bool = False
     resume: bool = False
 
+    def __attrs_post_init__(self) -> None:
+        if not 0 <= self.index < len(self.stages):
+            raise ValueError(f"no stage {self.index} among {len(self.stages)}")
+        check_attempt(self.attempt)
+
 
 @attrs.frozen
 class KeptState:
@@ -140,6 +155,11 @@
     prompt: Prompt | None = None
     inputs: tuple[int, ...] = ()
 
+    def __attrs_post_init__(self) -> None:
+        check_attempt(self.attempt)
+        if self.send_from < 0:
+            raise ValueError(f"position {self.send_from} is negative")
+
 
 @attrs.frozen
 class OpenReply:
@@ -213,6 +233,13 @@
     values: tuple[int, ...]
     prompt_length: int
 
+    def __attrs_post_init__(self) -> None:
+        check_attempt(self.attempt)
+        if self.position < 0:
+            raise ValueError(f"position {self.position} is negative")
+        if not self.values:
+            raise ValueError("a hop has at least one value")
+
 
 @attrs.frozen
 class HopBatch:
@@ -276,6 +303,11 @@
     text: str
     prompt_length: int
 
+    def __attrs_post_init__(self) -> None:
+        check_attempt(self.attempt)
+        if self.index < 0:
+            raise ValueError(f"index {self.index} is negative")
+
 
 @attrs.frozen
 class TokenBatch:
--- a/packages/entry/src/lacewingcourse/entry/keyed.py
+++ b/packages/entry/src/lacewingcourse/entry/keyed.py
@@ -86,7 +86,7 @@
     async def read(self) -> AsyncIterator[Event]:
         """Yield the tokens and the end of the answer."""
         for index, text in enumerate(self.stored.texts):
-            yield Token(self.stream, 0, index, 0, text, self.stored.prompt_length)
+            yield Token(self.stream, 1, index, 0, text, self.stored.prompt_length)
         yield FinishAnswer(self.stored.reason)
 
     def abandon(self) -> None:
--- a/packages/entry/src/lacewingcourse/entry/service_api.py
+++ b/packages/entry/src/lacewingcourse/entry/service_api.py
@@ -11,12 +11,8 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.keys import Key, fingerprint_of, mint_key, parse_key
 from lacewingcourse.core.messages import Call, CallReply, Header
-from lacewingcourse.entry.caller import (
-    CLASS_HEADER,
-    KEY_HEADER,
-    REPLAYED_HEADER,
-    CallerHandler,
-)
+from lacewingcourse.entry.caller import CLASS_HEADER, KEY_HEADER, REPLAYED_HEADER
+from lacewingcourse.entry.service_guard import PassedCallHandler
 
 if TYPE_CHECKING:
     from lacewingcourse.core.configuration import Service
@@ -30,7 +26,7 @@
 RETRY_AFTER = (1.0, 3.0)
 
 
-class ServiceHandler(CallerHandler):
+class ServiceHandler(PassedCallHandler):
     """Passes a call on to an endpoint of its service."""
 
     async def handle(self, service: str, path: str) -> None:
