End the stages of streams whose entry is gone

Cause: only the last stage noticed that its entry was out of reach; the other stages of the stream stayed open for good. Change: an agent asks the entry of each stream that has been quiet for orphan_timeout and ends it if the entry does not know it, or has not answered for twice as long; the revocations are kept in order of age, so dropping them costs nothing, and are bounded.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -101,6 +101,7 @@
         self.spawn(self._probe_for_ever())
         if self.stages is not None:
             self.spawn(self.stages.watch_engine())
+            self.spawn(self.stages.reap_orphans())
 
     async def _probe_for_ever(self) -> None:
         while True:
--- a/packages/agent/src/lacewingcourse/agent/courier.py
+++ b/packages/agent/src/lacewingcourse/agent/courier.py
@@ -9,6 +9,7 @@
 from lacewingcourse.agent.outbox import Outbox
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.messages import (
+    AliveRequest,
     HopBatch,
     HopBatchReply,
     HopVerdict,
@@ -25,7 +26,13 @@
 
     from lacewingcourse.agent.stage_runner import StageRunner
     from lacewingcourse.core.effects import SendHop
-    from lacewingcourse.core.messages import Hop, StageAddress, Status, Token
+    from lacewingcourse.core.messages import (
+        AttemptName,
+        Hop,
+        StageAddress,
+        Status,
+        Token,
+    )
 
 #: Verdicts after which an attempt cannot go on.
 LOST_VERDICTS = frozenset(
@@ -113,6 +120,19 @@
             )
         )
 
+    async def ask_alive(
+        self, entry_url: str, attempts: list[AttemptName]
+    ) -> TokenBatchReply | Refusal:
+        """Ask an entry which of some attempts have ended."""
+        timeout = self.settings.hop_timeout
+        return await self.agent.peers.send(
+            entry_url,
+            paths.ALIVE,
+            AliveRequest(tuple(attempts)),
+            TokenBatchReply,
+            timeout,
+        )
+
     def forget_idle(self) -> None:
         """Drop the outboxes that are empty, so that gone receivers leave nothing."""
         for outboxes in (self.hops, self.tokens, self.troubles):
--- a/packages/agent/src/lacewingcourse/agent/settings.py
+++ b/packages/agent/src/lacewingcourse/agent/settings.py
@@ -46,6 +46,11 @@
         converter=count,
         help="Bytes of outputs kept to resume streams after a stage is lost",
     )
+    orphan_timeout: float = environ.var(
+        default="30",
+        converter=positive,
+        help="Seconds after which the entry of a quiet stream is asked for it",
+    )
     hop_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a hop may take to be taken"
     )
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -46,10 +46,12 @@
     from lacewingcourse.agent.application import Agent
     from lacewingcourse.core.estimates import LoadReport
     from lacewingcourse.core.messages import (
+        AttemptName,
         Credit,
         OpenStage,
         ReportRequest,
         Status,
+        TokenBatchReply,
     )
     from lacewingcourse.core.stages import Effect
 
@@ -398,6 +400,32 @@
             token_wait=token_wait,
         )
 
+    async def reap_orphans(self) -> None:
+        """End the streams that their entries no longer want, for ever."""
+        timeout = self.settings.orphan_timeout
+        while True:
+            await asyncio.sleep(timeout / 4)
+            quiet = self.gate.quiet(self.agent.now(), timeout)
+            for entry_url, attempts in quiet.items():
+                reply = await self.courier.ask_alive(entry_url, attempts)
+                self._settle_quiet(attempts, reply)
+
+    def _settle_quiet(
+        self, attempts: list[AttemptName], reply: TokenBatchReply | Refusal
+    ) -> None:
+        """End what an entry does not know, or has not answered for too long."""
+        now = self.agent.now()
+        if isinstance(reply, Refusal):
+            lost = self.gate.quiet(now, 2 * self.settings.orphan_timeout)
+            gone = {name for names in lost.values() for name in names}
+            for name in gone.intersection(attempts):
+                self.close(name.stream, name.attempt)
+            return
+        for name in attempts:
+            self.gate.touch(name.stream, now)
+        for credit in reply.credits:
+            self.take_credit(credit)
+
     async def watch_engine(self) -> None:
         """Report the streams of steps that are late, for ever."""
         while True:
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -345,6 +345,27 @@
     troubles: tuple[Trouble, ...]
 
 
+@attrs.frozen
+class AttemptName:
+    """An attempt of a stream."""
+
+    stream: str
+    attempt: int
+
+
+@attrs.frozen
+class AliveRequest:
+    """Agent to entry: say which of some quiet attempts have ended.
+
+    The reply holds a credit of 0 for each attempt that has.
+
+    Attributes:
+        attempts: The attempts.
+    """
+
+    attempts: tuple[AttemptName, ...]
+
+
 @attrs.frozen
 class Revoke:
     """Entry to agent: never again run an attempt up to this one.
--- a/packages/core/src/lacewingcourse/core/stages.py
+++ b/packages/core/src/lacewingcourse/core/stages.py
@@ -13,6 +13,7 @@
 )
 from lacewingcourse.core.errors import ErrorKind
 from lacewingcourse.core.messages import (
+    AttemptName,
     Hop,
     HopVerdict,
     OpenReply,
@@ -34,6 +35,8 @@
 OUTPUT_BYTES = 64
 #: Bytes of kept outputs of all stages at the most.
 OUTPUT_BUDGET = 16 * 1024 * 1024
+#: Revocations that are remembered before new streams are refused.
+MAX_REVOCATIONS = 200_000
 #: Seconds for which a revocation is remembered after its last use.
 REVOCATION_KEPT = 900.0
 
@@ -209,6 +212,8 @@
         current = self.stages.get(message.stream)
         if current is not None and message.attempt < current.message.attempt:
             return self._refuse(ErrorKind.STALE_ATTEMPT, "a newer attempt runs")
+        if len(self.revocations) >= MAX_REVOCATIONS and current is None:
+            return self._refuse(ErrorKind.OVERLOADED, "too many revocations are kept")
         if self.leaving and current is None:
             return self._refuse(ErrorKind.DRAINING, "the endpoint is leaving")
         return None
@@ -218,7 +223,7 @@
 
     def _remember_start(self, stream: str, attempt: int, now: float) -> None:
         """Keep the fact that an overtaken attempt had started."""
-        known = self.revocations.get(stream)
+        known = self.revocations.pop(stream, None)
         self.revocations[stream] = Revocation(
             attempt=max(attempt, known.attempt if known else 0),
             started=True,
@@ -391,6 +396,7 @@
             del self.stages[stream]
             self._drop_outputs(state)
             effects.append(CancelForward(stream, state.sequence))
+        self.revocations.pop(stream, None)
         self.revocations[stream] = Revocation(
             attempt=max(attempt, known.attempt if known else 0),
             started=started,
@@ -412,12 +418,30 @@
             return []
         return [SendTrouble(state.message.entry_url, trouble)]
 
+    def quiet(self, now: float, timeout: float) -> dict[str, list[AttemptName]]:
+        """Return the attempts that have not changed for long, by URL of the entry.
+
+        Args:
+            now: Present time in seconds.
+            timeout: Seconds without a change.
+        """
+        found: dict[str, list[AttemptName]] = {}
+        for stream, state in self.stages.items():
+            if now - state.touched_at >= timeout:
+                name = AttemptName(stream, state.message.attempt)
+                found.setdefault(state.message.entry_url, []).append(name)
+        return found
+
+    def touch(self, stream: str, now: float) -> None:
+        """Note that a stream's entry still wants it."""
+        state = self.stages.get(stream)
+        if state is not None:
+            state.touched_at = now
+
     def forget(self, now: float) -> None:
-        """Drop revocations that are past their time."""
-        expired = [
-            stream
-            for stream, revocation in self.revocations.items()
-            if revocation.kept_until < now and stream not in self.stages
-        ]
-        for stream in expired:
+        """Drop revocations that are past their time; the oldest come first."""
+        while self.revocations:
+            stream = next(iter(self.revocations))
+            if self.revocations[stream].kept_until >= now:
+                return
             del self.revocations[stream]
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -39,7 +39,7 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.core.configuration import Configuration
-    from lacewingcourse.core.messages import StageAddress, TokenBatch
+    from lacewingcourse.core.messages import AliveRequest, StageAddress, TokenBatch
     from lacewingcourse.core.routes import Route
     from lacewingcourse.core.streams import StreamRequest
     from lacewingcourse.entry.settings import EntrySettings
@@ -221,6 +221,15 @@
         self.recovery.on_end(driver.stream, whole is True, endpoints)
         self.admission.on_end(driver.stream, whole)
 
+    def ended_of(self, request: AliveRequest) -> tuple[Credit, ...]:
+        """Return a credit of 0 for each attempt that nobody waits for."""
+        ended = []
+        for name in request.attempts:
+            answer = self.answers.get(name.stream)
+            if answer is None or answer.state.attempt > name.attempt:
+                ended.append(Credit(name.stream, name.attempt, 0))
+        return tuple(ended)
+
     def take_tokens(self, batch: TokenBatch) -> tuple[Credit, ...]:
         """Hand tokens to their answers; end attempts that nobody waits for."""
         credits = []
--- a/packages/entry/src/lacewingcourse/entry/wire_api.py
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lacewingcourse.core.messages import (
+    AliveRequest,
     Status,
     TokenBatch,
     TokenBatchReply,
@@ -48,6 +49,15 @@
         self.reply(TokenBatchReply())
 
 
+class AliveHandler(WireHandler):
+    """Tells an agent which attempts have ended."""
+
+    def post(self) -> None:
+        request = self.message(AliveRequest)
+        if request is not None:
+            self.reply(TokenBatchReply(self.daemon.ended_of(request)))
+
+
 class PoisonHandler(WireHandler):
     """Receives other entries' word on requests that crash their endpoints."""
 
@@ -63,5 +73,6 @@
     (paths.TOKENS, TokensHandler),
     (paths.TROUBLES, TroublesHandler),
     (paths.LEAVING, LeavingHandler),
+    (paths.ALIVE, AliveHandler),
     (paths.POISON, PoisonHandler),
 ]
