--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -36,6 +36,7 @@
         entry: The entry's daemon.
         client: Client of the instance list.
         instances: Endpoint instances that the list last showed, by name.
+        listed: All instances that the list last showed and that are not gone.
         gone: Endpoint instances that the list says have ended.
         endpoints: Endpoints whose agents have answered, by name.
     """
@@ -44,6 +45,7 @@
         self.entry = entry
         self.client = client
         self.instances: dict[str, Instance] = {}
+        self.listed: tuple[Instance, ...] = ()
         self.gone: frozenset[str] = frozenset()
         self.endpoints = Fleet()
         self.entries: dict[str, Instance] = {}
@@ -57,6 +59,11 @@
         while True:
             listing = await self.client.read()
             if not isinstance(listing, Refusal):
+                self.listed = tuple(
+                    instance
+                    for instance in listing.instances
+                    if instance.state is not InstanceState.GONE
+                )
                 self.gone = frozenset(
                     instance.id
                     for instance in listing.instances
--- a/packages/entry/src/lacewingcourse/entry/metrics.py
+++ b/packages/entry/src/lacewingcourse/entry/metrics.py
@@ -164,7 +164,6 @@
         """Read the gauges from an entry whenever they are asked for."""
         endpoints = entry.directory.endpoints
         sources = {
-            "configuration_version": lambda: entry.configuration.version,
             "ready": lambda: entry.readiness().ready,
             "answers_running": lambda: len(entry.answers),
             "admission_queue_length": lambda: entry.admission.decisions.queue.size,
@@ -238,7 +237,6 @@
 
 #: Gauges by name, with what they show.
 GAUGES = {
-    "configuration_version": "Version of the configuration in force",
     "ready": "Whether the process takes new work",
     "answers_running": "Streamed answers in flight",
     "admission_queue_length": "Requests that wait to be let in",
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -8,21 +8,19 @@
 import secrets
 import shutil
 import tempfile
-import time
 from pathlib import Path
+from typing import Any
 from urllib.request import urlopen
 
 import attrs
 
 from lacewingcourse.core.configuration import (
     Change,
-    ConfigurationRecord,
     Model,
     Organisation,
     Service,
 )
 from lacewingcourse.platform.instances import Instance, InstanceRole, InstanceState
-from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.layout import ZONES, EndpointPlan, plan_endpoints
 from lacewingcourse.testing.processes import (
     Process,
@@ -35,7 +33,6 @@
 from lacewingcourse.testing.proxies import ProxyLink
 from lacewingcourse.testing.requests import put_json
 from lacewingcourse.testing.standins.proxy_control import NewLink
-from lacewingcourse.wire.codec import encode
 
 #: Name of the model that a local deployment serves.
 MODEL = "mapchat"
@@ -63,6 +60,7 @@
         services: Endpoints of the plain service.
         layers: Layers of the model.
         step_time: Seconds of an engine's step.
+        log_retention: Seconds for which the log keeps a record.
         verbose: Whether the processes' log lines are shown.
         entry_variables: Further settings of the entries.
         agent_variables: Further settings of the agents.
@@ -78,6 +76,7 @@
     services: int = 1
     layers: int = 24
     step_time: float = 0.004
+    log_retention: float = 86400.0
     verbose: bool = False
     entry_variables: dict[str, str] = attrs.field(factory=dict)
     agent_variables: dict[str, str] = attrs.field(factory=dict)
@@ -232,7 +231,9 @@
 
     def _start_platform(self) -> None:
         self.platform = {
-            "log_service": self._standin("log-service", "log"),
+            "log_service": self._standin(
+                "log-service", "log", f"--retention={self.options.log_retention}"
+            ),
             "instance_list": self._standin("instance-list", "instances"),
             "weight_store": self._standin("weight-store", "weights"),
         }
@@ -346,12 +347,14 @@
         service = Service(SERVICE, once=("POST /tallies",))
         changes.append(Change("models", MODEL, model=model))
         changes.append(Change("services", SERVICE, service=service))
-        record = ConfigurationRecord(
-            secrets.token_hex(16), 0, "launcher", time.time(), tuple(changes)
-        )
-        url = self.platform["log_service"].url
-        append = Append(encode(record).decode())
-        put_json(f"{url}/streams/configuration/records", append, "POST")
+        document = {"base_version": 0, "changes": changes}
+        self._wait_until(self.entries[0].ready, "the first entry is not ready")
+        self.admin("POST", "/changes", document)
+
+    def admin(self, method: str, path: str, document: Any = None) -> Any:
+        """Send a request to the first entry's admin API and return the answer."""
+        url = f"{self.entries[0].listen_url}/admin/v1{path}"
+        return put_json(url, document, method, self.admin_token)
 
     def ready(self) -> bool:
         """Tell whether every process is ready and every entry knows all endpoints."""
