--- a/packages/core/tests/test_stages.py
+++ b/packages/core/tests/test_stages.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
-from lacewingcourse.core.effects import RunForward
+import attrs
+
+from lacewingcourse.core.effects import RunForward, SendHop, SendToken
 from lacewingcourse.core.errors import ErrorKind
 from lacewingcourse.core.layers import LayerRange
 from lacewingcourse.core.messages import (
     Hop,
     HopVerdict,
     OpenStage,
+    Prompt,
     Sampling,
     StageAddress,
 )
-from lacewingcourse.core.stages import StageGate
+from lacewingcourse.core.stage_state import ForwardResult
+from lacewingcourse.core.stages import OUTPUT_BYTES, REVOCATION_KEPT, StageGate
 
 LAYERS = LayerRange(0, 4)
 
@@ -74,3 +78,52 @@
     gate = StageGate("e1", "i2")
     answer, _ = gate.open(opening(incarnation="i1"), 0.0)
     assert answer.kind is ErrorKind.STALE_INCARNATION
+
+
+def run_until_quiet(gate: StageGate, effects: list) -> int:
+    """Run all work on an engine that answers at once; return the tokens made."""
+    made = 0
+    while effects:
+        effect = effects.pop(0)
+        match effect:
+            case SendToken():
+                made += 1
+            case SendHop(hop=each):
+                effects.extend(gate.receive(each, 0.0)[1])
+            case RunForward():
+                count = len(effect.values) or 1
+                result = ForwardResult(
+                    "s", effect.attempt, effect.position, count, (), 7, "", 1
+                )
+                effects.extend(gate.complete(result, 0.0))
+    return made
+
+
+def test_tokens_stop_at_the_credit_until_there_is_more():
+    gate = StageGate("e1", "i1")
+    message = attrs.evolve(
+        opening(), sampling=Sampling(max_tokens=1000), prompt=Prompt("why")
+    )
+    _, effects = gate.open(message, 0.0)
+    assert run_until_quiet(gate, effects) == message.token_limit
+    assert run_until_quiet(gate, gate.credit("s", 1, 20, 0.0)) == 12
+    assert gate.credit("s", 1, 20, 0.0) == []
+
+
+def test_revocations_are_forgotten_after_their_time_only():
+    gate = StageGate("e1", "i1")
+    gate.revoke("s", 1, 0.0)
+    gate.revoke("t", 1, 10.0)
+    gate.forget(REVOCATION_KEPT + 5.0)
+    assert list(gate.revocations) == ["t"]
+    assert not gate.open(attrs.evolve(opening(), stream="t"), 20.0)[0].accepted
+
+
+def test_outputs_beyond_the_budget_are_not_kept():
+    gate = StageGate("e1", "i1", output_budget=3 * OUTPUT_BYTES)
+    message = attrs.evolve(opening(), prompt=Prompt("why"))
+    _, effects = gate.open(message, 0.0)
+    run_until_quiet(gate, effects)
+    assert gate.output_bytes <= gate.output_budget
+    kept = gate.stages["s"].kept()
+    assert kept.positions - kept.sendable_from <= 3
