--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -136,8 +136,16 @@
         deadline = self.now() + self.settings.drain_timeout
         while self.running() and self.now() < deadline:
             await asyncio.sleep(DRAIN_INTERVAL)
-        deadline = self.now() + self.settings.handover_timeout
-        while self.journal and self.journal.book.held() and self.now() < deadline:
+        await self._hand_keys_over(deadline)
+
+    async def _hand_keys_over(self, deadline: float) -> None:
+        """Wait until the keys have moved; not for long while the log is down."""
+        patience = self.now() + self.settings.handover_timeout
+        while self.journal is not None and self.journal.book.held():
+            given_up = self.now() > patience and not self.journal.book.log_answers
+            if given_up or self.now() > deadline:
+                logger.warning("keys not handed over")
+                return
             await asyncio.sleep(DRAIN_INTERVAL)
 
 
--- a/packages/agent/src/lacewingcourse/agent/journal.py
+++ b/packages/agent/src/lacewingcourse/agent/journal.py
@@ -141,7 +141,8 @@
             if self._knows(claim.epoch):
                 return
             try:
-                await asyncio.wait_for(self.rehomed.wait(), deadline - self.agent.now())
+                async with asyncio.timeout(deadline - self.agent.now()):
+                    await self.rehomed.wait()
             except TimeoutError:
                 return
 
@@ -269,7 +270,8 @@
         """Write the journal for ever, one record at a time."""
         while True:
             try:
-                await asyncio.wait_for(self.wake.wait(), BEAT_INTERVAL)
+                async with asyncio.timeout(BEAT_INTERVAL):
+                    await self.wake.wait()
             except TimeoutError:
                 pass
             self.wake.clear()
--- a/packages/agent/src/lacewingcourse/agent/settings.py
+++ b/packages/agent/src/lacewingcourse/agent/settings.py
@@ -82,7 +82,7 @@
     handover_timeout: float = environ.var(
         default="5",
         converter=positive,
-        help="Seconds that a leaving agent may wait for the log to move its keys",
+        help="Seconds that a leaving agent waits for a log that is down",
     )
     answer_bytes: int = environ.var(
         default="16777216", converter=count, help="Bytes of stored answers at most"
--- a/packages/core/src/lacewingcourse/core/homes.py
+++ b/packages/core/src/lacewingcourse/core/homes.py
@@ -14,6 +14,9 @@
 
 from lacewingcourse.core.keys import SHARD_COUNT
 
+#: Seconds in which an incarnation gets no shard back that it has given up.
+REST_TIME = 5.0
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
@@ -190,8 +193,9 @@
     shards = []
     for number, shard in enumerate(table.shards):
         shard = _ended(shard, known, gone, now, settings)
-        if shard.home is None and candidates:
-            shard = _assigned(shard, target, number, candidates, now, settings)
+        takers = [each for each in candidates if _takes(each, shard, now)]
+        if shard.home is None and takers:
+            shard = _assigned(shard, target, number, takers, now, settings)
             shard = attrs.evolve(shard, epoch=epoch)
         shards.append(_renewed(shard, known, now, settings))
     if tuple(shards) == table.shards:
@@ -238,6 +242,19 @@
     return Shard(shard.epoch, None, (*kept, ended))
 
 
+def _takes(endpoint: EndpointState, shard: Shard, now: float) -> bool:
+    """Tell whether an endpoint has not just given a shard up.
+
+    What is known of it may be older than its leaving.
+    """
+    return not any(
+        past.incarnation == endpoint.incarnation
+        and past.exact
+        and past.ended_at > now - REST_TIME
+        for past in shard.past
+    )
+
+
 def _assigned(
     shard: Shard,
     target: str,
--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -38,6 +38,10 @@
     """A process cannot listen on the address or port of its settings."""
 
 
+#: Seconds before tasks that have not ended are cancelled again.
+CANCEL_INTERVAL = 0.5
+
+
 @attrs.frozen
 class Readiness:
     """Whether a process takes new work.
@@ -147,6 +151,13 @@
         if not task.cancelled() and task.exception() is not None:
             logger.opt(exception=task.exception()).error("a background task failed")
 
+    async def _end_tasks(self) -> None:
+        """Cancel all tasks, again if one ends a wait in the same moment."""
+        while self.tasks:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.wait(self.tasks, timeout=CANCEL_INTERVAL)
+
     def application(self) -> Application:
         """Return the web application of the process."""
         shared = {"daemon": self}
@@ -199,7 +210,5 @@
         logger.info("draining")
         await self.drain()
         server.stop()
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self._end_tasks()
         logger.info("ended")
--- a/packages/entry/src/lacewingcourse/entry/home_keeper.py
+++ b/packages/entry/src/lacewingcourse/entry/home_keeper.py
@@ -93,7 +93,8 @@
         if not self.log_answers:
             return
         try:
-            await asyncio.wait_for(self.changed.wait(), timeout)
+            async with asyncio.timeout(timeout):
+                await self.changed.wait()
         except TimeoutError:
             pass
 
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -22,7 +22,7 @@
     shard_of,
 )
 from lacewingcourse.testing.deployment import MODEL
-from lacewingcourse.testing.processes import wait_until
+from lacewingcourse.testing.processes import WaitTimeout, wait_until
 from lacewingcourse.testing.requests import put_json
 from lacewingcourse.testing.standins.model import expected_text
 
@@ -166,14 +166,21 @@
 def wait_for_homes(deployment, tally) -> None:
     """Wait until a fresh key of each shard is taken through each entry."""
 
+    refusals = []
+
     def all_taken():
-        return all(
-            tally(key_of_shard(shard), entry=entry).status == 201
-            for shard in range(SHARD_COUNT)
-            for entry in range(len(deployment.entries))
-        )
+        refusals.clear()
+        for shard in range(SHARD_COUNT):
+            for entry in range(len(deployment.entries)):
+                reply = tally(key_of_shard(shard), entry=entry)
+                if reply.status != 201:
+                    refusals.append((shard, entry, reply.body))
+        return not refusals
 
-    wait_until(all_taken, GUARD, "keys have no home")
+    try:
+        wait_until(all_taken, GUARD, "keys have no home")
+    except WaitTimeout:
+        pytest.fail(f"keys have no home: {refusals}")
 
 
 @pytest.mark.parametrize("make_key", [fresh_key, opaque_key])
