--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -8,7 +8,9 @@
 from cleo.application import Application
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
+from lacewingcourse.cli.item_commands import ITEM_COMMANDS
 from lacewingcourse.cli.load import LoadCommand
+from lacewingcourse.cli.publishing_commands import PUBLISHING_COMMANDS
 from lacewingcourse.cli.report import ReportBurnCommand
 from lacewingcourse.cli.settings_command import SettingsCommand
 from lacewingcourse.cli.state import StateCommand, StatusCommand
@@ -19,6 +21,8 @@
     LoadCommand,
     SettingsCommand,
     ReportBurnCommand,
+    *ITEM_COMMANDS,
+    *PUBLISHING_COMMANDS,
     StateCommand,
     StatusCommand,
 ]
--- a/packages/entry/src/lacewingcourse/entry/wire_api.py
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from lacewingcourse.core.messages import TokenBatch, TokenBatchReply, TroubleBatch
+from lacewingcourse.core.messages import (
+    Status,
+    TokenBatch,
+    TokenBatchReply,
+    TroubleBatch,
+)
+from lacewingcourse.core.poison import PoisonNotice
 from lacewingcourse.daemon.handlers import WireHandler
 from lacewingcourse.wire import paths
 
@@ -27,10 +33,35 @@
         for trouble in batch.troubles:
             answer = self.daemon.answers.get(trouble.stream)
             if answer is not None:
-                answer.on_trouble(
-                    trouble.attempt, trouble.endpoint, trouble.kind, trouble.reason
-                )
+                answer.on_stage_trouble(trouble)
         self.reply(TokenBatchReply())
 
 
-WIRE_ROUTES = [(paths.TOKENS, TokensHandler), (paths.TROUBLES, TroublesHandler)]
+class LeavingHandler(WireHandler):
+    """Receives word of an endpoint that takes no new work."""
+
+    def post(self) -> None:
+        status = self.message(Status)
+        if status is None:
+            return
+        self.daemon.directory.mark_leaving(status)
+        self.reply(TokenBatchReply())
+
+
+class PoisonHandler(WireHandler):
+    """Receives other entries' word on requests that crash their endpoints."""
+
+    def post(self) -> None:
+        notice = self.message(PoisonNotice)
+        if notice is None:
+            return
+        self.daemon.poison.take(notice)
+        self.reply(TokenBatchReply())
+
+
+WIRE_ROUTES = [
+    (paths.TOKENS, TokensHandler),
+    (paths.TROUBLES, TroublesHandler),
+    (paths.LEAVING, LeavingHandler),
+    (paths.POISON, PoisonHandler),
+]
