Look wider before a request waits, and learn margins from answers under way

Change: margins learn from the first token and from the sixth; the margin on gaps starts at 1.3; a request whose route misses its target is looked at once more with eight endpoints of each group compared; two lanes instead of four are tried at a look.

--- a/packages/core/src/lacewingcourse/core/admission.py
+++ b/packages/core/src/lacewingcourse/core/admission.py
@@ -31,7 +31,7 @@
 #: Work present per room in a step up to which a request without pace starts.
 CROWDED = 2.0
 #: Lanes that are tried when one request does not fit.
-TRIED_LANES = 4
+TRIED_LANES = 2
 #: Seconds for which a class that was last seen holds others to its pace.
 PACE_KEPT = 10.0
 #: Requests a second that are taken to end while nothing is known.
@@ -90,7 +90,7 @@
 
     Attributes:
         predict: Returns what is predicted for a stream if it starts now, or why
-            no route serves it.
+            no route serves it; told to, it looks at more routes.
         reserve: Counts the capacity that a stream takes up from now on.
         rng: Source of randomness.
         queue: Requests that wait, in order.
@@ -103,7 +103,7 @@
         paces: When each pace was last asked for, by seconds between tokens.
     """
 
-    predict: Callable[[str], Prediction | Refusal]
+    predict: Callable[[str, bool], Prediction | Refusal]
     reserve: Callable[[str], None]
     rng: random.Random
     queue: FairQueue = attrs.field(factory=FairQueue)
@@ -127,7 +127,7 @@
 
         One that waits is looked at when an answer ends and at each review.
         """
-        predicted = self.predict(waiting.stream)
+        predicted = self._predict(waiting, now)
         if isinstance(predicted, Refusal):
             return [Refuse(waiting.stream, predicted)]
         self._note_pace(waiting.work_class, now)
@@ -149,6 +149,17 @@
         self.waiting[waiting.stream] = waiting
         return effects
 
+    def _predict(self, waiting: Waiting, now: float) -> Prediction | Refusal:
+        """Return a prediction for a request, of a second route if the first is slow.
+
+        A fleet of mixed speed has room even when the few endpoints that were drawn
+        have none.
+        """
+        predicted = self.predict(waiting.stream, False)
+        if isinstance(predicted, Refusal) or self._fits(waiting, predicted, now):
+            return predicted
+        return self.predict(waiting.stream, True)
+
     def _note_pace(self, work_class: WorkClass | None, now: float) -> None:
         """Remember that requests of a pace come in."""
         if work_class is not None and work_class.between_tokens is not None:
@@ -291,7 +302,7 @@
     def _start_one(self, effects: list[Effect], now: float) -> bool:
         """Start the first request that fits; refuse those found too late."""
         for waiting in self.queue.order(self._presses, TRIED_LANES):
-            predicted = self.predict(waiting.stream)
+            predicted = self._predict(waiting, now)
             if isinstance(predicted, Refusal):
                 self._withdraw(waiting)
                 effects.append(Refuse(waiting.stream, predicted))
@@ -314,8 +325,11 @@
     def on_token(self, stream: str, now: float) -> None:
         """Note the delivery of a token."""
         running = self.running.get(stream)
-        if running is not None:
-            running.meter.on_token(now)
+        if running is None:
+            return
+        running.meter.on_token(now)
+        standing = self.standing(running.waiting.class_name)
+        standing.on_token(running.meter, running.predicted)
 
     def on_end(self, stream: str, whole: bool | None, now: float) -> list[Effect]:
         """Note that a request has ended.
--- a/packages/core/src/lacewingcourse/core/priorities.py
+++ b/packages/core/src/lacewingcourse/core/priorities.py
@@ -28,6 +28,11 @@
 MARGIN_RANGE = (0.5, 3.0)
 #: Seconds in which a margin fades while no answer ends.
 MARGIN_KEPT = 10.0
+#: Margin on the time between tokens before any was seen: the percentile of a gap
+#: lies above its mean.
+GAP_MARGIN = 1.3
+#: Tokens after which the gaps of an answer under way are looked at.
+EARLY_TOKENS = 6
 #: Weight of the newest answer in the share of a class that is in time.
 STANDING_WEIGHT = 0.02
 #: Shortfall from which on a class's target is beyond reach for now.
@@ -99,7 +104,7 @@
 
     in_time: Average = attrs.field(factory=Average)
     first_token: Margin = attrs.field(factory=Margin)
-    between_tokens: Margin = attrs.field(factory=Margin)
+    between_tokens: Margin = attrs.field(factory=lambda: Margin(value=GAP_MARGIN))
     answer: Margin = attrs.field(factory=Margin)
     last_end: float = 0.0
 
@@ -121,20 +126,34 @@
         self.in_time.add(1.0 if in_time else 0.0, STANDING_WEIGHT)
         if not whole or not predicted.fresh:
             return
-        if meter.first_token is not None:
-            self.first_token.add(meter.first_token, predicted.first_token, share)
         gap = meter.gap_at(share)
         if gap is not None:
             self.between_tokens.add(gap, predicted.between_tokens, share)
         self.answer.add(now - meter.started_at, predicted.answer, share)
 
+    def on_token(self, meter: AnswerMeter, predicted: Prediction) -> None:
+        """Learn from an answer under way, long before its end.
+
+        Args:
+            meter: What was measured, with the newest token.
+            predicted: What was predicted at its start.
+        """
+        if not predicted.fresh or meter.tokens not in (1, EARLY_TOKENS):
+            return
+        share = meter.work_class.percentile if meter.work_class else 0.95
+        if meter.tokens == 1:
+            self.first_token.add(meter.first_token, predicted.first_token, share)
+            return
+        gap = meter.gap_at(share)
+        self.between_tokens.add(gap, predicted.between_tokens, share)
+
     def factor(self, margin: Margin, now: float) -> float:
         """Return a margin; without new answers it falls back to none.
 
         Otherwise a class that admits nothing would never learn that it could.
         """
         if not margin.ratios:
-            return 1.0
+            return margin.value
         age = max(0.0, now - self.last_end)
         return 1.0 + (margin.value - 1.0) * math.exp(-age / MARGIN_KEPT)
 
--- a/packages/core/src/lacewingcourse/core/routes/__init__.py
+++ b/packages/core/src/lacewingcourse/core/routes/__init__.py
@@ -6,6 +6,7 @@
 from lacewingcourse.core.routes.fleet import Dispatch, Fleet
 from lacewingcourse.core.routes.model import (
     POLICIES,
+    WIDE_CHOICES,
     Route,
     RoutePolicy,
     RouteRequest,
@@ -29,6 +30,7 @@
     "RoutePolicy",
     "RouteRequest",
     "Stage",
+    "WIDE_CHOICES",
     "baselines",
     "interleaved",
     "no_route",
--- a/packages/core/src/lacewingcourse/core/routes/model.py
+++ b/packages/core/src/lacewingcourse/core/routes/model.py
@@ -18,6 +18,12 @@
     from lacewingcourse.core.routes.fleet import Fleet
 
 
+#: Endpoints with the same layers that are compared for a route.
+CHOICES = 2
+#: Endpoints that are compared when a route of the first few misses a target.
+WIDE_CHOICES = 8
+
+
 @attrs.frozen
 class Stage:
     """One endpoint's part of a route.
@@ -56,7 +62,7 @@
         prompt_length: Positions of the prompt, as far as known.
         max_tokens: Tokens that are expected.
         excluded: Names of the endpoints to avoid.
-        prefix: Hash of the prompt's beginning, or empty.
+        choices: Endpoints with the same layers that are compared.
     """
 
     model: str
@@ -64,7 +70,7 @@
     prompt_length: int = 16
     max_tokens: int = 64
     excluded: frozenset[str] = frozenset()
-    prefix: str = ""
+    choices: int = CHOICES
 
 
 class RoutePolicy:
--- a/packages/core/src/lacewingcourse/core/routes/shortest.py
+++ b/packages/core/src/lacewingcourse/core/routes/shortest.py
@@ -14,8 +14,6 @@
     from lacewingcourse.core.routes.model import Route, RouteRequest
     from lacewingcourse.core.routes.records import EndpointRecord
 
-#: Endpoints of each group that are compared.
-CHOICES = 2
 INFINITY = float("inf")
 
 
@@ -64,7 +62,7 @@
 
     def candidates(self, group: Group, request: RouteRequest, rng):
         """Return the endpoints of a group that are compared."""
-        return group.sample(CHOICES, request.excluded, rng)
+        return group.sample(request.choices, request.excluded, rng)
 
     def search(self, fleet: Fleet, request: RouteRequest, rng) -> dict[int, Reached]:
         """Return the best way found to each end of layers."""
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -27,7 +27,7 @@
         self.limit = limit
         self.used: set[str] = set()
 
-    def predict(self, stream: str) -> Prediction:
+    def predict(self, stream: str, wide: bool) -> Prediction:
         between = 0.01 if len(self.used) < self.limit else 0.1
         return Prediction(0.1, between, ANSWER, 0.1, ANSWER, 0.01)
 
@@ -142,7 +142,7 @@
 def test_stale_estimates_do_not_shut_a_class_out_for_good():
     admission, capacity = admission_of(0)
     fresh = capacity.predict
-    admission.predict = lambda stream: attrs.evolve(fresh(stream), fresh=False)
+    admission.predict = lambda *asked: attrs.evolve(fresh(*asked), fresh=False)
     assert isinstance(admission.offer(ask("a", "o", 0.0), 0.0)[0], Start)
     standing = admission.standing("naming")
     for _ in range(20):
--- a/packages/entry/src/lacewingcourse/entry/admission.py
+++ b/packages/entry/src/lacewingcourse/entry/admission.py
@@ -54,8 +54,8 @@
         self.decisions = Admission(self._predict, entry.dispatcher.reserve, entry.rng)
         self.offers: dict[str, Offer] = {}
 
-    def _predict(self, stream: str) -> Prediction | Refusal:
-        return self.entry.dispatcher.preview(self.offers[stream].request)
+    def _predict(self, stream: str, wide: bool) -> Prediction | Refusal:
+        return self.entry.dispatcher.preview(self.offers[stream].request, wide)
 
     async def admit(self, request: StreamRequest) -> StreamRequest | Refusal:
         """Return the request with its priority once it may start, or a refusal."""
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -4,10 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.resume import replacements
 from lacewingcourse.core.routes import (
     POLICIES,
+    WIDE_CHOICES,
     Route,
     RouteRequest,
     predict,
@@ -141,11 +144,18 @@
             mended.append(stage_of(chosen, stage.layers.first, stage.layers.end))
         return Route(tuple(mended)) if mended else None
 
-    def preview(self, request: StreamRequest) -> Prediction | Refusal:
-        """Return what is predicted for a request, and keep the route for it."""
+    def preview(self, request: StreamRequest, wide: bool) -> Prediction | Refusal:
+        """Return what is predicted for a request, and keep the route for it.
+
+        Args:
+            request: The request.
+            wide: Whether more endpoints than usual are compared.
+        """
         wanted = self.route_request(request, frozenset())
         if isinstance(wanted, Refusal):
             return wanted
+        if wide:
+            wanted = attrs.evolve(wanted, choices=WIDE_CHOICES)
         entry = self.entry
         route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
         if isinstance(route, Refusal):
