--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -10,13 +10,16 @@
 from loguru import logger
 
 from lacewingcourse.agent.call_runner import CallRunner
+from lacewingcourse.agent.follower import AgentConfigurationFollower
 from lacewingcourse.agent.handlers import AGENT_ROUTES
 from lacewingcourse.agent.journal import Journal
 from lacewingcourse.agent.metrics import AgentMetrics
 from lacewingcourse.agent.stage_runner import StageRunner
 from lacewingcourse.core.keys import model_target, service_target
 from lacewingcourse.core.messages import Status
+from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
 from lacewingcourse.daemon.daemon import Daemon, Readiness
+from lacewingcourse.platform.instances import InstanceListClient
 
 if TYPE_CHECKING:
     from lacewingcourse.agent.settings import AgentSettings
@@ -27,6 +30,8 @@
 INCARNATION_BYTES = 4
 #: Seconds between two looks whether all work has ended.
 DRAIN_INTERVAL = 0.05
+#: Seconds in which entries take over the streams of a drain that took too long.
+HANDOVER_TIMEOUT = 5.0
 
 
 class Agent(Daemon):
@@ -38,6 +43,7 @@
         calls: Runs calls of a plain service, or None beside an engine.
         journal: Keys whose home this is; None until the endpoint is known.
         leaving: Whether new work is refused.
+        follower: Follows the configuration.
     """
 
     metrics_class = AgentMetrics
@@ -49,6 +55,9 @@
         self.stages: StageRunner | None = None
         self.calls: CallRunner | None = None
         self.leaving = False
+        self.follower = AgentConfigurationFollower(
+            self, InstanceListClient(settings.instance_list_url)
+        )
         if settings.service:
             self.calls = CallRunner(self)
         else:
@@ -56,14 +65,16 @@
         self.metrics.watch(self)
 
     def routes(self) -> list[tuple]:
-        return [(path, handler, {"daemon": self}) for path, handler in AGENT_ROUTES]
+        routes = AGENT_ROUTES + CONFIGURATION_ROUTES
+        return [(path, handler, {"daemon": self}) for path, handler in routes]
 
     def readiness(self) -> Readiness:
+        version = self.follower.replica.version
         if self.stopping.is_set():
-            return Readiness(False, "leaving")
+            return Readiness(False, "leaving", version)
         if not self.endpoint_ready():
-            return Readiness(False, "the endpoint does not answer")
-        return Readiness(True)
+            return Readiness(False, "the endpoint does not answer", version)
+        return Readiness(True, configuration_version=version)
 
     def endpoint_ready(self) -> bool:
         """Tell whether the endpoint answers."""
@@ -88,6 +99,7 @@
             leaving=self.leaving,
             ready=self.endpoint_ready(),
             running=self.running(),
+            configuration_version=self.follower.replica.version,
         )
         return status if self.stages is None else self.stages.complete_status(status)
 
@@ -97,6 +109,7 @@
     async def start_tasks(self) -> None:
         await self.probe()
         self.spawn(self._probe_for_ever())
+        self.spawn(self.follower.check_for_ever())
         if self.stages is not None:
             self.spawn(self.stages.watch_engine())
 
@@ -128,14 +141,33 @@
         self.journal = Journal(self, target)
         self.journal.start()
 
+    def _idle(self) -> bool:
+        """Tell whether nothing runs here and everything has been sent."""
+        if self.running():
+            return False
+        return self.stages is None or self.stages.courier.idle
+
+    async def _wait_until_idle(self, timeout: float) -> None:
+        """Wait until nothing runs here, for some seconds at the most."""
+        deadline = self.now() + timeout
+        while not self._idle() and self.now() < deadline:
+            await asyncio.sleep(DRAIN_INTERVAL)
+
     async def drain(self) -> None:
         self.leaving = True
         self.metrics.drains.inc()
         if self.stages is not None:
             self.stages.gate.leaving = True
-        deadline = self.now() + self.settings.drain_timeout
-        while self.running() and self.now() < deadline:
-            await asyncio.sleep(DRAIN_INTERVAL)
+        if self.stages is not None:
+            self.spawn(
+                self.stages.courier.tell_leaving(
+                    list(self.stages.entry_urls), self.status()
+                )
+            )
+        await self._wait_until_idle(self.settings.drain_timeout)
+        if self.stages is not None:
+            self.stages.close_all()
+            await self._wait_until_idle(HANDOVER_TIMEOUT)
         deadline = self.now() + self.settings.handover_timeout
         while self.journal and self.journal.book.held() and self.now() < deadline:
             await asyncio.sleep(DRAIN_INTERVAL)
--- a/packages/entry/src/lacewingcourse/entry/wire_api.py
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from lacewingcourse.core.messages import TokenBatch, TokenBatchReply, TroubleBatch
+from lacewingcourse.core.messages import (
+    Status,
+    TokenBatch,
+    TokenBatchReply,
+    TroubleBatch,
+)
 from lacewingcourse.core.poison import PoisonNotice
 from lacewingcourse.daemon.handlers import WireHandler
 from lacewingcourse.wire import paths
@@ -32,6 +37,17 @@
         self.reply(TokenBatchReply())
 
 
+class LeavingHandler(WireHandler):
+    """Receives word of an endpoint that takes no new work."""
+
+    def post(self) -> None:
+        status = self.message(Status)
+        if status is None:
+            return
+        self.daemon.directory.mark_leaving(status)
+        self.reply(TokenBatchReply())
+
+
 class PoisonHandler(WireHandler):
     """Receives other entries' word on requests that crash their endpoints."""
 
@@ -46,5 +62,6 @@
 WIRE_ROUTES = [
     (paths.TOKENS, TokensHandler),
     (paths.TROUBLES, TroublesHandler),
+    (paths.LEAVING, LeavingHandler),
     (paths.POISON, PoisonHandler),
 ]
