Judge answer targets by the answer alone, and bound the margins

Cause: classes with a target for the whole answer only were also held to the bound on crowding that is meant for work without class, and margins of up to three, measured while load rose, were applied to predictions that already counted the load.

--- a/packages/core/src/lacewingcourse/core/admission.py
+++ b/packages/core/src/lacewingcourse/core/admission.py
@@ -28,7 +28,7 @@
 
 #: Share of a target that organisations over their share may use up.
 HEADROOM = 0.9
-#: Work present per room in a step up to which a request without pace starts.
+#: Work present per room in a step up to which a request without class starts.
 CROWDED = 2.0
 #: Lanes that are tried when one request does not fit.
 TRIED_LANES = 2
@@ -230,10 +230,8 @@
         margin = standing.factor(standing.between_tokens, now)
         if pace is not None and predicted.between_tokens * margin > pace * share:
             return False
-        if pace is None and predicted.crowding > CROWDED:
-            return False
         if work_class is None:
-            return True
+            return pace is not None or predicted.crowding <= CROWDED
         first, answer = work_class.first_token, work_class.answer
         if first is not None:
             factor = standing.factor(standing.first_token, now)
--- a/packages/core/src/lacewingcourse/core/priorities.py
+++ b/packages/core/src/lacewingcourse/core/priorities.py
@@ -24,8 +24,9 @@
 MARGIN_WINDOW = 64
 #: Ends from which on a margin is taken.
 MARGIN_FROM = 8
-#: Least and greatest margin on a prediction.
-MARGIN_RANGE = (0.5, 3.0)
+#: Least and greatest margin on a prediction. Ratios measured while load rises are
+#: too large for a fleet under full load, whose predictions already count that load.
+MARGIN_RANGE = (0.5, 1.6)
 #: Seconds in which a margin fades while no answer ends.
 MARGIN_KEPT = 10.0
 #: Margin on the time between tokens before any was seen: the percentile of a gap
