Always continue an answer that its caller already reads

Change: an answer that its caller already reads is always continued; it still draws the balance down, to a debt of one for each answer in flight, and the balance recovers with time as well as with requests.

Conclusion: the budget can no longer cut an answer under way.

--- a/packages/core/src/lacewingcourse/core/retries.py
+++ b/packages/core/src/lacewingcourse/core/retries.py
@@ -13,6 +13,8 @@
 
 #: Retries that each new request pays for.
 RETRY_SHARE = 0.2
+#: Retries that each second pays for.
+RETRY_RATE = 0.5
 #: Retries that are saved up at the most, and at hand at the start.
 RETRY_RESERVE = 20.0
 
@@ -38,18 +40,21 @@
 class RetryBudget:
     """Retries as a share of the traffic, so that they cannot multiply a failure.
 
-    An answer that a caller already reads is continued even without balance, each
-    at most once: the debt is bounded by the answers in flight, and new requests pay
-    it off before anything else is retried.
+    An answer that a caller already reads is always continued, so that no admitted
+    answer is cut while a route is left; its own attempts are bounded elsewhere. It
+    still costs a retry, down to a debt of one for each answer in flight, and nothing
+    else is retried until new requests, or time, have paid the debt off.
 
     Attributes:
         balance: Retries at hand; negative while there is debt.
+        changed_at: When the balance was last brought up to date, seconds.
         requests: Requests seen.
         retries: Retries allowed.
         denied: Retries denied.
     """
 
     balance: float = RETRY_RESERVE
+    changed_at: float = 0.0
     requests: int = 0
     retries: int = 0
     denied: int = 0
@@ -74,14 +79,20 @@
             return Refusal(ErrorKind.STAGE_LOST, reason)
         if past_deadline(lost, now):
             return Refusal(ErrorKind.DEADLINE_EXCEEDED, "its class target has passed")
-        least = -float(in_flight) if lost.delivered else 1.0
-        if self.balance < least:
+        self._recover(now)
+        if self.balance < 1.0 and not lost.delivered:
             self.denied += 1
             return Refusal(ErrorKind.STAGE_LOST, "too many requests are being retried")
-        self.balance -= 1.0
+        self.balance = max(self.balance - 1.0, -float(in_flight))
         self.retries += 1
         return None
 
+    def _recover(self, now: float) -> None:
+        """Let the balance recover with time, for when there is little traffic."""
+        passed = max(0.0, now - self.changed_at)
+        self.changed_at = now
+        self.balance = min(RETRY_RESERVE, self.balance + passed * RETRY_RATE)
+
 
 def past_deadline(lost: LostAttempt, now: float) -> bool:
     """Tell whether a new attempt could only come too late."""
