--- a/packages/bench/src/lacewingcourse/bench/recovery.py
+++ b/packages/bench/src/lacewingcourse/bench/recovery.py
@@ -6,14 +6,13 @@
 import itertools
 import json
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 from urllib.request import urlopen
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-
 from lacewingcourse.bench.figures import Outcome, figure
 from lacewingcourse.bench.sections import SECTIONS
-from lacewingcourse.bench.small import request_for, small_deployment
+from lacewingcourse.bench.small import request_for, run_and_leave, small_deployment
 from lacewingcourse.core.registry import Registry
 from lacewingcourse.load.client import send
 from lacewingcourse.testing.deployment import MODEL
@@ -82,7 +81,14 @@
         for kind in KILL_KINDS.names():
             times: list[float] = []
             for standby, active in itertools.islice(itertools.cycle(turns()), KILLS):
-                found, lost = run_one_kill(deployment, kind, active, standby)
+                kill = partial(
+                    one_kill,
+                    deployment=deployment,
+                    kind=kind,
+                    active=active,
+                    standby=standby,
+                )
+                found, lost = run_and_leave(kill)
                 times += found
                 cut += lost
             figures.append(figure(f"{kind} lost, kill to next token", "ms", times))
@@ -97,23 +103,6 @@
     return [COPIES, COPIES[::-1]]
 
 
-def run_one_kill(deployment, kind, active, standby) -> tuple[list[float], int]:
-    """Run one kill on a loop of its own; the callers leave at its end."""
-    loop = asyncio.new_event_loop()
-    http = None
-
-    async def run():
-        nonlocal http
-        http = CurlAsyncHTTPClient(force_instance=True)
-        return await one_kill(http, deployment, kind, active, standby)
-
-    try:
-        return loop.run_until_complete(run())
-    finally:
-        http.close()
-        loop.close()
-
-
 async def one_kill(http, deployment, kind, active, standby) -> tuple[list[float], int]:
     """Kill the copy that all answers use.
 
--- a/packages/bench/src/lacewingcourse/bench/slopes.py
+++ b/packages/bench/src/lacewingcourse/bench/slopes.py
@@ -8,19 +8,30 @@
 import secrets
 import time
 import tracemalloc
+from functools import partial
 from typing import TYPE_CHECKING
 from urllib.request import urlopen
 
 import attrs
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 
-from lacewingcourse.bench.capacity import Slopes, capacity_table, needs, slopes_of
+from lacewingcourse.bench.capacity import (
+    STAGES,
+    Slopes,
+    capacity_table,
+    needs,
+    slopes_of,
+)
 from lacewingcourse.bench.decisions import fleet_of
 from lacewingcourse.bench.figures import Figure, Outcome, single
 from lacewingcourse.bench.machine import cpu_seconds, resident_bytes
 from lacewingcourse.bench.messages import message_figures, wire_size
 from lacewingcourse.bench.sections import SECTIONS
-from lacewingcourse.bench.small import ENDPOINTS, request_for, small_deployment
+from lacewingcourse.bench.small import (
+    ENDPOINTS,
+    request_for,
+    run_and_leave,
+    small_deployment,
+)
 from lacewingcourse.core.configuration import (
     Change,
     ConfigurationRecord,
@@ -50,8 +61,10 @@
 MANY_ENDPOINTS = 18
 #: Tokens of a short and of a long answer.
 SHORT, LONG = 1, 33
-#: Streams that stand still while memory is read.
-STREAMS = 300
+#: Streams that run while memory is read, and the tokens they are asked for.
+STREAMS, ENDLESS = 300, 5000
+#: Seconds in which all of them should have begun.
+STREAMS_TIMEOUT = 30.0
 #: Changes of configuration, and organisations in one of them.
 CHANGES, ORGANISATIONS = 100, 1000
 #: Seconds in which changes must be in force.
@@ -60,10 +73,9 @@
 SMALL_FLEET, LARGE_FLEET = 30, 3500
 MICROSECONDS = 1_000_000
 KILOBYTE = 1024
-#: Streams must stand still for longer than the measurement takes.
+#: Every request starts at once, so that the callers' number is that of the streams.
 ENTRY_VARIABLES = {
     "LACEWINGCOURSE_ADMISSION": "none",
-    "LACEWINGCOURSE_STALL_TIMEOUT": "300",
 }
 #: Which figure is which slope.
 SLOPE_NAMES = {
@@ -209,43 +221,50 @@
 
 
 def stream_memory(deployment: Deployment) -> list[Figure]:
-    """Return the memory of a stream that stands still, per role."""
-    return asyncio.run(hold_streams(deployment))
+    """Return the memory of a stream that runs, per role."""
+    found = run_and_leave(partial(hold_streams, deployment=deployment))
+    wait_until(
+        lambda: not streams_of(deployment), FORCE_TIMEOUT, "callers have not left"
+    )
+    return found
 
 
-async def hold_streams(deployment: Deployment) -> list[Figure]:
-    """Open many streams, read the memory, let them go."""
+def streams_of(deployment: Deployment) -> int:
+    """Return the answers in flight at the entry."""
+    return put_json(deployment.entries[0].url + "/state", None, "GET")["streams"]
+
+
+async def hold_streams(http, deployment: Deployment) -> list[Figure]:
+    """Open many streams and read the memory while they run."""
     entry = deployment.entries[0]
     agents = [pair.agent.pid for pair in deployment.endpoints]
     before = resident_bytes(entry.pid)
     agents_before = sum(map(resident_bytes, agents))
-    await asyncio.to_thread(set_hang, deployment, True)
-    http = CurlAsyncHTTPClient(force_instance=True, max_clients=STREAMS)
     samples = [
-        request_for(deployment, f"note {number}", SHORT) for number in range(STREAMS)
+        request_for(deployment, f"note {number}", ENDLESS) for number in range(STREAMS)
     ]
     tasks = [
         asyncio.ensure_future(send(http, entry.url, MODEL, sample, 120.0))
         for sample in samples
     ]
-    await asyncio.sleep(REST)
-    entry_bytes = (resident_bytes(entry.pid) - before) / STREAMS
-    stage_bytes = sum(map(resident_bytes, agents)) - agents_before
-    await asyncio.to_thread(set_hang, deployment, False)
-    await asyncio.gather(*tasks)
-    per_stage = stage_bytes / STREAMS / 3
+    deadline = time.monotonic() + STREAMS_TIMEOUT
+    while not all(sample.tokens or sample.kind for sample in samples):
+        if time.monotonic() > deadline:
+            break
+        await asyncio.sleep(0.1)
+    running = sum(sample.tokens > 0 and not sample.kind for sample in samples)
+    entry_bytes = (resident_bytes(entry.pid) - before) / running
+    stage_bytes = (sum(map(resident_bytes, agents)) - agents_before) / running
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    per_stage = stage_bytes / STAGES
     return [
         single("memory: entry, a stream", "KB", entry_bytes / KILOBYTE),
         single("memory: agent, a stage of a stream", "KB", per_stage / KILOBYTE),
     ]
 
 
-def set_hang(deployment: Deployment, hang: bool) -> None:
-    """Let all engines stand still, or go on."""
-    for pair in deployment.endpoints:
-        put_json(f"{pair.engine.url}/faults", {"hang": hang})
-
-
 def configuration_cost(deployment: Deployment) -> list[Figure]:
     """Return what changes of configuration and organisations cost the entry."""
     entry = deployment.entries[0]
--- a/packages/bench/src/lacewingcourse/bench/small.py
+++ b/packages/bench/src/lacewingcourse/bench/small.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from lacewingcourse.bench.direct import EngineAddress
 from lacewingcourse.core.layers import LayerRange
@@ -13,7 +16,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Callable, Coroutine, Iterator, Mapping
 
     from lacewingcourse.bench.sections import Options
 
@@ -21,6 +24,8 @@
 LAYERS = 24
 #: Endpoints of the sections about speed: three stages, two copies of each.
 ENDPOINTS = 6
+#: Requests that one client has in flight at the most.
+MAX_CLIENTS = 1000
 
 
 @contextmanager
@@ -49,6 +54,29 @@
         deployment.down()
 
 
+def run_and_leave(work: Callable[[CurlAsyncHTTPClient], Coroutine]) -> Any:
+    """Run work on a loop of its own; callers whose answers still run leave at its end.
+
+    Args:
+        work: Gets the HTTP client, whose connections are closed at the end.
+    """
+    loop = asyncio.new_event_loop()
+    clients: list[CurlAsyncHTTPClient] = []
+
+    async def run() -> Any:
+        clients.append(
+            CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        )
+        return await work(clients[0])
+
+    try:
+        return loop.run_until_complete(run())
+    finally:
+        for client in clients:
+            client.close()
+        loop.close()
+
+
 def direct_chain(deployment: Deployment, rng: random.Random) -> list[EngineAddress]:
     """Return engines, drawn at random, that together hold every layer once."""
     chain: list[EngineAddress] = []
