--- a/packages/bench/src/lacewingcourse/bench/fleet_deployment.py
+++ b/packages/bench/src/lacewingcourse/bench/fleet_deployment.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import secrets
-import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -20,11 +19,9 @@
 )
 from lacewingcourse.core.configuration import (
     Change,
-    ConfigurationRecord,
     Model,
     Organisation,
 )
-from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.deployment import (
     START_TIMEOUT,
     Deployment,
@@ -163,13 +160,10 @@
             Change("models", name, model=Model(name, LAYERS))
             for name in (LARGE_MODEL, SMALL_MODEL)
         ]
-        changes = (*organisations, *classes, *models)
-        record = ConfigurationRecord(
-            secrets.token_hex(16), 0, "bench", time.time(), changes
-        )
-        url = self.platform["log_service"].url
-        append = Append(encode(record).decode())
-        put_json(f"{url}/streams/configuration/records", append, "POST")
+        changes = [*organisations, *classes, *models]
+        document = {"base_version": 0, "changes": changes}
+        self._wait_until(self.entries[0].ready, "the first entry is not ready")
+        self.admin("POST", "/changes", document)
 
     def _organisation(self, name: str) -> Organisation:
         digest = hashlib.sha256(self.keys[name].encode()).hexdigest()
--- a/packages/bench/src/lacewingcourse/bench/recovery.py
+++ b/packages/bench/src/lacewingcourse/bench/recovery.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import time
+from collections import Counter
 from functools import partial
 from typing import TYPE_CHECKING
 from urllib.request import urlopen
@@ -76,7 +77,7 @@
 def recovery(options: Options) -> Outcome:
     """Measure the recovery time for each kind of kill."""
     figures = []
-    cut = 0
+    broken: Counter[str] = Counter()
     with small_deployment(options, 4, STEP_TIME) as deployment:
         for kind in KILL_KINDS.names():
             times: list[float] = []
@@ -90,12 +91,18 @@
                 )
                 found, lost = run_and_leave(kill)
                 times += found
-                cut += lost
+                broken += lost
             figures.append(figure(f"{kind} lost, kill to next token", "ms", times))
             figures.append(
                 figure(f"{kind} lost, longest of the answers", "ms", [max(times)])
             )
-    return Outcome("recovery", tuple(figures), f"answers that never went on: {cut}")
+    return Outcome("recovery", tuple(figures), broken_line(broken))
+
+
+def broken_line(broken: Counter[str]) -> str:
+    """Return the answers that broke as one line."""
+    kinds = ", ".join(f"{kind} {count}" for kind, count in sorted(broken.items()))
+    return f"answers that broke: {kinds or 'none'}"
 
 
 def turns() -> list[tuple[int, int]]:
@@ -103,11 +110,13 @@
     return [COPIES, COPIES[::-1]]
 
 
-async def one_kill(http, deployment, kind, active, standby) -> tuple[list[float], int]:
+async def one_kill(
+    http, deployment, kind, active, standby
+) -> tuple[list[float], Counter[str]]:
     """Kill the copy that all answers use.
 
     Returns:
-        Milliseconds to the next token of each answer, and how many never got one.
+        Milliseconds to the next token of each answer, and how many broke, by kind.
     """
     take_down(deployment.endpoints[standby])
     await until_known(deployment, [active])
@@ -131,7 +140,8 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     take_down(deployment.endpoints[active])
-    return [value * MILLISECONDS for value in times], len(samples) - len(times)
+    broken = Counter(sample.kind for sample in samples if sample.kind)
+    return [value * MILLISECONDS for value in times], broken
 
 
 async def next_tokens(samples: list[Sample], killed_at: float) -> list[float]:
--- a/packages/bench/src/lacewingcourse/bench/slopes.py
+++ b/packages/bench/src/lacewingcourse/bench/slopes.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import itertools
 import random
-import secrets
 import time
 import tracemalloc
 from functools import partial
@@ -34,18 +34,15 @@
 )
 from lacewingcourse.core.configuration import (
     Change,
-    ConfigurationRecord,
     Organisation,
 )
 from lacewingcourse.entry.directory import LIST_INTERVAL, STATUS_INTERVAL
 from lacewingcourse.load.client import send
 from lacewingcourse.load.mix import ClassLoad, Mix, OrganisationLoad, plan
 from lacewingcourse.load.runner import LoadRunner, RunOptions
-from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.deployment import MODEL, put_json
 from lacewingcourse.testing.processes import wait_until
 from lacewingcourse.wire import paths
-from lacewingcourse.wire.codec import encode
 
 if TYPE_CHECKING:
     from lacewingcourse.bench.sections import Options
@@ -81,7 +78,7 @@
 SLOPE_NAMES = {
     "entry_token": f"cpu: entry, a token, {CROWD} callers",
     "entry_request": "cpu: entry, a request",
-    "entry_change": "cpu: entry, a change",
+    "entry_change": "cpu: entry, a change published through it",
     "entry_endpoint": "rest: entry, an endpoint it knows",
     "entry_stream": "memory: entry, a stream",
     "entry_known": "memory: entry, an endpoint it knows",
@@ -281,7 +278,7 @@
     grown = (resident_bytes(entry.pid) - memory) / ORGANISATIONS / KILOBYTE
     change = used / CHANGES * MICROSECONDS
     return [
-        single("cpu: entry, a change", "us", change),
+        single("cpu: entry, a change published through it", "us", change),
         single("memory: entry, an organisation", "KB", grown),
     ]
 
@@ -302,17 +299,19 @@
 
 
 def publish(deployment: Deployment, base_version: int, names: list[str]) -> None:
-    """Append a record that registers organisations."""
-    changes = tuple(
-        Change("organisations", name, organisation=Organisation(name, ("0" * 64,)))
+    """Publish a change that registers organisations."""
+    changes = [
+        Change(
+            "organisations",
+            name,
+            organisation=Organisation(
+                name, (hashlib.sha256(name.encode()).hexdigest(),)
+            ),
+        )
         for name in names
-    )
-    record = ConfigurationRecord(
-        secrets.token_hex(16), base_version, "bench", time.time(), changes
-    )
-    url = deployment.platform["log_service"].url
-    append = Append(encode(record).decode())
-    put_json(f"{url}/streams/configuration/records", append, "POST")
+    ]
+    document = {"base_version": base_version, "changes": changes}
+    deployment.admin("POST", "/changes", document)
 
 
 def endpoint_memory() -> list[Figure]:
