--- a/packages/bench/src/lacewingcourse/bench/recovery.py
+++ b/packages/bench/src/lacewingcourse/bench/recovery.py
@@ -6,14 +6,14 @@
 import itertools
 import json
 import time
+from collections import Counter
+from functools import partial
 from typing import TYPE_CHECKING
 from urllib.request import urlopen
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-
 from lacewingcourse.bench.figures import Outcome, figure
 from lacewingcourse.bench.sections import SECTIONS
-from lacewingcourse.bench.small import request_for, small_deployment
+from lacewingcourse.bench.small import request_for, run_and_leave, small_deployment
 from lacewingcourse.core.registry import Registry
 from lacewingcourse.load.client import send
 from lacewingcourse.testing.deployment import MODEL
@@ -77,19 +77,32 @@
 def recovery(options: Options) -> Outcome:
     """Measure the recovery time for each kind of kill."""
     figures = []
-    cut = 0
+    broken: Counter[str] = Counter()
     with small_deployment(options, 4, STEP_TIME) as deployment:
         for kind in KILL_KINDS.names():
             times: list[float] = []
             for standby, active in itertools.islice(itertools.cycle(turns()), KILLS):
-                found, lost = run_one_kill(deployment, kind, active, standby)
+                kill = partial(
+                    one_kill,
+                    deployment=deployment,
+                    kind=kind,
+                    active=active,
+                    standby=standby,
+                )
+                found, lost = run_and_leave(kill)
                 times += found
-                cut += lost
+                broken += lost
             figures.append(figure(f"{kind} lost, kill to next token", "ms", times))
             figures.append(
                 figure(f"{kind} lost, longest of the answers", "ms", [max(times)])
             )
-    return Outcome("recovery", tuple(figures), f"answers that never went on: {cut}")
+    return Outcome("recovery", tuple(figures), broken_line(broken))
+
+
+def broken_line(broken: Counter[str]) -> str:
+    """Return the answers that broke as one line."""
+    kinds = ", ".join(f"{kind} {count}" for kind, count in sorted(broken.items()))
+    return f"answers that broke: {kinds or 'none'}"
 
 
 def turns() -> list[tuple[int, int]]:
@@ -97,28 +110,13 @@
     return [COPIES, COPIES[::-1]]
 
 
-def run_one_kill(deployment, kind, active, standby) -> tuple[list[float], int]:
-    """Run one kill on a loop of its own; the callers leave at its end."""
-    loop = asyncio.new_event_loop()
-    http = None
-
-    async def run():
-        nonlocal http
-        http = CurlAsyncHTTPClient(force_instance=True)
-        return await one_kill(http, deployment, kind, active, standby)
-
-    try:
-        return loop.run_until_complete(run())
-    finally:
-        http.close()
-        loop.close()
-
-
-async def one_kill(http, deployment, kind, active, standby) -> tuple[list[float], int]:
+async def one_kill(
+    http, deployment, kind, active, standby
+) -> tuple[list[float], Counter[str]]:
     """Kill the copy that all answers use.
 
     Returns:
-        Milliseconds to the next token of each answer, and how many never got one.
+        Milliseconds to the next token of each answer, and how many broke, by kind.
     """
     take_down(deployment.endpoints[standby])
     await until_known(deployment, [active])
@@ -142,7 +140,8 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     take_down(deployment.endpoints[active])
-    return [value * MILLISECONDS for value in times], len(samples) - len(times)
+    broken = Counter(sample.kind for sample in samples if sample.kind)
+    return [value * MILLISECONDS for value in times], broken
 
 
 async def next_tokens(samples: list[Sample], killed_at: float) -> list[float]:
--- a/packages/bench/src/lacewingcourse/bench/slopes.py
+++ b/packages/bench/src/lacewingcourse/bench/slopes.py
@@ -6,37 +6,43 @@
 import hashlib
 import itertools
 import random
-import secrets
 import time
 import tracemalloc
+from functools import partial
 from typing import TYPE_CHECKING
 from urllib.request import urlopen
 
 import attrs
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 
-from lacewingcourse.bench.capacity import Slopes, capacity_table, needs, slopes_of
+from lacewingcourse.bench.capacity import (
+    STAGES,
+    Slopes,
+    capacity_table,
+    needs,
+    slopes_of,
+)
 from lacewingcourse.bench.decisions import fleet_of
 from lacewingcourse.bench.figures import Figure, Outcome, single
 from lacewingcourse.bench.machine import cpu_seconds, resident_bytes
 from lacewingcourse.bench.messages import message_figures, wire_size
 from lacewingcourse.bench.sections import SECTIONS
-from lacewingcourse.bench.small import ENDPOINTS, request_for, small_deployment
+from lacewingcourse.bench.small import (
+    ENDPOINTS,
+    request_for,
+    run_and_leave,
+    small_deployment,
+)
 from lacewingcourse.core.configuration import (
     Change,
-    ConfigurationRecord,
     Organisation,
 )
-from lacewingcourse.core.configuration_fold import ConfigurationEntry
 from lacewingcourse.entry.directory import LIST_INTERVAL, STATUS_INTERVAL
 from lacewingcourse.load.client import send
 from lacewingcourse.load.mix import ClassLoad, Mix, OrganisationLoad, plan
 from lacewingcourse.load.runner import LoadRunner, RunOptions
-from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.deployment import MODEL, put_json
 from lacewingcourse.testing.processes import wait_until
 from lacewingcourse.wire import paths
-from lacewingcourse.wire.codec import encode
 
 if TYPE_CHECKING:
     from lacewingcourse.bench.sections import Options
@@ -52,8 +58,10 @@
 MANY_ENDPOINTS = 18
 #: Tokens of a short and of a long answer.
 SHORT, LONG = 1, 33
-#: Streams that stand still while memory is read.
-STREAMS = 300
+#: Streams that run while memory is read, and the tokens they are asked for.
+STREAMS, ENDLESS = 300, 5000
+#: Seconds in which all of them should have begun.
+STREAMS_TIMEOUT = 30.0
 #: Changes of configuration, and organisations in one of them.
 CHANGES, ORGANISATIONS = 100, 1000
 #: Seconds in which changes must be in force.
@@ -62,16 +70,15 @@
 SMALL_FLEET, LARGE_FLEET = 30, 3500
 MICROSECONDS = 1_000_000
 KILOBYTE = 1024
-#: Streams must stand still for longer than the measurement takes.
+#: Every request starts at once, so that the callers' number is that of the streams.
 ENTRY_VARIABLES = {
     "LACEWINGCOURSE_ADMISSION": "none",
-    "LACEWINGCOURSE_STALL_TIMEOUT": "300",
 }
 #: Which figure is which slope.
 SLOPE_NAMES = {
     "entry_token": f"cpu: entry, a token, {CROWD} callers",
     "entry_request": "cpu: entry, a request",
-    "entry_change": "cpu: entry, a change",
+    "entry_change": "cpu: entry, a change published through it",
     "entry_endpoint": "rest: entry, an endpoint it knows",
     "entry_stream": "memory: entry, a stream",
     "entry_known": "memory: entry, an endpoint it knows",
@@ -211,43 +218,50 @@
 
 
 def stream_memory(deployment: Deployment) -> list[Figure]:
-    """Return the memory of a stream that stands still, per role."""
-    return asyncio.run(hold_streams(deployment))
+    """Return the memory of a stream that runs, per role."""
+    found = run_and_leave(partial(hold_streams, deployment=deployment))
+    wait_until(
+        lambda: not streams_of(deployment), FORCE_TIMEOUT, "callers have not left"
+    )
+    return found
 
 
-async def hold_streams(deployment: Deployment) -> list[Figure]:
-    """Open many streams, read the memory, let them go."""
+def streams_of(deployment: Deployment) -> int:
+    """Return the answers in flight at the entry."""
+    return put_json(deployment.entries[0].url + "/state", None, "GET")["streams"]
+
+
+async def hold_streams(http, deployment: Deployment) -> list[Figure]:
+    """Open many streams and read the memory while they run."""
     entry = deployment.entries[0]
     agents = [pair.agent.pid for pair in deployment.endpoints]
     before = resident_bytes(entry.pid)
     agents_before = sum(map(resident_bytes, agents))
-    await asyncio.to_thread(set_hang, deployment, True)
-    http = CurlAsyncHTTPClient(force_instance=True, max_clients=STREAMS)
     samples = [
-        request_for(deployment, f"note {number}", SHORT) for number in range(STREAMS)
+        request_for(deployment, f"note {number}", ENDLESS) for number in range(STREAMS)
     ]
     tasks = [
         asyncio.ensure_future(send(http, entry.url, MODEL, sample, 120.0))
         for sample in samples
     ]
-    await asyncio.sleep(REST)
-    entry_bytes = (resident_bytes(entry.pid) - before) / STREAMS
-    stage_bytes = sum(map(resident_bytes, agents)) - agents_before
-    await asyncio.to_thread(set_hang, deployment, False)
-    await asyncio.gather(*tasks)
-    per_stage = stage_bytes / STREAMS / 3
+    deadline = time.monotonic() + STREAMS_TIMEOUT
+    while not all(sample.tokens or sample.kind for sample in samples):
+        if time.monotonic() > deadline:
+            break
+        await asyncio.sleep(0.1)
+    running = sum(sample.tokens > 0 and not sample.kind for sample in samples)
+    entry_bytes = (resident_bytes(entry.pid) - before) / running
+    stage_bytes = (sum(map(resident_bytes, agents)) - agents_before) / running
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    per_stage = stage_bytes / STAGES
     return [
         single("memory: entry, a stream", "KB", entry_bytes / KILOBYTE),
         single("memory: agent, a stage of a stream", "KB", per_stage / KILOBYTE),
     ]
 
 
-def set_hang(deployment: Deployment, hang: bool) -> None:
-    """Let all engines stand still, or go on."""
-    for pair in deployment.endpoints:
-        put_json(f"{pair.engine.url}/faults", {"hang": hang})
-
-
 def configuration_cost(deployment: Deployment) -> list[Figure]:
     """Return what changes of configuration and organisations cost the entry."""
     entry = deployment.entries[0]
@@ -264,7 +278,7 @@
     grown = (resident_bytes(entry.pid) - memory) / ORGANISATIONS / KILOBYTE
     change = used / CHANGES * MICROSECONDS
     return [
-        single("cpu: entry, a change", "us", change),
+        single("cpu: entry, a change published through it", "us", change),
         single("memory: entry, an organisation", "KB", grown),
     ]
 
@@ -284,23 +298,20 @@
     )
 
 
-def key_of(name: str) -> str:
-    """Return the hash of a key that only one organisation has."""
-    return hashlib.sha256(name.encode()).hexdigest()
-
-
 def publish(deployment: Deployment, base_version: int, names: list[str]) -> None:
-    """Append a record that registers organisations."""
-    changes = tuple(
-        Change("organisations", name, organisation=Organisation(name, (key_of(name),)))
+    """Publish a change that registers organisations."""
+    changes = [
+        Change(
+            "organisations",
+            name,
+            organisation=Organisation(
+                name, (hashlib.sha256(name.encode()).hexdigest(),)
+            ),
+        )
         for name in names
-    )
-    record = ConfigurationRecord(
-        secrets.token_hex(16), base_version, "bench", time.time(), changes
-    )
-    url = deployment.platform["log_service"].url
-    append = Append(encode(ConfigurationEntry(record)).decode())
-    put_json(f"{url}/streams/configuration/records", append, "POST")
+    ]
+    document = {"base_version": base_version, "changes": changes}
+    deployment.admin("POST", "/changes", document)
 
 
 def endpoint_memory() -> list[Figure]:
