Give duties leases with fencing numbers, and orders a fence at the agent

Cause: one entry at a time must order what endpoints hold, with no coordination service, holders that are paused past their lapse, lost answers of the log, and engines of which some ignore fencing numbers.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -10,6 +10,7 @@
 
 from lacewingcourse.agent.call_runner import CallRunner
 from lacewingcourse.agent.handlers import AGENT_ROUTES
+from lacewingcourse.agent.orders import OrderDesk
 from lacewingcourse.agent.stage_runner import StageRunner
 from lacewingcourse.core.messages import Status
 from lacewingcourse.daemon.daemon import Daemon, Readiness
@@ -32,7 +33,8 @@
         incarnation: Name of this start of the agent.
         stages: Runs stages of a model, or None beside a plain service.
         calls: Runs calls of a plain service, or None beside an engine.
-        leaving: Whether new work is refused.
+        leaving: Whether the instance is leaving for good.
+        orders: Takes orders for the endpoint.
     """
 
     def __init__(self, settings: AgentSettings) -> None:
@@ -41,6 +43,7 @@
         self.stages: StageRunner | None = None
         self.calls: CallRunner | None = None
         self.leaving = False
+        self.orders = OrderDesk(self)
         if settings.service:
             self.calls = CallRunner(self)
         else:
@@ -76,7 +79,7 @@
             incarnation=self.incarnation,
             availability_zone=settings.availability_zone,
             service=settings.service,
-            leaving=self.leaving,
+            leaving=self.leaving or self.orders.draining,
             ready=self.endpoint_ready(),
             running=self.running(),
         )
@@ -88,6 +91,7 @@
     async def start_tasks(self) -> None:
         await self.probe()
         self.spawn(self._probe_for_ever())
+        self.spawn(self.orders.learn())
 
     async def _probe_for_ever(self) -> None:
         while True:
@@ -103,10 +107,14 @@
         if self.endpoint_ready() != before:
             logger.info("endpoint answers", ready=self.endpoint_ready())
 
+    def set_draining(self) -> None:
+        """Let the gate refuse new streams while leaving or before an order."""
+        if self.stages is not None:
+            self.stages.gate.leaving = self.leaving or self.orders.draining
+
     async def drain(self) -> None:
         self.leaving = True
-        if self.stages is not None:
-            self.stages.gate.leaving = True
+        self.set_draining()
         deadline = self.now() + self.settings.drain_timeout
         while self.running() and self.now() < deadline:
             await asyncio.sleep(DRAIN_INTERVAL)
--- a/packages/agent/src/lacewingcourse/agent/engine.py
+++ b/packages/agent/src/lacewingcourse/agent/engine.py
@@ -105,13 +105,53 @@
         version: Version of the weights.
         running: Items in its steps, as of its last load report.
         queued: Items that wait, as of its last load report.
+        max_layers: Layers that fit into it, 0 if not known.
+        loading: Whether it is loading weights.
+        adapter: Adapter that it holds, or empty.
+        role: Role that it has, or empty.
     """
 
     model: str
-    layers: LayerRange
+    layers: LayerRange | None
     version: str
     running: int
     queued: int
+    max_layers: int = 0
+    loading: bool = False
+    adapter: str = ""
+    role: str = ""
+
+
+@attrs.frozen
+class EngineOrder:
+    """An order as the engine gets it.
+
+    Attributes:
+        number: Fencing number; some engines refuse old ones, others ignore it.
+        order_id: Name of the order.
+        action: `load`, `unload`, `adapter` or `role`.
+        model: Model to load.
+        version: Version of the weights.
+        layers: Layers to load.
+        adapter: Adapter to load.
+        role: Role to take.
+    """
+
+    number: int
+    order_id: str
+    action: str
+    model: str = ""
+    version: str = ""
+    layers: LayerRange | None = None
+    adapter: str = ""
+    role: str = ""
+
+
+@attrs.frozen
+class EngineOrderReply:
+    """The engine's answer to an order that it has taken."""
+
+    order_id: str
 
 
 def sequence_of(stream: str, attempt: int) -> str:
@@ -170,8 +210,21 @@
             return self._failed(response)
         return decode(response.body, EngineState)
 
-    async def _post(self, path: str, message, kind):
-        request = HTTPRequest(
+    async def order(self, order: EngineOrder) -> EngineOrderReply | Refusal:
+        """Give the engine an order."""
+        response = await fetch(self.http, self._request("/engine/orders", order))
+        if response.code == 200:
+            return decode(response.body, EngineOrderReply)
+        if response.code == 409:
+            return Refusal(ErrorKind.STALE_FENCING, "the engine has a newer number")
+        if response.code == 429:
+            wait = float(response.headers.get("Retry-After", 1))
+            reason = "the weight store is at its rate"
+            return Refusal(ErrorKind.OVERLOADED, reason, retry_after=wait)
+        return self._failed(response)
+
+    def _request(self, path: str, message) -> HTTPRequest:
+        return HTTPRequest(
             self.url + path,
             method="POST",
             body=encode(message),
@@ -179,7 +232,9 @@
             connect_timeout=2.0,
             request_timeout=self.timeout,
         )
-        response = await fetch(self.http, request)
+
+    async def _post(self, path: str, message, kind):
+        response = await fetch(self.http, self._request(path, message))
         if response.code != 200:
             return self._failed(response)
         return decode(response.body, kind)
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -10,6 +10,7 @@
     HopBatch,
     HopBatchReply,
     OpenStage,
+    Order,
     Revoke,
     RevokeReply,
     Status,
@@ -87,6 +88,16 @@
         self.reply(status)
 
 
+class OrderHandler(WireHandler):
+    """Takes orders for the endpoint."""
+
+    def post(self) -> None:
+        order = self.message(Order)
+        if order is None:
+            return
+        self.reply(self.daemon.orders.take(order))
+
+
 class CallHandler(WireHandler):
     """Runs a call of the plain service."""
 
@@ -103,5 +114,6 @@
     (paths.REVOKE, RevokeHandler),
     (paths.CREDIT, CreditHandler),
     (paths.STATUS, StatusHandler),
+    (paths.ORDER, OrderHandler),
     (paths.CALL, CallHandler),
 ]
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -22,6 +22,7 @@
 from lacewingcourse.entry.directory import Directory
 from lacewingcourse.entry.dispatcher import Dispatcher
 from lacewingcourse.entry.follower import ConfigurationFollower
+from lacewingcourse.entry.lease_holder import HeldLease, LeaseHolder
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
 from lacewingcourse.entry.report_api import REPORT_ROUTES
@@ -50,12 +51,14 @@
         readiness: Whether it takes new work.
         streams: Answers in flight.
         endpoints: What it knows of the endpoints.
+        leases: Leases as the log has them.
     """
 
     instance: str
     readiness: Readiness
     streams: int
     endpoints: tuple[EndpointState, ...]
+    leases: tuple[HeldLease, ...] = ()
 
 
 class Entry(Daemon):
@@ -68,6 +71,7 @@
         dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
         calls_running: Plain calls in flight.
+        leases: Its part in the leases of all duties.
         outcomes: Counts how requests end.
         burn_log: Keeps summaries of the counts in the log.
     """
@@ -83,6 +87,7 @@
         self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
         self.calls_running = 0
+        self.leases = LeaseHolder(self, LogClient(settings.log_url))
         run = secrets.token_hex(8)
         self.outcomes = Outcomes(settings.instance_id, run, self.metrics)
         self.burn_log = BurnLog(
@@ -117,10 +122,12 @@
             readiness=self.readiness(),
             streams=len(self.answers),
             endpoints=tuple(self.directory.endpoints.values()),
+            leases=self.leases.shown(),
         )
 
     async def start_tasks(self) -> None:
         self.spawn(self.follower.follow())
+        self.leases.start()
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
@@ -134,6 +141,7 @@
 
     async def drain(self) -> None:
         self.metrics.drains.inc()
+        await self.leases.release()
         deadline = self.now() + self.settings.drain_timeout
         while (self.answers or self.calls_running) and self.now() < deadline:
             await asyncio.sleep(0.05)
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -34,6 +34,9 @@
     message_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a message to an agent may take"
     )
+    lease_duration: float = environ.var(
+        default="6", converter=positive, help="Seconds for which a lease lasts"
+    )
     call_timeout: float = environ.var(
         default="30", converter=positive, help="Seconds a plain call may take"
     )
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -24,7 +24,12 @@
 )
 from lacewingcourse.platform.instances import Instance, InstanceRole, InstanceState
 from lacewingcourse.platform.log import Append
-from lacewingcourse.testing.layout import ZONES, EndpointPlan, plan_endpoints
+from lacewingcourse.testing.layout import (
+    ZONES,
+    EndpointPlan,
+    plan_endpoints,
+    plan_spares,
+)
 from lacewingcourse.testing.processes import (
     Process,
     free_ports,
@@ -63,6 +68,8 @@
             through the fault proxy only. The names are `entry-1`,
             `agent-endpoint-1`, `engine-endpoint-1`, `agent-tally-1`,
             `service-tally`, `log-service`, `instance-list`, `weight-store`.
+        spares: Endpoints that hold nothing at the start.
+        engine_arguments: Further arguments of engines by endpoint, `*` for all.
     """
 
     entries: int = 1
@@ -73,6 +80,8 @@
     entry_variables: dict[str, str] = attrs.field(factory=dict)
     agent_variables: dict[str, str] = attrs.field(factory=dict)
     proxied: frozenset[str] = frozenset()
+    spares: int = 0
+    engine_arguments: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
     def is_proxied(self, name: str) -> bool:
         """Tell whether a process stands behind the fault proxy."""
@@ -224,15 +233,10 @@
 
     def _start_endpoints(self) -> None:
         options = self.options
-        for plan in plan_endpoints(options.endpoints, options.layers):
-            engine = self._standin(
-                f"engine-{plan.id}",
-                "engine",
-                f"--model={MODEL}",
-                f"--first={plan.layers.first}",
-                f"--end={plan.layers.end}",
-                f"--step-time={options.step_time}",
-            )
+        plans = plan_endpoints(options.endpoints, options.layers)
+        plans += plan_spares(options.endpoints, options.spares)
+        for plan in plans:
+            engine = self._engine(plan)
             agent = self._agent(plan, engine, {})
             self.endpoints.append(EndpointProcesses(plan, engine, agent))
         plan = EndpointPlan("tally-1", ZONES[0], None)
@@ -244,6 +248,22 @@
         agent = self._agent(plan, service, {"LACEWINGCOURSE_SERVICE": SERVICE})
         self.service = EndpointProcesses(plan, service, agent)
 
+    def _engine(self, plan: EndpointPlan) -> Process:
+        held = []
+        if plan.layers is not None:
+            first, end = plan.layers.first, plan.layers.end
+            held = [f"--model={MODEL}", f"--first={first}", f"--end={end}"]
+        further = self.options.engine_arguments
+        return self._standin(
+            f"engine-{plan.id}",
+            "engine",
+            f"--step-time={self.options.step_time}",
+            f"--weight-store={self.platform['weight_store'].url}",
+            *held,
+            *further.get("*", ()),
+            *further.get(plan.id, ()),
+        )
+
     def _agent(self, plan: EndpointPlan, engine: Process, variables) -> Process:
         return self._daemon(
             "agent",
@@ -355,7 +375,7 @@
             "id": pair.plan.id,
             "availability_zone": pair.plan.availability_zone,
             "model": MODEL,
-            "layers": [layers.first, layers.end],
+            "layers": [layers.first, layers.end] if layers else None,
             "url": pair.engine.url,
             "pid": pair.engine.pid,
             "agent_url": pair.agent.url,
--- a/packages/testing/src/lacewingcourse/testing/layout.py
+++ b/packages/testing/src/lacewingcourse/testing/layout.py
@@ -19,12 +19,12 @@
     Attributes:
         id: Name of the instance.
         availability_zone: Where it stands.
-        layers: The layers it holds.
+        layers: The layers it holds, or None.
     """
 
     id: str
     availability_zone: str
-    layers: LayerRange
+    layers: LayerRange | None
 
 
 def plan_endpoints(endpoint_count: int, layer_count: int) -> list[EndpointPlan]:
@@ -58,3 +58,12 @@
             )
         )
     return plans
+
+
+def plan_spares(endpoint_count: int, spare_count: int) -> list[EndpointPlan]:
+    """Return endpoints that hold nothing, numbered after those that do."""
+    numbers = range(endpoint_count + 1, endpoint_count + spare_count + 1)
+    return [
+        EndpointPlan(f"endpoint-{number}", ZONES[number % len(ZONES)], None)
+        for number in numbers
+    ]
--- a/packages/testing/src/lacewingcourse/testing/standin_cli.py
+++ b/packages/testing/src/lacewingcourse/testing/standin_cli.py
@@ -17,6 +17,7 @@
     InstanceList,
 )
 from lacewingcourse.testing.standins.log import LOG_ROUTES, LogService
+from lacewingcourse.testing.standins.orders import OrderDesk
 from lacewingcourse.testing.standins.proxy_control import PROXY_ROUTES, FaultProxy
 from lacewingcourse.testing.standins.server import serve
 from lacewingcourse.testing.standins.tally import TALLY_ROUTES, TallyService
@@ -63,6 +64,10 @@
             "item-time", None, "Seconds a position adds", flag=False, default="0.0001"
         ),
         option("batch-items", None, "Items of a step", flag=False, default="32"),
+        option("weight-store", None, "Where weights are", flag=False, default=""),
+        option("load-time", None, "Seconds of a load", flag=False, default="0.2"),
+        option("max-layers", None, "Layers that fit", flag=False, default="0"),
+        option("checks-fencing", None, "Refuse old fencing numbers", flag=True),
     ]
 
     async def run_standin(self) -> None:
@@ -72,10 +77,20 @@
         steps.cancel()
 
     def standin(self):
+        desk = OrderDesk(
+            weights_url=self.option("weight-store"),
+            load_time=float(self.option("load-time")),
+            checks_fencing=self.option("checks-fencing"),
+            max_layers=int(self.option("max-layers")),
+        )
+        layers = None
+        if self.option("first") is not None:
+            layers = LayerRange(int(self.option("first")), int(self.option("end")))
         engine = Engine(
-            model=self.option("model"),
-            version=self.option("weights"),
-            layers=LayerRange(int(self.option("first")), int(self.option("end"))),
+            model=self.option("model") if layers else "",
+            version=self.option("weights") if layers else "",
+            layers=layers,
+            desk=desk,
             step_time=float(self.option("step-time")),
             item_time=float(self.option("item-time")),
             batch_items=int(self.option("batch-items")),
--- a/packages/testing/src/lacewingcourse/testing/standins/engine.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/engine.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.agent.engine import CancelRequest, ForwardReply, ForwardRequest
 from lacewingcourse.testing.standins.engine_state import Engine
+from lacewingcourse.testing.standins.orders import ORDER_ROUTES
 from lacewingcourse.testing.standins.sequences import SequenceExport
 from lacewingcourse.testing.standins.server import StandinHandler
 
@@ -111,7 +112,8 @@
         export = self.message(SequenceExport)
         if export is None:
             return
-        if not self.standin.layers.contains(export.layers):
+        held = self.standin.layers
+        if held is None or not held.contains(export.layers):
             self.refuse("layers not held")
             return
         self.standin.sequences.take(export)
@@ -158,4 +160,5 @@
     (r"/engine/state", StateHandler),
     (r"/engine/events", EventsHandler),
     (r"/stats", StatsHandler),
+    *ORDER_ROUTES,
 ]
--- a/packages/testing/src/lacewingcourse/testing/standins/engine_state.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/engine_state.py
@@ -20,6 +20,7 @@
     token_text,
     tokenise,
 )
+from lacewingcourse.testing.standins.orders import OrderDesk
 from lacewingcourse.testing.standins.prefix_cache import PrefixCache
 from lacewingcourse.testing.standins.sequences import Sequence, Sequences
 
@@ -54,11 +55,12 @@
         waiting: Items that wait for a step, by priority, then by arrival.
         running: Items of the step that runs.
         steps: Steps that were run.
+        desk: Orders that it has taken.
     """
 
     model: str
     version: str
-    layers: LayerRange
+    layers: LayerRange | None
     step_time: float
     item_time: float
     batch_items: int
@@ -72,6 +74,7 @@
     steps: int = 0
     report: EngineState | None = None
     reported_at: float = 0.0
+    desk: OrderDesk = attrs.field(factory=OrderDesk)
 
     def submit(self, item: ForwardItem) -> asyncio.Future:
         """Queue an item; the future gets its output."""
@@ -142,7 +145,7 @@
         """Return the sequence that an item continues, or why it cannot be run."""
         if self.faults.fail:
             return "the engine failed"
-        if not self.layers.contains(item.layers):
+        if self.layers is None or not self.layers.contains(item.layers):
             return "layers not held"
         if item.position == 0:
             self.sequences.begin(item.sequence, item.layers)
@@ -187,6 +190,10 @@
                 version=self.version,
                 running=self.running,
                 queued=len(self.waiting),
+                max_layers=self.desk.max_layers,
+                loading=self.desk.loading,
+                adapter=self.desk.adapter,
+                role=self.desk.role,
             )
             self.reported_at = now
         return self.report
