--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -12,6 +12,7 @@
 from lacewingcourse.agent.handlers import AGENT_ROUTES
 from lacewingcourse.agent.orders import OrderDesk
 from lacewingcourse.agent.stage_runner import StageRunner
+from lacewingcourse.agent.watchers import Watchers
 from lacewingcourse.core.messages import Status
 from lacewingcourse.daemon.daemon import Daemon, Readiness
 
@@ -35,6 +36,8 @@
         calls: Runs calls of a plain service, or None beside an engine.
         leaving: Whether the instance is leaving for good.
         orders: Takes orders for the endpoint.
+        watchers: Tells entries the state.
+        statuses: Statuses made so far.
     """
 
     def __init__(self, settings: AgentSettings) -> None:
@@ -44,6 +47,8 @@
         self.calls: CallRunner | None = None
         self.leaving = False
         self.orders = OrderDesk(self)
+        self.watchers = Watchers(self)
+        self.statuses = 0
         if settings.service:
             self.calls = CallRunner(self)
         else:
@@ -74,6 +79,7 @@
     def status(self) -> Status:
         """Return the state of the agent and its endpoint."""
         settings = self.settings
+        self.statuses += 1
         status = Status(
             endpoint=settings.instance_id,
             incarnation=self.incarnation,
@@ -82,6 +88,7 @@
             leaving=self.leaving or self.orders.draining,
             ready=self.endpoint_ready(),
             running=self.running(),
+            sequence=self.statuses,
         )
         return status if self.stages is None else self.stages.complete_status(status)
 
@@ -106,11 +113,13 @@
         await (self.calls or self.stages).probe()
         if self.endpoint_ready() != before:
             logger.info("endpoint answers", ready=self.endpoint_ready())
+        self.watchers.push_change()
 
     def set_draining(self) -> None:
         """Let the gate refuse new streams while leaving or before an order."""
         if self.stages is not None:
             self.stages.gate.leaving = self.leaving or self.orders.draining
+        self.watchers.push_change()
 
     async def drain(self) -> None:
         self.leaving = True
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -15,6 +15,7 @@
     Revoke,
     RevokeReply,
     Status,
+    StatusRequest,
     TokenBatchReply,
 )
 from lacewingcourse.daemon.handlers import WireHandler
@@ -34,7 +35,9 @@
             return
         reply, effects = self.daemon.stages.gate.open(message, self.daemon.now())
         self.daemon.stages.perform(effects)
-        self.reply(attrs.evolve(reply, load=self.daemon.stages.load()))
+        load = self.daemon.stages.load()
+        status = self.daemon.watchers.status_due(message.entry_url)
+        self.reply(attrs.evolve(reply, load=load, status=status))
 
 
 class HopsHandler(WireHandler):
@@ -89,7 +92,11 @@
     """Tells the state of the agent and its endpoint."""
 
     def post(self) -> None:
+        request = self.message(StatusRequest)
+        if request is None:
+            return
         status: Status = self.daemon.status()
+        self.daemon.watchers.note(request.entry_url, self.daemon.now())
         self.reply(status)
 
 
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -143,12 +143,22 @@
 
     def refusal_of(self, message: OpenStage) -> ErrorKind | None:
         """Return why a new stream is not let in, or None."""
+        if not self._holds(message):
+            return ErrorKind.NOT_READY
         if message.stream in self.gate.stages:
             return None
         backlog = self.queue.positions() * self.estimates.fit.position
         load = AgentLoad(len(self.gate.stages), self.settings.max_streams, backlog)
         return refusal_kind(message, load)
 
+    def _holds(self, message: OpenStage) -> bool:
+        """Tell whether the engine holds the layers and the version of a stage."""
+        state = self.engine_state
+        if state is None or state.layers is None:
+            return False
+        wanted = message.stages[message.index].layers
+        return message.version in ("", state.version) and state.layers.contains(wanted)
+
     def _push(self, effect: RunForward) -> None:
         """Queue work with the time at which it is due."""
         stage = self.gate.stages.get(effect.stream)
@@ -274,7 +284,10 @@
 
     async def _send_tokens(self, entry_url: str, tokens: list) -> None:
         """Send tokens to their entry and take the credits of its reply."""
-        batch = TokenBatch(self.settings.instance_id, self.incarnation, tuple(tokens))
+        status = self.agent.watchers.status_due(entry_url)
+        batch = TokenBatch(
+            self.settings.instance_id, self.incarnation, tuple(tokens), status
+        )
         reply = await self._send(entry_url, paths.TOKENS, batch, TokenBatchReply)
         if isinstance(reply, Refusal):
             self._entry_lost(tokens)
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -79,6 +79,7 @@
         sampling: How tokens are chosen.
         token_limit: Tokens that may be generated before further credit.
         prompt: Given to the first stage only.
+        version: Version of the weights that the attempt runs on, or empty for any.
         pace: Seconds between tokens that the class asks for, 0.0 for none.
     """
 
@@ -93,6 +94,7 @@
     sampling: Sampling
     token_limit: int
     prompt: Prompt | None = None
+    version: str = ""
     pace: float = 0.0
 
 
@@ -106,6 +108,7 @@
         kind: Why not, or None.
         reason: Why not, for a person.
         load: What the agent has learned of speed and load, or None.
+        status: State of the agent, if it was not sent lately.
     """
 
     accepted: bool
@@ -113,6 +116,7 @@
     kind: ErrorKind | None = None
     reason: str = ""
     load: LoadReport | None = None
+    status: Status | None = None
 
 
 @attrs.frozen
@@ -207,11 +211,13 @@
         sender: Name of the sending endpoint instance.
         incarnation: Incarnation of the sending agent.
         tokens: The tokens.
+        status: State of the sender, if it was not sent lately.
     """
 
     sender: str
     incarnation: str
     tokens: tuple[Token, ...]
+    status: Status | None = None
 
 
 @attrs.frozen
@@ -293,6 +299,17 @@
     started: bool
 
 
+@attrs.frozen
+class StatusRequest:
+    """Entry to agent: ask for the state.
+
+    Attributes:
+        entry_url: Where the agent sends later changes of its state.
+    """
+
+    entry_url: str = ""
+
+
 @attrs.frozen
 class Status:
     """Agent to entry: state of the agent and its endpoint.
@@ -312,6 +329,7 @@
         step_time: Seconds an engine step takes at present.
         configuration_version: Version of the configuration in force.
         load: What the agent has learned of speed and load.
+        sequence: Count of the agent's statuses; a later one has a higher number.
     """
 
     endpoint: str
@@ -328,6 +346,7 @@
     step_time: float = 0.0
     configuration_version: int = 0
     load: LoadReport = LoadReport()
+    sequence: int = 0
 
 
 @attrs.frozen
--- a/packages/core/src/lacewingcourse/core/routes/__init__.py
+++ b/packages/core/src/lacewingcourse/core/routes/__init__.py
@@ -10,6 +10,7 @@
     RoutePolicy,
     RouteRequest,
     Stage,
+    index_name,
     no_route,
     stage_of,
     usable,
@@ -34,5 +35,6 @@
     "predict",
     "shortest",
     "stage_of",
+    "index_name",
     "usable",
 ]
--- a/packages/core/src/lacewingcourse/core/routes/baselines.py
+++ b/packages/core/src/lacewingcourse/core/routes/baselines.py
@@ -37,7 +37,7 @@
     """Return the endpoints that hold a layer and are not excluded."""
     return [
         record
-        for group in fleet.index(request.model).ordered
+        for group in fleet.index(request.index_name).ordered
         if group.layers.first <= layer < group.layers.end
         for record in group.allowed(request.excluded, rng)
     ]
--- a/packages/core/src/lacewingcourse/core/routes/fleet.py
+++ b/packages/core/src/lacewingcourse/core/routes/fleet.py
@@ -15,6 +15,7 @@
     Average,
     LinkEstimates,
 )
+from lacewingcourse.core.routes.model import index_name
 
 if TYPE_CHECKING:
     import random
@@ -250,7 +251,7 @@
 
     Attributes:
         records: Records by name.
-        models: Indexes by model.
+        models: Indexes by model and version.
         links: Delays of links.
         base: Average fixed part of a step over the reports, seconds.
         position: Average of what a position adds, seconds.
@@ -278,7 +279,7 @@
             record = self.records[name] = EndpointRecord(state)
         before = record.state
         if record.group is not None and _place(before) != _place(state):
-            self.models[before.model].remove(record)
+            self.models[_place(before)[0]].remove(record)
         if state.incarnation != before.incarnation:
             record.in_flight = 0
         record.state = state
@@ -289,20 +290,27 @@
             record.sent_positions = 0
         self._learn(record)
         if record.group is None and _place(state) is not None:
-            self.index(state.model).add(record)
+            self.index(_place(state)[0]).add(record)
 
     def __delitem__(self, name: str) -> None:
         record = self.records.pop(name)
         if record.group is not None:
-            self.models[record.state.model].remove(record)
+            self.models[_place(record.state)[0]].remove(record)
 
-    def index(self, model: str) -> ModelIndex:
-        """Return the index of a model."""
-        index = self.models.get(model)
+    def index(self, name: str) -> ModelIndex:
+        """Return the index of a model's version."""
+        index = self.models.get(name)
         if index is None:
-            index = self.models[model] = ModelIndex()
+            index = self.models[name] = ModelIndex()
         return index
 
+    def versions(self, model: str) -> list[str]:
+        """Return the versions of a model that are held, in order of name."""
+        held = [name for name, index in self.models.items() if index.ordered]
+        named = [name.rpartition("@") for name in held if "@" in name]
+        versions = [version for of_model, _, version in named if of_model == model]
+        return sorted(versions + ([""] if model in held else []))
+
     def _learn(self, record: EndpointRecord) -> None:
         """Take the estimates of a report; the fleet's average where there are none."""
         state = record.state
@@ -346,7 +354,7 @@
         record.ejected = ejected
         if group is not None:
             group.add(record)
-            self.index(record.state.model).version += 1
+            self.index(_place(record.state)[0]).version += 1
 
     def dispatch(self, route: Route, prompt_length: int) -> Dispatch:
         """Note that a stream is sent on a route."""
@@ -382,4 +390,4 @@
     """Return where an endpoint stands in the index, None if nowhere."""
     if not state.model or state.layers is None or not state.takes_new_work():
         return None
-    return state.model, state.layers
+    return index_name(state.model, state.version), state.layers
--- a/packages/core/src/lacewingcourse/core/routes/interleaved.py
+++ b/packages/core/src/lacewingcourse/core/routes/interleaved.py
@@ -55,7 +55,7 @@
     """
 
     def __init__(self, fleet: Fleet, request: RouteRequest, now: float) -> None:
-        index = fleet.index(request.model)
+        index = fleet.index(request.index_name)
         self.solved_at = now
         self.version = index.version
         groups = list(index.ordered)
@@ -84,7 +84,7 @@
         """Tell whether the plan still holds."""
         if now - self.solved_at > SOLVED_FOR:
             return False
-        return self.version == fleet.index(request.model).version
+        return self.version == fleet.index(request.index_name).version
 
 
 def rate_of(record: EndpointRecord) -> float:
--- a/packages/core/src/lacewingcourse/core/routes/model.py
+++ b/packages/core/src/lacewingcourse/core/routes/model.py
@@ -40,9 +40,15 @@
 
 @attrs.frozen
 class Route:
-    """A chain of stages that covers [0, layer_count) without gap or overlap."""
+    """A chain of stages that covers [0, layer_count) without gap or overlap.
+
+    Attributes:
+        stages: The stages in order.
+        version: Version of the weights, the same at every stage.
+    """
 
     stages: tuple[Stage, ...]
+    version: str = ""
 
     def endpoints(self) -> list[str]:
         """Return the names of the endpoints in order."""
@@ -60,6 +66,7 @@
         max_tokens: Tokens that are expected.
         excluded: Names of the endpoints to avoid.
         prefix: Hash of the prompt's beginning, or empty.
+        version: Version of the weights that every stage must have.
     """
 
     model: str
@@ -68,6 +75,17 @@
     max_tokens: int = 64
     excluded: frozenset[str] = frozenset()
     prefix: str = ""
+    version: str = ""
+
+    @property
+    def index_name(self) -> str:
+        """Name of the index of the endpoints that may serve the request."""
+        return index_name(self.model, self.version)
+
+
+def index_name(model: str, version: str) -> str:
+    """Return the name under which endpoints of a model's version are indexed."""
+    return f"{model}@{version}" if version else model
 
 
 class RoutePolicy:
@@ -112,12 +130,14 @@
     endpoints: Iterable[EndpointState],
     model: str,
     excluded: frozenset[str] = frozenset(),
+    version: str = "",
 ) -> list[EndpointState]:
     """Return the endpoints that take new work for a model, in order of name."""
     found = [
         endpoint
         for endpoint in endpoints
         if endpoint.model == model
+        and version in ("", endpoint.version)
         and endpoint.layers is not None
         and endpoint.id not in excluded
         and endpoint.takes_new_work()
--- a/packages/core/src/lacewingcourse/core/routes/shortest.py
+++ b/packages/core/src/lacewingcourse/core/routes/shortest.py
@@ -70,7 +70,7 @@
         layer_count = request.layer_count
         prompt_length, tokens = request.prompt_length, request.max_tokens
         passes = tokens + 1
-        for group in fleet.index(request.model).ordered:
+        for group in fleet.index(request.index_name).ordered:
             first, end = group.layers.first, min(group.layers.end, layer_count)
             ways = [way for layer, way in best.items() if first <= layer < end]
             if not ways:
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -107,6 +107,7 @@
         any_started: Whether work is known to have started.
         failure: The refusal that the caller gets after the revocations.
         progress_at: When the stream last went ahead, seconds.
+        version: Version of the weights of the newest attempt.
     """
 
     request: StreamRequest
@@ -126,6 +127,7 @@
     any_started: bool = False
     failure: Refusal | None = None
     progress_at: float = 0.0
+    version: str = ""
 
     def begin(self, route: Route | Refusal, now: float) -> list[Effect]:
         """Open the stages of a new attempt, last stage first.
@@ -136,6 +138,7 @@
         if isinstance(route, Refusal):
             return self.give_up(route, now)
         self.attempt += 1
+        self.version = route.version
         self.stages = tuple(
             StageAddress(
                 stage.endpoint, stage.agent_url, stage.incarnation, stage.layers
@@ -172,6 +175,7 @@
             token_limit=self.credit,
             prompt=prompt,
             pace=request.pace,
+            version=self.version,
         )
         return SendOpen(target, message)
 
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -36,6 +36,9 @@
 
 Event = Token | FinishAnswer | FailAnswer
 
+#: Refusals after which an endpoint is asked for its state before it is used again.
+REPLACED_KINDS = frozenset({ErrorKind.STALE_INCARNATION, ErrorKind.NOT_READY})
+
 
 class AnswerDriver:
     """One streamed answer.
@@ -119,8 +122,13 @@
         if isinstance(reply, Refusal):
             self.entry.directory.mark_lost(effect.target.endpoint)
             reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
+        elif reply.kind in REPLACED_KINDS:
+            target = effect.target
+            self.entry.directory.mark_lost(target.endpoint, target.incarnation)
         elif reply.load is not None:
             self.entry.dispatcher.on_load(effect.target.endpoint, reply.load)
+            if reply.status is not None:
+                self.entry.directory.take_status(reply.status)
         message = effect.message
         self.perform(
             self.state.on_open_reply(
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -6,6 +6,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.routes import POLICIES, RouteRequest, predict
+from lacewingcourse.core.versions import choose_version
 
 if TYPE_CHECKING:
     from lacewingcourse.core.estimates import LoadReport
@@ -55,6 +56,7 @@
             prompt_length=1 + len(request.prompt) // CHARACTERS_PER_POSITION,
             max_tokens=request.sampling.max_tokens,
             excluded=excluded,
+            version=model.version,
         )
 
     def choose(
@@ -69,7 +71,10 @@
         if isinstance(wanted, Refusal):
             return wanted
         entry = self.entry
-        route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
+        pinned = self._pinned(request.stream)
+        route = choose_version(
+            self.policy, self.fleet, wanted, pinned, entry.rng, entry.now()
+        )
         if not isinstance(route, Refusal):
             dispatch = self.fleet.dispatch(route, wanted.prompt_length)
             self.dispatches[request.stream] = dispatch
@@ -81,12 +86,21 @@
         if isinstance(wanted, Refusal):
             return wanted
         entry = self.entry
-        route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
+        route = choose_version(
+            self.policy, self.fleet, wanted, "", entry.rng, entry.now()
+        )
         if isinstance(route, Refusal):
             return route
         self.previews[request.stream] = (route, wanted)
         return predict(self.fleet, route, wanted)
 
+    def _pinned(self, stream: str) -> str:
+        """Return the version that a stream must go on with, or empty for any."""
+        answer = self.entry.answers.get(stream)
+        if answer is None or not answer.state.delivered:
+            return ""
+        return answer.state.version
+
     def reserve(self, stream: str) -> None:
         """Count the previewed route of a stream as dispatched."""
         route, wanted = self.previews.pop(stream)
--- a/packages/entry/src/lacewingcourse/entry/service_api.py
+++ b/packages/entry/src/lacewingcourse/entry/service_api.py
@@ -57,13 +57,17 @@
             return Refusal(ErrorKind.NO_ROUTE, reason, retry_after=1.0)
         chosen = self.daemon.rng.choice(holders)
         call = self._call(service, path, chosen.incarnation)
-        return await self.daemon.peers.send(
+        reply = await self.daemon.peers.send(
             chosen.agent_url,
             paths.CALL,
             call,
             CallReply,
             self.daemon.settings.call_timeout,
         )
+        failed = isinstance(reply, Refusal)
+        if failed or reply.kind is ErrorKind.STALE_INCARNATION:
+            self.daemon.directory.mark_lost(chosen.id, chosen.incarnation)
+        return reply
 
     def _call(self, service: str, path: str, incarnation: str) -> Call:
         request = self.request
--- a/packages/entry/src/lacewingcourse/entry/wire_api.py
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from lacewingcourse.core.messages import TokenBatch, TokenBatchReply, TroubleBatch
+from lacewingcourse.core.messages import (
+    Status,
+    TokenBatch,
+    TokenBatchReply,
+    TroubleBatch,
+)
 from lacewingcourse.daemon.handlers import WireHandler
 from lacewingcourse.wire import paths
 
@@ -14,6 +19,10 @@
         batch = self.message(TokenBatch)
         if batch is None:
             return
+        directory = self.daemon.directory
+        directory.mark_seen(batch.sender, batch.incarnation)
+        if batch.status is not None:
+            directory.take_status(batch.status)
         self.reply(TokenBatchReply(self.daemon.take_tokens(batch)))
 
 
@@ -33,4 +42,19 @@
         self.reply(TokenBatchReply())
 
 
-WIRE_ROUTES = [(paths.TOKENS, TokensHandler), (paths.TROUBLES, TroublesHandler)]
+class StatusHandler(WireHandler):
+    """Receives word of changes at agents."""
+
+    def post(self) -> None:
+        status = self.message(Status)
+        if status is None:
+            return
+        self.daemon.directory.take_status(status)
+        self.reply(TokenBatchReply())
+
+
+WIRE_ROUTES = [
+    (paths.TOKENS, TokensHandler),
+    (paths.TROUBLES, TroublesHandler),
+    (paths.STATUS, StatusHandler),
+]
