--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -8,8 +8,20 @@
 from cleo.application import Application
 
 from lacewingcourse.cli.daemons import AgentCommand, EntryCommand
-
-COMMANDS = [EntryCommand, AgentCommand]
+from lacewingcourse.cli.load import LoadCommand
+from lacewingcourse.cli.report import ReportBurnCommand
+from lacewingcourse.cli.settings_command import SettingsCommand
+from lacewingcourse.cli.state import StateCommand, StatusCommand
+
+COMMANDS = [
+    EntryCommand,
+    AgentCommand,
+    LoadCommand,
+    SettingsCommand,
+    ReportBurnCommand,
+    StateCommand,
+    StatusCommand,
+]
 
 
 def build() -> Application:
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -15,6 +15,7 @@
 from lacewingcourse.core.streams import StreamRequest
 from lacewingcourse.daemon.handlers import problem_of
 from lacewingcourse.entry.caller import CLASS_HEADER, CallerHandler
+from lacewingcourse.entry.keyed import answer_of
 from lacewingcourse.entry.openai import parse_chat, parse_completion
 
 if TYPE_CHECKING:
@@ -73,11 +74,11 @@
         work_class = self.daemon.configuration.classes.get(request.work_class)
         self.record.describe(work_class, request.model)
         self.waiting = request.stream
-        admitted = await self.daemon.admission.admit(request)
-        if isinstance(admitted, Refusal):
-            self.refuse(admitted)
+        driver = await answer_of(self, request)
+        if isinstance(driver, Refusal):
+            self.refuse(driver)
             return
-        self.driver = self.daemon.answer(admitted)
+        self.driver = driver
         self.driver.meter = self.record.meter
         try:
             await self._answer(checked)
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -20,14 +20,18 @@
 from lacewingcourse.entry.answers import AnswerDriver
 from lacewingcourse.entry.api import API_ROUTES
 from lacewingcourse.entry.burn_log import BurnLog
+from lacewingcourse.entry.call_sender import CallSender
 from lacewingcourse.entry.directory import Directory
 from lacewingcourse.entry.dispatcher import Dispatcher
 from lacewingcourse.entry.follower import ConfigurationFollower
+from lacewingcourse.entry.home_keeper import HomeKeeper
+from lacewingcourse.entry.keyed import KeyedAnswers
 from lacewingcourse.entry.lease_holder import HeldLease, LeaseHolder
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
 from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
+from lacewingcourse.entry.state_api import STATE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
 from lacewingcourse.platform.instances import InstanceListClient
 from lacewingcourse.platform.log import LogClient
@@ -53,12 +57,14 @@
         streams: Answers in flight.
         endpoints: What it knows of the endpoints.
         leases: Leases as the log has them.
+        homes_complete: Whether every key has a home.
     """
 
     instance: str
     readiness: Readiness
     streams: int
     endpoints: tuple[EndpointState, ...]
+    homes_complete: bool
     leases: tuple[HeldLease, ...] = ()
 
 
@@ -76,6 +82,9 @@
         leases: Its part in the leases of all duties.
         outcomes: Counts how requests end.
         burn_log: Keeps summaries of the counts in the log.
+        homes: Which agents are homes of keys.
+        calls: Sends plain calls.
+        keyed: Answers of requests with a key.
     """
 
     metrics_class = EntryMetrics
@@ -101,6 +110,9 @@
         )
         self.follower.log.observe = self.metrics.on_log
         self.metrics.watch(self)
+        self.homes = HomeKeeper(self)
+        self.calls = CallSender(self)
+        self.keyed = KeyedAnswers(self)
 
     @property
     def configuration(self) -> Configuration:
@@ -109,6 +121,7 @@
 
     def routes(self) -> list[tuple]:
         routes = API_ROUTES + SERVICE_ROUTES + WIRE_ROUTES + REPORT_ROUTES
+        routes += STATE_ROUTES
         return [(path, handler, {"daemon": self}) for path, handler in routes]
 
     def readiness(self) -> Readiness:
@@ -126,11 +139,13 @@
             streams=len(self.answers),
             endpoints=tuple(self.directory.endpoints.values()),
             leases=self.leases.shown(),
+            homes_complete=self.homes.complete(),
         )
 
     async def start_tasks(self) -> None:
         self.spawn(self.follower.follow())
         self.leases.start()
+        self.homes.start()
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.membership import ListedEndpoint, Membership, MemberState
 from lacewingcourse.core.messages import Status, StatusRequest
 from lacewingcourse.core.routes import Fleet
@@ -16,6 +16,7 @@
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
+    from lacewingcourse.core.messages import CallReply, ClaimReply
     from lacewingcourse.entry.application import Entry
     from lacewingcourse.platform.instances import Instance, InstanceListClient
 
@@ -39,6 +40,7 @@
         contents: What each endpoint held when it was last heard, by name.
         watched: Names of the endpoints that this entry watches.
         chosen_from: What the watched endpoints were last chosen from.
+        gone: Endpoint instances that the list says have ended.
         endpoints: Watched endpoints whose agents have answered, by name.
     """
 
@@ -51,6 +53,7 @@
         self.contents: dict[str, tuple] = {}
         self.watched: set[str] = set()
         self.chosen_from: tuple[list[Watchable], dict[str, int]] = ([], {})
+        self.gone: frozenset[str] = frozenset()
         self.endpoints = Fleet()
 
     def entry_urls(self) -> list[str]:
@@ -74,6 +77,7 @@
                 gone.add(instance.id)
             else:
                 by_role[instance.role][instance.id] = instance
+        self.gone = frozenset(gone)
         kept = {
             name: instance
             for name, instance in self.instances.items()
@@ -191,3 +195,12 @@
         if self.membership.on_failure(endpoint, incarnation, self.entry.now()):
             logger.info("endpoint suspected", endpoint=endpoint)
             self._show(endpoint)
+
+    def note_reply(self, url: str, reply: CallReply | ClaimReply | Refusal) -> None:
+        """Suspect the endpoint behind a URL if its agent failed or has restarted."""
+        failed = isinstance(reply, Refusal)
+        if not failed and reply.kind is not ErrorKind.STALE_INCARNATION:
+            return
+        for name, member in self.membership.members.items():
+            if member.listed.url == url:
+                self.mark_lost(name)
