--- a/packages/agent/src/lacewingcourse/agent/orders.py
+++ b/packages/agent/src/lacewingcourse/agent/orders.py
@@ -36,6 +36,7 @@
         passed: Whether the current order was given to the engine.
         last_order: Name of the order that ended last.
         last_error: Why it failed, or empty.
+        last_retry_after: Seconds after which to order it again, or None.
     """
 
     def __init__(self, agent: Agent) -> None:
@@ -45,6 +46,7 @@
         self.passed = False
         self.last_order = ""
         self.last_error = ""
+        self.last_retry_after: float | None = None
 
     @property
     def draining(self) -> bool:
@@ -82,8 +84,10 @@
             kind=refused.kind if refused else None,
             reason=refused.reason if refused else "",
             retry_after=refused.retry_after if refused else None,
+            ordered=self.current.order_id if self.current else "",
             last_order=self.last_order,
             last_error=self.last_error,
+            last_retry_after=self.last_retry_after,
         )
 
     def _is_known(self, order: Order) -> bool:
@@ -129,6 +133,7 @@
         self.current = None
         self.last_order = order.order_id
         self.last_error = refused.reason if refused else ""
+        self.last_retry_after = refused.retry_after if refused else None
         await self.agent.probe()
         self.agent.set_draining()
         logger.info("order ended", order=order.order_id, error=self.last_error)
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -114,6 +114,7 @@
             model=state.model,
             layers=state.layers,
             version=state.version,
+            max_layers=state.max_layers,
             queued=len(self.queue),
             step_time=self.step_time,
             load=self.load(),
--- a/packages/core/src/lacewingcourse/core/layers.py
+++ b/packages/core/src/lacewingcourse/core/layers.py
@@ -24,6 +24,10 @@
     def __len__(self) -> int:
         return self.end - self.first
 
+    def overlaps(self, other: LayerRange) -> bool:
+        """Tell whether the ranges have a layer in common."""
+        return self.first < other.end and other.first < self.end
+
     def contains(self, other: LayerRange) -> bool:
         """Tell whether the other range lies within this one."""
         return self.first <= other.first and other.end <= self.end
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -329,6 +329,7 @@
         step_time: Seconds an engine step takes at present.
         configuration_version: Version of the configuration in force.
         load: What the agent has learned of speed and load.
+        max_layers: Layers that fit into its engine, 0 if it does not tell.
         sequence: Count of the agent's statuses; a later one has a higher number.
     """
 
@@ -347,6 +348,7 @@
     configuration_version: int = 0
     load: LoadReport = LoadReport()
     sequence: int = 0
+    max_layers: int = 0
 
 
 @attrs.frozen
@@ -542,8 +544,10 @@
         kind: Why not, or None.
         reason: Why not, for a person.
         retry_after: Seconds after which to try again, or None.
+        ordered: The order that is being carried out, or empty.
         last_order: The order that was last carried out or failed.
         last_error: Why it failed, or empty.
+        last_retry_after: Seconds after which to order it again, or None.
     """
 
     accepted: bool
@@ -551,5 +555,7 @@
     kind: ErrorKind | None = None
     reason: str = ""
     retry_after: float | None = None
+    ordered: str = ""
     last_order: str = ""
     last_error: str = ""
+    last_retry_after: float | None = None
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -7,7 +7,7 @@
 from lacewingcourse.core.routes import POLICIES
 from lacewingcourse.daemon import common_settings as common
 from lacewingcourse.daemon.checks import registered
-from lacewingcourse.daemon.settings import PREFIX, positive, secret
+from lacewingcourse.daemon.settings import PREFIX, count, positive, secret
 
 
 @environ.config(prefix=PREFIX)
@@ -38,6 +38,15 @@
     message_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a message to an agent may take"
     )
+    usual_restart_time: float = environ.var(
+        default="20", converter=positive, help="Seconds a restart takes, to start from"
+    )
+    usual_load_time: float = environ.var(
+        default="60", converter=positive, help="Seconds a load takes, to start from"
+    )
+    loads_at_once: int = environ.var(
+        default="2", converter=count, help="Loads of weights in progress at most"
+    )
     lease_duration: float = environ.var(
         default="6", converter=positive, help="Seconds for which a lease lasts"
     )
