--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -149,8 +149,10 @@
 
     def refusal_of(self, message: OpenStage) -> ErrorKind | None:
         """Return why a new stream is not let in, or None."""
-        if not self._holds(message):
+        if self.engine_state is None:
             return ErrorKind.NOT_READY
+        if not self._holds(message):
+            return ErrorKind.STALE_INCARNATION
         if message.stream in self.gate.stages:
             return None
         backlog = self.queue.positions() * self.estimates.fit.position
@@ -160,7 +162,7 @@
     def _holds(self, message: OpenStage) -> bool:
         """Tell whether the engine holds the layers and the version of a stage."""
         state = self.engine_state
-        if state is None or state.layers is None:
+        if state.layers is None:
             return False
         wanted = message.stages[message.index].layers
         return message.version in ("", state.version) and state.layers.contains(wanted)
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -31,6 +31,7 @@
 
     from lacewingcourse.core.burn_ends import AnswerMeter
     from lacewingcourse.core.errors import ErrorKind as Kind
+    from lacewingcourse.core.messages import StageAddress
     from lacewingcourse.core.streams import Effect, StreamRequest
     from lacewingcourse.entry.application import Entry
 
@@ -122,13 +123,8 @@
         if isinstance(reply, Refusal):
             self.entry.directory.mark_lost(effect.target.endpoint)
             reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
-        elif reply.kind in REPLACED_KINDS:
-            target = effect.target
-            self.entry.directory.mark_lost(target.endpoint, target.incarnation)
-        elif reply.load is not None:
-            self.entry.dispatcher.on_load(effect.target.endpoint, reply.load)
-            if reply.status is not None:
-                self.entry.directory.take_status(reply.status)
+        else:
+            self._take_reply(effect.target, reply)
         message = effect.message
         self.perform(
             self.state.on_open_reply(
@@ -136,6 +132,14 @@
             )
         )
 
+    def _take_reply(self, target: StageAddress, reply: OpenReply) -> None:
+        """Take what an agent's reply says of the agent itself."""
+        self.entry.dispatcher.on_open_reply(self.stream, target.endpoint, reply)
+        if reply.status is not None:
+            self.entry.directory.take_status(reply.status)
+        if reply.kind in REPLACED_KINDS:
+            self.entry.directory.mark_lost(target.endpoint, target.incarnation)
+
     async def _revoke(self, effect: SendRevoke) -> None:
         reply = await self._send(
             effect.target.agent_url, paths.REVOKE, effect.message, RevokeReply
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -29,6 +29,7 @@
 from lacewingcourse.entry.lease_holder import HeldLease, LeaseHolder
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
+from lacewingcourse.entry.recovery import Recovery
 from lacewingcourse.entry.report_api import REPORT_ROUTES
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
 from lacewingcourse.entry.state_api import STATE_ROUTES
@@ -77,6 +78,7 @@
         answers: Answers in flight by stream.
         dispatcher: Chooses routes and counts what runs on them.
         rng: Source of randomness for decisions.
+        recovery: Judges lost attempts and the endpoints that failed them.
         admission: Lets requests start, wait or be refused.
         calls_running: Plain calls in flight.
         leases: Its part in the leases of all duties.
@@ -97,6 +99,7 @@
         self.answers: dict[str, AnswerDriver] = {}
         self.dispatcher = Dispatcher(self, settings.route_policy)
         self.rng = random.Random(secrets.randbits(64))
+        self.recovery = Recovery(self)
         self.admission = AdmissionControl(self)
         self.calls_running = 0
         self.leases = LeaseHolder(self, LogClient(settings.log_url))
@@ -150,6 +153,7 @@
         self.spawn(self.directory.follow_agents())
         self.spawn(self._check_progress_for_ever())
         self.spawn(self.admission.review_for_ever())
+        self.spawn(self.recovery.review_for_ever())
         self.spawn(self.burn_log.append_for_ever())
 
     async def _check_progress_for_ever(self) -> None:
@@ -198,11 +202,12 @@
 
     def free(self, driver: AnswerDriver) -> None:
         """Give free what a streamed answer that has ended occupied."""
-        self.dispatcher.release(driver.stream)
+        endpoints = self.dispatcher.release(driver.stream)
         failure = driver.state.failure
         whole = failure is None
         if failure is not None and failure.kind is ErrorKind.CALLER_GONE:
             whole = None
+        self.recovery.on_end(driver.stream, whole is True, endpoints)
         self.admission.on_end(driver.stream, whole)
 
     def take_tokens(self, batch: TokenBatch) -> tuple[Credit, ...]:
