--- a/packages/core/src/lacewingcourse/core/routes/__init__.py
+++ b/packages/core/src/lacewingcourse/core/routes/__init__.py
@@ -16,6 +16,7 @@
     usable,
 )
 from lacewingcourse.core.routes.prediction import predict
+from lacewingcourse.core.routes.suspects import suspects_route
 
 #: Policies that are kept to compare others with.
 BASELINES = ("random", "round_robin", "least_loaded")
@@ -36,5 +37,6 @@
     "shortest",
     "stage_of",
     "index_name",
+    "suspects_route",
     "usable",
 ]
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.resume import replacements
 from lacewingcourse.core.routes import (
@@ -12,6 +14,8 @@
     RouteRequest,
     predict,
     stage_of,
+    suspects_route,
+    usable,
 )
 from lacewingcourse.core.versions import choose_version
 
@@ -79,11 +83,16 @@
             excluded: Endpoints to avoid.
             stages: A route to mend if its excluded stages can be replaced.
         """
+        suspect = self.entry.poison.suspects(request)
         reserved = self.reserved.pop(request.stream, None)
+        if suspect:
+            reserved = None
         if reserved is not None and not excluded and self._holds(reserved):
             return reserved
         self.release(request.stream)
-        if excluded:
+        if not excluded:
+            self.entry.recovery.avoided.pop(request.stream, None)
+        else:
             refusal = self.entry.recovery.refusal_of(request, excluded)
             if refusal is not None:
                 return refusal
@@ -91,7 +100,10 @@
         if isinstance(wanted, Refusal):
             return wanted
         entry = self.entry
-        route = self._mended(request, stages, excluded)
+        if suspect:
+            route = self._suspects_route(request, wanted)
+        else:
+            route = self._mended(request, stages, excluded)
         if route is None:
             pinned = self._pinned(request.stream)
             route = choose_version(
@@ -103,6 +115,26 @@
         self.dispatches[request.stream] = dispatch
         return route
 
+    def _suspects_route(
+        self, request: StreamRequest, wanted: RouteRequest
+    ) -> Route | Refusal:
+        """Return the route on the endpoints that run suspects.
+
+        Endpoints that already crashed under the request are avoided, since only
+        crashes of distinct endpoints convict.
+        """
+        avoided = wanted.excluded | self.entry.poison.crashed(request)
+        pinned = self._pinned(request.stream)
+        held = [wanted.version, *self.fleet.versions(request.model)]
+        route = None
+        for version in [pinned] if pinned else held:
+            endpoints = self.fleet.values()
+            candidates = usable(endpoints, request.model, avoided, version)
+            route = suspects_route(candidates, wanted.layer_count)
+            if not isinstance(route, Refusal):
+                return attrs.evolve(route, version=version)
+        return route
+
     def _mended(
         self,
         request: StreamRequest,
--- a/packages/entry/src/lacewingcourse/entry/wire_api.py
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -8,6 +8,7 @@
     TokenBatchReply,
     TroubleBatch,
 )
+from lacewingcourse.core.poison import PoisonNotice
 from lacewingcourse.daemon.handlers import WireHandler
 from lacewingcourse.wire import paths
 
@@ -36,9 +37,7 @@
         for trouble in batch.troubles:
             answer = self.daemon.answers.get(trouble.stream)
             if answer is not None:
-                answer.on_trouble(
-                    trouble.attempt, trouble.endpoint, trouble.kind, trouble.reason
-                )
+                answer.on_stage_trouble(trouble)
         self.reply(TokenBatchReply())
 
 
@@ -53,8 +52,20 @@
         self.reply(TokenBatchReply())
 
 
+class PoisonHandler(WireHandler):
+    """Receives other entries' word on requests that crash their endpoints."""
+
+    def post(self) -> None:
+        notice = self.message(PoisonNotice)
+        if notice is None:
+            return
+        self.daemon.poison.take(notice)
+        self.reply(TokenBatchReply())
+
+
 WIRE_ROUTES = [
     (paths.TOKENS, TokensHandler),
     (paths.TROUBLES, TroublesHandler),
     (paths.STATUS, StatusHandler),
+    (paths.POISON, PoisonHandler),
 ]
--- a/tests/integration/test_recovery.py
+++ b/tests/integration/test_recovery.py
@@ -25,6 +25,12 @@
 REPAIR_TIMEOUT = 30.0
 
 
+def keep_lost_layers_lost(deployment) -> None:
+    """Let no endpoint load other layers, so that lost ones have no new holder."""
+    url = deployment.platform["weight_store"].url + "/faults"
+    put_json(url, b'{"down": true}')
+
+
 @pytest.fixture(scope="module")
 def shared_deployment():
     """Three stages, each held by two endpoints."""
@@ -33,6 +39,7 @@
     started = Deployment(options)
     try:
         started.up()
+        keep_lost_layers_lost(started)
         yield started
     finally:
         for pair in started.endpoints:
