--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from lacewingcourse.agent.call_runner import CallRunner
+from lacewingcourse.agent.follower import AgentConfigurationFollower
 from lacewingcourse.agent.handlers import AGENT_ROUTES
 from lacewingcourse.agent.journal import Journal
 from lacewingcourse.agent.metrics import AgentMetrics
@@ -18,7 +19,9 @@
 from lacewingcourse.agent.watchers import Watchers
 from lacewingcourse.core.keys import model_target, service_target
 from lacewingcourse.core.messages import Status
+from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
 from lacewingcourse.daemon.daemon import Daemon, Readiness
+from lacewingcourse.platform.instances import InstanceListClient
 
 if TYPE_CHECKING:
     from lacewingcourse.agent.settings import AgentSettings
@@ -29,6 +32,8 @@
 INCARNATION_BYTES = 4
 #: Seconds between two looks whether all work has ended.
 DRAIN_INTERVAL = 0.05
+#: Seconds in which entries take over the streams of a drain that took too long.
+HANDOVER_TIMEOUT = 5.0
 
 
 class Agent(Daemon):
@@ -43,6 +48,7 @@
         orders: Takes orders for the endpoint.
         watchers: Tells entries the state.
         statuses: Statuses made so far.
+        follower: Follows the configuration.
     """
 
     metrics_class = AgentMetrics
@@ -57,6 +63,9 @@
         self.orders = OrderDesk(self)
         self.watchers = Watchers(self)
         self.statuses = 0
+        self.follower = AgentConfigurationFollower(
+            self, InstanceListClient(settings.instance_list_url)
+        )
         if settings.service:
             self.calls = CallRunner(self)
         else:
@@ -64,14 +73,16 @@
         self.metrics.watch(self)
 
     def routes(self) -> list[tuple]:
-        return [(path, handler, {"daemon": self}) for path, handler in AGENT_ROUTES]
+        routes = AGENT_ROUTES + CONFIGURATION_ROUTES
+        return [(path, handler, {"daemon": self}) for path, handler in routes]
 
     def readiness(self) -> Readiness:
+        version = self.follower.replica.version
         if self.stopping.is_set():
-            return Readiness(False, "leaving")
+            return Readiness(False, "leaving", version)
         if not self.endpoint_ready():
-            return Readiness(False, "the endpoint does not answer")
-        return Readiness(True)
+            return Readiness(False, "the endpoint does not answer", version)
+        return Readiness(True, configuration_version=version)
 
     def endpoint_ready(self) -> bool:
         """Tell whether the endpoint answers."""
@@ -98,6 +109,7 @@
             ready=self.endpoint_ready(),
             running=self.running(),
             sequence=self.statuses,
+            configuration_version=self.follower.replica.version,
         )
         return status if self.stages is None else self.stages.complete_status(status)
 
@@ -108,6 +120,7 @@
         await self.probe()
         self.spawn(self._probe_for_ever())
         self.spawn(self.orders.learn())
+        self.spawn(self.follower.check_for_ever())
         if self.stages is not None:
             self.spawn(self.stages.watch_engine())
 
@@ -146,13 +159,32 @@
         self.journal = Journal(self, target)
         self.journal.start()
 
+    def _idle(self) -> bool:
+        """Tell whether nothing runs here and everything has been sent."""
+        if self.running():
+            return False
+        return self.stages is None or self.stages.courier.idle
+
+    async def _wait_until_idle(self, timeout: float) -> None:
+        """Wait until nothing runs here, for some seconds at the most."""
+        deadline = self.now() + timeout
+        while not self._idle() and self.now() < deadline:
+            await asyncio.sleep(DRAIN_INTERVAL)
+
     async def drain(self) -> None:
         self.leaving = True
         self.metrics.drains.inc()
         self.set_draining()
-        deadline = self.now() + self.settings.drain_timeout
-        while self.running() and self.now() < deadline:
-            await asyncio.sleep(DRAIN_INTERVAL)
+        if self.stages is not None:
+            self.spawn(
+                self.stages.courier.tell_leaving(
+                    list(self.stages.entry_urls), self.status()
+                )
+            )
+        await self._wait_until_idle(self.settings.drain_timeout)
+        if self.stages is not None:
+            self.stages.close_all()
+            await self._wait_until_idle(HANDOVER_TIMEOUT)
         deadline = self.now() + self.settings.handover_timeout
         while self.journal and self.journal.book.held() and self.now() < deadline:
             await asyncio.sleep(DRAIN_INTERVAL)
--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -40,6 +40,7 @@
         contents: What each endpoint held when it was last heard, by name.
         watched: Names of the endpoints that this entry watches.
         chosen_from: What the watched endpoints were last chosen from.
+        listed: All instances that the list last showed and that are not gone.
         gone: Endpoint instances that the list says have ended.
         endpoints: Watched endpoints whose agents have answered, by name.
     """
@@ -53,6 +54,7 @@
         self.contents: dict[str, tuple] = {}
         self.watched: set[str] = set()
         self.chosen_from: tuple[list[Watchable], dict[str, int]] = ([], {})
+        self.listed: tuple[Instance, ...] = ()
         self.gone: frozenset[str] = frozenset()
         self.endpoints = Fleet()
 
@@ -78,6 +80,7 @@
             else:
                 by_role[instance.role][instance.id] = instance
         self.gone = frozenset(gone)
+        self.listed = tuple(each for each in instances if each.id not in gone)
         kept = {
             name: instance
             for name, instance in self.instances.items()
--- a/packages/entry/src/lacewingcourse/entry/wire_api.py
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -67,5 +67,6 @@
     (paths.TOKENS, TokensHandler),
     (paths.TROUBLES, TroublesHandler),
     (paths.STATUS, StatusHandler),
+    (paths.LEAVING, StatusHandler),
     (paths.POISON, PoisonHandler),
 ]
--- a/tests/integration/test_placement.py
+++ b/tests/integration/test_placement.py
@@ -8,15 +8,13 @@
 
 import pytest
 
-from lacewingcourse.core.configuration import Change, ConfigurationRecord, Model
+from lacewingcourse.core.configuration import Change, Model
 from lacewingcourse.platform.instances import InstanceState
-from lacewingcourse.platform.log import Append
 from lacewingcourse.testing.caller import complete
 from lacewingcourse.testing.deployment import MODEL
 from lacewingcourse.testing.processes import answers, wait_until
 from lacewingcourse.testing.requests import put_json
 from lacewingcourse.testing.standins.model import expected_text
-from lacewingcourse.wire.codec import encode
 
 #: Seconds after which a wait has failed.
 GUARD = 60.0
@@ -50,12 +48,8 @@
 def publish_version(deployment, version: str, base: int) -> None:
     """Publish a version of the model's weights."""
     change = Change("models", MODEL, model=Model(MODEL, LAYERS, version=version))
-    record = ConfigurationRecord(
-        f"version-{version}", base, "test", time.time(), (change,)
-    )
-    url = deployment.platform["log_service"].url
-    append = Append(encode(record).decode())
-    put_json(f"{url}/streams/configuration/records", append, "POST")
+    document = {"base_version": base, "changes": [change]}
+    deployment.admin("POST", "/changes", document)
 
 
 def configuration_version(entry) -> int:
