--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -14,7 +14,9 @@
 from lacewingcourse.agent.handlers import AGENT_ROUTES
 from lacewingcourse.agent.journal import Journal
 from lacewingcourse.agent.metrics import AgentMetrics
+from lacewingcourse.agent.orders import OrderDesk
 from lacewingcourse.agent.stage_runner import StageRunner
+from lacewingcourse.agent.watchers import Watchers
 from lacewingcourse.core.keys import model_target, service_target
 from lacewingcourse.core.messages import Status
 from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
@@ -49,7 +51,10 @@
         stages: Runs stages of a model, or None beside a plain service.
         calls: Runs calls of a plain service, or None beside an engine.
         journal: Keys whose home this is; None until the endpoint is known.
-        leaving: Whether new work is refused.
+        leaving: Whether the instance is leaving for good.
+        orders: Takes orders for the endpoint.
+        watchers: Tells entries the state.
+        statuses: Statuses made so far.
         follower: Follows the configuration.
     """
 
@@ -62,6 +67,9 @@
         self.stages: StageRunner | None = None
         self.calls: CallRunner | None = None
         self.leaving = False
+        self.orders = OrderDesk(self)
+        self.watchers = Watchers(self)
+        self.statuses = 0
         self.follower = AgentConfigurationFollower(
             self, InstanceListClient(settings.instance_list_url)
         )
@@ -102,14 +110,16 @@
     def status(self) -> Status:
         """Return the state of the agent and its endpoint."""
         settings = self.settings
+        self.statuses += 1
         status = Status(
             endpoint=settings.instance_id,
             incarnation=self.incarnation,
             availability_zone=settings.availability_zone,
             service=settings.service,
-            leaving=self.leaving,
+            leaving=self.leaving or self.orders.draining,
             ready=self.endpoint_ready(),
             running=self.running(),
+            sequence=self.statuses,
             configuration_version=self.follower.replica.version,
         )
         return status if self.stages is None else self.stages.complete_status(status)
@@ -120,6 +130,7 @@
     async def start_tasks(self) -> None:
         await self.probe()
         self.spawn(self._probe_for_ever())
+        self.spawn(self.orders.learn())
         self.spawn(self.follower.check_for_ever())
         if self.stages is not None:
             self.spawn(self.stages.watch_engine())
@@ -141,6 +152,13 @@
             self._start_journal()
         if self.endpoint_ready() != before:
             logger.info("endpoint answers", ready=self.endpoint_ready())
+        self.watchers.push_change()
+
+    def set_draining(self) -> None:
+        """Let the gate refuse new streams while leaving or before an order."""
+        if self.stages is not None:
+            self.stages.gate.leaving = self.leaving or self.orders.draining
+        self.watchers.push_change()
 
     def _start_journal(self) -> None:
         """Begin to be a home of keys once it is known what runs here."""
@@ -168,8 +186,7 @@
     async def drain(self) -> None:
         self.leaving = True
         self.metrics.drains.inc()
-        if self.stages is not None:
-            self.stages.gate.leaving = True
+        self.set_draining()
         if self.stages is not None:
             self.spawn(
                 self.stages.courier.tell_leaving(
--- a/packages/agent/src/lacewingcourse/agent/courier.py
+++ b/packages/agent/src/lacewingcourse/agent/courier.py
@@ -168,8 +168,9 @@
 
     async def _send_tokens(self, entry_url: str, tokens: list[Token]) -> None:
         """Send tokens to their entry and take the credits of its reply."""
+        status = self.agent.watchers.status_due(entry_url)
         batch = TokenBatch(
-            self.settings.instance_id, self.agent.incarnation, tuple(tokens)
+            self.settings.instance_id, self.agent.incarnation, tuple(tokens), status
         )
         reply = await self._send(
             entry_url, paths.TOKENS, batch, TokenBatchReply, ENTRY_PATIENCE
--- a/packages/agent/src/lacewingcourse/agent/engine.py
+++ b/packages/agent/src/lacewingcourse/agent/engine.py
@@ -112,13 +112,53 @@
         version: Version of the weights.
         running: Items in its steps, as of its last load report.
         queued: Items that wait, as of its last load report.
+        max_layers: Layers that fit into it, 0 if not known.
+        loading: Whether it is loading weights.
+        adapter: Adapter that it holds, or empty.
+        role: Role that it has, or empty.
     """
 
     model: str
-    layers: LayerRange
+    layers: LayerRange | None
     version: str
     running: int
     queued: int
+    max_layers: int = 0
+    loading: bool = False
+    adapter: str = ""
+    role: str = ""
+
+
+@attrs.frozen
+class EngineOrder:
+    """An order as the engine gets it.
+
+    Attributes:
+        number: Fencing number; some engines refuse old ones, others ignore it.
+        order_id: Name of the order.
+        action: `load`, `unload`, `adapter` or `role`.
+        model: Model to load.
+        version: Version of the weights.
+        layers: Layers to load.
+        adapter: Adapter to load.
+        role: Role to take.
+    """
+
+    number: int
+    order_id: str
+    action: str
+    model: str = ""
+    version: str = ""
+    layers: LayerRange | None = None
+    adapter: str = ""
+    role: str = ""
+
+
+@attrs.frozen
+class EngineOrderReply:
+    """The engine's answer to an order that it has taken."""
+
+    order_id: str
 
 
 @attrs.frozen
@@ -209,6 +249,19 @@
             return self._failed(response)
         return decode(response.body, EngineState)
 
+    async def order(self, order: EngineOrder) -> EngineOrderReply | Refusal:
+        """Give the engine an order."""
+        response = await self._fetch("/engine/orders", order)
+        if response.code == 200:
+            return decode(response.body, EngineOrderReply)
+        if response.code == 409:
+            return Refusal(ErrorKind.STALE_FENCING, "the engine has a newer number")
+        if response.code == 429:
+            wait = float(response.headers.get("Retry-After", 1))
+            reason = "the weight store is at its rate"
+            return Refusal(ErrorKind.OVERLOADED, reason, retry_after=wait)
+        return self._failed(response)
+
     async def _post(self, path: str, message, kind):
         return self._read(await self._fetch(path, message), kind)
 
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -15,6 +15,7 @@
     HopBatchReply,
     OpenReply,
     OpenStage,
+    Order,
     ReportRequest,
     Revoke,
     RevokeCall,
@@ -23,6 +24,7 @@
     SettleReply,
     StartStage,
     Status,
+    StatusRequest,
     TokenBatchReply,
 )
 from lacewingcourse.daemon.handlers import WireHandler
@@ -49,7 +51,9 @@
         reply, effects = daemon.stages.gate.open(message, daemon.now())
         daemon.metrics.on_open(reply)
         daemon.stages.perform(effects)
-        self.reply(attrs.evolve(reply, load=daemon.stages.load()))
+        load = daemon.stages.load()
+        status = daemon.watchers.status_due(message.entry_url)
+        self.reply(attrs.evolve(reply, load=load, status=status))
 
 
 class StartStageHandler(WireHandler):
@@ -132,10 +136,24 @@
     """Tells the state of the agent and its endpoint."""
 
     def post(self) -> None:
+        request = self.message(StatusRequest)
+        if request is None:
+            return
         status: Status = self.daemon.status()
+        self.daemon.watchers.note(request.entry_url, self.daemon.now())
         self.reply(status)
 
 
+class OrderHandler(WireHandler):
+    """Takes orders for the endpoint."""
+
+    def post(self) -> None:
+        order = self.message(Order)
+        if order is None:
+            return
+        self.reply(self.daemon.orders.take(order))
+
+
 class CallHandler(WireHandler):
     """Runs a call of the plain service."""
 
@@ -205,6 +223,7 @@
     (paths.CREDIT, CreditHandler),
     (paths.REPORT, ReportHandler),
     (paths.STATUS, StatusHandler),
+    (paths.ORDER, OrderHandler),
     (paths.CALL, CallHandler),
     (paths.REVOKE_CALL, RevokeCallHandler),
     (paths.CLAIM, ClaimHandler),
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -173,6 +173,7 @@
             model=state.model,
             layers=state.layers,
             version=state.version,
+            max_layers=state.max_layers,
             queued=len(self.queue),
             step_time=self.step_time,
             load=self.load(),
@@ -207,12 +208,24 @@
 
     def refusal_of(self, message: OpenStage) -> ErrorKind | None:
         """Return why a new stream is not let in, or None."""
+        if self.engine_state is None:
+            return ErrorKind.NOT_READY
+        if not self._holds(message):
+            return ErrorKind.STALE_INCARNATION
         if message.stream in self.gate.stages:
             return None
         backlog = self.queue.positions() * self.estimates.fit.position
         load = AgentLoad(len(self.gate.stages), self.settings.max_streams, backlog)
         return refusal_kind(message, load)
 
+    def _holds(self, message: OpenStage) -> bool:
+        """Tell whether the engine holds the layers and the version of a stage."""
+        state = self.engine_state
+        if state.layers is None:
+            return False
+        wanted = message.stages[message.index].layers
+        return message.version in ("", state.version) and state.layers.contains(wanted)
+
     def _push(self, effect: RunForward) -> None:
         """Queue work with the time at which it is due."""
         stage = self.gate.stages.get(effect.stream)
--- a/packages/core/src/lacewingcourse/core/messages.py
+++ b/packages/core/src/lacewingcourse/core/messages.py
@@ -91,6 +91,7 @@
         sampling: How tokens are chosen.
         token_limit: Tokens that may be generated before further credit.
         prompt: Given to the first stage only.
+        version: Version of the weights that the attempt runs on, or empty for any.
         solo: Whether its first steps run alone on the engine.
         resume: Whether to keep what an older attempt has here and wait for a
             `StartStage`.
@@ -108,6 +109,7 @@
     sampling: Sampling
     token_limit: int
     prompt: Prompt | None = None
+    version: str = ""
     pace: float = 0.0
     solo: bool = False
     resume: bool = False
@@ -171,6 +173,7 @@
         kind: Why not, or None.
         reason: Why not, for a person.
         load: What the agent has learned of speed and load, or None.
+        status: State of the agent, if it was not sent lately.
         kept: What the stage still has of an older attempt, or None.
     """
 
@@ -179,6 +182,7 @@
     kind: ErrorKind | None = None
     reason: str = ""
     load: LoadReport | None = None
+    status: Status | None = None
     kept: KeptState | None = None
 
 
@@ -317,11 +321,13 @@
         sender: Name of the sending endpoint instance.
         incarnation: Incarnation of the sending agent.
         tokens: The tokens.
+        status: State of the sender, if it was not sent lately.
     """
 
     sender: str
     incarnation: str
     tokens: tuple[Token, ...]
+    status: Status | None = None
 
 
 @attrs.frozen
@@ -430,6 +436,17 @@
     started: bool
 
 
+@attrs.frozen
+class StatusRequest:
+    """Entry to agent: ask for the state.
+
+    Attributes:
+        entry_url: Where the agent sends later changes of its state.
+    """
+
+    entry_url: str = ""
+
+
 @attrs.frozen
 class Status:
     """Agent to entry: state of the agent and its endpoint.
@@ -449,6 +466,8 @@
         step_time: Seconds an engine step takes at present.
         configuration_version: Version of the configuration in force.
         load: What the agent has learned of speed and load.
+        max_layers: Layers that fit into its engine, 0 if it does not tell.
+        sequence: Count of the agent's statuses; a later one has a higher number.
     """
 
     endpoint: str
@@ -465,6 +484,8 @@
     step_time: float = 0.0
     configuration_version: int = 0
     load: LoadReport = LoadReport()
+    sequence: int = 0
+    max_layers: int = 0
 
 
 @attrs.frozen
@@ -611,6 +632,72 @@
     replayed: bool = False
 
 
+class OrderAction(Enum):
+    """What an endpoint is ordered to do."""
+
+    INSPECT = "inspect"
+    LOAD = "load"
+    UNLOAD = "unload"
+    ADAPTER = "adapter"
+    ROLE = "role"
+
+
+@attrs.frozen
+class Order:
+    """Entry to agent: an order for the endpoint, given under a lease.
+
+    Attributes:
+        duty: Duty whose lease the sender holds.
+        number: Fencing number of the lease.
+        incarnation: Incarnation of the agent it is meant for; empty to inspect.
+        order_id: Name of the order; a repeated order has no second effect.
+        action: What to do.
+        model: Model whose weights are loaded.
+        version: Version of the weights.
+        layers: Layers to load.
+        adapter: Adapter to load.
+        role: Role to take.
+    """
+
+    duty: str
+    number: int
+    incarnation: str
+    order_id: str
+    action: OrderAction
+    model: str = ""
+    version: str = ""
+    layers: LayerRange | None = None
+    adapter: str = ""
+    role: str = ""
+
+
+@attrs.frozen
+class OrderReply:
+    """Agent to entry: whether the order was taken.
+
+    Attributes:
+        accepted: Whether it was taken.
+        status: State of the agent and its endpoint.
+        kind: Why not, or None.
+        reason: Why not, for a person.
+        retry_after: Seconds after which to try again, or None.
+        ordered: The order that is being carried out, or empty.
+        last_order: The order that was last carried out or failed.
+        last_error: Why it failed, or empty.
+        last_retry_after: Seconds after which to order it again, or None.
+    """
+
+    accepted: bool
+    status: Status
+    kind: ErrorKind | None = None
+    reason: str = ""
+    retry_after: float | None = None
+    ordered: str = ""
+    last_order: str = ""
+    last_error: str = ""
+    last_retry_after: float | None = None
+
+
 @attrs.frozen
 class ConfigurationExchange:
     """Any process to any other: what it knows of the configuration, and the reply.
--- a/packages/core/src/lacewingcourse/core/resume.py
+++ b/packages/core/src/lacewingcourse/core/resume.py
@@ -15,6 +15,7 @@
     from collections.abc import Sequence
 
     from lacewingcourse.core.endpoints import EndpointState
+    from lacewingcourse.core.layers import LayerRange
     from lacewingcourse.core.messages import KeptState
 
 
@@ -80,13 +81,18 @@
 
 
 def replacements(
-    endpoints: Sequence[EndpointState], model: str, layers, avoided: frozenset[str]
+    endpoints: Sequence[EndpointState],
+    model: str,
+    version: str,
+    layers: LayerRange,
+    avoided: frozenset[str],
 ) -> list[EndpointState]:
     """Return the endpoints that can take over a lost stage's layers."""
     return [
         endpoint
         for endpoint in endpoints
         if endpoint.model == model
+        and endpoint.version == version
         and endpoint.layers is not None
         and endpoint.layers.contains(layers)
         and endpoint.id not in avoided
--- a/packages/core/src/lacewingcourse/core/routes/__init__.py
+++ b/packages/core/src/lacewingcourse/core/routes/__init__.py
@@ -11,6 +11,7 @@
     RoutePolicy,
     RouteRequest,
     Stage,
+    index_name,
     no_route,
     stage_of,
     usable,
@@ -37,6 +38,7 @@
     "predict",
     "shortest",
     "stage_of",
+    "index_name",
     "suspects_route",
     "usable",
 ]
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -158,6 +158,7 @@
         any_started: Whether work is known to have started.
         failure: The refusal that the caller gets after the revocations.
         progress_at: When the stream last went ahead, seconds.
+        version: Version of the weights of the newest attempt.
         pace: Learned time between two tokens.
         ask_at: When the stages are asked how far they have come, seconds.
         unanswered: Questions in a row that found no fault.
@@ -191,6 +192,7 @@
     any_started: bool = False
     failure: Refusal | None = None
     progress_at: float = 0.0
+    version: str = ""
     pace: Pace = attrs.field(factory=Pace)
     ask_at: float = 0.0
     unanswered: int = 0
@@ -220,8 +222,10 @@
             )
             for stage in route.stages
         )
-        left = self._revocations(self.keepable.difference(stages))
-        self.keepable.intersection_update(stages)
+        kept = stages if route.version == self.version else ()
+        left = self._revocations(self.keepable.difference(kept))
+        self.keepable.intersection_update(kept)
+        self.version = route.version
         self.stages = stages
         self.attempt += 1
         self.resuming = bool(self.keepable)
@@ -273,6 +277,7 @@
             prompt=prompt,
             resume=self.resuming,
             pace=request.pace,
+            version=self.version,
             solo=self.solo,
         )
         return SendOpen(target, message)
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -35,12 +35,14 @@
 
     from lacewingcourse.core.burn_ends import AnswerMeter
     from lacewingcourse.core.errors import ErrorKind as Kind
-    from lacewingcourse.core.messages import Trouble
+    from lacewingcourse.core.messages import StageAddress, Trouble
     from lacewingcourse.core.streams import Effect, StreamRequest
     from lacewingcourse.entry.application import Entry
 
 Event = Token | FinishAnswer | FailAnswer
 
+#: Refusals after which an endpoint is asked for its state before it is used again.
+REPLACED_KINDS = frozenset({ErrorKind.STALE_INCARNATION, ErrorKind.NOT_READY})
 #: Seconds in which a stage's agent must say how far it has come.
 REPORT_TIMEOUT = 1.0
 #: Seconds before a revocation is repeated the first time; doubled with each repeat.
@@ -190,9 +192,7 @@
             self.entry.directory.mark_lost(effect.target.endpoint)
             reply = OpenReply(False, "", ErrorKind.STAGE_LOST, reply.reason)
         else:
-            self.entry.dispatcher.on_open_reply(
-                self.stream, effect.target.endpoint, reply
-            )
+            self._take_reply(effect.target, reply)
         message = effect.message
         self.perform(
             self.state.on_open_reply(
@@ -214,6 +214,14 @@
             )
         )
 
+    def _take_reply(self, target: StageAddress, reply: OpenReply) -> None:
+        """Take what an agent's reply says of the agent itself."""
+        self.entry.dispatcher.on_open_reply(self.stream, target.endpoint, reply)
+        if reply.status is not None:
+            self.entry.directory.take_status(reply.status)
+        if reply.kind in REPLACED_KINDS:
+            self.entry.directory.mark_lost(target.endpoint, target.incarnation)
+
     async def _revoke(self, effect: SendRevoke) -> None:
         """Revoke an attempt; repeat it in the background to release the stage."""
         delay = REVOKE_DELAY
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -28,6 +28,7 @@
 from lacewingcourse.entry.follower import EntryConfigurationFollower
 from lacewingcourse.entry.home_keeper import HomeKeeper
 from lacewingcourse.entry.keyed import KeyedAnswers
+from lacewingcourse.entry.lease_holder import HeldLease, LeaseHolder
 from lacewingcourse.entry.metrics import EntryMetrics
 from lacewingcourse.entry.outcomes import Outcomes
 from lacewingcourse.entry.poison_guard import PoisonGuard
@@ -65,6 +66,7 @@
         readiness: Whether it takes new work.
         streams: Answers in flight.
         endpoints: What it knows of the endpoints.
+        leases: Leases as the log has them.
         homes_complete: Whether every key has a home.
     """
 
@@ -73,6 +75,7 @@
     streams: int
     endpoints: tuple[EndpointState, ...]
     homes_complete: bool
+    leases: tuple[HeldLease, ...] = ()
 
 
 class Entry(Daemon):
@@ -90,6 +93,7 @@
         recovery: Judges lost attempts and the endpoints that failed them.
         admission: Lets requests start, wait or be refused.
         calls_running: Plain calls in flight.
+        leases: Its part in the leases of all duties.
         outcomes: Counts how requests end.
         burn_log: Keeps summaries of the counts in the log.
         homes: Which agents are homes of keys.
@@ -115,6 +119,7 @@
         self.recovery = Recovery(self)
         self.admission = AdmissionControl(self)
         self.calls_running = 0
+        self.leases = LeaseHolder(self, LogClient(settings.log_url))
         run = secrets.token_hex(8)
         self.outcomes = Outcomes(settings.instance_id, run, self.metrics)
         self.burn_log = BurnLog(
@@ -154,12 +159,14 @@
             readiness=self.readiness(),
             streams=len(self.answers),
             endpoints=tuple(self.directory.endpoints.values()),
+            leases=self.leases.shown(),
             homes_complete=self.homes.complete(),
         )
 
     async def start_tasks(self) -> None:
         self.spawn(self.follower.follow_log())
         self.spawn(self.follower.check_for_ever())
+        self.leases.start()
         self.homes.start()
         self.spawn(self.directory.follow_list())
         self.spawn(self.directory.follow_agents())
@@ -183,6 +190,7 @@
 
     async def drain(self) -> None:
         self.metrics.drains.inc()
+        await self.leases.release()
         await self._wait_until_idle(self.settings.drain_timeout)
         refusal = Refusal(ErrorKind.DRAINING, "the entry has to end", retry_after=1.0)
         for answer in list(self.answers.values()):
--- a/packages/entry/src/lacewingcourse/entry/call_sender.py
+++ b/packages/entry/src/lacewingcourse/entry/call_sender.py
@@ -156,9 +156,11 @@
         self, url: str, call: Call, deadline: float
     ) -> CallReply | Refusal:
         timeout = max(deadline - self.entry.now(), MIN_TIMEOUT)
-        return await self.entry.peers.send(
+        reply = await self.entry.peers.send(
             url, paths.CALL, call, CallReply, timeout, once=True
         )
+        self.entry.directory.note_reply(url, reply)
+        return reply
 
     async def _revoke(self, url: str, call: Call) -> Outcome:
         """Keep a call from starting late; return what is known of its effect."""
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -18,6 +18,7 @@
     suspects_route,
     usable,
 )
+from lacewingcourse.core.versions import choose_version
 
 if TYPE_CHECKING:
     from lacewingcourse.core.messages import OpenReply, StageAddress
@@ -67,6 +68,7 @@
             prompt_length=1 + len(request.prompt) // CHARACTERS_PER_POSITION,
             max_tokens=request.sampling.max_tokens,
             excluded=excluded,
+            version=model.version,
         )
 
     def choose(
@@ -102,9 +104,12 @@
         if suspect:
             route = self._suspects_route(request, wanted)
         else:
-            route = self._mended(request.model, stages, excluded)
+            route = self._mended(request, stages, excluded)
         if route is None:
-            route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
+            pinned = self._pinned(request.stream)
+            route = choose_version(
+                self.policy, self.fleet, wanted, pinned, entry.rng, entry.now()
+            )
         if isinstance(route, Refusal):
             return entry.recovery.load_refusal(request.stream) or route
         dispatch = self.fleet.dispatch(route, wanted.prompt_length)
@@ -120,13 +125,26 @@
         crashes of distinct endpoints convict.
         """
         avoided = wanted.excluded | self.entry.poison.crashed(request)
-        candidates = usable(self.fleet.values(), request.model, avoided)
-        return suspects_route(candidates, wanted.layer_count)
+        pinned = self._pinned(request.stream)
+        held = [wanted.version, *self.fleet.versions(request.model)]
+        route = None
+        for version in [pinned] if pinned else held:
+            endpoints = self.fleet.values()
+            candidates = usable(endpoints, request.model, avoided, version)
+            route = suspects_route(candidates, wanted.layer_count)
+            if not isinstance(route, Refusal):
+                return attrs.evolve(route, version=version)
+        return route
 
     def _mended(
-        self, model: str, stages: tuple[StageAddress, ...], excluded: frozenset[str]
+        self,
+        request: StreamRequest,
+        stages: tuple[StageAddress, ...],
+        excluded: frozenset[str],
     ) -> Route | None:
         """Return a route with its excluded stages replaced, or None if none can."""
+        answer = self.entry.answers.get(request.stream)
+        version = answer.state.version if answer is not None else ""
         avoided = excluded.union(stage.endpoint for stage in stages)
         mended = []
         for stage in stages:
@@ -135,14 +153,16 @@
             if stage.endpoint not in excluded and current and known.ready:
                 mended.append(stage_of(known, stage.layers.first, stage.layers.end))
                 continue
-            able = replacements(self.fleet.values(), model, stage.layers, avoided)
+            able = replacements(
+                self.fleet.values(), request.model, version, stage.layers, avoided
+            )
             if not able:
                 return None
             pair = self.entry.rng.sample(able, min(2, len(able)))
             chosen = min(pair, key=lambda endpoint: endpoint.load.running)
             avoided = avoided.union({chosen.id})
             mended.append(stage_of(chosen, stage.layers.first, stage.layers.end))
-        return Route(tuple(mended)) if mended else None
+        return Route(tuple(mended), version) if mended else None
 
     def preview(self, request: StreamRequest, wide: bool) -> Prediction | Refusal:
         """Return what is predicted for a request, and keep the route for it.
@@ -157,12 +177,21 @@
         if wide:
             wanted = attrs.evolve(wanted, choices=WIDE_CHOICES)
         entry = self.entry
-        route = self.policy.choose(self.fleet, wanted, entry.rng, entry.now())
+        route = choose_version(
+            self.policy, self.fleet, wanted, "", entry.rng, entry.now()
+        )
         if isinstance(route, Refusal):
             return route
         self.previews[request.stream] = (route, wanted)
         return predict(self.fleet, route, wanted)
 
+    def _pinned(self, stream: str) -> str:
+        """Return the version that a stream must go on with, or empty for any."""
+        answer = self.entry.answers.get(stream)
+        if answer is None or not answer.state.delivered:
+            return ""
+        return answer.state.version
+
     def reserve(self, stream: str) -> None:
         """Count the previewed route of a stream as dispatched."""
         route, wanted = self.previews.pop(stream)
@@ -175,6 +204,8 @@
             known = self.fleet.get(stage.endpoint)
             if known is None or not known.takes_new_work():
                 return False
+            if known.version != route.version:
+                return False
             if known.incarnation != stage.incarnation:
                 return False
         return True
--- a/packages/entry/src/lacewingcourse/entry/keyed.py
+++ b/packages/entry/src/lacewingcourse/entry/keyed.py
@@ -233,6 +233,7 @@
             reply = await self.entry.peers.send(
                 home_url, paths.CLAIM, claim, ClaimReply, timeout
             )
+            self.entry.directory.note_reply(home_url, reply)
             if isinstance(reply, ClaimReply) or reply.outcome is Outcome.NOT_RUN:
                 return reply
         give_back = Settle(claim, Outcome.NOT_RUN)
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -7,7 +7,7 @@
 from lacewingcourse.core.routes import POLICIES
 from lacewingcourse.daemon import common_settings as common
 from lacewingcourse.daemon.checks import registered
-from lacewingcourse.daemon.settings import PREFIX, one_of, positive, secret
+from lacewingcourse.daemon.settings import PREFIX, count, one_of, positive, secret
 
 
 @environ.config(prefix=PREFIX)
@@ -48,6 +48,18 @@
     message_timeout: float = environ.var(
         default="3", converter=positive, help="Seconds a message to an agent may take"
     )
+    usual_restart_time: float = environ.var(
+        default="20", converter=positive, help="Seconds a restart takes, to start from"
+    )
+    usual_load_time: float = environ.var(
+        default="60", converter=positive, help="Seconds a load takes, to start from"
+    )
+    loads_at_once: int = environ.var(
+        default="2", converter=count, help="Loads of weights in progress at most"
+    )
+    lease_duration: float = environ.var(
+        default="6", converter=positive, help="Seconds for which a lease lasts"
+    )
     call_timeout: float = environ.var(
         default="30", converter=positive, help="Seconds a plain call may take"
     )
--- a/packages/entry/src/lacewingcourse/entry/wire_api.py
+++ b/packages/entry/src/lacewingcourse/entry/wire_api.py
@@ -21,6 +21,10 @@
         batch = self.message(TokenBatch)
         if batch is None:
             return
+        directory = self.daemon.directory
+        directory.mark_seen(batch.sender, batch.incarnation)
+        if batch.status is not None:
+            directory.take_status(batch.status)
         self.reply(TokenBatchReply(self.daemon.take_tokens(batch)))
 
 
@@ -38,14 +42,14 @@
         self.reply(TokenBatchReply())
 
 
-class LeavingHandler(WireHandler):
-    """Receives word of an endpoint that takes no new work."""
+class StatusHandler(WireHandler):
+    """Receives word of changes at agents."""
 
     def post(self) -> None:
         status = self.message(Status)
         if status is None:
             return
-        self.daemon.directory.mark_leaving(status)
+        self.daemon.directory.take_status(status)
         self.reply(TokenBatchReply())
 
 
@@ -72,7 +76,8 @@
 WIRE_ROUTES = [
     (paths.TOKENS, TokensHandler),
     (paths.TROUBLES, TroublesHandler),
-    (paths.LEAVING, LeavingHandler),
+    (paths.STATUS, StatusHandler),
+    (paths.LEAVING, StatusHandler),
     (paths.ALIVE, AliveHandler),
     (paths.POISON, PoisonHandler),
 ]
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -21,7 +21,12 @@
     Service,
 )
 from lacewingcourse.platform.instances import Instance, InstanceRole, InstanceState
-from lacewingcourse.testing.layout import ZONES, EndpointPlan, plan_endpoints
+from lacewingcourse.testing.layout import (
+    ZONES,
+    EndpointPlan,
+    plan_endpoints,
+    plan_spares,
+)
 from lacewingcourse.testing.processes import (
     Process,
     WaitTimeout,
@@ -69,6 +74,8 @@
             `agent-endpoint-1`, `engine-endpoint-1`, `agent-tally-1`,
             `service-tally`, `service-tally-2`, `log-service`, `instance-list`,
             `weight-store`.
+        spares: Endpoints that hold nothing at the start.
+        engine_arguments: Further arguments of engines by endpoint, `*` for all.
     """
 
     entries: int = 1
@@ -81,6 +88,8 @@
     entry_variables: dict[str, str] = attrs.field(factory=dict)
     agent_variables: dict[str, str] = attrs.field(factory=dict)
     proxied: frozenset[str] = frozenset()
+    spares: int = 0
+    engine_arguments: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
     def is_proxied(self, name: str) -> bool:
         """Tell whether a process stands behind the fault proxy."""
@@ -259,15 +268,10 @@
 
     def _start_endpoints(self) -> None:
         options = self.options
-        for plan in plan_endpoints(options.endpoints, options.layers):
-            engine = self._standin(
-                f"engine-{plan.id}",
-                "engine",
-                f"--model={MODEL}",
-                f"--first={plan.layers.first}",
-                f"--end={plan.layers.end}",
-                f"--step-time={options.step_time}",
-            )
+        plans = plan_endpoints(options.endpoints, options.layers)
+        plans += plan_spares(options.endpoints, options.spares)
+        for plan in plans:
+            engine = self._engine(plan)
             agent = self._agent(plan, engine, {})
             self.endpoints.append(EndpointProcesses(plan, engine, agent))
         for number in range(1, options.services + 1):
@@ -285,6 +289,22 @@
         agent = self._agent(plan, service, {"LACEWINGCOURSE_SERVICE": SERVICE})
         return EndpointProcesses(plan, service, agent)
 
+    def _engine(self, plan: EndpointPlan) -> Process:
+        held = []
+        if plan.layers is not None:
+            first, end = plan.layers.first, plan.layers.end
+            held = [f"--model={MODEL}", f"--first={first}", f"--end={end}"]
+        further = self.options.engine_arguments
+        return self._standin(
+            f"engine-{plan.id}",
+            "engine",
+            f"--step-time={self.options.step_time}",
+            f"--weight-store={self.platform['weight_store'].url}",
+            *held,
+            *further.get("*", ()),
+            *further.get(plan.id, ()),
+        )
+
     def _agent(self, plan: EndpointPlan, engine: Process, variables) -> Process:
         return self._daemon(
             "agent",
--- a/packages/testing/src/lacewingcourse/testing/state_file.py
+++ b/packages/testing/src/lacewingcourse/testing/state_file.py
@@ -49,7 +49,7 @@
         "id": pair.plan.id,
         "availability_zone": pair.plan.availability_zone,
         "model": MODEL,
-        "layers": [layers.first, layers.end],
+        "layers": [layers.first, layers.end] if layers else None,
         "url": pair.engine.url,
         "pid": pair.engine.pid,
         "agent_url": pair.agent.url,
--- a/tests/test_prometheus_rules.py
+++ b/tests/test_prometheus_rules.py
@@ -4,7 +4,6 @@
 
 import re
 from pathlib import Path
-from types import SimpleNamespace
 
 import pytest
 import yaml
@@ -26,7 +25,7 @@
     """Return the names of all samples of both daemons."""
     names = set()
     for metrics in (EntryMetrics(), AgentMetrics()):
-        ConfigurationMetrics(SimpleNamespace(metrics=metrics))
+        ConfigurationMetrics(metrics.registry)
         for family in metrics.registry.collect():
             names.update(family.name + suffix for suffix in SUFFIXES[family.type])
     return names
