--- a/tests/integration/test_leases.py
+++ b/tests/integration/test_leases.py
@@ -62,7 +62,7 @@
 
 def post(deployment, pair, order: Order) -> OrderReply:
     async def call():
-        peers = PeerClient(deployment.shared_secret)
+        peers = PeerClient(deployment.shared_secret, "test")
         return await peers.send(
             pair.agent.listen_url, paths.ORDER, order, OrderReply, 10.0
         )
--- a/tests/test_prometheus_rules.py
+++ b/tests/test_prometheus_rules.py
@@ -10,7 +10,6 @@
 
 from lacewingcourse.agent.metrics import AgentMetrics
 from lacewingcourse.core.burn_report import ALARM_WINDOWS, FAST_RATE, MIN_SPENT
-from lacewingcourse.daemon.configuration import ConfigurationMetrics
 from lacewingcourse.entry.metrics import EntryMetrics
 
 RULES = Path(__file__).parents[1] / "ops" / "prometheus"
@@ -25,7 +24,6 @@
     """Return the names of all samples of both daemons."""
     names = set()
     for metrics in (EntryMetrics(), AgentMetrics()):
-        ConfigurationMetrics(metrics.registry)
         for family in metrics.registry.collect():
             names.update(family.name + suffix for suffix in SUFFIXES[family.type])
     return names
