--- a/packages/agent/src/lacewingcourse/agent/call_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/call_runner.py
@@ -9,7 +9,7 @@
 
 from lacewingcourse.agent.service import ServiceClient
 from lacewingcourse.core.calls import CallGate
-from lacewingcourse.core.claims import Permission
+from lacewingcourse.core.claim_records import Permission
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.messages import CallReply, RevokeReply
 from lacewingcourse.wire.codec import decode, encode
--- a/packages/agent/src/lacewingcourse/agent/handlers.py
+++ b/packages/agent/src/lacewingcourse/agent/handlers.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lacewingcourse.core.claims import Permission, Verdict
+from lacewingcourse.core.claim_records import Permission, Verdict
 from lacewingcourse.core.errors import ErrorKind, Outcome
 from lacewingcourse.core.messages import (
     Call,
--- a/packages/agent/src/lacewingcourse/agent/journal.py
+++ b/packages/agent/src/lacewingcourse/agent/journal.py
@@ -9,9 +9,7 @@
 import attrs
 from loguru import logger
 
-from lacewingcourse.core.claims import (
-    ADVICE,
-    ClaimBook,
+from lacewingcourse.core.claim_records import (
     ClaimSettings,
     EntryState,
     JournalRecord,
@@ -19,6 +17,7 @@
     refused,
     unavailable,
 )
+from lacewingcourse.core.claims import ADVICE, ClaimBook
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.homes import HomesFold, HomesRecord, release
 from lacewingcourse.core.keys import parse_key, scope_of
@@ -28,7 +27,7 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.agent.application import Agent
-    from lacewingcourse.core.claims import Verdict
+    from lacewingcourse.core.claim_records import Verdict
     from lacewingcourse.core.messages import Claim, Settle
 
 #: Start of the name of each target's stream of claims.
@@ -301,7 +300,7 @@
             await self._read_back(record)
 
     def _written(self, record: JournalRecord) -> bool:
-        known = self.book.sequences.get(record.incarnation, 0)
+        known = self.book.journal.sequences.get(record.incarnation, 0)
         return known >= record.sequence
 
     async def _read_back(self, record: JournalRecord) -> None:
@@ -347,7 +346,7 @@
     def quiet(self) -> bool:
         """Whether no request runs and the whole journal is in the log."""
         book = self.book
-        written = book.sequences.get(book.incarnation, 0) >= book.sequence
+        written = book.journal.written
         return not book.running and not book.lines and written
 
     async def _hand_over(self) -> None:
--- a/packages/core/src/lacewingcourse/core/claims.py
+++ b/packages/core/src/lacewingcourse/core/claims.py
@@ -7,17 +7,28 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING
 
-import attrs
-
+from lacewingcourse.core.claim_journal import ClaimJournal
+from lacewingcourse.core.claim_records import (
+    EntryState,
+    JournalKind,
+    KeyEntry,
+    Permission,
+    Verdict,
+    refused,
+    unavailable,
+)
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
-from lacewingcourse.core.homes import HomeSettings
 from lacewingcourse.core.keys import parse_key, scope_of, shard_of
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.homes import HomesTable, Shard, Tenancy
+    from lacewingcourse.core.claim_records import (
+        ClaimSettings,
+        JournalLine,
+        JournalRecord,
+    )
+    from lacewingcourse.core.homes import HomeSettings, HomesTable, Shard, Tenancy
     from lacewingcourse.core.messages import Claim
 
 #: Seconds for which a released claim is remembered, to refuse late copies of it.
@@ -26,145 +37,6 @@
 ADVICE = "the log cannot take the claim now; a fresh UUIDv7 key needs no log"
 
 
-@attrs.frozen
-class ClaimSettings:
-    """Limits of a home.
-
-    Attributes:
-        prompt_window: Seconds after its making in which a time-ordered key is
-            claimed without the log.
-        accept_window: Seconds after its making in which a time-ordered key may be
-            used for the first time.
-        max_entries: Keys that are remembered at the most.
-        max_backlog: Journal entries that may wait for the log.
-        answer_bytes: Bytes of the stored answers at the most.
-        answer_time: Seconds for which an answer is stored.
-        grant_time: Seconds after which a claim that nobody renews counts as lost.
-    """
-
-    prompt_window: float = 30.0
-    accept_window: float = 79200.0
-    max_entries: int = 100_000
-    max_backlog: int = 50_000
-    answer_bytes: int = 16 * 1024 * 1024
-    answer_time: float = 3600.0
-    grant_time: float = 15.0
-
-
-class EntryState(Enum):
-    """Where the request of a key stands."""
-
-    CLAIMING = "claiming"
-    RUNNING = "running"
-    ENDED = "ended"
-
-
-@attrs.define
-class KeyEntry:
-    """What is known of one key.
-
-    Attributes:
-        scope: The key's name, with its organisation and target.
-        fingerprint: Tells its request from others.
-        claimant: The call or stream that claimed it.
-        minted_at: Time of the key, or None.
-        claimed_at: When it was claimed.
-        state: Where its request stands.
-        outcome: How the request ended.
-        answer: The stored answer, or None.
-        renewed_at: When its claimant last showed that it is alive.
-        leased: Whether the claimant has to renew the claim.
-    """
-
-    scope: str
-    fingerprint: str
-    claimant: str
-    minted_at: float | None
-    claimed_at: float
-    state: EntryState
-    outcome: Outcome = Outcome.UNKNOWN
-    answer: str | None = None
-    renewed_at: float = 0.0
-    leased: bool = False
-
-
-class JournalKind(Enum):
-    """What a line of the journal says."""
-
-    CLAIMED = "claimed"
-    SETTLED = "settled"
-    RELEASED = "released"
-
-
-@attrs.frozen
-class JournalLine:
-    """One line of the journal.
-
-    Attributes:
-        kind: What it says.
-        scope: The key's name, with its organisation and target.
-        claimant: The call or stream that claimed it.
-        fingerprint: Tells the request from others.
-        minted_at: Time of the key, or None.
-        at: When it happened at the home.
-        outcome: How the request ended.
-    """
-
-    kind: JournalKind
-    scope: str
-    claimant: str
-    fingerprint: str
-    minted_at: float | None
-    at: float
-    outcome: Outcome = Outcome.UNKNOWN
-
-
-@attrs.frozen
-class JournalRecord:
-    """Lines of the journal as they stand in the log.
-
-    Attributes:
-        incarnation: Incarnation of the home that wrote it.
-        sequence: Number of the record at that incarnation, from 1.
-        complete_until: All that the home had claimed up to then is in this record or
-            an earlier one.
-        lines: The lines in order.
-    """
-
-    incarnation: str
-    sequence: int
-    complete_until: float
-    lines: tuple[JournalLine, ...]
-
-
-class Permission(Enum):
-    """What a home says to a claim."""
-
-    GRANTED = "granted"
-    LOGGING = "logging"
-    JOINED = "joined"
-    REPLAYED = "replayed"
-    REFUSED = "refused"
-
-
-@attrs.frozen
-class Verdict:
-    """A home's answer to a claim.
-
-    Attributes:
-        permission: Whether the request may run; `LOGGING` waits for the log,
-            `JOINED` is a copy of a claim that is known.
-        scope: The key's name, with its organisation and target.
-        answer: The stored answer of a replay.
-        refusal: Why it may not run.
-    """
-
-    permission: Permission
-    scope: str
-    answer: str | None = None
-    refusal: Refusal | None = None
-
-
 class ClaimBook:
     """The keys of one target, at one incarnation of an agent.
 
@@ -175,8 +47,8 @@
         homes: Limits of the deployment.
         table: The homes in force, or None.
         entries: What is known of each key, oldest claim first.
-        lines: Journal lines that are not yet in a record.
         running: Keys whose request has not ended.
+        journal: The lines written here, and those read from the log.
         released: When each claimant gave its claim back, oldest first.
         readable: Shards and epochs for which the journal was read to its end.
         log_answers: Whether the log answered last time.
@@ -184,9 +56,6 @@
         horizon: Keys made up to then may have been forgotten.
         log_keeps_from: Oldest time that the log told of when it was first read, or
             None if it kept all.
-        journalled: Time up to which each incarnation's journal is complete.
-        sequences: Number of the newest record that was read of each incarnation.
-        sequence: Number of the newest record that was taken here.
         answer_size: Bytes of the stored answers.
     """
 
@@ -203,17 +72,14 @@
         self.homes = homes
         self.table: HomesTable | None = None
         self.entries: dict[str, KeyEntry] = {}
-        self.lines: list[JournalLine] = []
         self.running: set[str] = set()
+        self.journal = ClaimJournal(incarnation, self.entries, self.running)
         self.released: dict[str, float] = {}
         self.readable: set[tuple[int, int]] = set()
         self.log_answers = True
         self.yielding = False
         self.horizon = 0.0
         self.log_keeps_from: float | None = None
-        self.journalled: dict[str, float] = {}
-        self.sequences: dict[str, int] = {}
-        self.sequence = 0
         self.answer_size = 0
 
     def held(self) -> set[tuple[int, int]]:
@@ -301,7 +167,7 @@
         """Return why a key that is not known may not be claimed, or None."""
         if self.yielding:
             return Refusal(ErrorKind.DRAINING, "the home is moving", retry_after=1.0)
-        if len(self.lines) >= self.settings.max_backlog:
+        if len(self.journal.lines) >= self.settings.max_backlog:
             return unavailable("too much waits for the log")
         if minted_at is None:
             return self._opaque_refusal(now)
@@ -341,7 +207,9 @@
         if past.exact or past.incarnation == self.incarnation:
             return False
         skew = self.homes.instance_skew
-        known = max(past.since - skew, self.journalled.get(past.incarnation, 0.0))
+        known = max(
+            past.since - skew, self.journal.journalled.get(past.incarnation, 0.0)
+        )
         until = past.until
         if past.ended_at is not None:
             until = min(until, past.ended_at + skew)
@@ -376,23 +244,10 @@
         )
         self.entries[scope] = entry
         self.running.add(scope)
-        self._journal(JournalKind.CLAIMED, entry, now)
+        self.journal.add(JournalKind.CLAIMED, entry, now)
         self._forget_surplus()
         return Verdict(Permission.GRANTED if prompt else Permission.LOGGING, scope)
 
-    def _journal(self, kind: JournalKind, entry: KeyEntry, now: float) -> None:
-        self.lines.append(
-            JournalLine(
-                kind=kind,
-                scope=entry.scope,
-                claimant=entry.claimant,
-                fingerprint=entry.fingerprint,
-                minted_at=entry.minted_at,
-                at=now,
-                outcome=entry.outcome,
-            )
-        )
-
     def entry_of(self, scope: str, claimant: str) -> KeyEntry | None:
         """Return the entry of a key if a claimant has claimed it."""
         entry = self.entries.get(scope)
@@ -418,11 +273,11 @@
         if outcome is Outcome.NOT_RUN:
             del self.entries[scope]
             self.released[claimant] = now
-            self._journal(JournalKind.RELEASED, entry, now)
+            self.journal.add(JournalKind.RELEASED, entry, now)
             return True
         entry.state = EntryState.ENDED
         entry.outcome = outcome
-        self._journal(JournalKind.SETTLED, entry, now)
+        self.journal.add(JournalKind.SETTLED, entry, now)
         self._store(entry, answer)
         return True
 
@@ -494,74 +349,15 @@
             if surplus <= 0:
                 return
 
-    def take_batch(self, limit: int, now: float) -> JournalRecord:
-        """Return the next record of the journal.
+    @property
+    def lines(self) -> list[JournalLine]:
+        """Journal lines that are not yet in a record."""
+        return self.journal.lines
 
-        A record must have been read back from the log before the next one is taken.
-        """
-        lines = tuple(self.lines[:limit])
-        del self.lines[:limit]
-        complete_until = self.lines[0].at if self.lines else now
-        self.sequence += 1
-        return JournalRecord(self.incarnation, self.sequence, complete_until, lines)
+    def take_batch(self, limit: int, now: float) -> JournalRecord:
+        """Return the next record of the journal; see `ClaimJournal.take_batch`."""
+        return self.journal.take_batch(limit, now)
 
     def fold(self, record: JournalRecord) -> list[str]:
         """Take the next record of the log; return claimants that now may run."""
-        granted: list[str] = []
-        if record.sequence <= self.sequences.get(record.incarnation, 0):
-            return granted
-        self.sequences[record.incarnation] = record.sequence
-        for line in record.lines:
-            if line.kind is JournalKind.CLAIMED:
-                granted.extend(self._fold_claimed(line, record.incarnation))
-            elif record.incarnation != self.incarnation:
-                self._fold_ended(line)
-        known = self.journalled.get(record.incarnation, 0.0)
-        self.journalled[record.incarnation] = max(known, record.complete_until)
-        return granted
-
-    def _fold_claimed(self, line: JournalLine, incarnation: str) -> list[str]:
-        """Take a claim of the log: the first one of a key wins."""
-        entry = self.entries.get(line.scope)
-        own = incarnation == self.incarnation
-        if entry is not None and entry.state is EntryState.CLAIMING:
-            if own and entry.claimant == line.claimant:
-                entry.state = EntryState.RUNNING
-                return [line.claimant]
-            if not own:
-                self._take_over(line)
-        elif entry is None and not own:
-            self._take_over(line)
-        return []
-
-    def _take_over(self, line: JournalLine) -> None:
-        """Note a key that another home claimed first."""
-        self.running.discard(line.scope)
-        self.entries[line.scope] = KeyEntry(
-            scope=line.scope,
-            fingerprint=line.fingerprint,
-            claimant=line.claimant,
-            minted_at=line.minted_at,
-            claimed_at=line.at,
-            state=EntryState.ENDED,
-        )
-
-    def _fold_ended(self, line: JournalLine) -> None:
-        """Take another home's word on how a key's request ended."""
-        entry = self.entry_of(line.scope, line.claimant)
-        if entry is None:
-            return
-        if line.kind is JournalKind.RELEASED:
-            del self.entries[line.scope]
-            return
-        entry.outcome = line.outcome
-
-
-def refused(scope: str, refusal: Refusal) -> Verdict:
-    """Return the verdict that refuses a claim."""
-    return Verdict(Permission.REFUSED, scope, refusal=refusal)
-
-
-def unavailable(reason: str) -> Refusal:
-    """Return the refusal of a claim that may be granted later."""
-    return Refusal(ErrorKind.CLAIM_UNAVAILABLE, reason, retry_after=1.0)
+        return self.journal.fold(record)
--- a/packages/core/tests/test_claims.py
+++ b/packages/core/tests/test_claims.py
@@ -13,7 +13,8 @@
 )
 
 from lacewingcourse.core.calls import CallGate
-from lacewingcourse.core.claims import ClaimBook, ClaimSettings, Permission
+from lacewingcourse.core.claim_records import ClaimSettings, Permission
+from lacewingcourse.core.claims import ClaimBook
 from lacewingcourse.core.endpoints import EndpointState
 from lacewingcourse.core.errors import Outcome
 from lacewingcourse.core.homes import (
