Split the stream's request, silence, route search and cancellation off

Cause: core/streams.py had 554 lines: what was asked for, attempts, delivery, watching for silence, retries, and giving up.

StreamState owns a SilenceWatch (core/silence.py), a RouteSearch (core/route_search.py) and a Cancellation (core/cancellation.py) and asks them. The entry no longer gives a time of progress at the start, since the first attempt always sets it before it is read. The test of stream recovery changes its imports only.

Other integration suites were not run.

--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import attrs
 
-from lacewingcourse.core.diagnosis import diagnose, standstill
+from lacewingcourse.core.cancellation import Cancellation
+from lacewingcourse.core.diagnosis import diagnose
 from lacewingcourse.core.effects import (
     AskReport,
     ChooseRoute,
@@ -19,7 +19,7 @@
     SendRevoke,
     SendStart,
 )
-from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
+from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import (
     Credit,
     OpenReply,
@@ -27,20 +27,23 @@
     Prompt,
     ReportRequest,
     Revoke,
-    Sampling,
     StageAddress,
     StartStage,
     Token,
 )
-from lacewingcourse.core.pace import Pace
 from lacewingcourse.core.resume import plan_resume
+from lacewingcourse.core.route_search import RouteSearch
+from lacewingcourse.core.silence import SilenceWatch
 from lacewingcourse.core.stop_texts import StopMatcher
+from lacewingcourse.core.stream_request import Phase, distinct
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from lacewingcourse.core.errors import Outcome
     from lacewingcourse.core.messages import KeptState, RevokeReply, StageReport
     from lacewingcourse.core.routes import Route
+    from lacewingcourse.core.stream_request import StreamRequest
 
 Effect = (
     AskReport
@@ -56,76 +59,6 @@
 
 #: Tokens that the last stage may be ahead of the caller.
 CREDIT_WINDOW = 64
-#: Attempts in a row without a token after which a stream is given up.
-MAX_FRUITLESS = 8
-#: Fruitless attempts that are repeated without delay.
-PROMPT_RETRIES = 2
-#: Seconds before the first delayed attempt; doubled with each further one.
-RETRY_DELAY = 0.1
-#: Seconds between two attempts at the most.
-MAX_RETRY_DELAY = 1.0
-#: Reasons for having no route that may pass while a broken answer waits.
-WAITABLE = frozenset({ErrorKind.NO_ROUTE, ErrorKind.OVERLOADED})
-#: Seconds between two looks for a route.
-ROUTE_INTERVAL = 0.25
-#: Seconds after which a caller may try again when there is no route.
-NO_ROUTE_RETRY_AFTER = 2.0
-#: Seconds without a token after which the stages are asked, at the least.
-MIN_SILENCE = 0.25
-#: Seconds without a first token after which the stages are asked.
-FIRST_SILENCE = 1.0
-#: Questions that find the stages without work before the stream starts over.
-STANDSTILLS = 2
-#: Seconds between two questions to the stages at the most.
-MAX_SILENCE = 5.0
-
-
-class Phase(Enum):
-    """Where a stream stands."""
-
-    CHOOSING = "choosing"
-    OPENING = "opening"
-    RUNNING = "running"
-    REVOKING = "revoking"
-    ENDED = "ended"
-
-
-@attrs.frozen
-class StreamRequest:
-    """What a caller asked for.
-
-    Attributes:
-        stream: Name of the stream, unique for all time.
-        organisation: Whose request it is.
-        work_class: Class of work.
-        model: Name of the model.
-        prompt: The caller's prompt.
-        sampling: How tokens are chosen.
-        priority: Lower runs sooner.
-        entry_url: Where agents reach this entry.
-        pace: Seconds between tokens that the class asks for, 0.0 for none.
-    """
-
-    stream: str
-    organisation: str
-    work_class: str
-    model: str
-    prompt: str
-    sampling: Sampling
-    priority: float
-    entry_url: str
-    pace: float = 0.0
-
-
-def same_agent(one: StageAddress, other: StageAddress) -> bool:
-    """Tell whether two stages are run by the same incarnation of an agent."""
-    return (one.endpoint, one.incarnation) == (other.endpoint, other.incarnation)
-
-
-def distinct(stages: Iterable[StageAddress]) -> list[StageAddress]:
-    """Return one address of each agent's incarnation."""
-    found = {(stage.endpoint, stage.incarnation): stage for stage in stages}
-    return list(found.values())
 
 
 @attrs.define
@@ -148,22 +81,10 @@
         consumed: Tokens that the caller has read.
         credit: Token limit that was last given out.
         stop: Finds the texts that end the answer.
-        excluded: Endpoints that the next attempt avoids while others will do.
-        route_patience: Seconds for which a broken answer waits for a route.
-        fruitless: Attempts in a row that ended without a token.
-        route_wanted_since: Since when there is no route, seconds, or None.
-        sent_to: Every stage that an opening message was sent to.
-        prompted: Stages that may have got the prompt; no other can start work.
-        unrevoked: Stages whose revocation is not yet acknowledged.
-        any_started: Whether work is known to have started.
-        failure: The refusal that the caller gets after the revocations.
-        progress_at: When the stream last went ahead, seconds.
         version: Version of the weights of the newest attempt.
-        pace: Learned time between two tokens.
-        ask_at: When the stages are asked how far they have come, seconds.
-        unanswered: Questions in a row that found no fault.
-        stood_at: Positions of the stages when they last had no work, or None.
-        reports: Answers of the stages that were asked, None while not asking.
+        search: Looks for the route of the next attempt.
+        watch: Watches the stream for silence.
+        cancellation: What is known of the effect if the stream is given up.
         solo: Whether the next attempt's first steps run alone on their engines.
     """
 
@@ -182,22 +103,10 @@
     consumed: int = 0
     credit: int = 0
     stop: StopMatcher = attrs.field()
-    excluded: set[str] = attrs.field(factory=set)
-    route_patience: float = 10.0
-    fruitless: int = 0
-    route_wanted_since: float | None = None
-    sent_to: list[StageAddress] = attrs.field(factory=list)
-    prompted: list[StageAddress] = attrs.field(factory=list)
-    unrevoked: list[StageAddress] = attrs.field(factory=list)
-    any_started: bool = False
-    failure: Refusal | None = None
-    progress_at: float = 0.0
     version: str = ""
-    pace: Pace = attrs.field(factory=Pace)
-    ask_at: float = 0.0
-    unanswered: int = 0
-    stood_at: tuple[int, ...] | None = None
-    reports: dict[int, StageReport | None] | None = None
+    search: RouteSearch = attrs.field(factory=RouteSearch)
+    watch: SilenceWatch = attrs.field(factory=SilenceWatch)
+    cancellation: Cancellation = attrs.field(factory=Cancellation)
     solo: bool = False
 
     @stop.default
@@ -215,7 +124,7 @@
             return []
         if isinstance(route, Refusal):
             return self._no_route(route, now)
-        self.route_wanted_since = None
+        self.search.wanted_since = None
         stages = tuple(
             StageAddress(
                 stage.endpoint, stage.agent_url, stage.incarnation, stage.layers
@@ -233,36 +142,27 @@
         self.opened = set()
         self.early = {}
         self.phase = Phase.OPENING
-        self.progress_at = now
+        self.watch.progress_at = now
         self.credit = max(self.credit, self.consumed + CREDIT_WINDOW)
         first = 0 if self.resuming or len(self.stages) == 1 else 1
         return [*left, *(self._open(each) for each in range(first, len(stages)))]
 
     def _no_route(self, refusal: Refusal, now: float) -> list[Effect]:
-        """Try the excluded endpoints again, wait while it can help, or give up."""
-        if refusal.kind not in WAITABLE:
-            return self.give_up(refusal, now)
-        if self.excluded and refusal.kind is ErrorKind.NO_ROUTE:
-            self.excluded.clear()
-            return [self._choose_again(RETRY_DELAY)]
-        if self.route_wanted_since is None:
-            self.route_wanted_since = now
-        waited = now - self.route_wanted_since
-        if self.delivered and waited < self.route_patience:
-            return [self._choose_again(ROUTE_INTERVAL)]
-        if refusal.retry_after is None:
-            refusal = attrs.evolve(refusal, retry_after=NO_ROUTE_RETRY_AFTER)
-        return self.give_up(refusal, now)
+        """Look for a route again while it can help, or give up."""
+        answer = self.search.on_refusal(refusal, bool(self.delivered), now)
+        if isinstance(answer, Refusal):
+            return self.give_up(answer, now)
+        return [self._choose_again(answer)]
 
     def _open(self, index: int) -> SendOpen:
         """Return the effect that opens one stage."""
         target = self.stages[index]
-        self.sent_to.append(target)
+        self.cancellation.sent_to.append(target)
         request = self.request
         prompt = None
         if index == 0 and not self.resuming:
             prompt = Prompt(request.prompt, tuple(self.delivered))
-            self.prompted.append(target)
+            self.cancellation.prompted.append(target)
         message = OpenStage(
             stream=request.stream,
             attempt=self.attempt,
@@ -301,13 +201,13 @@
         """
         if not reached and attempt == self.attempt and index == 0:
             if not self.resuming:
-                self.prompted.remove(self.stages[0])
+                self.cancellation.prompted.remove(self.stages[0])
         if self.phase is not Phase.OPENING or attempt != self.attempt:
             return []
         if not reply.accepted:
             return self._retry((self.stages[index].endpoint,), reply.kind, now)
         self.opened.add(index)
-        self.progress_at = now
+        self.watch.progress_at = now
         if self.resuming:
             self.kept[index] = reply.kept
             return self._start_stages(now) if len(self.kept) == len(self.stages) else []
@@ -322,9 +222,7 @@
     def _run(self, now: float) -> None:
         """Wait for tokens of the newest attempt."""
         self.phase = Phase.RUNNING
-        self.ask_at = now + FIRST_SILENCE
-        self.unanswered = 0
-        self.reports = None
+        self.watch.restart(now)
 
     def _start_stages(self, now: float) -> list[Effect]:
         """Tell each stage of a resumed attempt what it does first."""
@@ -337,7 +235,7 @@
             prompt = None
             if plan.with_prompt:
                 prompt = Prompt(self.request.prompt, tuple(self.delivered))
-                self.prompted.append(stage)
+                self.cancellation.prompted.append(stage)
             message = StartStage(
                 stream=self.request.stream,
                 attempt=self.attempt,
@@ -372,7 +270,7 @@
             return []
         if self.phase is Phase.OPENING:
             self.phase = Phase.RUNNING
-        self.any_started = True
+        self.cancellation.any_started = True
         self.prompt_length = token.prompt_length
         if token.index < len(self.delivered):
             return []
@@ -385,7 +283,9 @@
 
     def _deliver(self, token: Token, now: float) -> list[Effect]:
         """Hand the next token to the caller; end the answer if it is the last."""
-        self._note_progress(now)
+        usual = self.search.fruitless == 0 and bool(self.delivered)
+        self.watch.note_token(now, usual)
+        self.search.fruitless = 0
         self.delivered.append(token.token)
         text = self.stop.feed(token.text)
         effects: list[Effect] = []
@@ -397,23 +297,13 @@
         self.texts.append(text)
         return [DeliverToken(attrs.evolve(token, text=text)), *effects]
 
-    def _note_progress(self, now: float) -> None:
-        """Learn the time between tokens and put off the next question."""
-        if self.fruitless == 0 and self.unanswered == 0 and self.delivered:
-            self.pace.note(now - self.progress_at)
-        self.fruitless = 0
-        self.unanswered = 0
-        self.reports = None
-        self.progress_at = now
-        self.ask_at = now + self.pace.limit(MIN_SILENCE, FIRST_SILENCE)
-
     def check(self, now: float) -> list[Effect]:
         """Ask the stages how far they have come if the stream is silent."""
-        if self.phase is not Phase.RUNNING or self.reports is not None:
+        if self.phase is not Phase.RUNNING or not self.watch.due(now):
             return []
-        if now < self.ask_at or len(self.delivered) >= self.credit:
+        if len(self.delivered) >= self.credit:
             return []
-        self.reports = {}
+        self.watch.ask()
         message = ReportRequest(self.request.stream, self.attempt)
         questions: list[Effect] = [
             AskReport(index, stage, message) for index, stage in enumerate(self.stages)
@@ -426,25 +316,15 @@
         """Note how far a stage has come; leave the stage that is at fault."""
         if attempt != self.attempt or self.phase is not Phase.RUNNING:
             return []
-        if self.reports is None:
-            return []
-        self.reports[index] = report
-        if len(self.reports) < len(self.stages):
+        ordered = self.watch.gather(index, report, len(self.stages))
+        if ordered is None:
             return []
-        ordered = [self.reports[each] for each in range(len(self.stages))]
-        self.reports = None
         finding = diagnose(attempt, self.stages, ordered)
         if finding is not None:
             return self._retry(finding.endpoints, finding.kind, now)
-        positions = standstill(ordered)
-        stuck = positions is not None and positions == self.stood_at
-        self.stood_at = positions
-        self.unanswered += 1
-        if stuck and self.unanswered > STANDSTILLS:
+        if self.watch.stands_still(ordered, now):
             self.keepable.clear()
             return self._retry((), ErrorKind.STAGE_LOST, now)
-        usual = self.pace.limit(MIN_SILENCE, FIRST_SILENCE)
-        self.ask_at = now + min(MAX_SILENCE, usual * 2**self.unanswered)
         return []
 
     def finish(self, reason: str) -> list[Effect]:
@@ -467,8 +347,7 @@
         if self.phase is not Phase.RUNNING or limit < self.credit + CREDIT_WINDOW // 2:
             return []
         if len(self.delivered) >= self.credit:
-            self.progress_at = now
-            self.ask_at = now + FIRST_SILENCE
+            self.watch.resume(now)
         self.credit = limit
         return [self._credit()]
 
@@ -491,41 +370,29 @@
         self, endpoints: Iterable[str], kind: ErrorKind | None, now: float
     ) -> list[Effect]:
         """Ask for a route without some endpoints, or give up."""
-        self.excluded.update(endpoints)
-        self.fruitless += 1
+        self.search.lose(endpoints)
+        excluded = self.search.excluded
         self.keepable = {
-            stage for stage in self.keepable if stage.endpoint not in self.excluded
+            stage for stage in self.keepable if stage.endpoint not in excluded
         }
         effects = self._revocations(set(self.stages) - self.keepable)
-        if self.fruitless >= MAX_FRUITLESS:
+        if self.search.exhausted:
             refusal = Refusal(kind or ErrorKind.STAGE_LOST, "too many stages were lost")
             return self.give_up(refusal, now)
         self.phase = Phase.CHOOSING
-        return [*effects, self._choose_again(self._retry_delay())]
+        return [*effects, self._choose_again(self.search.retry_delay())]
 
     def _choose_again(self, delay: float) -> ChooseRoute:
         """Return the effect that asks for the next route."""
         stages = self.stages if self.keepable else ()
-        return ChooseRoute(frozenset(self.excluded), delay, stages)
-
-    def _retry_delay(self) -> float:
-        """Return the seconds before the next attempt."""
-        delayed = self.fruitless - PROMPT_RETRIES
-        if delayed <= 0:
-            return 0.0
-        return min(MAX_RETRY_DELAY, RETRY_DELAY * 2 ** (delayed - 1))
+        return ChooseRoute(frozenset(self.search.excluded), delay, stages)
 
     def give_up(self, refusal: Refusal, now: float) -> list[Effect]:
         """Revoke all that was sent; tell the caller as soon as the outcome is known."""
-        self.failure = refusal
-        self.unrevoked = distinct(self.prompted)
+        outcome = self.cancellation.begin(refusal, bool(self.delivered))
         self.phase = Phase.REVOKING
-        revocations = self._revocations(distinct(self.sent_to))
-        if not self.unrevoked:
-            return [*revocations, *self._fail(Outcome.NOT_RUN)]
-        if self.delivered or self.any_started:
-            return [*revocations, *self._fail(Outcome.RAN)]
-        return revocations
+        revocations = self._revocations(distinct(self.cancellation.sent_to))
+        return [*revocations, *self._fail(outcome)]
 
     def on_revoke_reply(
         self, stage: StageAddress, reply: RevokeReply | None, now: float
@@ -533,22 +400,11 @@
         """Note a revocation's answer, None if lost; answer the caller after all."""
         if self.phase is not Phase.REVOKING:
             return []
-        asked = [each for each in self.unrevoked if same_agent(each, stage)]
-        if not asked:
-            return []
-        if reply is None or not reply.current:
-            return self._fail(Outcome.UNKNOWN)
-        self.any_started = self.any_started or reply.started
-        self.unrevoked.remove(asked[0])
-        if self.unrevoked:
-            return []
-        return self._fail(Outcome.NOT_RUN)
+        return self._fail(self.cancellation.on_reply(stage, reply))
 
-    def _fail(self, outcome: Outcome) -> list[Effect]:
-        """End the answer with the refusal and what is known of the effect."""
+    def _fail(self, outcome: Outcome | None) -> list[Effect]:
+        """End the answer with its refusal once the outcome is known."""
+        if outcome is None:
+            return []
         self.phase = Phase.ENDED
-        if self.delivered:
-            outcome = Outcome.PARTIAL
-        elif self.any_started:
-            outcome = Outcome.RAN
-        return [FailAnswer(attrs.evolve(self.failure, outcome=outcome))]
+        return [self.cancellation.answer(outcome, bool(self.delivered))]
--- a/packages/core/tests/test_stream_recovery.py
+++ b/packages/core/tests/test_stream_recovery.py
@@ -15,7 +15,8 @@
 from lacewingcourse.core.routes import Route, Stage
 from lacewingcourse.core.stage_state import ForwardResult
 from lacewingcourse.core.stages import OUTPUT_BYTES, StageGate
-from lacewingcourse.core.streams import Phase, StreamRequest, StreamState
+from lacewingcourse.core.stream_request import Phase, StreamRequest
+from lacewingcourse.core.streams import StreamState
 
 #: Layers that endpoints hold; each range is held by two endpoints.
 RANGES = (LayerRange(0, 2), LayerRange(2, 3), LayerRange(3, 6))
--- a/packages/entry/src/lacewingcourse/entry/admission.py
+++ b/packages/entry/src/lacewingcourse/entry/admission.py
@@ -16,7 +16,7 @@
 
     from lacewingcourse.core.admission import Effect
     from lacewingcourse.core.priorities import Prediction
-    from lacewingcourse.core.streams import StreamRequest
+    from lacewingcourse.core.stream_request import StreamRequest
     from lacewingcourse.entry.application import Entry
 
 #: Seconds between two reviews of the requests that wait.
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -27,7 +27,9 @@
     Token,
     TokenBatchReply,
 )
-from lacewingcourse.core.streams import Phase, StreamState
+from lacewingcourse.core.route_search import RouteSearch
+from lacewingcourse.core.stream_request import Phase
+from lacewingcourse.core.streams import StreamState
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
@@ -36,7 +38,8 @@
     from lacewingcourse.core.burn_ends import AnswerMeter
     from lacewingcourse.core.errors import ErrorKind as Kind
     from lacewingcourse.core.messages import StageAddress, Trouble
-    from lacewingcourse.core.streams import Effect, StreamRequest
+    from lacewingcourse.core.stream_request import StreamRequest
+    from lacewingcourse.core.streams import Effect
     from lacewingcourse.entry.application import Entry
 
 Event = Token | FinishAnswer | FailAnswer
@@ -69,8 +72,7 @@
         self.entry = entry
         self.state = StreamState(
             request,
-            route_patience=entry.settings.route_patience,
-            progress_at=entry.now(),
+            search=RouteSearch(entry.settings.route_patience),
         )
         self.events: asyncio.Queue[Event] = asyncio.Queue()
         self.consumed = 0
@@ -261,7 +263,7 @@
             )
             return
         if state.phase in (Phase.OPENING, Phase.RUNNING):
-            state.any_started = True
+            state.cancellation.any_started = True
             self.perform(state.give_up(refusal, self.entry.now()))
 
     def on_trouble(self, attempt: int, endpoint: str, kind: Kind, reason: str) -> None:
--- a/packages/entry/src/lacewingcourse/entry/api.py
+++ b/packages/entry/src/lacewingcourse/entry/api.py
@@ -12,7 +12,7 @@
 from lacewingcourse.core.effects import FailAnswer, FinishAnswer
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Token
-from lacewingcourse.core.streams import StreamRequest
+from lacewingcourse.core.stream_request import StreamRequest
 from lacewingcourse.daemon.handlers import JSON
 from lacewingcourse.daemon.problems import error_event
 from lacewingcourse.entry.caller import CLASS_HEADER, CallerHandler
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -14,7 +14,7 @@
 from lacewingcourse.core.endpoints import EndpointState
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Credit
-from lacewingcourse.core.streams import Phase
+from lacewingcourse.core.stream_request import Phase
 from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
 from lacewingcourse.daemon.daemon import Daemon, Readiness
 from lacewingcourse.entry.admin_api import ADMIN_ROUTES
@@ -46,7 +46,7 @@
     from lacewingcourse.core.configuration import Configuration
     from lacewingcourse.core.messages import AliveRequest, StageAddress, TokenBatch
     from lacewingcourse.core.routes import Route
-    from lacewingcourse.core.streams import StreamRequest
+    from lacewingcourse.core.stream_request import StreamRequest
     from lacewingcourse.entry.settings import EntrySettings
 
 #: Seconds between two looks for attempts that stand still.
@@ -234,7 +234,7 @@
     def free(self, driver: AnswerDriver) -> None:
         """Give free what a streamed answer that has ended occupied."""
         endpoints = self.dispatcher.release(driver.stream)
-        failure = driver.state.failure
+        failure = driver.state.cancellation.failure
         whole = failure is None
         if failure is not None and failure.kind is ErrorKind.CALLER_GONE:
             whole = None
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -24,7 +24,7 @@
     from lacewingcourse.core.messages import OpenReply, StageAddress
     from lacewingcourse.core.priorities import Prediction
     from lacewingcourse.core.routes import Dispatch, Fleet
-    from lacewingcourse.core.streams import StreamRequest
+    from lacewingcourse.core.stream_request import StreamRequest
     from lacewingcourse.entry.application import Entry
 
 #: Characters of a prompt that are taken for one position before any was seen.
--- a/packages/entry/src/lacewingcourse/entry/keyed.py
+++ b/packages/entry/src/lacewingcourse/entry/keyed.py
@@ -26,7 +26,7 @@
     from collections.abc import AsyncIterator
 
     from lacewingcourse.core.homes import Shard
-    from lacewingcourse.core.streams import StreamRequest
+    from lacewingcourse.core.stream_request import StreamRequest
     from lacewingcourse.entry.answers import AnswerDriver, Event
     from lacewingcourse.entry.application import Entry
     from lacewingcourse.entry.caller import CallerHandler
--- a/packages/entry/src/lacewingcourse/entry/poison_guard.py
+++ b/packages/entry/src/lacewingcourse/entry/poison_guard.py
@@ -30,7 +30,7 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.core.messages import Trouble
-    from lacewingcourse.core.streams import StreamRequest
+    from lacewingcourse.core.stream_request import StreamRequest
     from lacewingcourse.entry.application import Entry
     from lacewingcourse.platform.log import LogClient, LogRecord
 
--- a/packages/entry/src/lacewingcourse/entry/recovery.py
+++ b/packages/entry/src/lacewingcourse/entry/recovery.py
@@ -12,7 +12,7 @@
 from lacewingcourse.core.retries import LostAttempt, RetryBudget
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.streams import StreamRequest
+    from lacewingcourse.core.stream_request import StreamRequest
     from lacewingcourse.entry.application import Entry
 
 #: Seconds between two looks for endpoints to take back.
