Try a broken answer for its patience before it is given up

Cause: test_answer_without_any_route_left ended once with stage_lost instead of no_route: eight attempts in a row were lost before the lost agents were known as lost, though the answer would have waited ten seconds for a route.

Change: the count of lost attempts ends a broken answer only after its patience; a request without a token is still given up at once.

Conclusion: an answer that is being read gets the same time whether no route is found or each found one fails. That the flaky run is mended is likely, not shown.

--- a/packages/core/src/lacewingcourse/core/route_search.py
+++ b/packages/core/src/lacewingcourse/core/route_search.py
@@ -35,23 +35,36 @@
         patience: Seconds for which a broken answer waits for a route.
         excluded: Endpoints that the next attempt avoids while others will do.
         fruitless: Attempts in a row that ended without a token.
+        lost_since: When the first of them was lost, seconds, or None.
         wanted_since: Since when there is no route, seconds, or None.
     """
 
     patience: float = 10.0
     excluded: set[str] = attrs.field(factory=set)
     fruitless: int = 0
+    lost_since: float | None = None
     wanted_since: float | None = None
 
-    def lose(self, endpoints: Iterable[str]) -> None:
+    def lose(self, endpoints: Iterable[str], now: float) -> None:
         """Note that an attempt was lost by some endpoints."""
         self.excluded.update(endpoints)
+        if self.fruitless == 0 or self.lost_since is None:
+            self.lost_since = now
         self.fruitless += 1
 
-    @property
-    def exhausted(self) -> bool:
-        """Whether too many attempts in a row were lost."""
-        return self.fruitless >= MAX_FRUITLESS
+    def exhausted(self, any_delivered: bool, now: float) -> bool:
+        """Tell whether too many attempts in a row were lost.
+
+        A broken answer is tried for as long as it would wait for a route, because
+        lost agents may not be known as lost yet.
+
+        Args:
+            any_delivered: Whether the caller has a token.
+            now: Present time in seconds.
+        """
+        if self.fruitless < MAX_FRUITLESS:
+            return False
+        return not any_delivered or now - self.lost_since >= self.patience
 
     def retry_delay(self) -> float:
         """Return the seconds before the next attempt."""
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -370,13 +370,13 @@
         self, endpoints: Iterable[str], kind: ErrorKind | None, now: float
     ) -> list[Effect]:
         """Ask for a route without some endpoints, or give up."""
-        self.search.lose(endpoints)
+        self.search.lose(endpoints, now)
         excluded = self.search.excluded
         self.keepable = {
             stage for stage in self.keepable if stage.endpoint not in excluded
         }
         effects = self._revocations(set(self.stages) - self.keepable)
-        if self.search.exhausted:
+        if self.search.exhausted(bool(self.delivered), now):
             refusal = Refusal(kind or ErrorKind.STAGE_LOST, "too many stages were lost")
             return self.give_up(refusal, now)
         self.phase = Phase.CHOOSING
