Print accepted changes in one place; hash no prompt without records

Cause: two commands printed history records with the same lines, and each request hashed its prompt up to three times to ask for a standing while no crash was known.

Change: AdminCommand.show_records serves both; the poison guard answers clean at once while its book is empty. Behaviour is unchanged.

Figures: test_poison, the tests of the command line and the commands' publishing test: 12 passed; the whole suite was not run again after this change.

Conclusion: two twins fewer.

--- a/packages/cli/src/lacewingcourse/cli/admin_command.py
+++ b/packages/cli/src/lacewingcourse/cli/admin_command.py
@@ -70,6 +70,16 @@
         text = orjson.dumps(document, option=orjson.OPT_INDENT_2).decode()
         self.io.write_line(text)
 
+    def show_records(self, answer: AdminAnswer) -> int:
+        """Print the accepted changes of an answer and return the exit code."""
+        if self.option("json"):
+            self.write_json(answer.document)
+            return 0
+        for record in answer.document["records"]:
+            for line in format_record(record):
+                self.write_text(line)
+        return 0
+
     def write_text(self, text: str) -> None:
         """Print a line as it is."""
         self.io.write_line(text)
--- a/packages/cli/src/lacewingcourse/cli/item_commands.py
+++ b/packages/cli/src/lacewingcourse/cli/item_commands.py
@@ -14,7 +14,7 @@
     AdminCommand,
     PublishCommand,
 )
-from lacewingcourse.cli.tables import format_record, format_table
+from lacewingcourse.cli.tables import format_table
 from lacewingcourse.core.configuration import COLLECTIONS
 
 if TYPE_CHECKING:
@@ -171,13 +171,7 @@
         answer = client.send("GET", path)
         if not answer.ok:
             return self.fail(answer)
-        if self.option("json"):
-            self.write_json(answer.document)
-            return 0
-        for record in answer.document["records"]:
-            for line in format_record(record):
-                self.write_text(line)
-        return 0
+        return self.show_records(answer)
 
 
 def set_options(collection: str) -> list:
--- a/packages/cli/src/lacewingcourse/cli/publishing_commands.py
+++ b/packages/cli/src/lacewingcourse/cli/publishing_commands.py
@@ -16,7 +16,6 @@
     PublishCommand,
     wait_for,
 )
-from lacewingcourse.cli.tables import format_record
 
 if TYPE_CHECKING:
     from lacewingcourse.cli.admin_client import AdminClient
@@ -76,13 +75,7 @@
         answer = client.send("GET", f"/history?since={self.argument('version')}")
         if not answer.ok:
             return self.fail(answer)
-        if self.option("json"):
-            self.write_json(answer.document)
-            return 0
-        for record in answer.document["records"]:
-            for line in format_record(record):
-                self.write_text(line)
-        return 0
+        return self.show_records(answer)
 
 
 class WaitCommand(AdminCommand):
--- a/packages/entry/src/lacewingcourse/entry/poison_guard.py
+++ b/packages/entry/src/lacewingcourse/entry/poison_guard.py
@@ -74,7 +74,7 @@
 
     def refusal_of(self, request: StreamRequest) -> Refusal | None:
         """Return why a request is never run again, or None."""
-        if self.standing(self.fingerprint(request)) is not Standing.POISON:
+        if self._standing_of(request) is not Standing.POISON:
             return None
         reason = f"the same request crashed {SOLO_CRASHES} endpoints that ran it alone"
         kind = ErrorKind.REQUEST_CRASHES_ENDPOINTS
@@ -97,7 +97,13 @@
 
     def suspects(self, request: StreamRequest) -> bool:
         """Tell whether a request may only run alone."""
-        return self.standing(self.fingerprint(request)) is Standing.SUSPECT
+        return self._standing_of(request) is Standing.SUSPECT
+
+    def _standing_of(self, request: StreamRequest) -> Standing:
+        """Return what is held of a request; no prompt is hashed without records."""
+        if not self.book.records:
+            return Standing.CLEAN
+        return self.standing(self.fingerprint(request))
 
     def crashed(self, request: StreamRequest) -> frozenset[str]:
         """Return the endpoints that crashed while they ran a request alone."""
