Serve the users' platform through an adapter: the thin path

Cause: the product could only be run on its own stand-ins. The users' platform has its own store, directory of servers, engines that chain their hops and answers' rules.

--- /dev/null
+++ b/packages/core/src/lacewingcourse/core/pipelines/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions over endpoints that hold ranges of a model's layers."""
--- /dev/null
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -0,0 +1,146 @@
+"""Which path or endpoint a request is sent to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from random import Random
+
+    from lacewingcourse.core.pipelines.fleet import Endpoint
+    from lacewingcourse.core.pipelines.load import LoadBook
+    from lacewingcourse.core.pipelines.path import Part, Path
+    from lacewingcourse.core.pipelines.shape import EngineShape
+
+#: Share of an endpoint's memory for requests that is given away. Answers are longer
+#: than their estimate about as often as shorter, and one that outgrows the memory
+#: stops the newest request, so some is left.
+ROOM_SHARE = 0.9
+#: How much worse than the best a path may look to be drawn among the best ones.
+#: Entries that see the same loads would otherwise all take the same path.
+NEAR_BEST = 1.08
+#: Share of a plain endpoint's slots above which it counts as full: beyond twice its
+#: slots a request waits longer than two others run.
+CALLS_PER_SLOT = 2.0
+
+
+@attrs.frozen
+class Demand:
+    """What a request needs of a path.
+
+    Attributes:
+        prompt: Tokens of its prompt.
+        answer: Tokens that its answer is expected to have.
+    """
+
+    prompt: int
+    answer: int
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that it is expected to hold at its end."""
+        return self.prompt + self.answer
+
+
+@attrs.define
+class PathChooser:
+    """Chooses among candidate paths by predicted time and memory left.
+
+    Attributes:
+        shape: Published figures of the engines.
+        endpoints: Endpoints by id.
+        loads: What runs where.
+    """
+
+    shape: EngineShape
+    endpoints: dict[str, Endpoint]
+    loads: LoadBook
+
+    def choose(
+        self,
+        paths: list[Path],
+        demand: Demand,
+        avoid: Collection[str],
+        rng: Random,
+    ) -> Path | Refusal:
+        """Return the path for a request, or why there is none.
+
+        Args:
+            paths: Candidate paths.
+            demand: What the request needs.
+            avoid: Endpoints that must not be used.
+            rng: Source of the draw among equally good paths.
+        """
+        usable = [path for path in paths if not (avoid and path.uses(avoid))]
+        if not usable:
+            return Refusal(ErrorKind.NO_ROUTE, "no path holds every layer")
+        fitting = [path for path in usable if self.fits(path, demand)]
+        if not fitting:
+            return Refusal(ErrorKind.OVERLOADED, "no path has memory for the request")
+        scored = [(self.predicted_ms(path, demand), path) for path in fitting]
+        best = min(score for score, _ in scored)
+        near = [path for score, path in scored if score <= best * NEAR_BEST]
+        return rng.choice(near)
+
+    def fits(self, path: Path, demand: Demand) -> bool:
+        """Tell whether every part has memory, and the first one a slot."""
+        if self.loads.of(path.first.endpoint).leading >= self.shape.slots:
+            return False
+        return all(self._fits_part(part, demand) for part in path.parts)
+
+    def predicted_ms(self, path: Path, demand: Demand) -> float:
+        """Return the milliseconds that a request is predicted to take on a path."""
+        total = 0.0
+        for part in path.parts:
+            endpoint = self.endpoints[part.endpoint]
+            accelerator = self.shape.accelerators[endpoint.accelerator]
+            running = self.loads.of(part.endpoint).requests
+            span = len(part.layers)
+            step = self.shape.step_time(accelerator, span, running + 1.0)
+            total += step * demand.answer
+            total += self.shape.read_time(accelerator, span, demand.prompt)
+        return total + path.token_ms
+
+    def _fits_part(self, part: Part, demand: Demand) -> bool:
+        endpoint = self.endpoints.get(part.endpoint)
+        if endpoint is None or endpoint.layers is None:
+            return False
+        accelerator = self.shape.accelerators[endpoint.accelerator]
+        room = self.shape.room(accelerator, len(endpoint.layers)) * ROOM_SHARE
+        taken = self.loads.of(part.endpoint).cells
+        return taken + demand.tokens * len(part.layers) <= room
+
+
+def choose_endpoint(
+    endpoints: list[Endpoint],
+    loads: LoadBook,
+    zone: str,
+    avoid: Collection[str],
+    rng: Random,
+) -> Endpoint | Refusal:
+    """Return the endpoint of a plain service for a call, or why there is none.
+
+    The one with the smallest share of its slots taken is chosen, of the caller's
+    availability zone among equals.
+
+    Args:
+        endpoints: Endpoints of the service that take new work.
+        loads: What runs where.
+        zone: Availability zone of this entry.
+        avoid: Endpoints that must not be used.
+        rng: Source of the draw among equally good endpoints.
+    """
+    usable = [endpoint for endpoint in endpoints if endpoint.id not in avoid]
+    if not usable:
+        return Refusal(ErrorKind.NO_ROUTE, "no endpoint serves the call")
+    taken = {e.id: loads.of(e.id).requests / max(1, e.slots) for e in usable}
+    free = [e for e in usable if taken[e.id] < CALLS_PER_SLOT]
+    if not free:
+        return Refusal(ErrorKind.OVERLOADED, "every endpoint has a queue")
+    draws = {endpoint.id: rng.random() for endpoint in free}
+    return min(free, key=lambda e: (taken[e.id], e.zone != zone, draws[e.id]))
--- /dev/null
+++ b/packages/core/src/lacewingcourse/core/pipelines/repeats.py
@@ -0,0 +1,58 @@
+"""How many requests may be sent a second time, over all entries."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import attrs
+
+#: Share of what the deployment allows that is used; entries count their own requests
+#: only, and windows of different entries do not end together.
+SAFETY = 0.7
+
+
+@attrs.define
+class RepeatBudget:
+    """Sends beyond the first of each request, in a sliding window.
+
+    Attributes:
+        ratio: Repeats that are allowed for each request.
+        window: Length of the window in seconds.
+        slack: Repeats that are allowed besides, over all entries.
+        entries: Entries that share the slack.
+        requests: Times of the requests in the window, by service.
+        repeats: Times of the repeats in the window, by service.
+    """
+
+    ratio: float
+    window: float
+    slack: float
+    entries: int = 1
+    requests: dict[str, deque[float]] = attrs.field(factory=dict)
+    repeats: dict[str, deque[float]] = attrs.field(factory=dict)
+
+    def on_request(self, service: str, now: float) -> None:
+        """Note a request."""
+        self._add(self.requests, service, now)
+
+    def take(self, service: str, now: float) -> bool:
+        """Take one repeat for a service; tell whether it was allowed."""
+        sent = self._recent(self.repeats, service, now)
+        requests = self._recent(self.requests, service, now)
+        share = self.slack / max(1, self.entries)
+        if sent + 1 > SAFETY * (self.ratio * requests + share):
+            return False
+        self._add(self.repeats, service, now)
+        return True
+
+    def _recent(self, times: dict[str, deque[float]], service: str, now: float) -> int:
+        found = times.get(service)
+        if found is None:
+            return 0
+        while found and found[0] <= now - self.window:
+            found.popleft()
+        return len(found)
+
+    def _add(self, times: dict[str, deque[float]], service: str, now: float) -> None:
+        self._recent(times, service, now)
+        times.setdefault(service, deque()).append(now)
--- /dev/null
+++ b/packages/core/src/lacewingcourse/core/pipelines/shape.py
@@ -0,0 +1,132 @@
+"""What is published of an engine: its model's layers, memory and step times."""
+
+from __future__ import annotations
+
+import attrs
+
+#: Bytes in the megabyte that memory sizes are published in.
+MEGABYTE = 1_000_000
+
+
+@attrs.frozen
+class Layers:
+    """A range of layers.
+
+    Attributes:
+        start: First layer.
+        end: Layer after the last one.
+    """
+
+    start: int
+    end: int
+
+    def __len__(self) -> int:
+        return self.end - self.start
+
+    def covers(self, other: Layers) -> bool:
+        """Tell whether every layer of another range lies in this one."""
+        return self.start <= other.start and other.end <= self.end
+
+
+@attrs.frozen
+class Accelerator:
+    """A kind of accelerator.
+
+    Attributes:
+        name: Its name.
+        memory_mb: Its memory in megabytes, for layers and requests together.
+        step_factor: How many times as long a step takes as on the reference kind.
+        read_factor: How many times as long reading a prompt takes.
+    """
+
+    name: str
+    memory_mb: float
+    step_factor: float
+    read_factor: float
+
+
+@attrs.frozen
+class EngineShape:
+    """The published figures of the engines of one service.
+
+    Times hold for a pass through all layers on the reference kind; a part of the
+    layers takes its share of them.
+
+    Attributes:
+        model: Name of the model.
+        layers: Layers of the model.
+        layer_mb: Memory of a layer in megabytes.
+        token_bytes: Memory that a token's keys and values take over all layers.
+        step_ms: Milliseconds of a step without any request.
+        sequence_ms: Milliseconds a step takes longer for each request that writes.
+        context_ms: Milliseconds it takes longer for each 1,000 tokens of context.
+        read_tokens_per_ms: Prompt tokens read in a millisecond.
+        stride: Steps that a pass runs.
+        slots: Requests that an engine takes as the first of a path.
+        load_seconds: Seconds in which all layers are loaded.
+        loads_at_once: Loads that the weight store serves at full speed.
+        activation_bytes: Bytes that pass from part to part for each token.
+        pipe_mbps: Megabits a second between two availability zones.
+        usual_prompt: Mean prompt in tokens.
+        usual_answer: Mean answer in tokens.
+        accelerators: Kinds by name.
+    """
+
+    model: str
+    layers: int
+    layer_mb: float
+    token_bytes: float
+    step_ms: float
+    sequence_ms: float
+    context_ms: float
+    read_tokens_per_ms: float
+    stride: int
+    slots: int
+    load_seconds: float
+    loads_at_once: int
+    activation_bytes: float
+    pipe_mbps: float
+    usual_prompt: int
+    usual_answer: int
+    accelerators: dict[str, Accelerator]
+
+    @property
+    def cell_bytes(self) -> float:
+        """Bytes that one token takes in one layer."""
+        return self.token_bytes / self.layers
+
+    @property
+    def usual_tokens(self) -> int:
+        """Tokens of a usual request, prompt and answer."""
+        return self.usual_prompt + self.usual_answer
+
+    def most_layers(self, accelerator: Accelerator) -> int:
+        """Return how many layers an accelerator's memory can hold."""
+        return min(self.layers, int(accelerator.memory_mb // self.layer_mb))
+
+    def room(self, accelerator: Accelerator, held: int) -> float:
+        """Return the memory left for requests, in tokens times layers.
+
+        Args:
+            accelerator: The kind of accelerator.
+            held: Layers that it holds.
+        """
+        free_mb = accelerator.memory_mb - held * self.layer_mb
+        return max(0.0, free_mb * MEGABYTE / self.cell_bytes)
+
+    def step_time(self, accelerator: Accelerator, span: int, running: float) -> float:
+        """Return the milliseconds of a token's step on a part of the layers.
+
+        Args:
+            accelerator: The kind of accelerator.
+            span: Layers that the part runs.
+            running: Requests that write in the same step.
+        """
+        context = self.context_ms * self.usual_tokens / 1000
+        whole = self.step_ms + running * (self.sequence_ms + context)
+        return whole * accelerator.step_factor * span / self.layers
+
+    def read_time(self, accelerator: Accelerator, span: int, tokens: int) -> float:
+        """Return the milliseconds in which a part of the layers reads a prompt."""
+        whole = tokens / self.read_tokens_per_ms
+        return whole * accelerator.read_factor * span / self.layers
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -0,0 +1,232 @@
+"""The entry as one process: its servers, its loops and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from typing import TYPE_CHECKING
+
+import attrs
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    ResponseStartLine,
+)
+
+from lacewingcourse.core.pipelines.repeats import RepeatBudget
+from lacewingcourse.relay.address import split_address
+from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.caller import CallerConnections
+from lacewingcourse.relay.calls import CallForwarder
+from lacewingcourse.relay.decisions import DecisionLog
+from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
+from lacewingcourse.relay.gateway import Gateway
+from lacewingcourse.relay.placement_duty import PlacementDuty
+from lacewingcourse.relay.readiness import Readiness
+from lacewingcourse.relay.sending import Sender
+from lacewingcourse.relay.streams import StreamForwarder
+from lacewingcourse.relay.upstream import ConnectionPool
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from tornado.http1connection import HTTP1Connection
+
+    from lacewingcourse.relay.ports import (
+        ConfigurationSource,
+        EndpointDirectory,
+        LeaseStore,
+        Orders,
+        RequestCodec,
+    )
+    from lacewingcourse.relay.settings import RelaySettings
+
+#: Seconds between two rounds of housekeeping.
+HOUSEKEEPING_PERIOD = 0.25
+#: Seconds after the request to end for which new connections may still come: the
+#: balancer asks once a second and takes an instance out after two misses.
+BALANCER_DELAY = 2.6
+#: Seconds of the time for ending that are kept for the end itself.
+END_MARGIN = 0.4
+#: Seconds beyond the callers' idle time for which their connections are kept.
+IDLE_MARGIN = 2.0
+#: Seconds for which connections of callers may stay idle before it is configured.
+FIRST_IDLE_TIMEOUT = 60.0
+
+
+@attrs.frozen
+class Platform:
+    """The ports of one platform.
+
+    Attributes:
+        configuration: Where configuration comes from.
+        directory: Where endpoints are listed.
+        orders: Orders to endpoints.
+        leases: Where the holder of the duty of placing is agreed on.
+        codec: How requests look.
+    """
+
+    configuration: ConfigurationSource
+    directory: EndpointDirectory
+    orders: Orders
+    leases: LeaseStore
+    codec: RequestCodec
+
+
+class ReadinessServer(HTTPServerConnectionDelegate):
+    """Answers questions after readiness."""
+
+    def __init__(self, readiness: Readiness) -> None:
+        self.readiness = readiness
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTP1Connection
+    ) -> HTTPMessageDelegate:
+        """Return what answers the next question of a connection."""
+        return _ReadinessAnswer(self.readiness, request_conn)
+
+
+class _ReadinessAnswer(HTTPMessageDelegate):
+    def __init__(self, readiness: Readiness, connection: HTTP1Connection) -> None:
+        self.readiness = readiness
+        self.connection = connection
+
+    def finish(self) -> None:
+        status = 200 if self.readiness.is_ready() else 503
+        line = ResponseStartLine("HTTP/1.1", status, "")
+        self.connection.write_headers(line, HTTPHeaders({"Content-Length": "0"}))
+        self.connection.finish()
+
+
+class Application:
+    """One entry.
+
+    Attributes:
+        settings: Its settings.
+        beliefs: What it believes.
+        readiness: Whether it is ready.
+        log: Log of decisions.
+    """
+
+    def __init__(self, settings: RelaySettings, platform: Platform) -> None:
+        self.settings = settings
+        self.platform = platform
+        self.loop = asyncio.get_running_loop()
+        self.clock = self.loop.time
+        self.log = DecisionLog(self.clock)
+        self.beliefs = Beliefs()
+        self.readiness = Readiness(self.beliefs)
+        self.pool = ConnectionPool()
+        self.ended = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        self._compose()
+
+    def _compose(self) -> None:
+        """Make the parts and give each what it needs."""
+        bounds = self.settings.bounds
+        rng = random.Random(self.settings.name)
+        sender = Sender(self.pool, self.platform.codec, self.clock)
+        budget = RepeatBudget(
+            bounds.repeat_ratio, bounds.repeat_window, bounds.repeat_slack
+        )
+        zone = self.settings.zone
+        calls = CallForwarder(self.beliefs, sender, budget, zone, rng)
+        streams = StreamForwarder(self.beliefs, sender, budget, rng)
+        self.gateway = Gateway(
+            self.beliefs, self.platform.codec, calls, streams, self.log, self.clock
+        )
+        self.callers = CallerConnections(
+            self.gateway.serve, self.clock, lambda: self.readiness.leaving
+        )
+        self.front = HTTPServer(
+            self.callers, idle_connection_timeout=FIRST_IDLE_TIMEOUT
+        )
+        self.ready = HTTPServer(ReadinessServer(self.readiness))
+        self.configuration = ConfigurationFollower(
+            self.platform.configuration,
+            self.beliefs,
+            self.log,
+            self.clock,
+            self._on_configuration,
+        )
+        self.directory = DirectoryFollower(
+            self.platform.directory, self.beliefs, self.log, self.clock
+        )
+        self.placement = PlacementDuty(
+            self.settings.name,
+            self.platform.leases,
+            self.platform.orders,
+            self.beliefs,
+            self.log,
+            self.clock,
+            lambda holder, seconds: False,
+        )
+
+    async def run(self) -> None:
+        """Serve until the request to end has been carried out."""
+        self._listen(self.front, self.settings.front)
+        self._listen(self.ready, self.settings.ready)
+        self.loop.add_signal_handler(signal.SIGTERM, self._on_term)
+        self.loop.add_signal_handler(signal.SIGHUP, self._on_hup)
+        self._start(self.configuration.run())
+        self._start(self.directory.run())
+        self._start(self.placement.run())
+        self._start(self._keep_house())
+        self.log.belief("started", zone=self.settings.zone)
+        await self.ended.wait()
+        self.log.belief("ended")
+
+    def _listen(self, server: HTTPServer, address: str) -> None:
+        host, port = split_address(address)
+        server.listen(port, host)
+
+    def _start(self, work: Coroutine) -> None:
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(self._on_task_done)
+        self._tasks.append(task)
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        """Tell of a loop that ended, which none should."""
+        if not task.cancelled() and task.exception() is not None:
+            self.log.failed(task.exception())
+
+    def _on_configuration(self) -> None:
+        """Apply the limits of a version that has come into force."""
+        limits = self.beliefs.table.limits
+        params = self.front.conn_params
+        params.header_timeout = limits.idle_timeout + IDLE_MARGIN
+        params.max_header_size = limits.header_bytes
+        params.max_body_size = limits.body_bytes
+
+    async def _keep_house(self) -> None:
+        while True:
+            now = self.clock()
+            self.pool.expire(now)
+            self.beliefs.loads.expire(now)
+            self.beliefs.suspects.expire(now)
+            await asyncio.sleep(HOUSEKEEPING_PERIOD)
+
+    def _on_term(self) -> None:
+        if self.readiness.leaving:
+            return
+        self.readiness.leave(self.clock())
+        self.front.conn_params.no_keep_alive = True
+        self.log.belief("leaving", open=len(self.callers.open))
+        self._start(self._leave())
+
+    def _on_hup(self) -> None:
+        self.log.belief("reload_asked")
+
+    async def _leave(self) -> None:
+        """End when the callers' requests are answered, in time at the latest."""
+        since = self.readiness.leaving_since
+        last = since + self.settings.bounds.grace - END_MARGIN
+        while self.clock() < last:
+            waited = self.clock() - since
+            if waited > BALANCER_DELAY and not self.callers.open:
+                break
+            await asyncio.sleep(0.05)
+        self.ended.set()
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -0,0 +1,94 @@
+"""What this entry believes of configuration, endpoints and loads."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.pipelines.choice import PathChooser
+from lacewingcourse.core.pipelines.fleet import Fleet
+from lacewingcourse.core.pipelines.load import LoadBook
+from lacewingcourse.core.pipelines.path import Path, candidate_paths
+from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
+from lacewingcourse.core.pipelines.suspects import Suspects
+
+if TYPE_CHECKING:
+    from lacewingcourse.core.pipelines.fleet import Endpoint
+    from lacewingcourse.core.pipelines.shape import EngineShape
+
+
+@attrs.frozen
+class CandidateSet:
+    """Candidate paths of a service, and what they were worked out from.
+
+    Attributes:
+        revision: Revision of the fleet.
+        excluded: Endpoints that were left out.
+        version: Version of the configuration.
+        paths: The paths.
+    """
+
+    revision: int
+    excluded: frozenset[str]
+    version: int
+    paths: list[Path]
+
+
+@attrs.define
+class Beliefs:
+    """Everything that decisions about requests are made from.
+
+    Attributes:
+        table: Configuration in force, None before there is one.
+        fleet: Endpoints.
+        loads: What runs where.
+        suspects: Endpoints that are left out for now.
+        confirmed_at: When a source last said that the configuration is the newest.
+        candidates: Candidate paths by service.
+    """
+
+    table: RoutingTable | None = None
+    fleet: Fleet = attrs.field(factory=Fleet)
+    loads: LoadBook = attrs.field(factory=LoadBook)
+    suspects: Suspects = attrs.field(factory=Suspects)
+    confirmed_at: float = float("-inf")
+    candidates: dict[str, CandidateSet] = attrs.field(factory=dict)
+
+    def accept(self, table: RoutingTable) -> bool:
+        """Put a version in force unless a newer one is; tell whether it was."""
+        if not is_newer(table, self.table):
+            return False
+        self.table = table
+        return True
+
+    def shape(self, service: str) -> EngineShape | None:
+        """Return the figures of a service's engines, None for a plain service."""
+        if self.table is None or service not in self.table.services:
+            return None
+        return self.table.services[service].shape
+
+    def usable(self, service: str, now: float) -> list[Endpoint]:
+        """Return the endpoints of a service that are not left out."""
+        excluded = self.suspects.excluded(now)
+        found = self.fleet.of_service(service)
+        return [endpoint for endpoint in found if endpoint.id not in excluded]
+
+    def paths(self, service: str, shape: EngineShape, now: float) -> list[Path]:
+        """Return the candidate paths of a service."""
+        excluded = frozenset(self.suspects.excluded(now))
+        known = self.candidates.get(service)
+        revision, version = self.fleet.revision, self.table.version
+        if known is not None and (known.revision, known.excluded, known.version) == (
+            revision,
+            excluded,
+            version,
+        ):
+            return known.paths
+        paths = candidate_paths(self.usable(service, now), shape)
+        self.candidates[service] = CandidateSet(revision, excluded, version, paths)
+        return paths
+
+    def chooser(self, shape: EngineShape) -> PathChooser:
+        """Return what chooses among paths of engines with some figures."""
+        return PathChooser(shape, self.fleet.endpoints, self.loads)
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -0,0 +1,183 @@
+"""The connection of a caller: reading its request and writing its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    ResponseStartLine,
+    responses,
+)
+from tornado.iostream import StreamClosedError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from tornado.http1connection import HTTP1Connection
+    from tornado.httputil import RequestStartLine
+
+
+class CallerExchange(HTTPMessageDelegate):
+    """One request of a caller and the answer to it.
+
+    Attributes:
+        connection: Connection that carries it.
+        method: HTTP method.
+        target: Path with query.
+        headers: Headers of the request.
+        body: Body as far as it arrived.
+        arrived_at: When the head had arrived, seconds.
+        gone: Whether the caller has closed the connection.
+        begun: Whether the head of the answer was written.
+        ended: Whether the answer was ended, whole or not.
+        on_gone: Called when the caller closes before the answer is whole.
+    """
+
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        serve: Callable[[CallerExchange], Awaitable[None]],
+        clock: Callable[[], float],
+        last: Callable[[], bool],
+    ) -> None:
+        self.connection = connection
+        self.method = ""
+        self.target = ""
+        self.headers = HTTPHeaders()
+        self.body = bytearray()
+        self.arrived_at = 0.0
+        self.gone = False
+        self.begun = False
+        self.ended = False
+        self.on_gone: Callable[[], None] | None = None
+        self._serve = serve
+        self._clock = clock
+        self._last = last
+        self._task: asyncio.Task | None = None
+        self._closes = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Take the head of the request."""
+        self.arrived_at = self._clock()
+        self.method = start_line.method
+        self.target = start_line.path
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take bytes of the body."""
+        self.body += chunk
+
+    def finish(self) -> None:
+        """Serve the request, which is whole now."""
+        self.connection.set_close_callback(self._on_close)
+        self._task = asyncio.ensure_future(self._serve(self))
+
+    def on_connection_close(self) -> None:
+        """Take the early end of the request; nothing was begun for it."""
+        self.gone = True
+
+    def begin(self, status: int, headers: HTTPHeaders, first: bytes = b"") -> None:
+        """Write the head of the answer, and the first bytes of its body."""
+        self.begun = True
+        if self._last():
+            headers["Connection"] = "close"
+            self._closes = True
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        self._nodelay()
+        self._note(self.connection.write_headers(line, headers, first))
+
+    def write(self, data: bytes) -> None:
+        """Write bytes of the answer's body."""
+        if not self.gone and data:
+            self._note(self.connection.write(data))
+
+    def end(self) -> None:
+        """End the answer as a whole one."""
+        if self.ended:
+            return
+        self.ended = True
+        stream = self.connection.stream
+        try:
+            self.connection.finish()
+        except StreamClosedError:
+            return
+        if self._closes and stream is not None:
+            pending = stream.write(b"")
+            pending.add_done_callback(lambda future: _close(stream, future))
+
+    def break_off(self) -> None:
+        """End the answer so that it cannot look whole."""
+        self.ended = True
+        self.connection.close()
+
+    def answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        """Write a whole answer with a known length."""
+        if self.gone or self.ended:
+            return
+        headers["Content-Length"] = str(len(body))
+        sent = b"" if self.method == "HEAD" else body
+        self.begin(status, headers, sent)
+        self.end()
+
+    def _nodelay(self) -> None:
+        if self.connection.stream is not None and not self.connection.stream.closed():
+            self.connection.stream.set_nodelay(True)
+
+    def _note(self, future: asyncio.Future) -> None:
+        future.add_done_callback(_forget)
+
+    def _on_close(self) -> None:
+        self.gone = True
+        if self.on_gone is not None and not self.ended:
+            self.on_gone()
+
+
+def _forget(future: asyncio.Future) -> None:
+    """Take the error of a write; the close callback tells of the caller's leaving."""
+    if not future.cancelled():
+        future.exception()
+
+
+def _close(stream, future: asyncio.Future) -> None:
+    _forget(future)
+    stream.close()
+
+
+class CallerConnections(HTTPServerConnectionDelegate):
+    """The connections of callers.
+
+    Attributes:
+        open: Requests that were begun and not ended.
+    """
+
+    def __init__(
+        self,
+        serve: Callable[[CallerExchange], Awaitable[None]],
+        clock: Callable[[], float],
+        last: Callable[[], bool],
+    ) -> None:
+        self.open: set[CallerExchange] = set()
+        self._serve = serve
+        self._clock = clock
+        self._last = last
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTP1Connection
+    ) -> HTTPMessageDelegate:
+        """Return what takes the next request of a connection."""
+        return CallerExchange(
+            request_conn, self._serve_counted, self._clock, self._last
+        )
+
+    async def _serve_counted(self, exchange: CallerExchange) -> None:
+        self.open.add(exchange)
+        try:
+            await self._serve(exchange)
+        finally:
+            self.open.discard(exchange)
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -0,0 +1,123 @@
+"""What callers meet: each request is routed, forwarded and answered here."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.relay.job import Job
+from lacewingcourse.relay.sending import WholeAnswer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewingcourse.relay.beliefs import Beliefs
+    from lacewingcourse.relay.caller import CallerExchange
+    from lacewingcourse.relay.calls import CallForwarder
+    from lacewingcourse.relay.decisions import DecisionLog
+    from lacewingcourse.relay.ports import CallerRequest, RequestCodec
+    from lacewingcourse.relay.streams import StreamForwarder
+
+#: Seconds after which a caller may try an entry again that knows no configuration.
+NOT_READY_RETRY = 0.5
+
+
+@attrs.define
+class Gateway:
+    """Routes, forwards and answers requests.
+
+    Attributes:
+        beliefs: What is believed of the deployment.
+        codec: How requests look on the platform.
+        calls: Forwards calls to plain services.
+        streams: Forwards streams.
+        log: Log of decisions.
+        clock: Returns the present time in seconds.
+    """
+
+    beliefs: Beliefs
+    codec: RequestCodec
+    calls: CallForwarder
+    streams: StreamForwarder
+    log: DecisionLog
+    clock: Callable[[], float]
+
+    async def serve(self, caller: CallerExchange) -> None:
+        """Serve one request of a caller; whatever happens, it is answered."""
+        try:
+            await self._serve(caller)
+        except Exception as error:
+            self.log.failed(error)
+            if caller.begun:
+                caller.break_off()
+            else:
+                self._refuse(caller, None, Refusal(ErrorKind.INTERNAL, "a defect"))
+
+    async def _serve(self, caller: CallerExchange) -> None:
+        request = self.codec.decode(
+            caller.method, caller.target, caller.headers, caller.arrived_at
+        )
+        if isinstance(request, Refusal):
+            self._refuse(caller, None, request)
+            return
+        request.body = bytes(caller.body)
+        job = self._job(caller, request)
+        if isinstance(job, Refusal):
+            self.log.refused(request, job, None)
+            self._refuse(caller, request, job)
+            return
+        caller.on_gone = job.caller_gone
+        self.calls.budget.on_request(job.service, self.clock())
+        refusal = await self._forward(job)
+        if refusal is None:
+            self.log.served(job, self.clock())
+            return
+        self.log.refused(request, refusal, job)
+        self._refuse(caller, request, refusal)
+
+    def _job(self, caller: CallerExchange, request: CallerRequest) -> Job | Refusal:
+        """Return what is to be done for a request, or why nothing is."""
+        table = self.beliefs.table
+        if table is None:
+            reason = "no configuration is known yet"
+            return Refusal(ErrorKind.NOT_READY, reason, retry_after=NOT_READY_RETRY)
+        route = table.route(request.host, request.path)
+        if isinstance(route, Refusal):
+            return route
+        organisation = table.organisation(route, request.key)
+        if isinstance(organisation, Refusal):
+            return organisation
+        until = request.received_at + route.timeout
+        deadline = until
+        if request.patience is not None:
+            deadline = request.received_at + request.patience
+        return Job(
+            request=request,
+            route=route,
+            service=route.service_for(request.id),
+            organisation=organisation,
+            caller=caller,
+            strip_key=table.keys is not None,
+            deadline=deadline,
+            until=min(until, deadline),
+        )
+
+    async def _forward(self, job: Job) -> Refusal | None:
+        """Forward a request; return how it ends if it was not answered."""
+        shape = self.beliefs.shape(job.service)
+        if shape is not None:
+            return await self.streams.serve(job, shape)
+        result = await self.calls.serve(job)
+        if isinstance(result, WholeAnswer):
+            headers = self.codec.for_caller(result.head)
+            job.caller.answer(result.head.status, headers, result.body)
+            return None
+        return result
+
+    def _refuse(
+        self, caller: CallerExchange, request: CallerRequest | None, refusal: Refusal
+    ) -> None:
+        status, headers, body = self.codec.refusal(refusal, request)
+        caller.answer(status, headers, body)
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -0,0 +1,111 @@
+"""A request on its way: what it asks for, and until when."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
+from lacewingcourse.relay.ports import Sending
+from lacewingcourse.relay.upstream import Abandoned, Exchange, SendOutcome
+
+if TYPE_CHECKING:
+    from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.core.pipelines.routing import Organisation, Route
+    from lacewingcourse.relay.caller import CallerExchange
+    from lacewingcourse.relay.ports import CallerRequest
+
+#: Urgency of a request for each rank of its route; engines know ten steps.
+MOST_URGENCY = 9
+
+
+@attrs.define(eq=False)
+class Job:
+    """A request on its way.
+
+    Attributes:
+        request: The caller's request.
+        route: Its route.
+        service: The service chosen for it.
+        organisation: Whom it belongs to.
+        caller: The connection that its answer goes to.
+        strip_key: Whether the caller's key stops here.
+        deadline: Time until which the caller waits, seconds.
+        until: Time at which the route's time or the caller's is over, seconds.
+        sends: Sends that reached an endpoint.
+        worst: The most that may have become of a send so far.
+        avoid: Endpoints that this request is not sent to again.
+        current: Exchange with an endpoint that is under way.
+        reason: Why the last send brought nothing.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: str
+    organisation: Organisation
+    caller: CallerExchange
+    strip_key: bool
+    deadline: float
+    until: float
+    sends: int = 0
+    worst: SendOutcome = SendOutcome.NEVER_LEFT
+    avoid: set[str] = attrs.field(factory=set)
+    current: Exchange | None = None
+    reason: str = ""
+
+    @property
+    def urgency(self) -> int:
+        """Rank of the request at an endpoint, 0 for what is served first."""
+        priority = self.organisation.priority
+        if priority is None:
+            priority = self.route.priority
+        return max(0, min(MOST_URGENCY, priority))
+
+    def sending(
+        self, endpoint: str, address: str, path: Path | None, now: float, after: str
+    ) -> Sending:
+        """Return what to send to an endpoint.
+
+        Args:
+            endpoint: Id of the endpoint.
+            address: Its address.
+            path: Path that starts there, None for a plain service.
+            now: Present time.
+            after: Identifier of the last event passed on, or empty.
+        """
+        return Sending(
+            endpoint=endpoint,
+            address=address,
+            path=path,
+            time_left=self.until - now,
+            organisation=self.organisation.name,
+            strip_key=self.strip_key,
+            resume_after=after,
+            urgency=self.urgency,
+        )
+
+    def note(self, outcome: SendOutcome, reason: str) -> None:
+        """Note what became of a send."""
+        self.reason = reason
+        if outcome in (SendOutcome.MAY_HAVE_RUN, SendOutcome.ANSWERED):
+            self.worst = SendOutcome.MAY_HAVE_RUN
+        elif self.worst is SendOutcome.NEVER_LEFT:
+            self.worst = outcome
+
+    def caller_gone(self) -> None:
+        """Stop the endpoint's work, since the caller has left."""
+        if self.current is not None:
+            self.current.arrivals.put_nowait(Abandoned("the caller left"))
+            self.current.abandon()
+
+    def failure(self, kind: ErrorKind, retry_after: float | None) -> Refusal:
+        """Return how the request ends without an answer of an endpoint.
+
+        What may have run is never told as not run.
+        """
+        if self.worst is not SendOutcome.MAY_HAVE_RUN:
+            return Refusal(kind, self.reason, Outcome.NOT_RUN, retry_after)
+        timed_out = kind is ErrorKind.DEADLINE_EXCEEDED
+        told = kind if timed_out else ErrorKind.ENDPOINT_FAILED
+        return Refusal(told, self.reason, Outcome.UNKNOWN)
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -0,0 +1,247 @@
+"""What the entry needs of the platform that it runs on, in the project's own words."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPHeaders
+
+    from lacewingcourse.core.errors import Refusal
+    from lacewingcourse.core.pipelines.fleet import Endpoint
+    from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.core.pipelines.routing import RoutingTable
+    from lacewingcourse.core.pipelines.shape import Layers
+
+
+@attrs.define
+class CallerRequest:
+    """A request as a caller sent it.
+
+    Attributes:
+        id: Identifier of this try of the caller.
+        method: HTTP method.
+        target: Path with query, as sent.
+        host: Host that it names.
+        key: Key that it carries, None for none.
+        patience: Seconds that the caller waits, None if it does not tell.
+        prompt: Tokens of the prompt, 0 if it has none.
+        most_answer: Tokens that the answer may have at the most.
+        answer_hint: Tokens that the caller expects, None if it does not tell.
+        resume_after: Identifier of the last event that the caller has, or empty.
+        headers: All its headers.
+        body: Its body.
+        received_at: When its head had arrived, seconds.
+    """
+
+    id: str
+    method: str
+    target: str
+    host: str
+    key: str | None
+    patience: float | None
+    prompt: int
+    most_answer: int
+    answer_hint: int | None
+    resume_after: str
+    headers: HTTPHeaders
+    received_at: float
+    body: bytes = b""
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition("?")[0]
+
+
+@attrs.frozen
+class Sending:
+    """One send of a request to an endpoint.
+
+    Attributes:
+        endpoint: Id of the incarnation that must answer.
+        address: Its address.
+        path: Path through several endpoints, None for a plain service.
+        time_left: Seconds in which the answer is still wanted.
+        organisation: Name of the caller's organisation, empty for none.
+        strip_key: Whether the caller's key stops here.
+        resume_after: Identifier of the last event passed on, or empty.
+        urgency: 0 to 9, 0 for what is served first.
+    """
+
+    endpoint: str
+    address: str
+    path: Path | None
+    time_left: float
+    organisation: str
+    strip_key: bool
+    resume_after: str = ""
+    urgency: int = 5
+
+
+class Standing(Enum):
+    """What the head of an answer says of the request."""
+
+    ANSWERED = "answered"
+    REJECTED = "rejected"
+    FOREIGN = "foreign"
+    BROKEN = "broken"
+
+
+@attrs.frozen
+class AnswerHead:
+    """The head of an endpoint's answer, decoded.
+
+    Attributes:
+        status: HTTP status.
+        headers: Its headers, as received.
+        standing: What it says of the request: answered by the endpoint, rejected
+            without having run, an answer to another request, or no valid answer.
+        fault_address: Address of the endpoint at fault on a path, or empty.
+        keep_alive: Seconds for which the connection may stay idle, None if untold.
+        reason: What is wrong with it, for the log.
+    """
+
+    status: int
+    headers: HTTPHeaders
+    standing: Standing
+    fault_address: str = ""
+    keep_alive: float | None = None
+    reason: str = ""
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the endpoint answered with success."""
+        return self.standing is Standing.ANSWERED and 200 <= self.status < 300
+
+
+class RequestCodec(Protocol):
+    """How requests and answers look on the platform."""
+
+    def decode(
+        self, method: str, target: str, headers: HTTPHeaders, now: float
+    ) -> CallerRequest | Refusal:
+        """Return a caller's request, without its body yet."""
+
+    def outgoing(self, request: CallerRequest, sending: Sending) -> HTTPHeaders:
+        """Return the headers with which a request is sent to an endpoint."""
+
+    def head(
+        self, status: int, headers: HTTPHeaders, request: CallerRequest
+    ) -> AnswerHead:
+        """Return the head of an endpoint's answer, decoded."""
+
+    def for_caller(self, head: AnswerHead) -> HTTPHeaders:
+        """Return the headers that a caller gets with an endpoint's answer."""
+
+    def refusal(
+        self, refusal: Refusal, request: CallerRequest | None
+    ) -> tuple[int, HTTPHeaders, bytes]:
+        """Return status, headers and body with which a request is refused."""
+
+
+@attrs.frozen
+class Unavailable:
+    """A sentinel value: the platform gave no answer that can be used.
+
+    Attributes:
+        reason: What happened.
+        unknown: Whether a change may have been made, or may still be.
+    """
+
+    reason: str
+    unknown: bool = False
+
+
+@attrs.frozen
+class EndpointEntry:
+    """A change of one entry of the directory.
+
+    Attributes:
+        id: Id of the endpoint.
+        endpoint: What its entry tells, None if the entry was removed.
+    """
+
+    id: str
+    endpoint: Endpoint | None
+
+
+@attrs.frozen
+class DirectoryNews:
+    """What the directory tells.
+
+    Attributes:
+        whole: Whether this is a listing of all entries, not of changes.
+        entries: Entries in the order in which they were written.
+        position: How far the directory was read.
+    """
+
+    whole: bool
+    entries: tuple[EndpointEntry, ...]
+    position: int
+
+
+class ConfigurationSource(Protocol):
+    """Where accepted configuration comes from."""
+
+    async def newest(self) -> RoutingTable | None | Unavailable:
+        """Return the newest version, None if there is none yet."""
+
+    async def next(self) -> RoutingTable | None | Unavailable:
+        """Wait for a version after the last one returned; None if none came."""
+
+
+class EndpointDirectory(Protocol):
+    """Where endpoints are listed."""
+
+    async def poll(self, position: int | None) -> DirectoryNews | Unavailable:
+        """Return what changed after a position, or a whole listing for None."""
+
+
+class OrderOutcome(Enum):
+    """What became of an order."""
+
+    DONE = "done"
+    BEGUN = "begun"
+    MISFIT = "misfit"
+    FENCED = "fenced"
+    WRONG_INCARNATION = "wrong_incarnation"
+    UNKNOWN = "unknown"
+    REFUSED = "refused"
+
+
+class Orders(Protocol):
+    """Orders to endpoints."""
+
+    async def place(
+        self, endpoint: Endpoint, layers: Layers, fencing: int
+    ) -> OrderOutcome:
+        """Order an endpoint to hold a range of layers."""
+
+
+@attrs.frozen
+class Lease:
+    """Who holds a duty.
+
+    Attributes:
+        holder: Name of the holder.
+        fencing: Its fencing number; later holders have greater ones.
+    """
+
+    holder: str
+    fencing: int
+
+
+class LeaseStore(Protocol):
+    """Where the holder of a duty is agreed on."""
+
+    async def current(self) -> Lease | None | Unavailable:
+        """Return the present holder, None if there never was one."""
+
+    async def take(
+        self, holder: str, after: Lease | None
+    ) -> Lease | None | Unavailable:
+        """Take the duty unless somebody else took it after a given holder."""
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -0,0 +1,55 @@
+"""What a relaying entry is told at its start."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class Bounds:
+    """Limits that the deployment promises to its callers.
+
+    Attributes:
+        drain_after: Seconds after which a leaving endpoint gets no new work.
+        grace: Seconds between the request to end and the end.
+        configuration_within: Seconds in which a version is in force.
+        repeat_ratio: Sends beyond the first that are allowed for each request.
+        repeat_window: Seconds in which they are counted.
+        repeat_slack: Sends beyond the first that are allowed besides.
+        stall: Seconds after which engines cut off work that stands still.
+        fencing_checked: Whether endpoints refuse orders with old fencing numbers.
+    """
+
+    drain_after: float
+    grace: float
+    configuration_within: float
+    repeat_ratio: float
+    repeat_window: float
+    repeat_slack: float
+    stall: float
+    fencing_checked: bool
+
+
+@attrs.frozen
+class RelaySettings:
+    """Settings of one entry.
+
+    Attributes:
+        name: Name of the instance.
+        zone: Its availability zone.
+        front: IP address and port for callers.
+        ready: IP address and port for questions after readiness.
+        peers: IP address and port for other entries, empty for none.
+        metrics: IP address and port of the metrics, empty for none.
+        seeds: Addresses of other entries that may be asked first.
+        bounds: Limits that are promised.
+    """
+
+    name: str
+    zone: str
+    front: str
+    ready: str
+    peers: str
+    metrics: str
+    seeds: tuple[str, ...]
+    bounds: Bounds
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -0,0 +1,302 @@
+"""Forwarding of streams of events, which go on elsewhere when a path breaks."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.choice import Demand
+from lacewingcourse.core.pipelines.events import EventCutter
+from lacewingcourse.core.pipelines.path import Path
+from lacewingcourse.relay.ports import AnswerHead, Standing
+from lacewingcourse.relay.sending import NotSent, Sender, Sent, next_arrival
+from lacewingcourse.relay.upstream import (
+    Abandoned,
+    Data,
+    End,
+    Head,
+    SendOutcome,
+    Stalled,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from lacewingcourse.core.pipelines.repeats import RepeatBudget
+    from lacewingcourse.core.pipelines.shape import EngineShape
+    from lacewingcourse.relay.beliefs import Beliefs
+    from lacewingcourse.relay.job import Job
+    from lacewingcourse.relay.upstream import Arrival
+
+#: Objectives after which a stream without an event is begun on another path.
+FIRST_PATIENCE = 1.5
+#: Allowed pauses after which a stream that stands still goes on on another path. An
+#: engine's own pauses are a fraction of the allowed one; waiting longer makes the
+#: answer late for certain.
+GAP_PATIENCE = 1.2
+#: Seconds of the shortest patience.
+LEAST_PATIENCE = 0.2
+#: Seconds after which a refused stream is worth trying again.
+STREAM_RETRY_AFTER = 0.5
+
+
+class StreamEnd(Enum):
+    """How one run of a stream ended."""
+
+    WHOLE = "whole"
+    LOST = "lost"
+    STALLED = "stalled"
+    REJECTED = "rejected"
+    ABANDONED = "abandoned"
+    OVERDUE = "overdue"
+
+
+@attrs.frozen
+class RunResult:
+    """What became of one run of a stream.
+
+    Attributes:
+        end: How it ended.
+        reason: What happened.
+        fault_address: Address of the endpoint at fault, or empty.
+        first_lost: Whether the connection to the first part broke.
+    """
+
+    end: StreamEnd
+    reason: str = ""
+    fault_address: str = ""
+    first_lost: bool = False
+
+
+@attrs.define
+class StreamState:
+    """What was passed on of a stream.
+
+    Attributes:
+        cutter: Cuts bytes into events, and knows the last one passed on.
+        head: Head of the first run's answer, None before it.
+        progressed_at: When the last event arrived, seconds.
+    """
+
+    cutter: EventCutter
+    head: AnswerHead | None = None
+    progressed_at: float = 0.0
+
+
+@attrs.define
+class StreamForwarder:
+    """Sends streams along paths and passes their events on.
+
+    Attributes:
+        beliefs: What is believed of the endpoints.
+        sender: What sends.
+        budget: Repeats that are left.
+        rng: Source of draws.
+    """
+
+    beliefs: Beliefs
+    sender: Sender
+    budget: RepeatBudget
+    rng: Random
+
+    async def serve(self, job: Job, shape: EngineShape) -> Refusal | None:
+        """Forward a stream; return how it ends if no answer was begun."""
+        state = StreamState(EventCutter(last_id=job.request.resume_after))
+        demand = demand_of(job, shape)
+        while True:
+            now = self.sender.clock()
+            path = self._choose(job, shape, demand, now)
+            if isinstance(path, Refusal):
+                job.reason = job.reason or path.reason
+                return self._give_up(job, path.kind)
+            if job.sends and not self.budget.take(job.service, now):
+                return self._give_up(job, ErrorKind.STAGE_LOST)
+            result = await self._run(job, path, demand, state, now)
+            if result is None:
+                self.beliefs.suspects.suspect(path.first.endpoint, job.reason, now)
+                job.avoid.add(path.first.endpoint)
+                continue
+            if result.end in (StreamEnd.WHOLE, StreamEnd.ABANDONED):
+                return None
+            self._learn(job, path, result)
+            if result.end is StreamEnd.OVERDUE:
+                return self._give_up(job, ErrorKind.DEADLINE_EXCEEDED)
+            if not self._again(job):
+                return self._give_up(job, self._kind(result))
+
+    def _choose(
+        self, job: Job, shape: EngineShape, demand: Demand, now: float
+    ) -> Path | Refusal:
+        paths = self.beliefs.paths(job.service, shape, now)
+        chooser = self.beliefs.chooser(shape)
+        return chooser.choose(paths, demand, job.avoid, self.rng)
+
+    async def _run(
+        self, job: Job, path: Path, demand: Demand, state: StreamState, now: float
+    ) -> RunResult | None:
+        """Run a stream on a path; None if the request never left this process."""
+        self.beliefs.loads.begin(path, demand.tokens)
+        try:
+            first = path.first
+            after = state.cutter.last_id
+            sending = job.sending(first.endpoint, first.address, path, now, after)
+            sent = await self.sender.send(job.request, sending, fresh=False)
+            if isinstance(sent, NotSent):
+                job.note(SendOutcome.NEVER_LEFT, sent.reason)
+                return None
+            job.sends += 1
+            job.current = sent.exchange
+            if job.caller.gone:
+                job.caller_gone()
+            state.cutter.restart()
+            return await self._relay(job, sent, state)
+        finally:
+            job.current = None
+            self.beliefs.loads.end(path, demand.tokens)
+
+    async def _relay(self, job: Job, sent: Sent, state: StreamState) -> RunResult:
+        """Pass on what arrives until the run ends."""
+        exchange = sent.exchange
+        state.progressed_at = self.sender.clock()
+        head: AnswerHead | None = None
+        while True:
+            until = min(job.until, state.progressed_at + self._patience(job, state))
+            now = self.sender.clock()
+            arrival = await next_arrival(exchange, until, now)
+            if isinstance(arrival, Head):
+                head = self.sender.codec.head(
+                    arrival.status, arrival.headers, job.request
+                )
+                if not head.succeeded:
+                    return await self._refused_run(job, sent, head, state)
+                if state.head is None:
+                    state.head = head
+            elif isinstance(arrival, Data):
+                self._pass_on(job, state, state.cutter.feed(arrival.data))
+            else:
+                return self._ended(job, sent, head, state, arrival)
+
+    def _patience(self, job: Job, state: StreamState) -> float:
+        """Return the seconds for which a run may stand still."""
+        if not self._again(job) or not job.route.repeat.may_repeat:
+            return job.until
+        if not job.caller.begun:
+            return max(LEAST_PATIENCE, FIRST_PATIENCE * job.route.objective)
+        return max(LEAST_PATIENCE, GAP_PATIENCE * job.route.gap)
+
+    def _pass_on(self, job: Job, state: StreamState, events: bytes) -> None:
+        """Write whole events to the caller."""
+        if not events:
+            return
+        state.progressed_at = self.sender.clock()
+        if job.caller.begun:
+            job.caller.write(events)
+            return
+        headers = self.sender.codec.for_caller(state.head)
+        headers.pop("Content-Length", None)
+        job.caller.begin(state.head.status, headers, events)
+
+    def _ended(
+        self,
+        job: Job,
+        sent: Sent,
+        head: AnswerHead | None,
+        state: StreamState,
+        arrival: Arrival,
+    ) -> RunResult:
+        """Return what the end of a run amounts to."""
+        if isinstance(arrival, End) and arrival.complete and not state.cutter.pending:
+            self.sender.release(sent.exchange, head)
+            if not job.caller.begun:
+                job.caller.begin(
+                    state.head.status, self.sender.codec.for_caller(state.head)
+                )
+            job.caller.end()
+            return RunResult(StreamEnd.WHOLE)
+        sent.exchange.abandon()
+        job.note(SendOutcome.MAY_HAVE_RUN, "the stream broke off")
+        if isinstance(arrival, Abandoned):
+            job.caller.break_off()
+            return RunResult(StreamEnd.ABANDONED, arrival.reason)
+        if isinstance(arrival, Stalled):
+            if self.sender.clock() >= job.until:
+                job.reason = "the time of the route is over"
+                return RunResult(StreamEnd.OVERDUE, job.reason)
+            job.reason = "the stream stood still"
+            return RunResult(StreamEnd.STALLED, job.reason)
+        job.reason = arrival.reason if isinstance(arrival, End) else "cut event"
+        return RunResult(StreamEnd.LOST, job.reason, first_lost=True)
+
+    async def _refused_run(
+        self, job: Job, sent: Sent, head: AnswerHead, state: StreamState
+    ) -> RunResult:
+        """Read the body of an answer that is no stream, and pass on a failure."""
+        body = bytearray()
+        while True:
+            arrival = await next_arrival(sent.exchange, job.until, self.sender.clock())
+            if isinstance(arrival, Data):
+                body += arrival.data
+            elif not isinstance(arrival, Head):
+                break
+        whole = isinstance(arrival, End) and arrival.complete
+        self.sender.release(sent.exchange, head if whole else None)
+        if isinstance(arrival, Abandoned):
+            return RunResult(StreamEnd.ABANDONED, arrival.reason)
+        if head.standing is Standing.REJECTED:
+            reason = f"rejected with {head.status}"
+            job.note(SendOutcome.REJECTED, reason)
+            return RunResult(StreamEnd.REJECTED, reason, head.fault_address)
+        job.note(SendOutcome.MAY_HAVE_RUN, f"status {head.status} {head.reason}")
+        if head.standing is not Standing.ANSWERED or not whole or self._again(job):
+            return RunResult(StreamEnd.LOST, job.reason)
+        if job.caller.begun:
+            job.caller.break_off()
+        else:
+            headers = self.sender.codec.for_caller(head)
+            job.caller.answer(head.status, headers, bytes(body))
+        return RunResult(StreamEnd.WHOLE)
+
+    def _learn(self, job: Job, path: Path, result: RunResult) -> None:
+        """Leave out what failed, for this request or for all."""
+        now = self.sender.clock()
+        at_fault = [p for p in path.parts if p.address == result.fault_address]
+        if at_fault:
+            self.beliefs.suspects.suspect(at_fault[0].endpoint, result.reason, now)
+            job.avoid.add(at_fault[0].endpoint)
+        elif result.first_lost:
+            job.avoid.add(path.first.endpoint)
+        elif result.end is StreamEnd.STALLED:
+            job.avoid.update(part.endpoint for part in path.parts)
+        else:
+            job.avoid.add(path.first.endpoint)
+
+    def _again(self, job: Job) -> bool:
+        """Tell whether another run may follow."""
+        if job.sends >= job.route.most_attempts or job.caller.gone:
+            return False
+        repeatable = job.route.repeat.may_repeat
+        return repeatable or job.worst is not SendOutcome.MAY_HAVE_RUN
+
+    def _kind(self, result: RunResult) -> ErrorKind:
+        if result.end is StreamEnd.REJECTED:
+            return ErrorKind.OVERLOADED
+        return ErrorKind.STAGE_LOST
+
+    def _give_up(self, job: Job, kind: ErrorKind) -> Refusal | None:
+        """End a stream that cannot go on; None if its answer was begun."""
+        if job.caller.begun:
+            job.caller.break_off()
+            return None
+        return job.failure(kind, STREAM_RETRY_AFTER)
+
+
+def demand_of(job: Job, shape: EngineShape) -> Demand:
+    """Return what a request is expected to need of a path."""
+    request = job.request
+    answer = request.answer_hint or shape.usual_answer
+    if request.most_answer:
+        answer = min(answer, request.most_answer)
+    return Demand(request.prompt or shape.usual_prompt, max(1, answer))
