Share loads, configuration and directory between entries; search paths in order

Cause: each entry chose by its own load only, so all of them filled the fastest path (busiest/mean 20, 68 requests preempted); each read the store by itself (815 calls); and at each version every entry stood still for 150 ms while it searched paths again.

Ruled out: slow engines (the gaps of all entries fell on the same moment, 2.6 s, when a version came into force).

Change: entries tell each other loads, suspicions, versions and endpoints; one reads the store and others take over when its knowledge ages; candidate paths are kept while their inputs are the same and searched layer by layer (4 ms for 33 endpoints); a copy's members share its memory evenly.

--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -24,6 +24,8 @@
 #: How much worse than the best a path may look to be drawn among the best ones.
 #: Entries that see the same loads would otherwise all take the same path.
 NEAR_BEST = 1.08
+#: Share of free memory that is reckoned with at the least, to bound the cost.
+LEAST_LEFT = 0.02
 #: Share of a plain endpoint's slots above which it counts as full: beyond twice its
 #: slots a request waits longer than two others run.
 CALLS_PER_SLOT = 2.0
@@ -82,7 +84,7 @@
         fitting = [path for path in usable if self.fits(path, demand)]
         if not fitting:
             return Refusal(ErrorKind.OVERLOADED, "no path has memory for the request")
-        scored = [(self.predicted_ms(path, demand), path) for path in fitting]
+        scored = [(self.cost(path, demand), path) for path in fitting]
         best = min(score for score, _ in scored)
         near = [path for score, path in scored if score <= best * NEAR_BEST]
         return rng.choice(near)
@@ -93,6 +95,15 @@
             return False
         return all(self._fits_part(part, demand) for part in path.parts)
 
+    def cost(self, path: Path, demand: Demand) -> float:
+        """Return the predicted time, raised as the memory of a part fills.
+
+        A part that runs out of memory stops its newest request, so a slower path
+        with room is better than a faster one that is nearly full.
+        """
+        left = 1.0 - max(self._filled(part, demand) for part in path.parts)
+        return self.predicted_ms(path, demand) / max(left, LEAST_LEFT)
+
     def predicted_ms(self, path: Path, demand: Demand) -> float:
         """Return the milliseconds that a request is predicted to take on a path."""
         total = 0.0
@@ -107,13 +118,17 @@
         return total + path.token_ms
 
     def _fits_part(self, part: Part, demand: Demand) -> bool:
+        return self._filled(part, demand) <= ROOM_SHARE
+
+    def _filled(self, part: Part, demand: Demand) -> float:
+        """Return the share of a part's memory that is taken with a request in it."""
         endpoint = self.endpoints.get(part.endpoint)
         if endpoint is None or endpoint.layers is None:
-            return False
+            return float("inf")
         accelerator = self.shape.accelerators[endpoint.accelerator]
-        room = self.shape.room(accelerator, len(endpoint.layers)) * ROOM_SHARE
+        room = self.shape.room(accelerator, len(endpoint.layers))
         taken = self.loads.of(part.endpoint).cells
-        return taken + demand.tokens * len(part.layers) <= room
+        return (taken + demand.tokens * len(part.layers)) / max(room, 1.0)
 
 
 def choose_endpoint(
--- a/packages/core/src/lacewingcourse/core/pipelines/fleet.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/fleet.py
@@ -51,6 +51,7 @@
         away_since: When the directory stopped answering, None while it answers.
         returned_at: When it last answered again, seconds.
         revision: Counts the changes that matter to routing and placement.
+        changes: Revision at which each id last changed, removed ones among them.
     """
 
     endpoints: dict[str, Endpoint] = attrs.field(factory=dict)
@@ -58,6 +59,7 @@
     away_since: float | None = None
     returned_at: float = float("-inf")
     revision: int = 0
+    changes: dict[str, int] = attrs.field(factory=dict)
 
     def put(self, endpoint: Endpoint) -> bool:
         """Take an entry; tell whether it changed anything."""
@@ -68,7 +70,7 @@
         if known is None:
             self._drop_predecessors(endpoint)
         self.endpoints[endpoint.id] = endpoint
-        self.revision += 1
+        self._changed(endpoint.id)
         return True
 
     def remove(self, endpoint_id: str, now: float) -> bool:
@@ -129,4 +131,8 @@
     def _drop(self, endpoint_id: str) -> None:
         self.lapsed.pop(endpoint_id, None)
         if self.endpoints.pop(endpoint_id, None) is not None:
-            self.revision += 1
+            self._changed(endpoint_id)
+
+    def _changed(self, endpoint_id: str) -> None:
+        self.revision += 1
+        self.changes[endpoint_id] = self.revision
--- a/packages/core/src/lacewingcourse/core/pipelines/layout.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/layout.py
@@ -144,21 +144,48 @@
     left = sorted(endpoints, key=lambda e: (_speed(e, shape), e.address))
     plan: list[Assignment] = []
     while True:
-        copy: list[Assignment] = []
-        position = 0
-        for endpoint in left:
-            span = min(span_for(endpoint, shape, tokens), shape.layers - position)
-            if span > 0:
-                layers = Layers(position, position + span)
-                copy.append(Assignment(endpoint.id, layers))
-                position += span
-        if position < shape.layers:
+        copy = _fill(left, shape, tokens)
+        if not copy:
             return plan
-        plan.extend(copy)
         used = {assignment.endpoint for assignment in copy}
+        plan.extend(_widen([e for e in left if e.id in used], shape, tokens))
         left = [endpoint for endpoint in left if endpoint.id not in used]
 
 
+def _fill(
+    endpoints: list[Endpoint], shape: EngineShape, tokens: float
+) -> list[Assignment]:
+    """Return one copy on the first endpoints that hold it; none if it does not fit."""
+    copy: list[Assignment] = []
+    position = 0
+    for endpoint in endpoints:
+        span = min(span_for(endpoint, shape, tokens), shape.layers - position)
+        if span > 0:
+            copy.append(Assignment(endpoint.id, Layers(position, position + span)))
+            position += span
+    return copy if position == shape.layers else []
+
+
+def _widen(
+    members: list[Endpoint], shape: EngineShape, tokens: float
+) -> list[Assignment]:
+    """Return the copy of some endpoints with as much memory as they can give it.
+
+    Otherwise the last member would hold only what is left over, and the others less
+    memory for requests than the copy could have.
+    """
+    low, high = tokens, MOST_REQUESTS * shape.usual_tokens
+    best = _fill(members, shape, low)
+    while high - low > shape.usual_tokens / 4:
+        middle = (low + high) / 2
+        found = _fill(members, shape, middle)
+        if found:
+            best, low = found, middle
+        else:
+            high = middle
+    return best
+
+
 def _count(plan: list[Assignment], shape: EngineShape) -> int:
     """Return how many copies a plan of whole copies has."""
     return sum(1 for a in plan if a.layers.end == shape.layers)
--- a/packages/core/src/lacewingcourse/core/pipelines/path.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/path.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 from typing import TYPE_CHECKING
 
 import attrs
@@ -26,7 +25,7 @@
 #: Parts that a path may have; engines refuse longer ones.
 MOST_PARTS = 32
 #: Candidate paths that are kept for each service.
-MOST_CANDIDATES = 24
+MOST_CANDIDATES = 16
 #: Requests that are taken to write beside one another when parts are compared.
 TYPICAL_RUNNING = 8.0
 
@@ -102,8 +101,42 @@
     return sorted(found.values(), key=lambda path: path.token_ms)
 
 
+@attrs.frozen
+class _Step:
+    """A part that may stand on a path.
+
+    Attributes:
+        endpoint: The endpoint.
+        end: Layer after its last one.
+        time: Milliseconds that it takes for a token.
+    """
+
+    endpoint: Endpoint
+    end: int
+    time: float
+
+
+@attrs.frozen
+class _Reach:
+    """The cheapest way to a layer.
+
+    Attributes:
+        cost: Its cost.
+        zone: Availability zone of its last part.
+        trail: Its parts, the last one first, linked.
+    """
+
+    cost: float
+    zone: str
+    trail: tuple | None
+
+
 class _Search:
-    """Cheapest paths over the layers, with weights for what is used already."""
+    """Cheapest paths over the layers, with weights for what is used already.
+
+    Layers are visited in order, and for each one only the cheapest way from each zone
+    is kept, so that a search costs one look at every part that may stand on a path.
+    """
 
     def __init__(self, endpoints: list[Endpoint], shape: EngineShape) -> None:
         self.shape = shape
@@ -115,13 +148,10 @@
             and len(endpoint.layers)
             and endpoint.accelerator in shape.accelerators
         ]
-        self.cuts = sorted(
-            {cut for e in self.holders for cut in (e.layers.start, e.layers.end)}
-        )
-        self.at: dict[int, list[Endpoint]] = {
-            cut: [e for e in self.holders if e.layers.start <= cut < e.layers.end]
-            for cut in self.cuts
-        }
+        self.kinds = {e.id: shape.accelerators[e.accelerator] for e in self.holders}
+        starts = sorted({e.layers.start for e in self.holders})
+        cuts = sorted({*starts, *(e.layers.end for e in self.holders)})
+        self.steps = {cut: self._steps_at(cut, starts) for cut in cuts}
 
     def use(self, path: Path) -> None:
         """Make the parts of a path dearer."""
@@ -130,73 +160,82 @@
 
     def cheapest(self) -> Path | None:
         """Return the cheapest path, None if the layers are not covered."""
-        queue: list[tuple] = [(0.0, 0, 0, "", "", None)]
-        done: set[tuple[int, str]] = set()
-        order = 0
-        while queue:
-            cost, _, position, zone, last, trail = heapq.heappop(queue)
-            if position == self.shape.layers:
-                return self._path(trail)
-            if (position, zone) in done:
+        reached: dict[int, dict[str, _Reach]] = {0: {"": _Reach(0.0, "", None)}}
+        for position, steps in self.steps.items():
+            ways = reached.get(position)
+            if ways is None or position == self.shape.layers:
                 continue
-            done.add((position, zone))
-            for step in self._steps(position, zone, last):
-                extra, endpoint, end = step
-                order += 1
-                part = Part(
-                    endpoint.id, endpoint.address, endpoint.zone, Layers(position, end)
-                )
-                heapq.heappush(
-                    queue,
-                    (
-                        cost + extra,
-                        order,
-                        end,
-                        endpoint.zone,
-                        endpoint.id,
-                        (part, trail),
-                    ),
-                )
-        return None
-
-    def _steps(self, position: int, zone: str, last: str):
-        """Yield the cost, endpoint and end of each part that may come next."""
-        for endpoint in self.at.get(position, ()):
-            if endpoint.id == last:
+            best = min(ways.values(), key=lambda way: way.cost)
+            for step in steps:
+                self._extend(reached, position, step, ways, best)
+        arrived = reached.get(self.shape.layers)
+        if not arrived:
+            return None
+        return self._path(min(arrived.values(), key=lambda way: way.cost).trail)
+
+    def _extend(
+        self,
+        reached: dict[int, dict[str, _Reach]],
+        position: int,
+        step: _Step,
+        ways: dict[str, _Reach],
+        best: _Reach,
+    ) -> None:
+        """Go on from a layer by one part, if that is cheaper than what is known."""
+        zone = step.endpoint.zone
+        way, cost = best, best.cost + (CROSSING_MS if best.zone else 0.0)
+        local = ways.get(zone)
+        if local is not None and local.cost + LOCAL_HOP_MS < cost:
+            way, cost = local, local.cost + LOCAL_HOP_MS
+        used = self.uses.get(step.endpoint.id, 0)
+        cost += step.time * (1.0 + REUSE_WEIGHT * used)
+        known = reached.setdefault(step.end, {})
+        if zone not in known or cost < known[zone].cost:
+            trail = (step.endpoint, position, step.end, way.trail)
+            known[zone] = _Reach(cost, zone, trail)
+
+    def _steps_at(self, position: int, starts: list[int]) -> list[_Step]:
+        """Return the parts that may begin at a layer.
+
+        A part ends where its endpoint's layers end, or where another one's begin.
+        """
+        steps = []
+        for endpoint in self.holders:
+            layers = endpoint.layers
+            if not layers.start <= position < layers.end:
                 continue
-            hop = 0.0
-            if zone:
-                hop = LOCAL_HOP_MS if endpoint.zone == zone else CROSSING_MS
-            accelerator = self.shape.accelerators[endpoint.accelerator]
-            weight = 1.0 + REUSE_WEIGHT * self.uses.get(endpoint.id, 0)
-            for end in self.cuts:
-                if position < end <= endpoint.layers.end:
-                    span = end - position
-                    time = self.shape.step_time(accelerator, span, TYPICAL_RUNNING)
-                    yield (hop + time * weight, endpoint, end)
+            ends = [s for s in starts if position < s < layers.end]
+            for end in (*ends, layers.end):
+                span = end - position
+                kind = self.kinds[endpoint.id]
+                time = self.shape.step_time(kind, span, TYPICAL_RUNNING)
+                steps.append(_Step(endpoint, end, time))
+        return steps
 
     def _path(self, trail: tuple | None) -> Path | None:
         """Return the path of a trail, None if it cannot be used."""
         parts: list[Part] = []
         while trail is not None:
-            part, trail = trail
-            parts.append(part)
+            endpoint, start, end, trail = trail
+            layers = Layers(start, end)
+            parts.append(Part(endpoint.id, endpoint.address, endpoint.zone, layers))
         parts.reverse()
-        kinds = {e.id: self.shape.accelerators[e.accelerator] for e in self.holders}
-        token_ms = 0.0
-        zone = parts[0].zone
-        for part in parts:
-            if part.zone != zone:
-                token_ms += CROSSING_MS
-            zone = part.zone
-            span = len(part.layers)
-            token_ms += LOCAL_HOP_MS
-            token_ms += self.shape.step_time(kinds[part.endpoint], span, 1.0)
-        path = Path(tuple(parts), token_ms)
+        path = Path(tuple(parts), self._token_ms(parts))
         if not is_whole(path, self.shape.layers) or _repeats(path):
             return None
         return path
 
+    def _token_ms(self, parts: list[Part]) -> float:
+        """Return the milliseconds of a token on an idle path."""
+        total = 0.0
+        zone = parts[0].zone
+        for part in parts:
+            total += LOCAL_HOP_MS if part.zone == zone else CROSSING_MS
+            zone = part.zone
+            kind = self.kinds[part.endpoint]
+            total += self.shape.step_time(kind, len(part.layers), 1.0)
+        return total
+
 
 def _repeats(path: Path) -> bool:
     """Tell whether an endpoint stands twice on a path; engines refuse that."""
--- a/packages/core/src/lacewingcourse/core/pipelines/routing.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/routing.py
@@ -130,6 +130,7 @@
         services: Services by name.
         limits: What callers may send.
         keys: Organisations by key; None if no keys are asked for.
+        document: The version as published, for entries that cannot read it.
     """
 
     version: int
@@ -137,6 +138,7 @@
     services: dict[str, Service]
     limits: Limits
     keys: dict[str, Organisation] | None = None
+    document: bytes = b""
 
     def route(self, host: str, path: str) -> Route | Refusal:
         """Return the route of a request, or why there is none.
--- a/packages/core/src/lacewingcourse/core/pipelines/suspects.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/suspects.py
@@ -22,12 +22,14 @@
         failures: Failures in succession.
         failed_at: Time of the last one.
         reason: What was seen.
+        own: Whether this entry saw the failure itself.
     """
 
     until: float
     failures: int
     failed_at: float
     reason: str
+    own: bool = True
 
 
 @attrs.define
@@ -58,7 +60,7 @@
         known = self.members.get(endpoint)
         until = now + min(remaining, LONGEST_EXCLUSION)
         if known is None or known.until < now:
-            self.members[endpoint] = Suspicion(until, 1, now, "told by a peer")
+            self.members[endpoint] = Suspicion(until, 1, now, "told by a peer", False)
 
     def clear(self, endpoint: str) -> None:
         """Forget an endpoint, since it did well."""
@@ -68,12 +70,15 @@
         """Return the endpoints that are left out."""
         return {name for name, found in self.members.items() if found.until > now}
 
-    def remaining(self, now: float) -> dict[str, float]:
-        """Return the seconds for which each endpoint is still left out."""
+    def own_remaining(self, now: float) -> dict[str, float]:
+        """Return the seconds for which this entry leaves out each endpoint itself.
+
+        What peers told is not passed on, or a suspicion would go round for ever.
+        """
         return {
-            name: found.until - now
+            name: round(found.until - now, 3)
             for name, found in self.members.items()
-            if found.until > now
+            if found.own and found.until > now
         }
 
     def expire(self, now: float) -> None:
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -9,13 +9,8 @@
 
 import attrs
 from tornado.httpserver import HTTPServer
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
-    ResponseStartLine,
-)
 
+from lacewingcourse.core.pipelines.peers import PeerBook
 from lacewingcourse.core.pipelines.repeats import RepeatBudget
 from lacewingcourse.relay.address import split_address
 from lacewingcourse.relay.beliefs import Beliefs
@@ -24,17 +19,17 @@
 from lacewingcourse.relay.decisions import DecisionLog
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
 from lacewingcourse.relay.gateway import Gateway
+from lacewingcourse.relay.peers import PeerExchange
 from lacewingcourse.relay.placement_duty import PlacementDuty
 from lacewingcourse.relay.readiness import Readiness
 from lacewingcourse.relay.sending import Sender
+from lacewingcourse.relay.small_server import Question, Reply, SmallServer
 from lacewingcourse.relay.streams import StreamForwarder
 from lacewingcourse.relay.upstream import ConnectionPool
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
-    from tornado.http1connection import HTTP1Connection
-
     from lacewingcourse.relay.ports import (
         ConfigurationSource,
         EndpointDirectory,
@@ -44,6 +39,8 @@
     )
     from lacewingcourse.relay.settings import RelaySettings
 
+#: Path of the question after readiness.
+READY_PATH = "/-/readyz"
 #: Seconds between two rounds of housekeeping.
 HOUSEKEEPING_PERIOD = 0.25
 #: Seconds after the request to end for which new connections may still come: the
@@ -76,31 +73,6 @@
     codec: RequestCodec
 
 
-class ReadinessServer(HTTPServerConnectionDelegate):
-    """Answers questions after readiness."""
-
-    def __init__(self, readiness: Readiness) -> None:
-        self.readiness = readiness
-
-    def start_request(
-        self, server_conn: object, request_conn: HTTP1Connection
-    ) -> HTTPMessageDelegate:
-        """Return what answers the next question of a connection."""
-        return _ReadinessAnswer(self.readiness, request_conn)
-
-
-class _ReadinessAnswer(HTTPMessageDelegate):
-    def __init__(self, readiness: Readiness, connection: HTTP1Connection) -> None:
-        self.readiness = readiness
-        self.connection = connection
-
-    def finish(self) -> None:
-        status = 200 if self.readiness.is_ready() else 503
-        line = ResponseStartLine("HTTP/1.1", status, "")
-        self.connection.write_headers(line, HTTPHeaders({"Content-Length": "0"}))
-        self.connection.finish()
-
-
 class Application:
     """One entry.
 
@@ -120,21 +92,23 @@
         self.beliefs = Beliefs()
         self.readiness = Readiness(self.beliefs)
         self.pool = ConnectionPool()
+        self.book = PeerBook(settings.name, started_at=self.clock())
+        self.budget = RepeatBudget(
+            settings.bounds.repeat_ratio,
+            settings.bounds.repeat_window,
+            settings.bounds.repeat_slack,
+        )
         self.ended = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._compose()
 
     def _compose(self) -> None:
         """Make the parts and give each what it needs."""
-        bounds = self.settings.bounds
         rng = random.Random(self.settings.name)
         sender = Sender(self.pool, self.platform.codec, self.clock)
-        budget = RepeatBudget(
-            bounds.repeat_ratio, bounds.repeat_window, bounds.repeat_slack
-        )
         zone = self.settings.zone
-        calls = CallForwarder(self.beliefs, sender, budget, zone, rng)
-        streams = StreamForwarder(self.beliefs, sender, budget, rng)
+        calls = CallForwarder(self.beliefs, sender, self.budget, zone, rng)
+        streams = StreamForwarder(self.beliefs, sender, self.budget, rng)
         self.gateway = Gateway(
             self.beliefs, self.platform.codec, calls, streams, self.log, self.clock
         )
@@ -144,16 +118,22 @@
         self.front = HTTPServer(
             self.callers, idle_connection_timeout=FIRST_IDLE_TIMEOUT
         )
-        self.ready = HTTPServer(ReadinessServer(self.readiness))
+        self.ready = HTTPServer(SmallServer({("GET", READY_PATH): self._on_ready}))
         self.configuration = ConfigurationFollower(
             self.platform.configuration,
             self.beliefs,
             self.log,
             self.clock,
+            self._rank,
             self._on_configuration,
         )
         self.directory = DirectoryFollower(
-            self.platform.directory, self.beliefs, self.log, self.clock
+            self.platform.directory,
+            self.beliefs,
+            self.log,
+            self.clock,
+            self._rank,
+            self._tell_peers,
         )
         self.placement = PlacementDuty(
             self.settings.name,
@@ -162,13 +142,30 @@
             self.beliefs,
             self.log,
             self.clock,
-            lambda holder, seconds: False,
+            lambda holder, s: self.book.is_silent(holder, s, self.clock()),
+        )
+        self.peers = PeerExchange(
+            self.settings.name,
+            self.settings.peers,
+            self.settings.seeds,
+            self.book,
+            self.beliefs,
+            self.configuration,
+            self.directory,
+            self.placement,
+            self.readiness,
+            self.log,
+            self.clock,
         )
+        self.peer_server = HTTPServer(SmallServer(self.peers.handlers()))
 
     async def run(self) -> None:
         """Serve until the request to end has been carried out."""
         self._listen(self.front, self.settings.front)
         self._listen(self.ready, self.settings.ready)
+        if self.settings.peers:
+            self._listen(self.peer_server, self.settings.peers)
+            self._start(self.peers.run())
         self.loop.add_signal_handler(signal.SIGTERM, self._on_term)
         self.loop.add_signal_handler(signal.SIGHUP, self._on_hup)
         self._start(self.configuration.run())
@@ -193,8 +190,18 @@
         if not task.cancelled() and task.exception() is not None:
             self.log.failed(task.exception())
 
+    def _rank(self) -> int:
+        return self.book.rank(self.clock())
+
+    def _tell_peers(self) -> None:
+        self.peers.tell_now()
+
+    def _on_ready(self, question: Question) -> Reply:
+        return Reply(200 if self.readiness.is_ready() else 503)
+
     def _on_configuration(self) -> None:
-        """Apply the limits of a version that has come into force."""
+        """Apply the limits of a version that has come into force, and tell it."""
+        self._tell_peers()
         limits = self.beliefs.table.limits
         params = self.front.conn_params
         params.header_timeout = limits.idle_timeout + IDLE_MARGIN
@@ -207,6 +214,7 @@
             self.pool.expire(now)
             self.beliefs.loads.expire(now)
             self.beliefs.suspects.expire(now)
+            self.budget.entries = max(len(self.book.peers) + 1, self.budget.entries)
             await asyncio.sleep(HOUSEKEEPING_PERIOD)
 
     def _on_term(self) -> None:
--- a/packages/relay/src/lacewingcourse/relay/beliefs.py
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -25,13 +25,13 @@
     Attributes:
         revision: Revision of the fleet.
         excluded: Endpoints that were left out.
-        version: Version of the configuration.
+        shape: Figures of the engines.
         paths: The paths.
     """
 
     revision: int
     excluded: frozenset[str]
-    version: int
+    shape: EngineShape
     paths: list[Path]
 
 
@@ -78,15 +78,16 @@
         """Return the candidate paths of a service."""
         excluded = frozenset(self.suspects.excluded(now))
         known = self.candidates.get(service)
-        revision, version = self.fleet.revision, self.table.version
-        if known is not None and (known.revision, known.excluded, known.version) == (
-            revision,
-            excluded,
-            version,
+        revision = self.fleet.revision
+        if (
+            known is not None
+            and known.revision == revision
+            and known.excluded == excluded
+            and known.shape == shape
         ):
             return known.paths
         paths = candidate_paths(self.usable(service, now), shape)
-        self.candidates[service] = CandidateSet(revision, excluded, version, paths)
+        self.candidates[service] = CandidateSet(revision, excluded, shape, paths)
         return paths
 
     def chooser(self, shape: EngineShape) -> PathChooser:
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -73,6 +73,8 @@
 
     def served(self, job: Job, now: float) -> None:
         """Tell of the end of a request that was answered by an endpoint."""
+        first = job.first_at
+        parts = job.path.parts if job.path else ()
         self._line(
             "served",
             request=job.request.id,
@@ -80,7 +82,10 @@
             sends=job.sends,
             gone=job.caller.gone,
             whole=job.caller.ended,
-            took_ms=round((now - job.request.received_at) * 1000, 1),
+            took_ms=_ms(now - job.request.received_at),
+            first_ms=None if first is None else _ms(first - job.request.received_at),
+            gap_ms=_ms(job.longest_gap),
+            path=[f"{p.address}={p.layers.start}-{p.layers.end}" for p in parts],
             reason=job.reason,
         )
 
@@ -95,7 +100,7 @@
             outcome=refusal.outcome.value,
             reason=refusal.reason,
             sends=job.sends if job else 0,
-            took_ms=round((self.clock() - request.received_at) * 1000, 1),
+            took_ms=_ms(self.clock() - request.received_at),
         )
 
     def belief(self, event: str, **fields: Any) -> None:
@@ -108,3 +113,8 @@
 
     def _line(self, event: str, **fields: Any) -> None:
         logger.bind(**fields).info(event)
+
+
+def _ms(seconds: float) -> float:
+    """Return a time in milliseconds as log lines show it."""
+    return round(seconds * 1000, 1)
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from lacewingcourse.relay.ports import Unavailable
+from lacewingcourse.core.pipelines.freshness import Freshness
+from lacewingcourse.relay.ports import DirectoryNews, EndpointEntry, Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,17 +16,27 @@
     from lacewingcourse.core.pipelines.routing import RoutingTable
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.decisions import DecisionLog
+    from lacewingcourse.relay.peer_messages import FleetNews
     from lacewingcourse.relay.ports import (
         ConfigurationSource,
-        DirectoryNews,
         EndpointDirectory,
     )
 
 #: Seconds between two reads of the directory. An endpoint that leaves must get no
 #: new work two seconds after its entry says so; half of that is left for the way.
-DIRECTORY_PERIOD = 0.4
+DIRECTORY_PERIOD = 0.5
 #: Seconds after which a source that gave no answer is asked again.
 RETRY_PERIOD = 0.25
+#: Seconds between two looks at whether this entry has to read.
+LOOK_PERIOD = 0.05
+#: Age in seconds at which entries after the first read the configuration themselves,
+#: and what each further one waits longer. The first one's reads wait for 0.8 seconds;
+#: a version must be in force within two.
+CONFIGURATION_PATIENCE = 1.1
+CONFIGURATION_STEP = 0.1
+#: The same for the directory, which the first entry reads twice a second.
+DIRECTORY_PATIENCE = 0.9
+DIRECTORY_STEP = 0.1
 
 
 @attrs.define
@@ -37,31 +48,46 @@
         beliefs: Where it is put in force.
         log: Log of decisions.
         clock: Returns the present time in seconds.
+        rank: Returns how many live entries come before this one.
         on_change: Called after another version was put in force.
+        freshness: How old the knowledge is.
         reachable: Whether the source answered last.
+        listed: Whether the source was asked for the newest version before.
     """
 
     source: ConfigurationSource
     beliefs: Beliefs
     log: DecisionLog
     clock: Callable[[], float]
+    rank: Callable[[], int]
     on_change: Callable[[], None]
+    freshness: Freshness = attrs.field(
+        factory=lambda: Freshness(CONFIGURATION_PATIENCE, CONFIGURATION_STEP)
+    )
     reachable: bool = True
+    listed: bool = False
 
     async def run(self) -> None:
         """Follow the source for ever."""
-        known = False
         while True:
-            found = await (self.source.next() if known else self.source.newest())
-            if isinstance(found, Unavailable):
-                self._lost(found)
-                await asyncio.sleep(RETRY_PERIOD)
-                continue
-            self._regained()
-            known = True
-            self.beliefs.confirmed_at = self.clock()
-            if found is not None:
-                self.take(found, "store")
+            if self.freshness.due(self.rank(), self.clock()):
+                await self.read()
+            else:
+                await asyncio.sleep(LOOK_PERIOD)
+
+    async def read(self) -> None:
+        """Read once, waiting for a change if the newest version is known."""
+        found = await (self.source.next() if self.listed else self.source.newest())
+        now = self.clock()
+        if isinstance(found, Unavailable):
+            self.freshness.failed(now + RETRY_PERIOD)
+            self._lost(found)
+            return
+        self._regained()
+        self.listed = True
+        self.freshness.confirm(now)
+        if found is not None:
+            self.take(found, "store")
 
     def take(self, table: RoutingTable, origin: str) -> None:
         """Put a version in force unless a newer one is."""
@@ -90,20 +116,29 @@
         beliefs: Where they are kept.
         log: Log of decisions.
         clock: Returns the present time in seconds.
+        rank: Returns how many live entries come before this one.
+        on_change: Called after something changed that other entries must know.
         position: How far the directory was read, None before a whole listing.
+        freshness: How old the knowledge is.
     """
 
     directory: EndpointDirectory
     beliefs: Beliefs
     log: DecisionLog
     clock: Callable[[], float]
+    rank: Callable[[], int]
+    on_change: Callable[[], None]
     position: int | None = None
+    freshness: Freshness = attrs.field(
+        factory=lambda: Freshness(DIRECTORY_PATIENCE, DIRECTORY_STEP)
+    )
 
     async def run(self) -> None:
         """Follow the directory for ever."""
         while True:
-            await self.poll()
-            await asyncio.sleep(DIRECTORY_PERIOD)
+            if self.freshness.due(self.rank(), self.clock()):
+                await self.poll()
+            await asyncio.sleep(LOOK_PERIOD)
 
     async def poll(self) -> None:
         """Read once what changed."""
@@ -114,14 +149,30 @@
             if fleet.away_since is None:
                 self.log.belief("directory_lost", reason=news.reason)
             fleet.directory_away(now)
+            self.freshness.failed(now + RETRY_PERIOD)
             return
         if fleet.away_since is not None:
             self.log.belief("directory_regained", away=now - fleet.away_since)
         fleet.directory_back(now)
+        revision = fleet.revision
         self.apply(news, now)
+        self.freshness.confirm(now)
+        self.freshness.failed(now + DIRECTORY_PERIOD)
+        if fleet.revision != revision:
+            self.on_change()
         for endpoint in fleet.expire(now):
             self.log.belief("endpoint_lapsed", endpoint=endpoint)
 
+    def from_peer(self, news: FleetNews, peer: str) -> None:
+        """Take the endpoints that another entry knows, if it has read further."""
+        if self.position is not None and news.position <= self.position:
+            return
+        now = self.clock()
+        entries = tuple(EndpointEntry(e.id, e) for e in news.endpoints)
+        self.beliefs.fleet.directory_back(now)
+        self.apply(DirectoryNews(True, entries, news.position), now)
+        self.freshness.confirm(now - news.age)
+
     def apply(self, news: DirectoryNews, now: float) -> None:
         """Take what the directory told."""
         fleet = self.beliefs.fleet
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -38,6 +38,10 @@
         avoid: Endpoints that this request is not sent to again.
         current: Exchange with an endpoint that is under way.
         reason: Why the last send brought nothing.
+        path: Path of the last send of a stream, for the log.
+        first_at: When the first event was passed on, None before it.
+        longest_gap: Longest time between two events passed on, seconds.
+        progressed_at: When the last event was passed on, seconds.
     """
 
     request: CallerRequest
@@ -53,6 +57,18 @@
     avoid: set[str] = attrs.field(factory=set)
     current: Exchange | None = None
     reason: str = ""
+    path: Path | None = None
+    first_at: float | None = None
+    longest_gap: float = 0.0
+    progressed_at: float = 0.0
+
+    def progress(self, now: float) -> None:
+        """Note events that were passed on."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_gap = max(self.longest_gap, now - self.progressed_at)
+        self.progressed_at = now
 
     @property
     def urgency(self) -> int:
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -0,0 +1,83 @@
+"""Messages between entries."""
+
+from __future__ import annotations
+
+import attrs
+from cattrs.preconf.orjson import make_converter
+
+from lacewingcourse.core.pipelines.fleet import Endpoint
+from lacewingcourse.core.pipelines.load import Load
+
+converter = make_converter()
+
+
+@attrs.frozen
+class PeerNews:
+    """What an entry tells another one, several times a second.
+
+    Attributes:
+        name: Name of the sender.
+        address: Its address for entries.
+        leaving: Whether it is ending.
+        version: Version of its configuration, 0 before there is one.
+        version_age: Seconds since it was known to be the newest.
+        revision: Revision of its fleet.
+        position: How far it knows the directory.
+        position_age: Seconds since that was known to be all.
+        loads: Requests, requests led, and tokens times layers, by endpoint.
+        suspects: Seconds for which it leaves out each endpoint.
+        peers: Addresses of the entries it knows to be alive, by name.
+        holder: Holder of the duty of placing, empty if unknown.
+        fencing: Fencing number of that holder.
+    """
+
+    name: str
+    address: str
+    leaving: bool
+    version: int
+    version_age: float
+    revision: int
+    position: int
+    position_age: float
+    loads: dict[str, tuple[int, int, float]]
+    suspects: dict[str, float]
+    peers: dict[str, str]
+    holder: str
+    fencing: int
+
+
+@attrs.frozen
+class FleetNews:
+    """The endpoints that an entry knows.
+
+    Attributes:
+        position: How far it knows the directory.
+        age: Seconds since that was known to be all.
+        endpoints: The endpoints.
+    """
+
+    position: int
+    age: float
+    endpoints: list[Endpoint]
+
+
+def loads_of(news: PeerNews) -> dict[str, Load]:
+    """Return the loads that a message tells."""
+    return {
+        endpoint: Load(requests, leading, cells)
+        for endpoint, (requests, leading, cells) in news.loads.items()
+    }
+
+
+def encode(message: PeerNews | FleetNews) -> bytes:
+    """Return a message as JSON."""
+    return converter.dumps(message)
+
+
+def decode(body: bytes, kind: type):
+    """Return the message of a kind that a body holds.
+
+    Raises:
+        Exception: The body holds no such message.
+    """
+    return converter.loads(body, kind)
--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -88,6 +88,12 @@
                 await self._take()
             await asyncio.sleep(PERIOD)
 
+    def hear(self, holder: str, fencing: int) -> None:
+        """Take from another entry who has the duty."""
+        if fencing > (self.lease.fencing if self.lease else 0):
+            self.lease = Lease(holder, fencing)
+            self.pending.clear()
+
     def _vacant(self) -> bool:
         """Tell whether the duty should be taken, as far as is known here."""
         if self.lease is None:
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -193,6 +193,9 @@
     async def next(self) -> RoutingTable | None | Unavailable:
         """Wait for a version after the last one returned; None if none came."""
 
+    def decode(self, document: bytes) -> RoutingTable:
+        """Return the version that a published document holds."""
+
 
 class EndpointDirectory(Protocol):
     """Where endpoints are listed."""
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/small_server.py
@@ -0,0 +1,104 @@
+"""A small HTTP server for questions with short answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    ResponseStartLine,
+    responses,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tornado.http1connection import HTTP1Connection
+    from tornado.httputil import RequestStartLine
+
+
+@attrs.frozen
+class Question:
+    """A request to the small server.
+
+    Attributes:
+        target: Path with query.
+        body: Its body.
+    """
+
+    target: str
+    body: bytes
+
+
+@attrs.frozen
+class Reply:
+    """The answer to a question.
+
+    Attributes:
+        status: HTTP status.
+        body: Its body.
+        content_type: Type of the body.
+    """
+
+    status: int = 200
+    body: bytes = b""
+    content_type: str = "application/json"
+
+
+class SmallServer(HTTPServerConnectionDelegate):
+    """Answers questions by method and path.
+
+    Attributes:
+        handlers: What answers, by method and path.
+    """
+
+    def __init__(
+        self, handlers: dict[tuple[str, str], Callable[[Question], Reply]]
+    ) -> None:
+        self.handlers = handlers
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTP1Connection
+    ) -> HTTPMessageDelegate:
+        """Return what answers the next question of a connection."""
+        return _Answering(self.handlers, request_conn)
+
+
+class _Answering(HTTPMessageDelegate):
+    """Takes one question and answers it."""
+
+    def __init__(
+        self,
+        handlers: dict[tuple[str, str], Callable[[Question], Reply]],
+        connection: HTTP1Connection,
+    ) -> None:
+        self.handlers = handlers
+        self.connection = connection
+        self.method = ""
+        self.target = ""
+        self.body = bytearray()
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        self.method = start_line.method
+        self.target = start_line.path
+
+    def data_received(self, chunk: bytes) -> None:
+        self.body += chunk
+
+    def finish(self) -> None:
+        handler = self.handlers.get((self.method, self.target.partition("?")[0]))
+        if handler is None:
+            reply = Reply(404)
+        else:
+            reply = handler(Question(self.target, bytes(self.body)))
+        line = ResponseStartLine("HTTP/1.1", reply.status, responses[reply.status])
+        headers = HTTPHeaders(
+            {"Content-Type": reply.content_type, "Content-Length": str(len(reply.body))}
+        )
+        self.connection.write_headers(line, headers, reply.body)
+        self.connection.finish()
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -141,6 +141,7 @@
         self.beliefs.loads.begin(path, demand.tokens)
         try:
             first = path.first
+            job.path = path
             after = state.cutter.last_id
             sending = job.sending(first.endpoint, first.address, path, now, after)
             sent = await self.sender.send(job.request, sending, fresh=False)
@@ -192,6 +193,7 @@
         if not events:
             return
         state.progressed_at = self.sender.clock()
+        job.progress(state.progressed_at)
         if job.caller.begun:
             job.caller.write(events)
             return
