--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core wire load platform daemon agent entry cli testing bench
+PACKAGES := core relay wire load platform daemon agent entry cli testing bench
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
 SOURCES := packages tests tools
 
--- /dev/null
+++ b/packages/core/tests/pipelines/test_choice.py
@@ -0,0 +1,110 @@
+"""Tests of which path or endpoint a request is sent to."""
+
+from __future__ import annotations
+
+import attrs
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.choice import (
+    ROOM_SHARE,
+    Demand,
+    PathChooser,
+    choose_endpoint,
+)
+from lacewingcourse.core.pipelines.load import Load, LoadBook
+from lacewingcourse.core.pipelines.path import candidate_paths
+
+from .conftest import make_endpoint
+
+DEMAND = Demand(774, 203)
+
+
+def chooser_of(fleet, shape):
+    """Return what chooses over an idle fleet."""
+    return PathChooser(shape, {e.id: e for e in fleet}, LoadBook())
+
+
+def filled(chooser, paths, rng):
+    """Fill the fleet with usual requests; return the paths that they took."""
+    taken = []
+    while True:
+        path = chooser.choose(paths, DEMAND, (), rng)
+        if isinstance(path, Refusal):
+            return taken, path
+        chooser.loads.begin(path, DEMAND.tokens)
+        taken.append(path)
+
+
+def test_no_part_is_filled_beyond_its_share(fleet, shape, rng):
+    chooser = chooser_of(fleet, shape)
+    taken, refusal = filled(chooser, candidate_paths(fleet, shape), rng)
+    assert refusal.kind is ErrorKind.OVERLOADED
+    for endpoint in fleet:
+        kind = shape.accelerators[endpoint.accelerator]
+        room = shape.room(kind, len(endpoint.layers))
+        assert chooser.loads.of(endpoint.id).cells <= room * ROOM_SHARE
+    assert len(taken) > 100
+
+
+def test_requests_spread_over_many_endpoints_before_one_is_full(fleet, shape, rng):
+    chooser = chooser_of(fleet, shape)
+    paths = candidate_paths(fleet, shape)
+    for _ in range(60):
+        chooser.loads.begin(chooser.choose(paths, DEMAND, (), rng), DEMAND.tokens)
+    fastest = chooser.loads.of(paths[0].first.endpoint)
+    assert 0 < fastest.requests < 40
+
+
+def test_avoided_endpoints_are_not_used(fleet, shape, rng):
+    chooser = chooser_of(fleet, shape)
+    paths = candidate_paths(fleet, shape)
+    avoid = {part.endpoint for part in paths[0].parts}
+    assert not chooser.choose(paths, DEMAND, avoid, rng).uses(avoid)
+
+
+def test_the_first_part_takes_no_more_requests_than_its_slots(fleet, shape, rng):
+    chooser = chooser_of(fleet, shape)
+    path, *_ = candidate_paths(fleet, shape)
+    chooser.loads.from_peer("b", {path.first.endpoint: Load(0, shape.slots, 0)}, 0.0)
+    assert not chooser.fits(path, DEMAND)
+
+
+def test_loads_that_peers_told_count(fleet, shape, rng):
+    chooser = chooser_of(fleet, shape)
+    paths = candidate_paths(fleet, shape)
+    full = {e.id: Load(90, 0, 1e12) for e in fleet}
+    chooser.loads.from_peer("b", full, now=0.0)
+    assert isinstance(chooser.choose(paths, DEMAND, (), rng), Refusal)
+    chooser.loads.expire(now=10.0)
+    assert not isinstance(chooser.choose(paths, DEMAND, (), rng), Refusal)
+
+
+def test_an_ended_request_leaves_no_load(fleet, shape):
+    loads = LoadBook()
+    path, *_ = candidate_paths(fleet, shape)
+    loads.begin(path, 900)
+    loads.end(path, 900)
+    assert loads.own == {}
+
+
+def test_calls_go_where_the_smallest_share_of_slots_is_taken(rng):
+    endpoints = [attrs.evolve(make_endpoint(f"e{i}", ""), slots=4) for i in range(3)]
+    loads = LoadBook()
+    loads.begin_call("e0")
+    loads.begin_call("e1")
+    assert choose_endpoint(endpoints, loads, "east", (), rng).id == "e2"
+
+
+def test_calls_stay_in_the_zone_among_equals(rng):
+    endpoints = [make_endpoint(f"e{z}", "", z) for z in ("east", "west")]
+    for _ in range(10):
+        assert choose_endpoint(endpoints, LoadBook(), "west", (), rng).zone == "west"
+
+
+def test_calls_are_refused_when_every_endpoint_has_a_queue(rng):
+    endpoints = [attrs.evolve(make_endpoint("e0", ""), slots=2)]
+    loads = LoadBook()
+    for _ in range(4):
+        loads.begin_call("e0")
+    found = choose_endpoint(endpoints, loads, "east", (), rng)
+    assert found.kind is ErrorKind.OVERLOADED
--- /dev/null
+++ b/packages/core/tests/pipelines/test_fleet.py
@@ -0,0 +1,76 @@
+"""Tests of which endpoints there are believed to be."""
+
+from __future__ import annotations
+
+import attrs
+
+from lacewingcourse.core.pipelines.fleet import RETURN_GRACE, Fleet
+
+from .conftest import holding, make_endpoint
+
+A = make_endpoint("a", "large")
+
+
+def test_an_entry_that_tells_nothing_new_changes_nothing():
+    fleet = Fleet()
+    assert fleet.put(A)
+    revision = fleet.revision
+    assert not fleet.put(A)
+    assert fleet.revision == revision
+
+
+def test_a_removed_entry_is_gone_at_once():
+    fleet = Fleet()
+    fleet.put(A)
+    assert fleet.remove("a", now=100.0)
+    assert fleet.of_service("rooms") == []
+
+
+def test_a_leaving_endpoint_takes_no_new_work():
+    fleet = Fleet()
+    fleet.put(attrs.evolve(A, leaving=True))
+    assert fleet.of_service("rooms") == []
+
+
+def test_entries_that_lapse_around_an_outage_are_kept_for_a_while():
+    fleet = Fleet()
+    fleet.put(A)
+    fleet.directory_away(now=10.0)
+    fleet.directory_back(now=20.0)
+    assert not fleet.remove("a", now=20.1)
+    assert fleet.of_service("rooms") == [A]
+    assert fleet.expire(now=20.1 + RETURN_GRACE) == ["a"]
+
+
+def test_an_entry_that_comes_back_after_an_outage_stays():
+    fleet = Fleet()
+    fleet.put(A)
+    fleet.directory_away(now=10.0)
+    fleet.directory_back(now=20.0)
+    fleet.remove("a", now=20.1)
+    fleet.put(A)
+    assert fleet.expire(now=30.0) == []
+    assert fleet.of_service("rooms") == [A]
+
+
+def test_nothing_lapses_while_the_directory_is_away():
+    fleet = Fleet()
+    fleet.put(A)
+    fleet.directory_away(now=10.0)
+    fleet.remove("a", now=10.0)
+    assert fleet.expire(now=60.0) == []
+
+
+def test_a_new_incarnation_takes_the_place_of_the_old_one():
+    fleet = Fleet()
+    fleet.put(holding(A, 0, 10))
+    fleet.put(attrs.evolve(A, id="a2"))
+    assert [e.id for e in fleet.of_service("rooms")] == ["a2"]
+
+
+def test_a_listing_ends_what_it_does_not_hold():
+    fleet = Fleet()
+    fleet.put(A)
+    fleet.put(make_endpoint("b", "large"))
+    fleet.keep_only({"b"}, now=5.0)
+    assert [e.id for e in fleet.of_service("rooms")] == ["b"]
--- /dev/null
+++ b/packages/core/tests/pipelines/test_peers.py
@@ -0,0 +1,76 @@
+"""Tests of which entries are alive, and which of them reads."""
+
+from __future__ import annotations
+
+from lacewingcourse.core.pipelines.freshness import Freshness
+from lacewingcourse.core.pipelines.peers import PEER_FORGOTTEN, PEER_SILENT, PeerBook
+
+
+def book_of(name: str, others: str, heard_at: float) -> PeerBook:
+    """Return the book of an entry that heard others."""
+    book = PeerBook(name)
+    for other in others:
+        book.hear(other, f"{other}:1", False, heard_at)
+    return book
+
+
+def test_the_first_live_entry_by_name_has_rank_nought():
+    assert book_of("a", "bc", 0.0).rank(0.0) == 0
+    assert book_of("c", "ab", 0.0).rank(0.0) == 2
+
+
+def test_a_silent_entry_gives_up_its_rank():
+    book = book_of("c", "ab", 0.0)
+    book.hear("b", "b:1", False, PEER_SILENT)
+    assert book.rank(PEER_SILENT + 0.1) == 1
+
+
+def test_a_leaving_entry_gives_up_its_rank():
+    book = book_of("b", "a", 0.0)
+    book.hear("a", "a:1", True, 0.1)
+    assert book.rank(0.1) == 0
+
+
+def test_of_two_entries_one_speaks():
+    assert [p.name for p in book_of("b", "ac", 0.0).partners(0.1)] == ["c"]
+
+
+def test_an_entry_that_went_silent_is_spoken_to():
+    book = book_of("b", "ac", 0.0)
+    assert [p.name for p in book.partners(PEER_SILENT)] == ["c", "a"]
+
+
+def test_entries_are_forgotten_in_the_end():
+    book = book_of("b", "a", 0.0)
+    book.expire(PEER_FORGOTTEN + 1)
+    assert book.peers == {}
+
+
+def test_an_entry_never_heard_is_silent_only_after_it_could_have_been():
+    book = PeerBook("b", started_at=10.0)
+    assert not book.is_silent("a", 2.0, now=11.0)
+    assert book.is_silent("a", 2.0, now=12.5)
+
+
+def test_the_first_entry_reads_and_the_others_when_their_knowledge_ages():
+    freshness = Freshness(patience=1.0, step=0.1)
+    freshness.confirm(10.0)
+    assert freshness.due(0, now=10.0)
+    assert not freshness.due(1, now=11.0)
+    assert freshness.due(1, now=11.05)
+    assert not freshness.due(2, now=11.05)
+    assert freshness.due(2, now=11.15)
+
+
+def test_a_failed_read_is_not_repeated_at_once():
+    freshness = Freshness(patience=1.0, step=0.1)
+    freshness.failed(retry_at=5.0)
+    assert not freshness.due(0, now=4.9)
+    assert freshness.due(0, now=5.0)
+
+
+def test_confirmation_never_goes_back():
+    freshness = Freshness(patience=1.0, step=0.1)
+    freshness.confirm(10.0)
+    freshness.confirm(9.0)
+    assert freshness.age(10.0) == 0.0
--- /dev/null
+++ b/packages/core/tests/pipelines/test_routing.py
@@ -0,0 +1,86 @@
+"""Tests of routes, keys and versions."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.routing import (
+    Limits,
+    Organisation,
+    Repeat,
+    Route,
+    RoutingTable,
+    is_newer,
+)
+
+LONG = Route(
+    name="long",
+    host="maps.example",
+    prefix="/rooms/label/",
+    repeat=Repeat.RESUMABLE_STREAM,
+    shares=(("mapchat", 1.0),),
+    timeout=20.0,
+    objective=0.5,
+    gap=0.2,
+    priority=1,
+    most_attempts=2,
+    needs_key=True,
+)
+SHORT = attrs.evolve(LONG, name="short", prefix="/rooms/", needs_key=False)
+
+
+@pytest.fixture
+def table() -> RoutingTable:
+    """A version with two routes and one key."""
+    return RoutingTable(
+        version=7,
+        hosts={"maps.example": {LONG.prefix: LONG, SHORT.prefix: SHORT}},
+        services={},
+        limits=Limits(),
+        keys={"secret": Organisation("blue", 1)},
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/rooms/label/9", "long"),
+        ("/rooms/label/", "long"),
+        ("/rooms/label", "short"),
+        ("/rooms/other/label/", "short"),
+    ],
+)
+def test_the_longest_prefix_wins(table, path, name):
+    assert table.route("Maps.example:80", path).name == name
+
+
+@pytest.mark.parametrize(
+    ("host", "path"), [("maps.example", "/room"), ("other.example", "/rooms/")]
+)
+def test_what_no_route_matches_is_unknown(table, host, path):
+    assert table.route(host, path).kind is ErrorKind.UNKNOWN_RESOURCE
+
+
+def test_a_key_names_its_organisation(table):
+    assert table.organisation(LONG, "secret").name == "blue"
+
+
+@pytest.mark.parametrize("key", [None, "wrong"])
+def test_an_unknown_key_is_refused_where_one_is_needed(table, key):
+    assert table.organisation(LONG, key).kind is ErrorKind.UNAUTHENTICATED
+    assert not isinstance(table.organisation(SHORT, key), Refusal)
+
+
+def test_an_older_version_never_takes_the_place_of_a_newer_one(table):
+    assert is_newer(table, None)
+    assert not is_newer(table, table)
+    assert not is_newer(attrs.evolve(table, version=6), table)
+
+
+def test_shares_follow_the_weights_and_the_same_request_has_the_same_service():
+    split = attrs.evolve(LONG, shares=(("a", 90.0), ("b", 10.0)))
+    chosen = [split.service_for(f"request-{i}") for i in range(2000)]
+    assert 120 < chosen.count("b") < 280
+    assert [split.service_for(f"request-{i}") for i in range(2000)] == chosen
--- /dev/null
+++ b/packages/core/tests/pipelines/test_suspects.py
@@ -0,0 +1,33 @@
+"""Tests of endpoints that are left out for a while."""
+
+from __future__ import annotations
+
+from lacewingcourse.core.pipelines.suspects import FIRST_EXCLUSION, Suspects
+
+
+def test_an_endpoint_is_left_out_and_comes_back():
+    suspects = Suspects()
+    suspects.suspect("a", "reset", now=0.0)
+    assert suspects.excluded(FIRST_EXCLUSION - 0.1) == {"a"}
+    assert suspects.excluded(FIRST_EXCLUSION) == set()
+
+
+def test_further_failures_leave_it_out_for_longer():
+    suspects = Suspects()
+    suspects.suspect("a", "reset", now=0.0)
+    again = suspects.suspect("a", "reset", now=FIRST_EXCLUSION)
+    assert again.until == FIRST_EXCLUSION + 2 * FIRST_EXCLUSION
+
+
+def test_what_a_peer_told_is_not_passed_on():
+    suspects = Suspects()
+    suspects.from_peer("a", 1.5, now=0.0)
+    assert suspects.excluded(1.0) == {"a"}
+    assert suspects.own_remaining(1.0) == {}
+
+
+def test_a_success_clears_an_endpoint():
+    suspects = Suspects()
+    suspects.suspect("a", "reset", now=0.0)
+    suspects.clear("a")
+    assert suspects.excluded(0.1) == set()
