Tell a directory that is away from one that turns this entry away

Ruled out: late news from peers (the peer's listing had arrived). Change: the directory counts as away only when nobody has heard from it for two seconds; entries that peers keep after an outage are told with their remaining time. Tests: test_fleet, the removal heard while turned away fails without the change.

--- a/packages/core/src/lacewingcourse/core/pipelines/fleet.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/fleet.py
@@ -9,6 +9,9 @@
 #: Seconds after the return of a directory that was away in which endpoints that
 #: lapsed meanwhile are kept: they register again within about two seconds.
 RETURN_GRACE = 2.0
+#: Seconds without an answer after which the directory was away. Entries lapse after
+#: three heartbeats of about a second, so none lapses in a shorter time.
+AWAY_AFTER = 2.0
 
 
 @attrs.frozen
@@ -48,15 +51,15 @@
         endpoints: Present endpoints by id.
         lapsed: Endpoints whose entry is gone but that are kept, with the time until
             which they are.
-        away_since: When the directory stopped answering, None while it answers.
-        returned_at: When it last answered again, seconds.
+        known_at: Time as of which the entries were last known to be all, seconds.
+        returned_at: When the directory last answered after having been away.
         revision: Counts the changes that matter to routing and placement.
         changes: Revision at which each id last changed, removed ones among them.
     """
 
     endpoints: dict[str, Endpoint] = attrs.field(factory=dict)
     lapsed: dict[str, float] = attrs.field(factory=dict)
-    away_since: float | None = None
+    known_at: float = float("-inf")
     returned_at: float = float("-inf")
     revision: int = 0
     changes: dict[str, int] = attrs.field(factory=dict)
@@ -82,8 +85,8 @@
         if endpoint_id not in self.endpoints:
             return False
         until = self.returned_at + RETURN_GRACE
-        if self.away_since is not None or now < until:
-            self.lapsed[endpoint_id] = max(until, now + RETURN_GRACE)
+        if now < until:
+            self.lapsed.setdefault(endpoint_id, until)
             return False
         self._drop(endpoint_id)
         return True
@@ -94,21 +97,18 @@
             if endpoint_id not in present and endpoint_id not in self.lapsed:
                 self.remove(endpoint_id, now)
 
-    def directory_away(self, now: float) -> None:
-        """Note that the directory does not answer."""
-        if self.away_since is None:
-            self.away_since = now
+    def confirm(self, at: float) -> None:
+        """Note that the directory told all that it holds as of some time.
 
-    def directory_back(self, now: float) -> None:
-        """Note that the directory answers."""
-        if self.away_since is not None:
-            self.away_since = None
-            self.returned_at = now
+        After a time in which it told nothing to anybody, entries may be missing only
+        because their endpoints could not write them.
+        """
+        if at - self.known_at > AWAY_AFTER and self.endpoints:
+            self.returned_at = at
+        self.known_at = max(self.known_at, at)
 
     def expire(self, now: float) -> list[str]:
         """Drop the lapsed endpoints whose time is over; return their ids."""
-        if self.away_since is not None:
-            return []
         over = [name for name, until in self.lapsed.items() if until <= now]
         for endpoint_id in over:
             self._drop(endpoint_id)
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -120,6 +120,7 @@
         on_change: Called after something changed that other entries must know.
         position: How far the directory was read, None before a whole listing.
         freshness: How old the knowledge is.
+        reachable: Whether the directory answered last.
     """
 
     directory: EndpointDirectory
@@ -132,12 +133,15 @@
     freshness: Freshness = attrs.field(
         factory=lambda: Freshness(DIRECTORY_PATIENCE, DIRECTORY_STEP)
     )
+    reachable: bool = True
 
     async def run(self) -> None:
         """Follow the directory for ever."""
         while True:
             if self.freshness.due(self.rank(), self.clock()):
                 await self.poll()
+            for endpoint in self.beliefs.fleet.expire(self.clock()):
+                self.log.belief("endpoint_lapsed", endpoint=endpoint)
             await asyncio.sleep(LOOK_PERIOD)
 
     async def poll(self) -> None:
@@ -146,22 +150,21 @@
         now = self.clock()
         fleet = self.beliefs.fleet
         if isinstance(news, Unavailable):
-            if fleet.away_since is None:
+            if self.reachable:
+                self.reachable = False
                 self.log.belief("directory_lost", reason=news.reason)
-            fleet.directory_away(now)
             self.freshness.failed(now + RETRY_PERIOD)
             return
-        if fleet.away_since is not None:
-            self.log.belief("directory_regained", away=now - fleet.away_since)
-        fleet.directory_back(now)
+        if not self.reachable:
+            self.reachable = True
+            self.log.belief("directory_regained", known_for=now - fleet.known_at)
+        fleet.confirm(now)
         revision = fleet.revision
         self.apply(news, now)
         self.freshness.confirm(now)
         self.freshness.failed(now + DIRECTORY_PERIOD)
         if fleet.revision != revision:
             self.on_change()
-        for endpoint in fleet.expire(now):
-            self.log.belief("endpoint_lapsed", endpoint=endpoint)
 
     def from_peer(self, news: FleetNews, peer: str) -> None:
         """Take the endpoints that another entry knows, if it has read further."""
@@ -169,8 +172,10 @@
             return
         now = self.clock()
         entries = tuple(EndpointEntry(e.id, e) for e in news.endpoints)
-        self.beliefs.fleet.directory_back(now)
+        self.beliefs.fleet.confirm(now - news.age)
         self.apply(DirectoryNews(True, entries, news.position), now)
+        for endpoint, remaining in news.lapsed.items():
+            self.beliefs.fleet.lapsed.setdefault(endpoint, now + remaining)
         self.freshness.confirm(now - news.age)
 
     def apply(self, news: DirectoryNews, now: float) -> None:
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -54,11 +54,13 @@
         position: How far it knows the directory.
         age: Seconds since that was known to be all.
         endpoints: The endpoints.
+        lapsed: Seconds for which each of those is kept whose entry is gone.
     """
 
     position: int
     age: float
     endpoints: list[Endpoint]
+    lapsed: dict[str, float]
 
 
 def loads_of(news: PeerNews) -> dict[str, Load]:
--- a/packages/relay/src/lacewingcourse/relay/peers.py
+++ b/packages/relay/src/lacewingcourse/relay/peers.py
@@ -209,6 +209,7 @@
             self._begin_fetch("fleet", news, self._fetch_fleet)
         elif news.position == self.directory.position:
             self.directory.freshness.confirm(now - news.position_age)
+            self.beliefs.fleet.confirm(now - news.position_age)
 
     def _begin_fetch(self, what: str, news: PeerNews, fetch) -> None:
         if what not in self.fetching:
@@ -242,6 +243,12 @@
     def _on_fleet(self, question: Question) -> Reply:
         if self.directory.position is None:
             return Reply(404)
-        age = self.directory.freshness.age(self.clock())
-        endpoints = list(self.beliefs.fleet.endpoints.values())
-        return Reply(200, encode(FleetNews(self.directory.position, age, endpoints)))
+        now = self.clock()
+        fleet = self.beliefs.fleet
+        news = FleetNews(
+            position=self.directory.position,
+            age=self.directory.freshness.age(now),
+            endpoints=list(fleet.endpoints.values()),
+            lapsed={name: until - now for name, until in fleet.lapsed.items()},
+        )
+        return Reply(200, encode(news))
