--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.pipes import MOST_USE
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -15,6 +16,7 @@
     from lacewingcourse.core.pipelines.fleet import Endpoint
     from lacewingcourse.core.pipelines.load import LoadBook
     from lacewingcourse.core.pipelines.path import Part, Path
+    from lacewingcourse.core.pipelines.pipes import PipeBook
     from lacewingcourse.core.pipelines.shape import EngineShape
 
 #: Share of an endpoint's memory for requests that is given away. Answers are longer
@@ -57,11 +59,13 @@
         shape: Published figures of the engines.
         endpoints: Endpoints by id.
         loads: What runs where.
+        pipes: How busy the pipes between zones are.
     """
 
     shape: EngineShape
     endpoints: dict[str, Endpoint]
     loads: LoadBook
+    pipes: PipeBook
 
     def choose(
         self,
@@ -69,6 +73,7 @@
         demand: Demand,
         avoid: Collection[str],
         rng: Random,
+        now: float,
     ) -> Path | Refusal:
         """Return the path for a request, or why there is none.
 
@@ -77,11 +82,12 @@
             demand: What the request needs.
             avoid: Endpoints that must not be used.
             rng: Source of the draw among equally good paths.
+            now: Present time in seconds.
         """
         usable = [path for path in paths if not (avoid and path.uses(avoid))]
         if not usable:
             return Refusal(ErrorKind.NO_ROUTE, "no path holds every layer")
-        fitting = [path for path in usable if self.fits(path, demand)]
+        fitting = [path for path in usable if self.fits(path, demand, now)]
         if not fitting:
             return Refusal(ErrorKind.OVERLOADED, "no path has memory for the request")
         scored = [(self.cost(path, demand), path) for path in fitting]
@@ -89,8 +95,12 @@
         near = [path for score, path in scored if score <= best * NEAR_BEST]
         return rng.choice(near)
 
-    def fits(self, path: Path, demand: Demand) -> bool:
-        """Tell whether every part has memory, and the first one a slot."""
+    def fits(self, path: Path, demand: Demand, now: float) -> bool:
+        """Tell whether parts have memory, the first one a slot, and pipes time."""
+        transfer = self.shape.transfer_seconds(demand.prompt)
+        for pair in path.crossings:
+            if self.pipes.use(pair, now) + transfer > MOST_USE:
+                return False
         if self.loads.of(path.first.endpoint).leading >= self.shape.slots:
             return False
         return all(self._fits_part(part, demand) for part in path.parts)
--- a/packages/core/src/lacewingcourse/core/pipelines/load.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/load.py
@@ -69,11 +69,16 @@
         """Take the loads that a peer told."""
         self.peers[peer] = (now, loads)
 
-    def expire(self, now: float) -> None:
-        """Forget peers that have been silent for too long."""
-        for peer, (told_at, _) in list(self.peers.items()):
-            if now - told_at > PEER_LOADS_KEPT:
-                del self.peers[peer]
+    def expire(self, now: float) -> list[str]:
+        """Forget peers that have been silent for too long; return their names."""
+        silent = [
+            peer
+            for peer, (told_at, _) in self.peers.items()
+            if now - told_at > PEER_LOADS_KEPT
+        ]
+        for peer in silent:
+            del self.peers[peer]
+        return silent
 
     def of(self, endpoint: str) -> Load:
         """Return the load of an endpoint over all entries."""
--- a/packages/core/src/lacewingcourse/core/pipelines/path.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/path.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.pipes import ZonePair, pair_of
 from lacewingcourse.core.pipelines.shape import Layers
 
 if TYPE_CHECKING:
@@ -59,6 +60,13 @@
     parts: tuple[Part, ...]
     token_ms: float
 
+    @property
+    def crossings(self) -> tuple[ZonePair, ...]:
+        """Pairs of availability zones between which it passes, in order."""
+        zones = [part.zone for part in self.parts]
+        steps = zip(zones, zones[1:], strict=False)
+        return tuple(pair_of(a, b) for a, b in steps if a != b)
+
     @property
     def first(self) -> Part:
         """The part that requests are sent to."""
--- a/packages/core/src/lacewingcourse/core/pipelines/shape.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/shape.py
@@ -114,6 +114,12 @@
         free_mb = accelerator.memory_mb - held * self.layer_mb
         return max(0.0, free_mb * MEGABYTE / self.cell_bytes)
 
+    def transfer_seconds(self, tokens: int) -> float:
+        """Return the seconds for which a prompt takes a pipe between zones."""
+        if not self.pipe_mbps:
+            return 0.0
+        return tokens * self.activation_bytes * 8 / (self.pipe_mbps * MEGABYTE)
+
     def step_time(self, accelerator: Accelerator, span: int, running: float) -> float:
         """Return the milliseconds of a token's step on a part of the layers.
 
--- a/packages/core/tests/pipelines/test_choice.py
+++ b/packages/core/tests/pipelines/test_choice.py
@@ -13,6 +13,7 @@
 )
 from lacewingcourse.core.pipelines.load import Load, LoadBook
 from lacewingcourse.core.pipelines.path import candidate_paths
+from lacewingcourse.core.pipelines.pipes import PipeBook
 
 from .conftest import make_endpoint
 
@@ -21,14 +22,14 @@
 
 def chooser_of(fleet, shape):
     """Return what chooses over an idle fleet."""
-    return PathChooser(shape, {e.id: e for e in fleet}, LoadBook())
+    return PathChooser(shape, {e.id: e for e in fleet}, LoadBook(), PipeBook())
 
 
 def filled(chooser, paths, rng):
     """Fill the fleet with usual requests; return the paths that they took."""
     taken = []
     while True:
-        path = chooser.choose(paths, DEMAND, (), rng)
+        path = chooser.choose(paths, DEMAND, (), rng, 0.0)
         if isinstance(path, Refusal):
             return taken, path
         chooser.loads.begin(path, DEMAND.tokens)
@@ -50,7 +51,7 @@
     chooser = chooser_of(fleet, shape)
     paths = candidate_paths(fleet, shape)
     for _ in range(60):
-        chooser.loads.begin(chooser.choose(paths, DEMAND, (), rng), DEMAND.tokens)
+        chooser.loads.begin(chooser.choose(paths, DEMAND, (), rng, 0.0), DEMAND.tokens)
     fastest = chooser.loads.of(paths[0].first.endpoint)
     assert 0 < fastest.requests < 40
 
@@ -59,14 +60,14 @@
     chooser = chooser_of(fleet, shape)
     paths = candidate_paths(fleet, shape)
     avoid = {part.endpoint for part in paths[0].parts}
-    assert not chooser.choose(paths, DEMAND, avoid, rng).uses(avoid)
+    assert not chooser.choose(paths, DEMAND, avoid, rng, 0.0).uses(avoid)
 
 
 def test_the_first_part_takes_no_more_requests_than_its_slots(fleet, shape, rng):
     chooser = chooser_of(fleet, shape)
     path, *_ = candidate_paths(fleet, shape)
     chooser.loads.from_peer("b", {path.first.endpoint: Load(0, shape.slots, 0)}, 0.0)
-    assert not chooser.fits(path, DEMAND)
+    assert not chooser.fits(path, DEMAND, 0.0)
 
 
 def test_loads_that_peers_told_count(fleet, shape, rng):
@@ -74,9 +75,9 @@
     paths = candidate_paths(fleet, shape)
     full = {e.id: Load(90, 0, 1e12) for e in fleet}
     chooser.loads.from_peer("b", full, now=0.0)
-    assert isinstance(chooser.choose(paths, DEMAND, (), rng), Refusal)
+    assert isinstance(chooser.choose(paths, DEMAND, (), rng, 0.0), Refusal)
     chooser.loads.expire(now=10.0)
-    assert not isinstance(chooser.choose(paths, DEMAND, (), rng), Refusal)
+    assert not isinstance(chooser.choose(paths, DEMAND, (), rng, 0.0), Refusal)
 
 
 def test_an_ended_request_leaves_no_load(fleet, shape):
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -0,0 +1,78 @@
+"""Requests that wait here until a path has room for them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.waiting import WAIT_SHARE, Waiting, WaitingRoom
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewingcourse.core.pipelines.choice import Demand
+    from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.relay.job import Job
+
+#: Seconds between two tries of a request that waits. Room that other entries' requests
+#: leave is heard of a few times a second, so no wake-up tells of it.
+RETRY_PERIOD = 0.03
+
+
+@attrs.define
+class Admission:
+    """Lets requests onto paths, in order of their urgency.
+
+    Attributes:
+        clock: Returns the present time in seconds.
+        room: The requests that wait.
+    """
+
+    clock: Callable[[], float]
+    room: WaitingRoom = attrs.field(factory=WaitingRoom)
+
+    async def path_for(
+        self, job: Job, demand: Demand, choose: Callable[[], Path | Refusal]
+    ) -> Path | Refusal:
+        """Return a path for a request, waiting a little for room if there is none.
+
+        Args:
+            job: The request.
+            demand: What it needs.
+            choose: Returns a path, or why there is none at present.
+        """
+        now = self.clock()
+        found = self._now(job, choose, now)
+        if not _worth_waiting(found):
+            return found
+        until = job.request.received_at + WAIT_SHARE * job.route.objective
+        until = min(until, job.until)
+        if job.caller.begun:
+            until = min(job.until, now + WAIT_SHARE * job.route.gap)
+        waiting = Waiting(job.urgency, demand.tokens, now, until)
+        self.room.enter(waiting)
+        try:
+            while _worth_waiting(found) and not job.caller.gone:
+                now = self.clock()
+                if now >= until:
+                    break
+                await asyncio.sleep(min(RETRY_PERIOD, until - now))
+                found = choose()
+            return found
+        finally:
+            self.room.leave(waiting)
+
+    def _now(
+        self, job: Job, choose: Callable[[], Path | Refusal], now: float
+    ) -> Path | Refusal:
+        if not self.room.may_pass(job.urgency, now) and not job.caller.begun:
+            return Refusal(ErrorKind.OVERLOADED, "others wait for room")
+        return choose()
+
+
+def _worth_waiting(found: Path | Refusal) -> bool:
+    """Tell whether room may turn up soon."""
+    return isinstance(found, Refusal) and found.kind is ErrorKind.OVERLOADED
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -13,6 +13,7 @@
 from lacewingcourse.core.pipelines.peers import PeerBook
 from lacewingcourse.core.pipelines.repeats import RepeatBudget
 from lacewingcourse.relay.address import split_address
+from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.caller import CallerConnections
 from lacewingcourse.relay.calls import CallForwarder
@@ -24,6 +25,7 @@
 from lacewingcourse.relay.readiness import Readiness
 from lacewingcourse.relay.sending import Sender
 from lacewingcourse.relay.small_server import Question, Reply, SmallServer
+from lacewingcourse.relay.stall_watcher import StallWatcher
 from lacewingcourse.relay.streams import StreamForwarder
 from lacewingcourse.relay.upstream import ConnectionPool
 
@@ -108,7 +110,11 @@
         sender = Sender(self.pool, self.platform.codec, self.clock)
         zone = self.settings.zone
         calls = CallForwarder(self.beliefs, sender, self.budget, zone, rng)
-        streams = StreamForwarder(self.beliefs, sender, self.budget, rng)
+        self.admission = Admission(self.clock)
+        self.stalls = StallWatcher(self.beliefs, self.clock, self._on_suspect)
+        streams = StreamForwarder(
+            self.beliefs, sender, self.budget, rng, self.admission, self.stalls
+        )
         self.gateway = Gateway(
             self.beliefs, self.platform.codec, calls, streams, self.log, self.clock
         )
@@ -172,6 +178,7 @@
         self._start(self.directory.run())
         self._start(self.placement.run())
         self._start(self._keep_house())
+        self._start(self.stalls.run())
         self.log.belief("started", zone=self.settings.zone)
         await self.ended.wait()
         self.log.belief("ended")
@@ -193,6 +200,14 @@
     def _rank(self) -> int:
         return self.book.rank(self.clock())
 
+    def _on_suspect(self, endpoints: tuple[str, ...], reason: str) -> None:
+        """Leave out endpoints that were found to stand still, and tell it."""
+        now = self.clock()
+        for endpoint in endpoints:
+            self.beliefs.suspects.suspect(endpoint, reason, now)
+        self.log.belief("suspected", endpoints=list(endpoints), reason=reason)
+        self._tell_peers()
+
     def _tell_peers(self) -> None:
         self.peers.tell_now()
 
@@ -212,7 +227,8 @@
         while True:
             now = self.clock()
             self.pool.expire(now)
-            self.beliefs.loads.expire(now)
+            for peer in self.beliefs.loads.expire(now):
+                self.beliefs.pipes.forget(peer)
             self.beliefs.suspects.expire(now)
             self.budget.entries = max(len(self.book.peers) + 1, self.budget.entries)
             await asyncio.sleep(HOUSEKEEPING_PERIOD)
--- a/packages/relay/src/lacewingcourse/relay/beliefs.py
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -10,6 +10,7 @@
 from lacewingcourse.core.pipelines.fleet import Fleet
 from lacewingcourse.core.pipelines.load import LoadBook
 from lacewingcourse.core.pipelines.path import Path, candidate_paths
+from lacewingcourse.core.pipelines.pipes import PipeBook
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
 from lacewingcourse.core.pipelines.suspects import Suspects
 
@@ -43,6 +44,7 @@
         table: Configuration in force, None before there is one.
         fleet: Endpoints.
         loads: What runs where.
+        pipes: How busy the pipes between zones are.
         suspects: Endpoints that are left out for now.
         confirmed_at: When a source last said that the configuration is the newest.
         candidates: Candidate paths by service.
@@ -51,6 +53,7 @@
     table: RoutingTable | None = None
     fleet: Fleet = attrs.field(factory=Fleet)
     loads: LoadBook = attrs.field(factory=LoadBook)
+    pipes: PipeBook = attrs.field(factory=PipeBook)
     suspects: Suspects = attrs.field(factory=Suspects)
     confirmed_at: float = float("-inf")
     candidates: dict[str, CandidateSet] = attrs.field(factory=dict)
@@ -92,4 +95,4 @@
 
     def chooser(self, shape: EngineShape) -> PathChooser:
         """Return what chooses among paths of engines with some figures."""
-        return PathChooser(shape, self.fleet.endpoints, self.loads)
+        return PathChooser(shape, self.fleet.endpoints, self.loads, self.pipes)
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.routing import Organisation, Route
+    from lacewingcourse.core.pipelines.stalls import Watched
     from lacewingcourse.relay.caller import CallerExchange
     from lacewingcourse.relay.ports import CallerRequest
 
@@ -42,6 +43,7 @@
         first_at: When the first event was passed on, None before it.
         longest_gap: Longest time between two events passed on, seconds.
         progressed_at: When the last event was passed on, seconds.
+        watched: What watches its stream for standing still, None if nothing does.
     """
 
     request: CallerRequest
@@ -61,6 +63,13 @@
     first_at: float | None = None
     longest_gap: float = 0.0
     progressed_at: float = 0.0
+    watched: Watched | None = None
+
+    @property
+    def may_move(self) -> bool:
+        """Whether its stream may go on on another path."""
+        left = self.sends < self.route.most_attempts
+        return left and self.route.repeat.may_repeat and not self.caller.gone
 
     def progress(self, now: float) -> None:
         """Note events that were passed on."""
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -25,6 +25,7 @@
         position: How far it knows the directory.
         position_age: Seconds since that was known to be all.
         loads: Requests, requests led, and tokens times layers, by endpoint.
+        pipes: Shares of the time of pipes between zones, as pairs of zones and share.
         suspects: Seconds for which it leaves out each endpoint.
         peers: Addresses of the entries it knows to be alive, by name.
         holder: Holder of the duty of placing, empty if unknown.
@@ -40,6 +41,7 @@
     position: int
     position_age: float
     loads: dict[str, tuple[int, int, float]]
+    pipes: list[tuple[str, str, float]]
     suspects: dict[str, float]
     peers: dict[str, str]
     holder: str
--- a/packages/relay/src/lacewingcourse/relay/peers.py
+++ b/packages/relay/src/lacewingcourse/relay/peers.py
@@ -172,6 +172,10 @@
                 endpoint: (load.requests, load.leading, round(load.cells))
                 for endpoint, load in own.items()
             },
+            pipes=[
+                (*pair, round(use, 3))
+                for pair, use in self.beliefs.pipes.uses(now).items()
+            ],
             suspects=self.beliefs.suspects.own_remaining(now),
             peers=alive,
             holder=lease.holder if lease else "",
@@ -189,6 +193,8 @@
             if name not in self.book.peers:
                 self.book.learn(name, address, now)
         self.beliefs.loads.from_peer(news.name, loads_of(news), now)
+        pipes = {(first, second): use for first, second, use in news.pipes}
+        self.beliefs.pipes.from_peer(news.name, pipes)
         for endpoint, remaining in news.suspects.items():
             self.beliefs.suspects.from_peer(endpoint, remaining, now)
         self.duty.hear(news.holder, news.fencing)
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -27,8 +27,10 @@
 
     from lacewingcourse.core.pipelines.repeats import RepeatBudget
     from lacewingcourse.core.pipelines.shape import EngineShape
+    from lacewingcourse.relay.admission import Admission
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.job import Job
+    from lacewingcourse.relay.stall_watcher import StallWatcher
     from lacewingcourse.relay.upstream import Arrival
 
 #: Objectives after which a stream without an event is begun on another path.
@@ -95,25 +97,32 @@
         sender: What sends.
         budget: Repeats that are left.
         rng: Source of draws.
+        admission: Lets requests onto paths.
+        stalls: Watches streams for standing still.
     """
 
     beliefs: Beliefs
     sender: Sender
     budget: RepeatBudget
     rng: Random
+    admission: Admission
+    stalls: StallWatcher
 
     async def serve(self, job: Job, shape: EngineShape) -> Refusal | None:
         """Forward a stream; return how it ends if no answer was begun."""
         state = StreamState(EventCutter(last_id=job.request.resume_after))
         demand = demand_of(job, shape)
         while True:
+            path = await self.admission.path_for(
+                job, demand, lambda: self._choose(job, shape, demand)
+            )
             now = self.sender.clock()
-            path = self._choose(job, shape, demand, now)
             if isinstance(path, Refusal):
                 job.reason = job.reason or path.reason
                 return self._give_up(job, path.kind)
             if job.sends and not self.budget.take(job.service, now):
                 return self._give_up(job, ErrorKind.STAGE_LOST)
+            self._note_transfers(path, demand, shape, now)
             result = await self._run(job, path, demand, state, now)
             if result is None:
                 self.beliefs.suspects.suspect(path.first.endpoint, job.reason, now)
@@ -127,12 +136,19 @@
             if not self._again(job):
                 return self._give_up(job, self._kind(result))
 
-    def _choose(
-        self, job: Job, shape: EngineShape, demand: Demand, now: float
-    ) -> Path | Refusal:
+    def _note_transfers(
+        self, path: Path, demand: Demand, shape: EngineShape, now: float
+    ) -> None:
+        """Note the time that a prompt takes on the pipes of its path."""
+        for pair in path.crossings:
+            seconds = shape.transfer_seconds(demand.prompt)
+            self.beliefs.pipes.add(pair, seconds, now)
+
+    def _choose(self, job: Job, shape: EngineShape, demand: Demand) -> Path | Refusal:
+        now = self.sender.clock()
         paths = self.beliefs.paths(job.service, shape, now)
         chooser = self.beliefs.chooser(shape)
-        return chooser.choose(paths, demand, job.avoid, self.rng)
+        return chooser.choose(paths, demand, job.avoid, self.rng, now)
 
     async def _run(
         self, job: Job, path: Path, demand: Demand, state: StreamState, now: float
@@ -156,6 +172,7 @@
             return await self._relay(job, sent, state)
         finally:
             job.current = None
+            self.stalls.end(job)
             self.beliefs.loads.end(path, demand.tokens)
 
     async def _relay(self, job: Job, sent: Sent, state: StreamState) -> RunResult:
@@ -194,6 +211,7 @@
             return
         state.progressed_at = self.sender.clock()
         job.progress(state.progressed_at)
+        self.stalls.progress(job, state.progressed_at)
         if job.caller.begun:
             job.caller.write(events)
             return
@@ -271,7 +289,9 @@
         elif result.first_lost:
             job.avoid.add(path.first.endpoint)
         elif result.end is StreamEnd.STALLED:
-            job.avoid.update(part.endpoint for part in path.parts)
+            excluded = self.beliefs.suspects.excluded(now)
+            found = {p.endpoint for p in path.parts if p.endpoint in excluded}
+            job.avoid.update(found or {p.endpoint for p in path.parts})
         else:
             job.avoid.add(path.first.endpoint)
 
