Give new endpoints the layers that are weakest by speed

Ruled out: too little memory in the fleet (154k tokens at the weakest layer). Change: a new endpoint takes the window with the least tokens divided by step factor. Test: test_a_fast_endpoint_takes_over_layers_that_only_slow_ones_hold.

--- a/packages/core/src/lacewingcourse/core/pipelines/layout.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/layout.py
@@ -63,6 +63,24 @@
     return capacity
 
 
+def layer_strength(endpoints: Iterable[Endpoint], shape: EngineShape) -> list[float]:
+    """Return for each layer the tokens its holders have memory for, by their speed.
+
+    Memory on a slow accelerator serves fewer tokens in a second: requests stay in it
+    for longer.
+    """
+    strength = [0.0] * shape.layers
+    for endpoint in endpoints:
+        if endpoint.layers is None or not len(endpoint.layers):
+            continue
+        held = len(endpoint.layers)
+        accelerator = shape.accelerators[endpoint.accelerator]
+        tokens = shape.room(accelerator, held) / held
+        for layer in range(endpoint.layers.start, endpoint.layers.end):
+            strength[layer] += tokens / accelerator.step_factor
+    return strength
+
+
 def plan_layout(endpoints: list[Endpoint], shape: EngineShape) -> list[Assignment]:
     """Return the layers that empty endpoints shall take.
 
@@ -208,8 +226,9 @@
         least = span_for(endpoint, shape, LEAST_REQUESTS * shape.usual_tokens)
         span = max(1, min(least, len(gap)))
         return Assignment(endpoint.id, Layers(gap.start, gap.start + span))
+    strength = layer_strength(holding, shape)
     starts = range(shape.layers - span + 1)
-    start = min(starts, key=lambda s: sum(capacity[s : s + span]))
+    start = min(starts, key=lambda s: sum(strength[s : s + span]))
     return Assignment(endpoint.id, Layers(start, start + span))
 
 
--- a/packages/core/src/lacewingcourse/core/pipelines/stalls.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/stalls.py
@@ -63,7 +63,7 @@
 
 @attrs.define
 class StallWatch:
-    """Watches streams together, since those through a dead endpoint fall silent at once.
+    """Watches streams together: those through a dead endpoint fall silent at once.
 
     A stream that is silent while others pass through all its endpoints only waits for
     memory or its turn, and is left alone.
--- a/packages/core/tests/pipelines/test_layout.py
+++ b/packages/core/tests/pipelines/test_layout.py
@@ -128,3 +128,19 @@
 def test_ranges_tell_what_they_cover():
     assert Layers(0, 10).covers(Layers(3, 10))
     assert not Layers(3, 10).covers(Layers(0, 4))
+
+
+def test_a_fast_endpoint_takes_over_layers_that_only_slow_ones_hold(shape):
+    """A fast endpoint that restarts gets back its layers from slow stand-ins."""
+    slow = [
+        holding(make_endpoint(f"s{start}", "small"), start, start + 7)
+        for start in range(0, 35, 7)
+    ]
+    fast = [
+        holding(make_endpoint("b", "large"), 25, 50),
+        holding(make_endpoint("m1", "middle"), 50, 65),
+        holding(make_endpoint("m2", "middle"), 65, 80),
+    ]
+    restarted = make_endpoint("a", "large")
+    (assignment,) = plan_layout([*slow, *fast, restarted], shape)
+    assert assignment.layers.covers(Layers(0, 25))
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -198,6 +198,7 @@
             endpoint=endpoint.id,
             address=endpoint.address,
             zone=endpoint.zone,
+            kind=endpoint.accelerator,
             leaving=endpoint.leaving,
             layers=[layers.start, layers.end] if layers else None,
         )
