--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,14 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := core relay wire load platform daemon agent entry cli testing bench
-EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
-SOURCES := packages tests tools
+EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
+SOURCES := packages platform tests tools
 
 .PHONY: demo test check format bench model setup clean bench-configuration
 
 setup: $(VENV)/.installed
 
-$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
 	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt $(EDITABLE)
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -47,7 +47,7 @@
 HOUSEKEEPING_PERIOD = 0.25
 #: Seconds after the request to end for which new connections may still come: the
 #: balancer asks once a second and takes an instance out after two misses.
-BALANCER_DELAY = 2.6
+BALANCER_DELAY = 3.2
 #: Seconds of the time for ending that are kept for the end itself.
 END_MARGIN = 0.4
 #: Seconds beyond the callers' idle time for which their connections are kept.
@@ -116,7 +116,13 @@
             self.beliefs, sender, self.budget, rng, self.admission, self.stalls
         )
         self.gateway = Gateway(
-            self.beliefs, self.platform.codec, calls, streams, self.log, self.clock
+            self.beliefs,
+            self.platform.codec,
+            calls,
+            streams,
+            self.readiness,
+            self.log,
+            self.clock,
         )
         self.callers = CallerConnections(
             self.gateway.serve, self.clock, lambda: self.readiness.leaving
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -18,10 +18,14 @@
     from lacewingcourse.relay.calls import CallForwarder
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.ports import CallerRequest, RequestCodec
+    from lacewingcourse.relay.readiness import Readiness
     from lacewingcourse.relay.streams import StreamForwarder
 
 #: Seconds after which a caller may try an entry again that knows no configuration.
 NOT_READY_RETRY = 0.5
+#: Seconds after which a caller may try again that met an entry about to end; its next
+#: connection goes to another one.
+LEAVING_RETRY = 0.05
 
 
 @attrs.define
@@ -33,6 +37,7 @@
         codec: How requests look on the platform.
         calls: Forwards calls to plain services.
         streams: Forwards streams.
+        readiness: Whether this entry is ending.
         log: Log of decisions.
         clock: Returns the present time in seconds.
     """
@@ -41,6 +46,7 @@
     codec: RequestCodec
     calls: CallForwarder
     streams: StreamForwarder
+    readiness: Readiness
     log: DecisionLog
     clock: Callable[[], float]
 
@@ -79,6 +85,9 @@
 
     def _job(self, caller: CallerExchange, request: CallerRequest) -> Job | Refusal:
         """Return what is to be done for a request, or why nothing is."""
+        if not self.readiness.takes_requests(request.received_at):
+            reason = "this entry is about to end"
+            return Refusal(ErrorKind.DRAINING, reason, retry_after=LEAVING_RETRY)
         table = self.beliefs.table
         if table is None:
             reason = "no configuration is known yet"
--- a/packages/relay/src/lacewingcourse/relay/readiness.py
+++ b/packages/relay/src/lacewingcourse/relay/readiness.py
@@ -10,6 +10,12 @@
     from lacewingcourse.relay.beliefs import Beliefs
 
 
+#: Seconds after the request to end for which new requests are taken. Until then the
+#: balancer still sends connections here; a stream that begins later might not end
+#: before this process does.
+LAST_REQUESTS = 2.8
+
+
 @attrs.define
 class Readiness:
     """Whether this entry is ready.
@@ -32,6 +38,10 @@
         """Whether this entry is ending."""
         return self.leaving_since is not None
 
+    def takes_requests(self, now: float) -> bool:
+        """Tell whether a request that arrives now is served."""
+        return self.leaving_since is None or now - self.leaving_since < LAST_REQUESTS
+
     def is_ready(self) -> bool:
         """Tell whether new connections should come here.
 
