Hold requests for the first configuration and path; move streams whose cause a peer knows

Ruled out: a late start (entries listened within 0.6 s of their start). Change: a request waits up to 0.8 s for the first configuration, and like one without room for a first path; silent streams on paths through known suspects move at once. Tests: test_stall_watcher.

--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -25,6 +25,8 @@
 #: Seconds between two tries of a request that waits. Room that other entries' requests
 #: leave is heard of a few times a second, so no wake-up tells of it.
 RETRY_PERIOD = 0.03
+#: Reasons for which there may be a path a moment later.
+MOMENTARY = frozenset({ErrorKind.OVERLOADED, ErrorKind.NO_ROUTE})
 
 
 @attrs.define
@@ -93,5 +95,9 @@
 
 
 def _worth_waiting(found: Path | Refusal) -> bool:
-    """Tell whether room may turn up soon."""
-    return isinstance(found, Refusal) and found.kind is ErrorKind.OVERLOADED
+    """Tell whether room may turn up soon.
+
+    That nothing holds the layers may be news of a moment as well: an entry that has
+    just started learns of the endpoints within some tens of milliseconds.
+    """
+    return isinstance(found, Refusal) and found.kind in MOMENTARY
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -127,7 +127,12 @@
         zone = self.settings.zone
         calls = CallForwarder(self.beliefs, sender, self.budget, zone, rng, self.log)
         self.admission = Admission(self.clock)
-        self.stalls = StallWatcher(self.platform.reports, self.clock, self._on_suspect)
+        self.stalls = StallWatcher(
+            self.platform.reports,
+            self.beliefs.suspects,
+            self.clock,
+            self._on_suspect,
+        )
         streams = StreamForwarder(
             self.beliefs,
             sender,
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.pipelines.choice import choose_endpoint
+from lacewingcourse.core.pipelines.waiting import ORDERED_SHARE
+from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.sending import (
     NoAnswer,
     NotSent,
@@ -65,6 +68,9 @@
             if now >= job.until:
                 return last or job.failure(ErrorKind.DEADLINE_EXCEEDED, None)
             endpoint = self._choose(job, now)
+            if isinstance(endpoint, Refusal) and self._waits(job, now):
+                await asyncio.sleep(RETRY_PERIOD)
+                continue
             if isinstance(endpoint, Refusal):
                 job.reason = job.reason or endpoint.reason
                 return last or job.failure(endpoint.kind, CALL_RETRY_AFTER)
@@ -95,6 +101,12 @@
             if job.caller.gone or not self._again(job):
                 return self._failed(job, result)
 
+    def _waits(self, job: Job, now: float) -> bool:
+        """Tell whether a call that found no endpoint may find one in a moment."""
+        if job.sends or job.avoid or job.caller.gone:
+            return False
+        return now < job.request.received_at + ORDERED_SHARE * job.route.objective
+
     def _choose(self, job: Job, now: float) -> Endpoint | Refusal:
         usable = self.beliefs.usable(job.service, now)
         if not usable:
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
+from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.sending import WholeAnswer
 
@@ -21,6 +23,10 @@
     from lacewingcourse.relay.readiness import Readiness
     from lacewingcourse.relay.streams import StreamForwarder
 
+#: Seconds for which a request waits for the first configuration. An entry listens
+#: tens of milliseconds before it has one; after a restart of all entries the callers
+#: that come then have no further try.
+FIRST_CONFIGURATION_WAIT = 0.8
 #: Seconds after which a caller may try an entry again that knows no configuration.
 NOT_READY_RETRY = 0.5
 #: Seconds after which a caller may try again that met an entry about to end; its next
@@ -69,6 +75,7 @@
             self._refuse(caller, None, request)
             return
         request.body = bytes(caller.body)
+        await self._wait_for_configuration(request)
         job = self._job(caller, request)
         if isinstance(job, Refusal):
             self.log.refused(request, job, None)
@@ -92,6 +99,12 @@
         self.log.refused(request, refusal, job)
         self._refuse(caller, request, refusal)
 
+    async def _wait_for_configuration(self, request: CallerRequest) -> None:
+        """Hold a request that came before the first configuration did."""
+        until = request.received_at + FIRST_CONFIGURATION_WAIT
+        while self.beliefs.table is None and self.clock() < until:
+            await asyncio.sleep(RETRY_PERIOD)
+
     def _job(self, caller: CallerExchange, request: CallerRequest) -> Job | Refusal:
         """Return what is to be done for a request, or why nothing is."""
         if not self.readiness.takes_requests(request.received_at):
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -16,6 +16,7 @@
 
     from lacewingcourse.core.pipelines.path import Part
     from lacewingcourse.core.pipelines.stalls import Watched
+    from lacewingcourse.core.pipelines.suspects import Suspects
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.ports import EngineReports
 
@@ -32,6 +33,7 @@
 
     Attributes:
         reports: What engines tell of themselves.
+        suspects: Endpoints that are left out.
         clock: Returns the present time in seconds.
         on_suspect: Called with endpoints that were found to be dead, and why.
         watch: Decides which streams may stand still.
@@ -41,6 +43,7 @@
     """
 
     reports: EngineReports
+    suspects: Suspects
     clock: Callable[[], float]
     on_suspect: Callable[[tuple[str, ...], str], None]
     watch: StallWatch = attrs.field(factory=StallWatch)
@@ -55,7 +58,8 @@
 
     def progress(self, job: Job, now: float) -> None:
         """Note that events of a stream arrived."""
-        job.watched.progress(now)
+        if job.watched is not None:
+            job.watched.progress(now)
 
     def end(self, job: Job) -> None:
         """Note the end of a run of a stream."""
@@ -79,8 +83,12 @@
             last = now
 
     def look(self, now: float) -> None:
-        """Ask the endpoints that lead silent streams."""
+        """Move silent streams whose cause is known, ask about the others."""
+        known = self.suspects.excluded(now)
         for watched in self.watch.silent(now):
+            if watched.path.uses(known):
+                self._move(watched, known)
+                continue
             first = watched.path.first
             asked = self.asked.get(first.address, float("-inf"))
             if first.address in self.asking or now - asked < QUESTION_PERIOD:
@@ -106,7 +114,14 @@
     def _dead(self, endpoints: set[str], reason: str) -> None:
         """Leave out endpoints, and send the streams through them on elsewhere."""
         self.on_suspect(tuple(sorted(endpoints)), reason)
-        for watched, job in list(self.jobs.items()):
-            if watched.path.uses(endpoints) and job.may_move and job.current:
-                job.avoid.update(endpoints)
-                job.current.arrivals.put_nowait(Stalled())
+        for watched in list(self.jobs):
+            if watched.path.uses(endpoints):
+                self._move(watched, endpoints)
+
+    def _move(self, watched: Watched, endpoints: set[str]) -> None:
+        """Send a stream on elsewhere, if it may go on at all."""
+        job = self.jobs[watched]
+        if job.may_move and job.current is not None:
+            job.avoid.update(endpoints)
+            job.current.arrivals.put_nowait(Stalled())
+            self.end(job)
--- /dev/null
+++ b/packages/relay/tests/test_stall_watcher.py
@@ -0,0 +1,111 @@
+"""Tests of streams that are sent on elsewhere."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from lacewingcourse.core.pipelines.path import Part, Path
+from lacewingcourse.core.pipelines.shape import Layers
+from lacewingcourse.core.pipelines.suspects import Suspects
+from lacewingcourse.relay.ports import StalledRequest, Unavailable
+from lacewingcourse.relay.stall_watcher import StallWatcher
+from lacewingcourse.relay.upstream import Stalled
+
+
+def path_of(*names: str) -> Path:
+    """Return a path through endpoints."""
+    parts = [Part(n, f"{n}:1", "east", Layers(i, i + 1)) for i, n in enumerate(names)]
+    return Path(tuple(parts), 5.0)
+
+
+class Reports:
+    """Reports that a test sets."""
+
+    def __init__(self, found) -> None:
+        self.found = found
+        self.asked: list[str] = []
+
+    async def stalled(self, address: str):
+        self.asked.append(address)
+        return self.found
+
+
+def make_job(path: Path, may_move: bool = True):
+    """Return what the watcher needs of a request."""
+    current = SimpleNamespace(arrivals=asyncio.Queue())
+    return SimpleNamespace(
+        path=path, may_move=may_move, current=current, avoid=set(), watched=None
+    )
+
+
+@pytest.fixture
+def make_watcher():
+    """Return a function that makes a watcher which notes what it suspects."""
+
+    def make(found):
+        suspects = Suspects()
+
+        def on_suspect(endpoints, reason):
+            for endpoint in endpoints:
+                suspects.suspect(endpoint, reason, 0.0)
+
+        return StallWatcher(Reports(found), suspects, lambda: 0.0, on_suspect)
+
+    return make
+
+
+def watched_until(watcher, job, now):
+    """Watch a stream that is silent from 0 until a time, and look."""
+
+    async def run():
+        watcher.begin(job, 0.0)
+        watcher.progress(job, 0.0)
+        watcher.look(now)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    asyncio.run(run())
+
+
+def test_a_stream_behind_an_endpoint_that_is_named_goes_on_elsewhere(make_watcher):
+    watcher = make_watcher([StalledRequest("r", "b:1")])
+    job = make_job(path_of("a", "b"))
+    watched_until(watcher, job, 0.2)
+    assert isinstance(job.current.arrivals.get_nowait(), Stalled)
+    assert job.avoid == {"b"}
+    assert watcher.suspects.excluded(0.1) == {"b"}
+
+
+def test_a_stream_on_a_busy_path_stays(make_watcher):
+    watcher = make_watcher([])
+    job = make_job(path_of("a", "b"))
+    watched_until(watcher, job, 0.2)
+    assert watcher.reports.asked == ["a:1"]
+    assert job.current.arrivals.empty()
+    assert watcher.suspects.excluded(0.1) == set()
+
+
+def test_a_first_endpoint_without_report_is_left_out(make_watcher):
+    watcher = make_watcher(Unavailable("timed out"))
+    job = make_job(path_of("a", "b"))
+    watched_until(watcher, job, 0.2)
+    assert job.avoid == {"a"}
+
+
+def test_a_silent_stream_moves_at_once_when_a_peer_told_the_cause(make_watcher):
+    watcher = make_watcher([])
+    watcher.suspects.from_peer("b", 2.0, now=0.0)
+    job = make_job(path_of("a", "b"))
+    watched_until(watcher, job, 0.2)
+    assert watcher.reports.asked == []
+    assert job.avoid == {"b"}
+
+
+def test_a_stream_that_may_not_move_is_left_alone(make_watcher):
+    watcher = make_watcher([StalledRequest("r", "b:1")])
+    job = make_job(path_of("a", "b"), may_move=False)
+    watched_until(watcher, job, 0.2)
+    assert job.current.arrivals.empty()
