Check names and circles, add commands to check, plan and explain

Cause: nothing kept the platform's names in the adapter, and neither the placement nor a failed request could be looked at by hand. Change: tools/check_names.py and check_circles.py run in make check; lacewingcourse platform check, platform plan, platform settings and explain; the trial's clients of log, instance list and weight store are packages/backing now, so that platform/ alone bears that name.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core relay wire load platform daemon agent entry cli testing bench
+PACKAGES := core relay wire load backing daemon agent entry cli testing bench
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 SOURCES := packages platform tests tools
 
@@ -26,6 +26,8 @@
 	$(BIN)/isort --check-only --quiet $(SOURCES)
 	$(BIN)/flake8 $(SOURCES)
 	$(BIN)/python tools/check_core.py
+	$(BIN)/python tools/check_names.py
+	$(BIN)/python tools/check_circles.py
 
 format: setup
 	$(BIN)/isort --quiet $(SOURCES)
--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -17,11 +17,11 @@
 from lacewingcourse.agent.orders import OrderDesk
 from lacewingcourse.agent.stage_runner import StageRunner
 from lacewingcourse.agent.watchers import Watchers
+from lacewingcourse.backing.instances import InstanceListClient
 from lacewingcourse.core.keys import model_target, service_target
 from lacewingcourse.core.messages import Status
 from lacewingcourse.daemon.configuration import CONFIGURATION_ROUTES
 from lacewingcourse.daemon.daemon import Daemon, Readiness
-from lacewingcourse.platform.instances import InstanceListClient
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
--- a/packages/agent/src/lacewingcourse/agent/follower.py
+++ b/packages/agent/src/lacewingcourse/agent/follower.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from lacewingcourse.backing.instances import InstanceRole, InstanceState
 from lacewingcourse.core.dissemination import home_entries
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.daemon.configuration import ConfigurationFollower
-from lacewingcourse.platform.instances import InstanceRole, InstanceState
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from lacewingcourse.backing.instances import InstanceListClient
     from lacewingcourse.daemon.daemon import Daemon
-    from lacewingcourse.platform.instances import InstanceListClient
 
 
 class AgentConfigurationFollower(ConfigurationFollower):
--- a/packages/agent/src/lacewingcourse/agent/journal.py
+++ b/packages/agent/src/lacewingcourse/agent/journal.py
@@ -9,6 +9,8 @@
 import attrs
 from loguru import logger
 
+from lacewingcourse.backing.homes import HOMES_STREAM, HomesReader, home_settings
+from lacewingcourse.backing.log import LogClient
 from lacewingcourse.core.claim_records import (
     ClaimSettings,
     EntryState,
@@ -21,8 +23,6 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.homes import HomesFold, HomesRecord, release
 from lacewingcourse.core.keys import parse_key, scope_of
-from lacewingcourse.platform.homes import HOMES_STREAM, HomesReader, home_settings
-from lacewingcourse.platform.log import LogClient
 from lacewingcourse.wire.codec import decode, encode
 
 if TYPE_CHECKING:
--- a/packages/agent/src/lacewingcourse/agent/orders.py
+++ b/packages/agent/src/lacewingcourse/agent/orders.py
@@ -8,12 +8,12 @@
 from loguru import logger
 
 from lacewingcourse.agent.engine import EngineOrder
+from lacewingcourse.backing.leases import read_leases
+from lacewingcourse.backing.log import LogClient
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.fencing import OrderFence
 from lacewingcourse.core.leases import LeaseTable
 from lacewingcourse.core.messages import Order, OrderAction, OrderReply
-from lacewingcourse.platform.leases import read_leases
-from lacewingcourse.platform.log import LogClient
 
 if TYPE_CHECKING:
     from lacewingcourse.agent.application import Agent
--- a/packages/platform/src/lacewingcourse/platform/homes.py
+++ b/packages/backing/src/lacewingcourse/backing/homes.py
@@ -11,8 +11,8 @@
 from lacewingcourse.wire.codec import decode
 
 if TYPE_CHECKING:
+    from lacewingcourse.backing.log import LogClient
     from lacewingcourse.core.homes import HomesFold
-    from lacewingcourse.platform.log import LogClient
 
 #: Stream of the log that holds the homes.
 HOMES_STREAM = "homes"
--- a/packages/platform/src/lacewingcourse/platform/leases.py
+++ b/packages/backing/src/lacewingcourse/backing/leases.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lacewingcourse.backing.log import LogClient
     from lacewingcourse.core.leases import LeaseTable
-    from lacewingcourse.platform.log import LogClient
 
 
 @attrs.frozen
--- a/packages/bench/src/lacewingcourse/bench/messages.py
+++ b/packages/bench/src/lacewingcourse/bench/messages.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from lacewingcourse.backing.instances import Instance, InstanceRole
 from lacewingcourse.bench.figures import single
 from lacewingcourse.core.layers import LayerRange
 from lacewingcourse.core.messages import (
@@ -17,7 +18,6 @@
     Token,
     TokenBatch,
 )
-from lacewingcourse.platform.instances import Instance, InstanceRole
 from lacewingcourse.wire.auth import AUTH_HEADER, sign
 from lacewingcourse.wire.codec import encode
 
--- a/packages/cli/src/lacewingcourse/cli/application.py
+++ b/packages/cli/src/lacewingcourse/cli/application.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from importlib.metadata import version
+from importlib.metadata import entry_points, version
 
 from cleo.application import Application
 
@@ -26,12 +26,15 @@
     StateCommand,
     StatusCommand,
 ]
+#: Group of entry points under which other libraries bring commands of their own.
+COMMAND_GROUP = "lacewingcourse.commands"
 
 
 def build() -> Application:
-    """Return the application with all its commands."""
+    """Return the application with all its commands, other libraries' among them."""
     application = Application("lacewingcourse", version("lacewingcourse-cli"))
-    for command in COMMANDS:
+    brought = [point.load() for point in entry_points(group=COMMAND_GROUP)]
+    for command in [*COMMANDS, *brought]:
         application.add(command())
     return application
 
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -11,6 +11,8 @@
 import attrs
 from loguru import logger
 
+from lacewingcourse.backing.instances import InstanceListClient
+from lacewingcourse.backing.log import LogClient
 from lacewingcourse.core.endpoints import EndpointState
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.messages import Credit
@@ -39,8 +41,6 @@
 from lacewingcourse.entry.service_api import SERVICE_ROUTES
 from lacewingcourse.entry.state_api import STATE_ROUTES
 from lacewingcourse.entry.wire_api import WIRE_ROUTES
-from lacewingcourse.platform.instances import InstanceListClient
-from lacewingcourse.platform.log import LogClient
 
 if TYPE_CHECKING:
     from lacewingcourse.core.configuration import Configuration
--- a/packages/entry/src/lacewingcourse/entry/burn_log.py
+++ b/packages/entry/src/lacewingcourse/entry/burn_log.py
@@ -14,9 +14,9 @@
 if TYPE_CHECKING:
     import random
 
+    from lacewingcourse.backing.log import LogClient, LogPage
     from lacewingcourse.core.burn_fleet import FleetMerge
     from lacewingcourse.core.burn_history import SummaryWriter
-    from lacewingcourse.platform.log import LogClient, LogPage
 
 #: Stream of the log that holds the summaries.
 BURN_STREAM = "burn"
--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -7,18 +7,18 @@
 
 from loguru import logger
 
+from lacewingcourse.backing.instances import InstanceRole, InstanceState
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.membership import ListedEndpoint, Membership, MemberState
 from lacewingcourse.core.messages import Status, StatusRequest
 from lacewingcourse.core.routes import Fleet
 from lacewingcourse.core.subsets import Watchable, choose_subset, silence_allowed
-from lacewingcourse.platform.instances import InstanceRole, InstanceState
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
+    from lacewingcourse.backing.instances import Instance, InstanceListClient
     from lacewingcourse.core.messages import CallReply, ClaimReply
     from lacewingcourse.entry.application import Entry
-    from lacewingcourse.platform.instances import Instance, InstanceListClient
 
 #: Seconds between two reads of the instance list.
 LIST_INTERVAL = 1.0
--- a/packages/entry/src/lacewingcourse/entry/follower.py
+++ b/packages/entry/src/lacewingcourse/entry/follower.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from lacewingcourse.backing.instances import InstanceRole
 from lacewingcourse.core.configuration_fold import ConfigurationEntry, snapshot_of
 from lacewingcourse.core.configuration_replica import StreamEntry, StreamPage
 from lacewingcourse.core.dissemination import (
@@ -19,16 +20,15 @@
 )
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.daemon.configuration import ConfigurationFollower
-from lacewingcourse.platform.instances import InstanceRole
 from lacewingcourse.wire.codec import decode, encode
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from lacewingcourse.backing.instances import Instance
+    from lacewingcourse.backing.log import LogClient, LogPage
     from lacewingcourse.core.configuration import ConfigurationRecord
     from lacewingcourse.daemon.daemon import Daemon
-    from lacewingcourse.platform.instances import Instance
-    from lacewingcourse.platform.log import LogClient, LogPage
 
 #: Stream of the log that holds the configuration.
 CONFIGURATION_STREAM = "configuration"
--- a/packages/entry/src/lacewingcourse/entry/home_keeper.py
+++ b/packages/entry/src/lacewingcourse/entry/home_keeper.py
@@ -9,11 +9,11 @@
 
 from loguru import logger
 
+from lacewingcourse.backing.homes import HOMES_STREAM, HomesReader, home_settings
+from lacewingcourse.backing.log import LogClient
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.homes import HomesFold, HomesRecord, propose
 from lacewingcourse.core.keys import model_target, scope_of, service_target, shard_of
-from lacewingcourse.platform.homes import HOMES_STREAM, HomesReader, home_settings
-from lacewingcourse.platform.log import LogClient
 from lacewingcourse.wire.codec import encode
 
 if TYPE_CHECKING:
--- a/packages/entry/src/lacewingcourse/entry/lease_holder.py
+++ b/packages/entry/src/lacewingcourse/entry/lease_holder.py
@@ -10,18 +10,18 @@
 from loguru import logger
 from prometheus_client import Counter, Gauge
 
+from lacewingcourse.backing.leases import read_leases
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.core.leases import LEASE_STREAM, LeaseCandidate, LeaseTable
 from lacewingcourse.entry import placement_duty  # noqa: F401
 from lacewingcourse.entry.duties import DUTIES
-from lacewingcourse.platform.leases import read_leases
 from lacewingcourse.wire.codec import encode
 
 if TYPE_CHECKING:
+    from lacewingcourse.backing.log import LogClient
     from lacewingcourse.core.leases import LeaseRecord
     from lacewingcourse.entry.application import Entry
     from lacewingcourse.entry.duties import Duty
-    from lacewingcourse.platform.log import LogClient
 
 #: Seconds for which the log may hold a read that finds nothing.
 READ_WAIT = 2.0
--- a/packages/entry/src/lacewingcourse/entry/placement_duty.py
+++ b/packages/entry/src/lacewingcourse/entry/placement_duty.py
@@ -16,9 +16,9 @@
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
+    from lacewingcourse.backing.instances import Instance
     from lacewingcourse.core.placement import Assignment
     from lacewingcourse.entry.application import Entry
-    from lacewingcourse.platform.instances import Instance
 
 #: Seconds without loads after one failed for a reason that names no time.
 FAILED_RETRY = 2.0
--- a/packages/entry/src/lacewingcourse/entry/poison_guard.py
+++ b/packages/entry/src/lacewingcourse/entry/poison_guard.py
@@ -29,10 +29,10 @@
 from lacewingcourse.wire.codec import decode, encode
 
 if TYPE_CHECKING:
+    from lacewingcourse.backing.log import LogClient, LogRecord
     from lacewingcourse.core.messages import Trouble
     from lacewingcourse.core.stream_request import StreamRequest
     from lacewingcourse.entry.application import Entry
-    from lacewingcourse.platform.log import LogClient, LogRecord
 
 #: Stream of the log that holds the notices.
 POISON_STREAM = "poison"
--- a/packages/entry/src/lacewingcourse/entry/report_api.py
+++ b/packages/entry/src/lacewingcourse/entry/report_api.py
@@ -8,17 +8,17 @@
 
 import attrs
 
+from lacewingcourse.backing.instances import InstanceRole, InstanceState
 from lacewingcourse.core.burn_fleet import FleetBurn, FleetMerge, Unreachable
 from lacewingcourse.core.burn_report import EntryBurn, Selection
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.daemon.handlers import BaseHandler, WireHandler
 from lacewingcourse.entry.admin_base import identify
-from lacewingcourse.platform.instances import InstanceRole, InstanceState
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
+    from lacewingcourse.backing.instances import Instance
     from lacewingcourse.entry.application import Entry
-    from lacewingcourse.platform.instances import Instance
 
 #: Entries that are asked at one time.
 ASKED_AT_ONCE = 16
--- a/packages/entry/src/lacewingcourse/entry/rollout.py
+++ b/packages/entry/src/lacewingcourse/entry/rollout.py
@@ -8,15 +8,15 @@
 import attrs
 from tornado.httpclient import HTTPRequest
 
+from lacewingcourse.backing.instances import InstanceState
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.daemon.daemon import Readiness
-from lacewingcourse.platform.instances import InstanceState
 from lacewingcourse.wire.client import NO_ANSWER, fetch
 from lacewingcourse.wire.codec import decode
 
 if TYPE_CHECKING:
+    from lacewingcourse.backing.instances import Instance
     from lacewingcourse.entry.application import Entry
-    from lacewingcourse.platform.instances import Instance
 
 #: Instances that are asked at a time.
 PARALLEL = 50
--- a/packages/entry/tests/test_burn_log.py
+++ b/packages/entry/tests/test_burn_log.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from lacewingcourse.backing.log import LogPage, LogRecord
 from lacewingcourse.core.burn_ends import RequestEnd, Result
 from lacewingcourse.core.burn_fleet import FleetMerge
 from lacewingcourse.core.burn_history import SummaryWriter
@@ -15,7 +16,6 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.entry import burn_log
 from lacewingcourse.entry.burn_log import BurnLog
-from lacewingcourse.platform.log import LogPage, LogRecord
 
 LOST = Refusal(ErrorKind.LOG_UNAVAILABLE, "answer lost", Outcome.UNKNOWN)
 NOW = 1_000_000.0
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -44,8 +44,6 @@
     )
     from lacewingcourse.relay.settings import RelaySettings
 
-#: Path of the question after readiness.
-READY_PATH = "/-/readyz"
 #: Seconds between two rounds of housekeeping.
 HOUSEKEEPING_PERIOD = 0.25
 #: Seconds between two looks at the settings file, which changes without a signal too.
@@ -157,7 +155,9 @@
         self.front = HTTPServer(
             self.callers, idle_connection_timeout=FIRST_IDLE_TIMEOUT
         )
-        self.ready = HTTPServer(SmallServer({("GET", READY_PATH): self._on_ready}))
+        self.ready = HTTPServer(
+            SmallServer({("GET", self.settings.ready_path): self._on_ready})
+        )
         self.configuration = ConfigurationFollower(
             self.platform.configuration,
             self.beliefs,
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/explain.py
@@ -0,0 +1,109 @@
+"""The command `explain`: the story of one request from the entries' log lines."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import orjson
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+#: Seconds before a request's first line in which changes of belief are told with it.
+BELIEFS_BEFORE = 3.0
+#: Events that tell of a change of what an entry believes.
+BELIEF_EVENTS = frozenset(
+    {"configuration", "configuration_source_lost", "configuration_source_regained"}
+    | {"directory_lost", "directory_regained", "endpoint_gone", "endpoint_lapsed"}
+    | {"suspected", "duty_taken", "order", "leaving", "started", "reloaded"}
+)
+#: Fields that every line has and the story need not repeat.
+PLAIN_FIELDS = frozenset({"time", "level", "event", "process", "request"})
+#: Exit code for an identifier without any line.
+UNKNOWN_REQUEST = 1
+
+
+class ExplainCommand(Command):
+    """Prints what the log files of several entries tell of one request."""
+
+    name = "explain"
+    description = "Print the story of one request from the entries' log files"
+    arguments = [
+        argument("request", "identifier of the request"),
+        argument("files", "log files of entries", multiple=True),
+    ]
+
+    def handle(self) -> int:
+        lines = read_lines(self.argument("files"))
+        told = story_of(self.argument("request"), lines)
+        if not told:
+            self.line_error(f"no line tells of {self.argument('request')!r}")
+            return UNKNOWN_REQUEST
+        for line in told:
+            self.line(line)
+        return 0
+
+
+def read_lines(files: Iterable[str]) -> list[dict[str, Any]]:
+    """Return the log lines of files in order of time.
+
+    A line may stand behind other text, such as a prefix of whatever collected it;
+    lines that are no log lines are passed over.
+    """
+    lines = []
+    for name in files:
+        for line in Path(name).read_bytes().splitlines():
+            found = _decode(line)
+            if found is not None:
+                lines.append(found)
+    return sorted(lines, key=lambda line: line["time"])
+
+
+def story_of(request: str, lines: list[dict[str, Any]]) -> list[str]:
+    """Return the lines of a request, with the beliefs that came before or meanwhile.
+
+    Args:
+        request: Its identifier.
+        lines: Log lines in order of time.
+    """
+    own = [line for line in lines if line.get("request") == request]
+    if not own:
+        return []
+    first = own[0]["time"] - own[0].get("took_ms", 0.0) / 1000
+    since, until = first - BELIEFS_BEFORE, own[-1]["time"]
+    entries = {line["process"] for line in own}
+    told = [
+        line
+        for line in lines
+        if line.get("request") == request
+        or line["event"] in BELIEF_EVENTS
+        and line["process"] in entries
+        and since <= line["time"] <= until
+    ]
+    return [_shown(line, first) for line in told]
+
+
+def _decode(line: bytes) -> dict[str, Any] | None:
+    """Return a log line, None if it is none."""
+    start = line.find(b'{"time":')
+    if start < 0:
+        return None
+    try:
+        found = orjson.loads(line[start:])
+    except orjson.JSONDecodeError:
+        return None
+    return found if "event" in found and "process" in found else None
+
+
+def _shown(line: dict[str, Any], first: float) -> str:
+    """Return a line as people read it, with milliseconds since the request came."""
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in PLAIN_FIELDS and value not in (None, "", [])
+    )
+    passed = (line["time"] - first) * 1000
+    return f"{passed:+10.1f} ms  {line['process']}  {line['event']}  {fields}"
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -39,6 +39,7 @@
         zone: Its availability zone.
         front: IP address and port for callers.
         ready: IP address and port for questions after readiness.
+        ready_path: Path of these questions.
         peers: IP address and port for other entries, empty for none.
         metrics: IP address and port of the metrics, empty for none.
         seeds: Addresses of other entries that may be asked first.
@@ -49,6 +50,7 @@
     zone: str
     front: str
     ready: str
+    ready_path: str
     peers: str
     metrics: str
     seeds: tuple[str, ...]
--- a/packages/testing/src/lacewingcourse/testing/deployment.py
+++ b/packages/testing/src/lacewingcourse/testing/deployment.py
@@ -14,13 +14,13 @@
 
 import attrs
 
+from lacewingcourse.backing.instances import Instance, InstanceRole, InstanceState
 from lacewingcourse.core.configuration import (
     Change,
     Model,
     Organisation,
     Service,
 )
-from lacewingcourse.platform.instances import Instance, InstanceRole, InstanceState
 from lacewingcourse.testing.layout import (
     ZONES,
     EndpointPlan,
--- a/packages/testing/src/lacewingcourse/testing/standins/instances.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/instances.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lacewingcourse.platform.instances import Instance, InstanceListing
+from lacewingcourse.backing.instances import Instance, InstanceListing
 from lacewingcourse.testing.standins.server import StandinHandler
 
 
--- a/packages/testing/src/lacewingcourse/testing/standins/log.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/log.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lacewingcourse.platform.log import Append, Appended, LogPage, LogRecord
+from lacewingcourse.backing.log import Append, Appended, LogPage, LogRecord
 from lacewingcourse.testing.standins.server import StandinHandler
 from lacewingcourse.wire.codec import encode
 
--- a/packages/testing/src/lacewingcourse/testing/standins/orders.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/orders.py
@@ -8,9 +8,9 @@
 import attrs
 
 from lacewingcourse.agent.engine import EngineOrder, EngineOrderReply
+from lacewingcourse.backing.weights import WeightStoreClient
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.registry import Registry
-from lacewingcourse.platform.weights import WeightStoreClient
 from lacewingcourse.testing.standins.server import StandinHandler
 
 if TYPE_CHECKING:
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from lacewingcourse.platform.instances import InstanceState
+from lacewingcourse.backing.instances import InstanceState
 from lacewingcourse.testing.caller import complete
 from lacewingcourse.testing.deployment import MODEL, Deployment, DeploymentOptions
 from lacewingcourse.testing.processes import wait_until
--- a/tests/integration/test_membership.py
+++ b/tests/integration/test_membership.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lacewingcourse.platform.instances import InstanceState
+from lacewingcourse.backing.instances import InstanceState
 from lacewingcourse.testing.caller import complete
 from lacewingcourse.testing.deployment import MODEL
 from lacewingcourse.testing.processes import wait_until
--- a/tests/integration/test_placement.py
+++ b/tests/integration/test_placement.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from lacewingcourse.backing.instances import InstanceState
 from lacewingcourse.core.configuration import Change, Model
-from lacewingcourse.platform.instances import InstanceState
 from lacewingcourse.testing.caller import complete
 from lacewingcourse.testing.deployment import MODEL
 from lacewingcourse.testing.processes import answers, wait_until
--- /dev/null
+++ b/tests/test_tools.py
@@ -0,0 +1,38 @@
+"""Tests of the checks that CI runs on the sources."""
+
+from __future__ import annotations
+
+import importlib.util
+from pathlib import Path
+
+TOOLS = Path(__file__).resolve().parent.parent / "tools"
+
+
+def load(name):
+    """Return a tool as a module."""
+    spec = importlib.util.spec_from_file_location(name, TOOLS / f"{name}.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+def test_a_circle_of_imports_is_found():
+    tool = load("check_circles")
+    assert tool.circle_in({"a": {"b"}, "b": {"c"}, "c": {"a"}}) == ["a", "b", "c", "a"]
+    assert tool.circle_in({"a": {"b", "c"}, "b": {"c"}, "c": set()}) == []
+
+
+def test_imports_for_type_hints_count(tmp_path):
+    path = tmp_path / "a.py"
+    path.write_text("if TYPE_CHECKING:\n    from library.b import B\n")
+    assert load("check_circles").imports_of(path, "library") == {"b"}
+
+
+def test_a_name_of_the_platform_is_found(tmp_path):
+    import re
+
+    path = tmp_path / "a.py"
+    path.write_text('x = 1\nheader = "X-Attempt-Id"\n')
+    found = load("check_names").problems(path, re.compile("X-Attempt-Id"))
+    assert len(found) == 1
+    assert ":2:" in found[0]
