Leave entries' addresses in the store; doubt everything after a freeze

Cause: an entry whose seeds are all stale hears nobody, takes the holder of the placing duty for silent and takes the duty over, again and again in turn with the other; and an entry that was suspended would serve by what it knew before. Change: entries append their address to a keyed topic once and look there while they hear nobody; after a suspension of more than half a second (the clock that counts it against the loop's) configuration and directory are read again and the duty is looked up anew.

--- a/packages/core/src/lacewingcourse/core/pipelines/freshness.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/freshness.py
@@ -32,6 +32,11 @@
         """Note that what is known was the newest at some time."""
         self.confirmed_at = max(self.confirmed_at, at)
 
+    def expire(self) -> None:
+        """Forget when what is known was last confirmed, so that it is read again."""
+        self.confirmed_at = float("-inf")
+        self.next_try = float("-inf")
+
     def failed(self, retry_at: float) -> None:
         """Note a failed read."""
         self.next_try = retry_at
--- a/packages/core/tests/pipelines/test_peers.py
+++ b/packages/core/tests/pipelines/test_peers.py
@@ -74,3 +74,11 @@
     freshness.confirm(10.0)
     freshness.confirm(9.0)
     assert freshness.age(10.0) == 0.0
+
+
+def test_knowledge_from_before_a_freeze_is_read_again():
+    freshness = Freshness(patience=1.0, step=0.1)
+    freshness.confirm(10.0)
+    freshness.failed(retry_at=11.0)
+    freshness.expire()
+    assert freshness.due(3, now=10.1)
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -40,6 +41,7 @@
         EngineReports,
         LeaseStore,
         Orders,
+        PeerRegistry,
         RequestCodec,
     )
     from lacewingcourse.relay.settings import RelaySettings
@@ -53,6 +55,8 @@
 BALANCER_DELAY = 3.2
 #: Seconds of the time for ending that are kept for the end itself.
 END_MARGIN = 0.4
+#: Seconds that this process must have been frozen for to doubt what it knows.
+FREEZE = 0.5
 #: Seconds beyond the callers' idle time for which their connections are kept.
 IDLE_MARGIN = 2.0
 #: Seconds for which connections of callers may stay idle before it is configured.
@@ -69,6 +73,7 @@
         orders: Orders to endpoints.
         reports: What engines tell of themselves.
         leases: Where the holder of the duty of placing is agreed on.
+        registry: Where entries leave their addresses.
         codec: How requests look.
         metrics: Where the entry and the clients of the platform count.
     """
@@ -78,6 +83,7 @@
     orders: Orders
     reports: EngineReports
     leases: LeaseStore
+    registry: PeerRegistry
     codec: RequestCodec
     metrics: Metrics
 
@@ -187,6 +193,7 @@
             self.settings.name,
             self.settings.peers,
             self.settings.seeds,
+            self.platform.registry,
             self.book,
             self.beliefs,
             self.configuration,
@@ -207,6 +214,7 @@
         if self.settings.peers:
             self._listen(self.peer_server, self.settings.peers)
             self._start(self.peers.run())
+            self._start(self.peers.keep_registered())
         if self.settings.metrics:
             self._listen(self.metrics_server, self.settings.metrics)
         self.loop.add_signal_handler(signal.SIGTERM, self._on_term)
@@ -280,8 +288,12 @@
         params.max_body_size = limits.body_bytes
 
     async def _keep_house(self) -> None:
+        asleep = _asleep(self.clock())
         while True:
             now = self.clock()
+            slept, asleep = _asleep(now) - asleep, _asleep(now)
+            if slept > FREEZE:
+                self._on_thaw(slept)
             self.pool.expire(now)
             for peer in self.beliefs.loads.expire(now):
                 self.beliefs.pipes.forget(peer)
@@ -290,6 +302,13 @@
             self.budget.entries = max(len(self.book.peers) + 1, self.budget.entries)
             await asyncio.sleep(HOUSEKEEPING_PERIOD)
 
+    def _on_thaw(self, slept: float) -> None:
+        """Trust nothing that was learned before this process was frozen."""
+        self.log.belief("thawed", slept_ms=round(slept * 1000))
+        self.configuration.freshness.expire()
+        self.directory.freshness.expire()
+        self.placement.lease = None
+
     def _on_term(self) -> None:
         if self.readiness.leaving:
             return
@@ -332,3 +351,11 @@
                 break
             await asyncio.sleep(0.05)
         self.ended.set()
+
+
+def _asleep(now: float) -> float:
+    """Return the seconds that the loop's clock did not count, up to a constant.
+
+    The loop's clock stands still while the machine is suspended; this one does not.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - now
--- a/packages/relay/src/lacewingcourse/relay/peers.py
+++ b/packages/relay/src/lacewingcourse/relay/peers.py
@@ -16,6 +16,7 @@
     encode,
     loads_of,
 )
+from lacewingcourse.relay.ports import Unavailable
 from lacewingcourse.relay.small_server import Question, Reply
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
     from lacewingcourse.relay.placement_duty import PlacementDuty
+    from lacewingcourse.relay.ports import PeerRegistry
     from lacewingcourse.relay.readiness import Readiness
 
 #: Seconds between two rounds. Loads that are older mislead: in a round an entry of
@@ -34,6 +36,8 @@
 #: Seconds in which another entry must answer. Well above a round trip and below what
 #: makes an entry look silent.
 TIMEOUT = 0.6
+#: Seconds between two looks at the registry while no other entry is heard.
+REGISTRY_PERIOD = 2.0
 #: Exchanges with other entries that may be under way at once.
 MOST_EXCHANGES = 24
 #: Path of news.
@@ -52,6 +56,7 @@
         name: Name of this entry.
         address: Its address for entries.
         seeds: Addresses of entries that may be asked before any is known.
+        registry: Where entries leave their addresses.
         book: The other entries.
         beliefs: What this entry believes.
         configuration: Follows the configuration.
@@ -68,6 +73,7 @@
     name: str
     address: str
     seeds: tuple[str, ...]
+    registry: PeerRegistry
     book: PeerBook
     beliefs: Beliefs
     configuration: ConfigurationFollower
@@ -107,6 +113,28 @@
                 pass
             self.wake.clear()
 
+    async def keep_registered(self) -> None:
+        """Leave this entry's address, and look for others while none is heard.
+
+        Seeds may be stale, and an entry that hears nobody would take every duty.
+        """
+        announced = False
+        while True:
+            if not announced:
+                failed = await self.registry.announce(self.name, self.address)
+                announced = failed is None
+            if len(self.book.alive(self.clock())) == 1:
+                await self._look_up()
+            await asyncio.sleep(REGISTRY_PERIOD)
+
+    async def _look_up(self) -> None:
+        found = await self.registry.listed()
+        if isinstance(found, Unavailable):
+            return
+        now = self.clock()
+        for name, address in found.items():
+            self.book.learn(name, address, now)
+
     def tell_now(self) -> None:
         """Tell the others at once, since something changed that binds them."""
         self.wake.set()
@@ -186,9 +214,9 @@
     def take(self, news: PeerNews) -> None:
         """Learn from another entry."""
         now = self.clock()
-        was_silent = self.book.is_silent(news.name, 1.0, now)
+        was_alive = news.name in self.book.alive(now)
         self.book.hear(news.name, news.address, news.leaving, now)
-        if was_silent:
+        if not was_alive and not news.leaving:
             self.log.belief("peer_heard", peer=news.name, address=news.address)
         for name, address in news.peers.items():
             if name not in self.book.peers:
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -268,3 +268,13 @@
         self, holder: str, after: Lease | None
     ) -> Lease | None | Unavailable:
         """Take the duty unless somebody else took it after a given holder."""
+
+
+class PeerRegistry(Protocol):
+    """Where entries leave their addresses for one another."""
+
+    async def announce(self, name: str, address: str) -> Unavailable | None:
+        """Leave the address of an entry; return why that failed."""
+
+    async def listed(self) -> dict[str, str] | Unavailable:
+        """Return the addresses of entries by name, gone ones among them."""
