Do not write to a caller's connection that has been closed

Change: nothing is written to a closed connection. Test: a request on a kept connection of a leaving entry, which failed first.

--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -107,7 +107,7 @@
             self.connection.finish()
         except StreamClosedError:
             return
-        if self._closes and stream is not None:
+        if self._closes and stream is not None and not stream.closed():
             pending = stream.write(b"")
             pending.add_done_callback(lambda future: _close(stream, future))
 
