--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -85,7 +85,6 @@
                 if unsent >= MOST_NOT_SENT:
                     return job.failure(ErrorKind.NO_ROUTE, CALL_RETRY_AFTER)
                 continue
-            job.sends += 1
             job.avoid.add(endpoint.id)
             if isinstance(result, WholeAnswer):
                 if result.head.status < SERVER_ERROR or not self._again(job):
@@ -124,6 +123,7 @@
             sent = await self.sender.send(job.request, sending, fresh)
             if isinstance(sent, NotSent):
                 return sent
+            job.sends += 1
             job.current = sent.exchange
             age = now - self.beliefs.fleet.known_at
             self.log.sent(job, endpoint.id, age, 0.0)
@@ -137,14 +137,14 @@
 
     def _until(self, job: Job, now: float) -> float:
         """Return until when one endpoint is waited for."""
-        if not job.route.repeat.may_repeat or not self._again(job, upcoming=1):
+        if not job.route.repeat.may_repeat or not self._again(job):
             return job.until
         patience = max(0.1, PATIENCE_OBJECTIVES * job.route.objective)
         return min(job.until, now + patience)
 
-    def _again(self, job: Job, upcoming: int = 0) -> bool:
+    def _again(self, job: Job) -> bool:
         """Tell whether another endpoint may be tried."""
-        if job.sends + upcoming >= job.route.most_attempts:
+        if job.sends >= job.route.most_attempts:
             return False
         repeatable = job.route.repeat.may_repeat
         return repeatable or job.worst is not SendOutcome.MAY_HAVE_RUN
--- a/tests/test_prometheus_rules.py
+++ b/tests/test_prometheus_rules.py
@@ -11,6 +11,7 @@
 from lacewingcourse.agent.metrics import AgentMetrics
 from lacewingcourse.core.burn_report import ALARM_WINDOWS, FAST_RATE, MIN_SPENT
 from lacewingcourse.entry.metrics import EntryMetrics
+from lacewingcourse.relay.metrics import Metrics as RelayMetrics
 
 RULES = Path(__file__).parents[1] / "ops" / "prometheus"
 SUFFIXES = {
@@ -21,9 +22,9 @@
 
 
 def known_metrics() -> set[str]:
-    """Return the names of all samples of both daemons."""
+    """Return the names of all samples of the daemons."""
     names = set()
-    for metrics in (EntryMetrics(), AgentMetrics()):
+    for metrics in (EntryMetrics(), AgentMetrics(), RelayMetrics()):
         for family in metrics.registry.collect():
             names.update(family.name + suffix for suffix in SUFFIXES[family.type])
     return names
@@ -35,7 +36,9 @@
     return [rule for group in document["groups"] for rule in group["rules"]]
 
 
-@pytest.mark.parametrize("name", ["recording.rules.yml", "alerting.rules.yml"])
+@pytest.mark.parametrize(
+    "name", ["recording.rules.yml", "alerting.rules.yml", "relay.rules.yml"]
+)
 def test_rules_name_only_metrics_that_exist(name):
     recorded = {rule["record"] for rule in rules_of("recording.rules.yml")}
     rules = rules_of(name)
