Pass events on without a switch of tasks; keep a duty whose holder a peer named

Cause: (1) while entries restart in turn, up to four of five are leaving and the fifth carries all streams; an event cost 0.19 ms of processor, a queue and a switch of tasks among them.

--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -98,16 +98,22 @@
         """Tell whether the duty should be taken, as far as is known here."""
         if self.lease is None:
             return True
-        return self.is_silent(self.lease.holder, HOLDER_SILENT)
+        return not self._is_alive(self.lease.holder)
+
+    def _is_alive(self, holder: str) -> bool:
+        """Tell whether another entry holds the duty and is heard.
+
+        A record with this entry's own name is one of an earlier incarnation.
+        """
+        return holder != self.name and not self.is_silent(holder, HOLDER_SILENT)
 
     async def _take(self) -> None:
         found = await self.store.current()
         if isinstance(found, Unavailable):
             return
-        if found != self.lease and found is not None:
+        if found is not None and self._is_alive(found.holder):
             self.lease = found
-            if not self.held and not self.is_silent(found.holder, HOLDER_SILENT):
-                return
+            return
         taken = await self.store.take(self.name, found)
         if isinstance(taken, Lease):
             self.lease = taken
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -123,5 +123,5 @@
         job = self.jobs[watched]
         if job.may_move and job.current is not None:
             job.avoid.update(endpoints)
-            job.current.arrivals.put_nowait(Stalled())
+            job.current.arrivals.put_nowait(Stalled(known=True))
             self.end(job)
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -193,8 +194,7 @@
             until = job.until
             if job.may_move:
                 until = min(until, state.progressed_at + SILENCE_PATIENCE)
-            now = self.sender.clock()
-            arrival = await next_arrival(exchange, until, now)
+            arrival = await next_arrival(exchange, until, self.sender.clock())
             if isinstance(arrival, Head):
                 head = self.sender.codec.head(
                     arrival.status, arrival.headers, job.request
@@ -204,9 +204,24 @@
                 if state.head is None:
                     state.head = head
             elif isinstance(arrival, Data):
-                self._pass_on(job, state, state.cutter.feed(arrival.data))
-            else:
+                self._take(job, state, arrival.data)
+            elif not self._has_moved_on(job, state, arrival, until):
                 return self._ended(job, sent, head, state, arrival)
+            if head is not None and exchange.arrivals.empty():
+                exchange.sink = partial(self._take, job, state)
+
+    def _has_moved_on(
+        self, job: Job, state: StreamState, arrival: Arrival, until: float
+    ) -> bool:
+        """Tell whether a wait ran out although events went past it meanwhile."""
+        if not isinstance(arrival, Stalled) or arrival.known:
+            return False
+        moved = state.progressed_at + SILENCE_PATIENCE > until
+        return moved and self.sender.clock() < job.until
+
+    def _take(self, job: Job, state: StreamState, data: bytes) -> None:
+        """Take bytes of a stream, and pass on the events that are whole."""
+        self._pass_on(job, state, state.cutter.feed(data))
 
     def _pass_on(self, job: Job, state: StreamState, events: bytes) -> None:
         """Write whole events to the caller."""
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -79,7 +79,13 @@
 
 @attrs.frozen
 class Stalled:
-    """Nothing arrived for too long."""
+    """Nothing arrived for too long.
+
+    Attributes:
+        known: Whether an endpoint on the path is known to be the cause.
+    """
+
+    known: bool = False
 
 
 @attrs.frozen
@@ -208,6 +214,9 @@
         connection: Connection that carries it.
         arrivals: What arrived and was not taken yet.
         complete: Whether an answer was read to its end.
+        sink: Takes bytes of the body as they arrive, None to put them into
+            `arrivals`. A stream's events go through it without a switch of tasks,
+            which saves a fifth of an entry's processor time.
     """
 
     def __init__(
@@ -218,6 +227,7 @@
         self.connection = connection
         self.arrivals: asyncio.Queue[Arrival] = asyncio.Queue()
         self.complete = False
+        self.sink: Callable[[bytes], None] | None = None
         self._is_ours = is_ours
         self._skipping = False
         self._until_close = False
@@ -268,7 +278,11 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Take bytes of the body."""
-        if not self._skipping:
+        if self._skipping:
+            return
+        if self.sink is not None:
+            self.sink(chunk)
+        else:
             self.arrivals.put_nowait(Data(chunk))
 
     def finish(self) -> None:
