Let broken streams wait for a path as long as their callers bear

A stream whose run was cut waited 100 ms for room and was then cut off; the fleet had room soon after. Change: such a stream waits until 1.6 s after its last event, and may take all of the memory of a path; new requests leave a tenth. Tests: test_admission (a stream that broke waits as long as its caller bears; fails without the change), test_choice.

--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -23,6 +23,8 @@
 #: than their estimate about as often as shorter, and one that outgrows the memory
 #: stops the newest request, so some is left.
 ROOM_SHARE = 0.9
+#: The same for a stream whose caller already reads it: cut, it is worth nothing.
+CONTINUED_ROOM_SHARE = 1.0
 #: How many times as dear a path is for each pipe between zones that it takes.
 CROSSING_FACTOR = 1.4
 #: How much worse than the best a path may look to be drawn among the best ones.
@@ -76,6 +78,7 @@
         avoid: Collection[str],
         rng: Random,
         now: float,
+        share: float = ROOM_SHARE,
     ) -> Path | Refusal:
         """Return the path for a request, or why there is none.
 
@@ -85,11 +88,12 @@
             avoid: Endpoints that must not be used.
             rng: Source of the draw among equally good paths.
             now: Present time in seconds.
+            share: Share of an endpoint's memory that may be taken.
         """
         usable = [path for path in paths if not (avoid and path.uses(avoid))]
         if not usable:
             return Refusal(ErrorKind.NO_ROUTE, "no path holds every layer")
-        fitting = [path for path in usable if self.fits(path, demand, now)]
+        fitting = [path for path in usable if self.fits(path, demand, now, share)]
         if not fitting:
             return Refusal(ErrorKind.OVERLOADED, "no path has memory for the request")
         scored = [(self.cost(path, demand, now), path) for path in fitting]
@@ -97,7 +101,9 @@
         near = [path for score, path in scored if score <= best * NEAR_BEST]
         return rng.choice(near)
 
-    def fits(self, path: Path, demand: Demand, now: float) -> bool:
+    def fits(
+        self, path: Path, demand: Demand, now: float, share: float = ROOM_SHARE
+    ) -> bool:
         """Tell whether parts have memory, the first one a slot, and pipes time."""
         transfer = self.shape.transfer_seconds(demand.prompt)
         for pair in path.crossings:
@@ -105,7 +111,7 @@
                 return False
         if self.loads.of(path.first.endpoint).leading >= self.shape.slots:
             return False
-        return all(self._fits_part(part, demand) for part in path.parts)
+        return all(self._filled(part, demand) <= share for part in path.parts)
 
     def cost(self, path: Path, demand: Demand, now: float) -> float:
         """Return the predicted time, raised as memory and pipes fill.
@@ -135,9 +141,6 @@
             total += self.shape.read_time(accelerator, span, demand.prompt)
         return total + path.token_ms
 
-    def _fits_part(self, part: Part, demand: Demand) -> bool:
-        return self._filled(part, demand) <= ROOM_SHARE
-
     def _filled(self, part: Part, demand: Demand) -> float:
         """Return the share of a part's memory that is taken with a request in it."""
         endpoint = self.endpoints.get(part.endpoint)
--- a/packages/core/src/lacewingcourse/core/pipelines/waiting.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/waiting.py
@@ -11,6 +11,9 @@
 #: Objectives for which a request waits at the most. It is late then, but is served
 #: rather than refused; callers give a silent entry up after four objectives.
 MOST_OBJECTIVES = 2.0
+#: Seconds after its last event for which a stream that broke waits for a path. Its
+#: caller leaves after two seconds of silence; late, it is still worth a quarter.
+CONTINUED_WAIT = 1.6
 
 
 @attrs.define(eq=False)
--- a/packages/core/tests/pipelines/test_choice.py
+++ b/packages/core/tests/pipelines/test_choice.py
@@ -6,6 +6,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.pipelines.choice import (
+    CONTINUED_ROOM_SHARE,
     ROOM_SHARE,
     Demand,
     PathChooser,
@@ -47,6 +48,14 @@
     assert len(taken) > 100
 
 
+def test_a_stream_that_its_caller_reads_gets_room_that_others_do_not(fleet, shape, rng):
+    chooser = chooser_of(fleet, shape)
+    paths = candidate_paths(fleet, shape)
+    filled(chooser, paths, rng)
+    found = chooser.choose(paths, DEMAND, (), rng, 0.0, CONTINUED_ROOM_SHARE)
+    assert not isinstance(found, Refusal)
+
+
 def test_requests_spread_over_many_endpoints_before_one_is_full(fleet, shape, rng):
     chooser = chooser_of(fleet, shape)
     paths = candidate_paths(fleet, shape)
--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.pipelines.waiting import (
+    CONTINUED_WAIT,
     MOST_OBJECTIVES,
     ORDERED_SHARE,
     Waiting,
@@ -74,7 +75,7 @@
         objective = job.route.objective
         received = job.request.received_at
         if job.caller.begun:
-            ordered = until = now + ORDERED_SHARE * job.route.gap
+            ordered = until = job.progressed_at + CONTINUED_WAIT
         else:
             ordered = received + ORDERED_SHARE * objective
             until = received + MOST_OBJECTIVES * objective
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -9,7 +9,11 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.pipelines.choice import Demand
+from lacewingcourse.core.pipelines.choice import (
+    CONTINUED_ROOM_SHARE,
+    ROOM_SHARE,
+    Demand,
+)
 from lacewingcourse.core.pipelines.events import EventCutter
 from lacewingcourse.core.pipelines.path import Path
 from lacewingcourse.relay.ports import AnswerHead, Standing
@@ -155,7 +159,8 @@
         now = self.sender.clock()
         paths = self.beliefs.paths(job.service, shape, now)
         chooser = self.beliefs.chooser(shape)
-        return chooser.choose(paths, demand, job.avoid, self.rng, now)
+        share = CONTINUED_ROOM_SHARE if job.caller.begun else ROOM_SHARE
+        return chooser.choose(paths, demand, job.avoid, self.rng, now, share)
 
     async def _run(
         self, job: Job, path: Path, demand: Demand, state: StreamState, now: float
--- /dev/null
+++ b/packages/relay/tests/test_admission.py
@@ -0,0 +1,74 @@
+"""Tests of how long requests wait for a path."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.choice import Demand
+from lacewingcourse.core.pipelines.waiting import CONTINUED_WAIT, MOST_OBJECTIVES
+from lacewingcourse.relay.admission import Admission
+
+FULL = Refusal(ErrorKind.OVERLOADED, "no room")
+DEMAND = Demand(700, 200)
+
+
+def make_job(begun: bool):
+    """Return what admission needs of a request that came at 100."""
+    return SimpleNamespace(
+        request=SimpleNamespace(received_at=100.0),
+        route=SimpleNamespace(objective=0.5, gap=0.2),
+        caller=SimpleNamespace(begun=begun, gone=False),
+        urgency=1,
+        until=120.0,
+        progressed_at=103.0,
+    )
+
+
+class Time:
+    """A clock that a test moves."""
+
+    def __init__(self, now: float) -> None:
+        self.now = now
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def waits_until(job, start, monkeypatch):
+    """Return when a request stops to wait for room that never comes."""
+    clock = Time(start)
+
+    async def sleep(seconds):
+        clock.now += seconds
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    found = asyncio.run(Admission(clock).path_for(job, DEMAND, lambda: FULL))
+    assert found is FULL
+    return clock.now
+
+
+def test_a_new_request_waits_two_objectives(monkeypatch):
+    until = waits_until(make_job(begun=False), 100.0, monkeypatch)
+    assert abs(until - (100.0 + 0.5 * MOST_OBJECTIVES)) < 0.01
+
+
+def test_a_stream_that_broke_waits_as_long_as_its_caller_bears(monkeypatch):
+    """Cut after half the allowed pause, it was lost although room came later."""
+    until = waits_until(make_job(begun=True), 103.1, monkeypatch)
+    assert abs(until - (103.0 + CONTINUED_WAIT)) < 0.01
+
+
+def test_room_that_comes_is_taken(monkeypatch):
+    found = iter([FULL, FULL, "path"])
+
+    async def sleep(seconds):
+        pass
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    admission = Admission(Time(100.0))
+    job = make_job(begun=False)
+    path = asyncio.run(admission.path_for(job, DEMAND, lambda: next(found)))
+    assert path == "path"
+    assert admission.room.members == []
