Drop what nothing reads; ask the store before orders where fencing is not checked

Change: unused fields are gone, the guard for overgrown events is used, the store is asked before each plan where fencing is not checked. Tests: test_placement_duty (without fencing), test_settings.

--- a/packages/core/src/lacewingcourse/core/pipelines/layout.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/layout.py
@@ -11,10 +11,10 @@
 from lacewingcourse.core.pipelines.shape import MEGABYTE, Layers
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
-    from lacewingcourse.core.pipelines.shape import EngineShape
+    from lacewingcourse.core.pipelines.shape import Accelerator, EngineShape
 
 #: Usual requests for which every copy of the model keeps memory at the least. Below
 #: that a copy is full while its accelerators idle.
@@ -55,16 +55,7 @@
 
 def token_capacity(endpoints: Iterable[Endpoint], shape: EngineShape) -> list[float]:
     """Return for each layer how many tokens its holders have memory for."""
-    capacity = [0.0] * shape.layers
-    for endpoint in endpoints:
-        if endpoint.layers is None or not len(endpoint.layers):
-            continue
-        held = len(endpoint.layers)
-        accelerator = shape.accelerators[endpoint.accelerator]
-        tokens = shape.room(accelerator, held) / held
-        for layer in range(endpoint.layers.start, endpoint.layers.end):
-            capacity[layer] += tokens
-    return capacity
+    return _sum_by_layer(endpoints, shape, lambda accelerator: 1.0)
 
 
 def layer_strength(endpoints: Iterable[Endpoint], shape: EngineShape) -> list[float]:
@@ -73,16 +64,25 @@
     Memory on a slow accelerator serves fewer tokens in a second: requests stay in it
     for longer.
     """
-    strength = [0.0] * shape.layers
+    return _sum_by_layer(endpoints, shape, lambda a: 1.0 / a.step_factor)
+
+
+def _sum_by_layer(
+    endpoints: Iterable[Endpoint],
+    shape: EngineShape,
+    weight: Callable[[Accelerator], float],
+) -> list[float]:
+    """Return for each layer the tokens that its holders have memory for, weighted."""
+    total = [0.0] * shape.layers
     for endpoint in endpoints:
         if endpoint.layers is None or not len(endpoint.layers):
             continue
         held = len(endpoint.layers)
         accelerator = shape.accelerators[endpoint.accelerator]
-        tokens = shape.room(accelerator, held) / held
+        tokens = shape.room(accelerator, held) / held * weight(accelerator)
         for layer in range(endpoint.layers.start, endpoint.layers.end):
-            strength[layer] += tokens / accelerator.step_factor
-    return strength
+            total[layer] += tokens
+    return total
 
 
 def plan_layout(endpoints: list[Endpoint], shape: EngineShape) -> list[Assignment]:
--- a/packages/core/src/lacewingcourse/core/pipelines/shape.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/shape.py
@@ -61,10 +61,8 @@
         sequence_ms: Milliseconds a step takes longer for each request that writes.
         context_ms: Milliseconds it takes longer for each 1,000 tokens of context.
         read_tokens_per_ms: Prompt tokens read in a millisecond.
-        stride: Steps that a pass runs.
         slots: Requests that an engine takes as the first of a path.
         load_seconds: Seconds in which all layers are loaded.
-        loads_at_once: Loads that the weight store serves at full speed.
         activation_bytes: Bytes that pass from part to part for each token.
         pipe_mbps: Megabits a second between two availability zones.
         usual_prompt: Mean prompt in tokens.
@@ -80,10 +78,8 @@
     sequence_ms: float
     context_ms: float
     read_tokens_per_ms: float
-    stride: int
     slots: int
     load_seconds: float
-    loads_at_once: int
     activation_bytes: float
     pipe_mbps: float
     usual_prompt: int
--- a/packages/core/src/lacewingcourse/core/pipelines/suspects.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/suspects.py
@@ -62,10 +62,6 @@
         if known is None or known.until < now:
             self.members[endpoint] = Suspicion(until, 1, now, "told by a peer", False)
 
-    def clear(self, endpoint: str) -> None:
-        """Forget an endpoint, since it did well."""
-        self.members.pop(endpoint, None)
-
     def excluded(self, now: float) -> set[str]:
         """Return the endpoints that are left out."""
         return {name for name, found in self.members.items() if found.until > now}
--- a/packages/core/tests/pipelines/test_suspects.py
+++ b/packages/core/tests/pipelines/test_suspects.py
@@ -24,10 +24,3 @@
     suspects.from_peer("a", 1.5, now=0.0)
     assert suspects.excluded(1.0) == {"a"}
     assert suspects.own_remaining(1.0) == {}
-
-
-def test_a_success_clears_an_endpoint():
-    suspects = Suspects()
-    suspects.suspect("a", "reset", now=0.0)
-    suspects.clear("a")
-    assert suspects.excluded(0.1) == set()
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -187,6 +187,7 @@
             self.beliefs,
             self.log,
             self.clock,
+            self.settings.bounds.fencing_checked,
             lambda holder, s: self.book.is_silent(holder, s, self.clock()),
         )
         self.peers = PeerExchange(
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -120,10 +120,9 @@
         organisation = table.organisation(route, request.key)
         if isinstance(organisation, Refusal):
             return organisation
-        until = request.received_at + route.timeout
-        deadline = until
+        patience = route.timeout
         if request.patience is not None:
-            deadline = request.received_at + request.patience
+            patience = min(patience, request.patience)
         return Job(
             request=request,
             route=route,
@@ -131,8 +130,7 @@
             organisation=organisation,
             caller=caller,
             strip_key=table.keys is not None,
-            deadline=deadline,
-            until=min(until, deadline),
+            until=request.received_at + patience,
         )
 
     async def _forward(self, job: Job) -> Refusal | None:
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -33,7 +33,6 @@
         organisation: Whom it belongs to.
         caller: The connection that its answer goes to.
         strip_key: Whether the caller's key stops here.
-        deadline: Time until which the caller waits, seconds.
         until: Time at which the route's time or the caller's is over, seconds.
         sends: Sends that reached an endpoint.
         worst: The most that may have become of a send so far.
@@ -55,7 +54,6 @@
     organisation: Organisation
     caller: CallerExchange
     strip_key: bool
-    deadline: float
     until: float
     sends: int = 0
     worst: SendOutcome = SendOutcome.NEVER_LEFT
--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -55,6 +55,7 @@
         beliefs: What is believed of the endpoints.
         log: Log of decisions.
         clock: Returns the present time in seconds.
+        fencing_checked: Whether endpoints refuse orders of earlier holders.
         is_silent: Tells whether another entry has not been heard for some seconds.
         lease: Who has the duty, None if unknown.
         pending: Orders whose effect has not been seen, by endpoint.
@@ -68,6 +69,7 @@
     beliefs: Beliefs
     log: DecisionLog
     clock: Callable[[], float]
+    fencing_checked: bool
     is_silent: Callable[[str, float], bool]
     lease: Lease | None = None
     pending: dict[str, PendingOrder] = attrs.field(factory=dict)
@@ -149,11 +151,26 @@
         if holds_nothing and now - self.newest_at < SETTLE:
             return
         plan = plan_layout(endpoints, shape)
-        if not plan:
+        if not plan or not await self._may_order():
             return
         results = [self._order(a, shape, now) for a in plan]
         await asyncio.gather(*results)
 
+    async def _may_order(self) -> bool:
+        """Tell whether this entry still has the duty.
+
+        Where endpoints refuse old fencing numbers they find that out themselves;
+        elsewhere the store is asked before each plan.
+        """
+        if self.fencing_checked:
+            return True
+        found = await self.store.current()
+        if found == self.lease:
+            return True
+        if isinstance(found, Lease):
+            self.lease = found
+        return False
+
     def _expected(self, endpoint: Endpoint) -> Endpoint:
         """Return an endpoint as it will be once its order is done."""
         order = self.pending.get(endpoint.id)
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -10,23 +10,17 @@
     """Limits that the deployment promises to its callers.
 
     Attributes:
-        drain_after: Seconds after which a leaving endpoint gets no new work.
         grace: Seconds between the request to end and the end.
-        configuration_within: Seconds in which a version is in force.
         repeat_ratio: Sends beyond the first that are allowed for each request.
         repeat_window: Seconds in which they are counted.
         repeat_slack: Sends beyond the first that are allowed besides.
-        stall: Seconds after which engines cut off work that stands still.
         fencing_checked: Whether endpoints refuse orders with old fencing numbers.
     """
 
-    drain_after: float
     grace: float
-    configuration_within: float
     repeat_ratio: float
     repeat_window: float
     repeat_slack: float
-    stall: float
     fencing_checked: bool
 
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -227,6 +227,8 @@
     def _take(self, job: Job, state: StreamState, data: bytes) -> None:
         """Take bytes of a stream, and pass on the events that are whole."""
         self._pass_on(job, state, state.cutter.feed(data))
+        if state.cutter.overgrown and job.current is not None:
+            job.current.arrivals.put_nowait(End(False, "bytes that are no events"))
 
     def _pass_on(self, job: Job, state: StreamState, events: bytes) -> None:
         """Write whole events to the caller."""
--- a/packages/relay/tests/test_placement_duty.py
+++ b/packages/relay/tests/test_placement_duty.py
@@ -43,6 +43,7 @@
             Beliefs(),
             log,
             lambda: 0.0,
+            False,
             lambda holder, seconds: holder in silent,
         )
 
@@ -94,3 +95,20 @@
     duty.hear("other", 5)
     duty.hear("older", 4)
     assert duty.lease == Lease("other", 5)
+
+
+def test_without_fencing_the_store_is_asked_before_orders(make_duty):
+    store = Leases(Lease("me", 3))
+    duty = make_duty(store)
+    duty.lease = Lease("me", 3)
+    assert asyncio.run(duty._may_order())
+    store.holder = Lease("other", 4)
+    assert not asyncio.run(duty._may_order())
+    assert duty.lease == Lease("other", 4)
+
+
+def test_without_fencing_nothing_is_ordered_while_the_store_is_away(make_duty):
+    duty = make_duty(Leases(Unavailable("refused")))
+    duty.lease = Lease("me", 3)
+    assert not asyncio.run(duty._may_order())
+    assert duty.held
