--- /dev/null
+++ b/packages/bench/tests/test_pipelines.py
@@ -0,0 +1,52 @@
+"""Tests that play loads against the decisions over pipelines."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import attrs
+import pytest
+
+from lacewingcourse.bench.pipeline_fleets import Loss, read_plan
+from lacewingcourse.bench.pipeline_play import Play
+from lacewingcourse.bench.pipelines import bound_of
+
+FLEET = Path(__file__).resolve().parents[3] / "deploy/fleets/three-halls.toml"
+
+
+@pytest.fixture(scope="module")
+def plan():
+    """A fleet of 33 endpoints in three availability zones."""
+    return read_plan(FLEET)
+
+
+def play(plan, choice, level, seconds=3.0):
+    """Play a load that is a multiple of the fleet's bound."""
+    return Play(plan, choice, level * bound_of(plan), seconds, seed=5).run()
+
+
+def test_below_the_bound_all_are_served_in_time(plan):
+    result = play(plan, "predicted", 0.9)
+    assert result.in_time > 0.98
+    assert result.preempted == 0
+    assert result.worst_organisation > 0.9
+
+
+@pytest.mark.parametrize("baseline", ["least_loaded", "random", "shortest"])
+def test_the_choice_serves_more_in_time_than_baselines(plan, baseline):
+    own = play(plan, "predicted", 0.9)
+    assert own.in_time > 1.1 * play(plan, baseline, 0.9).in_time
+
+
+def test_above_the_bound_what_is_admitted_is_served(plan):
+    result = play(plan, "predicted", 1.5)
+    assert result.preempted < 0.05 * result.asked
+    assert result.in_time > 0.6
+    assert result.largest > 0.5 * (1.0 - result.refused)
+
+
+def test_a_lost_endpoint_costs_only_what_ran_through_it(plan):
+    lost = attrs.evolve(plan, losses=(Loss(1.5, "hall-a-large-0"),))
+    result = play(lost, "predicted", 0.6)
+    assert result.in_time > 0.75
+    assert result.refused < 0.05
