Leave an endpoint without memory to other requests; one rule for sending again

Cause: a rejection that names an endpoint at fault left that endpoint out for all requests of all entries for two seconds, also when it was only short of memory. On a full fleet that takes memory away just when it is scarce.

Ruled out: telling full from dead by the believed fill alone.

Change: 421, or 503 with memory left, leaves out for all; 503 with memory believed taken is avoided by that request alone and asked. The log line of a lost send tells the endpoint at fault and its fill. Job.may_send_again takes the place of two copies of the same rule in calls and streams.

--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -55,6 +55,10 @@
         return self.prompt + self.answer
 
 
+#: What a request needs that does not exist.
+NOTHING = Demand(0, 0)
+
+
 @attrs.define
 class PathChooser:
     """Chooses among candidate paths by predicted time and memory left.
@@ -111,7 +115,7 @@
                 return False
         if self.loads.of(path.first.endpoint).leading >= self.shape.slots:
             return False
-        return all(self._filled(part, demand) <= share for part in path.parts)
+        return all(self.filled(part, demand) <= share for part in path.parts)
 
     def cost(self, path: Path, demand: Demand, now: float) -> float:
         """Return the predicted time, raised as memory and pipes fill.
@@ -121,7 +125,7 @@
         one another on a pipe between zones, so a path over it is taken when those
         within a zone are a good deal fuller.
         """
-        left = 1.0 - max(self._filled(part, demand) for part in path.parts)
+        left = 1.0 - max(self.filled(part, demand) for part in path.parts)
         cost = self.predicted_ms(path, demand) / max(left, LEAST_LEFT)
         for pair in path.crossings:
             free = 1.0 - self.pipes.use(pair, now) / MOST_USE
@@ -141,7 +145,7 @@
             total += self.shape.read_time(accelerator, span, demand.prompt)
         return total + path.token_ms
 
-    def _filled(self, part: Part, demand: Demand) -> float:
+    def filled(self, part: Part, demand: Demand = NOTHING) -> float:
         """Return the share of a part's memory that is taken with a request in it."""
         endpoint = self.endpoints.get(part.endpoint)
         if endpoint is None or endpoint.layers is None:
--- a/packages/core/src/lacewingcourse/core/pipelines/suspects.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/suspects.py
@@ -11,6 +11,26 @@
 LONGEST_EXCLUSION = 8.0
 #: Seconds without a failure after which exclusions start short again.
 FORGIVEN_AFTER = 10.0
+#: Share of its memory from which an endpoint that rejects may just be full. What it
+#: holds is known but for answers that outgrow their estimate and what peers sent just
+#: now: sound ones rejected with 0.65 and more believed to be taken. Dead ones were
+#: seen with up to 0.64, so above it they have to be asked.
+FULL_SHARE = 0.6
+
+
+def is_full(misdirected: bool, filled: float) -> bool:
+    """Tell whether an endpoint that rejected a request may only be short of memory.
+
+    It says the same when it is dead, leaving or giving up its layers. Those hold for
+    every request; a lack of memory is over when the next answer ends, and smaller
+    requests fit meanwhile. To leave such an endpoint out for all pushes its load on
+    the others just when they are full too.
+
+    Args:
+        misdirected: Whether it does not hold the layers that it was asked for.
+        filled: Share of its memory that is believed to be taken.
+    """
+    return not misdirected and filled >= FULL_SHARE
 
 
 @attrs.define
--- a/packages/core/tests/pipelines/test_suspects.py
+++ b/packages/core/tests/pipelines/test_suspects.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from lacewingcourse.core.pipelines.suspects import FIRST_EXCLUSION, Suspects
+import pytest
+
+from lacewingcourse.core.pipelines.suspects import FIRST_EXCLUSION, Suspects, is_full
 
 
 def test_an_endpoint_is_left_out_and_comes_back():
@@ -24,3 +26,12 @@
     suspects.from_peer("a", 1.5, now=0.0)
     assert suspects.excluded(1.0) == {"a"}
     assert suspects.own_remaining(1.0) == {}
+
+
+@pytest.mark.parametrize(
+    ("misdirected", "filled", "full"),
+    [(False, 0.95, True), (False, 0.1, False), (True, 0.95, False)],
+    ids=["full", "dead", "without the layers"],
+)
+def test_only_an_endpoint_without_memory_is_left_to_others(misdirected, filled, full):
+    assert is_full(misdirected, filled) is full
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -87,7 +87,7 @@
                 continue
             job.avoid.add(endpoint.id)
             if isinstance(result, WholeAnswer):
-                if result.head.status < SERVER_ERROR or not self._again(job):
+                if result.head.status < SERVER_ERROR or not job.may_send_again:
                     return result
                 job.note(SendOutcome.ANSWERED, f"status {result.head.status}")
                 last = result
@@ -97,7 +97,7 @@
             if result.connection_lost:
                 now = self.sender.clock()
                 self.beliefs.crashes.strike(job.fingerprint, endpoint.id, now)
-            if job.caller.gone or not self._again(job):
+            if not job.may_send_again:
                 return self._failed(job, result)
 
     def _waits(self, job: Job, now: float) -> bool:
@@ -137,18 +137,11 @@
 
     def _until(self, job: Job, now: float) -> float:
         """Return until when one endpoint is waited for."""
-        if not job.route.repeat.may_repeat or not self._again(job):
+        if not job.route.repeat.may_repeat or not job.may_send_again:
             return job.until
         patience = max(0.1, PATIENCE_OBJECTIVES * job.route.objective)
         return min(job.until, now + patience)
 
-    def _again(self, job: Job) -> bool:
-        """Tell whether another endpoint may be tried."""
-        if job.sends >= job.route.most_attempts:
-            return False
-        repeatable = job.route.repeat.may_repeat
-        return repeatable or job.worst is not SendOutcome.MAY_HAVE_RUN
-
     def _may_repeat(self, job: Job, now: float) -> bool:
         return self.budget.take(job.service, now)
 
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -178,8 +178,23 @@
             version=self.version(),
         )
 
-    def lost(self, job: Job, endpoint: str, reason: str) -> None:
-        """Tell of a send that brought no answer, or of a stream that broke off."""
+    def lost(
+        self,
+        job: Job,
+        endpoint: str,
+        reason: str,
+        fault: str = "",
+        filled: float | None = None,
+    ) -> None:
+        """Tell of a send that brought no answer, or of a stream that broke off.
+
+        Args:
+            job: The request.
+            endpoint: Where it was sent.
+            reason: What happened.
+            fault: Endpoint on its path that was named as at fault, or empty.
+            filled: Share of that one's memory that is believed to be taken.
+        """
         self._line(
             "lost",
             request=job.request.id,
@@ -188,6 +203,8 @@
             outcome=job.worst.value,
             events=job.events,
             reason=reason,
+            fault=fault,
+            filled=None if filled is None else round(filled, 2),
         )
 
     def _line(self, event: str, **fields: Any) -> None:
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -76,11 +76,18 @@
         target = request.target.encode()
         return fingerprint_of(request.host.encode(), target, key, request.body)
 
+    @property
+    def may_send_again(self) -> bool:
+        """Whether it may be sent to another endpoint after what became of it."""
+        if self.sends >= self.route.most_attempts or self.caller.gone:
+            return False
+        repeatable = self.route.repeat.may_repeat
+        return repeatable or self.worst is not SendOutcome.MAY_HAVE_RUN
+
     @property
     def may_move(self) -> bool:
-        """Whether its stream may go on on another path."""
-        left = self.sends < self.route.most_attempts
-        return left and self.route.repeat.may_repeat and not self.caller.gone
+        """Whether its stream may go on on another path while a run is under way."""
+        return self.may_send_again and self.route.repeat.may_repeat
 
     def progress(self, now: float) -> None:
         """Note events that were passed on."""
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -89,13 +89,19 @@
             if watched.path.uses(known):
                 self._move(watched, known)
                 continue
-            first = watched.path.first
-            asked = self.asked.get(first.address, float("-inf"))
-            if first.address in self.asking or now - asked < QUESTION_PERIOD:
-                continue
-            self.asked[first.address] = now
-            self.asking.add(first.address)
-            asyncio.ensure_future(self._ask(first))
+            self.ask(watched.path.first, now)
+
+    def ask(self, first: Part, now: float) -> None:
+        """Ask an endpoint what stands still behind it, unless it was asked just now.
+
+        One that does not answer is taken to be dead itself.
+        """
+        asked = self.asked.get(first.address, float("-inf"))
+        if first.address in self.asking or now - asked < QUESTION_PERIOD:
+            return
+        self.asked[first.address] = now
+        self.asking.add(first.address)
+        asyncio.ensure_future(self._ask(first))
 
     async def _ask(self, first: Part) -> None:
         try:
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -15,7 +15,7 @@
     Demand,
 )
 from lacewingcourse.core.pipelines.events import EventCutter
-from lacewingcourse.core.pipelines.path import Path
+from lacewingcourse.core.pipelines.suspects import is_full
 from lacewingcourse.relay.ports import AnswerHead, Standing
 from lacewingcourse.relay.sending import NotSent, Sender, Sent, next_arrival
 from lacewingcourse.relay.upstream import (
@@ -30,6 +30,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from lacewingcourse.core.pipelines.path import Part, Path
     from lacewingcourse.core.pipelines.repeats import RepeatBudget
     from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.admission import Admission
@@ -45,6 +46,8 @@
 #: make the others busier: with 240 milliseconds, half of a fleet's streams were late
 #: for as long as the load lasted.
 SILENCE_PATIENCE = 1.5
+#: Status with which an endpoint says that it is not the one, or lacks the layers.
+MISDIRECTED = 421
 #: Seconds after which a refused stream is worth trying again, spread so that those
 #: refused together do not return together. A usual answer takes one to two seconds, so
 #: by then most of what fills the paths now has ended.
@@ -70,12 +73,14 @@
         end: How it ended.
         reason: What happened.
         fault_address: Address of the endpoint at fault, or empty.
+        misdirected: Whether that endpoint does not hold what the path names.
         first_lost: Whether the connection to the first part broke.
     """
 
     end: StreamEnd
     reason: str = ""
     fault_address: str = ""
+    misdirected: bool = False
     first_lost: bool = False
 
 
@@ -86,12 +91,12 @@
     Attributes:
         cutter: Cuts bytes into events, and knows the last one passed on.
         head: Head of the first run's answer, None before it.
-        progressed_at: When the last event arrived, seconds.
+        quiet_since: Time since which nothing arrived of the present run, seconds.
     """
 
     cutter: EventCutter
     head: AnswerHead | None = None
-    progressed_at: float = 0.0
+    quiet_since: float = 0.0
 
 
 @attrs.define
@@ -141,10 +146,9 @@
             if result.end in (StreamEnd.WHOLE, StreamEnd.ABANDONED):
                 return None
             self._learn(job, path, result)
-            self.log.lost(job, path.first.endpoint, result.reason)
             if result.end is StreamEnd.OVERDUE:
                 return self._give_up(job, ErrorKind.DEADLINE_EXCEEDED)
-            if not self._again(job):
+            if not job.may_send_again:
                 return self._give_up(job, self._kind(result))
 
     def _note_transfers(
@@ -193,12 +197,12 @@
     async def _relay(self, job: Job, sent: Sent, state: StreamState) -> RunResult:
         """Pass on what arrives until the run ends."""
         exchange = sent.exchange
-        state.progressed_at = self.sender.clock()
+        state.quiet_since = self.sender.clock()
         head: AnswerHead | None = None
         while True:
             until = job.until
             if job.may_move:
-                until = min(until, state.progressed_at + SILENCE_PATIENCE)
+                until = min(until, state.quiet_since + SILENCE_PATIENCE)
             arrival = await next_arrival(exchange, until, self.sender.clock())
             if isinstance(arrival, Head):
                 head = self.sender.codec.head(
@@ -221,7 +225,7 @@
         """Tell whether a wait ran out although events went past it meanwhile."""
         if not isinstance(arrival, Stalled) or arrival.known:
             return False
-        moved = state.progressed_at + SILENCE_PATIENCE > until
+        moved = state.quiet_since + SILENCE_PATIENCE > until
         return moved and self.sender.clock() < job.until
 
     def _take(self, job: Job, state: StreamState, data: bytes) -> None:
@@ -234,9 +238,9 @@
         """Write whole events to the caller."""
         if not events:
             return
-        state.progressed_at = self.sender.clock()
-        job.progress(state.progressed_at)
-        self.stalls.progress(job, state.progressed_at)
+        state.quiet_since = self.sender.clock()
+        job.progress(state.quiet_since)
+        self.stalls.progress(job, state.quiet_since)
         if job.caller.begun:
             job.caller.write(events)
             return
@@ -293,9 +297,11 @@
         if head.standing is Standing.REJECTED:
             reason = f"rejected with {head.status}"
             job.note(SendOutcome.REJECTED, reason)
-            return RunResult(StreamEnd.REJECTED, reason, head.fault_address)
+            misdirected = head.status == MISDIRECTED
+            at = head.fault_address
+            return RunResult(StreamEnd.REJECTED, reason, at, misdirected)
         job.note(SendOutcome.MAY_HAVE_RUN, f"status {head.status} {head.reason}")
-        if head.standing is not Standing.ANSWERED or not whole or self._again(job):
+        if head.standing is not Standing.ANSWERED or not whole or job.may_send_again:
             return RunResult(StreamEnd.LOST, job.reason)
         if job.caller.begun:
             job.caller.break_off()
@@ -308,9 +314,15 @@
         """Leave out what failed, for this request or for all."""
         now = self.sender.clock()
         at_fault = [p for p in path.parts if p.address == result.fault_address]
+        filled = None
         if at_fault:
-            self.beliefs.suspects.suspect(at_fault[0].endpoint, result.reason, now)
-            job.avoid.add(at_fault[0].endpoint)
+            endpoint = at_fault[0].endpoint
+            job.avoid.add(endpoint)
+            filled = self._filled(job, at_fault[0])
+            if is_full(result.misdirected, filled):
+                self.stalls.ask(at_fault[0], now)
+            else:
+                self.beliefs.suspects.suspect(endpoint, result.reason, now)
         elif result.first_lost:
             job.avoid.add(path.first.endpoint)
             self.beliefs.crashes.strike(job.fingerprint, path.first.endpoint, now)
@@ -319,13 +331,15 @@
                 job.avoid.update(part.endpoint for part in path.parts)
         else:
             job.avoid.add(path.first.endpoint)
-
-    def _again(self, job: Job) -> bool:
-        """Tell whether another run may follow."""
-        if job.sends >= job.route.most_attempts or job.caller.gone:
-            return False
-        repeatable = job.route.repeat.may_repeat
-        return repeatable or job.worst is not SendOutcome.MAY_HAVE_RUN
+        fault = at_fault[0].endpoint if at_fault else ""
+        self.log.lost(job, path.first.endpoint, result.reason, fault, filled)
+
+    def _filled(self, job: Job, part: Part) -> float:
+        """Return the share of a part's memory that is believed to be taken."""
+        shape = self.beliefs.shape(job.service)
+        if shape is None:
+            return 0.0
+        return self.beliefs.chooser(shape).filled(part)
 
     def _kind(self, result: RunResult) -> ErrorKind:
         if result.end is StreamEnd.REJECTED:
