Run the tests on four workers; give no port twice

Cause: make test took 420 s on one process, and now and then a test failed beside load whose name was not kept. A run on four workers beside a load of 12 showed it: a deployment was given a port that an earlier one had been given and did not listen on yet (cannot listen on 127.0.0.1 port 24441); the 11 tests that share that deployment failed.

Ruled out: two workers taking the same port (each has a range of its own), and outgoing connections (they come from another range).

Change: free_ports gives out a shuffled range, each port once. Files go to workers as a whole, since tests of a file share a deployment.

--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,11 @@
 demo: setup
 	$(BIN)/lacewingcourse-local demo --entries 2 --endpoints 6
 
+# Tests of one file share a deployment, so a file goes to one worker as a whole.
+WORKERS ?= 4
+
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses=$(WORKERS) --dist=loadfile
 
 check: setup
 	$(BIN)/black --check --quiet $(SOURCES)
--- a/packages/testing/src/lacewingcourse/testing/processes.py
+++ b/packages/testing/src/lacewingcourse/testing/processes.py
@@ -23,6 +23,8 @@
 POLL_INTERVAL = 0.03
 #: Ports below the range that systems take for outgoing connections.
 PORT_RANGE = (10_000, 32_000)
+#: Ports that this process has not been given yet.
+_unused: list[int] = []
 #: Seconds that a process may take to end before it is killed.
 END_TIMEOUT = 10.0
 
@@ -36,15 +38,37 @@
 
     They lie outside the range that the system takes for outgoing connections, so
     that no connection takes one before its process listens or while it restarts.
+    Test runners beside one another take them from ranges of their own. None is given
+    twice, since a process that was given one may not listen on it yet: of 725 tests,
+    11 failed in one run because a deployment was given a port of an earlier one.
     """
+    global _unused
     found: list[int] = []
     while len(found) < count:
-        port = random.SystemRandom().randrange(*PORT_RANGE)
-        if port not in found and is_free(port):
+        if not _unused:
+            _unused = list(port_range(os.environ))
+            random.SystemRandom().shuffle(_unused)
+        port = _unused.pop()
+        if is_free(port):
             found.append(port)
     return found
 
 
+def port_range(environment: Mapping[str, str]) -> range:
+    """Return the ports from which this process may take some.
+
+    Args:
+        environment: Environment variables; a test runner beside others finds its
+            name (`gw` and a number) and their count there.
+    """
+    worker = environment.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+    count = int(environment.get("PYTEST_XDIST_WORKER_COUNT", "1"))
+    first, end = PORT_RANGE
+    size = (end - first) // count
+    start = first + int(worker) * size
+    return range(start, start + size)
+
+
 def is_free(port: int) -> bool:
     """Tell whether nothing listens on a port of the loopback address."""
     with socket.socket() as probe:
