--- a/packages/agent/src/lacewingcourse/agent/call_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/call_runner.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
+from lacewingcourse.agent.host import Host
 from lacewingcourse.agent.service import ServiceClient
 from lacewingcourse.core.calls import CallGate
 from lacewingcourse.core.claim_records import Permission
@@ -15,10 +16,20 @@
 from lacewingcourse.wire.codec import decode, encode
 
 if TYPE_CHECKING:
-    from lacewingcourse.agent.application import Agent
+    from lacewingcourse.agent.journal import Journal
     from lacewingcourse.core.messages import Call, RevokeCall
 
 
+class CallHost(Host, Protocol):
+    """What calls need of the agent.
+
+    Attributes:
+        journal: Keys whose home this is; None until the endpoint is known.
+    """
+
+    journal: Journal | None
+
+
 class CallRunner:
     """Runs calls of a plain service, or refuses them.
 
@@ -31,7 +42,7 @@
         replies: Replies of the calls in flight, by call.
     """
 
-    def __init__(self, agent: Agent) -> None:
+    def __init__(self, agent: CallHost) -> None:
         self.agent = agent
         settings = agent.settings
         self.service = ServiceClient(settings.endpoint_url, settings.endpoint_timeout)
--- a/packages/agent/src/lacewingcourse/agent/courier.py
+++ b/packages/agent/src/lacewingcourse/agent/courier.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
+from lacewingcourse.agent.host import Host
 from lacewingcourse.agent.outbox import Outbox
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.messages import (
@@ -24,10 +25,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from lacewingcourse.agent.stage_runner import StageRunner
+    from lacewingcourse.agent.settings import AgentSettings
+    from lacewingcourse.agent.watchers import Watchers
     from lacewingcourse.core.effects import SendHop
+    from lacewingcourse.core.estimates import EndpointEstimates
     from lacewingcourse.core.messages import (
         AttemptName,
+        Credit,
         Hop,
         StageAddress,
         Status,
@@ -48,6 +52,39 @@
 ENTRY_PATIENCE = 10.0
 
 
+class SendingHost(Host, Protocol):
+    """What sending needs of the agent.
+
+    Attributes:
+        watchers: Tells entries the state.
+    """
+
+    watchers: Watchers
+
+
+class StageWork(Protocol):
+    """The stages whose effects are carried.
+
+    Attributes:
+        agent: The agent that they run in.
+        settings: The settings in force.
+        estimates: What was learned of the endpoint.
+    """
+
+    agent: SendingHost
+    settings: AgentSettings
+    estimates: EndpointEstimates
+
+    def fail(self, trouble: Trouble) -> None:
+        """Give an attempt up and tell its entry."""
+
+    def close(self, stream: str, attempt: int) -> None:
+        """End a stage."""
+
+    def take_credit(self, credit: Credit) -> None:
+        """Let a stage send more tokens."""
+
+
 class Courier:
     """Sends what the gate's effects ask for; one outbox a receiver.
 
@@ -61,7 +98,7 @@
         troubles: Outboxes of troubles by URL of the entry.
     """
 
-    def __init__(self, runner: StageRunner) -> None:
+    def __init__(self, runner: StageWork) -> None:
         self.runner = runner
         self.agent = runner.agent
         self.settings = runner.settings
--- a/packages/agent/src/lacewingcourse/agent/journal.py
+++ b/packages/agent/src/lacewingcourse/agent/journal.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 from loguru import logger
 
+from lacewingcourse.agent.host import Host
 from lacewingcourse.backing.homes import HOMES_STREAM, HomesReader, home_settings
 from lacewingcourse.backing.log import LogClient
 from lacewingcourse.core.claim_records import (
@@ -26,7 +27,6 @@
 from lacewingcourse.wire.codec import decode, encode
 
 if TYPE_CHECKING:
-    from lacewingcourse.agent.application import Agent
     from lacewingcourse.core.claim_records import Verdict
     from lacewingcourse.core.messages import Claim, Settle
 
@@ -46,6 +46,13 @@
 EPOCH_TIMEOUT = 1.5
 
 
+class JournalHost(Host, Protocol):
+    """What the journal of keys needs of the agent."""
+
+    def endpoint_ready(self) -> bool:
+        """Tell whether the endpoint answers."""
+
+
 class Journal:
     """The claims of one agent's target and their way to and from the log.
 
@@ -64,7 +71,7 @@
         sent_epoch: Epoch of the newest table without this home that was appended.
     """
 
-    def __init__(self, agent: Agent, target: str) -> None:
+    def __init__(self, agent: JournalHost, target: str) -> None:
         settings = agent.settings
         self.agent = agent
         self.book = ClaimBook(
--- a/packages/agent/src/lacewingcourse/agent/metrics.py
+++ b/packages/agent/src/lacewingcourse/agent/metrics.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from prometheus_client import Counter, Gauge, Histogram
 
 from lacewingcourse.daemon.daemon import BaseMetrics
 
 if TYPE_CHECKING:
-    from lacewingcourse.agent.application import Agent
+    from collections.abc import Sized
+
     from lacewingcourse.core.messages import CallReply, HopVerdict, OpenReply
 
 #: Upper bounds of the buckets for the items of an engine step.
@@ -29,6 +30,36 @@
 }
 
 
+class StagesShown(Protocol):
+    """Stages, as the gauges show them.
+
+    Attributes:
+        queue: Items that wait for the engine.
+        steps: Steps given to the engine.
+    """
+
+    queue: Sized
+    steps: Sized
+
+
+class Watched(Protocol):
+    """What the gauges of an agent are read from.
+
+    Attributes:
+        leaving: Whether the instance is leaving for good.
+        stages: Runs stages of a model; None beside a plain service.
+    """
+
+    leaving: bool
+    stages: StagesShown | None
+
+    def endpoint_ready(self) -> bool:
+        """Tell whether the endpoint answers."""
+
+    def running(self) -> int:
+        """Return how many streams and calls run here."""
+
+
 class AgentMetrics(BaseMetrics):
     """Counters of one agent.
 
@@ -78,7 +109,7 @@
         full = "lacewingcourse_" + name
         return Histogram(full, text, buckets=bounds, registry=self.registry)
 
-    def watch(self, agent: Agent) -> None:
+    def watch(self, agent: Watched) -> None:
         """Read the gauges from an agent whenever they are asked for."""
         stages = agent.stages
         sources = {
--- a/packages/agent/src/lacewingcourse/agent/orders.py
+++ b/packages/agent/src/lacewingcourse/agent/orders.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from loguru import logger
 
 from lacewingcourse.agent.engine import EngineOrder
+from lacewingcourse.agent.host import Host
 from lacewingcourse.backing.leases import read_leases
 from lacewingcourse.backing.log import LogClient
 from lacewingcourse.core.errors import ErrorKind, Refusal
@@ -16,7 +17,8 @@
 from lacewingcourse.core.messages import Order, OrderAction, OrderReply
 
 if TYPE_CHECKING:
-    from lacewingcourse.agent.application import Agent
+    from lacewingcourse.agent.stage_runner import StageRunner
+    from lacewingcourse.core.messages import Status
 
 #: Seconds between two tries to learn the fencing numbers from the log.
 LEARN_INTERVAL = 0.5
@@ -26,6 +28,25 @@
 DRAINED_ACTIONS = frozenset({OrderAction.LOAD, OrderAction.UNLOAD})
 
 
+class OrderHost(Host, Protocol):
+    """What orders need of the agent.
+
+    Attributes:
+        stages: Runs stages of a model; None beside a plain service.
+    """
+
+    stages: StageRunner | None
+
+    def status(self) -> Status:
+        """Return the state of the agent and its endpoint."""
+
+    def set_draining(self) -> None:
+        """Let the gate refuse new streams while leaving or before an order."""
+
+    async def probe(self) -> None:
+        """Look whether the endpoint answers."""
+
+
 class OrderDesk:
     """Takes orders for the engine beside the agent.
 
@@ -39,7 +60,7 @@
         last_retry_after: Seconds after which to order it again, or None.
     """
 
-    def __init__(self, agent: Agent) -> None:
+    def __init__(self, agent: OrderHost) -> None:
         self.agent = agent
         self.fence = OrderFence()
         self.current: Order | None = None
--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 from loguru import logger
@@ -18,6 +18,7 @@
     item_of,
     sequence_of,
 )
+from lacewingcourse.agent.host import Host
 from lacewingcourse.core.effects import (
     CancelForward,
     RunForward,
@@ -43,7 +44,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from lacewingcourse.agent.application import Agent
+    from lacewingcourse.agent.watchers import Watchers
     from lacewingcourse.core.estimates import LoadReport
     from lacewingcourse.core.messages import (
         AttemptName,
@@ -61,6 +62,16 @@
 WATCH_INTERVAL = 0.1
 
 
+class StageHost(Host, Protocol):
+    """What stages need of the agent.
+
+    Attributes:
+        watchers: Tells entries the state.
+    """
+
+    watchers: Watchers
+
+
 @attrs.define(eq=False)
 class StepInFlight:
     """A step that the engine was given.
@@ -108,7 +119,7 @@
         sources: Entries that have streams here.
     """
 
-    def __init__(self, agent: Agent) -> None:
+    def __init__(self, agent: StageHost) -> None:
         self.agent = agent
         self.settings = agent.settings
         self.incarnation = agent.incarnation
--- a/packages/agent/src/lacewingcourse/agent/watchers.py
+++ b/packages/agent/src/lacewingcourse/agent/watchers.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from lacewingcourse.agent.host import Host
 from lacewingcourse.core.messages import Status, TokenBatchReply
 from lacewingcourse.wire import paths
 
-if TYPE_CHECKING:
-    from lacewingcourse.agent.application import Agent
-
 #: Seconds for which an entry that asks no more is told changes.
 WATCHER_KEPT = 300.0
 #: Seconds after which a status rides on an answer again.
@@ -18,6 +16,13 @@
 PUSH_TIMEOUT = 2.0
 
 
+class WatchedAgent(Host, Protocol):
+    """What telling entries the state needs of the agent."""
+
+    def status(self) -> Status:
+        """Return the state of the agent and its endpoint."""
+
+
 class Watchers:
     """Tells entries the agent's state along with answers, and changes at once.
 
@@ -27,7 +32,7 @@
         pushed: The status that all watchers were last told of.
     """
 
-    def __init__(self, agent: Agent) -> None:
+    def __init__(self, agent: WatchedAgent) -> None:
         self.agent = agent
         self.told_at: dict[str, float] = {}
         self.pushed: Status | None = None
--- a/packages/core/src/lacewingcourse/core/placement.py
+++ b/packages/core/src/lacewingcourse/core/placement.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lacewingcourse.core.placement_needs import (
+    ModelTarget,
     PlacedEndpoint,
     coverage,
     gaps,
@@ -25,21 +26,6 @@
 PATIENCE = 1.5
 
 
-@attrs.frozen
-class ModelTarget:
-    """What the configuration wants of a model.
-
-    Attributes:
-        name: Name of the model.
-        layer_count: Layers it has.
-        version: Version of its weights.
-    """
-
-    name: str
-    layer_count: int
-    version: str
-
-
 @attrs.frozen
 class Assignment:
     """An endpoint is to hold layers of a version.
--- a/packages/core/src/lacewingcourse/core/placement_needs.py
+++ b/packages/core/src/lacewingcourse/core/placement_needs.py
@@ -3,15 +3,11 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
 
 import attrs
 
 from lacewingcourse.core.layers import LayerRange
 
-if TYPE_CHECKING:
-    from lacewingcourse.core.placement import ModelTarget
-
 #: Streams that an endpoint runs without strain.
 STREAMS = 32
 #: Share of its streams up to which an endpoint is to be used.
@@ -20,6 +16,21 @@
 ANY_ROOM = 1 << 30
 
 
+@attrs.frozen
+class ModelTarget:
+    """What the configuration wants of a model.
+
+    Attributes:
+        name: Name of the model.
+        layer_count: Layers it has.
+        version: Version of its weights.
+    """
+
+    name: str
+    layer_count: int
+    version: str
+
+
 @attrs.frozen
 class PlacedEndpoint:
     """An endpoint as the placement sees it.
--- a/packages/core/src/lacewingcourse/core/routes/__init__.py
+++ b/packages/core/src/lacewingcourse/core/routes/__init__.py
@@ -5,10 +5,8 @@
 from lacewingcourse.core.routes import baselines, interleaved, shortest
 from lacewingcourse.core.routes.fleet import Dispatch, Fleet
 from lacewingcourse.core.routes.model import (
-    POLICIES,
     WIDE_CHOICES,
     Route,
-    RoutePolicy,
     RouteRequest,
     Stage,
     index_name,
@@ -16,6 +14,7 @@
     stage_of,
     usable,
 )
+from lacewingcourse.core.routes.policy import POLICIES, RoutePolicy
 from lacewingcourse.core.routes.prediction import predict
 from lacewingcourse.core.routes.suspects import suspects_route
 
--- a/packages/core/src/lacewingcourse/core/routes/baselines.py
+++ b/packages/core/src/lacewingcourse/core/routes/baselines.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from lacewingcourse.core.routes.model import POLICIES, RoutePolicy, no_route, route_of
+from lacewingcourse.core.routes.model import no_route, route_of
+from lacewingcourse.core.routes.policy import POLICIES, RoutePolicy
 
 if TYPE_CHECKING:
     from lacewingcourse.core.routes.fleet import Fleet
--- a/packages/core/src/lacewingcourse/core/routes/interleaved.py
+++ b/packages/core/src/lacewingcourse/core/routes/interleaved.py
@@ -7,14 +7,14 @@
 from typing import TYPE_CHECKING
 
 from lacewingcourse.core.bound import LayerCapacity, max_flow
-from lacewingcourse.core.routes.model import POLICIES, RoutePolicy, route_of
+from lacewingcourse.core.routes.model import route_of
+from lacewingcourse.core.routes.policy import POLICIES, RoutePolicy
 from lacewingcourse.core.routes.shortest import ShortestPolicy
 
 if TYPE_CHECKING:
     from lacewingcourse.core.routes.fleet import Fleet
-    from lacewingcourse.core.routes.index import Group
     from lacewingcourse.core.routes.model import RouteRequest
-    from lacewingcourse.core.routes.records import EndpointRecord
+    from lacewingcourse.core.routes.records import EndpointRecord, Group
 
 #: Seconds after which the flow is solved again.
 SOLVED_FOR = 2.0
--- a/packages/core/src/lacewingcourse/core/routes/model.py
+++ b/packages/core/src/lacewingcourse/core/routes/model.py
@@ -1,4 +1,4 @@
-"""Routes, what they are chosen for, and the registry of policies."""
+"""Routes, and what they are chosen for."""
 
 from __future__ import annotations
 
@@ -8,14 +8,11 @@
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.layers import LayerRange
-from lacewingcourse.core.registry import Registry
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Iterable
 
     from lacewingcourse.core.endpoints import EndpointState
-    from lacewingcourse.core.routes.fleet import Fleet
 
 
 #: Endpoints with the same layers that are compared for a route.
@@ -91,35 +88,6 @@
     return f"{model}@{version}" if version else model
 
 
-class RoutePolicy:
-    """A way to choose routes; variants override `choose`.
-
-    Attributes:
-        name: Name in the registry of policies.
-    """
-
-    name = ""
-
-    def choose(
-        self, fleet: Fleet, request: RouteRequest, rng: random.Random, now: float
-    ) -> Route | Refusal:
-        """Choose a route.
-
-        Args:
-            fleet: What is known of the endpoints.
-            request: What the route is wanted for.
-            rng: Source of randomness.
-            now: Present time in seconds.
-
-        Returns:
-            The route, or a refusal of kind `NO_ROUTE`.
-        """
-        raise NotImplementedError
-
-
-POLICIES: Registry[type[RoutePolicy]] = Registry("route policy")
-
-
 def no_route(layer: int) -> Refusal:
     """Return the refusal for a layer that nobody holds."""
     return Refusal(ErrorKind.NO_ROUTE, f"no endpoint holds layer {layer}")
--- a/packages/core/src/lacewingcourse/core/routes/shortest.py
+++ b/packages/core/src/lacewingcourse/core/routes/shortest.py
@@ -6,13 +6,13 @@
 
 import attrs
 
-from lacewingcourse.core.routes.model import POLICIES, RoutePolicy, no_route, route_of
+from lacewingcourse.core.routes.model import no_route, route_of
+from lacewingcourse.core.routes.policy import POLICIES, RoutePolicy
 
 if TYPE_CHECKING:
     from lacewingcourse.core.routes.fleet import Fleet
-    from lacewingcourse.core.routes.index import Group
     from lacewingcourse.core.routes.model import Route, RouteRequest
-    from lacewingcourse.core.routes.records import EndpointRecord
+    from lacewingcourse.core.routes.records import EndpointRecord, Group
 
 INFINITY = float("inf")
 
--- a/packages/daemon/src/lacewingcourse/daemon/configuration.py
+++ b/packages/daemon/src/lacewingcourse/daemon/configuration.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import secrets
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from loguru import logger
 from prometheus_client import Counter, Gauge
@@ -19,12 +19,12 @@
 from lacewingcourse.wire.codec import encode
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Coroutine, Sequence
 
     from prometheus_client import CollectorRegistry
 
     from lacewingcourse.core.configuration import Configuration
-    from lacewingcourse.daemon.daemon import Daemon
+    from lacewingcourse.wire.client import PeerClient
 
 #: Seconds that an exchange with another process may take.
 EXCHANGE_TIMEOUT = 1.5
@@ -34,6 +34,34 @@
 EXCHANGE_ROUNDS = 3
 
 
+class ConfigurationCounters(Protocol):
+    """Counters of a process, as far as the configuration needs them.
+
+    Attributes:
+        configuration: Counters of the configuration.
+    """
+
+    configuration: ConfigurationMetrics
+
+
+class ConfiguredProcess(Protocol):
+    """What the configuration needs of the process that it is kept for.
+
+    Attributes:
+        metrics: Counters of the process.
+        peers: Client for messages to other processes.
+    """
+
+    metrics: ConfigurationCounters
+    peers: PeerClient
+
+    def now(self) -> float:
+        """Return the present time in seconds on a clock that never goes back."""
+
+    def spawn(self, work: Coroutine) -> asyncio.Task:
+        """Run work in the background until it ends."""
+
+
 class ConfigurationMetrics:
     """Counters of the configuration.
 
@@ -83,7 +111,7 @@
 
     check_interval = 4.0
 
-    def __init__(self, daemon: Daemon) -> None:
+    def __init__(self, daemon: ConfiguredProcess) -> None:
         self.daemon = daemon
         self.replica = ConfigurationReplica()
         self.metrics: ConfigurationMetrics = daemon.metrics.configuration
--- a/packages/entry/src/lacewingcourse/entry/admin_base.py
+++ b/packages/entry/src/lacewingcourse/entry/admin_base.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.core.publishing import Publication
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.host import Host
 
 #: Name of the administrator whose token is a setting.
 FIRST_ADMINISTRATOR = "administrator"
@@ -29,7 +29,7 @@
     return hashlib.sha256(secret.encode()).hexdigest()
 
 
-def identify(entry: Entry, header: str) -> Operator | Refusal:
+def identify(entry: Host, header: str) -> Operator | Refusal:
     """Return the operator of an `Authorization` header."""
     scheme, _, token = header.partition(" ")
     token = token.strip()
--- a/packages/entry/src/lacewingcourse/entry/admission.py
+++ b/packages/entry/src/lacewingcourse/entry/admission.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
 from lacewingcourse.core.admission import Admission, Refuse, Start
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.fairness import Waiting
+from lacewingcourse.entry.host import Host
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -17,7 +18,8 @@
     from lacewingcourse.core.admission import Effect
     from lacewingcourse.core.priorities import Prediction
     from lacewingcourse.core.stream_request import StreamRequest
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.dispatcher import Dispatcher
+    from lacewingcourse.entry.recovery import Recovery
 
 #: Seconds between two reviews of the requests that wait.
 REVIEW_INTERVAL = 0.05
@@ -27,6 +29,18 @@
 BOOKED = frozenset({ErrorKind.REQUEST_CRASHES_ENDPOINTS, ErrorKind.KEY_IN_PROGRESS})
 
 
+class AdmissionHost(Host, Protocol):
+    """What admission needs of the entry.
+
+    Attributes:
+        dispatcher: Chooses routes and counts what runs on them.
+        recovery: Judges lost attempts.
+    """
+
+    dispatcher: Dispatcher
+    recovery: Recovery
+
+
 @attrs.define
 class Offer:
     """A request that asks to be let in.
@@ -49,7 +63,7 @@
         offers: Requests that wait for a verdict, by stream.
     """
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: AdmissionHost) -> None:
         self.entry = entry
         self.decisions = Admission(self._predict, entry.dispatcher.reserve, entry.rng)
         self.offers: dict[str, Offer] = {}
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 from loguru import logger
@@ -30,6 +30,7 @@
 from lacewingcourse.core.route_search import RouteSearch
 from lacewingcourse.core.stream_request import Phase
 from lacewingcourse.core.streams import StreamState
+from lacewingcourse.entry.host import Host
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
@@ -38,9 +39,14 @@
     from lacewingcourse.core.burn_ends import AnswerMeter
     from lacewingcourse.core.errors import ErrorKind as Kind
     from lacewingcourse.core.messages import StageAddress, Trouble
+    from lacewingcourse.core.routes import Route
     from lacewingcourse.core.stream_request import StreamRequest
     from lacewingcourse.core.streams import Effect
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.admission import AdmissionControl
+    from lacewingcourse.entry.directory import Directory
+    from lacewingcourse.entry.dispatcher import Dispatcher
+    from lacewingcourse.entry.metrics import EntryMetrics
+    from lacewingcourse.entry.poison_guard import PoisonGuard
 
 Event = Token | FinishAnswer | FailAnswer
 
@@ -56,6 +62,35 @@
 REVOKE_TRIES = 7
 
 
+class AnswerHost(Host, Protocol):
+    """What a streamed answer needs of the entry.
+
+    Attributes:
+        metrics: Counters of the process.
+        admission: Lets requests start, wait or be refused.
+        directory: What is known of the endpoints.
+        dispatcher: Chooses routes and counts what runs on them.
+        poison: Knows the requests that crash their endpoints.
+    """
+
+    metrics: EntryMetrics
+    admission: AdmissionControl
+    directory: Directory
+    dispatcher: Dispatcher
+    poison: PoisonGuard
+
+    def choose_route(
+        self,
+        request: StreamRequest,
+        excluded: frozenset[str],
+        stages: tuple[StageAddress, ...] = (),
+    ) -> Route | Refusal:
+        """Return a route for a request and count it as dispatched."""
+
+    def free(self, driver: AnswerDriver) -> None:
+        """Give free what a streamed answer that has ended occupied."""
+
+
 class AnswerDriver:
     """One streamed answer.
 
@@ -68,7 +103,7 @@
         cleared_at: Tokens with which a suspect counts as innocent, or None.
     """
 
-    def __init__(self, entry: Entry, request: StreamRequest) -> None:
+    def __init__(self, entry: AnswerHost, request: StreamRequest) -> None:
         self.entry = entry
         self.state = StreamState(
             request,
--- a/packages/entry/src/lacewingcourse/entry/call_sender.py
+++ b/packages/entry/src/lacewingcourse/entry/call_sender.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import uuid
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
@@ -11,13 +11,15 @@
 from lacewingcourse.core.keys import service_target
 from lacewingcourse.core.messages import CallReply, Claim, RevokeCall, RevokeReply
 from lacewingcourse.entry.home_keeper import no_home
+from lacewingcourse.entry.host import Host
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
     from lacewingcourse.core.endpoints import EndpointState
     from lacewingcourse.core.homes import Shard
     from lacewingcourse.core.messages import Call
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.directory import Directory
+    from lacewingcourse.entry.home_keeper import HomeKeeper
 
 #: Kinds of refusals after which another home may take the call.
 MOVED = frozenset(
@@ -33,6 +35,18 @@
 REHOME_TIMEOUT = 1.5
 
 
+class CallHost(Host, Protocol):
+    """What calls need of the entry.
+
+    Attributes:
+        directory: What is known of the endpoints.
+        homes: Which agents are homes of keys.
+    """
+
+    directory: Directory
+    homes: HomeKeeper
+
+
 class CallSender:
     """Sends calls on behalf of one entry.
 
@@ -40,7 +54,7 @@
         entry: The entry's daemon.
     """
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: CallHost) -> None:
         self.entry = entry
 
     async def send_anywhere(self, call: Call) -> CallReply | Refusal:
--- a/packages/entry/src/lacewingcourse/entry/directory.py
+++ b/packages/entry/src/lacewingcourse/entry/directory.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from lacewingcourse.backing.instances import Instance, InstanceListClient
     from lacewingcourse.core.messages import CallReply, ClaimReply
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.host import Host
 
 #: Seconds between two reads of the instance list.
 LIST_INTERVAL = 1.0
@@ -45,7 +45,7 @@
         endpoints: Watched endpoints whose agents have answered, by name.
     """
 
-    def __init__(self, entry: Entry, client: InstanceListClient) -> None:
+    def __init__(self, entry: Host, client: InstanceListClient) -> None:
         self.entry = entry
         self.client = client
         self.instances: dict[str, Instance] = {}
--- a/packages/entry/src/lacewingcourse/entry/dispatcher.py
+++ b/packages/entry/src/lacewingcourse/entry/dispatcher.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
@@ -19,18 +19,50 @@
     usable,
 )
 from lacewingcourse.core.versions import choose_version
+from lacewingcourse.entry.host import Host
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from lacewingcourse.core.messages import OpenReply, StageAddress
     from lacewingcourse.core.priorities import Prediction
     from lacewingcourse.core.routes import Dispatch, Fleet
     from lacewingcourse.core.stream_request import StreamRequest
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.core.streams import StreamState
+    from lacewingcourse.entry.directory import Directory
+    from lacewingcourse.entry.poison_guard import PoisonGuard
+    from lacewingcourse.entry.recovery import Recovery
 
 #: Characters of a prompt that are taken for one position before any was seen.
 CHARACTERS_PER_POSITION = 4
 
 
+class RunningAnswer(Protocol):
+    """An answer in flight, as the choice of routes sees it.
+
+    Attributes:
+        state: Its state machine.
+    """
+
+    state: StreamState
+
+
+class DispatchHost(Host, Protocol):
+    """What the choice of routes needs of the entry.
+
+    Attributes:
+        answers: Answers in flight by stream.
+        directory: What is known of the endpoints.
+        poison: Knows the requests that crash their endpoints.
+        recovery: Judges lost attempts.
+    """
+
+    answers: Mapping[str, RunningAnswer]
+    directory: Directory
+    poison: PoisonGuard
+    recovery: Recovery
+
+
 class Dispatcher:
     """Chooses routes with the policy in force.
 
@@ -42,7 +74,7 @@
         reserved: Routes of streams that were admitted and have not yet begun.
     """
 
-    def __init__(self, entry: Entry, policy: str) -> None:
+    def __init__(self, entry: DispatchHost, policy: str) -> None:
         self.entry = entry
         self.policy = POLICIES.get(policy)()
         self.dispatches: dict[str, Dispatch] = {}
--- a/packages/entry/src/lacewingcourse/entry/duties.py
+++ b/packages/entry/src/lacewingcourse/entry/duties.py
@@ -2,12 +2,27 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from lacewingcourse.core.registry import Registry
+from lacewingcourse.entry.host import Host
 
-if TYPE_CHECKING:
-    from lacewingcourse.entry.application import Entry
+
+class HeldLeases(Protocol):
+    """Which leases this entry holds."""
+
+    def holds(self, duty: str) -> int | None:
+        """Return the fencing number while this entry may act, else None."""
+
+
+class DutyHost(Host, Protocol):
+    """What a duty needs of the entry.
+
+    Attributes:
+        leases: Leases that it holds.
+    """
+
+    leases: HeldLeases
 
 
 class Duty:
@@ -22,7 +37,7 @@
     name = ""
     interval = 0.5
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: DutyHost) -> None:
         self.entry = entry
 
     def number(self) -> int | None:
--- a/packages/entry/src/lacewingcourse/entry/home_keeper.py
+++ b/packages/entry/src/lacewingcourse/entry/home_keeper.py
@@ -5,7 +5,7 @@
 import asyncio
 import secrets
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from loguru import logger
 
@@ -14,12 +14,14 @@
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.homes import HomesFold, HomesRecord, propose
 from lacewingcourse.core.keys import model_target, scope_of, service_target, shard_of
+from lacewingcourse.entry.host import Host
 from lacewingcourse.wire.codec import encode
 
 if TYPE_CHECKING:
     from lacewingcourse.core.endpoints import EndpointState
     from lacewingcourse.core.homes import Shard
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.directory import Directory
+    from lacewingcourse.entry.metrics import EntryMetrics
 
 #: Seconds for which the log may hold a read that finds nothing.
 READ_WAIT = 2.0
@@ -33,6 +35,18 @@
 RECORD_ID_BYTES = 8
 
 
+class HomeHost(Host, Protocol):
+    """What the homes of keys need of the entry.
+
+    Attributes:
+        directory: What is known of the endpoints.
+        metrics: Counters of the process.
+    """
+
+    directory: Directory
+    metrics: EntryMetrics
+
+
 class HomeKeeper:
     """The homes of keys as one entry sees them.
 
@@ -45,7 +59,7 @@
         started_at: When the process started, seconds.
     """
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: HomeHost) -> None:
         self.entry = entry
         self.log = LogClient(entry.settings.log_url)
         self.log.observe = entry.metrics.on_log
--- a/packages/entry/src/lacewingcourse/entry/keyed.py
+++ b/packages/entry/src/lacewingcourse/entry/keyed.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 from loguru import logger
@@ -19,6 +19,7 @@
     Token,
 )
 from lacewingcourse.entry.caller import KEY_HEADER, REPLAYED_HEADER
+from lacewingcourse.entry.host import Host
 from lacewingcourse.wire import paths
 from lacewingcourse.wire.codec import decode, encode
 
@@ -27,9 +28,11 @@
 
     from lacewingcourse.core.homes import Shard
     from lacewingcourse.core.stream_request import StreamRequest
+    from lacewingcourse.entry.admission import AdmissionControl
     from lacewingcourse.entry.answers import AnswerDriver, Event
-    from lacewingcourse.entry.application import Entry
     from lacewingcourse.entry.caller import CallerHandler
+    from lacewingcourse.entry.directory import Directory
+    from lacewingcourse.entry.home_keeper import HomeKeeper
 
 #: Seconds between two renewals of a claim.
 RENEW_INTERVAL = 3.0
@@ -43,6 +46,23 @@
 REHOME_TIMEOUT = 1.5
 
 
+class KeyedHost(Host, Protocol):
+    """What answers with a key need of the entry.
+
+    Attributes:
+        admission: Lets requests start, wait or be refused.
+        directory: What is known of the endpoints.
+        homes: Which agents are homes of keys.
+    """
+
+    admission: AdmissionControl
+    directory: Directory
+    homes: HomeKeeper
+
+    def answer(self, request: StreamRequest) -> AnswerDriver:
+        """Start a streamed answer."""
+
+
 @attrs.frozen
 class StoredAnswer:
     """A whole answer as a home stores it.
@@ -178,7 +198,7 @@
         entry: The entry's daemon.
     """
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: KeyedHost) -> None:
         self.entry = entry
 
     async def answer(
@@ -285,7 +305,7 @@
     return refusal
 
 
-async def start(entry: Entry, request: StreamRequest) -> AnswerDriver | Refusal:
+async def start(entry: KeyedHost, request: StreamRequest) -> AnswerDriver | Refusal:
     """Start an answer as soon as it may."""
     admitted = await entry.admission.admit(request)
     if isinstance(admitted, Refusal):
--- a/packages/entry/src/lacewingcourse/entry/lease_holder.py
+++ b/packages/entry/src/lacewingcourse/entry/lease_holder.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import secrets
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 from loguru import logger
@@ -15,13 +15,14 @@
 from lacewingcourse.core.leases import LEASE_STREAM, LeaseCandidate, LeaseTable
 from lacewingcourse.entry import placement_duty  # noqa: F401
 from lacewingcourse.entry.duties import DUTIES
+from lacewingcourse.entry.host import Host
 from lacewingcourse.wire.codec import encode
 
 if TYPE_CHECKING:
     from lacewingcourse.backing.log import LogClient
     from lacewingcourse.core.leases import LeaseRecord
-    from lacewingcourse.entry.application import Entry
     from lacewingcourse.entry.duties import Duty
+    from lacewingcourse.entry.metrics import EntryMetrics
 
 #: Seconds for which the log may hold a read that finds nothing.
 READ_WAIT = 2.0
@@ -31,6 +32,18 @@
 DECIDE_INTERVAL = 0.1
 
 
+class LeaseHost(Host, Protocol):
+    """What leases need of the entry.
+
+    Attributes:
+        metrics: Counters of the process.
+        stopping: Set when the process has been asked to end.
+    """
+
+    metrics: EntryMetrics
+    stopping: asyncio.Event
+
+
 @attrs.frozen
 class HeldLease:
     """A lease as the state page shows it.
@@ -60,7 +73,7 @@
         duties: The work by duty.
     """
 
-    def __init__(self, entry: Entry, log: LogClient) -> None:
+    def __init__(self, entry: LeaseHost, log: LogClient) -> None:
         self.entry = entry
         self.log = log
         self.table = LeaseTable()
--- a/packages/entry/src/lacewingcourse/entry/metrics.py
+++ b/packages/entry/src/lacewingcourse/entry/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from prometheus_client import Counter, Gauge, Histogram
 from prometheus_client.core import HistogramMetricFamily
@@ -13,10 +13,12 @@
 from lacewingcourse.daemon.daemon import BaseMetrics
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Sized
 
+    from lacewingcourse.core.admission import Admission
     from lacewingcourse.core.burn_ends import AnswerMeter, RequestEnd
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.core.routes import Fleet
+    from lacewingcourse.daemon.daemon import Readiness
 
 #: Organisations that get a label value of their own in one entry.
 MAX_ORGANISATIONS = 100
@@ -29,6 +31,45 @@
 )
 
 
+class AdmissionShown(Protocol):
+    """Admission, as the gauges show it.
+
+    Attributes:
+        decisions: What was decided of requests.
+    """
+
+    decisions: Admission
+
+
+class DirectoryShown(Protocol):
+    """The directory, as the gauges show it.
+
+    Attributes:
+        endpoints: What is known of the endpoints.
+    """
+
+    endpoints: Fleet
+
+
+class Watched(Protocol):
+    """What the gauges of an entry are read from.
+
+    Attributes:
+        answers: Answers in flight.
+        calls_running: Plain calls in flight.
+        admission: Lets requests start, wait or be refused.
+        directory: What is known of the endpoints.
+    """
+
+    answers: Sized
+    calls_running: int
+    admission: AdmissionShown
+    directory: DirectoryShown
+
+    def readiness(self) -> Readiness:
+        """Tell whether the entry takes new work."""
+
+
 class BoundedLabel:
     """Lets a label take a limited number of values.
 
@@ -160,7 +201,7 @@
             full, text, labels, buckets=ANSWER_BOUNDS, registry=self.registry
         )
 
-    def watch(self, entry: Entry) -> None:
+    def watch(self, entry: Watched) -> None:
         """Read the gauges from an entry whenever they are asked for."""
         endpoints = entry.directory.endpoints
         sources = {
--- a/packages/entry/src/lacewingcourse/entry/placement_duty.py
+++ b/packages/entry/src/lacewingcourse/entry/placement_duty.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from loguru import logger
 from prometheus_client import Counter, Gauge
@@ -12,18 +12,31 @@
 from lacewingcourse.core.messages import Order, OrderAction, OrderReply
 from lacewingcourse.core.placement import ModelTarget, PlacementPlanner
 from lacewingcourse.core.placement_needs import PlacedEndpoint
-from lacewingcourse.entry.duties import DUTIES, Duty
+from lacewingcourse.entry.duties import DUTIES, Duty, DutyHost
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
     from lacewingcourse.backing.instances import Instance
     from lacewingcourse.core.placement import Assignment
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.directory import Directory
+    from lacewingcourse.entry.metrics import EntryMetrics
 
 #: Seconds without loads after one failed for a reason that names no time.
 FAILED_RETRY = 2.0
 
 
+class PlacementHost(DutyHost, Protocol):
+    """What the placement needs of the entry.
+
+    Attributes:
+        directory: What is known of the endpoints.
+        metrics: Counters of the process.
+    """
+
+    directory: Directory
+    metrics: EntryMetrics
+
+
 @DUTIES.register("placement")
 class PlacementDuty(Duty):
     """Inspects all endpoints under the lease and orders what they hold.
@@ -42,7 +55,7 @@
 
     name = "placement"
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: PlacementHost) -> None:
         super().__init__(entry)
         self.reports: dict[str, OrderReply] = {}
         self.limited: set[str] = set()
--- a/packages/entry/src/lacewingcourse/entry/poison_guard.py
+++ b/packages/entry/src/lacewingcourse/entry/poison_guard.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 from loguru import logger
@@ -25,6 +25,7 @@
     Strike,
     fingerprint_of,
 )
+from lacewingcourse.entry.host import Host
 from lacewingcourse.wire import paths
 from lacewingcourse.wire.codec import decode, encode
 
@@ -32,7 +33,7 @@
     from lacewingcourse.backing.log import LogClient, LogRecord
     from lacewingcourse.core.messages import Trouble
     from lacewingcourse.core.stream_request import StreamRequest
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.directory import Directory
 
 #: Stream of the log that holds the notices.
 POISON_STREAM = "poison"
@@ -44,6 +45,16 @@
 APPEND_LIMIT = 100
 
 
+class PoisonHost(Host, Protocol):
+    """What the guard against crashing requests needs of the entry.
+
+    Attributes:
+        directory: What is known of the endpoints.
+    """
+
+    directory: Directory
+
+
 class PoisonGuard:
     """What this entry holds of requests, and what it tells the others.
 
@@ -55,7 +66,7 @@
         offset: The next offset to read.
     """
 
-    def __init__(self, entry: Entry, log: LogClient) -> None:
+    def __init__(self, entry: PoisonHost, log: LogClient) -> None:
         self.entry = entry
         self.log = log
         self.book = PoisonBook()
--- a/packages/entry/src/lacewingcourse/entry/recovery.py
+++ b/packages/entry/src/lacewingcourse/entry/recovery.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from loguru import logger
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.outliers import OutlierDetector
 from lacewingcourse.core.retries import LostAttempt, RetryBudget
+from lacewingcourse.entry.host import Host
 
 if TYPE_CHECKING:
+    from collections.abc import Sized
+
+    from lacewingcourse.core.admission import Admission
     from lacewingcourse.core.stream_request import StreamRequest
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.directory import Directory
+    from lacewingcourse.entry.metrics import EntryMetrics
 
 #: Seconds between two looks for endpoints to take back.
 REVIEW_INTERVAL = 0.5
@@ -26,6 +31,32 @@
 LOAD_KINDS = frozenset({ErrorKind.OVERLOADED, ErrorKind.DEADLINE_UNREACHABLE})
 
 
+class Admitted(Protocol):
+    """Requests that were let in.
+
+    Attributes:
+        decisions: What was decided of them.
+    """
+
+    decisions: Admission
+
+
+class RecoveryHost(Host, Protocol):
+    """What recovery needs of the entry.
+
+    Attributes:
+        answers: Answers in flight.
+        admission: Requests that were let in.
+        directory: What is known of the endpoints.
+        metrics: Counters of the process.
+    """
+
+    answers: Sized
+    admission: Admitted
+    directory: Directory
+    metrics: EntryMetrics
+
+
 class Recovery:
     """Retries and outliers of one entry.
 
@@ -37,7 +68,7 @@
         refused: Why endpoints did not take a stage, by stream and endpoint.
     """
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: RecoveryHost) -> None:
         self.entry = entry
         self.budget = RetryBudget()
         self.detector = OutlierDetector()
--- a/packages/entry/src/lacewingcourse/entry/report_api.py
+++ b/packages/entry/src/lacewingcourse/entry/report_api.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 import attrs
 
@@ -14,16 +14,33 @@
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.daemon.handlers import BaseHandler, WireHandler
 from lacewingcourse.entry.admin_base import identify
+from lacewingcourse.entry.host import Host
 from lacewingcourse.wire import paths
 
 if TYPE_CHECKING:
     from lacewingcourse.backing.instances import Instance
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.burn_log import BurnLog
+    from lacewingcourse.entry.directory import Directory
+    from lacewingcourse.entry.outcomes import Outcomes
 
 #: Entries that are asked at one time.
 ASKED_AT_ONCE = 16
 
 
+class ReportHost(Host, Protocol):
+    """What the burn report needs of the entry.
+
+    Attributes:
+        directory: What is known of the endpoints.
+        outcomes: Counts how requests end.
+        burn_log: Keeps summaries of the counts in the log.
+    """
+
+    directory: Directory
+    outcomes: Outcomes
+    burn_log: BurnLog
+
+
 @attrs.frozen
 class BurnRequest:
     """Entry to entry: ask for its counts."""
@@ -65,7 +82,7 @@
         self.reply(await fleet_burn(self.daemon, chosen))
 
 
-async def fleet_burn(entry: Entry, chosen: Selection) -> FleetBurn:
+async def fleet_burn(entry: ReportHost, chosen: Selection) -> FleetBurn:
     """Return the burn of all entries, as far as they or the log can be reached.
 
     Args:
@@ -87,7 +104,7 @@
     return merge.report(list_problem, log_problem, chosen)
 
 
-def is_other_entry(entry: Entry, instance: Instance) -> bool:
+def is_other_entry(entry: ReportHost, instance: Instance) -> bool:
     """Tell whether an instance is an entry other than this, and not known as gone."""
     return (
         instance.role is InstanceRole.ENTRY
@@ -97,7 +114,7 @@
 
 
 async def ask(
-    entry: Entry, instance: Instance, merge: FleetMerge, slots: asyncio.Semaphore
+    entry: ReportHost, instance: Instance, merge: FleetMerge, slots: asyncio.Semaphore
 ) -> None:
     """Add another entry's counts to a report."""
     async with slots:
--- a/packages/entry/src/lacewingcourse/entry/rollout.py
+++ b/packages/entry/src/lacewingcourse/entry/rollout.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 from tornado.httpclient import HTTPRequest
@@ -11,12 +11,13 @@
 from lacewingcourse.backing.instances import InstanceState
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.daemon.daemon import Readiness
+from lacewingcourse.entry.host import Host
 from lacewingcourse.wire.client import NO_ANSWER, fetch
 from lacewingcourse.wire.codec import decode
 
 if TYPE_CHECKING:
     from lacewingcourse.backing.instances import Instance
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.directory import Directory
 
 #: Instances that are asked at a time.
 PARALLEL = 50
@@ -26,6 +27,16 @@
 ASK_TIMEOUT = 1.0
 
 
+class RolloutHost(Host, Protocol):
+    """What the watch of a roll-out needs of the entry.
+
+    Attributes:
+        directory: What is known of the endpoints.
+    """
+
+    directory: Directory
+
+
 @attrs.frozen
 class Rollout:
     """How far a version has reached.
@@ -48,7 +59,7 @@
         entry: The entry that asks.
     """
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: RolloutHost) -> None:
         self.entry = entry
 
     async def wait(self, version: int, timeout: float) -> Rollout:
--- a/packages/entry/src/lacewingcourse/entry/state_api.py
+++ b/packages/entry/src/lacewingcourse/entry/state_api.py
@@ -2,23 +2,41 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
 from lacewingcourse.core.endpoints import EndpointState
 from lacewingcourse.core.holdings import ModelHoldings, holdings_of
 from lacewingcourse.daemon.daemon import Readiness
+from lacewingcourse.entry.host import Host
 from lacewingcourse.entry.report_api import OperatorHandler
 
 if TYPE_CHECKING:
     from lacewingcourse.entry.answers import AnswerDriver
-    from lacewingcourse.entry.application import Entry
+    from lacewingcourse.entry.directory import Directory
 
 #: Answers in flight that one state shows.
 SHOWN_ANSWERS = 200
 
 
+class StateHost(Host, Protocol):
+    """What the state page needs of the entry.
+
+    Attributes:
+        answers: Answers in flight by stream.
+        calls_running: Plain calls in flight.
+        directory: What is known of the endpoints.
+    """
+
+    answers: dict[str, AnswerDriver]
+    calls_running: int
+    directory: Directory
+
+    def readiness(self) -> Readiness:
+        """Tell whether the entry takes new work."""
+
+
 @attrs.frozen
 class AnswerView:
     """A streamed answer in flight.
@@ -99,7 +117,7 @@
         self.reply(state_of(self.daemon))
 
 
-def state_of(entry: Entry) -> OperatorState:
+def state_of(entry: StateHost) -> OperatorState:
     """Return the state of an entry."""
     directory = entry.directory
     configuration = entry.configuration
--- a/packages/testing/src/lacewingcourse/testing/standins/orders.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/orders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
@@ -16,13 +16,32 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lacewingcourse.testing.standins.engine_state import Engine
+    from lacewingcourse.core.layers import LayerRange
+    from lacewingcourse.testing.standins.sequences import Sequences
 
 #: Statuses of refused orders.
 STATUSES = {ErrorKind.STALE_FENCING: 409, ErrorKind.OVERLOADED: 429}
 ACTIONS: Registry[Callable] = Registry("order")
 
 
+class Loadable(Protocol):
+    """What orders change of an engine.
+
+    Attributes:
+        model: Name of the loaded model, or empty.
+        version: Version of its weights.
+        layers: Layers that are held.
+        sequences: Sequences in its cache.
+        report: Report that was made last; None to make it anew.
+    """
+
+    model: str
+    version: str
+    layers: LayerRange | None
+    sequences: Sequences
+    report: object | None
+
+
 @attrs.define
 class OrderDesk:
     """Orders that an engine has taken.
@@ -49,7 +68,7 @@
     adapter: str = ""
     role: str = ""
 
-    async def take(self, engine: Engine, order: EngineOrder) -> Refusal | None:
+    async def take(self, engine: Loadable, order: EngineOrder) -> Refusal | None:
         """Carry out an order, or refuse it."""
         if self.checks_fencing and order.number < self.highest:
             return Refusal(ErrorKind.STALE_FENCING, "old fencing number")
@@ -61,7 +80,7 @@
 
 
 @ACTIONS.register("load")
-async def load(desk: OrderDesk, engine: Engine, order: EngineOrder) -> Refusal | None:
+async def load(desk: OrderDesk, engine: Loadable, order: EngineOrder) -> Refusal | None:
     """Take weights from the store and hold other layers after the loading time."""
     if desk.weights_url:
         client = WeightStoreClient(desk.weights_url)
@@ -74,7 +93,7 @@
     return None
 
 
-async def finish_load(desk: OrderDesk, engine: Engine, order: EngineOrder) -> None:
+async def finish_load(desk: OrderDesk, engine: Loadable, order: EngineOrder) -> None:
     """Hold the layers that were ordered once the loading time is over."""
     await asyncio.sleep(desk.load_time)
     engine.model = order.model
@@ -85,12 +104,12 @@
 
 
 @ACTIONS.register("unload")
-async def unload(desk: OrderDesk, engine: Engine, order: EngineOrder) -> None:
+async def unload(desk: OrderDesk, engine: Loadable, order: EngineOrder) -> None:
     """Hold nothing."""
     clear(engine)
 
 
-def clear(engine: Engine) -> None:
+def clear(engine: Loadable) -> None:
     """Forget the weights and all sequences."""
     engine.model = ""
     engine.version = ""
@@ -100,14 +119,14 @@
 
 
 @ACTIONS.register("adapter")
-async def adapter(desk: OrderDesk, engine: Engine, order: EngineOrder) -> None:
+async def adapter(desk: OrderDesk, engine: Loadable, order: EngineOrder) -> None:
     """Hold an adapter."""
     desk.adapter = order.adapter
     engine.report = None
 
 
 @ACTIONS.register("role")
-async def role(desk: OrderDesk, engine: Engine, order: EngineOrder) -> None:
+async def role(desk: OrderDesk, engine: Loadable, order: EngineOrder) -> None:
     """Take a role."""
     desk.role = order.role
     engine.report = None
--- a/packages/testing/src/lacewingcourse/testing/standins/proxy_connection.py
+++ b/packages/testing/src/lacewingcourse/testing/standins/proxy_connection.py
@@ -6,7 +6,7 @@
 import re
 import socket
 import struct
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 from tornado.iostream import IOStream, StreamClosedError
@@ -14,7 +14,7 @@
 from lacewingcourse.testing.standins.proxy_faults import Direction
 
 if TYPE_CHECKING:
-    from lacewingcourse.testing.standins.proxy import Link
+    from lacewingcourse.testing.standins.proxy_faults import LinkFaults
 
 #: Bytes that a pump takes at one time.
 PIECE_BYTES = 64 * 1024
@@ -70,6 +70,30 @@
     answered: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
+class Line(Protocol):
+    """What a connection needs of its link.
+
+    Attributes:
+        faults: Faults in force.
+        connections: Open connections.
+    """
+
+    faults: LinkFaults
+    connections: set[Connection]
+
+    async def connect(self) -> IOStream:
+        """Return a new connection to the target."""
+
+    def use(self, name: str, head: bytes) -> bool:
+        """Tell whether a counted fault hits a request, and count it down."""
+
+    async def hold(self) -> HeldMessage:
+        """Wait until a request is released."""
+
+    def deliver_copy(self, data: bytes, held: bool) -> None:
+        """Send a request to the target once more, over a connection of its own."""
+
+
 class Connection:
     """One connection of a link and its counterpart to the target.
 
@@ -81,7 +105,7 @@
         answered: Set when the target has sent something.
     """
 
-    def __init__(self, link: Link, client: IOStream) -> None:
+    def __init__(self, link: Line, client: IOStream) -> None:
         self.link = link
         self.client = client
         self.target: IOStream | None = None
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -26,7 +26,21 @@
 def test_imports_for_type_hints_count(tmp_path):
     path = tmp_path / "a.py"
     path.write_text("if TYPE_CHECKING:\n    from library.b import B\n")
-    assert load("check_circles").imports_of(path, "library") == {"b"}
+    found = load("check_circles").imports_of(path, {"library", "library.b"})
+    assert found == {"library.b"}
+
+
+def test_modules_of_all_libraries_are_looked_at(tmp_path):
+    for name, text in {
+        "a": "from two import b\n",
+        "b": "from one.a import A\n",
+    }.items():
+        package = tmp_path / "packages" / name / "src" / {"a": "one", "b": "two"}[name]
+        package.mkdir(parents=True)
+        (package / "__init__.py").write_text("")
+        (package / f"{name}.py").write_text(text)
+    tool = load("check_circles")
+    assert tool.circle_in(tool.graph_of(tmp_path)) == ["one.a", "two.b", "one.a"]
 
 
 def test_a_name_of_the_platform_is_found(tmp_path):
--- a/tools/check_circles.py
+++ b/tools/check_circles.py
@@ -6,26 +6,36 @@
 import sys
 from pathlib import Path
 
-#: Libraries that are checked, by folder of their sources.
-LIBRARIES = {
-    "lacewingcourse.core.pipelines": Path(
-        "packages/core/src/lacewingcourse/core/pipelines"
-    ),
-    "lacewingcourse.relay": Path("packages/relay/src/lacewingcourse/relay"),
-    "lacewingcourse_platform": Path("platform/src/lacewingcourse_platform"),
-}
-
-
-def imports_of(path: Path, library: str) -> set[str]:
-    """Return the modules of a library that one of its modules imports."""
+#: Folders that hold the sources of the libraries.
+SOURCES = ("packages/*/src", "platform/src")
+
+
+def modules_under(folder: Path) -> dict[str, Path]:
+    """Return the files of the modules in a folder of sources, by full name."""
+    found = {}
+    for path in folder.rglob("*.py"):
+        parts = path.relative_to(folder).with_suffix("").parts
+        if parts[-1] == "__init__":
+            parts = parts[:-1]
+        if parts:
+            found[".".join(parts)] = path
+    return found
+
+
+def imports_of(path: Path, modules: set[str]) -> set[str]:
+    """Return which of some modules a file imports.
+
+    `from a import b` names module `a.b` if there is one, else module `a`.
+    """
     found = set()
     for node in ast.walk(ast.parse(path.read_text())):
-        if isinstance(node, ast.ImportFrom) and node.module:
-            if node.module == library:
-                found.update(alias.name for alias in node.names)
-            elif node.module.startswith(library + "."):
-                found.add(node.module[len(library) + 1 :])
-    return found
+        if isinstance(node, ast.Import):
+            found.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            for alias in node.names:
+                inner = f"{node.module}.{alias.name}"
+                found.add(inner if inner in modules else node.module)
+    return found & modules
 
 
 def circle_in(graph: dict[str, set[str]]) -> list[str]:
@@ -51,16 +61,24 @@
     return []
 
 
+def graph_of(root: Path) -> dict[str, set[str]]:
+    """Return which modules each module of a repository imports."""
+    files: dict[str, Path] = {}
+    for pattern in SOURCES:
+        for folder in root.glob(pattern):
+            files.update(modules_under(folder))
+    names = set(files)
+    graph = {name: imports_of(path, names) for name, path in files.items()}
+    return {name: others - {name} for name, others in graph.items()}
+
+
 def main() -> int:
-    """Print every circle; return how many there are, at most 1."""
-    failed = 0
-    for library, folder in LIBRARIES.items():
-        graph = {path.stem: imports_of(path, library) for path in folder.glob("*.py")}
-        circle = circle_in(graph)
-        if circle:
-            print(f"{library}: {' -> '.join(circle)}")
-            failed = 1
-    return failed
+    """Print a circle if there is one; return how many were found, at most 1."""
+    circle = circle_in(graph_of(Path(__file__).resolve().parents[1]))
+    if not circle:
+        return 0
+    print(" -> ".join(circle))
+    return 1
 
 
 if __name__ == "__main__":
