Write a page with plots of the section pipelines; let silent callers leave its plays

Cause: the section was slow above the bound (minutes): the baselines have no bound on memory, so full parts stopped and restarted their requests without end, and nobody left. It also had no page.

Change: callers leave after two seconds of silence, as the platform's do; the section writes out/pipelines.html, the same page for the same figures.

--- a/packages/bench/src/lacewingcourse/bench/pipeline_play.py
+++ b/packages/bench/src/lacewingcourse/bench/pipeline_play.py
@@ -29,9 +29,12 @@
 
 #: Seconds of a tick.
 TICK = 0.01
-#: Seconds after the last request at which the play ends. Without a bound on memory a
-#: full part stops and restarts its requests without end, and nothing is written.
+#: Seconds after the last request at which the play ends.
 PATIENCE = 10.0
+#: Seconds of silence after which a caller leaves, as the platform's callers do.
+CALLER_PATIENCE = 2.0
+#: Ticks between two looks for callers that leave.
+LEAVING_TICKS = 10
 #: Ticks between two tries of those that wait, as entries have it.
 ADMISSION_TICKS = 3
 #: Requests without room after which the others are not tried in the same tick.
@@ -88,6 +91,7 @@
         first_at: When its first token was written.
         late: Whether a pause was too long.
         refused: Whether it was refused.
+        progressed_at: When it was last written, or came.
         ended: Whether it was written to its end.
     """
 
@@ -101,6 +105,7 @@
     first_at: float | None = None
     late: bool = False
     refused: bool = False
+    progressed_at: float = 0.0
     ended: bool = False
 
 
@@ -176,6 +181,8 @@
             ticks += 1
             if ticks % ADMISSION_TICKS == 0:
                 self._admit(now)
+            if ticks % LEAVING_TICKS == 0:
+                self._leave(now)
             self._write(now)
             self._preempt(now)
         return self._result()
@@ -198,7 +205,8 @@
             large = self.rng.random() < LARGE_SHARE
             organisation = 0 if large else self.rng.randrange(self.plan.organisations)
             demand = Demand(prompt, min(expected, 4 * self.shape.usual_answer))
-            found.append(Stream(now, demand, answer, organisation))
+            stream = Stream(now, demand, answer, organisation, progressed_at=now)
+            found.append(stream)
         self.streams = list(found)
         return found
 
@@ -259,10 +267,20 @@
                 stream.first_at = now
                 stream.late |= now - stream.arrived > self.plan.first_within
             stream.written += TICK / token
+            stream.progressed_at = now
             if stream.written >= stream.answer:
                 stream.ended = True
                 self._stop(stream)
 
+    def _leave(self, now: float) -> None:
+        """Let the callers leave that have heard nothing for too long."""
+        for stream in list(self.running):
+            if now - stream.progressed_at > CALLER_PATIENCE:
+                self._stop(stream)
+        self.waiting = [
+            s for s in self.waiting if now - s.progressed_at <= CALLER_PATIENCE
+        ]
+
     def _preempt(self, now: float) -> None:
         """Stop the newest requests of parts whose memory has overflowed."""
         used: dict[str, float] = {}
--- a/packages/bench/src/lacewingcourse/bench/pipelines.py
+++ b/packages/bench/src/lacewingcourse/bench/pipelines.py
@@ -10,6 +10,7 @@
 
 from lacewingcourse.bench.figures import Outcome, single
 from lacewingcourse.bench.pipeline_fleets import FleetPlan, read_plan
+from lacewingcourse.bench.pipeline_page import Played, write_page
 from lacewingcourse.bench.pipeline_play import CHOICES, Play
 from lacewingcourse.bench.sections import SECTIONS
 from lacewingcourse.core.pipelines.capacity import fleet_bound
@@ -21,12 +22,14 @@
 
 #: Fleets that are played.
 FLEETS = Path("deploy/fleets")
+#: Where the page with plots is written.
+PAGE = Path("out/pipelines.html")
 
 
 @SECTIONS.register("pipelines")
 def pipelines(options: Options) -> Outcome:
     """Play each fleet with each choice at each load level."""
-    figures, lines = [], []
+    figures, lines, played = [], [], []
     for path in sorted(FLEETS.glob("*.toml")):
         plan = read_plan(path)
         bound = bound_of(plan)
@@ -37,7 +40,10 @@
                 rate, seconds = level * bound, options.seconds
                 result = Play(plan, name, rate, seconds, options.seed).run()
                 lines.append(f"{level:>6.2f}  {name:<14}{row_of(result, bound)}")
+                played.append(Played(path.stem, bound, level, name, result))
             options.progress(f"{path.stem}: load {level} done")
+    write_page(played, PAGE)
+    lines.append(f"plots: {PAGE}")
     return Outcome("pipelines", tuple(figures), "\n".join(lines))
 
 
--- a/packages/bench/tests/test_pipelines.py
+++ b/packages/bench/tests/test_pipelines.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lacewingcourse.bench.pipeline_fleets import Loss, read_plan
+from lacewingcourse.bench.pipeline_page import Played, page_of
 from lacewingcourse.bench.pipeline_play import Play
 from lacewingcourse.bench.pipelines import bound_of
 
@@ -50,3 +51,22 @@
     result = play(lost, "predicted", 0.6)
     assert result.in_time > 0.75
     assert result.refused < 0.05
+
+
+def test_the_page_has_a_plot_for_each_fleet(plan):
+    result = play(plan, "random", 0.3, seconds=1.0)
+    played = [
+        Played("three-halls", 40.0, level, choice, result)
+        for level in (0.5, 1.5)
+        for choice in ("predicted", "random")
+    ]
+    page = page_of(played)
+    assert page.count("<svg") == 1
+    assert "three-halls: bound of 40.0 requests a second" in page
+    assert page == page_of(played)
+
+
+def test_callers_that_hear_nothing_leave(plan):
+    """Without a bound on memory, full parts stop and restart their requests."""
+    result = play(plan, "random", 3.0)
+    assert result.in_time + result.late < 0.9
