Let many entries speak through hubs of their zones

Cause: an entry spoke with the eight that follow it by name.

Ruled out: every entry with every other one (the messages grow with the square: 756 a round at 28 entries); passing everything on between neighbours (several rounds late, and what is passed on circulates).

Change: up to nine entries as before. Beyond, two hubs a zone add up what the entries of the zone run and tell each the sum of all others; hubs speak with eight far hubs a round. Suspicions and losses carry what is left of their time, so they die out. Gossip (what is told and learned) stands apart from PeerExchange (who is spoken to, over HTTP).

--- a/packages/core/src/lacewingcourse/core/pipelines/crashes.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/crashes.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.suspects import Reach
+
 #: Endpoints that must have been lost while they ran a request before it is refused.
 #: One or two are lost beside any request now and then.
 CRASHES_TO_REFUSE = 3
@@ -35,48 +37,70 @@
     neighbours of one crash are other ones than those of the next.
 
     Attributes:
-        own: Times of the losses that this entry saw, by fingerprint and endpoint.
-        told: The same for losses that peers told of.
+        books: Times of the losses by fingerprint and endpoint, for those that this
+            entry saw, that one of its zone saw, and that others saw.
     """
 
-    own: dict[str, dict[str, float]] = attrs.field(factory=dict)
-    told: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    books: dict[Reach, dict[str, dict[str, float]]] = attrs.field(
+        factory=lambda: {reach: {} for reach in Reach}
+    )
 
     def strike(self, fingerprint: str, endpoint: str, now: float) -> bool:
         """Note a loss under a request; tell whether it is refused from now on."""
-        _note(self.own, fingerprint, endpoint, now)
+        _note(self.books[Reach.OWN], fingerprint, endpoint, now)
         return self.is_refused(fingerprint, now)
 
     def clear(self, fingerprint: str) -> None:
         """Forget a request that ran to its end."""
-        self.own.pop(fingerprint, None)
-        self.told.pop(fingerprint, None)
-
-    def from_peer(self, losses: dict[str, list[str]], now: float) -> None:
-        """Take the losses that a peer saw."""
+        for book in self.books.values():
+            book.pop(fingerprint, None)
+
+    def from_peer(
+        self, losses: dict[str, dict[str, float]], now: float, near: bool = True
+    ) -> None:
+        """Take the losses that a peer told.
+
+        Args:
+            losses: Seconds since each loss, by fingerprint and endpoint.
+            now: Present time in seconds.
+            near: Whether an entry of this one's availability zone saw them.
+        """
+        book = self.books[Reach.ZONE if near else Reach.ALL]
         for fingerprint, endpoints in losses.items():
-            for endpoint in endpoints:
-                _note(self.told, fingerprint, endpoint, now)
+            for endpoint, age in endpoints.items():
+                _note(book, fingerprint, endpoint, now - age)
 
     def is_refused(self, fingerprint: str, now: float) -> bool:
         """Tell whether a request is refused."""
         return len(self._lost(fingerprint, now)) >= CRASHES_TO_REFUSE
 
-    def own_losses(self, now: float) -> dict[str, list[str]]:
-        """Return the losses that this entry saw, by fingerprint."""
-        found = {name: sorted(_fresh(at, now)) for name, at in self.own.items()}
-        return {name: endpoints for name, endpoints in found.items() if endpoints}
+    def losses(
+        self, now: float, reach: Reach = Reach.OWN
+    ) -> dict[str, dict[str, float]]:
+        """Return the seconds since each loss, by fingerprint and endpoint.
+
+        Args:
+            now: Present time in seconds.
+            reach: From how far away the losses may be.
+        """
+        found: dict[str, dict[str, float]] = {}
+        for seen, book in self.books.items():
+            for fingerprint, losses in book.items() if seen <= reach else ():
+                ages = {e: round(now - losses[e], 3) for e in _fresh(losses, now)}
+                if ages:
+                    found.setdefault(fingerprint, {}).update(ages)
+        return found
 
     def expire(self, now: float) -> None:
         """Forget what counts no longer."""
-        for book in (self.own, self.told):
+        for book in self.books.values():
             for fingerprint, losses in list(book.items()):
                 if not _fresh(losses, now):
                     del book[fingerprint]
 
     def _lost(self, fingerprint: str, now: float) -> set[str]:
-        own = _fresh(self.own.get(fingerprint, {}), now)
-        return own | _fresh(self.told.get(fingerprint, {}), now)
+        books = self.books.values()
+        return set().union(*(_fresh(b.get(fingerprint, {}), now) for b in books))
 
 
 def _note(
--- a/packages/core/src/lacewingcourse/core/pipelines/load.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/load.py
@@ -7,6 +7,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lacewingcourse.core.pipelines.path import Path
 
 #: Seconds for which the loads that a peer told are believed.
@@ -69,6 +71,27 @@
         """Take the loads that a peer told."""
         self.peers[peer] = (now, loads)
 
+    def forget(self, peer: str) -> None:
+        """Forget the loads that were kept under a name."""
+        self.peers.pop(peer, None)
+
+    def total(self, included: Callable[[str], bool]) -> dict[str, Load]:
+        """Return this entry's loads with those of some peers added.
+
+        Args:
+            included: Tells of a name under which loads are kept whether they count.
+        """
+        books = [self.own]
+        books += [loads for peer, (_, loads) in self.peers.items() if included(peer)]
+        found: dict[str, Load] = {}
+        for book in books:
+            for endpoint, load in book.items():
+                sum_of = found.setdefault(endpoint, Load())
+                sum_of.requests += load.requests
+                sum_of.leading += load.leading
+                sum_of.cells += load.cells
+        return found
+
     def expire(self, now: float) -> list[str]:
         """Forget peers that have been silent for too long; return their names."""
         silent = [
--- a/packages/core/src/lacewingcourse/core/pipelines/peers.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/peers.py
@@ -1,17 +1,38 @@
-"""Other entries: which are alive, and which of all reads the platform for the rest."""
+"""Other entries: which are alive, who speaks with whom, and who reads for the rest."""
 
 from __future__ import annotations
 
+from collections import defaultdict
+from enum import Enum
+
 import attrs
 
 #: Seconds after which an entry that was not heard is taken to be gone. Entries speak
-#: four times a second; a freeze or a cut of a second must not be missed by all.
+#: several times a second; a freeze or a cut of a second must not be missed by all.
 PEER_SILENT = 1.2
 #: Seconds for which the address of a silent entry is still tried.
 PEER_FORGOTTEN = 20.0
-#: Entries that one speaks to at the most. All of a deployment of today; at hundreds
-#: of entries each speaks to those that follow it in order of their names.
-MOST_PEERS = 8
+#: Entries up to which each speaks with every other one. Loads then arrive within one
+#: round; the messages of a round grow with the square of the entries.
+FULL_MESH = 9
+#: Entries that one speaks to in a round at the most.
+MOST_PEERS = FULL_MESH - 1
+#: Entries of an availability zone that speak for it. Two, so that the loss of one is
+#: noticed by nobody.
+HUBS_PER_ZONE = 2
+#: Silent entries that are tried in one round of a large deployment.
+MOST_SILENT = 2
+#: Rank from which those count that are no hubs. Above the hubs of today's zones, so
+#: that they read the platform only when all hubs have fallen silent.
+MEMBER_RANK = 8
+
+
+class Role(Enum):
+    """How an entry takes part in the exchange between entries."""
+
+    EQUAL = "equal"
+    HUB = "hub"
+    MEMBER = "member"
 
 
 @attrs.define
@@ -21,6 +42,7 @@
     Attributes:
         name: Its name.
         address: Address for entries.
+        zone: Its availability zone, empty while unknown.
         heard_at: When it was last heard, seconds; minus infinity before.
         known_since: When its address was learned.
         leaving: Whether it is ending.
@@ -28,6 +50,7 @@
 
     name: str
     address: str
+    zone: str = ""
     heard_at: float = float("-inf")
     known_since: float = 0.0
     leaving: bool = False
@@ -37,34 +60,60 @@
 class PeerBook:
     """The other entries that are known.
 
+    A few entries all speak with one another. Many speak through hubs: each one with
+    the hubs of its zone, and hubs with those of the other zones, so that the messages
+    of an entry do not grow with the deployment.
+
     Attributes:
         name: Name of this entry.
+        zone: Its availability zone.
         peers: Others by name.
         started_at: When this entry started, seconds.
+        counts: Entries alive in each other zone, as its hubs told.
+        turn: Rounds so far.
     """
 
     name: str
+    zone: str = ""
     peers: dict[str, Peer] = attrs.field(factory=dict)
     started_at: float = 0.0
+    counts: dict[str, int] = attrs.field(factory=dict)
+    turn: int = 0
 
-    def learn(self, name: str, address: str, now: float) -> None:
+    def learn(self, name: str, address: str, now: float, zone: str = "") -> None:
         """Take the address of an entry."""
         if name == self.name:
             return
         known = self.peers.get(name)
         if known is None or known.address != address:
-            self.peers[name] = Peer(name, address, known_since=now)
+            self.peers[name] = Peer(name, address, zone, known_since=now)
+        elif zone:
+            known.zone = zone
 
-    def hear(self, name: str, address: str, leaving: bool, now: float) -> None:
+    def hear(
+        self, name: str, address: str, leaving: bool, now: float, zone: str = ""
+    ) -> None:
         """Note that an entry was heard."""
         if name == self.name:
             return
-        self.learn(name, address, now)
+        self.learn(name, address, now, zone)
         self.peers[name].heard_at = now
         self.peers[name].leaving = leaving
 
+    def hear_of(
+        self, name: str, address: str, zone: str, age: float, now: float
+    ) -> None:
+        """Note that another entry heard an entry some seconds ago."""
+        if name == self.name:
+            return
+        self.learn(name, address, now, zone)
+        known = self.peers[name]
+        if known.heard_at < now - age:
+            known.heard_at = now - age
+            known.leaving = False
+
     def alive(self, now: float) -> list[str]:
-        """Return the names of the entries that are alive, this one among them."""
+        """Return the names of the entries known to be alive, this one among them."""
         heard = [
             peer.name
             for peer in self.peers.values()
@@ -72,9 +121,46 @@
         ]
         return sorted([self.name, *heard])
 
+    def zone_of(self, name: str) -> str:
+        """Return the availability zone of an entry, empty if it is unknown."""
+        if name == self.name:
+            return self.zone
+        peer = self.peers.get(name)
+        return peer.zone if peer is not None else ""
+
+    def count(self, now: float) -> int:
+        """Return how many entries are alive, as far as is known."""
+        alive = self.alive(now)
+        near = sum(self.zone_of(name) == self.zone for name in alive)
+        return max(len(alive), near + sum(self.counts.values()))
+
+    def hubs(self, now: float) -> dict[str, list[str]]:
+        """Return the entries that speak for each availability zone."""
+        found: dict[str, list[str]] = defaultdict(list)
+        for name in self.alive(now):
+            members = found[self.zone_of(name)]
+            if len(members) < HUBS_PER_ZONE:
+                members.append(name)
+        return found
+
+    def role(self, now: float) -> Role:
+        """Return how this entry takes part in the exchange."""
+        if self.count(now) <= FULL_MESH:
+            return Role.EQUAL
+        is_hub = self.name in self.hubs(now)[self.zone]
+        return Role.HUB if is_hub else Role.MEMBER
+
     def rank(self, now: float) -> int:
         """Return how many entries alive come before this one."""
-        return self.alive(now).index(self.name)
+        role = self.role(now)
+        if role is Role.EQUAL:
+            return self.alive(now).index(self.name)
+        if role is Role.HUB:
+            hubs = self.hubs(now).values()
+            order = sorted((names.index(n), n) for names in hubs for n in names)
+            return [name for _, name in order].index(self.name)
+        near = [n for n in self.alive(now) if self.zone_of(n) == self.zone]
+        return MEMBER_RANK + near.index(self.name)
 
     def is_silent(self, name: str, seconds: float, now: float) -> bool:
         """Tell whether an entry was not heard for some time.
@@ -87,20 +173,68 @@
         heard_at = peer.heard_at if peer is not None else float("-inf")
         return now - max(heard_at, self.started_at) > seconds
 
-    def partners(self, now: float) -> list[Peer]:
-        """Return the entries to speak to: those that follow in order of names.
+    def partners(self, now: float, urgent: bool = False) -> list[Peer]:
+        """Return the entries to speak to in this round.
 
         Of two entries one speaks and the other answers, but for one that has gone
         silent, which both try.
+
+        Args:
+            now: Present time in seconds.
+            urgent: Whether there is something that everybody must know at once.
         """
-        known = sorted(self.peers.values(), key=lambda peer: peer.name)
-        after = [peer for peer in known if peer.name > self.name]
-        before = [peer for peer in known if peer.name < self.name]
-        silent = [peer for peer in before if now - peer.heard_at > PEER_SILENT / 2]
-        return (after + silent)[:MOST_PEERS]
+        self.turn += 1
+        role = self.role(now)
+        if role is Role.EQUAL:
+            return self._following(sorted(self.peers), now)[:MOST_PEERS]
+        near = [n for n in self.hubs(now)[self.zone] if n != self.name]
+        if role is Role.MEMBER:
+            spoken = near if urgent else self._in_turn(near, 1)
+            return [self.peers[name] for name in spoken] + self._tried(now)
+        return self._partners_of_hub(near, now, urgent)
+
+    def _partners_of_hub(self, near: list[str], now: float, urgent: bool) -> list[Peer]:
+        """Return whom a hub speaks to: far hubs in turn, and all if it is urgent."""
+        hubs = self.hubs(now)
+        far = [n for zone, names in hubs.items() if zone != self.zone for n in names]
+        if urgent:
+            members = [n for n in self.alive(now) if self.zone_of(n) == self.zone]
+            names = {*near, *far, *members} - {self.name}
+            return [self.peers[name] for name in sorted(names)]
+        following = [peer.name for peer in self._following(sorted(far), now)]
+        spoken = near + self._in_turn(following, MOST_PEERS)
+        return [self.peers[name] for name in spoken] + self._tried(now)
+
+    def _following(self, names: list[str], now: float) -> list[Peer]:
+        """Return those after this one in order of names, and silent ones before it."""
+        after = [self.peers[n] for n in names if n > self.name]
+        before = [self.peers[n] for n in names if n < self.name]
+        return after + [p for p in before if now - p.heard_at > PEER_SILENT / 2]
+
+    def _in_turn(self, names: list[str], count: int) -> list[str]:
+        """Return some of the names, others in the next round."""
+        if len(names) <= count:
+            return names
+        start = self.turn * count % len(names)
+        return (names[start:] + names[:start])[:count]
+
+    def _tried(self, now: float) -> list[Peer]:
+        """Return silent entries to be tried again, others in the next round."""
+        silent = [p.name for p in self.peers.values() if now - p.heard_at > PEER_SILENT]
+        return [self.peers[n] for n in self._in_turn(sorted(silent), MOST_SILENT)]
+
+    def told_to(self, zone: str, now: float) -> list[Peer]:
+        """Return the entries alive that one of an availability zone needs to know."""
+        alive = [self.peers[name] for name in self.alive(now) if name != self.name]
+        if self.role(now) is Role.EQUAL:
+            return alive
+        hubs = {name for names in self.hubs(now).values() for name in names}
+        return [peer for peer in alive if peer.zone == zone or peer.name in hubs]
 
     def expire(self, now: float) -> None:
         """Forget entries that have been silent for long."""
         for peer in list(self.peers.values()):
             if now - max(peer.heard_at, peer.known_since) > PEER_FORGOTTEN:
                 del self.peers[peer.name]
+        zones = {peer.zone for peer in self.peers.values()}
+        self.counts = {z: n for z, n in self.counts.items() if z in zones}
--- a/packages/core/src/lacewingcourse/core/pipelines/pipes.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/pipes.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 #: Seconds over which the use of a pipe is counted.
 WINDOW = 1.0
 #: Share of a pipe's time that prompts may take. Transfers wait for one another, and
@@ -56,6 +60,22 @@
         """Take the shares that a peer told."""
         self.peers[peer] = uses
 
+    def total(
+        self, now: float, included: Callable[[str], bool]
+    ) -> dict[ZonePair, float]:
+        """Return this entry's shares with those of some peers added.
+
+        Args:
+            now: Present time in seconds.
+            included: Tells of a name under which shares are kept whether they count.
+        """
+        found = self.uses(now)
+        for peer, uses in self.peers.items():
+            if included(peer):
+                for pair, use in uses.items():
+                    found[pair] = found.get(pair, 0.0) + use
+        return found
+
     def forget(self, peer: str) -> None:
         """Forget a peer that has fallen silent."""
         self.peers.pop(peer, None)
--- a/packages/core/src/lacewingcourse/core/pipelines/suspects.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/suspects.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
+
 import attrs
 
 #: Seconds for which an endpoint is left out after a first failure. A dead one loses
@@ -11,6 +13,9 @@
 LONGEST_EXCLUSION = 8.0
 #: Seconds without a failure after which exclusions start short again.
 FORGIVEN_AFTER = 10.0
+#: Seconds below which the rest of a peer's suspicion is not taken over. Otherwise
+#: entries that tell one another would keep it alive between them.
+LEAST_REMAINING = 0.3
 #: Share of its memory from which an endpoint that rejects may just be full. What it
 #: holds is known but for answers that outgrow their estimate and what peers sent just
 #: now: sound ones rejected with 0.65 and more believed to be taken. Dead ones were
@@ -33,6 +38,14 @@
     return not misdirected and filled >= FULL_SHARE
 
 
+class Reach(IntEnum):
+    """How far from where it was seen something is told."""
+
+    OWN = 0
+    ZONE = 1
+    ALL = 2
+
+
 @attrs.define
 class Suspicion:
     """Why an endpoint is left out.
@@ -42,14 +55,14 @@
         failures: Failures in succession.
         failed_at: Time of the last one.
         reason: What was seen.
-        own: Whether this entry saw the failure itself.
+        reach: Whether this entry saw the failure, one of its zone, or another.
     """
 
     until: float
     failures: int
     failed_at: float
     reason: str
-    own: bool = True
+    reach: Reach = Reach.OWN
 
 
 @attrs.define
@@ -75,26 +88,39 @@
         self.members[endpoint] = found
         return found
 
-    def from_peer(self, endpoint: str, remaining: float, now: float) -> None:
-        """Leave out an endpoint that a peer leaves out."""
+    def from_peer(
+        self, endpoint: str, remaining: float, now: float, near: bool = True
+    ) -> None:
+        """Leave out an endpoint that a peer leaves out.
+
+        Args:
+            endpoint: The endpoint.
+            remaining: Seconds for which the peer leaves it out.
+            now: Present time in seconds.
+            near: Whether an entry of this one's availability zone saw the failure.
+        """
         known = self.members.get(endpoint)
+        if remaining < LEAST_REMAINING or (known is not None and known.until >= now):
+            return
         until = now + min(remaining, LONGEST_EXCLUSION)
-        if known is None or known.until < now:
-            self.members[endpoint] = Suspicion(until, 1, now, "told by a peer", False)
+        reach = Reach.ZONE if near else Reach.ALL
+        self.members[endpoint] = Suspicion(until, 1, now, "told by a peer", reach)
 
     def excluded(self, now: float) -> set[str]:
         """Return the endpoints that are left out."""
         return {name for name, found in self.members.items() if found.until > now}
 
-    def own_remaining(self, now: float) -> dict[str, float]:
-        """Return the seconds for which this entry leaves out each endpoint itself.
+    def remaining(self, now: float, reach: Reach = Reach.OWN) -> dict[str, float]:
+        """Return the seconds for which endpoints are left out.
 
-        What peers told is not passed on, or a suspicion would go round for ever.
+        Args:
+            now: Present time in seconds.
+            reach: From how far away the suspicions may be.
         """
         return {
             name: round(found.until - now, 3)
             for name, found in self.members.items()
-            if found.own and found.until > now
+            if found.reach <= reach and found.until > now
         }
 
     def expire(self, now: float) -> None:
--- a/packages/core/tests/pipelines/test_crashes.py
+++ b/packages/core/tests/pipelines/test_crashes.py
@@ -26,9 +26,9 @@
 def test_losses_that_peers_saw_count():
     book = CrashBook()
     book.strike("r", "a", now=0.0)
-    book.from_peer({"r": ["b", "c"]}, now=1.0)
+    book.from_peer({"r": {"b": 0.0, "c": 0.0}}, now=1.0)
     assert book.is_refused("r", now=1.0)
-    assert book.own_losses(now=1.0) == {"r": ["a"]}
+    assert set(book.losses(now=1.0)["r"]) == {"a"}
 
 
 def test_a_request_that_ran_to_its_end_is_cleared():
@@ -45,7 +45,7 @@
         book.strike("r", name, now=0.0)
     assert not book.is_refused("r", now=CRASH_KEPT)
     book.expire(now=CRASH_KEPT)
-    assert book.own == {}
+    assert book.losses(now=CRASH_KEPT) == {}
 
 
 def test_fingerprints_tell_fields_apart():
--- a/packages/core/tests/pipelines/test_suspects.py
+++ b/packages/core/tests/pipelines/test_suspects.py
@@ -25,7 +25,7 @@
     suspects = Suspects()
     suspects.from_peer("a", 1.5, now=0.0)
     assert suspects.excluded(1.0) == {"a"}
-    assert suspects.own_remaining(1.0) == {}
+    assert suspects.remaining(1.0) == {}
 
 
 @pytest.mark.parametrize(
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -21,6 +21,7 @@
 from lacewingcourse.relay.decisions import DecisionLog
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
 from lacewingcourse.relay.gateway import Gateway
+from lacewingcourse.relay.gossip import Gossip
 from lacewingcourse.relay.metrics import METRICS_PATH
 from lacewingcourse.relay.peers import PeerExchange
 from lacewingcourse.relay.placement_duty import PlacementDuty
@@ -114,7 +115,7 @@
         self.log = DecisionLog(self.clock, self.metrics, self._version)
         self.readiness = Readiness(self.beliefs)
         self.pool = ConnectionPool()
-        self.book = PeerBook(settings.name, started_at=self.clock())
+        self.book = PeerBook(settings.name, settings.zone, started_at=self.clock())
         self.budget = RepeatBudget(
             settings.bounds.repeat_ratio,
             settings.bounds.repeat_window,
@@ -190,11 +191,9 @@
             self.settings.bounds.fencing_checked,
             lambda holder, s: self.book.is_silent(holder, s, self.clock()),
         )
-        self.peers = PeerExchange(
+        gossip = Gossip(
             self.settings.name,
             self.settings.peers,
-            self.settings.seeds,
-            self.platform.registry,
             self.book,
             self.beliefs,
             self.configuration,
@@ -204,6 +203,9 @@
             self.log,
             self.clock,
         )
+        self.peers = PeerExchange(
+            gossip, self.settings.seeds, self.platform.registry, self.clock
+        )
         shown = {("GET", METRICS_PATH): self._on_metrics}
         self.peer_server = HTTPServer(SmallServer(self.peers.handlers() | shown))
         self.metrics_server = HTTPServer(SmallServer(shown))
@@ -300,7 +302,7 @@
                 self.beliefs.pipes.forget(peer)
             self.beliefs.suspects.expire(now)
             self.beliefs.crashes.expire(now)
-            self.budget.entries = max(len(self.book.peers) + 1, self.budget.entries)
+            self.budget.entries = max(self.book.count(now), self.budget.entries)
             await asyncio.sleep(HOUSEKEEPING_PERIOD)
 
     def _on_thaw(self, slept: float) -> None:
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -0,0 +1,206 @@
+"""What entries tell one another, put together and taken in."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.pipelines.load import Load
+from lacewingcourse.core.pipelines.peers import Role
+from lacewingcourse.core.pipelines.suspects import Reach
+from lacewingcourse.relay.peer_messages import PeerNews, Scope, loads_of
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewingcourse.core.pipelines.peers import PeerBook
+    from lacewingcourse.core.pipelines.pipes import ZonePair
+    from lacewingcourse.relay.beliefs import Beliefs
+    from lacewingcourse.relay.decisions import DecisionLog
+    from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
+    from lacewingcourse.relay.placement_duty import PlacementDuty
+    from lacewingcourse.relay.readiness import Readiness
+
+#: Key under which the loads of all others are kept that a hub told.
+OTHERS = "others"
+#: What suspicions and losses reach whom, by what the loads beside them cover.
+REACH_OF_SCOPE = {
+    Scope.OWN: Reach.OWN,
+    Scope.ZONE: Reach.ZONE,
+    Scope.OTHERS: Reach.ALL,
+}
+
+
+@attrs.define
+class Gossip:
+    """Composes the news of this entry, and learns from those of others.
+
+    Among a few entries each tells what it did itself. Among many, hubs add up what the
+    entries of their availability zone told, and tell each of these what all others
+    did.
+
+    Attributes:
+        name: Name of this entry.
+        address: Its address for entries.
+        book: The other entries.
+        beliefs: What this entry believes.
+        configuration: Follows the configuration.
+        directory: Follows the directory.
+        duty: The duty of placing.
+        readiness: Whether this entry is ending.
+        log: Log of decisions.
+        clock: Returns the present time in seconds.
+    """
+
+    name: str
+    address: str
+    book: PeerBook
+    beliefs: Beliefs
+    configuration: ConfigurationFollower
+    directory: DirectoryFollower
+    duty: PlacementDuty
+    readiness: Readiness
+    log: DecisionLog
+    clock: Callable[[], float]
+
+    def news_for(self, receiver: str, zone: str) -> PeerNews:
+        """Return what this entry tells another one.
+
+        Args:
+            receiver: Its name, empty if it is unknown.
+            zone: Its availability zone, empty if it is unknown.
+        """
+        now = self.clock()
+        scope = self.scope_for(receiver, zone, now)
+        reach = REACH_OF_SCOPE[scope]
+        table, lease = self.beliefs.table, self.duty.lease
+        return PeerNews(
+            name=self.name,
+            zone=self.book.zone,
+            address=self.address,
+            leaving=self.readiness.leaving,
+            version=table.version if table else 0,
+            version_age=self.configuration.freshness.age(now),
+            revision=self.beliefs.fleet.revision,
+            position=self.directory.position or 0,
+            position_age=self.directory.freshness.age(now),
+            scope=scope,
+            loads={
+                endpoint: (load.requests, load.leading, round(load.cells))
+                for endpoint, load in self._loads(scope, receiver).items()
+                if load.requests
+            },
+            pipes=[
+                (*pair, round(use, 3))
+                for pair, use in self._pipes(scope, receiver, now).items()
+            ],
+            suspects=self.beliefs.suspects.remaining(now, reach),
+            crashes=self.beliefs.crashes.losses(now, reach),
+            peers={
+                peer.name: (peer.address, peer.zone, round(now - peer.heard_at, 3))
+                for peer in self.book.told_to(zone, now)
+            },
+            counts=self._counts(scope, now),
+            holder=lease.holder if lease else "",
+            fencing=lease.fencing if lease else 0,
+        )
+
+    def scope_for(self, receiver: str, zone: str, now: float) -> Scope:
+        """Return whose loads another entry is told."""
+        if self.book.role(now) is not Role.HUB:
+            return Scope.OWN
+        if zone != self.book.zone:
+            return Scope.ZONE
+        is_hub = receiver in self.book.hubs(now)[self.book.zone]
+        return Scope.OWN if is_hub else Scope.OTHERS
+
+    def take(self, news: PeerNews) -> None:
+        """Learn from another entry."""
+        now = self.clock()
+        was_alive = news.name in self.book.alive(now)
+        self.book.hear(news.name, news.address, news.leaving, now, news.zone)
+        if not was_alive and not news.leaving:
+            self.log.belief("peer_heard", peer=news.name, address=news.address)
+        for name, (address, zone, age) in news.peers.items():
+            self.book.hear_of(name, address, zone, age, now)
+        self._take_counts(news, now)
+        self._take_loads(news, now)
+        near = news.zone == self.book.zone and news.scope is Scope.OWN
+        for endpoint, remaining in news.suspects.items():
+            self.beliefs.suspects.from_peer(endpoint, remaining, now, near)
+        self.beliefs.crashes.from_peer(news.crashes, now, near)
+        self.duty.hear(news.holder, news.fencing)
+
+    def _take_counts(self, news: PeerNews, now: float) -> None:
+        """Take how many entries other zones have."""
+        told = {zone: n for zone, n in news.counts.items() if zone != self.book.zone}
+        if news.scope is Scope.OTHERS:
+            self.book.counts = told
+        else:
+            self.book.counts.update(told)
+
+    def _take_loads(self, news: PeerNews, now: float) -> None:
+        """Take what others run, unless it is known already in another sum."""
+        role = self.book.role(now)
+        loads, pipes = self.beliefs.loads, self.beliefs.pipes
+        uses = {(first, second): use for first, second, use in news.pipes}
+        if role is Role.MEMBER:
+            if news.scope is Scope.OTHERS:
+                self._forget_but({OTHERS})
+                loads.from_peer(OTHERS, loads_of(news), now)
+                pipes.from_peer(OTHERS, uses)
+            return
+        key = self._key_of(news, role)
+        if key:
+            self._forget(OTHERS)
+            loads.from_peer(key, loads_of(news), now)
+            pipes.from_peer(key, uses)
+
+    def _key_of(self, news: PeerNews, role: Role) -> str:
+        """Return under which key loads are kept, empty for those in another sum."""
+        if role is Role.EQUAL:
+            return news.name if news.scope is Scope.OWN else ""
+        near = news.zone == self.book.zone
+        if news.scope is Scope.OWN:
+            return news.name if near else ""
+        return f"zone {news.zone}" if news.scope is Scope.ZONE and not near else ""
+
+    def _forget_but(self, kept: set[str]) -> None:
+        for key in set(self.beliefs.loads.peers) - kept:
+            self._forget(key)
+
+    def _forget(self, key: str) -> None:
+        self.beliefs.loads.forget(key)
+        self.beliefs.pipes.forget(key)
+
+    def _loads(self, scope: Scope, receiver: str) -> dict[str, Load]:
+        loads = self.beliefs.loads
+        if scope is Scope.OWN:
+            return loads.own
+        if scope is Scope.ZONE:
+            return loads.total(self._near)
+        return loads.total(lambda key: key != receiver)
+
+    def _pipes(self, scope: Scope, receiver: str, now: float) -> dict[ZonePair, float]:
+        pipes = self.beliefs.pipes
+        if scope is Scope.OWN:
+            return pipes.uses(now)
+        if scope is Scope.ZONE:
+            return pipes.total(now, self._near)
+        return pipes.total(now, lambda key: key != receiver)
+
+    def _near(self, key: str) -> bool:
+        """Tell whether loads under a key are those of an entry of this zone."""
+        return key in self.book.peers
+
+    def _counts(self, scope: Scope, now: float) -> dict[str, int]:
+        """Return how many entries zones have, for those who do not hear them."""
+        if self.book.role(now) is Role.MEMBER:
+            return {}
+        counts: dict[str, int] = defaultdict(int)
+        for name in self.book.alive(now):
+            if self.book.zone_of(name) == self.book.zone:
+                counts[self.book.zone] += 1
+        return self.book.counts | counts if scope is Scope.OTHERS else counts
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 import attrs
 from cattrs.preconf.orjson import make_converter
 
@@ -11,12 +13,21 @@
 converter = make_converter()
 
 
+class Scope(Enum):
+    """Whose loads a message tells: its sender's, its zone's, all but its reader's."""
+
+    OWN = "own"
+    ZONE = "zone"
+    OTHERS = "others"
+
+
 @attrs.frozen
 class PeerNews:
     """What an entry tells another one, several times a second.
 
     Attributes:
         name: Name of the sender.
+        zone: Its availability zone.
         address: Its address for entries.
         leaving: Whether it is ending.
         version: Version of its configuration, 0 before there is one.
@@ -24,16 +35,21 @@
         revision: Revision of its fleet.
         position: How far it knows the directory.
         position_age: Seconds since that was known to be all.
+        scope: Whose loads and uses of pipes are told.
         loads: Requests, requests led, and tokens times layers, by endpoint.
         pipes: Shares of the time of pipes between zones, as pairs of zones and share.
-        suspects: Seconds for which it leaves out each endpoint.
-        crashes: Endpoints lost under requests, by fingerprint.
-        peers: Addresses of the entries it knows to be alive, by name.
+        suspects: Seconds for which each endpoint is left out.
+        crashes: Seconds since the loss of endpoints under requests, by fingerprint
+            and endpoint.
+        peers: Address, availability zone and seconds since it was heard of each entry
+            that the reader needs to know, by name.
+        counts: Entries alive in availability zones.
         holder: Holder of the duty of placing, empty if unknown.
         fencing: Fencing number of that holder.
     """
 
     name: str
+    zone: str
     address: str
     leaving: bool
     version: int
@@ -41,11 +57,13 @@
     revision: int
     position: int
     position_age: float
+    scope: Scope
     loads: dict[str, tuple[int, int, float]]
     pipes: list[tuple[str, str, float]]
     suspects: dict[str, float]
-    crashes: dict[str, list[str]]
-    peers: dict[str, str]
+    crashes: dict[str, dict[str, float]]
+    peers: dict[str, tuple[str, str, float]]
+    counts: dict[str, int]
     holder: str
     fencing: int
 
--- /dev/null
+++ b/packages/relay/tests/test_gossip.py
@@ -0,0 +1,200 @@
+"""Tests of what entries learn from one another, in small and large deployments."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from lacewingcourse.core.pipelines.freshness import Freshness
+from lacewingcourse.core.pipelines.load import Load
+from lacewingcourse.core.pipelines.peers import PEER_SILENT, PeerBook, Role
+from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.gossip import Gossip
+from lacewingcourse.relay.peer_messages import PeerNews, decode, encode
+from lacewingcourse.relay.peers import PERIOD
+
+
+class Clock:
+    """A clock that a test sets."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Network:
+    """Entries that exchange news in rounds, without delay.
+
+    Attributes:
+        clock: The clock of all.
+        entries: Entries that are alive, by name.
+        exchanges: Exchanges so far.
+    """
+
+    def __init__(self, zones: dict[str, int]) -> None:
+        self.clock = Clock()
+        self.entries: dict[str, Gossip] = {}
+        self.exchanges = 0
+        for zone, count in zones.items():
+            for number in range(count):
+                self.add(f"{zone}-{number:02}", zone)
+        first = min(self.entries)
+        for entry in self.entries.values():
+            entry.book.learn(first, first, 0.0)
+
+    def add(self, name: str, zone: str) -> Gossip:
+        """Add an entry that knows nobody."""
+        follower = SimpleNamespace(freshness=Freshness(1.0, 0.1), position=None)
+        nothing = SimpleNamespace(
+            lease=None,
+            leaving=False,
+            hear=lambda holder, fencing: None,
+            belief=lambda *args, **fields: None,
+        )
+        self.entries[name] = Gossip(
+            name,
+            name,
+            PeerBook(name, zone),
+            Beliefs(),
+            follower,
+            follower,
+            nothing,
+            nothing,
+            nothing,
+            self.clock,
+        )
+        return self.entries[name]
+
+    def exchange(self, one: Gossip, other_name: str, zone: str) -> None:
+        """Let one entry speak to another, and that one answer."""
+        other = self.entries.get(other_name)
+        if other is None:
+            return
+        self.exchanges += 1
+        other.take(decode(encode(one.news_for(other_name, zone)), PeerNews))
+        answer = other.news_for(one.name, one.book.zone)
+        one.take(decode(encode(answer), PeerNews))
+
+    def rounds(self, count: int) -> None:
+        """Let all entries speak for some rounds."""
+        for _ in range(count):
+            self.clock.now += PERIOD
+            for entry in list(self.entries.values()):
+                entry.book.expire(self.clock.now)
+                entry.beliefs.loads.expire(self.clock.now)
+                for peer in entry.book.partners(self.clock.now):
+                    self.exchange(entry, peer.name, peer.zone)
+
+    def roles(self) -> dict[str, Role]:
+        """Return the role of each entry."""
+        now = self.clock.now
+        return {name: entry.book.role(now) for name, entry in self.entries.items()}
+
+
+@pytest.fixture
+def large():
+    """A deployment of 28 entries in three zones that has found itself."""
+    network = Network({"a": 10, "b": 9, "c": 9})
+    network.rounds(15)
+    return network
+
+
+def give_loads(network: Network) -> None:
+    """Let each entry run one request on one endpoint."""
+    for entry in network.entries.values():
+        entry.beliefs.loads.own["x"] = Load(1, 1, 10.0)
+
+
+def test_a_few_entries_all_know_one_another():
+    network = Network({"a": 2, "b": 2, "c": 1})
+    network.rounds(3)
+    assert set(network.roles().values()) == {Role.EQUAL}
+    assert all(
+        len(e.book.alive(network.clock())) == 5 for e in network.entries.values()
+    )
+
+
+def test_many_entries_agree_on_two_hubs_a_zone(large):
+    hubs = {name for name, role in large.roles().items() if role is Role.HUB}
+    assert hubs == {"a-00", "a-01", "b-00", "b-01", "c-00", "c-01"}
+    assert Role.EQUAL not in large.roles().values()
+
+
+@pytest.mark.parametrize(
+    "zones", [{"a": 2, "b": 2, "c": 1}, {"a": 10, "b": 9, "c": 9}], ids=["few", "many"]
+)
+def test_every_entry_learns_the_load_of_all_once(zones):
+    network = Network(zones)
+    network.rounds(15)
+    give_loads(network)
+    network.rounds(6)
+    loads = [e.beliefs.loads.of("x").requests for e in network.entries.values()]
+    assert loads == [len(network.entries)] * len(network.entries)
+
+
+def test_every_entry_knows_how_many_there_are(large):
+    counts = {e.book.count(large.clock()) for e in large.entries.values()}
+    assert counts == {28}
+
+
+def test_one_entry_reads_for_all(large):
+    ranks = sorted(e.book.rank(large.clock()) for e in large.entries.values())
+    assert ranks[:7] == [0, 1, 2, 3, 4, 5, 10]
+
+
+def test_a_suspicion_reaches_all_and_dies_out(large):
+    large.entries["c-05"].beliefs.suspects.suspect("x", "reset", large.clock())
+    large.rounds(4)
+    left_out = [
+        name
+        for name, entry in large.entries.items()
+        if "x" in entry.beliefs.suspects.excluded(large.clock())
+    ]
+    assert len(left_out) == 28
+    large.rounds(20)
+    for entry in large.entries.values():
+        assert entry.beliefs.suspects.excluded(large.clock()) == set()
+
+
+def test_losses_under_a_request_reach_all(large):
+    for number, name in enumerate(["a-05", "b-05", "c-05"]):
+        crashes = large.entries[name].beliefs.crashes
+        crashes.strike("r", f"x{number}", large.clock())
+    large.rounds(5)
+    now = large.clock()
+    assert all(e.beliefs.crashes.is_refused("r", now) for e in large.entries.values())
+
+
+def test_entries_find_new_hubs_after_those_of_a_zone_are_gone(large):
+    for name in ("b-00", "b-01"):
+        del large.entries[name]
+    large.rounds(int(3 * PEER_SILENT / PERIOD))
+    hubs = {name for name, role in large.roles().items() if role is Role.HUB}
+    assert {"b-02", "b-03"} <= hubs
+    give_loads(large)
+    large.rounds(6)
+    loads = {e.beliefs.loads.of("x").requests for e in large.entries.values()}
+    assert loads == {26}
+
+
+def test_a_deployment_that_shrinks_speaks_directly_again(large):
+    for name in list(large.entries)[:20]:
+        del large.entries[name]
+    large.rounds(150)
+    assert set(large.roles().values()) == {Role.EQUAL}
+    give_loads(large)
+    large.rounds(6)
+    loads = {e.beliefs.loads.of("x").requests for e in large.entries.values()}
+    assert loads == {8}
+
+
+def test_exchanges_of_an_entry_do_not_grow_with_the_deployment():
+    """With 24 zones a round has about as many exchanges as there are entries."""
+    network = Network({f"z{number:02}": 5 for number in range(24)})
+    network.rounds(25)
+    before = network.exchanges
+    network.rounds(2)
+    assert (network.exchanges - before) / 2 < 5 * len(network.entries)
