--- a/packages/core/src/lacewingcourse/core/pipelines/improvement.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/improvement.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,6 +17,8 @@
 )
 
 if TYPE_CHECKING:
+    from random import Random
+
     from lacewingcourse.core.pipelines.fleet import Endpoint
     from lacewingcourse.core.pipelines.shape import EngineShape, Layers
 
@@ -29,7 +30,11 @@
 
 
 def plan_improvement(
-    endpoints: list[Endpoint], shape: EngineShape, quiet: float, turn: int
+    endpoints: list[Endpoint],
+    shape: EngineShape,
+    quiet: float,
+    turn: int,
+    rng: Random,
 ) -> list[Assignment]:
     """Return moves that pay and can be made now without leaving a layer to nobody.
 
@@ -48,6 +53,7 @@
         shape: Published figures of the engines.
         quiet: Seconds since the fleet last changed.
         turn: Counts the calls; it says which group is looked at.
+        rng: Source of draws among equal paths.
     """
     groups = groups_of(endpoints, shape)
     if not groups:
@@ -55,23 +61,25 @@
     group = groups[turn % len(groups)]
     if any(e.layers is None or not len(e.layers) for e in group):
         return []
-    return _moves(group, shape, quiet)
+    return _moves(group, shape, quiet, rng)
 
 
-def _moves(group: list[Endpoint], shape: EngineShape, quiet: float) -> list[Assignment]:
+def _moves(
+    group: list[Endpoint], shape: EngineShape, quiet: float, rng: Random
+) -> list[Assignment]:
     """Return the moves of a group that shares its copies."""
     wanted = _nearest(group, _fresh(group, shape))
     astray = [e for e in group if wanted.get(e.id, e.layers) != e.layers]
     if not astray:
         return []
     moved = [attrs.evolve(e, layers=wanted.get(e.id, e.layers)) for e in group]
-    before, after = _rate(group, shape), _rate(moved, shape)
+    before, after = _rate(group, shape, rng), _rate(moved, shape, rng)
     if after < LEAST_GAIN * before:
         return []
     moving = _possible(astray, group, shape)
     plan = [Assignment(e.id, wanted[e.id]) for e in moving]
     ids = {endpoint.id for endpoint in moving}
-    meanwhile = _rate([e for e in group if e.id not in ids], shape)
+    meanwhile = _rate([e for e in group if e.id not in ids], shape, rng)
     lost = (before - meanwhile) * _seconds_of(plan, shape)
     return plan if (after - before) * quiet > lost else []
 
@@ -120,11 +128,11 @@
     return found
 
 
-def _rate(group: list[Endpoint], shape: EngineShape) -> float:
+def _rate(group: list[Endpoint], shape: EngineShape, rng: Random) -> float:
     """Return the requests a second that a group can serve."""
     if min(layer_strength(group, shape)) <= 0:
         return 0.0
-    bound = fleet_bound(group, shape, Random(0))
+    bound = fleet_bound(group, shape, rng)
     return bound.requests_per_second if bound is not None else 0.0
 
 
--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from math import log2
+from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
@@ -210,7 +211,7 @@
         if turn >= groups * looks:
             return []
         self.turns[service] = turn + 1
-        return plan_improvement(endpoints, shape, quiet, turn)
+        return plan_improvement(endpoints, shape, quiet, turn, Random(turn))
 
     async def _may_order(self) -> bool:
         """Tell whether this entry still has the duty.
