Share what tests had twice: the reply of a caller, a model of two layers

Cause: two integration tests held the same class, and two tests of the relay the same figures of a model.

--- /dev/null
+++ b/packages/relay/tests/conftest.py
@@ -0,0 +1,32 @@
+"""Fixtures of the tests of the relaying entry."""
+
+from __future__ import annotations
+
+import pytest
+
+from lacewingcourse.core.pipelines.shape import Accelerator, EngineShape
+
+
+@pytest.fixture
+def shape() -> EngineShape:
+    """Figures of a model of two layers, of which an accelerator holds one.
+
+    Each has memory for 50,000 tokens in its layer.
+    """
+    return EngineShape(
+        model="m",
+        layers=2,
+        layer_mb=100.0,
+        token_bytes=2_000.0,
+        step_ms=1.0,
+        sequence_ms=0.01,
+        context_ms=0.01,
+        read_tokens_per_ms=100.0,
+        slots=96,
+        load_seconds=1.0,
+        activation_bytes=100.0,
+        pipe_mbps=1_000.0,
+        usual_prompt=1_000,
+        usual_answer=200,
+        accelerators={"small": Accelerator("small", 150.0, 1.0, 1.0)},
+    )
--- a/packages/relay/tests/test_placement_duty.py
+++ b/packages/relay/tests/test_placement_duty.py
@@ -8,30 +8,12 @@
 import pytest
 
 from lacewingcourse.core.pipelines.fleet import Endpoint
-from lacewingcourse.core.pipelines.shape import Accelerator, EngineShape, Layers
+from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.core.pipelines.suspects import Suspicion
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.placement_duty import PERIOD, QUIET, PlacementDuty
 from lacewingcourse.relay.ports import Lease, OrderOutcome, Unavailable
 
-SHAPE = EngineShape(
-    model="m",
-    layers=2,
-    layer_mb=100.0,
-    token_bytes=2_000.0,
-    step_ms=1.0,
-    sequence_ms=0.01,
-    context_ms=0.01,
-    read_tokens_per_ms=100.0,
-    slots=96,
-    load_seconds=1.0,
-    activation_bytes=100.0,
-    pipe_mbps=1_000.0,
-    usual_prompt=1_000,
-    usual_answer=200,
-    accelerators={"small": Accelerator("small", 150.0, 1.0, 1.0)},
-)
-
 
 class Leases:
     """A lease store that a test sets."""
@@ -161,12 +143,12 @@
 
 
 @pytest.fixture
-def lopsided(make_duty):
+def lopsided(make_duty, shape):
     """A duty that is held, over four endpoints of which three hold the first layer."""
     now = [0.0]
     duty = make_duty(Leases(None), orders=Orders(), clock=lambda: now[0])
     duty.lease = duty.store.holder = Lease("me", 1)
-    service = SimpleNamespace(name="rooms", shape=SHAPE)
+    service = SimpleNamespace(name="rooms", shape=shape)
     duty.beliefs.table = SimpleNamespace(services={"rooms": service})
     for name, layer in zip("abcd", (0, 0, 0, 1), strict=True):
         duty.beliefs.fleet.put(small(name, Layers(layer, layer + 1)))
--- a/packages/relay/tests/test_streams.py
+++ b/packages/relay/tests/test_streams.py
@@ -14,32 +14,15 @@
 from lacewingcourse.core.pipelines.load import Load
 from lacewingcourse.core.pipelines.path import Part, Path
 from lacewingcourse.core.pipelines.repeats import RepeatBudget
-from lacewingcourse.core.pipelines.shape import Accelerator, EngineShape, Layers
+from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.ports import AnswerHead, Standing
 from lacewingcourse.relay.sending import Sent
 from lacewingcourse.relay.streams import StreamForwarder
 from lacewingcourse.relay.upstream import End, Head
 
-SHAPE = EngineShape(
-    model="m",
-    layers=2,
-    layer_mb=100.0,
-    token_bytes=2_000.0,
-    step_ms=1.0,
-    sequence_ms=0.01,
-    context_ms=0.01,
-    read_tokens_per_ms=100.0,
-    slots=96,
-    load_seconds=1.0,
-    activation_bytes=100.0,
-    pipe_mbps=1_000.0,
-    usual_prompt=100,
-    usual_answer=20,
-    accelerators={"small": Accelerator("small", 200.0, 1.0, 1.0)},
-)
 #: Tokens that a part of one layer has memory for.
-ROOM = 100_000
+ROOM = 50_000
 PATH = Path(
     (Part("a", "a:1", "east", Layers(0, 1)), Part("b", "b:1", "east", Layers(1, 2))),
     1.0,
@@ -78,7 +61,7 @@
 
 
 @pytest.fixture
-def rejected():
+def rejected(shape):
     """Return a function that sends a stream which endpoint b rejects.
 
     It returns what was believed after it and what was told.
@@ -86,7 +69,7 @@
 
     def run(status: int, taken: float):
         beliefs = Beliefs()
-        service = SimpleNamespace(shape=SHAPE)
+        service = SimpleNamespace(shape=shape)
         beliefs.table = SimpleNamespace(services={"rooms": service})
         for part in PATH.parts:
             beliefs.fleet.put(endpoint(part))
@@ -102,7 +85,7 @@
             told,
             told,
         )
-        refusal = asyncio.run(forwarder.serve(make_job(), SHAPE))
+        refusal = asyncio.run(forwarder.serve(make_job(), shape))
         assert isinstance(refusal, Refusal)
         return beliefs, told
 
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -11,7 +11,6 @@
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
-import attrs
 import pytest
 
 from lacewingcourse.core.keys import (
@@ -23,6 +22,7 @@
 )
 from lacewingcourse.testing.deployment import MODEL
 from lacewingcourse.testing.processes import WaitTimeout, wait_until
+from lacewingcourse.testing.reply import Reply
 from lacewingcourse.testing.requests import put_json
 from lacewingcourse.testing.standins.model import expected_text
 
@@ -30,23 +30,6 @@
 GUARD = 30.0
 
 
-@attrs.frozen
-class Reply:
-    """What a caller got."""
-
-    status: int
-    headers: dict
-    body: dict
-
-    @property
-    def kind(self) -> str:
-        return self.body.get("kind", "")
-
-    @property
-    def outcome(self) -> str:
-        return self.body.get("outcome", "")
-
-
 @pytest.fixture(scope="module")
 def deployment(start_deployment):
     return start_deployment(
--- a/tests/integration/test_refusals.py
+++ b/tests/integration/test_refusals.py
@@ -10,12 +10,12 @@
 from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
-import attrs
 import pytest
 
 from lacewingcourse.core.keys import mint_key
 from lacewingcourse.testing.deployment import MODEL
 from lacewingcourse.testing.processes import wait_until
+from lacewingcourse.testing.reply import Reply
 from lacewingcourse.testing.requests import put_json
 
 RNG = random.Random(11)
@@ -24,19 +24,6 @@
 CALLS_AND_REVOCATIONS = "/wire/(call|revoke-call) "
 
 
-@attrs.frozen
-class Reply:
-    """What a caller got."""
-
-    status: int
-    headers: dict
-    body: dict
-
-    @property
-    def outcome(self) -> str:
-        return self.body.get("outcome", "")
-
-
 @pytest.fixture(scope="module")
 def deployment(start_deployment):
     return start_deployment(
