Split the agent's stage runner: steps of the engine stand apart

Change: engine_steps.py gives work to the engine and notices crashes and lateness; the stage runner keeps the effects of the gate. No behaviour changed.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -99,7 +99,7 @@
         """Tell whether the endpoint answers."""
         if self.calls is not None:
             return self.calls.ready
-        return self.stages.engine_state is not None and not self.stages.engine_late
+        return self.stages.work.state is not None and not self.stages.work.late
 
     def running(self) -> int:
         """Return how many streams and calls run here."""
@@ -133,7 +133,7 @@
         self.spawn(self.orders.learn())
         self.spawn(self.follower.check_for_ever())
         if self.stages is not None:
-            self.spawn(self.stages.watch_engine())
+            self.spawn(self.stages.work.watch())
             self.spawn(self.stages.reap_orphans())
 
     async def _probe_for_ever(self) -> None:
@@ -164,8 +164,8 @@
         """Begin to be a home of keys once it is known what runs here."""
         if self.calls is not None:
             target = service_target(self.settings.service)
-        elif self.stages.engine_state is not None:
-            target = model_target(self.stages.engine_state.model)
+        elif self.stages.work.state is not None:
+            target = model_target(self.stages.work.state.model)
         else:
             return
         self.journal = Journal(self, target)
--- a/packages/agent/src/lacewingcourse/agent/courier.py
+++ b/packages/agent/src/lacewingcourse/agent/courier.py
@@ -25,10 +25,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from lacewingcourse.agent.engine_steps import EngineSteps
     from lacewingcourse.agent.settings import AgentSettings
     from lacewingcourse.agent.watchers import Watchers
     from lacewingcourse.core.effects import SendHop
-    from lacewingcourse.core.estimates import EndpointEstimates
     from lacewingcourse.core.messages import (
         AttemptName,
         Credit,
@@ -68,12 +68,12 @@
     Attributes:
         agent: The agent that they run in.
         settings: The settings in force.
-        estimates: What was learned of the endpoint.
+        work: Work that the engine was given or that waits for it.
     """
 
     agent: SendingHost
     settings: AgentSettings
-    estimates: EndpointEstimates
+    work: EngineSteps
 
     def fail(self, trouble: Trouble) -> None:
         """Give an attempt up and tell its entry."""
@@ -193,7 +193,7 @@
             for hop in hops:
                 self._blame(hop, target.endpoint, reason)
             return
-        self.runner.estimates.on_hop(target.endpoint, self.agent.now() - sent_at)
+        self.runner.work.estimates.on_hop(target.endpoint, self.agent.now() - sent_at)
         for hop, verdict in zip(hops, reply.verdicts, strict=True):
             if verdict in LOST_VERDICTS:
                 self._blame(hop, target.endpoint, verdict.value)
--- a/packages/agent/src/lacewingcourse/agent/metrics.py
+++ b/packages/agent/src/lacewingcourse/agent/metrics.py
@@ -30,8 +30,8 @@
 }
 
 
-class StagesShown(Protocol):
-    """Stages, as the gauges show them.
+class WorkShown(Protocol):
+    """Work for the engine, as the gauges show it.
 
     Attributes:
         queue: Items that wait for the engine.
@@ -42,6 +42,16 @@
     steps: Sized
 
 
+class StagesShown(Protocol):
+    """Stages, as the gauges show them.
+
+    Attributes:
+        work: Work for the engine.
+    """
+
+    work: WorkShown
+
+
 class Watched(Protocol):
     """What the gauges of an agent are read from.
 
@@ -116,8 +126,8 @@
             "endpoint_ready": agent.endpoint_ready,
             "leaving": lambda: agent.leaving,
             "work_running": agent.running,
-            "engine_queue_length": lambda: len(stages.queue) if stages else 0,
-            "engine_steps_in_flight": lambda: len(stages.steps) if stages else 0,
+            "engine_queue_length": lambda: len(stages.work.queue) if stages else 0,
+            "engine_steps_in_flight": lambda: len(stages.work.steps) if stages else 0,
         }
         for name, source in sources.items():
             self.gauges[name].set_function(source)
--- a/packages/agent/src/lacewingcourse/agent/orders.py
+++ b/packages/agent/src/lacewingcourse/agent/orders.py
@@ -177,7 +177,7 @@
             return reply
         while True:
             await stages.probe()
-            state = stages.engine_state
+            state = stages.work.state
             if state is None:
                 return Refusal(ErrorKind.ENDPOINT_FAILED, "the engine is gone")
             if not state.loading:
