--- a/packages/agent/src/lacewingcourse/agent/stage_runner.py
+++ b/packages/agent/src/lacewingcourse/agent/stage_runner.py
@@ -33,6 +33,7 @@
 
     from lacewingcourse.agent.engine import ForwardOutput
     from lacewingcourse.agent.watchers import Watchers
+    from lacewingcourse.core.effects import StageEffect
     from lacewingcourse.core.estimates import LoadReport
     from lacewingcourse.core.messages import (
         AttemptName,
@@ -42,7 +43,6 @@
         Status,
         TokenBatchReply,
     )
-    from lacewingcourse.core.stages import Effect
 
 #: Entries that are remembered to be told when the agent leaves.
 KEPT_ENTRIES = 1000
@@ -143,7 +143,7 @@
             self.agent.now(),
         )
 
-    def perform(self, effects: Iterable[Effect]) -> None:
+    def perform(self, effects: Iterable[StageEffect]) -> None:
         """Carry out effects of the gate."""
         for effect in effects:
             match effect:
--- a/packages/core/src/lacewingcourse/core/effects.py
+++ b/packages/core/src/lacewingcourse/core/effects.py
@@ -171,3 +171,19 @@
     index: int
     target: StageAddress
     message: ReportRequest
+
+
+#: What the entry does for a streamed answer.
+AnswerEffect = (
+    AskReport
+    | ChooseRoute
+    | DeliverToken
+    | FailAnswer
+    | FinishAnswer
+    | SendCredit
+    | SendOpen
+    | SendRevoke
+    | SendStart
+)
+#: What an agent does for a stage.
+StageEffect = RunForward | SendHop | SendToken | SendTrouble | CancelForward
--- a/packages/core/src/lacewingcourse/core/stage_state.py
+++ b/packages/core/src/lacewingcourse/core/stage_state.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from lacewingcourse.core.messages import KeptState
+from lacewingcourse.core.messages import Hop, KeptState
 from lacewingcourse.core.output_buffer import OutputBuffer
 
 if TYPE_CHECKING:
     from lacewingcourse.core.effects import SendHop
-    from lacewingcourse.core.messages import Hop, OpenStage, StageAddress
+    from lacewingcourse.core.messages import OpenStage, StageAddress
 
 #: First steps of an attempt that run alone if it is to run alone.
 SOLO_STEPS = 2
@@ -109,6 +109,29 @@
         self.done_position = 0
         self.outputs = OutputBuffer()
 
+    def may_go_on_in(self, message: OpenStage) -> bool:
+        """Tell whether what an older attempt left here can go on in a newer one."""
+        return (
+            message.resume
+            and self.address.layers == message.stages[message.index].layers
+            and self.next_position > 0
+        )
+
+    def has_outputs_from(self, position: int) -> bool:
+        """Tell whether the outputs from a position on are kept or to come."""
+        return position >= self.done_position or position >= self.outputs.first
+
+    def hop_of(self, inputs: tuple[int, ...]) -> Hop:
+        """Return tokens that follow the positions it has, as if they had come here."""
+        return Hop(
+            stream=self.message.stream,
+            attempt=self.message.attempt,
+            layers=self.address.layers,
+            position=self.next_position,
+            values=inputs,
+            prompt_length=self.prompt_length,
+        )
+
     def next_is_solo(self) -> bool:
         """Count one more piece of work; tell whether it has to run alone."""
         self.steps += 1
--- a/packages/core/src/lacewingcourse/core/stages.py
+++ b/packages/core/src/lacewingcourse/core/stages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from lacewingcourse.core.effects import (
@@ -25,9 +27,11 @@
     Trouble,
 )
 from lacewingcourse.core.output_buffer import SampledToken
+from lacewingcourse.core.revocations import Revocations
 from lacewingcourse.core.stage_state import ForwardResult, StageState
 
-Effect = RunForward | SendHop | SendToken | SendTrouble | CancelForward
+if TYPE_CHECKING:
+    from lacewingcourse.core.effects import StageEffect
 
 #: Hops that may wait for an earlier one of the same attempt.
 HELD_HOPS = 64
@@ -35,25 +39,6 @@
 OUTPUT_BYTES = 64
 #: Bytes of kept outputs of all stages at the most.
 OUTPUT_BUDGET = 16 * 1024 * 1024
-#: Revocations that are remembered before new streams are refused.
-MAX_REVOCATIONS = 200_000
-#: Seconds for which a revocation is remembered after its last use.
-REVOCATION_KEPT = 900.0
-
-
-@attrs.define
-class Revocation:
-    """Attempts of a stream that may never run here again.
-
-    Attributes:
-        attempt: Attempts up to this number are revoked.
-        started: Whether work of one of them had started.
-        kept_until: When the record may be forgotten, seconds.
-    """
-
-    attempt: int
-    started: bool
-    kept_until: float
 
 
 @attrs.define
@@ -65,7 +50,7 @@
         incarnation: Incarnation of the agent.
         leaving: Whether new streams are refused.
         stages: Newest attempt's stage by stream.
-        revocations: Revoked attempts by stream.
+        revocations: Attempts that may never run here again.
         output_budget: Bytes of kept outputs of all stages at the most.
         output_bytes: Bytes of kept outputs at present.
     """
@@ -74,11 +59,13 @@
     incarnation: str
     leaving: bool = False
     stages: dict[str, StageState] = attrs.field(factory=dict)
-    revocations: dict[str, Revocation] = attrs.field(factory=dict)
+    revocations: Revocations = attrs.field(factory=Revocations)
     output_budget: int = OUTPUT_BUDGET
     output_bytes: int = 0
 
-    def open(self, message: OpenStage, now: float) -> tuple[OpenReply, list[Effect]]:
+    def open(
+        self, message: OpenStage, now: float
+    ) -> tuple[OpenReply, list[StageEffect]]:
         """Take part in an attempt, or refuse.
 
         A repeated message is accepted again without effect.
@@ -89,10 +76,10 @@
         current = self.stages.get(message.stream)
         if current is not None and current.message.attempt == message.attempt:
             return OpenReply(True, self.incarnation), []
-        if current is not None and self._may_keep(current, message):
+        if current is not None and current.may_go_on_in(message):
             current.adopt(message, now)
             return OpenReply(True, self.incarnation, kept=current.kept()), []
-        effects: list[Effect] = []
+        effects: list[StageEffect] = []
         if current is not None:
             effects.append(CancelForward(message.stream, current.sequence))
             self._drop_outputs(current)
@@ -104,34 +91,28 @@
             touched_at=now,
         )
         if current is not None and current.started:
-            self._remember_start(message.stream, current.message.attempt, now)
+            self.revocations.note(message.stream, current.message.attempt, True, now)
         self.stages[message.stream] = state
         if message.prompt is not None:
             effects.append(self._first_forward(state, message.prompt))
         return OpenReply(True, self.incarnation), effects
 
-    def _may_keep(self, state: StageState, message: OpenStage) -> bool:
-        """Tell whether an older attempt's stage can go on in a newer one."""
-        return (
-            message.resume
-            and state.address.layers == message.stages[message.index].layers
-            and state.next_position > 0
-        )
-
-    def start(self, message: StartStage, now: float) -> tuple[OpenReply, list[Effect]]:
+    def start(
+        self, message: StartStage, now: float
+    ) -> tuple[OpenReply, list[StageEffect]]:
         """Do what comes first in a resumed attempt; a repeat has no effect."""
         state = self.stages.get(message.stream)
         if state is None or state.message.attempt != message.attempt:
             return self._refuse(ErrorKind.STALE_ATTEMPT, "the attempt is gone"), []
         if not state.paused:
             return OpenReply(True, self.incarnation), []
-        if message.keep and not self._has_outputs(state, message.send_from):
+        if message.keep and not state.has_outputs_from(message.send_from):
             reason = "the outputs are no longer kept"
             return self._refuse(ErrorKind.UNKNOWN_STREAM, reason), []
         state.paused = False
         state.touched_at = now
         state.send_from = message.send_from
-        effects: list[Effect] = []
+        effects: list[StageEffect] = []
         if not message.keep and state.sequence != message.attempt:
             effects.append(CancelForward(message.stream, state.sequence))
             self._drop_outputs(state)
@@ -144,11 +125,7 @@
         effects.extend(self._run_held(state, now))
         return OpenReply(True, self.incarnation), effects
 
-    def _has_outputs(self, state: StageState, position: int) -> bool:
-        """Tell whether a stage's outputs from a position on are kept or to come."""
-        return position >= state.done_position or position >= state.outputs.first
-
-    def _send_kept(self, state: StageState) -> list[Effect]:
+    def _send_kept(self, state: StageState) -> list[StageEffect]:
         """Send the kept outputs again that the next stage needs."""
         outputs = state.outputs.since(state.send_from)
         if not outputs:
@@ -156,7 +133,7 @@
         position = state.outputs.end - len(outputs)
         if not state.is_last:
             return [self._next_hop(state, position, tuple(outputs))]
-        effects: list[Effect] = []
+        effects: list[StageEffect] = []
         for index, sampled in enumerate(outputs):
             effects.extend(self._emit(state, sampled, position + index + 1))
         return effects
@@ -165,19 +142,11 @@
         self, state: StageState, inputs: tuple[int, ...], now: float
     ) -> RunForward:
         """Return the step that runs tokens after the positions a stage has."""
-        hop = Hop(
-            stream=state.message.stream,
-            attempt=state.message.attempt,
-            layers=state.address.layers,
-            position=state.next_position,
-            values=inputs,
-            prompt_length=state.prompt_length,
-        )
-        return self._forward(state, hop, now)
+        return self._forward(state, state.hop_of(inputs), now)
 
-    def _run_held(self, state: StageState, now: float) -> list[Effect]:
+    def _run_held(self, state: StageState, now: float) -> list[StageEffect]:
         """Run the held hops whose turn has come and drop those that are past."""
-        effects: list[Effect] = []
+        effects: list[StageEffect] = []
         while state.next_position in state.held:
             following = state.held.pop(state.next_position)
             effects.append(self._forward(state, following, now))
@@ -206,13 +175,12 @@
             return self._refuse(
                 ErrorKind.STALE_INCARNATION, "meant for another incarnation"
             )
-        revocation = self.revocations.get(message.stream)
-        if revocation is not None and message.attempt <= revocation.attempt:
+        if self.revocations.covers(message.stream, message.attempt):
             return self._refuse(ErrorKind.STALE_ATTEMPT, "the attempt is revoked")
         current = self.stages.get(message.stream)
         if current is not None and message.attempt < current.message.attempt:
             return self._refuse(ErrorKind.STALE_ATTEMPT, "a newer attempt runs")
-        if len(self.revocations) >= MAX_REVOCATIONS and current is None:
+        if self.revocations.full and current is None:
             return self._refuse(ErrorKind.OVERLOADED, "too many revocations are kept")
         if self.leaving and current is None:
             return self._refuse(ErrorKind.DRAINING, "the endpoint is leaving")
@@ -221,15 +189,6 @@
     def _refuse(self, kind: ErrorKind, reason: str) -> OpenReply:
         return OpenReply(False, self.incarnation, kind, reason)
 
-    def _remember_start(self, stream: str, attempt: int, now: float) -> None:
-        """Keep the fact that an overtaken attempt had started."""
-        known = self.revocations.pop(stream, None)
-        self.revocations[stream] = Revocation(
-            attempt=max(attempt, known.attempt if known else 0),
-            started=True,
-            kept_until=now + REVOCATION_KEPT,
-        )
-
     def _first_forward(self, state: StageState, prompt: Prompt) -> RunForward:
         """Return the step that tokenises and runs the prompt."""
         message = state.message
@@ -246,7 +205,7 @@
             solo=state.next_is_solo(),
         )
 
-    def receive(self, hop: Hop, now: float) -> tuple[HopVerdict, list[Effect]]:
+    def receive(self, hop: Hop, now: float) -> tuple[HopVerdict, list[StageEffect]]:
         """Run a hop if it is the next of the newest attempt; hold it if early."""
         state = self.stages.get(hop.stream)
         if state is None:
@@ -284,7 +243,7 @@
             solo=state.next_is_solo(),
         )
 
-    def complete(self, result: ForwardResult, now: float) -> list[Effect]:
+    def complete(self, result: ForwardResult, now: float) -> list[StageEffect]:
         """Pass on what the engine returned; results of old sequences are dropped."""
         state = self.stages.get(result.stream)
         if state is None or state.sequence != result.attempt:
@@ -305,7 +264,9 @@
             return []
         return [*sent, *self._run_held(state, now)]
 
-    def _send_outputs(self, state: StageState, result: ForwardResult) -> list[Effect]:
+    def _send_outputs(
+        self, state: StageState, result: ForwardResult
+    ) -> list[StageEffect]:
         """Send the outputs of a step that the next stage needs."""
         position = max(result.position, state.send_from)
         values = result.outputs[position - result.position :]
@@ -328,7 +289,7 @@
 
     def _emit(
         self, state: StageState, sampled: SampledToken, position: int
-    ) -> list[Effect]:
+    ) -> list[StageEffect]:
         """Send the sampled token to the entry and back to the first stage."""
         message = state.message
         index = position - state.prompt_length
@@ -340,7 +301,7 @@
             text=sampled.text,
             prompt_length=state.prompt_length,
         )
-        effects: list[Effect] = [SendToken(message.entry_url, token)]
+        effects: list[StageEffect] = [SendToken(message.entry_url, token)]
         made = index + 1
         if made >= message.sampling.max_tokens:
             return effects
@@ -361,7 +322,7 @@
 
     def credit(
         self, stream: str, attempt: int, token_limit: int, now: float
-    ) -> list[Effect]:
+    ) -> list[StageEffect]:
         """Let a stream go further, or end its attempt with a limit of 0."""
         state = self.stages.get(stream)
         if state is None or state.message.attempt != attempt:
@@ -379,29 +340,23 @@
         state.waiting = None
         return [effect]
 
-    def close(self, stream: str, attempt: int, now: float) -> list[Effect]:
+    def close(self, stream: str, attempt: int, now: float) -> list[StageEffect]:
         """End an attempt and those before it."""
         return self.revoke(stream, attempt, now)[1]
 
     def revoke(
         self, stream: str, attempt: int, now: float
-    ) -> tuple[RevokeReply, list[Effect]]:
+    ) -> tuple[RevokeReply, list[StageEffect]]:
         """Never run attempts up to this one again; tell whether one had started."""
         state = self.stages.get(stream)
-        known = self.revocations.get(stream)
-        started = known.started if known else False
-        effects: list[Effect] = []
+        started = self.revocations.started(stream)
+        effects: list[StageEffect] = []
         if state is not None and state.message.attempt <= attempt:
             started = started or state.started
             del self.stages[stream]
             self._drop_outputs(state)
             effects.append(CancelForward(stream, state.sequence))
-        self.revocations.pop(stream, None)
-        self.revocations[stream] = Revocation(
-            attempt=max(attempt, known.attempt if known else 0),
-            started=started,
-            kept_until=now + REVOCATION_KEPT,
-        )
+        self.revocations.note(stream, attempt, started, now)
         return RevokeReply(self.incarnation, True, started), effects
 
     def attempt_of(self, stream: str, sequence: int) -> int:
@@ -411,7 +366,7 @@
             return 0
         return state.message.attempt
 
-    def fail(self, trouble: Trouble) -> list[Effect]:
+    def fail(self, trouble: Trouble) -> list[StageEffect]:
         """Report that an attempt cannot go on, to the stream's entry."""
         state = self.stages.get(trouble.stream)
         if state is None or state.message.attempt != trouble.attempt:
@@ -439,9 +394,5 @@
             state.touched_at = now
 
     def forget(self, now: float) -> None:
-        """Drop revocations that are past their time; the oldest come first."""
-        while self.revocations:
-            stream = next(iter(self.revocations))
-            if self.revocations[stream].kept_until >= now:
-                return
-            del self.revocations[stream]
+        """Drop revocations that are past their time."""
+        self.revocations.forget(now)
--- a/packages/core/src/lacewingcourse/core/streams.py
+++ b/packages/core/src/lacewingcourse/core/streams.py
@@ -12,7 +12,6 @@
     AskReport,
     ChooseRoute,
     DeliverToken,
-    FailAnswer,
     FinishAnswer,
     SendCredit,
     SendOpen,
@@ -40,23 +39,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from lacewingcourse.core.effects import AnswerEffect
     from lacewingcourse.core.errors import Outcome
     from lacewingcourse.core.messages import KeptState, RevokeReply, StageReport
     from lacewingcourse.core.routes import Route
     from lacewingcourse.core.stream_request import StreamRequest
 
-Effect = (
-    AskReport
-    | ChooseRoute
-    | DeliverToken
-    | FailAnswer
-    | FinishAnswer
-    | SendCredit
-    | SendOpen
-    | SendRevoke
-    | SendStart
-)
-
 #: Tokens that the last stage may be ahead of the caller.
 CREDIT_WINDOW = 64
 
@@ -113,7 +101,7 @@
     def _new_stop(self) -> StopMatcher:
         return StopMatcher(self.request.sampling.stop)
 
-    def begin(self, route: Route | Refusal, now: float) -> list[Effect]:
+    def begin(self, route: Route | Refusal, now: float) -> list[AnswerEffect]:
         """Open the stages of a new attempt, last stage first.
 
         The first stage is opened after all others have accepted, with the prompt,
@@ -147,7 +135,7 @@
         first = 0 if self.resuming or len(self.stages) == 1 else 1
         return [*left, *(self._open(each) for each in range(first, len(stages)))]
 
-    def _no_route(self, refusal: Refusal, now: float) -> list[Effect]:
+    def _no_route(self, refusal: Refusal, now: float) -> list[AnswerEffect]:
         """Look for a route again while it can help, or give up."""
         answer = self.search.on_refusal(refusal, bool(self.delivered), now)
         if isinstance(answer, Refusal):
@@ -189,7 +177,7 @@
         reply: OpenReply,
         now: float,
         reached: bool = True,
-    ) -> list[Effect]:
+    ) -> list[AnswerEffect]:
         """Note a stage's answer; start the first stage when all others are open.
 
         Args:
@@ -224,13 +212,13 @@
         self.phase = Phase.RUNNING
         self.watch.restart(now)
 
-    def _start_stages(self, now: float) -> list[Effect]:
+    def _start_stages(self, now: float) -> list[AnswerEffect]:
         """Tell each stage of a resumed attempt what it does first."""
         self._run(now)
         self.keepable = set()
         kept = [self.kept[index] for index in range(len(self.stages))]
         plans = plan_resume(kept, self.prompt_length, self.delivered)
-        effects: list[Effect] = []
+        effects: list[AnswerEffect] = []
         for index, (stage, plan) in enumerate(zip(self.stages, plans, strict=True)):
             prompt = None
             if plan.with_prompt:
@@ -250,7 +238,7 @@
 
     def on_start_reply(
         self, attempt: int, index: int, reply: OpenReply, now: float
-    ) -> list[Effect]:
+    ) -> list[AnswerEffect]:
         """Note that a stage of a resumed attempt has started, or start over."""
         if attempt != self.attempt or self.phase is not Phase.RUNNING:
             return []
@@ -262,7 +250,7 @@
             return self._retry((), reply.kind, now)
         return self._retry((self.stages[index].endpoint,), reply.kind, now)
 
-    def on_token(self, token: Token, now: float) -> list[Effect]:
+    def on_token(self, token: Token, now: float) -> list[AnswerEffect]:
         """Deliver a token if it is the next; hold it if early, else drop it."""
         if token.attempt != self.attempt:
             return []
@@ -275,20 +263,20 @@
         if token.index < len(self.delivered):
             return []
         self.early[token.index] = token
-        effects: list[Effect] = []
+        effects: list[AnswerEffect] = []
         while len(self.delivered) in self.early and self.phase is not Phase.ENDED:
             following = self.early.pop(len(self.delivered))
             effects.extend(self._deliver(following, now))
         return effects
 
-    def _deliver(self, token: Token, now: float) -> list[Effect]:
+    def _deliver(self, token: Token, now: float) -> list[AnswerEffect]:
         """Hand the next token to the caller; end the answer if it is the last."""
         usual = self.search.fruitless == 0 and bool(self.delivered)
         self.watch.note_token(now, usual)
         self.search.fruitless = 0
         self.delivered.append(token.token)
         text = self.stop.feed(token.text)
-        effects: list[Effect] = []
+        effects: list[AnswerEffect] = []
         if self.stop.found:
             effects.extend(self.finish("stop"))
         elif len(self.delivered) >= self.request.sampling.max_tokens:
@@ -297,7 +285,7 @@
         self.texts.append(text)
         return [DeliverToken(attrs.evolve(token, text=text)), *effects]
 
-    def check(self, now: float) -> list[Effect]:
+    def check(self, now: float) -> list[AnswerEffect]:
         """Ask the stages how far they have come if the stream is silent."""
         if self.phase is not Phase.RUNNING or not self.watch.due(now):
             return []
@@ -305,14 +293,14 @@
             return []
         self.watch.ask()
         message = ReportRequest(self.request.stream, self.attempt)
-        questions: list[Effect] = [
+        questions: list[AnswerEffect] = [
             AskReport(index, stage, message) for index, stage in enumerate(self.stages)
         ]
         return [*questions, self._credit()]
 
     def on_report(
         self, attempt: int, index: int, report: StageReport | None, now: float
-    ) -> list[Effect]:
+    ) -> list[AnswerEffect]:
         """Note how far a stage has come; leave the stage that is at fault."""
         if attempt != self.attempt or self.phase is not Phase.RUNNING:
             return []
@@ -327,20 +315,20 @@
             return self._retry((), ErrorKind.STAGE_LOST, now)
         return []
 
-    def finish(self, reason: str) -> list[Effect]:
+    def finish(self, reason: str) -> list[AnswerEffect]:
         """End the answer as whole and release its stages."""
         self.phase = Phase.ENDED
         return [*self._revocations(self.stages), FinishAnswer(reason)]
 
-    def _revocations(self, stages: Iterable[StageAddress]) -> list[Effect]:
+    def _revocations(self, stages: Iterable[StageAddress]) -> list[AnswerEffect]:
         """Return the effects that revoke the newest attempt at some stages."""
-        effects: list[Effect] = []
+        effects: list[AnswerEffect] = []
         for stage in stages:
             message = Revoke(self.request.stream, self.attempt, stage.incarnation)
             effects.append(SendRevoke(stage, message))
         return effects
 
-    def on_consumed(self, count: int, now: float) -> list[Effect]:
+    def on_consumed(self, count: int, now: float) -> list[AnswerEffect]:
         """Note how many tokens the caller has read; extend the credit if due."""
         self.consumed = count
         limit = count + CREDIT_WINDOW
@@ -358,7 +346,7 @@
 
     def on_trouble(
         self, attempt: int, endpoint: str, kind: ErrorKind, now: float
-    ) -> list[Effect]:
+    ) -> list[AnswerEffect]:
         """Start over from what was delivered, without the endpoint at fault."""
         if attempt != self.attempt:
             return []
@@ -368,7 +356,7 @@
 
     def _retry(
         self, endpoints: Iterable[str], kind: ErrorKind | None, now: float
-    ) -> list[Effect]:
+    ) -> list[AnswerEffect]:
         """Ask for a route without some endpoints, or give up."""
         self.search.lose(endpoints, now)
         excluded = self.search.excluded
@@ -387,7 +375,7 @@
         stages = self.stages if self.keepable else ()
         return ChooseRoute(frozenset(self.search.excluded), delay, stages)
 
-    def give_up(self, refusal: Refusal, now: float) -> list[Effect]:
+    def give_up(self, refusal: Refusal, now: float) -> list[AnswerEffect]:
         """Revoke all that was sent; tell the caller as soon as the outcome is known."""
         outcome = self.cancellation.begin(refusal, bool(self.delivered))
         self.phase = Phase.REVOKING
@@ -396,13 +384,13 @@
 
     def on_revoke_reply(
         self, stage: StageAddress, reply: RevokeReply | None, now: float
-    ) -> list[Effect]:
+    ) -> list[AnswerEffect]:
         """Note a revocation's answer, None if lost; answer the caller after all."""
         if self.phase is not Phase.REVOKING:
             return []
         return self._fail(self.cancellation.on_reply(stage, reply))
 
-    def _fail(self, outcome: Outcome | None) -> list[Effect]:
+    def _fail(self, outcome: Outcome | None) -> list[AnswerEffect]:
         """End the answer with its refusal once the outcome is known."""
         if outcome is None:
             return []
--- a/packages/core/tests/test_stages.py
+++ b/packages/core/tests/test_stages.py
@@ -15,8 +15,9 @@
     Sampling,
     StageAddress,
 )
+from lacewingcourse.core.revocations import REVOCATION_KEPT
 from lacewingcourse.core.stage_state import ForwardResult
-from lacewingcourse.core.stages import OUTPUT_BYTES, REVOCATION_KEPT, StageGate
+from lacewingcourse.core.stages import OUTPUT_BYTES, StageGate
 
 LAYERS = LayerRange(0, 4)
 
@@ -115,7 +116,7 @@
     gate.revoke("s", 1, 0.0)
     gate.revoke("t", 1, 10.0)
     gate.forget(REVOCATION_KEPT + 5.0)
-    assert list(gate.revocations) == ["t"]
+    assert list(gate.revocations.records) == ["t"]
     assert not gate.open(attrs.evolve(opening(), stream="t"), 20.0)[0].accepted
 
 
--- a/packages/entry/src/lacewingcourse/entry/answers.py
+++ b/packages/entry/src/lacewingcourse/entry/answers.py
@@ -37,11 +37,11 @@
     from collections.abc import AsyncIterator, Iterable
 
     from lacewingcourse.core.burn_ends import AnswerMeter
+    from lacewingcourse.core.effects import AnswerEffect
     from lacewingcourse.core.errors import ErrorKind as Kind
     from lacewingcourse.core.messages import StageAddress, Trouble
     from lacewingcourse.core.routes import Route
     from lacewingcourse.core.stream_request import StreamRequest
-    from lacewingcourse.core.streams import Effect
     from lacewingcourse.entry.admission import AdmissionControl
     from lacewingcourse.entry.directory import Directory
     from lacewingcourse.entry.dispatcher import Dispatcher
@@ -133,7 +133,7 @@
             self.consumed += 1
             self.perform(self.state.on_consumed(self.consumed, self.entry.now()))
 
-    def perform(self, effects: Iterable[Effect]) -> None:
+    def perform(self, effects: Iterable[AnswerEffect]) -> None:
         """Carry out effects of the state machine."""
         for effect in effects:
             match effect:
