--- a/packages/core/src/lacewingcourse/core/pipelines/peers.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/peers.py
@@ -219,8 +219,17 @@
         return (names[start:] + names[:start])[:count]
 
     def _tried(self, now: float) -> list[Peer]:
-        """Return silent entries to be tried again, others in the next round."""
-        silent = [p.name for p in self.peers.values() if now - p.heard_at > PEER_SILENT]
+        """Return silent entries to be tried again, others in the next round.
+
+        Those of other zones are heard through their hubs, so they are silent here and
+        left alone, unless nobody of their zone is heard.
+        """
+        heard = {self.zone_of(name) for name in self.alive(now)} - {self.zone, ""}
+        silent = [
+            peer.name
+            for peer in self.peers.values()
+            if now - peer.heard_at > PEER_SILENT and peer.zone not in heard
+        ]
         return [self.peers[n] for n in self._in_turn(sorted(silent), MOST_SILENT)]
 
     def told_to(self, zone: str, now: float) -> list[Peer]:
--- a/packages/relay/tests/test_gossip.py
+++ b/packages/relay/tests/test_gossip.py
@@ -191,6 +191,15 @@
     assert loads == {8}
 
 
+def test_entries_of_other_zones_are_left_to_the_hubs(large):
+    """A round has one exchange of each member, and those between hubs."""
+    large.rounds(10)
+    before = large.exchanges
+    large.rounds(10)
+    members, near, far = 22, 6, 12
+    assert large.exchanges - before == 10 * (members + near + far)
+
+
 def test_exchanges_of_an_entry_do_not_grow_with_the_deployment():
     """With 24 zones a round has about as many exchanges as there are entries."""
     network = Network({f"z{number:02}": 5 for number in range(24)})
