--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,9 @@
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 SOURCES := packages platform tests tools
 
-.PHONY: demo test check format bench model setup clean bench-configuration
+MODELS := $(wildcard model/*/check)
+
+.PHONY: demo test check format bench model setup clean bench-configuration $(MODELS)
 
 setup: $(VENV)/.installed
 
@@ -36,8 +38,11 @@
 	$(BIN)/isort --quiet $(SOURCES)
 	$(BIN)/black --quiet $(SOURCES)
 
-model:
-	@for check in $(wildcard model/*/check); do $$check || exit 1; done
+# Independent of one another: `make -j4 --output-sync model` runs them at once.
+model: $(MODELS)
+
+$(MODELS):
+	@$@
 
 clean:
 	rm -rf out
