Keep the platform's names in platform/, the check's list among them

Cause: tools/check_names.py spelled the names that it looks for, so that it was itself a file outside platform/ that knows them, excused by name; and a set of exceptions in it was never met, since only headers with an X were read.

Ruled out: deriving the list from the adapter's sources: that has fields which are common words, and would flag them everywhere.

Change: the list is platform/names.txt; headers are read from the adapter's constants whatever they begin with, but for one of a published standard.

--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -49,3 +49,13 @@
     found = load("check_names").problems(path, re.compile("X-Secret"))
     assert len(found) == 1
     assert ":2:" in found[0]
+
+
+def test_the_adapters_headers_and_every_listed_name_are_found(tmp_path):
+    tool = load("check_names")
+    names = tool.own_headers() | tool.fields()
+    assert len(tool.own_headers()) >= 11
+    assert len(tool.fields()) >= 24
+    path = tmp_path / "a.py"
+    path.write_text("".join(f"x = '{name}'\n" for name in sorted(names)))
+    assert len(tool.problems(path, tool.pattern_of(names))) == len(names)
--- a/tools/check_names.py
+++ b/tools/check_names.py
@@ -9,18 +9,20 @@
 
 #: Where the adapter spells the platform's names.
 NAMES = Path("platform/src/lacewingcourse_platform/names.py")
-#: Fields and topics of the platform that stand in no constant of their own.
-FIELDS = frozenset(
-    {"appendMs", "configApplyMs", "drainMode", "fencingToken", "internalPorts"}
-    | {"kvBytes", "layerMb", "log-append", "log-newest", "log-read", "maxAttempts"}
-    | {"maxConns", "nodeName", "pathPrefix", "routeKind", "targetLatencyMs"}
-    | {"expectedRevision", "keyed.op", "keyed.servers", "apiKeys", "coldLeftMs"}
-    | {"-/readyz", "-/order", "-/report"}
-)
+#: Fields, topics and paths of the platform, one a line.
+FIELDS = Path("platform/names.txt")
 #: Folders whose sources may know them.
-KNOWING = ("platform/", "deploy/", "tools/check_names.py")
-#: Headers that are nobody's own.
-COMMON = frozenset({"Last-Event-Id", "At-Server"})
+KNOWING = ("platform/", "deploy/")
+#: Header of the adapter's that is of a published standard.
+STANDARD = frozenset({"Last-Event-Id"})
+#: What a header's name looks like.
+HEADER = re.compile(r"[A-Z][A-Za-z]*(-[A-Z][a-z]+)+")
+
+
+def fields() -> set[str]:
+    """Return the platform's names that are no headers."""
+    lines = FIELDS.read_text().splitlines()
+    return {line for line in lines if line and not line.startswith("#")}
 
 
 def own_headers() -> set[str]:
@@ -29,9 +31,15 @@
     for node in ast.walk(ast.parse(NAMES.read_text())):
         if isinstance(node, ast.Assign) and isinstance(node.value, ast.Constant):
             value = node.value.value
-            if isinstance(value, str) and value.startswith("X-"):
+            if isinstance(value, str) and HEADER.fullmatch(value):
                 found.add(value)
-    return found - COMMON
+    return found - STANDARD
+
+
+def pattern_of(names: set[str]) -> re.Pattern:
+    """Return what finds any of some names as a word."""
+    words = (rf"(?<![\w-]){re.escape(name)}(?!\w)" for name in sorted(names))
+    return re.compile("|".join(words))
 
 
 def problems(path: Path, pattern: re.Pattern) -> list[str]:
@@ -46,10 +54,7 @@
 
 def main() -> int:
     """Print every problem; return how many there are, at most 1."""
-    names = sorted(own_headers() | FIELDS)
-    pattern = re.compile(
-        "|".join(rf"(?<![\w-]){re.escape(name)}(?!\w)" for name in names)
-    )
+    pattern = pattern_of(own_headers() | fields())
     sources = [
         path
         for root in ("packages", "tests", "tools", "platform", "ops")
