Take out of the change what was there twice, unread or in the wrong place

Cause: reading the whole change once more.

Ruled out: merging the pairs that only look alike (lists of attributes, messages of the same shape, protocols beside what implements them).

Conclusion: behaviour as before.

--- a/packages/agent/src/lacewingcourse/agent/host.py
+++ b/packages/agent/src/lacewingcourse/agent/host.py
@@ -4,16 +4,14 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-if TYPE_CHECKING:
-    import asyncio
-    from collections.abc import Coroutine
+from lacewingcourse.daemon.process import Process
 
+if TYPE_CHECKING:
     from lacewingcourse.agent.metrics import AgentMetrics
     from lacewingcourse.agent.settings import AgentSettings
-    from lacewingcourse.wire.client import PeerClient
 
 
-class Host(Protocol):
+class Host(Process, Protocol):
     """The process of a part.
 
     Parts name what else they need, of the parts beside them, in protocols of their
@@ -21,20 +19,12 @@
 
     Attributes:
         settings: The settings in force.
-        peers: Client for messages to other processes.
         metrics: Counters of the process.
         incarnation: Name of this start of the agent.
         leaving: Whether the instance is leaving for good.
     """
 
     settings: AgentSettings
-    peers: PeerClient
     metrics: AgentMetrics
     incarnation: str
     leaving: bool
-
-    def now(self) -> float:
-        """Return the present time in seconds on a clock that never goes back."""
-
-    def spawn(self, work: Coroutine) -> asyncio.Task:
-        """Run work in the background until it ends."""
--- a/packages/core/src/lacewingcourse/core/pipelines/fleet.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/fleet.py
@@ -54,7 +54,6 @@
         known_at: Time as of which the entries were last known to be all, seconds.
         returned_at: When the directory last answered after having been away.
         revision: Counts the changes that matter to routing and placement.
-        changes: Revision at which each id last changed, removed ones among them.
     """
 
     endpoints: dict[str, Endpoint] = attrs.field(factory=dict)
@@ -62,7 +61,6 @@
     known_at: float = float("-inf")
     returned_at: float = float("-inf")
     revision: int = 0
-    changes: dict[str, int] = attrs.field(factory=dict)
 
     def put(self, endpoint: Endpoint) -> bool:
         """Take an entry; tell whether it changed anything."""
@@ -73,7 +71,7 @@
         if known is None:
             self._drop_predecessors(endpoint)
         self.endpoints[endpoint.id] = endpoint
-        self._changed(endpoint.id)
+        self.revision += 1
         return True
 
     def remove(self, endpoint_id: str, now: float) -> bool:
@@ -131,8 +129,4 @@
     def _drop(self, endpoint_id: str) -> None:
         self.lapsed.pop(endpoint_id, None)
         if self.endpoints.pop(endpoint_id, None) is not None:
-            self._changed(endpoint_id)
-
-    def _changed(self, endpoint_id: str) -> None:
-        self.revision += 1
-        self.changes[endpoint_id] = self.revision
+            self.revision += 1
--- a/packages/core/src/lacewingcourse/core/pipelines/improvement.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/improvement.py
@@ -13,6 +13,7 @@
     groups_of,
     layer_strength,
     plan_layout,
+    slowness,
     spares,
 )
 
@@ -121,7 +122,7 @@
     """Return the endpoints that can be spared together while they move."""
     staying = list(group)
     found: list[Endpoint] = []
-    for endpoint in sorted(moves, key=lambda e: _speed(e, shape), reverse=True):
+    for endpoint in sorted(moves, key=lambda e: slowness(e, shape), reverse=True):
         if spares(endpoint, staying, shape):
             found.append(endpoint)
             staying = [e for e in staying if e.id != endpoint.id]
@@ -134,8 +135,3 @@
         return 0.0
     bound = fleet_bound(group, shape, rng)
     return bound.requests_per_second if bound is not None else 0.0
-
-
-def _speed(endpoint: Endpoint, shape: EngineShape) -> float:
-    """Return how slow an endpoint's accelerator is; the slowest are moved first."""
-    return shape.accelerators[endpoint.accelerator].step_factor
--- a/packages/core/src/lacewingcourse/core/pipelines/layout.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/layout.py
@@ -134,7 +134,7 @@
     taken = {assignment.endpoint: assignment for assignment in plan}
     holding += [_with(e, taken[e.id]) for e in empty if e.id in taken]
     rest = [e for e in empty if e.id not in taken]
-    for endpoint in sorted(rest, key=lambda e: _speed(e, shape)):
+    for endpoint in sorted(rest, key=lambda e: slowness(e, shape)):
         assignment = _reinforce(endpoint, holding, shape)
         if assignment is not None:
             plan.append(assignment)
@@ -207,7 +207,7 @@
 
     The fastest endpoints make the first copy, so that it is as fast as can be.
     """
-    left = sorted(endpoints, key=lambda e: (_speed(e, shape), e.address))
+    left = sorted(endpoints, key=lambda e: (slowness(e, shape), e.address))
     plan: list[Assignment] = []
     while True:
         copy = _fill(left, shape, tokens)
@@ -294,7 +294,7 @@
     return best
 
 
-def _speed(endpoint: Endpoint, shape: EngineShape) -> float:
+def slowness(endpoint: Endpoint, shape: EngineShape) -> float:
     """Return how slow an endpoint's accelerator is, smallest first."""
     return shape.accelerators[endpoint.accelerator].step_factor
 
--- a/packages/core/src/lacewingcourse/core/pipelines/load.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/load.py
@@ -29,6 +29,12 @@
     leading: int = 0
     cells: float = 0.0
 
+    def add(self, other: Load) -> None:
+        """Add another load to this one."""
+        self.requests += other.requests
+        self.leading += other.leading
+        self.cells += other.cells
+
 
 @attrs.define
 class LoadBook:
@@ -86,10 +92,7 @@
         found: dict[str, Load] = {}
         for book in books:
             for endpoint, load in book.items():
-                sum_of = found.setdefault(endpoint, Load())
-                sum_of.requests += load.requests
-                sum_of.leading += load.leading
-                sum_of.cells += load.cells
+                found.setdefault(endpoint, Load()).add(load)
         return found
 
     def expire(self, now: float) -> list[str]:
@@ -107,9 +110,7 @@
         """Return the load of an endpoint over all entries."""
         total = Load()
         for load in self._loads(endpoint):
-            total.requests += load.requests
-            total.leading += load.leading
-            total.cells += load.cells
+            total.add(load)
         return total
 
     def _loads(self, endpoint: str):
--- a/packages/core/src/lacewingcourse/core/pipelines/peers.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/peers.py
@@ -187,15 +187,17 @@
         role = self.role(now)
         if role is Role.EQUAL:
             return self._following(sorted(self.peers), now)[:MOST_PEERS]
-        near = [n for n in self.hubs(now)[self.zone] if n != self.name]
+        hubs = self.hubs(now)
+        near = [name for name in hubs[self.zone] if name != self.name]
         if role is Role.MEMBER:
             spoken = near if urgent else self._in_turn(near, 1)
             return [self.peers[name] for name in spoken] + self._tried(now)
-        return self._partners_of_hub(near, now, urgent)
+        return self._partners_of_hub(hubs, near, now, urgent)
 
-    def _partners_of_hub(self, near: list[str], now: float, urgent: bool) -> list[Peer]:
+    def _partners_of_hub(
+        self, hubs: dict[str, list[str]], near: list[str], now: float, urgent: bool
+    ) -> list[Peer]:
         """Return whom a hub speaks to: far hubs in turn, and all if it is urgent."""
-        hubs = self.hubs(now)
         far = [n for zone, names in hubs.items() if zone != self.zone for n in names]
         if urgent:
             members = [n for n in self.alive(now) if self.zone_of(n) == self.zone]
--- a/packages/core/src/lacewingcourse/core/pipelines/routing.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/routing.py
@@ -22,11 +22,6 @@
     STREAM = "stream"
     RESUMABLE_STREAM = "resumable_stream"
 
-    @property
-    def is_stream(self) -> bool:
-        """Whether answers are series of events."""
-        return self in (Repeat.STREAM, Repeat.RESUMABLE_STREAM)
-
     @property
     def may_repeat(self) -> bool:
         """Whether a request may be run more than once."""
--- a/packages/core/src/lacewingcourse/core/pipelines/stalls.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/stalls.py
@@ -120,6 +120,9 @@
         begun = [watched for watched in self.streams if watched.begun]
         if not any(now - w.progressed_at < HEARD for w in begun):
             return []
+        silent = {w for w in begun if now - w.progressed_at > w.early_patience}
+        if len(silent) < EARLY_STREAMS:
+            return []
         through: dict[str, list[Watched]] = {}
         for watched in begun:
             for part in watched.path.parts:
@@ -127,7 +130,7 @@
         unheard = {
             endpoint
             for endpoint, streams in through.items()
-            if all(now - w.progressed_at > w.early_patience for w in streams)
+            if silent.issuperset(streams)
         }
         dead = {e for e in unheard if len(through[e]) >= EARLY_STREAMS}
         found = [w for w in begun if w.path.uses(dead)]
--- a/packages/daemon/src/lacewingcourse/daemon/configuration.py
+++ b/packages/daemon/src/lacewingcourse/daemon/configuration.py
@@ -15,16 +15,16 @@
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.core.messages import ConfigurationExchange
 from lacewingcourse.daemon.handlers import WireHandler
+from lacewingcourse.daemon.process import Process
 from lacewingcourse.wire import paths
 from lacewingcourse.wire.codec import encode
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Sequence
+    from collections.abc import Sequence
 
     from prometheus_client import CollectorRegistry
 
     from lacewingcourse.core.configuration import Configuration
-    from lacewingcourse.wire.client import PeerClient
 
 #: Seconds that an exchange with another process may take.
 EXCHANGE_TIMEOUT = 1.5
@@ -44,22 +44,14 @@
     configuration: ConfigurationMetrics
 
 
-class ConfiguredProcess(Protocol):
+class ConfiguredProcess(Process, Protocol):
     """What the configuration needs of the process that it is kept for.
 
     Attributes:
         metrics: Counters of the process.
-        peers: Client for messages to other processes.
     """
 
     metrics: ConfigurationCounters
-    peers: PeerClient
-
-    def now(self) -> float:
-        """Return the present time in seconds on a clock that never goes back."""
-
-    def spawn(self, work: Coroutine) -> asyncio.Task:
-        """Run work in the background until it ends."""
 
 
 class ConfigurationMetrics:
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -74,7 +74,7 @@
             if isinstance(endpoint, Refusal):
                 job.reason = job.reason or endpoint.reason
                 return last or job.failure(endpoint.kind, CALL_RETRY_AFTER)
-            if job.sends and not self._may_repeat(job, now):
+            if job.sends and not self.budget.take(job.service, now):
                 return last or job.failure(ErrorKind.ENDPOINT_FAILED, None)
             result = await self._attempt(job, endpoint, now)
             if isinstance(result, NotSent):
@@ -124,7 +124,7 @@
             if isinstance(sent, NotSent):
                 return sent
             job.sends += 1
-            job.current = sent.exchange
+            job.current = sent
             age = now - self.beliefs.fleet.known_at
             self.log.sent(job, endpoint.id, age, 0.0)
             if job.caller.gone:
@@ -142,9 +142,6 @@
         patience = max(0.1, PATIENCE_OBJECTIVES * job.route.objective)
         return min(job.until, now + patience)
 
-    def _may_repeat(self, job: Job, now: float) -> bool:
-        return self.budget.take(job.service, now)
-
     def _failed(self, job: Job, result: NoAnswer) -> Refusal:
         if result.timed_out:
             return job.failure(ErrorKind.DEADLINE_EXCEEDED, None)
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from lacewingcourse.core.pipelines.load import Load
 from lacewingcourse.core.pipelines.peers import Role
 from lacewingcourse.core.pipelines.suspects import Reach
 from lacewingcourse.relay.peer_messages import PeerNews, Scope, loads_of
@@ -16,7 +15,6 @@
     from collections.abc import Callable
 
     from lacewingcourse.core.pipelines.peers import PeerBook
-    from lacewingcourse.core.pipelines.pipes import ZonePair
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
@@ -75,6 +73,9 @@
         now = self.clock()
         scope = self.scope_for(receiver, zone, now)
         reach = REACH_OF_SCOPE[scope]
+        covered = self._covered(scope, receiver)
+        loads = self.beliefs.loads.total(covered)
+        pipes = self.beliefs.pipes.total(now, covered)
         table, lease = self.beliefs.table, self.duty.lease
         return PeerNews(
             name=self.name,
@@ -83,19 +84,15 @@
             leaving=self.readiness.leaving,
             version=table.version if table else 0,
             version_age=self.configuration.freshness.age(now),
-            revision=self.beliefs.fleet.revision,
             position=self.directory.position or 0,
             position_age=self.directory.freshness.age(now),
             scope=scope,
             loads={
                 endpoint: (load.requests, load.leading, round(load.cells))
-                for endpoint, load in self._loads(scope, receiver).items()
+                for endpoint, load in loads.items()
                 if load.requests
             },
-            pipes=[
-                (*pair, round(use, 3))
-                for pair, use in self._pipes(scope, receiver, now).items()
-            ],
+            pipes=[(*pair, round(use, 3)) for pair, use in pipes.items()],
             suspects=self.beliefs.suspects.remaining(now, reach),
             crashes=self.beliefs.crashes.losses(now, reach),
             peers={
@@ -175,21 +172,13 @@
         self.beliefs.loads.forget(key)
         self.beliefs.pipes.forget(key)
 
-    def _loads(self, scope: Scope, receiver: str) -> dict[str, Load]:
-        loads = self.beliefs.loads
+    def _covered(self, scope: Scope, receiver: str) -> Callable[[str], bool]:
+        """Return which loads of others a message tells besides this entry's own."""
         if scope is Scope.OWN:
-            return loads.own
+            return lambda key: False
         if scope is Scope.ZONE:
-            return loads.total(self._near)
-        return loads.total(lambda key: key != receiver)
-
-    def _pipes(self, scope: Scope, receiver: str, now: float) -> dict[ZonePair, float]:
-        pipes = self.beliefs.pipes
-        if scope is Scope.OWN:
-            return pipes.uses(now)
-        if scope is Scope.ZONE:
-            return pipes.total(now, self._near)
-        return pipes.total(now, lambda key: key != receiver)
+            return self._near
+        return lambda key: key != receiver
 
     def _near(self, key: str) -> bool:
         """Tell whether loads under a key are those of an entry of this zone."""
--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.errors import Refusal
 from lacewingcourse.core.pipelines.choice import (
     CONTINUED_ROOM_SHARE,
     ROOM_SHARE,
@@ -66,8 +66,6 @@
     ) -> Path | Refusal:
         now = self.clock()
         paths = self.beliefs.paths(job.service, shape, now)
-        if not paths:
-            return Refusal(ErrorKind.NO_ROUTE, "no path holds every layer")
         chooser = self.beliefs.chooser(shape)
         return chooser.choose(paths, demand, avoid, self.rng, now, share)
 
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -32,7 +32,6 @@
         leaving: Whether it is ending.
         version: Version of its configuration, 0 before there is one.
         version_age: Seconds since it was known to be the newest.
-        revision: Revision of its fleet.
         position: How far it knows the directory.
         position_age: Seconds since that was known to be all.
         scope: Whose loads and uses of pipes are told.
@@ -54,7 +53,6 @@
     leaving: bool
     version: int
     version_age: float
-    revision: int
     position: int
     position_age: float
     scope: Scope
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -101,6 +101,7 @@
         standing: What it says of the request: answered by the endpoint, rejected
             without having run, an answer to another request, or no valid answer.
         fault_address: Address of the endpoint at fault on a path, or empty.
+        misdirected: Whether it is not the one that was meant, or lacks the layers.
         keep_alive: Seconds for which the connection may stay idle, None if untold.
         reason: What is wrong with it, for the log.
     """
@@ -109,6 +110,7 @@
     headers: HTTPHeaders
     standing: Standing
     fault_address: str = ""
+    misdirected: bool = False
     keep_alive: float | None = None
     reason: str = ""
 
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -26,19 +26,6 @@
     from lacewingcourse.relay.ports import RequestCodec
 
 
-@attrs.frozen
-class Sent:
-    """A request that was written to an endpoint's connection.
-
-    Attributes:
-        exchange: The exchange that carries it.
-        sending: What was sent.
-    """
-
-    exchange: Exchange
-    sending: Sending
-
-
 @attrs.frozen
 class NotSent:
     """A sentinel value: the request never left this process.
@@ -66,7 +53,7 @@
 
     async def send(
         self, request: CallerRequest, sending: Sending, fresh: bool
-    ) -> Sent | NotSent:
+    ) -> Exchange | NotSent:
         """Send a request; `fresh` asks for a connection never used before.
 
         A connection that was used may have been closed by the endpoint just now, and
@@ -89,7 +76,7 @@
         exchange = Exchange(connection, lambda s, h: self._is_ours(s, h, request))
         headers = self.codec.outgoing(request, sending)
         exchange.start(request.method, request.target, headers, request.body)
-        return Sent(exchange, sending)
+        return exchange
 
     def release(self, exchange: Exchange, head: AnswerHead | None) -> None:
         """Keep or close the connection of an exchange that is over."""
@@ -141,31 +128,26 @@
         outcome: How far the request got.
         reason: What happened.
         timed_out: Whether the time was over.
-        status: Status that the endpoint rejected it with, 0 for none.
-        fault_address: Address of the endpoint at fault, or empty.
         connection_lost: Whether the endpoint's connection ended before its answer.
     """
 
     outcome: SendOutcome
     reason: str
     timed_out: bool = False
-    status: int = 0
-    fault_address: str = ""
     connection_lost: bool = False
 
 
 async def collect(
-    sender: Sender, sent: Sent, request: CallerRequest, until: float
+    sender: Sender, exchange: Exchange, request: CallerRequest, until: float
 ) -> WholeAnswer | NoAnswer:
     """Read an answer to its end.
 
     Args:
         sender: What sent the request.
-        sent: The send.
+        exchange: What was sent.
         request: The caller's request.
         until: Time until which to wait, seconds.
     """
-    exchange = sent.exchange
     head: AnswerHead | None = None
     body = bytearray()
     while True:
@@ -191,12 +173,7 @@
         return NoAnswer(SendOutcome.MAY_HAVE_RUN, reason, connection_lost=True)
     if head.standing is Standing.REJECTED:
         reason = f"rejected with {head.status}"
-        return NoAnswer(
-            SendOutcome.REJECTED,
-            reason,
-            status=head.status,
-            fault_address=head.fault_address,
-        )
+        return NoAnswer(SendOutcome.REJECTED, reason)
     if head.standing is not Standing.ANSWERED:
         return NoAnswer(SendOutcome.MAY_HAVE_RUN, head.reason)
     return WholeAnswer(head, body)
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -13,7 +13,7 @@
 from lacewingcourse.core.pipelines.suspects import is_full
 from lacewingcourse.relay.path_finder import demand_of
 from lacewingcourse.relay.ports import AnswerHead, Standing
-from lacewingcourse.relay.sending import NotSent, Sender, Sent, next_arrival
+from lacewingcourse.relay.sending import NotSent, Sender, next_arrival
 from lacewingcourse.relay.upstream import (
     Abandoned,
     Data,
@@ -36,7 +36,7 @@
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.path_finder import PathFinder
     from lacewingcourse.relay.stall_watcher import StallWatcher
-    from lacewingcourse.relay.upstream import Arrival
+    from lacewingcourse.relay.upstream import Arrival, Exchange
 
 #: Seconds for which a run may stand still without a known cause before it goes on on
 #: another path. Callers leave after two seconds of silence. A shorter time sends
@@ -44,8 +44,6 @@
 #: make the others busier: with 240 milliseconds, half of a fleet's streams were late
 #: for as long as the load lasted.
 SILENCE_PATIENCE = 1.5
-#: Status with which an endpoint says that it is not the one, or lacks the layers.
-MISDIRECTED = 421
 #: Seconds after which a refused stream is worth trying again, spread so that those
 #: refused together do not return together. A usual answer takes one to two seconds, so
 #: by then most of what fills the paths now has ended.
@@ -174,7 +172,7 @@
                 job.note(SendOutcome.NEVER_LEFT, sent.reason)
                 return None
             job.sends += 1
-            job.current = sent.exchange
+            job.current = sent
             self.stalls.begin(job, now)
             age = now - self.beliefs.fleet.known_at
             self.log.sent(job, first.endpoint, age, job.waited)
@@ -187,9 +185,10 @@
             self.stalls.end(job)
             self.beliefs.loads.end(path, demand.tokens)
 
-    async def _relay(self, job: Job, sent: Sent, state: StreamState) -> RunResult:
+    async def _relay(
+        self, job: Job, exchange: Exchange, state: StreamState
+    ) -> RunResult:
         """Pass on what arrives until the run ends."""
-        exchange = sent.exchange
         state.quiet_since = self.sender.clock()
         head: AnswerHead | None = None
         while True:
@@ -202,13 +201,13 @@
                     arrival.status, arrival.headers, job.request
                 )
                 if not head.succeeded:
-                    return await self._refused_run(job, sent, head, state)
+                    return await self._refused_run(job, exchange, head, state)
                 if state.head is None:
                     state.head = head
             elif isinstance(arrival, Data):
                 self._take(job, state, arrival.data)
             elif not self._has_moved_on(job, state, arrival, until):
-                return self._ended(job, sent, head, state, arrival)
+                return self._ended(job, exchange, head, state, arrival)
             if head is not None and exchange.arrivals.empty():
                 exchange.sink = partial(self._take, job, state)
 
@@ -244,21 +243,21 @@
     def _ended(
         self,
         job: Job,
-        sent: Sent,
+        exchange: Exchange,
         head: AnswerHead | None,
         state: StreamState,
         arrival: Arrival,
     ) -> RunResult:
         """Return what the end of a run amounts to."""
         if isinstance(arrival, End) and arrival.complete and not state.cutter.pending:
-            self.sender.release(sent.exchange, head)
+            self.sender.release(exchange, head)
             if not job.caller.begun:
                 job.caller.begin(
                     state.head.status, self.sender.codec.for_caller(state.head)
                 )
             job.caller.end()
             return RunResult(StreamEnd.WHOLE)
-        sent.exchange.abandon()
+        exchange.abandon()
         job.note(SendOutcome.MAY_HAVE_RUN, "the stream broke off")
         if isinstance(arrival, Abandoned):
             job.caller.break_off()
@@ -273,26 +272,26 @@
         return RunResult(StreamEnd.LOST, job.reason, first_lost=True)
 
     async def _refused_run(
-        self, job: Job, sent: Sent, head: AnswerHead, state: StreamState
+        self, job: Job, exchange: Exchange, head: AnswerHead, state: StreamState
     ) -> RunResult:
         """Read the body of an answer that is no stream, and pass on a failure."""
         body = bytearray()
         while True:
-            arrival = await next_arrival(sent.exchange, job.until, self.sender.clock())
+            arrival = await next_arrival(exchange, job.until, self.sender.clock())
             if isinstance(arrival, Data):
                 body += arrival.data
             elif not isinstance(arrival, Head):
                 break
         whole = isinstance(arrival, End) and arrival.complete
-        self.sender.release(sent.exchange, head if whole else None)
+        self.sender.release(exchange, head if whole else None)
         if isinstance(arrival, Abandoned):
             return RunResult(StreamEnd.ABANDONED, arrival.reason)
         if head.standing is Standing.REJECTED:
             reason = f"rejected with {head.status}"
             job.note(SendOutcome.REJECTED, reason)
-            misdirected = head.status == MISDIRECTED
-            at = head.fault_address
-            return RunResult(StreamEnd.REJECTED, reason, at, misdirected)
+            return RunResult(
+                StreamEnd.REJECTED, reason, head.fault_address, head.misdirected
+            )
         job.note(SendOutcome.MAY_HAVE_RUN, f"status {head.status} {head.reason}")
         if head.standing is not Standing.ANSWERED or not whole or job.may_send_again:
             return RunResult(StreamEnd.LOST, job.reason)
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -123,13 +123,11 @@
         stream: The connection.
         address: Address of the endpoint.
         usable_until: Time until which it may be used again, seconds.
-        reused: Whether it carried a request before.
     """
 
     stream: EndpointStream
     address: str
     usable_until: float = 0.0
-    reused: bool = False
 
     def close(self) -> None:
         """End it at once."""
@@ -142,13 +140,9 @@
 
     Attributes:
         idle: Idle connections by address, the newest last.
-        opened: Connections opened.
-        failed: Connections that could not be made.
     """
 
     idle: dict[str, list[Connection]] = attrs.field(factory=dict)
-    opened: int = 0
-    failed: int = 0
 
     def take(self, address: str, now: float) -> Connection | None:
         """Return an idle connection, None if there is none that may be used."""
@@ -157,7 +151,6 @@
             connection = waiting.pop()
             if now < connection.usable_until and connection.stream.clean:
                 connection.stream.set_close_callback(None)
-                connection.reused = True
                 return connection
             connection.close()
         return None
@@ -173,9 +166,7 @@
             await asyncio.wait_for(connecting, CONNECT_TIMEOUT)
         except (TimeoutError, StreamClosedError, OSError):
             stream.close()
-            self.failed += 1
             return None
-        self.opened += 1
         return Connection(stream, address)
 
     def give_back(
--- a/packages/relay/tests/test_streams.py
+++ b/packages/relay/tests/test_streams.py
@@ -17,7 +17,6 @@
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.ports import AnswerHead, Standing
-from lacewingcourse.relay.sending import Sent
 from lacewingcourse.relay.streams import StreamForwarder
 from lacewingcourse.relay.upstream import End, Head
 
@@ -116,13 +115,19 @@
         return 0.0
 
     def head(self, status, headers, request) -> AnswerHead:
-        return AnswerHead(status, headers, Standing.REJECTED, fault_address="b:1")
+        return AnswerHead(
+            status,
+            headers,
+            Standing.REJECTED,
+            fault_address="b:1",
+            misdirected=status == 421,
+        )
 
-    async def send(self, request, sending, fresh) -> Sent:
+    async def send(self, request, sending, fresh):
         arrivals = asyncio.Queue()
         arrivals.put_nowait(Head(self.status, HTTPHeaders()))
         arrivals.put_nowait(End(True, ""))
-        return Sent(SimpleNamespace(arrivals=arrivals), sending)
+        return SimpleNamespace(arrivals=arrivals)
 
     def release(self, exchange, head) -> None:
         """Drop the connection."""
