Read what others write strictly, and tie beliefs to a server's start

Cause: `decode_entry` raised on an entry that is not as expected, so that one foreign record hid all others of the same read; `born` was not read, so a server that started again under its id kept its old layers, loads and suspicions here.

Change: `Incarnation` is the one place that says which start something is about; its id is the key of every belief, so all of them end together. Entries of an earlier start, or written before a later one of the same start, are old news, also after the server is gone. Streams through an ended incarnation go on elsewhere at once. One strict decoder (cattrs with exact types and validators) reads entries, reports, configurations, store answers and messages between entries; what cannot be read is a sentinel, told once and counted, and changes nothing that was known. An entry that does not fit its service's published figures (layers out of range, an unknown kind) is not used, and one of an unknown service takes no server's address.

--- a/packages/core/src/lacewingcourse/core/pipelines/fleet.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/fleet.py
@@ -2,16 +2,35 @@
 
 from __future__ import annotations
 
+from enum import Enum
+from typing import TYPE_CHECKING
+
 import attrs
 
+from lacewingcourse.core.pipelines.incarnation import UNTOLD, Incarnation
 from lacewingcourse.core.pipelines.shape import Layers
 
+if TYPE_CHECKING:
+    from lacewingcourse.core.pipelines.shape import EngineShape
+
 #: Seconds after the return of a directory that was away in which endpoints that
 #: lapsed meanwhile are kept: they register again within about two seconds.
 RETURN_GRACE = 2.0
 #: Seconds without an answer after which the directory was away. Entries lapse after
 #: three heartbeats of about a second, so none lapses in a shorter time.
 AWAY_AFTER = 2.0
+#: Endpoints that are gone of which the last entry is remembered, so that an entry
+#: that was written before it and arrives after it does not bring them back.
+MOST_ENDED = 512
+
+
+class EntryEffect(Enum):
+    """What an entry changed."""
+
+    NOTHING = "nothing"
+    CHANGED = "changed"
+    RESTARTED = "restarted"
+    OUTDATED = "outdated"
 
 
 @attrs.frozen
@@ -19,7 +38,7 @@
     """One incarnation of an endpoint, as its directory entry tells.
 
     Attributes:
-        id: Identifier of the incarnation.
+        id: Identifier of the incarnation, see `Incarnation.id`.
         service: Service that it serves.
         address: Its IP address and port.
         zone: Availability zone.
@@ -29,6 +48,9 @@
         layers: Layers that it holds, None for none.
         weights: Version of the weights that it holds.
         placeable: Whether it runs a model in parts, so that layers are placed on it.
+        name: Name under which it registers; its later incarnations have the same.
+        born: Unix milliseconds of its start, `UNTOLD` if it does not tell.
+        sequence: Counts the entries that this incarnation wrote.
     """
 
     id: str
@@ -41,6 +63,34 @@
     layers: Layers | None = None
     weights: int = 0
     placeable: bool = False
+    name: str = attrs.field(default=attrs.Factory(lambda e: e.id, takes_self=True))
+    born: int = UNTOLD
+    sequence: int = attrs.field(default=0, eq=False)
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The start that the entry is about."""
+        return Incarnation(self.name, self.born)
+
+    def fits(self, shape: EngineShape) -> bool:
+        """Tell whether what it tells is possible by the figures of its service."""
+        accelerator = shape.accelerators.get(self.accelerator)
+        if accelerator is None:
+            return False
+        if self.layers is None:
+            return True
+        possible = 0 <= self.layers.start < self.layers.end <= shape.layers
+        return possible and len(self.layers) <= shape.most_layers(accelerator)
+
+    def is_outdated(self, known: Endpoint) -> bool:
+        """Tell whether this entry was written before another one of the endpoint.
+
+        Counts start anew with the endpoint, so they are compared only where both tell
+        the same start.
+        """
+        if self.born == known.born and self.born != UNTOLD:
+            return self.sequence < known.sequence
+        return self.incarnation.is_outdated(known.incarnation)
 
 
 @attrs.define
@@ -54,6 +104,8 @@
         known_at: Time as of which the entries were last known to be all, seconds.
         returned_at: When the directory last answered after having been away.
         revision: Counts the changes that matter to routing and placement.
+        ids: Id of the present incarnation by the endpoint's name.
+        ended: Last entry of endpoints that are gone, by name, oldest first.
     """
 
     endpoints: dict[str, Endpoint] = attrs.field(factory=dict)
@@ -61,39 +113,80 @@
     known_at: float = float("-inf")
     returned_at: float = float("-inf")
     revision: int = 0
+    ids: dict[str, str] = attrs.field(factory=dict)
+    ended: dict[str, Endpoint] = attrs.field(factory=dict)
 
-    def put(self, endpoint: Endpoint) -> bool:
-        """Take an entry; tell whether it changed anything."""
+    def put(self, endpoint: Endpoint, recognised: bool = True) -> EntryEffect:
+        """Take an entry; return what it changed.
+
+        Args:
+            endpoint: What the entry tells.
+            recognised: Whether its service is configured. Only then does it take the
+                place of another endpoint at its address.
+        """
+        known = self.named(endpoint.name)
+        last = known or self.ended.get(endpoint.name)
+        if last is not None and endpoint.is_outdated(last):
+            return EntryEffect.OUTDATED
+        self.ended.pop(endpoint.name, None)
         self.lapsed.pop(endpoint.id, None)
-        known = self.endpoints.get(endpoint.id)
-        if known == endpoint:
-            return False
-        if known is None:
+        if known is None and recognised:
             self._drop_predecessors(endpoint)
+        restarted = known is not None and known.id != endpoint.id
+        if restarted:
+            self._drop(known.id)
+        self.ids[endpoint.name] = endpoint.id
         self.endpoints[endpoint.id] = endpoint
+        if known == endpoint:
+            return EntryEffect.NOTHING
         self.revision += 1
+        return EntryEffect.RESTARTED if restarted else EntryEffect.CHANGED
+
+    def named(self, name: str) -> Endpoint | None:
+        """Return the present incarnation of an endpoint, None if there is none."""
+        return self.endpoints.get(self.ids.get(name, ""))
+
+    def note_start(self, name: str, born: int) -> bool:
+        """Take from an endpoint's own word when it started; tell whether that is new.
+
+        An endpoint that started again holds nothing, whatever its last entry says.
+        """
+        known = self.named(name)
+        if known is None or not Incarnation(name, born).replaces(known.incarnation):
+            return False
+        identifier = Incarnation(name, born).id
+        fresh = attrs.evolve(
+            known, id=identifier, born=born, sequence=0, layers=None, weights=0
+        )
+        self.put(fresh)
         return True
 
-    def remove(self, endpoint_id: str, now: float) -> bool:
+    def remove(self, name: str, now: float) -> bool:
         """Take the end of an entry; tell whether the endpoint is gone now.
 
         An entry that lapsed while the directory was away is kept until the endpoint
         had time to register again.
         """
-        if endpoint_id not in self.endpoints:
+        known = self.named(name)
+        if known is None:
             return False
         until = self.returned_at + RETURN_GRACE
         if now < until:
-            self.lapsed.setdefault(endpoint_id, until)
+            self.lapsed.setdefault(known.id, until)
             return False
-        self._drop(endpoint_id)
+        self._drop(known.id)
         return True
 
     def keep_only(self, present: set[str], now: float) -> None:
-        """Take a whole listing: every endpoint outside it has lost its entry."""
-        for endpoint_id in list(self.endpoints):
-            if endpoint_id not in present and endpoint_id not in self.lapsed:
-                self.remove(endpoint_id, now)
+        """Take a whole listing: every endpoint outside it has lost its entry.
+
+        Args:
+            present: Names in the listing.
+            now: Present time in seconds.
+        """
+        for endpoint in list(self.endpoints.values()):
+            if endpoint.name not in present and endpoint.id not in self.lapsed:
+                self.remove(endpoint.name, now)
 
     def confirm(self, at: float) -> None:
         """Note that the directory told all that it holds as of some time.
@@ -128,5 +221,13 @@
 
     def _drop(self, endpoint_id: str) -> None:
         self.lapsed.pop(endpoint_id, None)
-        if self.endpoints.pop(endpoint_id, None) is not None:
-            self.revision += 1
+        found = self.endpoints.pop(endpoint_id, None)
+        if found is None:
+            return
+        self.revision += 1
+        if self.ids.get(found.name) == endpoint_id:
+            del self.ids[found.name]
+        self.ended.pop(found.name, None)
+        self.ended[found.name] = found
+        while len(self.ended) > MOST_ENDED:
+            del self.ended[next(iter(self.ended))]
--- a/packages/core/src/lacewingcourse/core/pipelines/path.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/path.py
@@ -42,12 +42,16 @@
         address: Its address.
         zone: Its availability zone.
         layers: Layers that it runs.
+        name: Name under which the endpoint registers.
     """
 
     endpoint: str
     address: str
     zone: str
     layers: Layers
+    name: str = attrs.field(
+        default=attrs.Factory(lambda part: part.endpoint, takes_self=True)
+    )
 
 
 @attrs.frozen
@@ -229,7 +233,8 @@
         while trail is not None:
             endpoint, start, end, trail = trail
             layers = Layers(start, end)
-            parts.append(Part(endpoint.id, endpoint.address, endpoint.zone, layers))
+            place = endpoint.address, endpoint.zone
+            parts.append(Part(endpoint.id, *place, layers, endpoint.name))
         parts.reverse()
         return Path(tuple(parts), self._token_ms(parts))
 
--- a/packages/core/tests/pipelines/test_fleet.py
+++ b/packages/core/tests/pipelines/test_fleet.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
-from lacewingcourse.core.pipelines.fleet import RETURN_GRACE, Fleet
+from lacewingcourse.core.pipelines.fleet import RETURN_GRACE, EntryEffect, Fleet
+from lacewingcourse.core.pipelines.shape import Layers
 
-from .conftest import holding, make_endpoint
+from .conftest import holding, make_endpoint, make_shape
 
 A = make_endpoint("a", "large")
 
 
 def test_an_entry_that_tells_nothing_new_changes_nothing():
     fleet = Fleet()
-    assert fleet.put(A)
+    assert fleet.put(A) is EntryEffect.CHANGED
     revision = fleet.revision
-    assert not fleet.put(A)
+    assert fleet.put(A) is EntryEffect.NOTHING
     assert fleet.revision == revision
 
 
@@ -76,7 +78,7 @@
 def test_a_new_incarnation_takes_the_place_of_the_old_one():
     fleet = Fleet()
     fleet.put(holding(A, 0, 10))
-    fleet.put(attrs.evolve(A, id="a2"))
+    fleet.put(attrs.evolve(A, id="a2", name="a2"))
     assert [e.id for e in fleet.of_service("rooms")] == ["a2"]
 
 
@@ -86,3 +88,21 @@
     fleet.put(make_endpoint("b", "large"))
     fleet.keep_only({"b"}, now=5.0)
     assert [e.id for e in fleet.of_service("rooms")] == ["b"]
+
+
+@pytest.mark.parametrize(
+    ("changes", "fits"),
+    [
+        ({}, True),
+        ({"layers": Layers(0, 40)}, True),
+        ({"layers": Layers(60, 80)}, True),
+        ({"layers": Layers(60, 81)}, False),
+        ({"layers": Layers(-1, 10)}, False),
+        ({"layers": Layers(10, 10)}, False),
+        ({"layers": Layers(0, 42)}, False),
+        ({"accelerator": "unheard of"}, False),
+        ({"accelerator": ""}, False),
+    ],
+)
+def test_an_endpoint_that_cannot_be_what_it_tells_fits_no_service(changes, fits):
+    assert attrs.evolve(A, **changes).fits(make_shape()) is fits
--- /dev/null
+++ b/packages/core/tests/pipelines/test_incarnation.py
@@ -0,0 +1,107 @@
+"""Tests of which start of an endpoint something is about."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from lacewingcourse.core.pipelines.fleet import EntryEffect, Fleet
+from lacewingcourse.core.pipelines.incarnation import Incarnation
+
+from .conftest import holding, make_endpoint
+
+
+def entry(born: int, sequence: int = 1, name: str = "a", **changes):
+    """Return what an endpoint's entry tells."""
+    identifier = Incarnation(name, born).id
+    found = attrs.evolve(make_endpoint(identifier, "large"), name=name, born=born)
+    return attrs.evolve(found, address="a:1", sequence=sequence, **changes)
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    """A fleet of one endpoint that started at 100 and holds layers."""
+    fleet = Fleet()
+    fleet.put(holding(entry(100, 7), 0, 20))
+    return fleet
+
+
+def test_an_endpoint_that_does_not_tell_its_start_goes_by_its_name():
+    assert Incarnation("a").id == "a"
+    assert Incarnation("a", 5).id == "a@5"
+
+
+def test_only_later_starts_of_the_same_endpoint_replace_an_incarnation():
+    known = Incarnation("a", 5)
+    assert Incarnation("a", 6).replaces(known)
+    assert not Incarnation("a", 5).replaces(known)
+    assert not Incarnation("b", 6).replaces(known)
+    assert Incarnation("a").is_outdated(known)
+
+
+def test_what_is_believed_of_an_incarnation_ends_with_it(fleet):
+    assert fleet.put(entry(200, 1)) is EntryEffect.RESTARTED
+    assert list(fleet.endpoints) == ["a@200"]
+    assert fleet.named("a").layers is None
+    assert fleet.of_service("rooms") == [entry(200)]
+
+
+def test_entries_of_an_earlier_start_are_old_news(fleet):
+    fleet.put(entry(200, 1))
+    revision = fleet.revision
+    assert fleet.put(holding(entry(100, 9), 0, 20)) is EntryEffect.OUTDATED
+    assert fleet.put(holding(entry(0, 9), 0, 20)) is EntryEffect.OUTDATED
+    assert fleet.named("a").layers is None
+    assert fleet.revision == revision
+
+
+def test_an_entry_written_before_the_last_one_is_old_news(fleet):
+    fleet.put(entry(100, 8, leaving=True))
+    assert fleet.put(holding(entry(100, 7), 0, 20)) is EntryEffect.OUTDATED
+    assert fleet.of_service("rooms") == []
+
+
+def test_counts_are_not_compared_where_starts_are_untold():
+    fleet = Fleet()
+    fleet.put(holding(entry(0, 9), 0, 20))
+    assert fleet.put(entry(0, 1)) is EntryEffect.CHANGED
+    assert fleet.named("a").layers is None
+
+
+def test_an_entry_that_only_counts_on_changes_nothing(fleet):
+    assert fleet.put(holding(entry(100, 8), 0, 20)) is EntryEffect.NOTHING
+    assert fleet.named("a").sequence == 8
+
+
+def test_a_late_entry_does_not_bring_back_an_endpoint_that_is_gone(fleet):
+    fleet.put(entry(100, 8, leaving=True))
+    assert fleet.remove("a", now=50.0)
+    assert fleet.put(holding(entry(100, 7), 0, 20)) is EntryEffect.OUTDATED
+    assert fleet.endpoints == {}
+    assert fleet.put(entry(100, 9)) is EntryEffect.CHANGED
+
+
+def test_an_endpoint_that_says_when_it_started_holds_nothing_of_before(fleet):
+    assert not fleet.note_start("a", 100)
+    assert not fleet.note_start("a", 0)
+    assert not fleet.note_start("b", 300)
+    assert fleet.note_start("a", 300)
+    assert fleet.named("a").layers is None
+    assert fleet.put(holding(entry(100, 9), 0, 20)) is EntryEffect.OUTDATED
+
+
+def test_an_entry_of_a_service_that_is_not_configured_takes_no_address():
+    fleet = Fleet()
+    fleet.put(entry(100))
+    stranger = entry(100, name="b", service="unknown")
+    fleet.put(stranger, recognised=False)
+    assert set(fleet.endpoints) == {"a@100", "b@100"}
+    fleet.put(entry(100, name="c"), recognised=True)
+    assert set(fleet.endpoints) == {"c@100"}
+
+
+def test_a_whole_listing_goes_by_names(fleet):
+    fleet.keep_only({"a"}, now=50.0)
+    assert list(fleet.endpoints) == ["a@100"]
+    fleet.keep_only(set(), now=50.0)
+    assert fleet.endpoints == {}
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -139,7 +139,9 @@
             self.beliefs.suspects,
             finder,
             self.clock,
+            self.log,
             self._on_suspect,
+            self._on_start,
         )
         streams = StreamForwarder(
             self.beliefs,
@@ -184,6 +186,8 @@
             self.clock,
             self._rank,
             self._tell_peers,
+            self.stalls.restarted,
+            self.metrics.unreadable_entries.inc,
         )
         self.placement = PlacementDuty(
             self.settings.name,
@@ -208,7 +212,11 @@
             self.clock,
         )
         self.peers = PeerExchange(
-            gossip, self.settings.seeds, self.platform.registry, self.clock
+            gossip,
+            self.settings.seeds,
+            self.platform.registry,
+            self.clock,
+            self.metrics.unreadable_messages.inc,
         )
         shown = {("GET", METRICS_PATH): self._on_metrics}
         self.peer_server = HTTPServer(SmallServer(self.peers.handlers() | shown))
@@ -279,6 +287,13 @@
         self.log.belief("suspected", endpoints=list(endpoints), reason=reason)
         self._tell_peers()
 
+    def _on_start(self, name: str, born: int) -> bool:
+        """Take from an endpoint when it started; tell whether that is new."""
+        if not self.beliefs.fleet.note_start(name, born):
+            return False
+        self.log.belief("endpoint_restarted", endpoint=name, born=born)
+        return True
+
     def _tell_peers(self) -> None:
         self.peers.tell_now()
 
--- a/packages/relay/src/lacewingcourse/relay/beliefs.py
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -72,11 +72,26 @@
             return None
         return self.table.services[service].shape
 
+    def is_configured(self, endpoint: Endpoint) -> bool:
+        """Tell whether the configuration knows an endpoint's service."""
+        return self.table is not None and endpoint.service in self.table.services
+
+    def members(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service that take new work.
+
+        One whose entry does not fit the published figures of the service's engines
+        names no endpoint to use.
+        """
+        found = self.fleet.of_service(service)
+        shape = self.shape(service)
+        if shape is None:
+            return found
+        return [endpoint for endpoint in found if endpoint.fits(shape)]
+
     def usable(self, service: str, now: float) -> list[Endpoint]:
         """Return the endpoints of a service that are not left out."""
         excluded = self.suspects.excluded(now)
-        found = self.fleet.of_service(service)
-        return [endpoint for endpoint in found if endpoint.id not in excluded]
+        return [e for e in self.members(service) if e.id not in excluded]
 
     def paths(self, service: str, shape: EngineShape, now: float) -> list[Path]:
         """Return the candidate paths of a service."""
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -118,7 +118,7 @@
     ) -> WholeAnswer | NoAnswer | NotSent:
         self.beliefs.loads.begin_call(endpoint.id)
         try:
-            sending = job.sending(endpoint.id, endpoint.address, None, now, "")
+            sending = job.sending(endpoint.name, endpoint.address, None, now, "")
             fresh = not job.route.repeat.may_repeat
             sent = await self.sender.send(job.request, sending, fresh)
             if isinstance(sent, NotSent):
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/decoding.py
@@ -0,0 +1,138 @@
+"""Strict decoding of what other processes write."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import attrs
+import orjson
+from cattrs import ClassValidationError, IterableValidationError, transform_error
+from cattrs.gen import make_dict_structure_fn, override
+from cattrs.preconf.orjson import make_converter
+from cattrs.v import format_exception
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+T = TypeVar("T")
+
+#: Characters of a reason that are kept; a document may hold anything at any length.
+MOST_REASON = 200
+#: Key of the metadata of an attribute that stands under another name in documents.
+DOCUMENT_NAME = "document_name"
+#: What the library says of where something is wrong: steps with indexes.
+PLACE = re.compile(r"\$[\w.\[\]]*")
+#: What the content of a document can make the library raise.
+CONTENT_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    RecursionError,
+    OverflowError,
+)
+
+
+@attrs.frozen
+class Undecodable:
+    """A sentinel value: bytes hold no document of the wanted kind.
+
+    Attributes:
+        reason: What is wrong with them, with the place.
+    """
+
+    reason: str
+
+
+def shortened(text: str) -> str:
+    """Return text at a length that may be logged."""
+    return text if len(text) <= MOST_REASON else text[: MOST_REASON - 3] + "..."
+
+
+class StrictDecoder:
+    """Turns documents into objects whose values have exactly the declared types.
+
+    The library's own converter turns strings into numbers and numbers into truth
+    values, so a document of another kind would pass for a wanted one.
+
+    Attributes:
+        converter: The library's converter with strict hooks.
+        spelled: Names in documents by names of attributes that are spelled otherwise.
+    """
+
+    def __init__(self, spell: Callable[[str], str] | None = None) -> None:
+        """Make a decoder.
+
+        Args:
+            spell: Returns the name in documents of an attribute; None for the same.
+        """
+        self.converter = make_converter()
+        self.spelled: dict[str, str] = {}
+        for kind in (bool, str, int):
+            self.converter.register_structure_hook(kind, _exactly(kind))
+        self.converter.register_structure_hook(float, _number)
+        if spell is not None:
+            self._spell = spell
+            self.converter.register_structure_hook_factory(attrs.has, self._hook_for)
+
+    def decode(self, body: bytes, kind: type[T]) -> T | Undecodable:
+        """Return the document of a kind that bytes hold, or what is wrong with them.
+
+        Whatever the bytes are, nothing is raised.
+        """
+        try:
+            document = orjson.loads(body)
+        except orjson.JSONDecodeError as error:
+            return Undecodable(shortened(f"no JSON: {error}"))
+        return self.structure(document, kind)
+
+    def structure(self, document: Any, kind: type[T]) -> T | Undecodable:
+        """Return the object of a kind that a document holds, or what is wrong."""
+        try:
+            return self.converter.structure(document, kind)
+        except (ClassValidationError, IterableValidationError) as error:
+            found = transform_error(error, path="$", format_exception=_reason)
+            reasons = "; ".join(found)
+            return Undecodable(shortened(PLACE.sub(self._place, reasons)))
+        except CONTENT_ERRORS as error:
+            return Undecodable(shortened(f"{type(error).__name__}: {error}"))
+
+    def _place(self, found: re.Match) -> str:
+        """Return a place in a document as the document spells it."""
+        steps = found[0].split(".")
+        return ".".join(self.spelled.get(step, step) for step in steps)
+
+    def _hook_for(self, kind: type) -> Callable[[Any, Any], Any]:
+        """Return what makes objects of a class from documents."""
+        renamed = {}
+        for attribute in attrs.fields(kind):
+            told = attribute.metadata.get(DOCUMENT_NAME)
+            name = told or self._spell(attribute.name)
+            self.spelled[attribute.name] = name
+            renamed[attribute.name] = override(rename=name)
+        return make_dict_structure_fn(kind, self.converter, **renamed)
+
+
+def _reason(error: BaseException, kind: type | None) -> str:
+    """Return what is wrong with a value; validators say it in their first argument."""
+    if type(error) is ValueError and error.args:
+        return shortened(str(error.args[0]))
+    return format_exception(error, kind)
+
+
+def _exactly(kind: type) -> Callable[[Any, Any], Any]:
+    """Return a hook that takes values of one type, truth values apart from numbers."""
+
+    def take(value: Any, _: Any) -> Any:
+        if type(value) is not kind:
+            raise TypeError(f"{type(value).__name__} in place of {kind.__name__}")
+        return value
+
+    return take
+
+
+def _number(value: Any, _: Any) -> float:
+    if type(value) not in (int, float):
+        raise TypeError(f"{type(value).__name__} in place of a number")
+    return float(value)
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -7,12 +7,20 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.fleet import EntryEffect
 from lacewingcourse.core.pipelines.freshness import Freshness
-from lacewingcourse.relay.ports import DirectoryNews, EndpointEntry, Unavailable
+from lacewingcourse.relay.decoding import Undecodable
+from lacewingcourse.relay.ports import (
+    DirectoryNews,
+    EndpointEntry,
+    Unavailable,
+    UnreadableEntry,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lacewingcourse.core.pipelines.fleet import Endpoint
     from lacewingcourse.core.pipelines.routing import RoutingTable
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.decisions import DecisionLog
@@ -37,6 +45,9 @@
 #: The same for the directory, which the first entry reads twice a second.
 DIRECTORY_PATIENCE = 0.9
 DIRECTORY_STEP = 0.1
+#: Unreadable entries that are remembered, so that each is told once. A listing holds
+#: one record for each key, and the store's records of 400 MB bound their number.
+MOST_TOLD = 256
 
 
 @attrs.define
@@ -83,6 +94,9 @@
             self.freshness.failed(now + RETRY_PERIOD)
             self._lost(found)
             return
+        if isinstance(found, Undecodable):
+            self.refuse(found, "store")
+            found = None
         self._regained()
         self.listed = True
         self.freshness.confirm(now)
@@ -96,6 +110,10 @@
         self.log.belief("configuration", version=table.version, origin=origin)
         self.on_change()
 
+    def refuse(self, found: Undecodable, origin: str) -> None:
+        """Tell of a version that cannot be read; what is in force stays."""
+        self.log.belief("configuration_unreadable", reason=found.reason, origin=origin)
+
     def _lost(self, found: Unavailable) -> None:
         if self.reachable:
             self.reachable = False
@@ -118,9 +136,12 @@
         clock: Returns the present time in seconds.
         rank: Returns how many live entries come before this one.
         on_change: Called after something changed that other entries must know.
+        on_restart: Called with the id of an incarnation that a later one ended.
+        on_unreadable: Called for each entry that names no endpoint to use.
         position: How far the directory was read, None before a whole listing.
         freshness: How old the knowledge is.
         reachable: Whether the directory answered last.
+        told: Unreadable entries that were logged, oldest first.
     """
 
     directory: EndpointDirectory
@@ -129,11 +150,14 @@
     clock: Callable[[], float]
     rank: Callable[[], int]
     on_change: Callable[[], None]
+    on_restart: Callable[[str], None]
+    on_unreadable: Callable[[], None]
     position: int | None = None
     freshness: Freshness = attrs.field(
         factory=lambda: Freshness(DIRECTORY_PATIENCE, DIRECTORY_STEP)
     )
     reachable: bool = True
+    told: dict[UnreadableEntry, None] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Follow the directory for ever."""
@@ -171,7 +195,7 @@
         if self.position is not None and news.position <= self.position:
             return
         now = self.clock()
-        entries = tuple(EndpointEntry(e.id, e) for e in news.endpoints)
+        entries = tuple(EndpointEntry(e.name, e) for e in news.endpoints)
         self.beliefs.fleet.confirm(now - news.age)
         self.apply(DirectoryNews(True, entries, news.position), now)
         for endpoint, remaining in news.lapsed.items():
@@ -182,16 +206,40 @@
         """Take what the directory told."""
         fleet = self.beliefs.fleet
         for entry in news.entries:
-            if entry.endpoint is None:
-                if fleet.remove(entry.id, now):
-                    self.log.belief("endpoint_gone", endpoint=entry.id)
-            elif fleet.put(entry.endpoint):
-                self._tell(entry.endpoint)
+            if entry.endpoint is not None:
+                self._put(entry.endpoint)
+            elif fleet.remove(entry.name, now):
+                self.log.belief("endpoint_gone", endpoint=entry.name)
+        for unreadable in news.unreadable:
+            self._refuse(unreadable)
         if news.whole:
-            fleet.keep_only({entry.id for entry in news.entries}, now)
+            listed = (*news.entries, *news.unreadable)
+            fleet.keep_only({entry.name for entry in listed}, now)
         self.position = news.position
 
-    def _tell(self, endpoint) -> None:
+    def _put(self, endpoint: Endpoint) -> None:
+        """Take an entry that names an endpoint."""
+        known = self.beliefs.fleet.named(endpoint.name)
+        recognised = self.beliefs.is_configured(endpoint)
+        effect = self.beliefs.fleet.put(endpoint, recognised)
+        if effect in (EntryEffect.CHANGED, EntryEffect.RESTARTED):
+            self._tell(endpoint)
+        if effect is EntryEffect.RESTARTED:
+            self.log.belief("endpoint_restarted", endpoint=endpoint.id, ended=known.id)
+            self.on_restart(known.id)
+
+    def _refuse(self, entry: UnreadableEntry) -> None:
+        """Count an unreadable entry, and tell of it once."""
+        self.on_unreadable()
+        if entry in self.told:
+            return
+        self.log.belief("entry_unreadable", endpoint=entry.name, reason=entry.reason)
+        self.told[entry] = None
+        while len(self.told) > MOST_TOLD:
+            del self.told[next(iter(self.told))]
+
+    def _tell(self, endpoint: Endpoint) -> None:
+        """Tell what is believed of an endpoint from now on."""
         layers = endpoint.layers
         self.log.belief(
             "endpoint",
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -112,7 +112,7 @@
         """Return what to send to an endpoint.
 
         Args:
-            endpoint: Id of the endpoint.
+            endpoint: Name under which the endpoint registers.
             address: Its address.
             path: Path that starts there, None for a plain service.
             now: Present time.
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -100,6 +100,16 @@
             ["state"],
             **known,
         )
+        self.unreadable_entries = Counter(
+            "lacewingcourse_relay_unreadable_entries",
+            "Entries of the directory that name no endpoint to use, at each reading",
+            **known,
+        )
+        self.unreadable_messages = Counter(
+            "lacewingcourse_relay_unreadable_messages",
+            "Messages of other entries that cannot be read",
+            **known,
+        )
         self.lines_left_out = Counter(
             "lacewingcourse_relay_log_lines_left_out",
             "Log lines that the budget or a stalled reader left out",
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -5,12 +5,13 @@
 from enum import Enum
 
 import attrs
-from cattrs.preconf.orjson import make_converter
 
 from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.load import Load
+from lacewingcourse.relay.decoding import StrictDecoder, Undecodable
 
-converter = make_converter()
+#: Decoder of all messages between entries.
+DECODER = StrictDecoder()
 
 
 class Scope(Enum):
@@ -93,13 +94,9 @@
 
 def encode(message: PeerNews | FleetNews) -> bytes:
     """Return a message as JSON."""
-    return converter.dumps(message)
+    return DECODER.converter.dumps(message)
 
 
-def decode(body: bytes, kind: type):
-    """Return the message of a kind that a body holds.
-
-    Raises:
-        Exception: The body holds no such message.
-    """
-    return converter.loads(body, kind)
+def decode(body: bytes, kind: type) -> PeerNews | FleetNews | Undecodable:
+    """Return the message of a kind that a body holds, or what is wrong with it."""
+    return DECODER.decode(body, kind)
--- a/packages/relay/src/lacewingcourse/relay/peers.py
+++ b/packages/relay/src/lacewingcourse/relay/peers.py
@@ -9,6 +9,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
 
+from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.peer_messages import (
     FleetNews,
     PeerNews,
@@ -52,6 +53,7 @@
         seeds: Addresses of entries that may be asked before any is known.
         registry: Where entries leave their addresses.
         clock: Returns the present time in seconds.
+        on_unreadable: Called for each message that cannot be read.
         client: HTTP client.
         fetching: What is being fetched from another entry.
         wake: Set when something must be told at once.
@@ -61,6 +63,7 @@
     seeds: tuple[str, ...]
     registry: PeerRegistry
     clock: Callable[[], float]
+    on_unreadable: Callable[[], None]
     client: CurlAsyncHTTPClient = attrs.field(
         factory=lambda: CurlAsyncHTTPClient(
             force_instance=True, max_clients=MOST_EXCHANGES
@@ -143,8 +146,9 @@
     async def _exchange(self, address: str, news: bytes) -> None:
         try:
             body = await self._fetch(address, NEWS_PATH, news)
-            if body is not None:
-                self.take(decode(body, PeerNews))
+            found = self._read(body, PeerNews, address)
+            if found is not None:
+                self.take(found)
         finally:
             self.fetching.discard(address)
 
@@ -201,18 +205,37 @@
 
     async def _fetch_configuration(self, news: PeerNews) -> None:
         body = await self._fetch(news.address, CONFIGURATION_PATH)
-        if body:
-            self.gossip.configuration.take(
-                self.gossip.configuration.source.decode(body), news.name
-            )
+        if not body:
+            return
+        found = self.gossip.configuration.source.decode(body)
+        if isinstance(found, Undecodable):
+            self.gossip.configuration.refuse(found, news.name)
+        else:
+            self.gossip.configuration.take(found, news.name)
 
     async def _fetch_fleet(self, news: PeerNews) -> None:
         body = await self._fetch(news.address, FLEET_PATH)
-        if body:
-            self.gossip.directory.from_peer(decode(body, FleetNews), news.name)
+        found = self._read(body, FleetNews, news.address)
+        if found is not None:
+            self.gossip.directory.from_peer(found, news.name)
+
+    def _read(self, body: bytes | None, kind: type, origin: str):
+        """Return the message that a body holds, None if there is none."""
+        if not body:
+            return None
+        found = decode(body, kind)
+        if isinstance(found, Undecodable):
+            self.on_unreadable()
+            self.gossip.log.belief(
+                "message_unreadable", reason=found.reason, origin=origin
+            )
+            return None
+        return found
 
     def _on_news(self, question: Question) -> Reply:
-        news = decode(question.body, PeerNews)
+        news = self._read(question.body, PeerNews, "a caller")
+        if news is None:
+            return Reply(400)
         self.take(news)
         return Reply(200, encode(self.gossip.news_for(news.name, news.zone)))
 
--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -163,7 +163,7 @@
     async def _place_service(
         self, service: str, shape: EngineShape, now: float
     ) -> None:
-        endpoints = [self._expected(e) for e in self.beliefs.fleet.of_service(service)]
+        endpoints = [self._expected(e) for e in self.beliefs.members(service)]
         holds_nothing = all(e.layers is None for e in endpoints)
         if holds_nothing and now - self.newest_at < SETTLE:
             return
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.incarnation import UNTOLD
+
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
 
@@ -15,6 +17,7 @@
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.routing import RoutingTable
     from lacewingcourse.core.pipelines.shape import Layers
+    from lacewingcourse.relay.decoding import Undecodable
 
 
 @attrs.define
@@ -62,7 +65,7 @@
     """One send of a request to an endpoint.
 
     Attributes:
-        endpoint: Id of the incarnation that must answer.
+        endpoint: Name of the endpoint that must answer.
         address: Its address.
         path: Path through several endpoints, None for a plain service.
         time_left: Seconds in which the answer is still wanted.
@@ -163,14 +166,27 @@
     """A change of one entry of the directory.
 
     Attributes:
-        id: Id of the endpoint.
+        name: Name of the endpoint.
         endpoint: What its entry tells, None if the entry was removed.
     """
 
-    id: str
+    name: str
     endpoint: Endpoint | None
 
 
+@attrs.frozen
+class UnreadableEntry:
+    """An entry of the directory that names no endpoint to use.
+
+    Attributes:
+        name: Name under which it stands, shortened if it is long.
+        reason: What is wrong with it.
+    """
+
+    name: str
+    reason: str
+
+
 @attrs.frozen
 class DirectoryNews:
     """What the directory tells.
@@ -179,11 +195,13 @@
         whole: Whether this is a listing of all entries, not of changes.
         entries: Entries in the order in which they were written.
         position: How far the directory was read.
+        unreadable: Entries that another writer may have left.
     """
 
     whole: bool
     entries: tuple[EndpointEntry, ...]
     position: int
+    unreadable: tuple[UnreadableEntry, ...] = ()
 
 
 class ConfigurationSource(Protocol):
@@ -195,7 +213,7 @@
     async def next(self) -> RoutingTable | None | Unavailable:
         """Wait for a version after the last one returned; None if none came."""
 
-    def decode(self, document: bytes) -> RoutingTable:
+    def decode(self, document: bytes) -> RoutingTable | Undecodable:
         """Return the version that a published document holds."""
 
 
@@ -240,11 +258,24 @@
     address: str
 
 
+@attrs.frozen
+class EngineReport:
+    """What an engine tells of itself.
+
+    Attributes:
+        stalled: Requests that stand still at it as the first of their path.
+        born: Unix milliseconds of its start, `UNTOLD` if it does not tell.
+    """
+
+    stalled: tuple[StalledRequest, ...] = ()
+    born: int = UNTOLD
+
+
 class EngineReports(Protocol):
     """What engines tell of themselves."""
 
-    async def stalled(self, address: str) -> list[StalledRequest] | Unavailable:
-        """Return the requests that stand still at the engine that leads them."""
+    async def report(self, address: str) -> EngineReport | Unavailable | Undecodable:
+        """Return what the engine at an address tells."""
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lacewingcourse.core.pipelines.stalls import StallWatch
+from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.ports import Unavailable
 from lacewingcourse.relay.upstream import Stalled
 
@@ -17,9 +18,10 @@
     from lacewingcourse.core.pipelines.path import Part
     from lacewingcourse.core.pipelines.stalls import Watched
     from lacewingcourse.core.pipelines.suspects import Suspects
+    from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.path_finder import PathFinder
-    from lacewingcourse.relay.ports import EngineReports
+    from lacewingcourse.relay.ports import EngineReport, EngineReports
 
 #: Seconds between two looks. A quarter of the shortest silence that is looked at.
 PERIOD = 0.025
@@ -37,7 +39,10 @@
         suspects: Endpoints that are left out.
         finder: Finds paths.
         clock: Returns the present time in seconds.
+        log: Log of decisions.
         on_suspect: Called with endpoints that were found to be dead, and why.
+        on_start: Called with an endpoint's name and when it says that it started;
+            tells whether that ended the incarnation that was known.
         watch: Decides which streams may stand still.
         jobs: The requests whose streams are watched.
         asked: When each endpoint was last asked, by address.
@@ -48,7 +53,9 @@
     suspects: Suspects
     finder: PathFinder
     clock: Callable[[], float]
+    log: DecisionLog
     on_suspect: Callable[[tuple[str, ...], str], None]
+    on_start: Callable[[str, int], bool]
     watch: StallWatch = attrs.field(factory=StallWatch)
     jobs: dict[Watched, Job] = attrs.field(factory=dict)
     asked: dict[str, float] = attrs.field(factory=dict)
@@ -121,21 +128,40 @@
 
     async def _ask(self, first: Part) -> None:
         try:
-            found = await self.reports.stalled(first.address)
+            found = await self.reports.report(first.address)
         finally:
             self.asking.discard(first.address)
-        if isinstance(found, Unavailable):
+        if isinstance(found, Undecodable):
+            # It answered, so it is no dead one; what it says is not known.
+            self.log.belief(
+                "report_unreadable", endpoint=first.endpoint, reason=found.reason
+            )
+        elif isinstance(found, Unavailable):
             self._dead({first.endpoint}, f"no report: {found.reason}")
-            return
-        addresses = {stalled.address for stalled in found}
+        elif self.on_start(first.name, found.born):
+            self.restarted(first.endpoint)
+        else:
+            self._take_report(first, found)
+
+    def _take_report(self, first: Part, found: EngineReport) -> None:
+        """Leave out what an engine names as the cause that requests stand still."""
+        addresses = {stalled.address for stalled in found.stalled}
         parts = {p for w in self.watch.streams for p in w.path.parts}
         dead = {part.endpoint for part in parts if part.address in addresses}
         if dead:
             self._dead(dead, f"named by {first.address} as not answering")
 
+    def restarted(self, ended: str) -> None:
+        """Send the streams through an incarnation that has ended on elsewhere."""
+        self._move_all({ended})
+
     def _dead(self, endpoints: set[str], reason: str) -> None:
         """Leave out endpoints, and send the streams through them on elsewhere."""
         self.on_suspect(tuple(sorted(endpoints)), reason)
+        self._move_all(endpoints)
+
+    def _move_all(self, endpoints: set[str]) -> None:
+        """Send all streams through some endpoints on elsewhere."""
         for watched in list(self.jobs):
             if watched.path.uses(endpoints):
                 self._move(watched, endpoints)
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -166,7 +166,7 @@
             first = path.first
             job.path = path
             after = state.cutter.last_id
-            sending = job.sending(first.endpoint, first.address, path, now, after)
+            sending = job.sending(first.name, first.address, path, now, after)
             sent = await self.sender.send(job.request, sending, fresh=False)
             if isinstance(sent, NotSent):
                 job.note(SendOutcome.NEVER_LEFT, sent.reason)
--- /dev/null
+++ b/packages/relay/tests/test_decoding.py
@@ -0,0 +1,123 @@
+"""Tests of strict decoding."""
+
+from __future__ import annotations
+
+import json
+
+import attrs
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewingcourse.core.pipelines.fleet import Endpoint
+from lacewingcourse.core.pipelines.shape import Layers
+from lacewingcourse.relay.decoding import MOST_REASON, StrictDecoder, Undecodable
+from lacewingcourse.relay.peer_messages import (
+    FleetNews,
+    PeerNews,
+    Scope,
+    decode,
+    encode,
+)
+
+#: Any document that JSON can hold.
+DOCUMENTS = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**63)
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(),
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(st.text(), inner, max_size=4),
+    max_leaves=12,
+)
+
+
+@attrs.frozen
+class Sample:
+    """A document with a value of each kind."""
+
+    count: int
+    share: float
+    name: str
+    sure: bool
+
+
+GOOD = {"count": 1, "share": 0.5, "name": "a", "sure": True}
+
+
+def news(**changes) -> PeerNews:
+    """Return a message of an entry."""
+    return attrs.evolve(
+        PeerNews(
+            name="entry-1",
+            zone="east",
+            address="10.0.0.1:1",
+            leaving=False,
+            version=1,
+            version_age=0.5,
+            position=3,
+            position_age=0.5,
+            scope=Scope.OWN,
+            loads={"a": (1, 1, 100.0)},
+            pipes=[("east", "west", 0.1)],
+            suspects={"a": 1.0},
+            crashes={"f": {"a": 1.0}},
+            peers={"entry-2": ("10.0.0.2:1", "east", 0.1)},
+            counts={"west": 2},
+            holder="entry-1",
+            fencing=1,
+        ),
+        **changes,
+    )
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("count", "1"),
+        ("count", 1.0),
+        ("count", True),
+        ("count", None),
+        ("share", "0.5"),
+        ("share", False),
+        ("name", 1),
+        ("sure", 1),
+    ],
+)
+def test_a_value_of_another_type_is_refused_with_its_place(field, value):
+    refused = StrictDecoder().structure(GOOD | {field: value}, Sample)
+    assert isinstance(refused, Undecodable)
+    assert f"$.{field}" in refused.reason
+
+
+def test_whole_numbers_pass_for_shares():
+    found = StrictDecoder().structure(GOOD | {"share": 1}, Sample)
+    assert found == Sample(1, 1.0, "a", True)
+
+
+def test_a_reason_is_bounded():
+    found = StrictDecoder().structure({"share": "x" * 9_000}, Sample)
+    assert len(found.reason) <= MOST_REASON
+
+
+def test_messages_between_entries_come_back_as_they_were():
+    endpoint = Endpoint("a@5", "rooms", "10.0.0.1:1", "east", 6, name="a", born=5)
+    endpoint = attrs.evolve(endpoint, layers=Layers(0, 4), sequence=9)
+    fleet = FleetNews(position=1, age=0.5, endpoints=[endpoint], lapsed={"a@5": 1.0})
+    assert decode(encode(fleet), FleetNews) == fleet
+    assert decode(encode(news()), PeerNews) == news()
+
+
+@given(st.binary())
+def test_no_bytes_raise(body):
+    for kind in (PeerNews, FleetNews):
+        assert isinstance(decode(body, kind), (kind, Undecodable))
+
+
+@given(st.sampled_from([a.name for a in attrs.fields(PeerNews)]), DOCUMENTS)
+def test_no_value_in_a_message_raises(field, value):
+    document = orjson.loads(encode(news())) | {field: value}
+    found = decode(json.dumps(document).encode(), PeerNews)
+    assert isinstance(found, (PeerNews, Undecodable))
--- a/packages/relay/tests/test_stall_watcher.py
+++ b/packages/relay/tests/test_stall_watcher.py
@@ -10,10 +10,14 @@
 from lacewingcourse.core.pipelines.path import Part, Path
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.core.pipelines.suspects import Suspects
-from lacewingcourse.relay.ports import StalledRequest, Unavailable
+from lacewingcourse.relay.decoding import Undecodable
+from lacewingcourse.relay.ports import EngineReport, StalledRequest, Unavailable
 from lacewingcourse.relay.stall_watcher import StallWatcher
 from lacewingcourse.relay.upstream import Stalled
 
+#: Start of the endpoints that the watcher knows.
+BORN = 1_000
+
 
 def path_of(*names: str) -> Path:
     """Return a path through endpoints."""
@@ -28,7 +32,7 @@
         self.found = found
         self.asked: list[str] = []
 
-    async def stalled(self, address: str):
+    async def report(self, address: str):
         self.asked.append(address)
         return self.found
 
@@ -42,7 +46,7 @@
 
 
 @pytest.fixture
-def make_watcher():
+def make_watcher(events):
     """Return a function that makes a watcher which notes what it suspects."""
 
     def make(found, idle=False):
@@ -53,11 +57,26 @@
                 suspects.suspect(endpoint, reason, 0.0)
 
         finder = SimpleNamespace(is_idle=lambda job, avoid: idle)
-        return StallWatcher(Reports(found), suspects, finder, lambda: 0.0, on_suspect)
+        log = SimpleNamespace(belief=lambda event, **fields: events.append(event))
+        return StallWatcher(
+            Reports(found),
+            suspects,
+            finder,
+            lambda: 0.0,
+            log,
+            on_suspect,
+            lambda name, born: born > BORN,
+        )
 
     return make
 
 
+@pytest.fixture
+def events():
+    """Return the events that the watcher logged."""
+    return []
+
+
 def watched_until(watcher, job, now):
     """Watch a stream that is silent from 0 until a time, and look."""
 
@@ -72,7 +91,7 @@
 
 
 def test_a_stream_behind_an_endpoint_that_is_named_goes_on_elsewhere(make_watcher):
-    watcher = make_watcher([StalledRequest("r", "b:1")])
+    watcher = make_watcher(EngineReport((StalledRequest("r", "b:1"),)))
     job = make_job(path_of("a", "b"))
     watched_until(watcher, job, 0.2)
     assert isinstance(job.current.arrivals.get_nowait(), Stalled)
@@ -81,7 +100,7 @@
 
 
 def test_a_stream_on_a_busy_path_stays(make_watcher):
-    watcher = make_watcher([])
+    watcher = make_watcher(EngineReport())
     job = make_job(path_of("a", "b"))
     watched_until(watcher, job, 0.2)
     assert watcher.reports.asked == ["a:1"]
@@ -97,7 +116,7 @@
 
 
 def test_a_silent_stream_moves_at_once_when_a_peer_told_the_cause(make_watcher):
-    watcher = make_watcher([])
+    watcher = make_watcher(EngineReport())
     watcher.suspects.from_peer("b", 2.0, now=0.0)
     job = make_job(path_of("a", "b"))
     watched_until(watcher, job, 0.2)
@@ -106,7 +125,7 @@
 
 
 def test_a_stream_that_may_not_move_is_left_alone(make_watcher):
-    watcher = make_watcher([StalledRequest("r", "b:1")])
+    watcher = make_watcher(EngineReport((StalledRequest("r", "b:1"),)))
     job = make_job(path_of("a", "b"), may_move=False)
     watched_until(watcher, job, 0.2)
     assert job.current.arrivals.empty()
@@ -130,11 +149,31 @@
 
 
 def test_streams_that_look_cut_off_move_on_an_idle_fleet(make_watcher):
-    first, second = streams_cut_off(make_watcher([], idle=True))
+    first, second = streams_cut_off(make_watcher(EngineReport(), idle=True))
     assert (first.avoid, second.avoid) == ({"a", "x"}, {"b", "x"})
     assert isinstance(first.current.arrivals.get_nowait(), Stalled)
 
 
 def test_streams_that_look_cut_off_stay_on_a_busy_fleet(make_watcher):
-    jobs = streams_cut_off(make_watcher([], idle=False))
+    jobs = streams_cut_off(make_watcher(EngineReport(), idle=False))
     assert all(job.current.arrivals.empty() for job in jobs)
+
+
+def test_streams_through_an_incarnation_that_ended_go_on_elsewhere(make_watcher):
+    watcher = make_watcher(EngineReport(born=BORN + 1))
+    job = make_job(path_of("a", "b"))
+    watched_until(watcher, job, 0.2)
+    assert isinstance(job.current.arrivals.get_nowait(), Stalled)
+    assert job.avoid == {"a"}
+    assert watcher.suspects.excluded(0.1) == set()
+
+
+def test_an_endpoint_whose_report_cannot_be_read_is_not_taken_for_dead(
+    make_watcher, events
+):
+    watcher = make_watcher(Undecodable("no JSON"))
+    job = make_job(path_of("a", "b"))
+    watched_until(watcher, job, 0.2)
+    assert job.current.arrivals.empty()
+    assert watcher.suspects.excluded(0.1) == set()
+    assert events == ["report_unreadable"]
