--- a/packages/relay/tests/test_decoding.py
+++ b/packages/relay/tests/test_decoding.py
@@ -7,8 +7,7 @@
 import attrs
 import orjson
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
+from hypothesis import given, strategies as st
 
 from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.shape import Layers
