Choose a layout by what it serves; give copies memory up to an engine's slots

Cause: on the grown deployment engines were full of requests, not of work. Copies were cut as many as fit with memory for 12 usual requests and given memory for 48 at the most. By the figures of its engines the whole fleet served 89 requests a second, 70.6 after the loss of its worst single engine, and 69.9 were asked: every loss made it fall behind, streams waited in engines and entries, were sent again, and it did not come back.

Change: each way to cut copies (numbers of copies, memory up to a quarter, half and all of an engine's slots) is rated by the requests a second that the placed group serves by its figures, and the best is taken. Endpoints that are left over take as many layers as leave them the memory of a usual holder. The search yields between ratings, so that an entry passes events on meanwhile.

--- a/packages/core/src/lacewingcourse/core/pipelines/improvement.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/improvement.py
@@ -7,20 +7,18 @@
 
 import attrs
 
-from lacewingcourse.core.pipelines.capacity import fleet_bound
+from lacewingcourse.core.pipelines.copies import Assignment, slowness
 from lacewingcourse.core.pipelines.layout import (
-    Assignment,
+    finish,
     groups_of,
-    layer_strength,
-    plan_layout,
-    slowness,
+    rate_of,
+    search_layout,
     spares,
 )
 
 if TYPE_CHECKING:
-    from random import Random
-
     from lacewingcourse.core.pipelines.fleet import Endpoint
+    from lacewingcourse.core.pipelines.layout import Search
     from lacewingcourse.core.pipelines.shape import EngineShape, Layers
 
 #: Gain in requests a second, as a factor, below which nothing is moved; the figures of
@@ -31,13 +29,16 @@
 
 
 def plan_improvement(
-    endpoints: list[Endpoint],
-    shape: EngineShape,
-    quiet: float,
-    turn: int,
-    rng: Random,
+    endpoints: list[Endpoint], shape: EngineShape, quiet: float, turn: int
 ) -> list[Assignment]:
-    """Return moves that pay and can be made now without leaving a layer to nobody.
+    """Return moves that pay and can be made now, see `search_improvement`."""
+    return finish(search_improvement(endpoints, shape, quiet, turn))
+
+
+def search_improvement(
+    endpoints: list[Endpoint], shape: EngineShape, quiet: float, turn: int
+) -> Search:
+    """Look for moves that pay and can be made now without leaving a layer to nobody.
 
     Repairs fill gaps with what can be spared at that moment. When the endpoints that
     were lost come back, the stand-ins stay where they were sent, and other layers miss
@@ -46,15 +47,14 @@
     out for some seconds, though, so it pays only if what follows is quiet for long
     enough. A fleet that has been quiet for some time is taken to stay so for as long.
 
-    One group of endpoints is looked at in a call: it takes 20 to 40 milliseconds, in
-    which an entry passes no events on.
+    One group of endpoints is looked at in a search, which yields where it may be
+    interrupted.
 
     Args:
         endpoints: Endpoints that take new work, all of which hold layers.
         shape: Published figures of the engines.
         quiet: Seconds since the fleet last changed.
-        turn: Counts the calls; it says which group is looked at.
-        rng: Source of draws among equal paths.
+        turn: Counts the searches; it says which group is looked at.
     """
     groups = groups_of(endpoints, shape)
     if not groups:
@@ -62,25 +62,28 @@
     group = groups[turn % len(groups)]
     if any(e.layers is None or not len(e.layers) for e in group):
         return []
-    return _moves(group, shape, quiet, rng)
+    return (yield from _search_moves(group, shape, quiet))
 
 
-def _moves(
-    group: list[Endpoint], shape: EngineShape, quiet: float, rng: Random
-) -> list[Assignment]:
-    """Return the moves of a group that shares its copies."""
-    wanted = _nearest(group, _fresh(group, shape))
+def _search_moves(group: list[Endpoint], shape: EngineShape, quiet: float) -> Search:
+    """Look for the moves of a group that shares its copies."""
+    empty = [attrs.evolve(e, layers=None) for e in group]
+    fresh = yield from search_layout(empty, shape)
+    kinds = {e.id: e.accelerator for e in group}
+    wanted = _nearest(group, [(kinds[a.endpoint], a.layers) for a in fresh])
     astray = [e for e in group if wanted.get(e.id, e.layers) != e.layers]
     if not astray:
         return []
+    yield
     moved = [attrs.evolve(e, layers=wanted.get(e.id, e.layers)) for e in group]
-    before, after = _rate(group, shape, rng), _rate(moved, shape, rng)
+    before, after = rate_of(group, shape), rate_of(moved, shape)
     if after < LEAST_GAIN * before:
         return []
+    yield
     moving = _possible(astray, group, shape)
     plan = [Assignment(e.id, wanted[e.id]) for e in moving]
     ids = {endpoint.id for endpoint in moving}
-    meanwhile = _rate([e for e in group if e.id not in ids], shape, rng)
+    meanwhile = rate_of([e for e in group if e.id not in ids], shape)
     lost = (before - meanwhile) * _seconds_of(plan, shape)
     return plan if (after - before) * quiet > lost else []
 
@@ -91,13 +94,6 @@
     return STREAM_SECONDS + share * shape.load_seconds
 
 
-def _fresh(group: list[Endpoint], shape: EngineShape) -> list[tuple[str, Layers]]:
-    """Return the ranges of a group laid out anew, with their accelerators."""
-    empty = [attrs.evolve(e, layers=None) for e in group]
-    kinds = {e.id: e.accelerator for e in group}
-    return [(kinds[a.endpoint], a.layers) for a in plan_layout(empty, shape)]
-
-
 def _nearest(
     group: list[Endpoint], ranges: list[tuple[str, Layers]]
 ) -> dict[str, Layers]:
@@ -127,11 +123,3 @@
             found.append(endpoint)
             staying = [e for e in staying if e.id != endpoint.id]
     return found
-
-
-def _rate(group: list[Endpoint], shape: EngineShape, rng: Random) -> float:
-    """Return the requests a second that a group can serve."""
-    if min(layer_strength(group, shape)) <= 0:
-        return 0.0
-    bound = fleet_bound(group, shape, rng)
-    return bound.requests_per_second if bound is not None else 0.0
--- a/packages/core/src/lacewingcourse/core/pipelines/layout.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/layout.py
@@ -3,56 +3,36 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from random import Random
 from statistics import median
 from typing import TYPE_CHECKING
 
 import attrs
 
-from lacewingcourse.core.pipelines.shape import MEGABYTE, Layers
+from lacewingcourse.core.pipelines.capacity import fleet_bound
+from lacewingcourse.core.pipelines.copies import (
+    LEAST_REQUESTS,
+    Assignment,
+    copy_plans,
+    slowness,
+    span_for,
+)
+from lacewingcourse.core.pipelines.shape import Layers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Generator, Iterable
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
     from lacewingcourse.core.pipelines.shape import Accelerator, EngineShape
 
-#: Usual requests for which every copy of the model keeps memory at the least. Below
-#: that a copy is full while its accelerators idle.
-LEAST_REQUESTS = 12
-#: Usual requests for which memory is kept at the most; more would push layers to
-#: slower accelerators for room that one first endpoint's slots cannot fill.
-MOST_REQUESTS = 48
+    #: A search that can be interrupted, and what it finds.
+    Search = Generator[None, None, list[Assignment]]
+
 #: Share of the usual strength of a layer that must be left to it if one of its holders
 #: is to move elsewhere. A fast holder beside a slow stand-in is not spare.
 SPARE_STRENGTH = 0.4
 
 
-@attrs.frozen
-class Assignment:
-    """Layers that an endpoint shall hold.
-
-    Attributes:
-        endpoint: Id of the endpoint.
-        layers: The layers.
-    """
-
-    endpoint: str
-    layers: Layers
-
-
-def span_for(endpoint: Endpoint, shape: EngineShape, tokens: float) -> int:
-    """Return how many layers leave memory for some tokens on an endpoint.
-
-    Args:
-        endpoint: The endpoint.
-        shape: Published figures of its engine.
-        tokens: Tokens, each of which takes memory in every held layer.
-    """
-    accelerator = shape.accelerators[endpoint.accelerator]
-    layer_mb = shape.layer_mb + tokens * shape.cell_bytes / MEGABYTE
-    return min(shape.most_layers(accelerator), int(accelerator.memory_mb // layer_mb))
-
-
 def token_capacity(endpoints: Iterable[Endpoint], shape: EngineShape) -> list[float]:
     """Return for each layer how many tokens its holders have memory for."""
     return _sum_by_layer(endpoints, shape, lambda accelerator: 1.0)
@@ -92,16 +72,38 @@
     activations fill the pipes between zones long before its parts are busy. What is
     held already is kept.
 
+    Args:
+        endpoints: Endpoints that take new work.
+        shape: Published figures of the engines.
+    """
+    return finish(search_layout(endpoints, shape))
+
+
+def search_layout(endpoints: list[Endpoint], shape: EngineShape) -> Search:
+    """Look for the layers that empty endpoints shall take, see `plan_layout`.
+
+    Yields where the search may be interrupted: rating one way to place a group takes
+    20 to 30 milliseconds, and an entry that searches must pass events on meanwhile.
+
     Args:
         endpoints: Endpoints that take new work.
         shape: Published figures of the engines.
     """
     plan: list[Assignment] = []
     for group in groups_of(endpoints, shape):
-        plan.extend(_plan_group(group, shape))
+        plan.extend((yield from _search_group(group, shape)))
     return plan
 
 
+def finish(search: Search) -> list[Assignment]:
+    """Return what a search finds, without interruption."""
+    while True:
+        try:
+            next(search)
+        except StopIteration as end:
+            return end.value
+
+
 def groups_of(endpoints: list[Endpoint], shape: EngineShape) -> list[list[Endpoint]]:
     """Return the endpoints that layers can be placed on, by zone.
 
@@ -124,15 +126,40 @@
     return large + [pool] if pool else large
 
 
-def _plan_group(group: list[Endpoint], shape: EngineShape) -> list[Assignment]:
-    """Return the assignments of a group that shares its copies."""
+def _search_group(group: list[Endpoint], shape: EngineShape) -> Search:
+    """Look for the assignments of a group that shares its copies."""
     empty = [e for e in group if e.layers is None or not len(e.layers)]
     holding = [e for e in group if e not in empty]
-    plan: list[Assignment] = []
-    if not holding:
-        plan = _copies(empty, shape)
+    if holding or not empty:
+        return _completed((), empty, holding, shape)
+    best: list[Assignment] = []
+    best_rate = -1.0
+    for copies in copy_plans(empty, shape):
+        yield
+        plan = _completed(copies, empty, [], shape)
+        rate = rate_of(_placed(empty, plan), shape)
+        if rate > best_rate:
+            best, best_rate = plan, rate
+    return best or _completed((), empty, [], shape)
+
+
+def _completed(
+    copies: Iterable[Assignment],
+    empty: list[Endpoint],
+    holding: list[Endpoint],
+    shape: EngineShape,
+) -> list[Assignment]:
+    """Return the assignments of a group with those that its copies leave over.
+
+    Args:
+        copies: Assignments that make whole copies.
+        empty: Endpoints of the group that hold nothing.
+        holding: The others.
+        shape: Published figures of the engines.
+    """
+    plan = list(copies)
     taken = {assignment.endpoint: assignment for assignment in plan}
-    holding += [_with(e, taken[e.id]) for e in empty if e.id in taken]
+    holding = holding + [_with(e, taken[e.id]) for e in empty if e.id in taken]
     rest = [e for e in empty if e.id not in taken]
     for endpoint in sorted(rest, key=lambda e: slowness(e, shape)):
         assignment = _reinforce(endpoint, holding, shape)
@@ -142,6 +169,20 @@
     return plan + _fill_gaps(holding, shape)
 
 
+def _placed(endpoints: list[Endpoint], plan: list[Assignment]) -> list[Endpoint]:
+    """Return endpoints as they will be once a plan is carried out."""
+    taken = {assignment.endpoint: assignment for assignment in plan}
+    return [_with(e, taken[e.id]) if e.id in taken else e for e in endpoints]
+
+
+def rate_of(endpoints: list[Endpoint], shape: EngineShape) -> float:
+    """Return the usual requests a second that endpoints with their layers serve."""
+    if min(layer_strength(endpoints, shape)) <= 0:
+        return 0.0
+    bound = fleet_bound(endpoints, shape, Random(0))
+    return bound.requests_per_second if bound is not None else 0.0
+
+
 def _fill_gaps(holding: list[Endpoint], shape: EngineShape) -> list[Assignment]:
     """Return moves of endpoints that can be spared to layers that nobody holds.
 
@@ -183,80 +224,6 @@
     return min(len(gap), span_for(endpoint, shape, least))
 
 
-def _copies(endpoints: list[Endpoint], shape: EngineShape) -> list[Assignment]:
-    """Return as many whole copies of the model as the endpoints hold.
-
-    The number of copies is what fits with the least memory for requests; the memory
-    is then raised as far as that number still fits.
-    """
-    usual = shape.usual_tokens
-    best = _copies_with(endpoints, shape, LEAST_REQUESTS * usual)
-    copies = _count(best, shape)
-    for requests in range(LEAST_REQUESTS + 1, MOST_REQUESTS + 1):
-        plan = _copies_with(endpoints, shape, requests * usual)
-        if _count(plan, shape) < copies:
-            break
-        best = plan
-    return best
-
-
-def _copies_with(
-    endpoints: list[Endpoint], shape: EngineShape, tokens: float
-) -> list[Assignment]:
-    """Return whole copies that each have memory for some tokens.
-
-    The fastest endpoints make the first copy, so that it is as fast as can be.
-    """
-    left = sorted(endpoints, key=lambda e: (slowness(e, shape), e.address))
-    plan: list[Assignment] = []
-    while True:
-        copy = _fill(left, shape, tokens)
-        if not copy:
-            return plan
-        used = {assignment.endpoint for assignment in copy}
-        plan.extend(_widen([e for e in left if e.id in used], shape, tokens))
-        left = [endpoint for endpoint in left if endpoint.id not in used]
-
-
-def _fill(
-    endpoints: list[Endpoint], shape: EngineShape, tokens: float
-) -> list[Assignment]:
-    """Return one copy on the first endpoints that hold it; none if it does not fit."""
-    copy: list[Assignment] = []
-    position = 0
-    for endpoint in endpoints:
-        span = min(span_for(endpoint, shape, tokens), shape.layers - position)
-        if span > 0:
-            copy.append(Assignment(endpoint.id, Layers(position, position + span)))
-            position += span
-    return copy if position == shape.layers else []
-
-
-def _widen(
-    members: list[Endpoint], shape: EngineShape, tokens: float
-) -> list[Assignment]:
-    """Return the copy of some endpoints with as much memory as they can give it.
-
-    Otherwise the last member would hold only what is left over, and the others less
-    memory for requests than the copy could have.
-    """
-    low, high = tokens, MOST_REQUESTS * shape.usual_tokens
-    best = _fill(members, shape, low)
-    while high - low > shape.usual_tokens / 4:
-        middle = (low + high) / 2
-        found = _fill(members, shape, middle)
-        if found:
-            best, low = found, middle
-        else:
-            high = middle
-    return best
-
-
-def _count(plan: list[Assignment], shape: EngineShape) -> int:
-    """Return how many copies a plan of whole copies has."""
-    return sum(1 for a in plan if a.layers.end == shape.layers)
-
-
 def _reinforce(
     endpoint: Endpoint, holding: list[Endpoint], shape: EngineShape
 ) -> Assignment | None:
@@ -264,7 +231,7 @@
 
     Layers that nobody holds come first: they stand for no tokens at all.
     """
-    span = span_for(endpoint, shape, MOST_REQUESTS * shape.usual_tokens)
+    span = span_for(endpoint, shape, _usual_room(holding, shape))
     span = max(span, 1)
     if shape.most_layers(shape.accelerators[endpoint.accelerator]) < span:
         return None
@@ -280,6 +247,20 @@
     return Assignment(endpoint.id, Layers(start, start + span))
 
 
+def _usual_room(holding: list[Endpoint], shape: EngineShape) -> float:
+    """Return the tokens for which a usual holder has memory in each of its layers.
+
+    The lower quartile: those at the end of a copy, which hold what was left over, have
+    more memory than the copy can use.
+    """
+    rooms = sorted(
+        shape.room(shape.accelerators[e.accelerator], len(e.layers)) / len(e.layers)
+        for e in holding
+    )
+    least = LEAST_REQUESTS * shape.usual_tokens
+    return max(least, rooms[len(rooms) // 4]) if rooms else least
+
+
 def _longest_gap(capacity: list[float]) -> Layers | None:
     """Return the longest run of layers that nobody holds, None if there is none."""
     best: Layers | None = None
@@ -294,11 +275,6 @@
     return best
 
 
-def slowness(endpoint: Endpoint, shape: EngineShape) -> float:
-    """Return how slow an endpoint's accelerator is, smallest first."""
-    return shape.accelerators[endpoint.accelerator].step_factor
-
-
 def _with(endpoint: Endpoint, assignment: Assignment) -> Endpoint:
     """Return an endpoint as it will be once it holds its layers."""
     return attrs.evolve(endpoint, layers=assignment.layers)
--- a/packages/core/tests/pipelines/test_improvement.py
+++ b/packages/core/tests/pipelines/test_improvement.py
@@ -21,10 +21,7 @@
 
 def moves_of(endpoints, shape, quiet=LONG):
     """Return the moves of all groups."""
-    found = [
-        plan_improvement(endpoints, shape, quiet, turn, Random(0))
-        for turn in range(ZONES)
-    ]
+    found = [plan_improvement(endpoints, shape, quiet, turn) for turn in range(ZONES)]
     return {a.endpoint: a.layers for moves in found for a in moves}
 
 
--- a/packages/core/tests/pipelines/test_layout.py
+++ b/packages/core/tests/pipelines/test_layout.py
@@ -6,12 +6,8 @@
 
 import pytest
 
-from lacewingcourse.core.pipelines.layout import (
-    LEAST_REQUESTS,
-    plan_layout,
-    span_for,
-    token_capacity,
-)
+from lacewingcourse.core.pipelines.copies import LEAST_REQUESTS, span_for
+from lacewingcourse.core.pipelines.layout import plan_layout, token_capacity
 from lacewingcourse.core.pipelines.path import LOCAL_HOP_MS, candidate_paths
 from lacewingcourse.core.pipelines.shape import Layers
 
--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -4,19 +4,20 @@
 
 import asyncio
 from math import log2
-from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
 
-from lacewingcourse.core.pipelines.improvement import plan_improvement
-from lacewingcourse.core.pipelines.layout import Assignment, plan_layout
+from lacewingcourse.core.pipelines.copies import Assignment
+from lacewingcourse.core.pipelines.improvement import search_improvement
+from lacewingcourse.core.pipelines.layout import search_layout
 from lacewingcourse.relay.ports import Lease, OrderOutcome, Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
+    from lacewingcourse.core.pipelines.layout import Search
     from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.decisions import DecisionLog
@@ -167,10 +168,10 @@
         holds_nothing = all(e.layers is None for e in endpoints)
         if holds_nothing and now - self.newest_at < SETTLE:
             return
-        plan = plan_layout(endpoints, shape)
+        plan = await in_slices(search_layout(endpoints, shape))
         if not plan:
-            plan = self._improvement(service, endpoints, shape, now)
-        if not plan or not await self._may_order():
+            plan = await self._improvement(service, endpoints, shape, now)
+        if not plan or not self.held or not await self._may_order():
             return
         together = self._layers_moved(plan)
         results = [
@@ -193,7 +194,7 @@
         """Return the seconds in which some layers are loaded and it is heard of."""
         return shape.load_seconds * layers / shape.layers + ORDER_MARGIN
 
-    def _improvement(
+    async def _improvement(
         self, service: str, endpoints: list[Endpoint], shape: EngineShape, now: float
     ) -> list[Assignment]:
         """Return moves to a better layout once nothing has changed for a while.
@@ -211,7 +212,8 @@
         if turn >= groups * looks:
             return []
         self.turns[service] = turn + 1
-        return plan_improvement(endpoints, shape, quiet, turn, Random(turn))
+        found = await in_slices(search_improvement(endpoints, shape, quiet, turn))
+        return found if self.beliefs.fleet.revision == self.revision else []
 
     async def _may_order(self) -> bool:
         """Tell whether this entry still has the duty.
@@ -257,3 +259,13 @@
             self.pending.clear()
         elif outcome in (OrderOutcome.WRONG_INCARNATION, OrderOutcome.REFUSED):
             self.pending.pop(endpoint.id, None)
+
+
+async def in_slices(search: Search) -> list[Assignment]:
+    """Return what a search finds, passing events on between its steps."""
+    while True:
+        try:
+            next(search)
+        except StopIteration as end:
+            return end.value
+        await asyncio.sleep(0)
