Ask every part of a silent path whether it lives

Ruled out: waiting for the reports' lag; moving without any question (a busy path is silent too, and every second run reads a prompt again).

Change: after a silence of 0.3 to 0.6 of the pause that the route allows (a fifth of it where several streams fell silent together) each part that nothing passed is asked itself. One that leaves two questions without answer is dead; streams move after the first one while the fleet has room. Nothing is concluded by a process that stood still.

--- a/packages/core/src/lacewingcourse/core/pipelines/stalls.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/stalls.py
@@ -7,20 +7,28 @@
 import attrs
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.pipelines.path import Path
-
-#: Times its usual pause after which a silent stream is looked at.
-SILENCE_FACTOR = 3.5
-#: Seconds of the shortest and the longest silence after which one is looked at.
-LEAST_SILENCE = 0.09
-MOST_SILENCE = 0.16
-#: Seconds without a first event after which a stream is looked at. Reading a usual
-#: prompt takes 30 to 60 milliseconds on an idle path, several times that on a busy one.
-FIRST_SILENCE = 0.3
-#: Seconds of silence, and times its usual pause, after which a stream is taken to be
-#: cut off if all others through one of its endpoints are silent as well.
-EARLY_SILENCE = 0.1
-EARLY_FACTOR = 4.0
+    from lacewingcourse.core.pipelines.path import Part, Path
+
+#: Times its usual pause after which a silent stream is looked at. To look asks
+#: endpoints whether they live; a busy one answers and nothing else happens.
+SILENCE_FACTOR = 2.0
+#: Shares of the pause that its route allows which are the shortest and the longest
+#: silence after which a stream is looked at. What is left has to hold the question and
+#: the reading of the prompt on another path, 30 to 60 milliseconds where it is idle.
+LEAST_SILENCE = 0.3
+MOST_SILENCE = 0.6
+#: Seconds that a route's pause counts as at the most; callers leave after two seconds
+#: of silence whatever the route allows.
+LONGEST_GAP = 0.3
+#: Share of the objective without a first event after which a stream is looked at.
+FIRST_SILENCE = 0.35
+#: Seconds that an objective counts as at the most.
+LONGEST_OBJECTIVE = 1.0
+#: Share of the pause that its route allows, and times its own usual pause, after which
+#: a stream's endpoints are asked if all others through one of them are silent too.
+#: Several streams seldom pause together on an endpoint that lives.
+EARLY_SILENCE = 0.2
+EARLY_FACTOR = 1.5
 #: Streams that must have fallen silent together.
 EARLY_STREAMS = 2
 #: Seconds in which another stream must have been heard, or this entry itself may be
@@ -39,12 +47,16 @@
     Attributes:
         path: Its path.
         progressed_at: When its last event arrived, seconds.
+        gap: Seconds that its route allows between two events.
+        objective: Seconds in which its route wants the first event.
         pause: Its usual pause between two arrivals, seconds.
         begun: Whether an event has arrived.
     """
 
     path: Path
     progressed_at: float
+    gap: float = LONGEST_GAP
+    objective: float = LONGEST_OBJECTIVE
     pause: float = FIRST_PAUSE
     begun: bool = False
 
@@ -62,13 +74,29 @@
     def patience(self) -> float:
         """Seconds of silence after which it is looked at."""
         if not self.begun:
-            return FIRST_SILENCE
-        return min(MOST_SILENCE, max(LEAST_SILENCE, SILENCE_FACTOR * self.pause))
+            return FIRST_SILENCE * min(self.objective, LONGEST_OBJECTIVE)
+        gap = min(self.gap, LONGEST_GAP)
+        least, most = LEAST_SILENCE * gap, MOST_SILENCE * gap
+        return min(most, max(least, SILENCE_FACTOR * self.pause))
 
     @property
     def early_patience(self) -> float:
         """Seconds of silence after which it may be cut off."""
-        return max(EARLY_SILENCE, EARLY_FACTOR * self.pause)
+        least = EARLY_SILENCE * min(self.gap, LONGEST_GAP)
+        return max(least, EARLY_FACTOR * self.pause)
+
+
+@attrs.frozen
+class Silence:
+    """A stream that may stand still.
+
+    Attributes:
+        watched: The stream.
+        unheard: Parts of its path that nothing passed lately.
+    """
+
+    watched: Watched
+    unheard: tuple[Part, ...]
 
 
 @attrs.define
@@ -76,8 +104,8 @@
     """Watches streams together: those through a dead endpoint fall silent at once.
 
     A stream that is silent while others pass through all its endpoints only waits for
-    memory or its turn. One whose endpoints are all silent may stand behind a long
-    prompt or a dead endpoint: its first endpoint is asked which.
+    memory or its turn. Otherwise an endpoint that nothing passed may be dead or busy
+    with a long prompt: each of them is asked whether it lives.
 
     Attributes:
         streams: The streams that are watched.
@@ -85,9 +113,22 @@
 
     streams: set[Watched] = attrs.field(factory=set)
 
-    def begin(self, path: Path, now: float) -> Watched:
-        """Watch a stream that was sent on a path."""
-        watched = Watched(path, now)
+    def begin(
+        self,
+        path: Path,
+        now: float,
+        gap: float = LONGEST_GAP,
+        objective: float = LONGEST_OBJECTIVE,
+    ) -> Watched:
+        """Watch a stream that was sent on a path.
+
+        Args:
+            path: The path.
+            now: Present time in seconds.
+            gap: Seconds that its route allows between two events.
+            objective: Seconds in which its route wants the first event.
+        """
+        watched = Watched(path, now, gap, objective)
         self.streams.add(watched)
         return watched
 
@@ -95,23 +136,23 @@
         """Stop watching a stream."""
         self.streams.discard(watched)
 
-    def silent(self, now: float) -> list[Watched]:
+    def silent(self, now: float) -> list[Silence]:
         """Return the streams that may stand still."""
         silent = [w for w in self.streams if now - w.progressed_at > w.patience]
         if not silent:
             return []
         passed = self._last_passed()
-        return [
-            watched
-            for watched in silent
-            if any(
-                now - passed[part.endpoint] > watched.patience
-                for part in watched.path.parts
-            )
-        ]
-
-    def cut_off(self, now: float) -> list[tuple[Watched, set[str]]]:
-        """Return the streams that look cut off, with the endpoints not heard for them.
+        found = []
+        for watched in silent:
+            since = now - watched.patience
+            parts = watched.path.parts
+            unheard = tuple(p for p in parts if passed[p.endpoint] < since)
+            if unheard:
+                found.append(Silence(watched, unheard))
+        return found
+
+    def cut_off(self, now: float) -> list[Silence]:
+        """Return the streams that look cut off, with the parts not heard for them.
 
         These pass an endpoint through which several streams go, all of which fell
         silent, while others are heard. The endpoint may be any of those on their paths
@@ -135,7 +176,7 @@
         dead = {e for e in unheard if len(through[e]) >= EARLY_STREAMS}
         found = [w for w in begun if w.path.uses(dead)]
         return [
-            (w, {p.endpoint for p in w.path.parts if p.endpoint in unheard})
+            Silence(w, tuple(p for p in w.path.parts if p.endpoint in unheard))
             for w in found
         ]
 
--- a/packages/core/tests/pipelines/test_stalls.py
+++ b/packages/core/tests/pipelines/test_stalls.py
@@ -7,10 +7,15 @@
 from lacewingcourse.core.pipelines.stalls import (
     EARLY_SILENCE,
     FIRST_SILENCE,
+    LEAST_SILENCE,
     MOST_SILENCE,
     StallWatch,
 )
 
+#: Seconds that a route allows between two events, and in which it wants the first.
+GAP = 0.2
+OBJECTIVE = 0.5
+
 
 def path_of(*endpoints: str) -> Path:
     """Return a path through endpoints."""
@@ -23,7 +28,7 @@
 
 def begun(watch: StallWatch, path: Path, now: float):
     """Return a watched stream whose first event has arrived."""
-    watched = watch.begin(path, now)
+    watched = watch.begin(path, now, GAP, OBJECTIVE)
     watched.progress(now)
     return watched
 
@@ -37,7 +42,18 @@
 def test_a_stream_is_looked_at_when_nothing_passes_an_endpoint():
     watch = StallWatch()
     watched = begun(watch, path_of("a", "b"), 0.0)
-    assert watch.silent(MOST_SILENCE + 0.01) == [watched]
+    (silence,) = watch.silent(MOST_SILENCE * GAP + 0.01)
+    assert silence.watched is watched
+    assert silence.unheard == watched.path.parts
+
+
+def test_only_the_endpoints_that_nothing_passed_are_in_question():
+    watch = StallWatch()
+    watched = begun(watch, path_of("a", "b"), 0.0)
+    begun(watch, path_of("a", "c"), 0.0).progress(0.19)
+    (silence,) = watch.silent(0.2)
+    assert silence.watched is watched
+    assert [part.endpoint for part in silence.unheard] == ["b"]
 
 
 def test_a_stream_is_left_alone_while_others_pass_all_its_endpoints():
@@ -53,14 +69,15 @@
     watched = begun(watch, path_of("a"), 0.0)
     for at in range(1, 30):
         watched.progress(at * 0.045)
-    assert 0.045 * 3 < watched.patience <= MOST_SILENCE
+    assert LEAST_SILENCE * GAP < watched.patience <= MOST_SILENCE * GAP
 
 
 def test_a_stream_without_an_event_is_looked_at_later():
     watch = StallWatch()
-    watched = watch.begin(path_of("a"), 0.0)
-    assert watch.silent(FIRST_SILENCE - 0.01) == []
-    assert watch.silent(FIRST_SILENCE + 0.01) == [watched]
+    watched = watch.begin(path_of("a"), 0.0, GAP, OBJECTIVE)
+    assert watch.silent(FIRST_SILENCE * OBJECTIVE - 0.01) == []
+    (silence,) = watch.silent(FIRST_SILENCE * OBJECTIVE + 0.01)
+    assert silence.watched is watched
 
 
 def test_an_ended_stream_is_forgotten():
@@ -82,7 +99,10 @@
     first = flowing(watch, path_of("a", "x"), 1.0)
     second = flowing(watch, path_of("b", "x"), 1.0)
     flowing(watch, path_of("b", "c"), 1.2)
-    found = dict(watch.cut_off(1.2))
+    found = {
+        silence.watched: {part.endpoint for part in silence.unheard}
+        for silence in watch.cut_off(1.2)
+    }
     assert found == {first: {"a", "x"}, second: {"x"}}
 
 
@@ -91,7 +111,7 @@
     flowing(watch, path_of("a", "x"), 1.0)
     flowing(watch, path_of("b", "x"), 1.0)
     flowing(watch, path_of("c"), 1.2)
-    assert watch.cut_off(1.0 + EARLY_SILENCE - 0.01) == []
+    assert watch.cut_off(1.0 + EARLY_SILENCE * GAP - 0.01) == []
 
 
 def test_one_silent_stream_alone_may_only_wait_for_memory():
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -274,8 +274,10 @@
 class EngineReports(Protocol):
     """What engines tell of themselves."""
 
-    async def report(self, address: str) -> EngineReport | Unavailable | Undecodable:
-        """Return what the engine at an address tells."""
+    async def report(
+        self, address: str, patience: float
+    ) -> EngineReport | Unavailable | Undecodable:
+        """Return what the engine at an address tells within some seconds."""
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -24,10 +24,15 @@
     from lacewingcourse.relay.ports import EngineReport, EngineReports
 
 #: Seconds between two looks. A quarter of the shortest silence that is looked at.
-PERIOD = 0.025
-#: Seconds between two questions to the same endpoint. Its report lags by about 200
-#: milliseconds, so the first ones may not tell yet.
-QUESTION_PERIOD = 0.06
+PERIOD = 0.02
+#: Seconds between two questions to the same endpoint.
+QUESTION_PERIOD = 0.1
+#: Seconds in which an endpoint must answer that lives. A report takes a round trip of
+#: one or two milliseconds and waits for no slot.
+ANSWER_TIMEOUT = 0.05
+#: Seconds after which a question is put a second time, or at once if its connection
+#: failed: a packet may be lost, and a kept connection may have been reset.
+SECOND_QUESTION = 0.02
 
 
 @attrs.define
@@ -63,7 +68,9 @@
 
     def begin(self, job: Job, now: float) -> None:
         """Watch a stream that was sent."""
-        job.watched = self.watch.begin(job.path, now)
+        job.watched = self.watch.begin(
+            job.path, now, job.route.gap, job.route.objective
+        )
         self.jobs[job.watched] = job
 
     def progress(self, job: Job, now: float) -> None:
@@ -95,61 +102,99 @@
     def look(self, now: float) -> None:
         """Move silent streams whose cause is known, ask about the others."""
         known = self.suspects.excluded(now)
-        for watched in self.watch.silent(now):
-            if watched.path.uses(known):
-                self._move(watched, known)
+        for silence in self.watch.silent(now):
+            if silence.watched.path.uses(known):
+                self._move(silence.watched, known)
                 continue
-            self.ask(watched.path.first, now)
-        self._move_early(now)
+            self._ask_all(silence.unheard, now)
+        for silence in self.watch.cut_off(now):
+            self._ask_all(silence.unheard, now)
 
-    def _move_early(self, now: float) -> None:
-        """Send streams on that look cut off, without waiting for a report.
+    def _ask_all(self, parts: tuple[Part, ...], now: float) -> None:
+        for part in parts:
+            self.ask(part, now)
 
-        A report tells for sure, but it is some 200 milliseconds old, and with the new
-        run a caller then waits longer than a pause in an answer should be. On a fleet
-        with much room a needless move costs little.
+    def _move_early(self, endpoint: str, now: float) -> None:
+        """Send silent streams on whose endpoint has not answered at once.
+
+        The second question tells for sure, but with the new run a caller then waits
+        longer than a pause in an answer should be. On a fleet with much room a
+        needless move costs little.
         """
-        for watched, unheard in self.watch.cut_off(now):
-            job = self.jobs[watched]
+        unheard = {endpoint}
+        for watched, job in list(self.jobs.items()):
+            silent = now - watched.progressed_at > watched.early_patience
+            if not silent or not watched.begun or not watched.path.uses(unheard):
+                continue
             if job.may_move and self.finder.is_idle(job, unheard):
                 self._move(watched, unheard)
 
-    def ask(self, first: Part, now: float) -> None:
-        """Ask an endpoint what stands still behind it, unless it was asked just now.
+    def ask(self, part: Part, now: float) -> None:
+        """Ask an endpoint whether it lives, unless it was asked just now.
 
-        One that does not answer is taken to be dead itself.
+        What it tells of requests that stand still at it is 200 milliseconds old, but
+        whether it answers at all is news of this moment: streams cut by a dead part in
+        the middle of their path went on after 250 to 280 milliseconds when only the
+        first part was asked, longer than the 200 that callers accept.
         """
-        asked = self.asked.get(first.address, float("-inf"))
-        if first.address in self.asking or now - asked < QUESTION_PERIOD:
+        asked = self.asked.get(part.address, float("-inf"))
+        if part.address in self.asking or now - asked < QUESTION_PERIOD:
             return
-        self.asked[first.address] = now
-        self.asking.add(first.address)
-        asyncio.ensure_future(self._ask(first))
+        self.asked[part.address] = now
+        self.asking.add(part.address)
+        asyncio.ensure_future(self._ask(part))
 
-    async def _ask(self, first: Part) -> None:
+    async def _ask(self, part: Part) -> None:
+        started = self.clock()
         try:
-            found = await self.reports.report(first.address)
+            found = await self._answer(part, started)
         finally:
-            self.asking.discard(first.address)
+            self.asking.discard(part.address)
         if isinstance(found, Undecodable):
             # It answered, so it is no dead one; what it says is not known.
             self.log.belief(
-                "report_unreadable", endpoint=first.endpoint, reason=found.reason
+                "report_unreadable", endpoint=part.endpoint, reason=found.reason
             )
         elif isinstance(found, Unavailable):
-            self._dead({first.endpoint}, f"no report: {found.reason}")
-        elif self.on_start(first.name, found.born):
-            self.restarted(first.endpoint)
+            # A process that stood still itself has not read an answer that came.
+            if self.clock() - started < ANSWER_TIMEOUT + SECOND_QUESTION + PERIOD:
+                self._dead({part.endpoint}, f"no report: {found.reason}")
+        elif self.on_start(part.name, found.born):
+            self.restarted(part.endpoint)
         else:
-            self._take_report(first, found)
+            self._take_report(part, found)
+
+    async def _answer(
+        self, part: Part, started: float
+    ) -> EngineReport | Unavailable | Undecodable:
+        """Return an endpoint's report, or why neither of two questions brought one."""
+        address = part.address
+        first = asyncio.ensure_future(self.reports.report(address, ANSWER_TIMEOUT))
+        await asyncio.wait({first}, timeout=SECOND_QUESTION)
+        if first.done() and not isinstance(first.result(), Unavailable):
+            return first.result()
+        now = self.clock()
+        if now - started < SECOND_QUESTION + PERIOD:
+            self._move_early(part.endpoint, now)
+        second = asyncio.ensure_future(self.reports.report(address, ANSWER_TIMEOUT))
+        waiting = {first, second}
+        while waiting:
+            done, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+            for answered in done:
+                found = answered.result()
+                if not isinstance(found, Unavailable):
+                    return found
+        return found
 
-    def _take_report(self, first: Part, found: EngineReport) -> None:
+    def _take_report(self, asked: Part, found: EngineReport) -> None:
         """Leave out what an engine names as the cause that requests stand still."""
         addresses = {stalled.address for stalled in found.stalled}
         parts = {p for w in self.watch.streams for p in w.path.parts}
         dead = {part.endpoint for part in parts if part.address in addresses}
         if dead:
-            self._dead(dead, f"named by {first.address} as not answering")
+            self._dead(dead, f"named by {asked.address} as not answering")
 
     def restarted(self, ended: str) -> None:
         """Send the streams through an incarnation that has ended on elsewhere."""
--- a/packages/relay/tests/test_stall_watcher.py
+++ b/packages/relay/tests/test_stall_watcher.py
@@ -12,9 +12,11 @@
 from lacewingcourse.core.pipelines.suspects import Suspects
 from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.ports import EngineReport, StalledRequest, Unavailable
-from lacewingcourse.relay.stall_watcher import StallWatcher
+from lacewingcourse.relay.stall_watcher import SECOND_QUESTION, StallWatcher
 from lacewingcourse.relay.upstream import Stalled
 
+#: Turns of the loop in which all questions are put and answered.
+TURNS = 20
 #: Start of the endpoints that the watcher knows.
 BORN = 1_000
 
@@ -32,7 +34,7 @@
         self.found = found
         self.asked: list[str] = []
 
-    async def report(self, address: str):
+    async def report(self, address: str, patience: float):
         self.asked.append(address)
         return self.found
 
@@ -41,7 +43,12 @@
     """Return what the watcher needs of a request."""
     current = SimpleNamespace(arrivals=asyncio.Queue())
     return SimpleNamespace(
-        path=path, may_move=may_move, current=current, avoid=set(), watched=None
+        path=path,
+        route=SimpleNamespace(gap=0.2, objective=0.5),
+        may_move=may_move,
+        current=current,
+        avoid=set(),
+        watched=None,
     )
 
 
@@ -84,8 +91,8 @@
         watcher.begin(job, 0.0)
         watcher.progress(job, 0.0)
         watcher.look(now)
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
 
     asyncio.run(run())
 
@@ -103,7 +110,7 @@
     watcher = make_watcher(EngineReport())
     job = make_job(path_of("a", "b"))
     watched_until(watcher, job, 0.2)
-    assert watcher.reports.asked == ["a:1"]
+    assert watcher.reports.asked == ["a:1", "b:1"]
     assert job.current.arrivals.empty()
     assert watcher.suspects.excluded(0.1) == set()
 
@@ -131,30 +138,52 @@
     assert job.current.arrivals.empty()
 
 
+class Mute:
+    """Reports of endpoints of which one never answers, and the others do at once."""
+
+    def __init__(self, dead: str) -> None:
+        self.dead = dead
+        self.asked: list[str] = []
+
+    async def report(self, address: str, patience: float):
+        self.asked.append(address)
+        if address == self.dead:
+            await asyncio.Event().wait()
+        return EngineReport()
+
+
 def streams_cut_off(watcher):
-    """Let two of three streams fall silent for 0.2 seconds; return their requests."""
+    """Let two of three streams fall silent for 0.2 seconds; return their requests.
+
+    The endpoint on both their paths leaves the first question without an answer.
+    """
+    watcher.reports = Mute("x:1")
     paths = [path_of("a", "x"), path_of("b", "x"), path_of("c")]
     jobs = [make_job(path) for path in paths]
 
     async def run():
+        times = iter([0.0])
+        watcher.clock = lambda: next(times, SECOND_QUESTION)
         for job in jobs:
-            watcher.begin(job, 0.0)
-            watcher.progress(job, 0.0)
-        watcher.progress(jobs[2], 0.19)
-        watcher.look(0.2)
-        await asyncio.sleep(0)
+            watcher.begin(job, -0.2)
+            watcher.progress(job, -0.2)
+        watcher.progress(jobs[2], -0.01)
+        watcher.look(0.0)
+        while watcher.reports.asked.count("x:1") < 2:
+            await asyncio.sleep(0.001)
 
     asyncio.run(run())
+    assert watcher.suspects.excluded(0.1) == set()
     return jobs[:2]
 
 
-def test_streams_that_look_cut_off_move_on_an_idle_fleet(make_watcher):
+def test_streams_behind_an_endpoint_without_answer_move_on_an_idle_fleet(make_watcher):
     first, second = streams_cut_off(make_watcher(EngineReport(), idle=True))
-    assert (first.avoid, second.avoid) == ({"a", "x"}, {"b", "x"})
+    assert (first.avoid, second.avoid) == ({"x"}, {"x"})
     assert isinstance(first.current.arrivals.get_nowait(), Stalled)
 
 
-def test_streams_that_look_cut_off_stay_on_a_busy_fleet(make_watcher):
+def test_streams_behind_an_endpoint_without_answer_stay_on_a_busy_fleet(make_watcher):
     jobs = streams_cut_off(make_watcher(EngineReport(), idle=False))
     assert all(job.current.arrivals.empty() for job in jobs)
 
@@ -176,4 +205,50 @@
     watched_until(watcher, job, 0.2)
     assert job.current.arrivals.empty()
     assert watcher.suspects.excluded(0.1) == set()
-    assert events == ["report_unreadable"]
+    assert events == ["report_unreadable"] * 2
+
+
+class OneDead:
+    """Reports of endpoints of which one does not answer."""
+
+    def __init__(self, dead: str) -> None:
+        self.dead = dead
+
+    async def report(self, address: str, patience: float):
+        await asyncio.sleep(0)
+        return Unavailable("refused") if address == self.dead else EngineReport()
+
+
+def test_a_dead_part_in_the_middle_of_a_path_is_found_by_asking_it(make_watcher):
+    watcher = make_watcher(None)
+    watcher.reports = OneDead("b:1")
+    job = make_job(path_of("a", "b", "c"))
+    watched_until(watcher, job, 0.13)
+    assert isinstance(job.current.arrivals.get_nowait(), Stalled)
+    assert job.avoid == {"b"}
+    assert watcher.suspects.excluded(0.2) == {"b"}
+
+
+def test_an_endpoint_that_answers_the_second_question_lives(make_watcher):
+    watcher = make_watcher(None)
+    answers = [Unavailable("reset"), EngineReport()]
+
+    async def report(address: str, patience: float):
+        return answers.pop(0)
+
+    watcher.reports = SimpleNamespace(report=report)
+    job = make_job(path_of("a"))
+    watched_until(watcher, job, 0.13)
+    assert answers == []
+    assert job.current.arrivals.empty()
+    assert watcher.suspects.excluded(0.2) == set()
+
+
+def test_nobody_is_taken_for_dead_by_a_process_that_stood_still(make_watcher):
+    watcher = make_watcher(Unavailable("timed out"))
+    times = iter([0.0, 5.0])
+    watcher.clock = lambda: next(times)
+    job = make_job(path_of("a"))
+    watched_until(watcher, job, 0.13)
+    assert job.current.arrivals.empty()
+    assert watcher.suspects.excluded(0.2) == set()
