Open the port first; tell callers of a leaving entry when another one is back

Cause: (1) after the end of all entries the callers' port was closed for 0.34 to 0.42 s longer than the processes were down, while libraries were loaded; a caller asks again once, and soon. (2) While all entries are restarted in turn there are seconds in which every one of them is ending; refused callers were sent back after 0.05 s, to entries that refused them again.

A leaving entry takes what is over before its end, and tells those whom it refuses when the first entry is back, if none takes connections now.

--- a/packages/core/src/lacewingcourse/core/pipelines/peers.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/peers.py
@@ -22,6 +22,9 @@
 HUBS_PER_ZONE = 2
 #: Silent entries that are tried in one round of a large deployment.
 MOST_SILENT = 2
+#: Seconds after its end in which an entry that starts again takes connections: it
+#: answers after about 0.4 seconds, and is asked once a second whether it is ready.
+BACK_AFTER = 1.0
 #: Rank from which those count that are no hubs. Above the hubs of today's zones, so
 #: that they read the platform only when all hubs have fallen silent.
 MEMBER_RANK = 8
@@ -46,6 +49,7 @@
         heard_at: When it was last heard, seconds; minus infinity before.
         known_since: When its address was learned.
         leaving: Whether it is ending.
+        leaving_since: When it was first heard to be ending, None if it is not.
     """
 
     name: str
@@ -54,6 +58,7 @@
     heard_at: float = float("-inf")
     known_since: float = 0.0
     leaving: bool = False
+    leaving_since: float | None = None
 
 
 @attrs.define
@@ -97,8 +102,13 @@
         if name == self.name:
             return
         self.learn(name, address, now, zone)
-        self.peers[name].heard_at = now
-        self.peers[name].leaving = leaving
+        peer = self.peers[name]
+        peer.heard_at = now
+        peer.leaving = leaving
+        if not leaving:
+            peer.leaving_since = None
+        elif peer.leaving_since is None:
+            peer.leaving_since = now
 
     def hear_of(
         self, name: str, address: str, zone: str, age: float, now: float
@@ -111,6 +121,7 @@
         if known.heard_at < now - age:
             known.heard_at = now - age
             known.leaving = False
+            known.leaving_since = None
 
     def alive(self, now: float) -> list[str]:
         """Return the names of the entries known to be alive, this one among them."""
@@ -121,6 +132,19 @@
         ]
         return sorted([self.name, *heard])
 
+    def ready_in(self, grace: float, now: float) -> float:
+        """Return the seconds until another entry is expected to take connections.
+
+        Args:
+            grace: Seconds in which an entry that is ending must have ended.
+            now: Present time in seconds.
+        """
+        if len(self.alive(now)) > 1:
+            return 0.0
+        since = [peer.leaving_since for peer in self.peers.values()]
+        known = [leaving_since for leaving_since in since if leaving_since is not None]
+        return max(0.0, min(known, default=now - grace) + grace + BACK_AFTER - now)
+
     def zone_of(self, name: str) -> str:
         """Return the availability zone of an entry, empty if it is unknown."""
         if name == self.name:
--- a/packages/core/tests/pipelines/test_peers.py
+++ b/packages/core/tests/pipelines/test_peers.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from lacewingcourse.core.pipelines.freshness import Freshness
-from lacewingcourse.core.pipelines.peers import PEER_FORGOTTEN, PEER_SILENT, PeerBook
+from lacewingcourse.core.pipelines.peers import (
+    BACK_AFTER,
+    PEER_FORGOTTEN,
+    PEER_SILENT,
+    PeerBook,
+)
 
 
 def book_of(name: str, others: str, heard_at: float) -> PeerBook:
@@ -82,3 +87,26 @@
     freshness.failed(retry_at=11.0)
     freshness.expire()
     assert freshness.due(3, now=10.1)
+
+
+def test_another_entry_takes_connections_at_once_while_one_is_not_ending():
+    book = book_of("a", "bc", 0.0)
+    book.hear("b", "b:1", True, 0.1)
+    assert book.ready_in(8.0, now=0.2) == 0.0
+
+
+def test_while_all_are_ending_the_first_that_was_asked_to_is_waited_for():
+    """Callers had been sent back at once, to entries that refused them again."""
+    book = book_of("a", "bc", 0.0)
+    book.hear("b", "b:1", True, 2.0)
+    book.hear("c", "c:1", True, 4.0)
+    book.hear("b", "b:1", True, 5.0)
+    assert book.ready_in(8.0, now=5.0) == 2.0 + 8.0 + BACK_AFTER - 5.0
+
+
+def test_an_entry_that_was_restarted_is_ending_no_more():
+    book = book_of("a", "b", 0.0)
+    book.hear("b", "b:1", True, 2.0)
+    book.hear("b", "b:1", False, 10.5)
+    assert book.ready_in(8.0, now=10.6) == 0.0
+    assert book.peers["b"].leaving_since is None
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+import socket
 import time
 from typing import TYPE_CHECKING
 
@@ -55,8 +56,6 @@
 #: Seconds after the request to end for which new connections may still come: the
 #: balancer asks once a second and takes an instance out after two misses.
 BALANCER_DELAY = 3.2
-#: Seconds of the time for ending that are kept for the end itself.
-END_MARGIN = 0.4
 #: Seconds that this process must have been frozen for to doubt what it knows.
 FREEZE = 0.5
 #: Seconds beyond the callers' idle time for which their connections are kept.
@@ -105,8 +104,19 @@
         settings: RelaySettings,
         platform: Platform,
         changed: Callable[[], RelaySettings | str | None],
+        front: socket.socket | None = None,
     ) -> None:
+        """Make the entry.
+
+        Args:
+            settings: Its settings.
+            platform: The ports of its platform.
+            changed: Returns the settings if they have changed, or why they cannot be
+                used.
+            front: Socket that listens for callers already, None if none does.
+        """
         self.settings = settings
+        self._front = front
         self._changed = changed
         self.platform = platform
         self.loop = asyncio.get_running_loop()
@@ -114,7 +124,7 @@
         self.beliefs = Beliefs()
         self.metrics = platform.metrics
         self.log = DecisionLog(self.clock, self.metrics, self._version)
-        self.readiness = Readiness(self.beliefs)
+        self.readiness = Readiness(self.beliefs, settings.bounds.grace)
         self.pool = ConnectionPool()
         self.book = PeerBook(settings.name, settings.zone, started_at=self.clock())
         self.budget = RepeatBudget(
@@ -161,6 +171,8 @@
             self.readiness,
             self.log,
             self.clock,
+            self._ready_in,
+            rng,
         )
         self.callers = CallerConnections(
             self.gateway.serve, self.clock, lambda: self.readiness.leaving
@@ -224,7 +236,10 @@
 
     async def run(self) -> None:
         """Serve until the request to end has been carried out."""
-        self._listen(self.front, self.settings.front)
+        if self._front is None:
+            self._listen(self.front, self.settings.front)
+        else:
+            self.front.add_socket(self._front)
         self._listen(self.ready, self.settings.ready)
         if self.settings.peers:
             self._listen(self.peer_server, self.settings.peers)
@@ -279,6 +294,10 @@
     def _rank(self) -> int:
         return self.book.rank(self.clock())
 
+    def _ready_in(self) -> float:
+        """Return the seconds until another entry is expected to take connections."""
+        return self.book.ready_in(self.settings.bounds.grace, self.clock())
+
     def _on_suspect(self, endpoints: tuple[str, ...], reason: str) -> None:
         """Leave out endpoints that were found to be dead, and tell it."""
         now = self.clock()
@@ -366,8 +385,7 @@
     async def _leave(self) -> None:
         """End when the callers' requests are answered, in time at the latest."""
         since = self.readiness.leaving_since
-        last = since + self.settings.bounds.grace - END_MARGIN
-        while self.clock() < last:
+        while self.clock() < self.readiness.last:
             waited = self.clock() - since
             if waited > BALANCER_DELAY and not self.callers.open:
                 break
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from random import Random
 
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.caller import CallerExchange
@@ -29,9 +30,14 @@
 FIRST_CONFIGURATION_WAIT = 0.8
 #: Seconds after which a caller may try an entry again that knows no configuration.
 NOT_READY_RETRY = 0.5
-#: Seconds after which a caller may try again that met an entry about to end; its next
-#: connection goes to another one.
+#: Seconds after which a caller may try again that met an entry about to end while
+#: others serve; its next connection goes to another one. While every entry is ending,
+#: the time is that until the first is back: with 0.05 seconds callers came back to
+#: entries that refused them again, and 42 requests of a day of restarts were lost so.
 LEAVING_RETRY = 0.05
+#: Factor up to which that time is spread, so that those refused together do not return
+#: together.
+RETRY_SPREAD = 1.25
 
 
 @attrs.define
@@ -46,6 +52,8 @@
         readiness: Whether this entry is ending.
         log: Log of decisions.
         clock: Returns the present time in seconds.
+        ready_in: Returns the seconds until another entry takes connections.
+        rng: Source of draws.
     """
 
     beliefs: Beliefs
@@ -55,6 +63,8 @@
     readiness: Readiness
     log: DecisionLog
     clock: Callable[[], float]
+    ready_in: Callable[[], float]
+    rng: Random
 
     async def serve(self, caller: CallerExchange) -> None:
         """Serve one request of a caller; whatever happens, it is answered."""
@@ -107,9 +117,6 @@
 
     def _job(self, caller: CallerExchange, request: CallerRequest) -> Job | Refusal:
         """Return what is to be done for a request, or why nothing is."""
-        if not self.readiness.takes_requests(request.received_at):
-            reason = "this entry is about to end"
-            return Refusal(ErrorKind.DRAINING, reason, retry_after=LEAVING_RETRY)
         table = self.beliefs.table
         if table is None:
             reason = "no configuration is known yet"
@@ -123,6 +130,10 @@
         patience = route.timeout
         if request.patience is not None:
             patience = min(patience, request.patience)
+        until = request.received_at + patience
+        if not self.readiness.takes(request.received_at, until):
+            reason = "this entry is about to end"
+            return Refusal(ErrorKind.DRAINING, reason, retry_after=self._other_entry())
         return Job(
             request=request,
             route=route,
@@ -130,9 +141,15 @@
             organisation=organisation,
             caller=caller,
             strip_key=table.keys is not None,
-            until=request.received_at + patience,
+            until=until,
         )
 
+    def _other_entry(self) -> float:
+        """Return the seconds after which a caller meets an entry that serves it."""
+        wait = self.ready_in()
+        spread = self.rng.uniform(1.0, RETRY_SPREAD)
+        return max(LEAVING_RETRY, wait * spread)
+
     async def _forward(self, job: Job) -> Refusal | None:
         """Forward a request; return how it ends if it was not answered."""
         shape = self.beliefs.shape(job.service)
