Choose paths by the pace that engines tell of themselves

Change: a report's pace above 1.2 is believed for 3 s, told to other entries with what remains of that, and multiplies an engine's share of the predicted time. Slow engines that are used are asked again. Engines that are left out are not asked.

--- a/packages/bench/src/lacewingcourse/bench/pipeline_play.py
+++ b/packages/bench/src/lacewingcourse/bench/pipeline_play.py
@@ -57,7 +57,7 @@
 @CHOICES.register("shortest")
 def shortest(chooser, paths, demand, rng, now):
     """Choose the shortest predicted time, whatever the memory."""
-    return min(paths, key=lambda path: chooser.predicted_ms(path, demand))
+    return min(paths, key=lambda path: chooser.predicted_ms(path, demand, now=0.0))
 
 
 @CHOICES.register("least_loaded")
--- a/packages/core/src/lacewingcourse/core/pipelines/capacity.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/capacity.py
@@ -62,7 +62,7 @@
     demand = Demand(shape.usual_prompt, shape.usual_answer)
     chooser = PathChooser(shape, {e.id: e for e in endpoints}, LoadBook(), PipeBook())
     taken = _fill(chooser, paths, demand, rng)
-    times = [chooser.predicted_ms(path, demand) for path in taken]
+    times = [chooser.predicted_ms(path, demand, now=0.0) for path in taken]
     return FleetBound(
         requests=len(taken),
         tokens=len(taken) * demand.tokens,
--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.paces import PaceBook
 from lacewingcourse.core.pipelines.pipes import MOST_USE
 
 if TYPE_CHECKING:
@@ -68,12 +69,14 @@
         endpoints: Endpoints by id.
         loads: What runs where.
         pipes: How busy the pipes between zones are.
+        paces: Endpoints that run slower than published.
     """
 
     shape: EngineShape
     endpoints: dict[str, Endpoint]
     loads: LoadBook
     pipes: PipeBook
+    paces: PaceBook = attrs.field(factory=PaceBook)
 
     def choose(
         self,
@@ -126,13 +129,13 @@
         within a zone are a good deal fuller.
         """
         left = 1.0 - max(self.filled(part, demand) for part in path.parts)
-        cost = self.predicted_ms(path, demand) / max(left, LEAST_LEFT)
+        cost = self.predicted_ms(path, demand, now) / max(left, LEAST_LEFT)
         for pair in path.crossings:
             free = 1.0 - self.pipes.use(pair, now) / MOST_USE
             cost *= CROSSING_FACTOR / max(free, LEAST_LEFT)
         return cost
 
-    def predicted_ms(self, path: Path, demand: Demand) -> float:
+    def predicted_ms(self, path: Path, demand: Demand, now: float) -> float:
         """Return the milliseconds that a request is predicted to take on a path."""
         total = 0.0
         for part in path.parts:
@@ -141,8 +144,9 @@
             running = self.loads.of(part.endpoint).requests
             span = len(part.layers)
             step = self.shape.step_time(accelerator, span, running + 1.0)
-            total += step * demand.answer
-            total += self.shape.read_time(accelerator, span, demand.prompt)
+            read = self.shape.read_time(accelerator, span, demand.prompt)
+            pace = self.paces.of(part.endpoint, now)
+            total += pace * (step * demand.answer + read)
         return total + path.token_ms
 
     def filled(self, part: Part, demand: Demand = NOTHING) -> float:
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -147,6 +147,7 @@
         self.stalls = StallWatcher(
             self.platform.reports,
             self.beliefs.suspects,
+            self.beliefs.paces,
             finder,
             self.clock,
             self.log,
@@ -339,6 +340,7 @@
             for peer in self.beliefs.loads.expire(now):
                 self.beliefs.pipes.forget(peer)
             self.beliefs.suspects.expire(now)
+            self.beliefs.paces.expire(now)
             self.beliefs.crashes.expire(now)
             self.budget.entries = max(self.book.count(now), self.budget.entries)
             await asyncio.sleep(HOUSEKEEPING_PERIOD)
--- a/packages/relay/src/lacewingcourse/relay/beliefs.py
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -10,6 +10,7 @@
 from lacewingcourse.core.pipelines.crashes import CrashBook
 from lacewingcourse.core.pipelines.fleet import Fleet
 from lacewingcourse.core.pipelines.load import LoadBook
+from lacewingcourse.core.pipelines.paces import PaceBook
 from lacewingcourse.core.pipelines.path import Path, candidate_paths
 from lacewingcourse.core.pipelines.pipes import PipeBook
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
@@ -47,6 +48,7 @@
         loads: What runs where.
         pipes: How busy the pipes between zones are.
         suspects: Endpoints that are left out for now.
+        paces: Endpoints that run slower than published.
         crashes: Requests that crash endpoints.
         candidates: Candidate paths by service.
     """
@@ -56,6 +58,7 @@
     loads: LoadBook = attrs.field(factory=LoadBook)
     pipes: PipeBook = attrs.field(factory=PipeBook)
     suspects: Suspects = attrs.field(factory=Suspects)
+    paces: PaceBook = attrs.field(factory=PaceBook)
     crashes: CrashBook = attrs.field(factory=CrashBook)
     candidates: dict[str, CandidateSet] = attrs.field(factory=dict)
 
@@ -111,4 +114,5 @@
 
     def chooser(self, shape: EngineShape) -> PathChooser:
         """Return what chooses among paths of engines with some figures."""
-        return PathChooser(shape, self.fleet.endpoints, self.loads, self.pipes)
+        endpoints = self.fleet.endpoints
+        return PathChooser(shape, endpoints, self.loads, self.pipes, self.paces)
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -94,6 +94,7 @@
             },
             pipes=[(*pair, round(use, 3)) for pair, use in pipes.items()],
             suspects=self.beliefs.suspects.remaining(now, reach),
+            paces=self.beliefs.paces.remaining(now),
             crashes=self.beliefs.crashes.losses(now, reach),
             peers={
                 peer.name: (peer.address, peer.zone, round(now - peer.heard_at, 3))
@@ -127,6 +128,8 @@
         near = news.zone == self.book.zone and news.scope is Scope.OWN
         for endpoint, remaining in news.suspects.items():
             self.beliefs.suspects.from_peer(endpoint, remaining, now, near)
+        for endpoint, (factor, remaining) in news.paces.items():
+            self.beliefs.paces.from_peer(endpoint, factor, remaining, now)
         self.beliefs.crashes.from_peer(news.crashes, now, near)
         self.duty.hear(news.holder, news.fencing)
 
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -264,10 +264,12 @@
 
     Attributes:
         stalled: Requests that stand still at it as the first of their path.
+        pace: Times that its steps take as long as published.
         born: Unix milliseconds of its start, `UNTOLD` if it does not tell.
     """
 
     stalled: tuple[StalledRequest, ...] = ()
+    pace: float = 1.0
     born: int = UNTOLD
 
 
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -13,8 +13,9 @@
 from lacewingcourse.relay.upstream import Stalled
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
+    from lacewingcourse.core.pipelines.paces import PaceBook
     from lacewingcourse.core.pipelines.path import Part
     from lacewingcourse.core.pipelines.stalls import Watched
     from lacewingcourse.core.pipelines.suspects import Suspects
@@ -42,6 +43,7 @@
     Attributes:
         reports: What engines tell of themselves.
         suspects: Endpoints that are left out.
+        paces: Endpoints that run slower than published.
         finder: Finds paths.
         clock: Returns the present time in seconds.
         log: Log of decisions.
@@ -56,6 +58,7 @@
 
     reports: EngineReports
     suspects: Suspects
+    paces: PaceBook
     finder: PathFinder
     clock: Callable[[], float]
     log: DecisionLog
@@ -108,9 +111,18 @@
                 continue
             self._ask_all(silence.unheard, now)
         for silence in self.watch.cut_off(now):
-            self._ask_all(silence.unheard, now)
-
-    def _ask_all(self, parts: tuple[Part, ...], now: float) -> None:
+            parts = (p for p in silence.unheard if p.endpoint not in known)
+            self._ask_all(parts, now)
+        self._ask_slow(now)
+
+    def _ask_slow(self, now: float) -> None:
+        """Ask endpoints that were slow whether they still are, while they are used."""
+        slow = self.paces.expiring(now)
+        if slow:
+            parts = {part for w in self.watch.streams for part in w.path.parts}
+            self._ask_all((p for p in parts if p.endpoint in slow), now)
+
+    def _ask_all(self, parts: Iterable[Part], now: float) -> None:
         for part in parts:
             self.ask(part, now)
 
@@ -162,6 +174,7 @@
         elif self.on_start(part.name, found.born):
             self.restarted(part.endpoint)
         else:
+            self.paces.tell(part.endpoint, found.pace, self.clock())
             self._take_report(part, found)
 
     async def _answer(
--- a/packages/relay/tests/test_decoding.py
+++ b/packages/relay/tests/test_decoding.py
@@ -62,6 +62,7 @@
             loads={"a": (1, 1, 100.0)},
             pipes=[("east", "west", 0.1)],
             suspects={"a": 1.0},
+            paces={"a": (5.0, 2.0)},
             crashes={"f": {"a": 1.0}},
             peers={"entry-2": ("10.0.0.2:1", "east", 0.1)},
             counts={"west": 2},
--- a/packages/relay/tests/test_stall_watcher.py
+++ b/packages/relay/tests/test_stall_watcher.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from lacewingcourse.core.pipelines.paces import ASK_AGAIN, PACE_KEPT, PaceBook
 from lacewingcourse.core.pipelines.path import Part, Path
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.core.pipelines.suspects import Suspects
@@ -68,6 +69,7 @@
         return StallWatcher(
             Reports(found),
             suspects,
+            PaceBook(),
             finder,
             lambda: 0.0,
             log,
@@ -252,3 +254,48 @@
     watched_until(watcher, job, 0.13)
     assert job.current.arrivals.empty()
     assert watcher.suspects.excluded(0.2) == set()
+
+
+def test_what_an_endpoint_says_of_its_pace_is_kept(make_watcher):
+    watcher = make_watcher(EngineReport(pace=5.0))
+    job = make_job(path_of("a"))
+    watched_until(watcher, job, 0.13)
+    assert watcher.paces.of("a", 0.1) == 5.0
+    assert job.current.arrivals.empty()
+
+
+def test_a_slow_endpoint_is_asked_again_while_streams_use_it(make_watcher):
+    watcher = make_watcher(EngineReport(pace=5.0))
+    watcher.paces.tell("a", 5.0, now=0.0)
+    job = make_job(path_of("a", "b"))
+    later = PACE_KEPT - ASK_AGAIN + 0.1
+
+    async def run():
+        watcher.begin(job, later)
+        watcher.progress(job, later)
+        watcher.look(later)
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+
+    asyncio.run(run())
+    assert watcher.reports.asked == ["a:1"]
+
+
+def test_an_endpoint_that_is_left_out_already_is_not_asked(make_watcher):
+    watcher = make_watcher(EngineReport())
+    watcher.suspects.suspect("x", "no report", 0.0)
+    jobs = [make_job(path_of(n, "x"), may_move=False) for n in "ab"]
+
+    async def run():
+        for job in jobs:
+            watcher.begin(job, 0.0)
+            watcher.progress(job, 0.0)
+        heard = make_job(path_of("c"))
+        watcher.begin(heard, 0.19)
+        watcher.progress(heard, 0.19)
+        watcher.look(0.2)
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+
+    asyncio.run(run())
+    assert "x:1" not in watcher.reports.asked
--- a/tests/deploy/test_days.py
+++ b/tests/deploy/test_days.py
@@ -10,16 +10,14 @@
 
 DAYS = sorted((Path(__file__).resolve().parents[2] / "deploy" / "days").glob("*.toml"))
 #: Kinds of troubles and planned work that the deployments know.
-KINDS = frozenset(
-    """
+KINDS = frozenset("""
     add_nodes after_ack_kill answer_lost applied_late big_config burst clock_step
     config_change config_storm core_cut garble give_up herd_kill hot_key hup idle_race
     kv_slow lossy node_cut node_freeze node_kill node_slow platform_compact
     platform_down platform_lost platform_slow release replace_core replace_with_reuse
     reset_conns retry_abuse revoke roll_term scale_in scale_out srv_crash srv_cut
     srv_flap srv_grey srv_lying_health srv_slow
-    """.split()
-)
+    """.split())
 #: Fields that name a part of a deployment; placeholders fit every one.
 NAMING = ("service", "class", "zone", "to_zone")
 PLACEHOLDER = re.compile(r"@[csz]\d")
