Rate layouts without chance

Cause: the check of the decision library found that layout.py imported random for the draws among equal paths while a layout is rated. Change: such draws are taken in turn; the source of draws is a protocol. Ruled out: passing a seeded source down to the rating, which every caller would have to carry.

--- a/packages/core/src/lacewingcourse/core/pipelines/capacity.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/capacity.py
@@ -13,8 +13,7 @@
 from lacewingcourse.core.pipelines.pipes import PipeBook
 
 if TYPE_CHECKING:
-    from random import Random
-
+    from lacewingcourse.core.pipelines.choice import Draws
     from lacewingcourse.core.pipelines.fleet import Endpoint
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.shape import EngineShape
@@ -43,8 +42,24 @@
     paths: int
 
 
+@attrs.define
+class InTurn:
+    """A source of draws without chance: equal choices are taken in turn.
+
+    Attributes:
+        count: Draws so far.
+    """
+
+    count: int = 0
+
+    def choice(self, found: list[Path]) -> Path:
+        """Return one of some equally good paths."""
+        self.count += 1
+        return found[self.count % len(found)]
+
+
 def fleet_bound(
-    endpoints: list[Endpoint], shape: EngineShape, rng: Random
+    endpoints: list[Endpoint], shape: EngineShape, rng: Draws
 ) -> FleetBound | None:
     """Return what endpoints can serve, None if no path holds every layer.
 
@@ -75,7 +90,7 @@
 
 
 def _fill(
-    chooser: PathChooser, paths: list[Path], demand: Demand, rng: Random
+    chooser: PathChooser, paths: list[Path], demand: Demand, rng: Draws
 ) -> list[Path]:
     """Put requests on paths until none fits; return the path of each."""
     taken: list[Path] = []
--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
@@ -60,6 +60,13 @@
 NOTHING = Demand(0, 0)
 
 
+class Draws(Protocol):
+    """What draws among equally good choices."""
+
+    def choice(self, found: list[Path]) -> Path:
+        """Return one of them."""
+
+
 @attrs.define
 class PathChooser:
     """Chooses among candidate paths by predicted time and memory left.
@@ -83,7 +90,7 @@
         paths: list[Path],
         demand: Demand,
         avoid: Collection[str],
-        rng: Random,
+        rng: Draws,
         now: float,
         share: float = ROOM_SHARE,
     ) -> Path | Refusal:
--- a/packages/core/src/lacewingcourse/core/pipelines/layout.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/layout.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from random import Random
 from statistics import median
 from typing import TYPE_CHECKING
 
 import attrs
 
-from lacewingcourse.core.pipelines.capacity import fleet_bound
+from lacewingcourse.core.pipelines.capacity import InTurn, fleet_bound
 from lacewingcourse.core.pipelines.copies import (
     LEAST_REQUESTS,
     Assignment,
@@ -199,7 +198,7 @@
     """Return the usual requests a second that endpoints with their layers serve."""
     if min(layer_strength(endpoints, shape)) <= 0:
         return 0.0
-    bound = fleet_bound(endpoints, shape, Random(0))
+    bound = fleet_bound(endpoints, shape, InTurn())
     return bound.requests_per_second if bound is not None else 0.0
 
 
