--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/causes.py
@@ -0,0 +1,239 @@
+"""Why requests came late, were refused or lost, from the entries' log lines."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from lacewingcourse.core.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+#: Seconds around the loss of a run in which a suspicion of an endpoint explains it.
+#: Questions are answered, and suspicions told, within a fraction of a second.
+SUSPICION_NEAR = 1.0
+#: Share of the objective spent waiting for room from which that is the cause.
+WAIT_SHARE = 0.5
+#: Cause of a request that came in time.
+IN_TIME = "in time"
+#: Cause of one that nothing explains.
+UNKNOWN = "not explained"
+
+
+@attrs.define
+class Fate:
+    """What the log lines tell of one request.
+
+    Attributes:
+        request: Its identifier.
+        sends: Lines of its sends.
+        losses: Lines of sends that brought nothing, or of streams that broke off.
+        end: Line of its end, None if its entry told none.
+        suspicions: Times at which endpoints were found dead, over all entries.
+        objective: Milliseconds in which its first event is wanted.
+        pause: Milliseconds that may pass between two events.
+    """
+
+    request: str
+    sends: list[dict[str, Any]] = attrs.field(factory=list)
+    losses: list[dict[str, Any]] = attrs.field(factory=list)
+    end: dict[str, Any] | None = None
+    suspicions: list[float] = attrs.field(factory=list)
+    objective: float = 0.0
+    pause: float = 0.0
+
+    @property
+    def at(self) -> float:
+        """Time of its last line, seconds."""
+        lines = [*self.sends, *self.losses, *([self.end] if self.end else [])]
+        return max(line["time"] for line in lines)
+
+    @property
+    def served(self) -> bool:
+        """Whether an endpoint's answer reached the caller."""
+        return self.end is not None and self.end["event"] == "served"
+
+    @property
+    def refused_kind(self) -> str:
+        """Kind of the refusal it ended with, empty if it did not."""
+        if self.end is None or self.end["event"] != "refused":
+            return ""
+        return self.end["kind"]
+
+    @property
+    def first_ms(self) -> float:
+        """Milliseconds to its first event, or to its whole answer."""
+        end = self.end or {}
+        first = end.get("first_ms")
+        return end.get("took_ms", 0.0) if first is None else first
+
+    @property
+    def gap_ms(self) -> float:
+        """Longest pause between two of its events, milliseconds."""
+        return (self.end or {}).get("gap_ms") or 0.0
+
+    @property
+    def waited_ms(self) -> float:
+        """Milliseconds for which it waited for room before its first send."""
+        return self.sends[0].get("waited_ms", 0.0) if self.sends else 0.0
+
+    @property
+    def explained_losses(self) -> bool:
+        """Whether an endpoint was found dead around the loss of one of its runs."""
+        return any(
+            line.get("fault") or abs(line["time"] - at) <= SUSPICION_NEAR
+            for line in self.losses
+            for at in (self.suspicions or [float("inf")])
+        )
+
+
+#: Causes in the order in which they are asked; the first that applies counts.
+CAUSES: Registry[Callable[[Fate], bool]] = Registry("cause")
+
+
+@CAUSES.register("lost with its entry")
+def lost_with_entry(fate: Fate) -> bool:
+    """Tell whether its entry ended before it told the request's end."""
+    return fate.end is None
+
+
+@CAUSES.register("caller left")
+def caller_left(fate: Fate) -> bool:
+    """Tell whether the caller closed before the answer was whole."""
+    return fate.served and (bool(fate.end.get("gone")) or not fate.end.get("whole"))
+
+
+@CAUSES.register(IN_TIME)
+def in_time(fate: Fate) -> bool:
+    """Tell whether it was answered within its objective and without a long pause."""
+    return fate.served and fate.first_ms <= fate.objective and fate.gap_ms <= fate.pause
+
+
+@CAUSES.register("not allowed by the configuration")
+def not_allowed(fate: Fate) -> bool:
+    """Tell whether no route or key allowed it."""
+    return fate.refused_kind in ("unknown_resource", "unauthenticated")
+
+
+@CAUSES.register("refused while leaving")
+def refused_while_leaving(fate: Fate) -> bool:
+    """Tell whether its entry was about to end."""
+    return fate.refused_kind == "draining"
+
+
+@CAUSES.register("refused for want of room")
+def refused_for_room(fate: Fate) -> bool:
+    """Tell whether no path had memory for it in time."""
+    return fate.refused_kind == "overloaded"
+
+
+@CAUSES.register("refused without a path")
+def refused_without_path(fate: Fate) -> bool:
+    """Tell whether no endpoints held every layer, or none served the call."""
+    return fate.refused_kind in ("no_route", "not_ready")
+
+
+@CAUSES.register("failed at endpoints")
+def failed_at_endpoints(fate: Fate) -> bool:
+    """Tell whether it ended without an answer after it had been sent."""
+    return bool(fate.refused_kind)
+
+
+@CAUSES.register("cut by a lost endpoint, then late")
+def cut_by_loss(fate: Fate) -> bool:
+    """Tell whether a run was lost when an endpoint was found dead."""
+    return bool(fate.losses) and fate.explained_losses
+
+
+@CAUSES.register("run given up though no endpoint was found dead, then late")
+def given_up(fate: Fate) -> bool:
+    """Tell whether a run was lost without any suspicion."""
+    return bool(fate.losses)
+
+
+@CAUSES.register("waited for room, then late")
+def waited_for_room(fate: Fate) -> bool:
+    """Tell whether most of its objective passed before it was sent."""
+    return fate.waited_ms > WAIT_SHARE * fate.objective
+
+
+@CAUSES.register("slow first event")
+def slow_first(fate: Fate) -> bool:
+    """Tell whether the endpoints took long for its first event."""
+    return fate.first_ms > fate.objective
+
+
+@CAUSES.register("long pause on one run")
+def long_pause(fate: Fate) -> bool:
+    """Tell whether its endpoints paused for long."""
+    return fate.gap_ms > fate.pause
+
+
+def fates_of(
+    lines: Iterable[dict[str, Any]], objective: float, pause: float
+) -> list[Fate]:
+    """Return what became of every request that log lines tell of.
+
+    Args:
+        lines: Log lines in order of time.
+        objective: Milliseconds in which a first event is wanted.
+        pause: Milliseconds that may pass between two events.
+    """
+    found: dict[str, Fate] = {}
+    suspicions: list[float] = []
+    for line in lines:
+        event, request = line["event"], line.get("request")
+        if event == "suspected":
+            suspicions.append(line["time"])
+        if not request:
+            continue
+        fate = found.get(request)
+        if fate is None:
+            fate = found[request] = Fate(
+                request, suspicions=suspicions, objective=objective, pause=pause
+            )
+        if event == "sent":
+            fate.sends.append(line)
+        elif event == "lost":
+            fate.losses.append(line)
+        elif event in ("served", "refused"):
+            fate.end = line
+    return list(found.values())
+
+
+def cause_of(fate: Fate) -> str:
+    """Return the first cause that applies to a request."""
+    for name, applies in CAUSES.members.items():
+        if applies(fate):
+            return name
+    return UNKNOWN
+
+
+def summary_of(fates: Iterable[Fate], seconds: float) -> list[str]:
+    """Return how many requests each cause has, in all and by spans of time, as lines.
+
+    Args:
+        fates: What became of the requests.
+        seconds: Length of the spans.
+    """
+    total: Counter[str] = Counter()
+    spans: dict[int, Counter[str]] = defaultdict(Counter)
+    for fate in fates:
+        cause = cause_of(fate)
+        total[cause] += 1
+        if cause != IN_TIME:
+            spans[int(fate.at // seconds)][cause] += 1
+    count = sum(total.values())
+    lines = [f"{count} requests"]
+    lines += [
+        f"{number:7} {number / count:7.1%}  {cause}"
+        for cause, number in total.most_common()
+    ]
+    first = min(spans, default=0)
+    for span in sorted(spans):
+        causes = ", ".join(f"{c} {n}" for c, n in spans[span].most_common())
+        lines.append(f"{(span - first) * seconds:+8.0f} s  {causes}")
+    return lines
--- a/packages/relay/src/lacewingcourse/relay/explain.py
+++ b/packages/relay/src/lacewingcourse/relay/explain.py
@@ -1,4 +1,4 @@
-"""The command `explain`: the story of one request from the entries' log lines."""
+"""The command `explain`: why requests ended as they did, from the log lines."""
 
 from __future__ import annotations
 
@@ -7,7 +7,9 @@
 
 import orjson
 from cleo.commands.command import Command
-from cleo.helpers import argument
+from cleo.helpers import argument, option
+
+from lacewingcourse.relay.causes import fates_of, summary_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -24,20 +26,48 @@
 PLAIN_FIELDS = frozenset({"time", "level", "event", "process", "request"})
 #: Exit code for an identifier without any line.
 UNKNOWN_REQUEST = 1
+#: Exit code for arguments that cannot be used.
+BAD_ARGUMENTS = 2
 
 
 class ExplainCommand(Command):
-    """Prints what the log files of several entries tell of one request."""
+    """Prints what the log files of several entries tell of one request, or of all."""
 
     name = "explain"
-    description = "Print the story of one request from the entries' log files"
+    description = "Print the story of one request, or why requests came late"
     arguments = [
-        argument("request", "identifier of the request"),
-        argument("files", "log files of entries", multiple=True),
+        argument("request", "identifier of the request; with --summary a log file"),
+        argument("files", "log files of entries", optional=True, multiple=True),
+    ]
+    options = [
+        option("summary", None, "count all requests by what made them late"),
+        option(
+            "objective",
+            None,
+            "milliseconds in which a first event is wanted",
+            flag=False,
+            default="500",
+        ),
+        option(
+            "pause",
+            None,
+            "milliseconds that may pass between two events",
+            flag=False,
+            default="200",
+        ),
+        option("span", None, "seconds of a row", flag=False, default="2"),
     ]
 
     def handle(self) -> int:
-        lines = read_lines(self.argument("files"))
+        if self.option("summary"):
+            return self._summarise()
+        files = self.argument("files")
+        if not files:
+            self.line_error("name the log files after the request")
+            return BAD_ARGUMENTS
+        lines = self._read(files)
+        if lines is None:
+            return BAD_ARGUMENTS
         told = story_of(self.argument("request"), lines)
         if not told:
             self.line_error(f"no line tells of {self.argument('request')!r}")
@@ -46,6 +76,33 @@
             self.line(line)
         return 0
 
+    def _summarise(self) -> int:
+        """Print the causes of all requests of the log files."""
+        figures = {}
+        for name in ("objective", "pause", "span"):
+            try:
+                figures[name] = float(self.option(name))
+            except ValueError:
+                figures[name] = 0.0
+            if figures[name] <= 0:
+                self.line_error(f"--{name} is {self.option(name)!r}, no number above 0")
+                return BAD_ARGUMENTS
+        lines = self._read([self.argument("request"), *self.argument("files")])
+        if lines is None:
+            return BAD_ARGUMENTS
+        fates = fates_of(lines, figures["objective"], figures["pause"])
+        for line in summary_of(fates, figures["span"]):
+            self.line(line)
+        return 0
+
+    def _read(self, files: list[str]) -> list[dict[str, Any]] | None:
+        """Return the log lines of files, None if one cannot be read."""
+        try:
+            return read_lines(files)
+        except OSError as error:
+            self.line_error(f"{error.filename} cannot be read: {error.strerror}")
+            return None
+
 
 def read_lines(files: Iterable[str]) -> list[dict[str, Any]]:
     """Return the log lines of files in order of time.
--- /dev/null
+++ b/packages/relay/tests/test_causes.py
@@ -0,0 +1,121 @@
+"""Tests of why requests came late, on log lines as entries write them."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from lacewingcourse.relay.causes import cause_of, fates_of, summary_of
+from lacewingcourse.relay.explain import ExplainCommand
+
+#: A send of a stream and its end, as entries write them.
+SENT = {"time": 9.0, "event": "sent", "process": "edge-1", "request": "r"}
+SERVED = {
+    "time": 10.0,
+    "event": "served",
+    "process": "edge-1",
+    "request": "r",
+    "sends": 1,
+    "gone": False,
+    "whole": True,
+    "took_ms": 900.0,
+    "first_ms": 60.0,
+    "gap_ms": 80.0,
+}
+LOST = {
+    "time": 9.5,
+    "event": "lost",
+    "process": "edge-1",
+    "request": "r",
+    "reason": "the stream stood still",
+    "fault": "",
+}
+SUSPECTED = {"time": 9.4, "event": "suspected", "process": "edge-2"}
+
+
+def refused(kind: str) -> dict:
+    """Return the line of a refusal."""
+    return SERVED | {"event": "refused", "kind": kind}
+
+
+@pytest.mark.parametrize(
+    ("lines", "cause"),
+    [
+        ([SENT, SERVED], "in time"),
+        ([SENT], "lost with its entry"),
+        ([SENT, SERVED | {"gone": True, "whole": False}], "caller left"),
+        ([refused("unauthenticated")], "not allowed by the configuration"),
+        ([refused("draining")], "refused while leaving"),
+        ([refused("overloaded")], "refused for want of room"),
+        ([refused("no_route")], "refused without a path"),
+        ([SENT, refused("endpoint_failed")], "failed at endpoints"),
+        (
+            [SENT, SUSPECTED, LOST, SERVED | {"gap_ms": 300.0}],
+            "cut by a lost endpoint, then late",
+        ),
+        (
+            [SENT, LOST | {"fault": "e"}, SERVED | {"gap_ms": 300.0}],
+            "cut by a lost endpoint, then late",
+        ),
+        (
+            [SUSPECTED | {"time": 1.0}, SENT, LOST, SERVED | {"gap_ms": 300.0}],
+            "run given up though no endpoint was found dead, then late",
+        ),
+        ([SENT, SUSPECTED, LOST, SERVED], "in time"),
+        (
+            [SENT | {"waited_ms": 400.0}, SERVED | {"first_ms": 600.0}],
+            "waited for room, then late",
+        ),
+        ([SENT, SERVED | {"first_ms": 600.0}], "slow first event"),
+        ([SENT, SERVED | {"gap_ms": 300.0}], "long pause on one run"),
+    ],
+)
+def test_a_request_has_the_first_cause_that_applies(lines, cause):
+    (fate,) = fates_of(lines, objective=500.0, pause=200.0)
+    assert cause_of(fate) == cause
+
+
+def test_a_summary_adds_up_to_all_requests():
+    lines = [
+        SENT,
+        SERVED,
+        *({**SERVED, "request": f"r{n}", "first_ms": 700.0} for n in range(3)),
+        {**refused("draining"), "request": "s", "time": 14.5},
+    ]
+    told = summary_of(fates_of(lines, 500.0, 200.0), seconds=2.0)
+    assert told == [
+        "5 requests",
+        "      3   60.0%  slow first event",
+        "      1   20.0%  in time",
+        "      1   20.0%  refused while leaving",
+        "      +0 s  slow first event 3",
+        "      +4 s  refused while leaving 1",
+    ]
+
+
+def test_the_command_counts_the_requests_of_log_files(tmp_path):
+    path = tmp_path / "edge-1.log"
+    path.write_text("\n".join(map(json.dumps, [SENT, SERVED | {"first_ms": 700.0}])))
+    tester = CommandTester(ExplainCommand())
+    assert tester.execute(f"--summary {path}") == 0
+    assert "slow first event" in tester.io.fetch_output()
+    assert tester.execute(f"--summary --objective 800 {path}") == 0
+    assert "in time" in tester.io.fetch_output()
+
+
+@pytest.mark.parametrize(
+    ("arguments", "problem"),
+    [
+        ("--summary none.log", "none.log cannot be read"),
+        ("--summary --pause soon none.log", "--pause is 'soon'"),
+        ("r none.log", "none.log cannot be read"),
+        ("r", "name the log files"),
+    ],
+)
+def test_the_command_says_what_is_wrong_with_its_arguments(arguments, problem):
+    tester = CommandTester(ExplainCommand())
+    assert tester.execute(arguments) == 2
+    (line,) = tester.io.fetch_error().splitlines()
+    assert problem in line
