Set housekeeping apart from the composition of an entry

Change: moved into a module with one job, and tested; behaviour as before. Ruled out: leaving it until the next change of the file.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -6,7 +6,6 @@
 import random
 import signal
 import socket
-import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -23,6 +22,7 @@
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
 from lacewingcourse.relay.gateway import Gateway
 from lacewingcourse.relay.gossip import Gossip
+from lacewingcourse.relay.housekeeping import Housekeeping
 from lacewingcourse.relay.metrics import METRICS_PATH
 from lacewingcourse.relay.path_finder import PathFinder
 from lacewingcourse.relay.peers import PeerExchange
@@ -49,15 +49,11 @@
     )
     from lacewingcourse.relay.settings import RelaySettings
 
-#: Seconds between two rounds of housekeeping.
-HOUSEKEEPING_PERIOD = 0.25
 #: Seconds between two looks at the settings file, which changes without a signal too.
 SETTINGS_PERIOD = 2.0
 #: Seconds after the request to end for which new connections may still come: the
 #: balancer asks once a second and takes an instance out after two misses.
 BALANCER_DELAY = 3.2
-#: Seconds that this process must have been frozen for to doubt what it knows.
-FREEZE = 0.5
 #: Seconds beyond the callers' idle time for which their connections are kept.
 IDLE_MARGIN = 2.0
 #: Seconds for which connections of callers may stay idle before it is configured.
@@ -231,6 +227,14 @@
             self.clock,
             self.metrics.unreadable_messages.inc,
         )
+        self.house = Housekeeping(
+            self.beliefs,
+            self.pool,
+            self.book,
+            self.budget,
+            self.clock,
+            self._on_thaw,
+        )
         shown = {("GET", METRICS_PATH): self._on_metrics}
         self.peer_server = HTTPServer(SmallServer(self.peers.handlers() | shown))
         self.metrics_server = HTTPServer(SmallServer(shown))
@@ -253,7 +257,7 @@
         self._start(self.configuration.run())
         self._start(self.directory.run())
         self._start(self.placement.run())
-        self._start(self._keep_house())
+        self._start(self.house.run())
         self._start(self.stalls.run())
         self._start(self._watch_settings())
         self.log.belief("started", zone=self.settings.zone)
@@ -329,22 +333,6 @@
         params.max_header_size = limits.header_bytes
         params.max_body_size = limits.body_bytes
 
-    async def _keep_house(self) -> None:
-        asleep = _asleep(self.clock())
-        while True:
-            now = self.clock()
-            slept, asleep = _asleep(now) - asleep, _asleep(now)
-            if slept > FREEZE:
-                self._on_thaw(slept)
-            self.pool.expire(now)
-            for peer in self.beliefs.loads.expire(now):
-                self.beliefs.pipes.forget(peer)
-            self.beliefs.suspects.expire(now)
-            self.beliefs.paces.expire(now)
-            self.beliefs.crashes.expire(now)
-            self.budget.entries = max(self.book.count(now), self.budget.entries)
-            await asyncio.sleep(HOUSEKEEPING_PERIOD)
-
     def _on_thaw(self, slept: float) -> None:
         """Trust nothing that was learned before this process was frozen."""
         self.log.belief("thawed", slept_ms=round(slept * 1000))
@@ -393,11 +381,3 @@
                 break
             await asyncio.sleep(0.05)
         self.ended.set()
-
-
-def _asleep(now: float) -> float:
-    """Return the seconds that the loop's clock did not count, up to a constant.
-
-    The loop's clock stands still while the machine is suspended; this one does not.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - now
--- /dev/null
+++ b/packages/relay/tests/test_housekeeping.py
@@ -0,0 +1,63 @@
+"""Tests of what an entry forgets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lacewingcourse.core.pipelines.paces import PACE_KEPT
+from lacewingcourse.core.pipelines.peers import PeerBook
+from lacewingcourse.core.pipelines.repeats import RepeatBudget
+from lacewingcourse.relay import housekeeping
+from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.housekeeping import FREEZE, Housekeeping
+from lacewingcourse.relay.upstream import ConnectionPool
+
+
+@pytest.fixture
+def make_house():
+    """Return a function that makes the housekeeping of an entry."""
+
+    def make(on_thaw=lambda slept: None):
+        budget = RepeatBudget(0.2, 10.0, 200.0)
+        book = PeerBook("a")
+        pool = ConnectionPool()
+        return Housekeeping(Beliefs(), pool, book, budget, lambda: 0.0, on_thaw)
+
+    return make
+
+
+def test_what_is_over_is_forgotten(make_house):
+    house = make_house()
+    house.beliefs.paces.tell("e", 5.0, now=0.0)
+    house.beliefs.pipes.from_peer("b", {("east", "west"): 0.3})
+    house.beliefs.loads.from_peer("b", {}, now=0.0)
+    house.forget(PACE_KEPT + 1.0)
+    assert house.beliefs.paces.members == {}
+    assert house.beliefs.loads.peers == {}
+    assert house.beliefs.pipes.peers == {}
+
+
+def test_the_budget_is_shared_by_the_most_entries_that_were_alive(make_house):
+    house = make_house()
+    for name in "bc":
+        house.book.hear(name, f"{name}:1", False, 0.0)
+    house.forget(0.1)
+    house.forget(100.0)
+    assert house.budget.entries == 3
+
+
+@pytest.mark.parametrize(("slept", "told"), [(FREEZE / 2, 0), (FREEZE + 1.0, 1)])
+def test_a_freeze_is_told(make_house, monkeypatch, slept, told):
+    freezes = []
+    times = iter([5.0, 5.0 + slept, 5.0 + slept])
+    monkeypatch.setattr(housekeeping, "seconds_asleep", lambda now: next(times))
+
+    async def run():
+        task = asyncio.ensure_future(make_house(freezes.append).run())
+        await asyncio.sleep(0)
+        task.cancel()
+
+    asyncio.run(run())
+    assert len(freezes) == told
