--- a/packages/core/src/lacewingcourse/core/pipelines/waiting.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/waiting.py
@@ -12,8 +12,9 @@
 #: rather than refused; callers give a silent entry up after four objectives.
 MOST_OBJECTIVES = 2.0
 #: Seconds after its last event for which a stream that broke waits for a path. Its
-#: caller leaves after two seconds of silence; late, it is still worth a quarter.
-CONTINUED_WAIT = 1.6
+#: caller leaves after two seconds of silence, and until then the answer is not ended
+#: from here; late, it is still worth a quarter.
+CONTINUED_WAIT = 2.2
 
 
 @attrs.define(eq=False)
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -87,7 +87,7 @@
                 continue
             job.avoid.add(endpoint.id)
             if isinstance(result, WholeAnswer):
-                if result.head.status < SERVER_ERROR or not job.may_send_again:
+                if result.head.status < SERVER_ERROR or not job.may_try_another:
                     return result
                 job.note(SendOutcome.ANSWERED, f"status {result.head.status}")
                 last = result
@@ -97,7 +97,7 @@
             if result.connection_lost:
                 now = self.sender.clock()
                 self.beliefs.crashes.strike(job.fingerprint, endpoint.id, now)
-            if not job.may_send_again:
+            if not job.may_try_another:
                 return self._failed(job, result)
 
     def _waits(self, job: Job, now: float) -> bool:
@@ -124,6 +124,7 @@
             if isinstance(sent, NotSent):
                 return sent
             job.sends += 1
+            job.firsts.add(endpoint.id)
             job.current = sent
             age = now - self.beliefs.fleet.known_at
             self.log.sent(job, endpoint.id, age, 0.0)
@@ -137,7 +138,7 @@
 
     def _until(self, job: Job, now: float) -> float:
         """Return until when one endpoint is waited for."""
-        if not job.route.repeat.may_repeat or not job.may_send_again:
+        if not job.route.repeat.may_repeat or not job.may_try_another:
             return job.until
         patience = max(0.1, PATIENCE_OBJECTIVES * job.route.objective)
         return min(job.until, now + patience)
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -18,8 +18,12 @@
     from lacewingcourse.relay.caller import CallerExchange
     from lacewingcourse.relay.ports import CallerRequest
 
-#: Urgency of a request for each rank of its route; engines know ten steps.
+#: Least urgent rank that engines know, of ten.
 MOST_URGENCY = 9
+#: Rejections after which a request is given up; each takes a round trip and counts as a
+#: repeat. When a rejection ended a stream whose route allows two attempts, answers that
+#: callers read were cut off because a second path had no memory at that moment.
+MOST_REJECTIONS = 4
 
 
 @attrs.define(eq=False)
@@ -35,6 +39,8 @@
         strip_key: Whether the caller's key stops here.
         until: Time at which the route's time or the caller's is over, seconds.
         sends: Sends that reached an endpoint.
+        rejections: Those that the endpoint rejected without running them.
+        firsts: Endpoints that it was sent to.
         worst: The most that may have become of a send so far.
         avoid: Endpoints that this request is not sent to again.
         current: Exchange with an endpoint that is under way.
@@ -56,6 +62,8 @@
     strip_key: bool
     until: float
     sends: int = 0
+    rejections: int = 0
+    firsts: set[str] = attrs.field(factory=set)
     worst: SendOutcome = SendOutcome.NEVER_LEFT
     avoid: set[str] = attrs.field(factory=set)
     current: Exchange | None = None
@@ -78,12 +86,30 @@
 
     @property
     def may_send_again(self) -> bool:
-        """Whether it may be sent to another endpoint after what became of it."""
-        if self.sends >= self.route.most_attempts or self.caller.gone:
+        """Whether it may be sent again after what became of it.
+
+        A send that was rejected has not run, so it may be made good, but only through
+        endpoints that the request was sent to already once these are as many as the
+        route allows.
+        """
+        runs = self.sends - self.rejections
+        if runs >= self.route.most_attempts or self.caller.gone:
+            return False
+        if self.rejections > MOST_REJECTIONS:
             return False
         repeatable = self.route.repeat.may_repeat
         return repeatable or self.worst is not SendOutcome.MAY_HAVE_RUN
 
+    @property
+    def only_firsts(self) -> set[str] | None:
+        """Endpoints that it may be sent to, None for any."""
+        return self.firsts if len(self.firsts) >= self.route.most_attempts else None
+
+    @property
+    def may_try_another(self) -> bool:
+        """Whether it may be sent to an endpoint that it was not sent to before."""
+        return self.may_send_again and self.only_firsts is None
+
     @property
     def may_move(self) -> bool:
         """Whether its stream may go on on another path while a run is under way."""
@@ -100,7 +126,7 @@
 
     @property
     def urgency(self) -> int:
-        """Rank of the request at an endpoint, 0 for what is served first."""
+        """Rank of the request, 0 for what is served first."""
         priority = self.organisation.priority
         if priority is None:
             priority = self.route.priority
@@ -132,6 +158,8 @@
     def note(self, outcome: SendOutcome, reason: str) -> None:
         """Note what became of a send."""
         self.reason = reason
+        if outcome is SendOutcome.REJECTED:
+            self.rejections += 1
         if outcome in (SendOutcome.MAY_HAVE_RUN, SendOutcome.ANSWERED):
             self.worst = SendOutcome.MAY_HAVE_RUN
         elif self.worst is SendOutcome.NEVER_LEFT:
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -39,8 +39,6 @@
         loads: Requests, requests led, and tokens times layers, by endpoint.
         pipes: Shares of the time of pipes between zones, as pairs of zones and share.
         suspects: Seconds for which each endpoint is left out.
-        paces: Times that the steps of endpoints take as long as published, and the
-            seconds for which that is believed.
         crashes: Seconds since the loss of endpoints under requests, by fingerprint
             and endpoint.
         peers: Address, availability zone and seconds since it was heard of each entry
@@ -48,6 +46,8 @@
         counts: Entries alive in availability zones.
         holder: Holder of the duty of placing, empty if unknown.
         fencing: Fencing number of that holder.
+        paces: Times that the steps of endpoints take as long as published, and the
+            seconds for which that is believed.
     """
 
     name: str
@@ -62,12 +62,12 @@
     loads: dict[str, tuple[int, int, float]]
     pipes: list[tuple[str, str, float]]
     suspects: dict[str, float]
-    paces: dict[str, tuple[float, float]]
     crashes: dict[str, dict[str, float]]
     peers: dict[str, tuple[str, str, float]]
     counts: dict[str, int]
     holder: str
     fencing: int
+    paces: dict[str, tuple[float, float]] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -172,6 +172,7 @@
                 job.note(SendOutcome.NEVER_LEFT, sent.reason)
                 return None
             job.sends += 1
+            job.firsts.add(first.endpoint)
             job.current = sent
             self.stalls.begin(job, now)
             age = now - self.beliefs.fleet.known_at
--- /dev/null
+++ b/packages/relay/tests/test_job.py
@@ -0,0 +1,78 @@
+"""Tests of whether a request may be sent again."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from lacewingcourse.core.pipelines.routing import Organisation, Repeat, Route
+from lacewingcourse.relay.job import MOST_REJECTIONS, Job
+from lacewingcourse.relay.upstream import SendOutcome
+
+
+@pytest.fixture
+def make_job():
+    """Return a function that makes a request of a route with two attempts."""
+
+    def make(repeat=Repeat.RESUMABLE_STREAM):
+        route = Route(
+            "rooms",
+            "h",
+            "/",
+            repeat,
+            (("rooms", 1.0),),
+            timeout=20.0,
+            objective=0.5,
+            gap=0.2,
+            priority=1,
+            most_attempts=2,
+            needs_key=False,
+        )
+        request = SimpleNamespace(received_at=10.0)
+        caller = SimpleNamespace(gone=False, begun=True)
+        return Job(request, route, "rooms", Organisation(""), caller, False, 30.0)
+
+    return make
+
+
+def send(job, endpoint, outcome):
+    """Note a send to an endpoint and what became of it."""
+    job.sends += 1
+    job.firsts.add(endpoint)
+    job.note(outcome, "test")
+
+
+def test_runs_are_bounded_by_the_routes_attempts(make_job):
+    job = make_job()
+    send(job, "a", SendOutcome.MAY_HAVE_RUN)
+    assert job.may_send_again
+    assert job.only_firsts is None
+    send(job, "b", SendOutcome.MAY_HAVE_RUN)
+    assert not job.may_send_again
+
+
+def test_a_rejected_second_send_does_not_end_an_answer_that_is_read(make_job):
+    """Seven answers of a day were cut off so, beside a change of configuration."""
+    job = make_job()
+    send(job, "a", SendOutcome.MAY_HAVE_RUN)
+    send(job, "b", SendOutcome.REJECTED)
+    assert job.may_send_again
+    assert job.only_firsts == {"a", "b"}
+
+
+def test_rejections_end_in_time(make_job):
+    job = make_job()
+    for _ in range(MOST_REJECTIONS):
+        send(job, "a", SendOutcome.REJECTED)
+        assert job.may_send_again
+    send(job, "a", SendOutcome.REJECTED)
+    assert not job.may_send_again
+
+
+def test_what_may_run_once_is_not_sent_again_after_it_may_have_run(make_job):
+    job = make_job(Repeat.ONCE)
+    send(job, "a", SendOutcome.REJECTED)
+    assert job.may_send_again
+    send(job, "a", SendOutcome.MAY_HAVE_RUN)
+    assert not job.may_send_again
--- a/packages/relay/tests/test_path_finder.py
+++ b/packages/relay/tests/test_path_finder.py
@@ -39,12 +39,16 @@
     return PathFinder(beliefs, Random(1), lambda: 0.0)
 
 
-def job_of(avoid=()):
+def job_of(avoid=(), firsts=None):
     """Return what the finder needs of a request."""
     caller = SimpleNamespace(begun=False)
     request = SimpleNamespace(prompt=1_000, answer_hint=None, most_answer=0)
     return SimpleNamespace(
-        service="rooms", caller=caller, avoid=set(avoid), request=request
+        service="rooms",
+        caller=caller,
+        avoid=set(avoid),
+        request=request,
+        only_firsts=firsts,
     )
 
 
@@ -90,3 +94,17 @@
     only_candidate(finder, shape, "a", "c")
     assert not finder.is_idle(job_of(), {"a"})
     assert finder.find(job_of(avoid="a"), shape, DEMAND).uses({"b"})
+
+
+def test_a_request_with_no_more_attempts_stays_with_the_endpoints_that_had_it(
+    finder, shape
+):
+    for firsts in ({"a"}, {"b"}):
+        path = finder.find(job_of(firsts=firsts), shape, DEMAND)
+        assert path.first.endpoint in firsts
+    only_candidate(finder, shape, "a", "c")
+    path = finder.find(job_of(firsts={"b"}), shape, DEMAND)
+    assert path.first.endpoint == "b"
+    fill(finder, "b")
+    finder.next_search = 0.0
+    assert isinstance(finder.find(job_of(firsts={"b"}), shape, DEMAND), Refusal)
--- a/packages/relay/tests/test_streams.py
+++ b/packages/relay/tests/test_streams.py
@@ -145,6 +145,8 @@
         route=SimpleNamespace(most_attempts=2),
         waited=0.0,
         sends=0,
+        firsts=set(),
+        only_firsts=None,
         until=10.0,
         avoid=set(),
         reason="",
