Leave the room beside full candidates to the engines

With all memory given away every answer is slower; full candidates were a brake. Change: the search is taken out again.

--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -8,7 +8,6 @@
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.pipelines.paces import PaceBook
-from lacewingcourse.core.pipelines.path import Part, cheapest_path
 from lacewingcourse.core.pipelines.pipes import MOST_USE
 
 if TYPE_CHECKING:
@@ -17,7 +16,7 @@
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
     from lacewingcourse.core.pipelines.load import LoadBook
-    from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.core.pipelines.path import Part, Path
     from lacewingcourse.core.pipelines.pipes import PipeBook
     from lacewingcourse.core.pipelines.shape import EngineShape
 
@@ -116,43 +115,6 @@
         near = [path for score, path in scored if score <= best * NEAR_BEST]
         return rng.choice(near)
 
-    def find_room(
-        self,
-        endpoints: list[Endpoint],
-        demand: Demand,
-        now: float,
-        share: float = ROOM_SHARE,
-    ) -> Path | None:
-        """Return a path through what has room, when no candidate has; None for none.
-
-        Candidates are a few dozen of many paths. When they are full, endpoints beside
-        them still have memory: with all candidates full, paths found so took 59 more
-        requests beside 311 on a fleet of 59 endpoints, and 20 beside 287 after five
-        losses. A search takes about a millisecond.
-
-        Args:
-            endpoints: Endpoints of the service that may be used.
-            demand: What the request needs.
-            now: Present time in seconds.
-            share: Share of an endpoint's memory that may be taken.
-        """
-        roomy = [e for e in endpoints if self._has_room(e, demand, share)]
-        path = cheapest_path(roomy, self.shape)
-        if path is not None and self.fits(path, demand, now, share):
-            return path
-        for zone in sorted({e.zone for e in roomy}):
-            path = cheapest_path([e for e in roomy if e.zone == zone], self.shape)
-            if path is not None and self.fits(path, demand, now, share):
-                return path
-        return None
-
-    def _has_room(self, endpoint: Endpoint, demand: Demand, share: float) -> bool:
-        """Tell whether an endpoint has memory for a request in all its layers."""
-        if endpoint.layers is None:
-            return False
-        place = endpoint.address, endpoint.zone
-        return self.filled(Part(endpoint.id, *place, endpoint.layers), demand) <= share
-
     def fits(
         self, path: Path, demand: Demand, now: float, share: float = ROOM_SHARE
     ) -> bool:
--- a/packages/core/src/lacewingcourse/core/pipelines/path.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/path.py
@@ -116,19 +116,6 @@
     return sorted(found.values(), key=lambda path: path.token_ms)
 
 
-def cheapest_path(endpoints: list[Endpoint], shape: EngineShape) -> Path | None:
-    """Return the cheapest path through some endpoints, None if there is none.
-
-    Args:
-        endpoints: Endpoints of the service that may be used.
-        shape: Published figures of its engines.
-    """
-    path = _Search(endpoints, shape).cheapest()
-    if path is None or not is_whole(path, shape.layers) or _repeats(path):
-        return None
-    return path
-
-
 @attrs.frozen
 class _Step:
     """A part that may stand on a path.
--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -17,7 +17,6 @@
     from collections.abc import Callable, Collection
     from random import Random
 
-    from lacewingcourse.core.pipelines.fleet import Endpoint
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.beliefs import Beliefs
@@ -26,9 +25,6 @@
 #: Share of an endpoint's memory up to which the fleet counts as idle: a stream that is
 #: moved on a mere sign then takes nothing from others.
 IDLE_SHARE = 0.5
-#: Seconds after a search beside the candidates that found nothing in which no other one
-#: is made. Requests that wait try again every 30 milliseconds, each of them.
-SEARCH_PERIOD = 0.05
 
 
 @attrs.define
@@ -39,29 +35,16 @@
         beliefs: What is believed of the endpoints.
         rng: Source of draws.
         clock: Returns the present time in seconds.
-        next_search: Time before which no path beside the candidates is looked for.
     """
 
     beliefs: Beliefs
     rng: Random
     clock: Callable[[], float]
-    next_search: float = float("-inf")
 
     def find(self, job: Job, shape: EngineShape, demand: Demand) -> Path | Refusal:
         """Return the path that a request is sent on, or why there is none."""
         share = CONTINUED_ROOM_SHARE if job.caller.begun else ROOM_SHARE
-        now = self.clock()
-        found = self._choose(job, shape, demand, job.avoid, share, now)
-        if not isinstance(found, Refusal) or now < self.next_search:
-            return found
-        usable = self.beliefs.usable(job.service, now)
-        allowed = [e for e in usable if _is_allowed(e, job)]
-        chooser = self.beliefs.chooser(shape)
-        path = chooser.find_room(allowed, demand, now, share)
-        if path is None:
-            self.next_search = now + SEARCH_PERIOD
-            return found
-        return path
+        return self._choose(job, shape, demand, job.avoid, share)
 
     def is_idle(self, job: Job, avoid: Collection[str]) -> bool:
         """Tell whether a path without some endpoints has much room for a request."""
@@ -70,8 +53,7 @@
             return False
         demand = demand_of(job, shape)
         avoided = job.avoid.union(avoid)
-        now = self.clock()
-        found = self._choose(job, shape, demand, avoided, IDLE_SHARE, now)
+        found = self._choose(job, shape, demand, avoided, IDLE_SHARE)
         return not isinstance(found, Refusal)
 
     def _choose(
@@ -81,9 +63,9 @@
         demand: Demand,
         avoid: Collection[str],
         share: float,
-        now: float,
     ) -> Path | Refusal:
         """Return one of the candidate paths, or why none is taken."""
+        now = self.clock()
         paths = self.beliefs.paths(job.service, shape, now)
         chooser = self.beliefs.chooser(shape)
         firsts = job.only_firsts
@@ -92,15 +74,6 @@
         return chooser.choose(paths, demand, avoid, self.rng, now, share)
 
 
-def _is_allowed(endpoint: Endpoint, job: Job) -> bool:
-    """Tell whether an endpoint may stand on a request's path."""
-    if endpoint.id in job.avoid:
-        return False
-    leads = endpoint.layers is not None and endpoint.layers.start == 0
-    firsts = job.only_firsts
-    return not leads or firsts is None or endpoint.id in firsts
-
-
 def demand_of(job: Job, shape: EngineShape) -> Demand:
     """Return what a request is expected to need of a path."""
     request = job.request
