Move streams only from endpoints that do not answer

One that was ordered to move, or that rejects new work, goes on with what passes through it; its streams were merely slow. They were given up, found no room for 1.5 s, and were cut off, beside a change of the configuration. The shorter patience of the questions made it frequent.

Change: a suspicion says whether the endpoint does not answer at all; only that moves streams, the others are asked. It is told to other entries with the suspicions.

--- a/packages/core/src/lacewingcourse/core/pipelines/suspects.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/suspects.py
@@ -56,6 +56,9 @@
         failed_at: Time of the last one.
         reason: What was seen.
         reach: Whether this entry saw the failure, one of its zone, or another.
+        silent: Whether it does not answer at all, so that streams through it stand
+            still. One that rejects new work or was ordered to move may well go on with
+            those that it has.
     """
 
     until: float
@@ -63,6 +66,7 @@
     failed_at: float
     reason: str
     reach: Reach = Reach.OWN
+    silent: bool = False
 
 
 @attrs.define
@@ -75,21 +79,36 @@
 
     members: dict[str, Suspicion] = attrs.field(factory=dict)
 
-    def suspect(self, endpoint: str, reason: str, now: float) -> Suspicion:
-        """Leave an endpoint out, for twice as long after each failure."""
+    def suspect(
+        self, endpoint: str, reason: str, now: float, silent: bool = False
+    ) -> Suspicion:
+        """Leave an endpoint out, for twice as long after each failure.
+
+        Args:
+            endpoint: The endpoint.
+            reason: What was seen.
+            now: Present time in seconds.
+            silent: Whether it does not answer at all.
+        """
         known = self.members.get(endpoint)
         failures = 1
         if known is not None and now - known.failed_at < FORGIVEN_AFTER:
             if now < known.until:
+                known.silent = known.silent or silent
                 return known
             failures = known.failures + 1
         length = min(LONGEST_EXCLUSION, FIRST_EXCLUSION * 2 ** (failures - 1))
-        found = Suspicion(now + length, failures, now, reason)
+        found = Suspicion(now + length, failures, now, reason, silent=silent)
         self.members[endpoint] = found
         return found
 
     def from_peer(
-        self, endpoint: str, remaining: float, now: float, near: bool = True
+        self,
+        endpoint: str,
+        remaining: float,
+        now: float,
+        near: bool = True,
+        silent: bool = False,
     ) -> None:
         """Leave out an endpoint that a peer leaves out.
 
@@ -98,18 +117,28 @@
             remaining: Seconds for which the peer leaves it out.
             now: Present time in seconds.
             near: Whether an entry of this one's availability zone saw the failure.
+            silent: Whether the endpoint does not answer at all.
         """
         known = self.members.get(endpoint)
-        if remaining < LEAST_REMAINING or (known is not None and known.until >= now):
+        if remaining < LEAST_REMAINING:
+            return
+        if known is not None and known.until >= now:
+            known.silent = known.silent or silent
             return
         until = now + min(remaining, LONGEST_EXCLUSION)
         reach = Reach.ZONE if near else Reach.ALL
-        self.members[endpoint] = Suspicion(until, 1, now, "told by a peer", reach)
+        reason = "told by a peer"
+        self.members[endpoint] = Suspicion(until, 1, now, reason, reach, silent)
 
     def excluded(self, now: float) -> set[str]:
         """Return the endpoints that are left out."""
         return {name for name, found in self.members.items() if found.until > now}
 
+    def silent(self, now: float) -> set[str]:
+        """Return the endpoints that are left out because they do not answer."""
+        members = self.members.items()
+        return {name for name, found in members if found.silent and found.until > now}
+
     def remaining(self, now: float, reach: Reach = Reach.OWN) -> dict[str, float]:
         """Return the seconds for which endpoints are left out.
 
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -307,7 +307,7 @@
         """Leave out endpoints that were found to be dead, and tell it."""
         now = self.clock()
         for endpoint in endpoints:
-            self.beliefs.suspects.suspect(endpoint, reason, now)
+            self.beliefs.suspects.suspect(endpoint, reason, now, silent=True)
         self.log.belief("suspected", endpoints=list(endpoints), reason=reason)
         self._tell_peers()
 
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -94,6 +94,7 @@
             },
             pipes=[(*pair, round(use, 3)) for pair, use in pipes.items()],
             suspects=self.beliefs.suspects.remaining(now, reach),
+            silent=sorted(self.beliefs.suspects.silent(now)),
             paces=self.beliefs.paces.remaining(now),
             crashes=self.beliefs.crashes.losses(now, reach),
             peers={
@@ -127,7 +128,8 @@
         self._take_loads(news, now)
         near = news.zone == self.book.zone and news.scope is Scope.OWN
         for endpoint, remaining in news.suspects.items():
-            self.beliefs.suspects.from_peer(endpoint, remaining, now, near)
+            silent = endpoint in news.silent
+            self.beliefs.suspects.from_peer(endpoint, remaining, now, near, silent)
         for endpoint, (factor, remaining) in news.paces.items():
             self.beliefs.paces.from_peer(endpoint, factor, remaining, now)
         self.beliefs.crashes.from_peer(news.crashes, now, near)
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -46,6 +46,7 @@
         counts: Entries alive in availability zones.
         holder: Holder of the duty of placing, empty if unknown.
         fencing: Fencing number of that holder.
+        silent: Those among the endpoints left out that do not answer at all.
         paces: Times that the steps of endpoints take as long as published, and the
             seconds for which that is believed.
     """
@@ -67,6 +68,7 @@
     counts: dict[str, int]
     holder: str
     fencing: int
+    silent: list[str] = attrs.field(factory=list)
     paces: dict[str, tuple[float, float]] = attrs.field(factory=dict)
 
 
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -104,7 +104,7 @@
 
     def look(self, now: float) -> None:
         """Move silent streams whose cause is known, ask about the others."""
-        known = self.suspects.excluded(now)
+        known = self.suspects.silent(now)
         for silence in self.watch.silent(now):
             if silence.watched.path.uses(known):
                 self._move(silence.watched, known)
--- a/packages/relay/tests/test_stall_watcher.py
+++ b/packages/relay/tests/test_stall_watcher.py
@@ -62,7 +62,7 @@
 
         def on_suspect(endpoints, reason):
             for endpoint in endpoints:
-                suspects.suspect(endpoint, reason, 0.0)
+                suspects.suspect(endpoint, reason, 0.0, silent=True)
 
         finder = SimpleNamespace(is_idle=lambda job, avoid: idle)
         log = SimpleNamespace(belief=lambda event, **fields: events.append(event))
@@ -126,7 +126,7 @@
 
 def test_a_silent_stream_moves_at_once_when_a_peer_told_the_cause(make_watcher):
     watcher = make_watcher(EngineReport())
-    watcher.suspects.from_peer("b", 2.0, now=0.0)
+    watcher.suspects.from_peer("b", 2.0, now=0.0, silent=True)
     job = make_job(path_of("a", "b"))
     watched_until(watcher, job, 0.2)
     assert watcher.reports.asked == []
@@ -283,7 +283,7 @@
 
 def test_an_endpoint_that_is_left_out_already_is_not_asked(make_watcher):
     watcher = make_watcher(EngineReport())
-    watcher.suspects.suspect("x", "no report", 0.0)
+    watcher.suspects.suspect("x", "no report", 0.0, silent=True)
     jobs = [make_job(path_of(n, "x"), may_move=False) for n in "ab"]
 
     async def run():
@@ -299,3 +299,16 @@
 
     asyncio.run(run())
     assert "x:1" not in watcher.reports.asked
+
+
+def test_an_endpoint_that_only_takes_no_new_work_is_asked_before_streams_move(
+    make_watcher,
+):
+    """Answers were cut off so beside servers that were ordered to move."""
+    watcher = make_watcher(EngineReport())
+    watcher.suspects.suspect("b", "ordered to move", 0.0)
+    job = make_job(path_of("a", "b"))
+    watched_until(watcher, job, 0.2)
+    assert watcher.reports.asked == ["a:1", "b:1"]
+    assert job.current.arrivals.empty()
+    assert job.avoid == set()
