Share what tests of endpoints had twice; say what the period of looks is now

Cause: reading the change once more: the same endpoint was made in two test modules, and a comment gave the share of a silence that no longer holds. Change: one fixture; the comment. Behaviour as before. Ruled out: nothing.

--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -24,7 +24,8 @@
     from lacewingcourse.relay.path_finder import PathFinder
     from lacewingcourse.relay.ports import EngineReport, EngineReports
 
-#: Seconds between two looks. A quarter of the shortest silence that is looked at.
+#: Seconds between two looks. Half of the shortest silence that is looked at, 40
+#: milliseconds where a route allows pauses of 200.
 PERIOD = 0.02
 #: Seconds between two questions to the same endpoint.
 QUESTION_PERIOD = 0.1
@@ -38,7 +39,7 @@
 
 @attrs.define
 class StallWatcher:
-    """Watches the streams of this entry.
+    """Watches the streams of this entry, and asks endpoints that fall silent.
 
     Attributes:
         reports: What engines tell of themselves.
--- a/packages/relay/tests/conftest.py
+++ b/packages/relay/tests/conftest.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from lacewingcourse.core.pipelines.shape import Accelerator, EngineShape
+from lacewingcourse.core.pipelines.fleet import Endpoint
+from lacewingcourse.core.pipelines.shape import Accelerator, EngineShape, Layers
 
 
 @pytest.fixture
@@ -30,3 +31,22 @@
         usual_answer=200,
         accelerators={"small": Accelerator("small", 150.0, 1.0, 1.0)},
     )
+
+
+@pytest.fixture
+def small():
+    """Return a function that makes an endpoint which holds one of two layers."""
+
+    def make(name: str, layer: int) -> Endpoint:
+        return Endpoint(
+            name,
+            "rooms",
+            f"{name}:1",
+            "east",
+            96,
+            accelerator="small",
+            layers=Layers(layer, layer + 1),
+            placeable=True,
+        )
+
+    return make
--- a/packages/relay/tests/test_path_finder.py
+++ b/packages/relay/tests/test_path_finder.py
@@ -9,9 +9,7 @@
 
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.core.pipelines.choice import Demand
-from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.load import Load
-from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.path_finder import PathFinder
 
@@ -19,22 +17,11 @@
 
 
 @pytest.fixture
-def finder(shape):
+def finder(shape, small):
     """What finds paths over two holders of each of two layers."""
     beliefs = Beliefs()
     for name, layer in zip("abcd", (0, 0, 1, 1), strict=True):
-        beliefs.fleet.put(
-            Endpoint(
-                name,
-                "rooms",
-                f"{name}:1",
-                "east",
-                96,
-                accelerator="small",
-                layers=Layers(layer, layer + 1),
-                placeable=True,
-            )
-        )
+        beliefs.fleet.put(small(name, layer))
     beliefs.table = SimpleNamespace(services={"rooms": SimpleNamespace(shape=shape)})
     return PathFinder(beliefs, Random(1), lambda: 0.0)
 
--- a/packages/relay/tests/test_placement_duty.py
+++ b/packages/relay/tests/test_placement_duty.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.core.pipelines.suspects import Suspicion
 from lacewingcourse.relay.beliefs import Beliefs
@@ -146,22 +145,8 @@
         return OrderOutcome.BEGUN
 
 
-def small(name: str, layers: Layers) -> Endpoint:
-    """Return an endpoint that holds one of two layers."""
-    return Endpoint(
-        name,
-        "rooms",
-        f"{name}:1",
-        "east",
-        96,
-        accelerator="small",
-        layers=layers,
-        placeable=True,
-    )
-
-
 @pytest.fixture
-def lopsided(make_duty, shape):
+def lopsided(make_duty, shape, small):
     """A duty that is held, over four endpoints of which three hold the first layer."""
     now = [0.0]
     duty = make_duty(Leases(None), orders=Orders(), clock=lambda: now[0])
@@ -169,7 +154,7 @@
     service = SimpleNamespace(name="rooms", shape=shape)
     duty.beliefs.table = SimpleNamespace(services={"rooms": service})
     for name, layer in zip("abcd", (0, 0, 0, 1), strict=True):
-        duty.beliefs.fleet.put(small(name, Layers(layer, layer + 1)))
+        duty.beliefs.fleet.put(small(name, layer))
     return duty, now
 
 
