--- a/packages/core/src/lacewingcourse/core/pipelines/peers.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/peers.py
@@ -73,7 +73,6 @@
         name: Name of this entry.
         zone: Its availability zone.
         peers: Others by name.
-        started_at: When this entry started, seconds.
         counts: Entries alive in each other zone, as its hubs told.
         turn: Rounds so far.
     """
@@ -81,7 +80,6 @@
     name: str
     zone: str = ""
     peers: dict[str, Peer] = attrs.field(factory=dict)
-    started_at: float = 0.0
     counts: dict[str, int] = attrs.field(factory=dict)
     turn: int = 0
 
@@ -186,17 +184,6 @@
         near = [n for n in self.alive(now) if self.zone_of(n) == self.zone]
         return MEMBER_RANK + near.index(self.name)
 
-    def is_silent(self, name: str, seconds: float, now: float) -> bool:
-        """Tell whether an entry was not heard for some time.
-
-        One that was never heard is silent once this entry could have heard it.
-        """
-        if name == self.name:
-            return False
-        peer = self.peers.get(name)
-        heard_at = peer.heard_at if peer is not None else float("-inf")
-        return now - max(heard_at, self.started_at) > seconds
-
     def partners(self, now: float, urgent: bool = False) -> list[Peer]:
         """Return the entries to speak to in this round.
 
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -122,7 +122,7 @@
         self.log = DecisionLog(self.clock, self.metrics, self._version)
         self.readiness = Readiness(self.beliefs, settings.bounds.grace)
         self.pool = ConnectionPool()
-        self.book = PeerBook(settings.name, settings.zone, started_at=self.clock())
+        self.book = PeerBook(settings.name, settings.zone)
         self.budget = RepeatBudget(
             settings.bounds.repeat_ratio,
             settings.bounds.repeat_window,
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -102,9 +102,11 @@
         self.calls.budget.on_request(job.service, self.clock())
         refusal = await self._forward(job)
         if refusal is None:
+            now = self.clock()
             if caller.ended:
                 self.beliefs.crashes.clear(job.fingerprint)
-            self.log.served(job, self.clock())
+                self.readiness.durations.note(job.route.name, now - request.received_at)
+            self.log.served(job, now)
             return
         self.log.refused(request, refusal, job)
         self._refuse(caller, request, refusal)
@@ -131,7 +133,7 @@
         if request.patience is not None:
             patience = min(patience, request.patience)
         until = request.received_at + patience
-        if not self.readiness.takes(request.received_at, until):
+        if not self.readiness.takes(route.name, self.clock(), until):
             reason = "this entry is about to end"
             return Refusal(ErrorKind.DRAINING, reason, retry_after=self._other_entry())
         return Job(
--- a/packages/relay/src/lacewingcourse/relay/readiness.py
+++ b/packages/relay/src/lacewingcourse/relay/readiness.py
@@ -6,14 +6,15 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.durations import Durations
+
 if TYPE_CHECKING:
     from lacewingcourse.relay.beliefs import Beliefs
 
 
-#: Seconds after the request to end for which all new requests are taken. Until then the
-#: balancer still sends connections here; a stream that begins later might not end
-#: before this process does.
-LAST_REQUESTS = 2.8
+#: Share of the time for ending that an answer is expected to take of a route of which
+#: few were seen: an entry that has just started takes requests for the first third.
+UNKNOWN_SHARE = 0.65
 #: Seconds of the time for ending that are kept for the end itself.
 END_MARGIN = 0.4
 
@@ -25,11 +26,13 @@
     Attributes:
         beliefs: What is believed of the deployment.
         grace: Seconds in which the process must have ended once it is asked to.
+        durations: How long answers took lately.
         leaving_since: When the request to end came, None before it.
     """
 
     beliefs: Beliefs
     grace: float
+    durations: Durations = attrs.field(factory=Durations)
     leaving_since: float | None = None
 
     def leave(self, now: float) -> None:
@@ -48,20 +51,24 @@
         since = self.leaving_since
         return float("inf") if since is None else since + self.grace - END_MARGIN
 
-    def takes(self, arrived_at: float, until: float) -> bool:
+    def takes(self, route: str, now: float, until: float) -> bool:
         """Tell whether a request is served.
 
-        While all entries are restarted in turn there are times when every one of them
-        is ending; what is over before the end is served then too.
+        The balancer sends connections here for some seconds after the request to end,
+        and while all entries are restarted in turn there are times when every one of
+        them is ending. Whatever is expected to be answered before the end is taken.
 
         Args:
-            arrived_at: When it arrived, seconds.
+            route: Name of its route.
+            now: Present time in seconds.
             until: Time at which the route's time or the caller's is over.
         """
-        since = self.leaving_since
-        if since is None or arrived_at - since < LAST_REQUESTS:
+        if not self.leaving or until <= self.last:
             return True
-        return until <= self.last
+        expected = self.durations.expected(route)
+        if expected is None:
+            expected = UNKNOWN_SHARE * self.grace
+        return now + expected <= self.last
 
     def is_ready(self) -> bool:
         """Tell whether new connections should come here.
