Take a sum of loads from the kept one when few peers are left out

Cause: a hub that tells an entry of its zone what all others run added up the books of 22 peers with 200 endpoints each: 0.85 ms of 1.5 ms an exchange, some 30 times a second. Change: the kept sum less the reader's own book. Test against the sum of the others.

--- a/packages/core/src/lacewingcourse/core/pipelines/load.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/load.py
@@ -97,16 +97,17 @@
     def total(self, included: Callable[[str], bool]) -> dict[str, Load]:
         """Return this entry's loads with those of some peers added.
 
+        The fewer of two are gone through: what counts, or what does not. A hub tells
+        each entry of its zone the loads of all but that one, several times a second.
+
         Args:
             included: Tells of a name under which loads are kept whether they count.
         """
-        books = [self.own]
-        books += [loads for peer, (_, loads) in self.peers.items() if included(peer)]
-        found: dict[str, Load] = {}
-        for book in books:
-            for endpoint, load in book.items():
-                found.setdefault(endpoint, Load()).add(load)
-        return found
+        left_out = [peer for peer in self.peers if not included(peer)]
+        if 2 * len(left_out) > len(self.peers):
+            books = [loads for peer, (_, loads) in self.peers.items() if included(peer)]
+            return _summed(self.own, books, 1)
+        return _summed(self.sums, [self.peers[peer][1] for peer in left_out], -1)
 
     def expire(self, now: float) -> list[str]:
         """Forget peers that have been silent for too long; return their names."""
@@ -133,6 +134,23 @@
         _add_to(self.sums, endpoint, load, sign)
 
 
+def _summed(
+    first: dict[str, Load], others: list[dict[str, Load]], sign: int
+) -> dict[str, Load]:
+    """Return loads with some others added, or taken away; without idle endpoints."""
+    found = dict(first)
+    changed = {endpoint for book in others for endpoint in book}
+    for endpoint in changed:
+        load = Load()
+        load.add(first.get(endpoint, NO_LOAD))
+        for book in others:
+            load.add(book.get(endpoint, NO_LOAD), sign)
+        found[endpoint] = load
+        if load.idle:
+            del found[endpoint]
+    return found
+
+
 def _add_to(book: dict[str, Load], endpoint: str, load: Load, sign: int) -> None:
     """Add a load to the one of an endpoint, or take it away."""
     known = book.get(endpoint)
--- a/packages/core/tests/pipelines/test_choice.py
+++ b/packages/core/tests/pipelines/test_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.pipelines.choice import (
@@ -154,6 +155,20 @@
     assert loads.sums == {}
 
 
+@pytest.mark.parametrize("count", [0, 1, 3, 4])
+def test_a_sum_without_some_peers_is_the_sum_of_the_others(fleet, shape, count):
+    loads = LoadBook()
+    paths = candidate_paths(fleet, shape)
+    loads.begin(paths[0], 900)
+    first = paths[0].first.endpoint
+    for number in range(4):
+        loads.from_peer(str(number), {first: Load(number, 0, 10.0)}, now=0.0)
+    found = loads.total(lambda peer: int(peer) < count)
+    cells = 900 * len(paths[0].first.layers)
+    assert found[first] == Load(1 + sum(range(count)), 1, cells + 10.0 * count)
+    assert set(found) == {part.endpoint for part in paths[0].parts}
+
+
 def test_an_ended_request_leaves_no_load(fleet, shape):
     loads = LoadBook()
     path, *_ = candidate_paths(fleet, shape)
