--- a/packages/bench/src/lacewingcourse/bench/cli.py
+++ b/packages/bench/src/lacewingcourse/bench/cli.py
@@ -17,6 +17,7 @@
     failures,
     goodput,
     overhead,
+    path_choices,
     pipelines,
     recovery,
     slopes,
--- a/packages/bench/tests/test_cli.py
+++ b/packages/bench/tests/test_cli.py
@@ -9,6 +9,7 @@
 def test_every_section_can_be_loaded():
     assert callable(main)
     assert set(SECTIONS.names()) >= {
+        "choices",
         "decisions",
         "failures",
         "goodput",
--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -118,7 +118,7 @@
             now: Present time in seconds.
             share: Share of an endpoint's memory that may be taken.
         """
-        usable = [path for path in paths if not (avoid and path.uses(avoid))]
+        usable = [p for p in paths if not p.uses(avoid)] if avoid else paths
         if not usable:
             return Refusal(ErrorKind.NO_ROUTE, "no path holds every layer")
         if len(usable) > self.looked_at:
