Plan a fleet once it hardly grows, 0.8 s after its last growth

Cause: a fleet that held nothing was planned 1.5 s after the last endpoint of all had come, so orders could not go out within two seconds of the start. Change: a growth of at most a twentieth does not count, and one read of the directory without more is enough.

--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -25,9 +25,12 @@
 
 #: Seconds between two looks at what is placed.
 PERIOD = 0.25
-#: Seconds without a new endpoint before a fleet that holds nothing is planned: a plan
-#: of half a fleet would cut its copies badly.
-SETTLE = 1.5
+#: Seconds in which a fleet that holds nothing must hardly grow before it is planned: a
+#: plan of half a fleet would cut its copies badly. The directory is read twice a
+#: second, so one more read has told nothing new.
+SETTLE = 0.8
+#: Share of the endpoints that may come later; they are given what is weakest then.
+LATE_SHARE = 0.05
 #: Seconds that an order may take beyond its load before it is given again. Entries
 #: are written every heartbeat of about a second, and answers may be lost.
 ORDER_MARGIN = 3.0
@@ -84,7 +87,7 @@
         pending: Orders whose effect has not been seen, by endpoint.
         accepted: Orders that endpoints have accepted, by id, where that is known.
         known: Endpoints seen, to tell when the last one came.
-        newest_at: When an endpoint last came, seconds.
+        grown_at: When more than a few endpoints last came, seconds.
         revision: Revision of the fleet that was seen last.
         changed_at: When it changed, seconds.
         turns: Groups of each service that were looked at for a better layout since.
@@ -106,7 +109,7 @@
     pending: dict[str, PendingOrder] = attrs.field(factory=dict)
     accepted: dict[str, int] = attrs.field(factory=dict)
     known: set[str] = attrs.field(factory=set)
-    newest_at: float = 0.0
+    grown_at: float = 0.0
     revision: int = -1
     changed_at: float = 0.0
     turns: dict[str, int] = attrs.field(factory=dict)
@@ -208,8 +211,8 @@
         """Note new endpoints, and orders whose effect shows."""
         present = self.beliefs.fleet.endpoints
         new = set(present) - self.known
-        if new:
-            self.newest_at = now
+        if len(new) > LATE_SHARE * len(present):
+            self.grown_at = now
         self.known = set(present)
         for endpoint_id in set(self.accepted) - self.known:
             del self.accepted[endpoint_id]
@@ -228,7 +231,7 @@
     ) -> None:
         endpoints = [self._expected(e) for e in self.beliefs.members(service)]
         holds_nothing = all(e.layers is None for e in endpoints)
-        if holds_nothing and now - self.newest_at < SETTLE:
+        if holds_nothing and now - self.grown_at < SETTLE:
             return
         given: list[asyncio.Task] = []
         for group in groups_of(endpoints, shape):
--- a/packages/relay/tests/test_placement_duty.py
+++ b/packages/relay/tests/test_placement_duty.py
@@ -247,6 +247,31 @@
     assert place_until(lopsided, 40 * QUIET).orders.placed == {}
 
 
+def test_a_fleet_has_its_orders_two_seconds_after_the_start(make_duty, shape, small):
+    """Endpoints register over a second, the last few of them late."""
+    now = [0.0]
+    duty = make_duty(Leases(None), orders=Orders(), clock=lambda: now[0])
+    duty.lease = duty.store.holder = Lease("me", 1)
+    service = SimpleNamespace(name="rooms", shape=shape)
+    duty.beliefs.table = SimpleNamespace(services={"rooms": service})
+    arrivals = {0.5: 60, 1.0: 110, 1.5: 113, 2.5: 114}
+
+    async def run():
+        while now[0] < 3.0:
+            now[0] += PERIOD
+            for number in range(arrivals.get(now[0], 0)):
+                empty = attrs.evolve(small(f"e{number}", 0), layers=None)
+                duty.beliefs.fleet.put(empty)
+            await duty.place()
+            if now[0] == 1.0:
+                assert duty.orders.placed == {}
+            if now[0] == 2.0:
+                assert len(duty.orders.placed) == 113
+
+    asyncio.run(run())
+    assert len(duty.orders.placed) == 114
+
+
 class LateEndpoint:
     """An endpoint that carries out its first order seconds later, without an answer.
 
