Keep who has the duty of placing apart from what its holder orders

A holder that is leaving gives the duty back and goes on placing until another one takes it, so that a store that is away then leaves no gap.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -20,6 +20,7 @@
 from lacewingcourse.relay.caller import CallerConnections
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.decisions import DecisionLog
+from lacewingcourse.relay.duty_holder import DutyHolder
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
 from lacewingcourse.relay.gateway import Gateway
 from lacewingcourse.relay.gossip import Gossip
@@ -204,17 +205,22 @@
             self.metrics.unreadable_entries.inc,
             watch=self.watch,
         )
-        self.placement = PlacementDuty(
+        self.holder = DutyHolder(
             self.settings.name,
             self.platform.leases,
+            self.log,
+            self.clock,
+            self._rank,
+            lambda: self.readiness.leaving,
+        )
+        self.placement = PlacementDuty(
+            self.holder,
             self.platform.orders,
             self.platform.reports,
             self.beliefs,
             self.log,
             self.clock,
             self.settings.bounds.fencing_checked,
-            self._rank,
-            lambda: self.readiness.leaving,
         )
         gossip = Gossip(
             self.settings.name,
@@ -223,7 +229,7 @@
             self.beliefs,
             self.configuration,
             self.directory,
-            self.placement,
+            self.holder,
             self.readiness,
             self.log,
             self.clock,
@@ -356,7 +362,7 @@
         self.log.belief("thawed", slept_ms=round(slept * 1000))
         self.configuration.freshness.expire()
         self.directory.freshness.expire()
-        self.placement.lease = None
+        self.holder.lease = None
 
     def _on_term(self) -> None:
         if self.readiness.leaving:
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -17,8 +17,8 @@
     from lacewingcourse.core.pipelines.peers import PeerBook
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.decisions import DecisionLog
+    from lacewingcourse.relay.duty_holder import DutyHolder
     from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
-    from lacewingcourse.relay.placement_duty import PlacementDuty
     from lacewingcourse.relay.readiness import Readiness
 
 #: Key under which the loads of all others are kept that a hub told.
@@ -46,7 +46,7 @@
         beliefs: What this entry believes.
         configuration: Follows the configuration.
         directory: Follows the directory.
-        duty: The duty of placing.
+        holder: Who has the duty of placing.
         readiness: Whether this entry is ending.
         log: Log of decisions.
         clock: Returns the present time in seconds.
@@ -58,7 +58,7 @@
     beliefs: Beliefs
     configuration: ConfigurationFollower
     directory: DirectoryFollower
-    duty: PlacementDuty
+    holder: DutyHolder
     readiness: Readiness
     log: DecisionLog
     clock: Callable[[], float]
@@ -76,7 +76,7 @@
         covered = self._covered(scope, receiver)
         loads = self.beliefs.loads.total(covered)
         pipes = self.beliefs.pipes.total(now, covered)
-        table, lease = self.beliefs.table, self.duty.lease
+        table, lease = self.beliefs.table, self.holder.lease
         return PeerNews(
             name=self.name,
             zone=self.book.zone,
@@ -104,8 +104,8 @@
             counts=self._counts(scope, now),
             holder=lease.holder if lease else "",
             fencing=lease.fencing if lease else 0,
-            holder_age=round(self.duty.silence(), 3) if lease else 0.0,
-            released=self.duty.released,
+            holder_age=round(self.holder.silence(), 3) if lease else 0.0,
+            released=self.holder.released,
         )
 
     def scope_for(self, receiver: str, zone: str, now: float) -> Scope:
@@ -135,7 +135,7 @@
         for endpoint, (factor, remaining) in news.paces.items():
             self.beliefs.paces.from_peer(endpoint, factor, remaining, now)
         self.beliefs.crashes.from_peer(news.crashes, now, near)
-        self.duty.hear(news.holder, news.fencing, news.holder_age, news.released)
+        self.holder.hear(news.holder, news.fencing, news.holder_age, news.released)
 
     def _take_counts(self, news: PeerNews, now: float) -> None:
         """Take how many entries other zones have."""
--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -1,4 +1,4 @@
-"""The duty of placing layers: one entry has it at a time."""
+"""The duty of placing layers: what its holder orders, and when."""
 
 from __future__ import annotations
 
@@ -21,7 +21,8 @@
     from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.decisions import DecisionLog
-    from lacewingcourse.relay.ports import EngineReports, LeaseStore, Orders
+    from lacewingcourse.relay.duty_holder import DutyHolder
+    from lacewingcourse.relay.ports import EngineReports, Orders
 
 #: Seconds between two looks at what is placed.
 PERIOD = 0.25
@@ -37,12 +38,6 @@
 #: Seconds without a change of the fleet before a better layout is looked for: an
 #: endpoint that crashed is back within some seconds, and may need its layers again.
 QUIET = 2.0
-#: Seconds after which a holder that nobody hears is replaced.
-HOLDER_SILENT = 2.0
-#: Seconds that each further entry leaves to those before it to take over. A take-over
-#: takes a read and a write of the store, some 20 milliseconds, and its news as long
-#: again.
-TAKEOVER_STEP = 0.1
 #: Seconds in which an endpoint must tell how many orders it has accepted.
 REPORT_TIMEOUT = 0.5
 #: Seconds for which a search may hold up this entry's other work. Streams are passed on
@@ -71,19 +66,13 @@
     """Places layers while this entry has the duty.
 
     Attributes:
-        name: Name of this entry.
-        store: Where the holder is agreed on.
+        holder: Who has the duty.
         orders: Orders to endpoints.
         reports: What endpoints tell of themselves.
         beliefs: What is believed of the endpoints.
         log: Log of decisions.
         clock: Returns the present time in seconds.
         fencing_checked: Whether endpoints refuse orders of earlier holders.
-        rank: Returns how many live entries come before this one.
-        is_leaving: Tells whether this entry is ending.
-        lease: Who has the duty, None if unknown.
-        heard_at: When the holder was last heard by anybody, seconds.
-        released: Fencing number of the last holder that gave the duty back.
         pending: Orders whose effect has not been seen, by endpoint.
         accepted: Orders that endpoints have accepted, by id, where that is known.
         known: Endpoints seen, to tell when the last one came.
@@ -93,19 +82,13 @@
         turns: Groups of each service that were looked at for a better layout since.
     """
 
-    name: str
-    store: LeaseStore
+    holder: DutyHolder
     orders: Orders
     reports: EngineReports
     beliefs: Beliefs
     log: DecisionLog
     clock: Callable[[], float]
     fencing_checked: bool
-    rank: Callable[[], int] = lambda: 0
-    is_leaving: Callable[[], bool] = lambda: False
-    lease: Lease | None = None
-    heard_at: float = float("-inf")
-    released: int = 0
     pending: dict[str, PendingOrder] = attrs.field(factory=dict)
     accepted: dict[str, int] = attrs.field(factory=dict)
     known: set[str] = attrs.field(factory=set)
@@ -114,89 +97,25 @@
     changed_at: float = 0.0
     turns: dict[str, int] = attrs.field(factory=dict)
 
-    @property
-    def held(self) -> bool:
-        """Whether this entry has the duty."""
-        return self.lease is not None and self.lease.holder == self.name
-
-    @property
-    def fencing(self) -> int:
-        """Fencing number of the holder that is known, 0 for none."""
-        return self.lease.fencing if self.lease is not None else 0
+    def __attrs_post_init__(self) -> None:
+        self.holder.on_change = self._forget_orders
 
     async def run(self) -> None:
         """Take the duty when nobody has it, and do it while it is ours."""
         while True:
-            if self.held and self.is_leaving():
-                self.released = max(self.released, self.fencing)
-            elif self.held:
+            if self.holder.held:
+                if self.holder.is_leaving():
+                    self.holder.give_back()
                 await self.place()
-            elif self._vacant():
-                await self._take()
+            elif self.holder.is_vacant():
+                await self.holder.take()
             await asyncio.sleep(PERIOD)
 
-    def hear(
-        self, holder: str, fencing: int, age: float = 0.0, released: int = 0
-    ) -> None:
-        """Take from another entry who has the duty.
-
-        Args:
-            holder: Name of the holder.
-            fencing: Its fencing number, 0 if the other entry knows of none.
-            age: Seconds since anybody heard the holder.
-            released: Fencing number of the last holder that gave the duty back.
-        """
-        self.released = max(self.released, released)
-        heard_at = self.clock() - age
-        if fencing > self.fencing:
-            self._follow(Lease(holder, fencing), heard_at)
-        elif fencing == self.fencing:
-            self.heard_at = max(self.heard_at, heard_at)
-
-    def silence(self) -> float:
-        """Return the seconds since anybody heard the holder."""
-        return 0.0 if self.held else self.clock() - self.heard_at
-
-    def _follow(self, lease: Lease, heard_at: float) -> None:
-        """Believe in a holder that was not known before."""
-        self.lease = lease
-        self.heard_at = heard_at
+    def _forget_orders(self) -> None:
+        """Forget what was ordered: somebody else may have ordered since."""
         self.pending.clear()
         self.accepted.clear()
 
-    def _vacant(self) -> bool:
-        """Tell whether this entry should take the duty, as far as is known here.
-
-        The age of the holder's word travels with the news: most entries of a large
-        deployment hear a holder of another zone through hubs only. Each for itself they
-        took it to be dead: 68 entries took the duty 16 times, and the first order came
-        15 seconds after the start. A record that is new to this entry is given the
-        whole time, and entries take over in order of their ranks.
-        """
-        if self.is_leaving() or self.held:
-            return False
-        if self.lease is None:
-            return True
-        waits = self.rank() * TAKEOVER_STEP
-        if self.released < self.fencing:
-            waits += HOLDER_SILENT
-        return self.silence() > waits
-
-    async def _take(self) -> None:
-        found = await self.store.current()
-        if isinstance(found, Unavailable):
-            return
-        # A record with this entry's own name is one of an earlier incarnation.
-        other = found is not None and found.holder != self.name
-        if other and found.fencing > self.fencing:
-            self._follow(found, self.clock())
-        if not self._vacant():
-            return
-        taken = await self.store.take(self.name, found)
-        if isinstance(taken, Lease):
-            self._follow(taken, self.clock())
-            self.log.belief("duty_taken", fencing=taken.fencing)
-
     async def place(self) -> None:
         """Order what the layout of each service needs."""
         now = self.clock()
@@ -248,7 +167,7 @@
         self, plan: list[Assignment], shape: EngineShape, now: float
     ) -> list[asyncio.Task]:
         """Begin to give the orders of a plan, if this entry still may."""
-        if not plan or not self.held or not await self._may_order():
+        if not plan or not self.holder.held or not await self._may_order():
             return []
         together = self._layers_moved(plan)
         return [
@@ -304,14 +223,14 @@
         """
         if self.fencing_checked:
             return True
-        found = await self.store.current()
-        if found == self.lease:
+        found = await self.holder.store.current()
+        if found == self.holder.lease:
             return True
         if isinstance(found, Unavailable):
             age = self.clock() - self.beliefs.fleet.known_at
-            return self.held and age < TRUSTED_AGE
+            return self.holder.held and age < TRUSTED_AGE
         if isinstance(found, Lease):
-            self.lease = found
+            self.holder.follow(found, self.clock())
         return False
 
     def _expected(self, endpoint: Endpoint) -> Endpoint:
@@ -323,22 +242,22 @@
 
     async def _order(self, assignment: Assignment, length: float, now: float) -> None:
         endpoint = self.beliefs.fleet.endpoints.get(assignment.endpoint)
-        if endpoint is None or self.lease is None:
+        lease = self.holder.lease
+        if endpoint is None or lease is None:
             return
         self.pending[endpoint.id] = PendingOrder(assignment, now + length)
         if endpoint.layers is not None and len(endpoint.layers):
             # It takes nothing new for the layers that it gives up.
             self.beliefs.suspects.suspect(endpoint.id, "ordered to move", now)
-        fencing = self.lease.fencing
         accepted = await self._accepted_by(endpoint)
         outcome = await self.orders.place(
-            endpoint, assignment.layers, fencing, accepted
+            endpoint, assignment.layers, lease.fencing, accepted
         )
         self.log.belief(
             "order",
             endpoint=endpoint.id,
             layers=[assignment.layers.start, assignment.layers.end],
-            fencing=fencing,
+            fencing=lease.fencing,
             accepted=accepted,
             outcome=outcome.value,
         )
@@ -372,8 +291,8 @@
         server had been ordered to three places in turn, and loaded each.
         """
         if outcome is OrderOutcome.FENCED:
-            self.lease = None
-            self.pending.clear()
+            self.holder.lease = None
+            self._forget_orders()
         elif outcome in (OrderOutcome.WRONG_INCARNATION, OrderOutcome.REFUSED):
             self.pending.pop(endpoint.id, None)
         elif outcome is OrderOutcome.BEGUN and accepted is not None:
--- a/packages/relay/tests/network.py
+++ b/packages/relay/tests/relay/network.py
@@ -22,8 +22,8 @@
         return self.now
 
 
-def no_duty(name: str, book: PeerBook, clock: Clock) -> SimpleNamespace:
-    """Return what stands for the duty of placing where no test looks at it."""
+def no_holder(name: str, book: PeerBook, clock: Clock) -> SimpleNamespace:
+    """Return what stands for the holder of the duty where no test looks at it."""
     return SimpleNamespace(lease=None, released=0, hear=lambda *news: None)
 
 
@@ -34,12 +34,12 @@
         clock: The clock of all.
         entries: Entries that are alive, by name.
         exchanges: Exchanges so far.
-        make_duty: Returns the duty of placing of an entry.
+        make_holder: Returns what an entry knows of the holder of the duty.
     """
 
-    def __init__(self, zones: dict[str, int], make_duty=no_duty) -> None:
+    def __init__(self, zones: dict[str, int], make_holder=no_holder) -> None:
         self.clock = Clock()
-        self.make_duty = make_duty
+        self.make_holder = make_holder
         self.entries: dict[str, Gossip] = {}
         self.exchanges = 0
         for zone, count in zones.items():
@@ -61,7 +61,7 @@
             Beliefs(),
             follower,
             follower,
-            self.make_duty(name, book, self.clock),
+            self.make_holder(name, book, self.clock),
             nothing,
             nothing,
             self.clock,
--- a/packages/relay/tests/test_clocks.py
+++ b/packages/relay/tests/relay/test_clocks.py
@@ -5,7 +5,7 @@
 import ast
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[3]
+ROOT = Path(__file__).resolve().parents[4]
 #: Sources of the deployed entry.
 SOURCES = ("packages/relay/src", "platform/src", "packages/core/src")
 #: Calls that read the time of day, which may jump by seconds either way.
--- a/packages/relay/tests/test_decisions.py
+++ b/packages/relay/tests/relay/test_decisions.py
@@ -10,7 +10,7 @@
 
 from lacewingcourse.relay.decisions import LINES_A_SECOND, LineBudget
 
-ROOT = Path(__file__).resolve().parents[3]
+ROOT = Path(__file__).resolve().parents[4]
 SOURCES = ROOT / "packages/relay/src/lacewingcourse/relay"
 PAGE = ROOT / "docs/OPERATIONS.md"
 
--- a/packages/relay/tests/test_large_duty.py
+++ b/packages/relay/tests/relay/test_large_duty.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.duty_holder import HOLDER_SILENT, DutyHolder
 from lacewingcourse.relay.peers import PERIOD as EXCHANGE_PERIOD
-from lacewingcourse.relay.placement_duty import HOLDER_SILENT, PERIOD, PlacementDuty
+from lacewingcourse.relay.placement_duty import PERIOD
 from lacewingcourse.relay.ports import Lease
 
 from .network import Network
@@ -49,29 +49,20 @@
     store = SharedLeases()
     log = SimpleNamespace(belief=lambda event, **fields: None)
 
-    def make_duty(name, book, clock):
-        beliefs = Beliefs()
-        return PlacementDuty(
-            name,
-            store,
-            None,
-            None,
-            beliefs,
-            log,
-            clock,
-            True,
-            lambda: book.rank(clock()),
+    def make_holder(name, book, clock):
+        return DutyHolder(
+            name, store, log, clock, lambda: book.rank(clock()), lambda: False
         )
 
-    return Network(ZONES, make_duty), store
+    return Network(ZONES, make_holder), store
 
 
 def play(network, seconds):
     """Let all entries speak, and look at the duty, for some seconds."""
 
     async def look():
-        vacant = [e.duty for e in network.entries.values() if e.duty._vacant()]
-        await asyncio.gather(*(duty._take() for duty in vacant))
+        vacant = [e.holder for e in network.entries.values() if e.holder.is_vacant()]
+        await asyncio.gather(*(holder.take() for holder in vacant))
 
     since = looked = network.clock.now
     while network.clock.now < since + seconds:
@@ -102,8 +93,8 @@
     network, store = large
     member = "e-12"
     store.holder = Lease(member, 1)
-    network.entries[member].duty.lease = store.holder
+    network.entries[member].holder.lease = store.holder
     play(network, 12.0)
     assert store.taken == []
-    ages = [entry.duty.silence() for entry in network.entries.values()]
+    ages = [entry.holder.silence() for entry in network.entries.values()]
     assert max(ages) < HOLDER_SILENT / 2
--- a/packages/relay/tests/test_placement_duty.py
+++ b/packages/relay/tests/relay/test_placement_duty.py
@@ -1,4 +1,4 @@
-"""Tests of who has the duty of placing layers."""
+"""Tests of what the holder of the duty of placing orders."""
 
 from __future__ import annotations
 
@@ -11,11 +11,10 @@
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.core.pipelines.suspects import Suspicion
 from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.duty_holder import DutyHolder
 from lacewingcourse.relay.placement_duty import (
-    HOLDER_SILENT,
     PERIOD,
     QUIET,
-    TAKEOVER_STEP,
     TRUSTED_AGE,
     PlacementDuty,
 )
@@ -26,23 +25,7 @@
     Unavailable,
 )
 
-
-class Leases:
-    """A lease store that a test sets."""
-
-    def __init__(self, current, during=lambda: None) -> None:
-        self.holder = current
-        self.during = during
-        self.taken: list[str] = []
-
-    async def current(self):
-        self.during()
-        return self.holder
-
-    async def take(self, holder, after):
-        self.taken.append(holder)
-        self.holder = Lease(holder, (after.fencing if after else 0) + 1)
-        return self.holder
+from .leases import Leases
 
 
 class Reports:
@@ -56,127 +39,31 @@
 def make_duty():
     """Return a function that makes the duty of an entry named `me`."""
 
-    def make(
-        store, orders=None, clock=lambda: 0.0, rank=0, leaving=False, reports=None
-    ):
+    def make(store, orders=None, clock=lambda: 0.0, reports=None):
         log = SimpleNamespace(belief=lambda event, **fields: None)
+        holder = DutyHolder("me", store, log, clock, lambda: 0, lambda: False)
         return PlacementDuty(
-            "me",
-            store,
-            orders,
-            reports or Reports(),
-            Beliefs(),
-            log,
-            clock,
-            False,
-            lambda: rank,
-            lambda: leaving,
+            holder, orders, reports or Reports(), Beliefs(), log, clock, False
         )
 
     return make
 
 
-def test_a_duty_that_nobody_has_is_taken(make_duty):
-    duty = make_duty(Leases(None))
-    asyncio.run(duty._take())
-    assert duty.held
-
-
-def test_a_holder_that_is_heard_keeps_the_duty(make_duty):
-    duty = make_duty(Leases(Lease("other", 3)))
-    asyncio.run(duty._take())
-    assert duty.lease == Lease("other", 3)
-    assert duty.store.taken == []
-
-
-def test_a_holder_told_by_a_peer_meanwhile_keeps_the_duty(make_duty):
-    """The peer's word comes while the store is being read."""
-    store = Leases(Lease("other", 3))
-    duty = make_duty(store)
-    store.during = lambda: duty.hear("other", 3)
-    asyncio.run(duty._take())
-    assert store.taken == []
-
-
-def looks(duty, now, seconds):
-    """Let a duty look whether it should be taken until a time."""
-    while now[0] < seconds:
-        now[0] += PERIOD
-        if duty._vacant():
-            asyncio.run(duty._take())
-
-
-@pytest.mark.parametrize("rank", [0, 3])
-def test_a_silent_holder_is_replaced_in_order_of_ranks(make_duty, rank):
-    """Told once, a holder has the whole time; then each waits for those before it."""
-    now = [0.0]
-    duty = make_duty(Leases(Lease("other", 3)), clock=lambda: now[0], rank=rank)
-    duty.hear("other", 3)
-    waits = HOLDER_SILENT + rank * TAKEOVER_STEP
-    looks(duty, now, waits - PERIOD)
-    assert duty.lease == Lease("other", 3)
-    looks(duty, now, waits + 2 * PERIOD)
-    assert duty.lease == Lease("me", 4)
-
-
-def test_a_holder_that_others_hear_keeps_the_duty(make_duty):
-    now = [0.0]
-    duty = make_duty(Leases(Lease("other", 3)), clock=lambda: now[0])
-    while now[0] < 5 * HOLDER_SILENT:
-        duty.hear("other", 3, age=0.6)
-        looks(duty, now, now[0] + 0.5)
-    assert duty.store.taken == []
-
-
-def test_a_holder_that_is_leaving_is_replaced_at_once(make_duty):
-    now = [0.0]
-    duty = make_duty(Leases(Lease("other", 3)), clock=lambda: now[0])
-    duty.hear("other", 3, age=0.0, released=3)
-    looks(duty, now, 2 * PERIOD)
-    assert duty.lease == Lease("me", 4)
-
-
-def test_an_entry_that_is_leaving_takes_no_duty(make_duty):
-    now = [0.0]
-    duty = make_duty(Leases(None), clock=lambda: now[0], leaving=True)
-    looks(duty, now, 3 * HOLDER_SILENT)
-    assert duty.store.taken == []
-
-
-def test_an_earlier_incarnation_of_this_entry_is_replaced(make_duty):
-    duty = make_duty(Leases(Lease("me", 3)))
-    asyncio.run(duty._take())
-    assert duty.lease == Lease("me", 4)
-
-
-def test_nothing_is_taken_while_the_store_is_away(make_duty):
-    duty = make_duty(Leases(Unavailable("refused")))
-    asyncio.run(duty._take())
-    assert duty.lease is None
-
-
-def test_an_older_word_of_a_peer_changes_nothing(make_duty):
-    duty = make_duty(Leases(None))
-    duty.hear("other", 5)
-    duty.hear("older", 4)
-    assert duty.lease == Lease("other", 5)
-
-
 def test_without_fencing_the_store_is_asked_before_orders(make_duty):
     store = Leases(Lease("me", 3))
     duty = make_duty(store)
-    duty.lease = Lease("me", 3)
+    duty.holder.lease = Lease("me", 3)
     assert asyncio.run(duty._may_order())
     store.holder = Lease("other", 4)
     assert not asyncio.run(duty._may_order())
-    assert duty.lease == Lease("other", 4)
+    assert duty.holder.lease == Lease("other", 4)
 
 
 def test_without_fencing_nothing_is_ordered_while_the_store_is_away(make_duty):
     duty = make_duty(Leases(Unavailable("refused")))
-    duty.lease = Lease("me", 3)
+    duty.holder.lease = Lease("me", 3)
     assert not asyncio.run(duty._may_order())
-    assert duty.held
+    assert duty.holder.held
 
 
 @pytest.mark.parametrize(("age", "may"), [(0.5, True), (TRUSTED_AGE + 0.1, False)])
@@ -185,10 +72,10 @@
 ):
     """Five lost endpoints had stayed without repair for 11 seconds."""
     duty = make_duty(Leases(Unavailable("refused")), clock=lambda: 10.0)
-    duty.lease = Lease("me", 3)
+    duty.holder.lease = Lease("me", 3)
     duty.beliefs.fleet.confirm(10.0 - age)
     assert asyncio.run(duty._may_order()) is may
-    duty.hear("other", 4)
+    duty.holder.hear("other", 4)
     assert not asyncio.run(duty._may_order())
 
 
@@ -208,7 +95,7 @@
     """A duty that is held, over four endpoints of which three hold the first layer."""
     now = [0.0]
     duty = make_duty(Leases(None), orders=Orders(), clock=lambda: now[0])
-    duty.lease = duty.store.holder = Lease("me", 1)
+    duty.holder.lease = duty.holder.store.holder = Lease("me", 1)
     service = SimpleNamespace(name="rooms", shape=shape)
     duty.beliefs.table = SimpleNamespace(services={"rooms": service})
     for name, layer in zip("abcd", (0, 0, 0, 1), strict=True):
@@ -251,7 +138,7 @@
     """Endpoints register over a second, the last few of them late."""
     now = [0.0]
     duty = make_duty(Leases(None), orders=Orders(), clock=lambda: now[0])
-    duty.lease = duty.store.holder = Lease("me", 1)
+    duty.holder.lease = duty.holder.store.holder = Lease("me", 1)
     service = SimpleNamespace(name="rooms", shape=shape)
     duty.beliefs.table = SimpleNamespace(services={"rooms": service})
     arrivals = {0.5: 60, 1.0: 110, 1.5: 113, 2.5: 114}
@@ -319,7 +206,7 @@
     now = [0.0]
     late = LateEndpoint(now)
     duty = make_duty(Leases(None), late, lambda: now[0], reports=late)
-    duty.lease = duty.store.holder = Lease("me", 1)
+    duty.holder.lease = duty.holder.store.holder = Lease("me", 1)
     service = SimpleNamespace(name="rooms", shape=shape)
     duty.beliefs.table = SimpleNamespace(services={"rooms": service})
     for name, layer in zip("abc", (0, 1, 1), strict=True):
