Search paths over all zones only for endpoints that are on none

Cause: candidates are searched anew in every entry at each suspicion and each change of the fleet, and four paths over all zones took five sixths of that.

--- a/packages/core/src/lacewingcourse/core/pipelines/path.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/path.py
@@ -36,9 +36,6 @@
 ENDPOINTS_PER_CANDIDATE = 4
 #: Candidates that are searched within an availability zone at the least.
 LEAST_IN_ZONE = 3
-#: Candidates over all zones that are searched at the least. They take up endpoints that
-#: a loss has left without a neighbour of their zone.
-LEAST_CROSSING = 4
 #: Requests that are taken to write beside one another when parts are compared.
 TYPICAL_RUNNING = 8.0
 
@@ -118,7 +115,7 @@
     dearer, so that every endpoint that can be on a path tends to be on one. Each
     availability zone is searched by itself first: its copies were cut at the same
     layers, while those of all zones together have several times as many ways to begin
-    and end a part. What is left of the candidates goes to paths over all zones.
+    and end a part. Paths over all zones take up what is on none of these.
 
     Args:
         endpoints: Endpoints of the service that may be used.
@@ -137,9 +134,10 @@
     for members in _by_zone(holders):
         share = max(LEAST_IN_ZONE, most * len(members) // len(holders))
         _collect(_Search(members, shape, uses), share, found)
-    if len(found) < MOST_CANDIDATES or any(e.id not in uses for e in holders):
-        crossing = max(LEAST_CROSSING, MOST_CANDIDATES - len(found))
-        _collect(_Search(holders, shape, uses), crossing, found)
+    if found:
+        _take_up(_Search(holders, shape, uses), found)
+    else:
+        _collect(_Search(holders, shape, uses), most, found)
     return sorted(found.values(), key=lambda path: path.token_ms)
 
 
@@ -157,9 +155,29 @@
         path = search.cheapest()
         if path is None:
             return
-        search.use(path)
-        if is_whole(path, search.shape.layers) and not _repeats(path):
-            found.setdefault(tuple((p.endpoint, p.layers) for p in path.parts), path)
+        _add(search, path, found)
+
+
+def _take_up(search: _Search, found: dict[tuple, Path]) -> None:
+    """Add paths over all zones as long as they take up endpoints that are on none.
+
+    A loss leaves endpoints without a neighbour of their zone. Where all are on paths
+    already, more of these served no more by the engines' formula (mean of five states
+    of 114 endpoints: 149.2 requests a second with, 147.3 without), and searching them
+    took five sixths of the time.
+    """
+    while any(endpoint.id not in search.uses for endpoint in search.holders):
+        path = search.cheapest()
+        if path is None or all(part.endpoint in search.uses for part in path.parts):
+            return
+        _add(search, path, found)
+
+
+def _add(search: _Search, path: Path, found: dict[tuple, Path]) -> None:
+    """Add a path unless engines would refuse it; make its parts dearer."""
+    search.use(path)
+    if is_whole(path, search.shape.layers) and not _repeats(path):
+        found.setdefault(tuple((p.endpoint, p.layers) for p in path.parts), path)
 
 
 @attrs.frozen
