Prefer paths whose first endpoint this entry has a connection to

Ruled out: connections that are not given back (release keeps all whose answers were read to their ends).

--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -31,6 +31,10 @@
 CONTINUED_ROOM_SHARE = 1.0
 #: How many times as dear a path is for each pipe between zones that it takes.
 CROSSING_FACTOR = 1.4
+#: How many times as dear a path looks to whose first endpoint there is no connection. A
+#: new one takes a round trip of some milliseconds and a place among those that an
+#: endpoint accepts; a path that is a fifth slower or fuller costs about as much.
+UNCONNECTED_FACTOR = 1.2
 #: How much worse than the best a path may look to be drawn among the best ones.
 #: Entries that see the same loads would otherwise all take the same path.
 NEAR_BEST = 1.08
@@ -107,6 +111,7 @@
         rng: Draws,
         now: float,
         share: float = ROOM_SHARE,
+        connected: Collection[str] = (),
     ) -> Path | Refusal:
         """Return the path for a request, or why there is none.
 
@@ -117,20 +122,30 @@
             rng: Source of the draw among equally good paths.
             now: Present time in seconds.
             share: Share of an endpoint's memory that may be taken.
+            connected: Addresses to which there is a connection that nobody uses.
         """
         usable = [p for p in paths if not p.uses(avoid)] if avoid else paths
         if not usable:
             return Refusal(ErrorKind.NO_ROUTE, "no path holds every layer")
         if len(usable) > self.looked_at:
-            drawn = rng.sample(usable, self.looked_at)
-            found = self._best(drawn, demand, rng, now, share)
+            drawn = self._drawn(usable, rng, connected)
+            found = self._best(drawn, demand, rng, now, share, connected)
             if found is not None:
                 return found
-        found = self._best(usable, demand, rng, now, share)
+        found = self._best(usable, demand, rng, now, share, connected)
         if found is None:
             return Refusal(ErrorKind.OVERLOADED, "no path has memory for the request")
         return found
 
+    def _drawn(
+        self, paths: list[Path], rng: Draws, connected: Collection[str]
+    ) -> list[Path]:
+        """Return some paths, as many as may be of connected ones among them."""
+        near = [path for path in paths if path.first.address in connected]
+        if len(near) > self.looked_at // 2:
+            near = rng.sample(near, self.looked_at // 2)
+        return near + rng.sample(paths, self.looked_at - len(near))
+
     def _best(
         self,
         paths: list[Path],
@@ -138,13 +153,22 @@
         rng: Draws,
         now: float,
         share: float,
+        connected: Collection[str],
     ) -> Path | None:
-        """Return one of the cheapest of some paths, None if no one fits."""
+        """Return one of the cheapest of some paths, None if no one fits.
+
+        An entry that begins few streams a second among many endpoints else meets each
+        of them after its last connection there was closed for idleness: 9,600 new ones
+        were made for 10,599 requests of 68 entries and 114 engines.
+        """
         scored = []
         for path in paths:
             cost = self.cost(path, demand, now, share)
-            if cost is not None:
-                scored.append((cost, path))
+            if cost is None:
+                continue
+            if path.first.address not in connected:
+                cost *= UNCONNECTED_FACTOR
+            scored.append((cost, path))
         if not scored:
             return None
         best = min(cost for cost, _ in scored)
--- a/packages/core/tests/pipelines/conftest.py
+++ b/packages/core/tests/pipelines/conftest.py
@@ -76,6 +76,17 @@
     ]
 
 
+def make_five_zones():
+    """Return 114 empty endpoints of three kinds in five availability zones."""
+    counts = [(2, 12, 10), (3, 5, 12), (2, 7, 19), (1, 12, 10), (3, 4, 12)]
+    return [
+        make_endpoint(f"z{zone}-{kind}-{index}", kind, f"z{zone}")
+        for zone, numbers in enumerate(counts)
+        for kind, count in zip(("large", "middle", "small"), numbers, strict=True)
+        for index in range(count)
+    ]
+
+
 def holding(endpoint: Endpoint, start: int, end: int) -> Endpoint:
     """Return an endpoint that holds some layers."""
     return attrs.evolve(endpoint, layers=Layers(start, end))
--- a/packages/core/tests/pipelines/test_choice.py
+++ b/packages/core/tests/pipelines/test_choice.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 import attrs
 import pytest
 
@@ -18,7 +20,7 @@
 from lacewingcourse.core.pipelines.path import candidate_paths
 from lacewingcourse.core.pipelines.pipes import PipeBook
 
-from .conftest import make_endpoint
+from .conftest import make_endpoint, make_five_zones, placed
 
 DEMAND = Demand(774, 203)
 
@@ -115,6 +117,44 @@
     assert chooser.loads.looks == LOOKED_AT
 
 
+def serve(chooser, paths, rng, requests, running):
+    """Send requests one after another, some at a time; return the new connections.
+
+    A connection that nobody used for 8 requests has been closed.
+    """
+    idle, busy, made = {}, deque(), 0
+    for number in range(requests):
+        if len(busy) >= running:
+            ended = busy.popleft()
+            chooser.loads.end(ended, DEMAND.tokens)
+            idle[ended.first.address] = number
+        connected = {address for address, since in idle.items() if number - since < 8}
+        path = chooser.choose(paths, DEMAND, (), rng, 0.0, connected=connected)
+        chooser.loads.begin(path, DEMAND.tokens)
+        busy.append(path)
+        made += path.first.address not in connected
+        idle.pop(path.first.address, None)
+    return made
+
+
+def test_an_entry_uses_the_connections_that_it_has(shape, rng):
+    """Each endpoint of many was met after its last connection had been closed."""
+    many = placed(make_five_zones(), shape)
+    paths = candidate_paths(many, shape)
+    made = serve(chooser_of(many, shape), paths, rng, requests=200, running=6)
+    assert made <= 3 * 6
+
+
+def test_a_connection_does_not_outweigh_a_path_that_is_much_fuller(fleet, shape, rng):
+    chooser = chooser_of(fleet, shape)
+    paths = candidate_paths(fleet, shape)
+    for _ in range(3):
+        filled(chooser, paths[:1], rng)
+    connected = {paths[0].first.address}
+    found = chooser.choose(paths, DEMAND, (), rng, 0.0, 2.0, connected)
+    assert found.first != paths[0].first
+
+
 def test_no_request_is_refused_while_a_path_that_was_not_drawn_has_room(
     fleet, shape, rng
 ):
--- a/packages/core/tests/pipelines/test_rating.py
+++ b/packages/core/tests/pipelines/test_rating.py
@@ -15,24 +15,20 @@
 )
 from lacewingcourse.core.pipelines.rating import estimated_rate
 
-from .conftest import FLEET, holding, make_endpoint, make_fleet, placed
+from .conftest import (
+    FLEET,
+    holding,
+    make_endpoint,
+    make_five_zones,
+    make_fleet,
+    placed,
+)
 
 #: Share of the best layout's rate that the one chosen by the closed form must serve.
 LEAST_SHARE = 0.9
 
 
-def five_zones():
-    """Return 114 empty endpoints of three kinds in five availability zones."""
-    counts = [(2, 12, 10), (3, 5, 12), (2, 7, 19), (1, 12, 10), (3, 4, 12)]
-    return [
-        make_endpoint(f"z{zone}-{kind}-{index}", kind, f"z{zone}")
-        for zone, numbers in enumerate(counts)
-        for kind, count in zip(("large", "middle", "small"), numbers, strict=True)
-        for index in range(count)
-    ]
-
-
-@pytest.mark.parametrize("fleet", [make_fleet(), five_zones()], ids=["33", "114"])
+@pytest.mark.parametrize("fleet", [make_fleet(), make_five_zones()], ids=["33", "114"])
 def test_the_chosen_layout_serves_nearly_as_much_as_the_best(fleet, shape):
     """The best is found by filling each layout with requests one by one."""
     for group in groups_of(fleet, shape):
@@ -47,7 +43,7 @@
 def test_the_closed_form_ranks_layouts_much_as_filling_them_does(shape):
     """Of two layouts that differ by a fifth the better one is told in most cases."""
     agreed = compared = 0
-    for group in groups_of(five_zones(), shape):
+    for group in groups_of(make_five_zones(), shape):
         layouts = [_rated(copies, group, shape) for copies in copy_plans(group, shape)]
         rated = [(each.worth, rate_of(each.placed, shape)) for each in layouts]
         for one, other in itertools.combinations(rated, 2):
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -145,7 +145,7 @@
         zone = self.settings.zone
         calls = CallForwarder(self.beliefs, sender, self.budget, zone, rng, self.log)
         self.admission = Admission(self.clock, WAITS.get(self.settings.wait))
-        finder = PathFinder(self.beliefs, rng, self.clock)
+        finder = PathFinder(self.beliefs, rng, self.clock, self.pool)
         self.stalls = StallWatcher(
             self.platform.reports,
             self.beliefs.suspects,
--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -21,6 +21,7 @@
     from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.job import Job
+    from lacewingcourse.relay.upstream import ConnectionPool
 
 #: Share of an endpoint's memory up to which the fleet counts as idle: a stream that is
 #: moved on a mere sign then takes nothing from others.
@@ -35,11 +36,13 @@
         beliefs: What is believed of the endpoints.
         rng: Source of draws.
         clock: Returns the present time in seconds.
+        pool: Connections to endpoints, None if none are kept.
     """
 
     beliefs: Beliefs
     rng: Random
     clock: Callable[[], float]
+    pool: ConnectionPool | None = None
 
     def find(self, job: Job, shape: EngineShape, demand: Demand) -> Path | Refusal:
         """Return the path that a request is sent on, or why there is none."""
@@ -71,7 +74,8 @@
         firsts = job.only_firsts
         if firsts is not None:
             paths = [path for path in paths if path.first.endpoint in firsts]
-        return chooser.choose(paths, demand, avoid, self.rng, now, share)
+        connected = self.pool.idle if self.pool is not None else ()
+        return chooser.choose(paths, demand, avoid, self.rng, now, share, connected)
 
 
 def demand_of(job: Job, shape: EngineShape) -> Demand:
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -139,7 +139,7 @@
     """Connections to endpoints that may be used again.
 
     Attributes:
-        idle: Idle connections by address, the newest last.
+        idle: Idle connections by address, the newest last; no address without one.
     """
 
     idle: dict[str, list[Connection]] = attrs.field(factory=dict)
@@ -151,8 +151,11 @@
             connection = waiting.pop()
             if now < connection.usable_until and connection.stream.clean:
                 connection.stream.set_close_callback(None)
+                if not waiting:
+                    del self.idle[address]
                 return connection
             connection.close()
+        self.idle.pop(address, None)
         return None
 
     async def connect(self, address: str) -> Connection | None:
@@ -196,6 +199,8 @@
         waiting = self.idle.get(connection.address, [])
         if connection in waiting:
             waiting.remove(connection)
+        if not waiting:
+            self.idle.pop(connection.address, None)
 
 
 class Exchange(HTTPMessageDelegate):
