Log defects without the values of variables, five a second at most

The library shows values unless told not to. Test: a defect's line shows no key and stays under 2,000 bytes (it failed before).

--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -26,7 +26,7 @@
 USUAL_LINES_A_SECOND = 200
 #: Lines a second of the events that come with each request. A line takes about 40
 #: microseconds of processor; failures and refusals keep theirs for longest.
-LINES_A_SECOND = {"served": 60, "sent": 60, "refused": 150}
+LINES_A_SECOND = {"served": 60, "sent": 60, "refused": 150, "defect": 5}
 
 
 @attrs.define
@@ -90,7 +90,10 @@
     writer = LineWriter()
     logger.remove()
     logger.configure(extra={"process": process})
-    logger.add(writer.write, level=level, format="{message}")
+    # The values of variables hold callers' keys, and make lines too long for a pipe.
+    logger.add(
+        writer.write, level=level, format="{message}", diagnose=False, backtrace=False
+    )
     return writer
 
 
@@ -155,7 +158,10 @@
 
     def failed(self, error: Exception) -> None:
         """Tell of a defect."""
-        logger.opt(exception=error).error("defect")
+        if self.budget.take("defect", self.clock()):
+            logger.opt(exception=error).error("defect")
+        else:
+            self.metrics.lines_left_out.inc()
 
     def sent(self, job: Job, endpoint: str, age: float, waited: float) -> None:
         """Tell of a send, with what decided where it went.
--- a/packages/relay/tests/relay/test_decisions.py
+++ b/packages/relay/tests/relay/test_decisions.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import ast
+import json
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -54,3 +57,28 @@
 @pytest.mark.parametrize("event", ["served", "sent"])
 def test_refusals_keep_their_lines_for_longest(event):
     assert LINES_A_SECOND["refused"] > LINES_A_SECOND[event]
+
+
+def fail_with(key):
+    """Fail in a function that holds a caller's key."""
+    return 1 / (len(key) - len(key))
+
+
+def test_a_defect_is_told_in_one_short_line_without_values():
+    """Values of variables showed callers' keys, and lines of 8,000 bytes were cut."""
+    code = (
+        "from packages.relay.tests.relay import test_decisions as t\n"
+        "from lacewingcourse.relay import decisions\n"
+        "decisions.configure_decision_log('edge-1', 'INFO')\n"
+        "log = decisions.DecisionLog(lambda: 1.0, None, lambda: 1)\n"
+        "try:\n    t.fail_with('secret-key')\n"
+        "except ZeroDivisionError as error:\n    log.failed(error)\n"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, check=True
+    )
+    (line,) = done.stdout.splitlines()
+    assert b"secret-key" not in line
+    assert len(line) < 2_000
+    document = json.loads(line)
+    assert document["exception"].strip().endswith("ZeroDivisionError: division by zero")
