Tell of a defect in the giving of an order

Orders are tasks that nobody waits for beyond a quarter of a second since their answers must not hold up others; an exception in one would have been lost.

--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -170,12 +170,18 @@
         if not plan or not self.holder.held or not await self._may_order():
             return []
         together = self._layers_moved(plan)
-        return [
-            asyncio.ensure_future(
-                self._order(a, self._length(max(together, len(a.layers)), shape), now)
-            )
-            for a in plan
-        ]
+        given = []
+        for assignment in plan:
+            length = self._length(max(together, len(assignment.layers)), shape)
+            order = asyncio.ensure_future(self._order(assignment, length, now))
+            order.add_done_callback(self._on_given)
+            given.append(order)
+        return given
+
+    def _on_given(self, order: asyncio.Task) -> None:
+        """Tell of a defect in the giving of an order, which nobody waits for."""
+        if not order.cancelled() and order.exception() is not None:
+            self.log.failed(order.exception())
 
     def _layers_moved(self, plan: list[Assignment]) -> int:
         """Return the layers that are loaded at once by endpoints that hold others.
--- a/packages/relay/tests/relay/test_placement_duty.py
+++ b/packages/relay/tests/relay/test_placement_duty.py
@@ -159,6 +159,20 @@
     assert len(duty.orders.placed) == 114
 
 
+def test_a_defect_in_an_order_is_told_and_holds_up_nothing(lopsided):
+    duty, _ = lopsided
+    told = []
+
+    async def fail(endpoint, layers, fencing, accepted):
+        raise ValueError("a defect")
+
+    duty.orders.place = fail
+    duty.log.failed = told.append
+    place_until(lopsided, 40 * QUIET)
+    assert told
+    assert all(str(error) == "a defect" for error in told)
+
+
 class LateEndpoint:
     """An endpoint that carries out its first order seconds later, without an answer.
 
