--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -46,6 +46,9 @@
 #: The same for the directory, which the first entry reads twice a second.
 DIRECTORY_PATIENCE = 0.9
 DIRECTORY_STEP = 0.1
+#: Endpoints that a line about those of another entry shows; a longer line may be cut by
+#: the pipe that takes it.
+MOST_SHOWN = 128
 #: Unreadable entries that are remembered, so that each is told once. A listing holds
 #: one record for each key, and the store's records of 400 MB bound their number.
 MOST_TOLD = 256
@@ -200,20 +203,26 @@
         now = self.clock()
         entries = tuple(EndpointEntry(e.name, e) for e in news.endpoints)
         self.beliefs.fleet.confirm(now - news.age)
-        known = self.beliefs.fleet.revision
         with self.watch.section("endpoints from a peer"):
-            self.apply(DirectoryNews(True, entries, news.position), now, told=False)
-        changes = self.beliefs.fleet.revision - known
-        if changes:
+            changed = self.apply(
+                DirectoryNews(True, entries, news.position), now, told=False
+            )
+        if changed:
             self.log.belief(
-                "endpoints", origin=peer, position=news.position, changes=changes
+                "endpoints",
+                origin=peer,
+                position=news.position,
+                changes=len(changed),
+                layers={e.id: _range(e) for e in changed[:MOST_SHOWN]},
             )
         for endpoint, remaining in news.lapsed.items():
             self.beliefs.fleet.lapsed.setdefault(endpoint, now + remaining)
         self.freshness.confirm(now - news.age)
 
-    def apply(self, news: DirectoryNews, now: float, told: bool = True) -> None:
-        """Take what the directory told.
+    def apply(
+        self, news: DirectoryNews, now: float, told: bool = True
+    ) -> list[Endpoint]:
+        """Take what the directory told; return the endpoints that changed.
 
         Args:
             news: What it told.
@@ -223,9 +232,11 @@
                 engines these were nine of ten lines.
         """
         fleet = self.beliefs.fleet
+        changed: list[Endpoint] = []
         for entry in news.entries:
             if entry.endpoint is not None:
-                self._put(entry.endpoint, told)
+                if self._put(entry.endpoint, told):
+                    changed.append(entry.endpoint)
             elif fleet.remove(entry.name, now):
                 self.log.belief("endpoint_gone", endpoint=entry.name)
         for unreadable in news.unreadable:
@@ -234,17 +245,20 @@
             listed = (*news.entries, *news.unreadable)
             fleet.keep_only({entry.name for entry in listed}, now)
         self.position = news.position
+        return changed
 
-    def _put(self, endpoint: Endpoint, told: bool) -> None:
-        """Take an entry that names an endpoint."""
+    def _put(self, endpoint: Endpoint, told: bool) -> bool:
+        """Take an entry that names an endpoint; tell whether it changed anything."""
         known = self.beliefs.fleet.named(endpoint.name)
         recognised = self.beliefs.is_configured(endpoint)
         effect = self.beliefs.fleet.put(endpoint, recognised)
-        if told and effect in (EntryEffect.CHANGED, EntryEffect.RESTARTED):
+        changed = effect in (EntryEffect.CHANGED, EntryEffect.RESTARTED)
+        if told and changed:
             self._tell(endpoint)
         if effect is EntryEffect.RESTARTED:
             self.log.belief("endpoint_restarted", endpoint=endpoint.id, ended=known.id)
             self.on_restart(known.id)
+        return changed
 
     def _refuse(self, entry: UnreadableEntry) -> None:
         """Count an unreadable entry, and tell of it once."""
@@ -258,7 +272,6 @@
 
     def _tell(self, endpoint: Endpoint) -> None:
         """Tell what is believed of an endpoint from now on."""
-        layers = endpoint.layers
         self.log.belief(
             "endpoint",
             endpoint=endpoint.id,
@@ -266,5 +279,11 @@
             zone=endpoint.zone,
             kind=endpoint.accelerator,
             leaving=endpoint.leaving,
-            layers=[layers.start, layers.end] if layers else None,
+            layers=_range(endpoint),
         )
+
+
+def _range(endpoint: Endpoint) -> list[int] | None:
+    """Return the layers that an endpoint holds as log lines show them."""
+    layers = endpoint.layers
+    return [layers.start, layers.end] if layers else None
