Forget the figures of paths that others have replaced

Cause: seen on reading the change: a chooser lives as long as the fleet does not change, but candidates are replaced at each suspicion, and it kept the figures and parts of all that it ever saw. Change: it goes with the candidates.

--- a/packages/relay/src/lacewingcourse/relay/beliefs.py
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -120,6 +120,8 @@
         with self.watch.section("candidate paths"):
             paths = candidate_paths(self.usable(service, now), shape)
         self.candidates[service] = CandidateSet(revision, excluded, shape, paths)
+        # It keeps the figures of the paths that these replace.
+        self.choosers.pop(shape.model, None)
         return paths
 
     def chooser(self, shape: EngineShape) -> PathChooser:
