Add up the memory of layers in one place; drop addresses without connections in one

Cause: the closed form of layouts had written token_capacity again as weakest_layer, since it could not import the layout's module; the pool dropped empty addresses in four ways. No behaviour changes; 371 tests of pipelines, relay and pages pass.

--- a/packages/core/src/lacewingcourse/core/pipelines/layout.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/layout.py
@@ -17,14 +17,15 @@
     span_for,
 )
 from lacewingcourse.core.pipelines.interruption import finish
+from lacewingcourse.core.pipelines.layer_memory import layer_strength, token_capacity
 from lacewingcourse.core.pipelines.rating import estimated_rate
 from lacewingcourse.core.pipelines.shape import Layers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Generator, Iterable
+    from collections.abc import Generator, Iterable
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
-    from lacewingcourse.core.pipelines.shape import Accelerator, EngineShape
+    from lacewingcourse.core.pipelines.shape import EngineShape
 
     #: A search that can be interrupted, and what it finds.
     Search = Generator[None, None, list[Assignment]]
@@ -46,38 +47,6 @@
 SHORTLIST = 2
 
 
-def token_capacity(endpoints: Iterable[Endpoint], shape: EngineShape) -> list[float]:
-    """Return for each layer how many tokens its holders have memory for."""
-    return _sum_by_layer(endpoints, shape, lambda accelerator: 1.0)
-
-
-def layer_strength(endpoints: Iterable[Endpoint], shape: EngineShape) -> list[float]:
-    """Return for each layer the tokens its holders have memory for, by their speed.
-
-    Memory on a slow accelerator serves fewer tokens in a second: requests stay in it
-    for longer.
-    """
-    return _sum_by_layer(endpoints, shape, lambda a: 1.0 / a.step_factor)
-
-
-def _sum_by_layer(
-    endpoints: Iterable[Endpoint],
-    shape: EngineShape,
-    weight: Callable[[Accelerator], float],
-) -> list[float]:
-    """Return for each layer the tokens that its holders have memory for, weighted."""
-    total = [0.0] * shape.layers
-    for endpoint in endpoints:
-        if endpoint.layers is None or not len(endpoint.layers):
-            continue
-        held = len(endpoint.layers)
-        accelerator = shape.accelerators[endpoint.accelerator]
-        tokens = shape.room(accelerator, held) / held * weight(accelerator)
-        for layer in range(endpoint.layers.start, endpoint.layers.end):
-            total[layer] += tokens
-    return total
-
-
 def plan_layout(endpoints: list[Endpoint], shape: EngineShape) -> list[Assignment]:
     """Return the layers that empty endpoints shall take.
 
--- a/packages/core/src/lacewingcourse/core/pipelines/rating.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/rating.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lacewingcourse.core.pipelines.choice import ROOM_SHARE
+from lacewingcourse.core.pipelines.layer_memory import token_capacity
 from lacewingcourse.core.pipelines.path import LOCAL_HOP_MS
 
 if TYPE_CHECKING:
@@ -37,19 +38,8 @@
         requests += held
     if not requests:
         return 0.0
-    return rate * weakest_layer(placed, shape) / requests
-
-
-def weakest_layer(endpoints: Iterable[Endpoint], shape: EngineShape) -> float:
-    """Return the usual requests for which the layer with the least memory has room."""
-    total = [0.0] * shape.layers
-    for endpoint in endpoints:
-        if endpoint.layers is None or not len(endpoint.layers):
-            continue
-        requests = _requests(endpoint, shape)
-        for layer in range(endpoint.layers.start, endpoint.layers.end):
-            total[layer] += requests
-    return min(total)
+    weakest = ROOM_SHARE * min(token_capacity(placed, shape)) / shape.usual_tokens
+    return rate * weakest / requests
 
 
 def _requests(endpoint: Endpoint, shape: EngineShape) -> float:
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -151,11 +151,10 @@
             connection = waiting.pop()
             if now < connection.usable_until and connection.stream.clean:
                 connection.stream.set_close_callback(None)
-                if not waiting:
-                    del self.idle[address]
+                self._drop_if_empty(address)
                 return connection
             connection.close()
-        self.idle.pop(address, None)
+        self._drop_if_empty(address)
         return None
 
     async def connect(self, address: str) -> Connection | None:
@@ -192,15 +191,18 @@
                 waiting.remove(connection)
                 connection.stream.set_close_callback(None)
                 connection.close()
-            if not waiting:
-                del self.idle[address]
+            self._drop_if_empty(address)
+
+    def _drop_if_empty(self, address: str) -> None:
+        """Keep no address without a connection: those that are kept are preferred."""
+        if not self.idle.get(address):
+            self.idle.pop(address, None)
 
     def _forget(self, connection: Connection) -> None:
         waiting = self.idle.get(connection.address, [])
         if connection in waiting:
             waiting.remove(connection)
-        if not waiting:
-            self.idle.pop(connection.address, None)
+        self._drop_if_empty(connection.address)
 
 
 class Exchange(HTTPMessageDelegate):
