Tell of answers that are broken off, and why they could not go on

Callers saw answers closed in the middle; the log called those `served` with `whole: true`, like whole ones, since ending and breaking off set one flag, and nothing said whether a repeat, room, a path or an attempt was lacking. Their time was also taken for how long answers of the route last. Ruled out by reading: an answer whose caller left keeps `served` with `gone`.

--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -34,6 +34,7 @@
         gone: Whether the caller has closed the connection.
         begun: Whether the head of the answer was written.
         ended: Whether the answer was ended, whole or not.
+        whole: Whether it was ended as a whole one.
         on_gone: Called when the caller closes before the answer is whole.
     """
 
@@ -53,6 +54,7 @@
         self.gone = False
         self.begun = False
         self.ended = False
+        self.whole = False
         self.on_gone: Callable[[], None] | None = None
         self._serve = serve
         self._clock = clock
@@ -107,6 +109,7 @@
             self.connection.finish()
         except StreamClosedError:
             return
+        self.whole = True
         if self._closes and stream is not None and not stream.closed():
             pending = stream.write(b"")
             pending.add_done_callback(lambda future: _close(stream, future))
--- a/packages/relay/src/lacewingcourse/relay/causes.py
+++ b/packages/relay/src/lacewingcourse/relay/causes.py
@@ -126,6 +126,12 @@
     return fate.served and (bool(fate.end.get("gone")) or not fate.end.get("whole"))
 
 
+@CAUSES.register("broken off by its entry")
+def broken_off(fate: Fate) -> bool:
+    """Tell whether its entry ended the answer before it was whole."""
+    return fate.end["event"] == "broken_off"
+
+
 @CAUSES.register(IN_TIME)
 def in_time(fate: Fate) -> bool:
     """Tell whether it was answered within its objective and without a long pause."""
@@ -219,7 +225,7 @@
             fate.sends.append(line)
         elif event == "lost":
             fate.losses.append(line)
-        elif event in ("served", "refused"):
+        elif event in ("served", "refused", "broken_off"):
             fate.end = line
             fate.objective = line.get("objective_ms") or objective
             fate.pause = line.get("pause_ms") or pause
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -123,7 +123,7 @@
             route=job.route.name,
             sends=job.sends,
             gone=job.caller.gone,
-            whole=job.caller.ended,
+            whole=job.caller.whole,
             took_ms=_ms(now - job.request.received_at),
             first_ms=None if first is None else _ms(first - job.request.received_at),
             gap_ms=_ms(job.longest_gap),
@@ -134,6 +134,31 @@
             reason=job.reason,
         )
 
+    def broken_off(self, job: Job, cause: Refusal, now: float) -> None:
+        """Tell of an answer that a caller was reading and that was not ended whole.
+
+        Args:
+            job: The request.
+            cause: Why the answer could not go on.
+            now: Present time in seconds.
+        """
+        self.metrics.broken_off(cause, job)
+        self._line(
+            "broken_off",
+            request=job.request.id,
+            route=job.route.name,
+            kind=cause.kind.value,
+            cause=cause.reason,
+            reason=job.reason,
+            sends=job.sends,
+            rejections=job.rejections,
+            events=job.events,
+            quiet_ms=_ms(now - job.progressed_at),
+            left_ms=_ms(job.until - now),
+            path=_path(job),
+            version=self.version(),
+        )
+
     def refused(
         self, request: CallerRequest, refusal: Refusal, job: Job | None
     ) -> None:
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -101,16 +101,22 @@
         caller.on_gone = job.caller_gone
         self.calls.budget.on_request(job.service, self.clock())
         refusal = await self._forward(job)
+        now = self.clock()
         if refusal is None:
-            now = self.clock()
-            if caller.ended:
+            if caller.whole:
                 self.beliefs.crashes.clear(job.fingerprint)
                 took = now - request.received_at
                 self.beliefs.durations.note(job.route.name, took)
             self.log.served(job, now)
             return
-        self.log.refused(request, refusal, job)
-        self._refuse(caller, request, refusal)
+        if not caller.begun:
+            self.log.refused(request, refusal, job)
+            self._refuse(caller, request, refusal)
+        elif caller.gone:
+            self.log.served(job, now)
+        else:
+            caller.break_off()
+            self.log.broken_off(job, refusal, now)
 
     async def _wait_for_configuration(self, request: CallerRequest) -> None:
         """Hold a request that came before the first configuration did."""
@@ -154,7 +160,7 @@
         return max(LEAVING_RETRY, wait * spread)
 
     async def _forward(self, job: Job) -> Refusal | None:
-        """Forward a request; return how it ends if it was not answered."""
+        """Forward a request; return why it has no whole answer, if it has none."""
         shape = self.beliefs.shape(job.service)
         if shape is not None:
             return await self.streams.serve(job, shape)
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -38,10 +38,16 @@
         known = {"registry": self.registry}
         self.requests = Counter(
             "lacewingcourse_relay_requests",
-            "Requests by end: served, or the kind of the refusal",
+            "Requests by end: served, broken_off, or the kind of the refusal",
             ["end"],
             **known,
         )
+        self.breaks = Counter(
+            "lacewingcourse_relay_broken_off",
+            "Answers that ended before they were whole, by why they did not go on",
+            ["kind"],
+            **known,
+        )
         self.sends = Counter(
             "lacewingcourse_relay_sends", "Sends of requests to endpoints", **known
         )
@@ -135,6 +141,12 @@
             self.pause.observe(job.longest_gap)
             self.waited.observe(job.waited)
 
+    def broken_off(self, cause: Refusal, job: Job) -> None:
+        """Count an answer that was begun and not ended whole."""
+        self.requests.labels("broken_off").inc()
+        self.breaks.labels(cause.kind.value).inc()
+        self._count_sends(job)
+
     def refused(self, refusal: Refusal, job: Job | None) -> None:
         """Count a request that ended without an endpoint's answer."""
         self.requests.labels(refusal.kind.value).inc()
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.events import EventCutter
 from lacewingcourse.core.pipelines.suspects import is_full
 from lacewingcourse.core.pipelines.waiting import come_back_after
@@ -117,7 +117,7 @@
     log: DecisionLog
 
     async def serve(self, job: Job, shape: EngineShape) -> Refusal | None:
-        """Forward a stream; return how it ends if no answer was begun."""
+        """Forward a stream; return why its answer is not whole, if it is not."""
         state = StreamState(EventCutter(last_id=job.request.resume_after))
         demand = demand_of(job, shape)
         while True:
@@ -128,10 +128,9 @@
             now = self.sender.clock()
             job.waited += now - asked
             if isinstance(path, Refusal):
-                job.reason = job.reason or path.reason
-                return self._give_up(job, path.kind)
+                return self._give_up(job, path.kind, path.reason)
             if job.sends and not self.budget.take(job.service, now):
-                return self._give_up(job, ErrorKind.STAGE_LOST)
+                return self._give_up(job, ErrorKind.STAGE_LOST, "no repeat is left")
             self._note_transfers(path, demand, shape, now)
             result = await self._run(job, path, demand, state, now)
             if result is None:
@@ -142,9 +141,9 @@
                 return None
             self._learn(job, path, result)
             if result.end is StreamEnd.OVERDUE:
-                return self._give_up(job, ErrorKind.DEADLINE_EXCEEDED)
+                return self._give_up(job, ErrorKind.DEADLINE_EXCEEDED, result.reason)
             if not job.may_send_again:
-                return self._give_up(job, self._kind(result))
+                return self._give_up(job, self._kind(result), "no attempt is left")
 
     def _note_transfers(
         self, path: Path, demand: Demand, shape: EngineShape, now: float
@@ -294,10 +293,9 @@
         if head.standing is not Standing.ANSWERED or not whole or job.may_send_again:
             return RunResult(StreamEnd.LOST, job.reason)
         if job.caller.begun:
-            job.caller.break_off()
-        else:
-            headers = self.sender.codec.for_caller(head)
-            job.caller.answer(head.status, headers, bytes(body))
+            return RunResult(StreamEnd.LOST, job.reason)
+        headers = self.sender.codec.for_caller(head)
+        job.caller.answer(head.status, headers, bytes(body))
         return RunResult(StreamEnd.WHOLE)
 
     def _learn(self, job: Job, path: Path, result: RunResult) -> None:
@@ -336,10 +334,10 @@
             return ErrorKind.OVERLOADED
         return ErrorKind.STAGE_LOST
 
-    def _give_up(self, job: Job, kind: ErrorKind) -> Refusal | None:
-        """End a stream that cannot go on; None if its answer was begun."""
+    def _give_up(self, job: Job, kind: ErrorKind, cause: str) -> Refusal:
+        """Return how a stream ends that cannot go on."""
         if job.caller.begun:
-            job.caller.break_off()
-            return None
+            return Refusal(kind, cause, Outcome.PARTIAL)
+        job.reason = job.reason or cause
         answer = self.beliefs.durations.expected(job.route.name)
         return job.failure(kind, come_back_after(answer, self.rng.random()))
--- a/packages/relay/tests/relay/test_causes.py
+++ b/packages/relay/tests/relay/test_causes.py
@@ -40,12 +40,18 @@
     return SERVED | {"event": "refused", "kind": kind}
 
 
+def broken_off(kind: str) -> dict:
+    """Return the line of an answer that its entry ended before it was whole."""
+    return SERVED | {"event": "broken_off", "kind": kind}
+
+
 @pytest.mark.parametrize(
     ("lines", "cause"),
     [
         ([SENT, SERVED], "in time"),
         ([SENT], "lost with its entry"),
         ([SENT, SERVED | {"gone": True, "whole": False}], "caller left"),
+        ([SENT, LOST, broken_off("stage_lost")], "broken off by its entry"),
         ([refused("unauthenticated")], "not allowed by the configuration"),
         ([refused("draining")], "refused while leaving"),
         ([refused("overloaded")], "refused for want of room"),
