--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core relay wire load backing daemon agent entry cli testing bench
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
-SOURCES := packages platform tests tools
+SOURCES := conftest.py packages platform tests tools
 
 MODELS := $(wildcard model/*/check)
 
