Bring about answers that are broken off though their engine goes on (failing)

Callers see an answer closed in the middle as soon as an endpoint on its path is taken for dead while no repeat is allowed or no other path has room.

--- /dev/null
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -0,0 +1,88 @@
+"""Tests of streams that are to go on on another path.
+
+Callers saw answers closed in the middle, many at once, while the fleet was overloaded.
+An endpoint on the path of running streams was taken for dead. The entry closed each
+run first and asked only then whether a repeat was allowed and whether another path had
+room; where not, it broke the answer off, although the run was still open and its
+engine might have gone on. In the record of such an answer the run and the answer ended
+within 4 ms and no second send was made: no wait fits between them, so the budget of
+repeats, the one question without a wait, had said no.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from .stream_play import NONE, PLENTY, Engine, StreamPlay, whole_answer
+from .virtual_time import play
+
+#: An engine that stands still for a moment after its fifth event.
+SHORT_PAUSE = Engine(pause_after=5, pause=0.4)
+#: When an endpoint on the path is taken for dead, within that pause.
+IN_PAUSE = 0.4
+
+
+@pytest.fixture
+def stream(shape):
+    """Return a function that makes a play of one stream."""
+
+    def make(engine, **options) -> StreamPlay:
+        return StreamPlay(shape, {"a": engine}, **options)
+
+    return make
+
+
+def test_a_run_stays_open_where_no_repeat_is_left(stream):
+    played = stream(SHORT_PAUSE, slack=NONE)
+    ended = play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert ended is None
+    assert played.caller.whole
+    assert played.caller.body == whole_answer()
+    assert played.firsts == ["a"]
+
+
+def test_a_run_stays_open_where_no_other_path_has_room(stream):
+    """Room was waited for with the run closed already, until the caller left."""
+    played = stream(SHORT_PAUSE, room_from=100.0)
+    ended = play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert ended is None
+    assert played.caller.body == whole_answer()
+    assert played.firsts == ["a"]
+
+
+@pytest.mark.parametrize("lacks", [{"slack": NONE}, {"room_from": 100.0}])
+def test_silence_alone_ends_no_run_that_nothing_replaces(stream, lacks):
+    played = stream(Engine(pause_after=5, pause=1.9), **lacks)
+    ended = play(played.serve())
+    assert ended is None
+    assert played.caller.body == whole_answer()
+
+
+def test_a_stream_goes_on_elsewhere_as_soon_as_that_is_possible(stream):
+    played = stream(Engine(pause_after=5, pause=30.0), room_from=1.0)
+    ended = play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert ended is None
+    assert played.caller.body == whole_answer()
+    assert played.firsts == ["a", "c"]
+    moved_at = played.runs[1][0]
+    assert 1.0 <= moved_at < 1.1
+    assert played.runs[0][2].abandoned
+
+
+def test_a_stream_goes_on_once_a_repeat_is_allowed_again(stream):
+    played = stream(Engine(pause_after=5, pause=30.0), slack=NONE)
+    ended = play(
+        played.serve((IN_PAUSE, played.dies("b")), (1.0, played.allow(PLENTY)))
+    )
+    assert ended is None
+    assert played.caller.body == whole_answer()
+    assert played.firsts == ["a", "c"]
+
+
+def test_an_answer_whose_engine_ended_it_waits_for_a_repeat(stream):
+    """It was given up at once, while its caller would have read on for two seconds."""
+    played = stream(Engine(pause_after=5, breaks=True), slack=NONE)
+    ended = play(played.serve((1.0, played.allow(PLENTY))))
+    assert ended is None
+    assert played.caller.body == whole_answer()
+    assert played.firsts == ["a", "c"]
