Give a run up only for another one that may be begun

What callers saw: under overload, answers closed in the middle, several in the same moment at one entry, 4 ms after their runs had ended and without a second send.

Cause: an entry closed a run as soon as an endpoint on its path was taken for dead, or after 1.5 s of silence, and asked only then whether a repeat was left (answered at once: the 4 ms) and whether another path had room. Where not, it broke the answer off, although the run had been open and its engine might have gone on. Class: break before make, a resource released before the one that replaces it is secured. It needs a budget of repeats that is used up, which an overloaded fleet with dying engines brings about at single entries.

Ruled out by the tests: the engine's own end (the engine goes on once its part answers); a wait for room (2.2 s, not 4 ms).

Change: the run is kept open and goes on being passed on while it is looked, 30 ms apart, for a path with room and a repeat; both are taken before it is closed, in one step. Events that arrive meanwhile end the wish to move. What an engine ends itself waits for both as long as its caller does. A request that no endpoint ran, and for which no repeat is left, is refused with 503 and a Retry-After in place of 502. One run of a stream has a module of its own now. Why it holds: no path leads from an open run to its end but a replacement, the caller's leaving or the route's time.

--- a/packages/core/src/lacewingcourse/core/pipelines/repeats.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/repeats.py
@@ -35,12 +35,16 @@
         """Note a request."""
         self._add(self.requests, service, now)
 
-    def take(self, service: str, now: float) -> bool:
-        """Take one repeat for a service; tell whether it was allowed."""
+    def allows(self, service: str, now: float) -> bool:
+        """Tell whether a repeat is left for a service."""
         sent = self._recent(self.repeats, service, now)
         requests = self._recent(self.requests, service, now)
         share = self.slack / max(1, self.entries)
-        if sent + 1 > SAFETY * (self.ratio * requests + share):
+        return sent + 1 <= SAFETY * (self.ratio * requests + share)
+
+    def take(self, service: str, now: float) -> bool:
+        """Take one repeat for a service; tell whether it was allowed."""
+        if not self.allows(service, now):
             return False
         self._add(self.repeats, service, now)
         return True
--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -26,7 +26,9 @@
 #: leave is heard of a few times a second, so no wake-up tells of it.
 RETRY_PERIOD = 0.03
 #: Reasons for which there may be a path a moment later.
-MOMENTARY = frozenset({ErrorKind.OVERLOADED, ErrorKind.NO_ROUTE})
+MOMENTARY = frozenset(
+    {ErrorKind.OVERLOADED, ErrorKind.NO_ROUTE, ErrorKind.REPEATS_EXHAUSTED}
+)
 
 
 @attrs.define
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -211,6 +211,27 @@
             version=self.version(),
         )
 
+    def not_moved(self, job: Job, cause: Refusal, now: float) -> None:
+        """Tell that a run which stands still is kept, as nothing can replace it.
+
+        Args:
+            job: The request.
+            cause: Why it cannot go on elsewhere at present.
+            now: Present time in seconds.
+        """
+        self._line(
+            "not_moved",
+            request=job.request.id,
+            kind=cause.kind.value,
+            cause=cause.reason,
+            sends=job.sends,
+            events=job.events,
+            avoided=sorted(job.avoid),
+            quiet_ms=_ms(now - job.progressed_at) if job.events else None,
+            left_ms=_ms(job.until - now),
+            path=_path(job),
+        )
+
     def lost(
         self,
         job: Job,
--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -44,10 +44,24 @@
     clock: Callable[[], float]
     pool: ConnectionPool | None = None
 
-    def find(self, job: Job, shape: EngineShape, demand: Demand) -> Path | Refusal:
-        """Return the path that a request is sent on, or why there is none."""
+    def find(
+        self,
+        job: Job,
+        shape: EngineShape,
+        demand: Demand,
+        besides: Collection[str] = (),
+    ) -> Path | Refusal:
+        """Return the path that a request is sent on, or why there is none.
+
+        Args:
+            job: The request.
+            shape: Figures of the service's engines.
+            demand: What it needs of a path.
+            besides: Endpoints to avoid besides those that it avoids anyway.
+        """
         share = CONTINUED_ROOM_SHARE if job.caller.begun else ROOM_SHARE
-        return self._choose(job, shape, demand, job.avoid, share)
+        avoided = job.avoid.union(besides) if besides else job.avoid
+        return self._choose(job, shape, demand, avoided, share)
 
     def is_idle(self, job: Job, avoid: Collection[str]) -> bool:
         """Tell whether a path without some endpoints has much room for a request."""
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -82,6 +82,12 @@
         if job.watched is not None:
             job.watched.progress(now)
 
+    def resume(self, job: Job, now: float) -> None:
+        """Watch a stream again that was to move and goes on after all."""
+        if job.watched is None:
+            self.begin(job, now)
+            self.progress(job, now)
+
     def end(self, job: Job) -> None:
         """Note the end of a run of a stream."""
         if job.watched is not None:
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/stream_run.py
@@ -0,0 +1,269 @@
+"""One run of a stream: what arrives of it is passed on until it ends."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.errors import Refusal
+from lacewingcourse.relay.admission import RETRY_PERIOD
+from lacewingcourse.relay.ports import Standing
+from lacewingcourse.relay.sending import next_arrival
+from lacewingcourse.relay.upstream import (
+    Abandoned,
+    Data,
+    End,
+    Head,
+    SendOutcome,
+    Stalled,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewingcourse.core.pipelines.events import EventCutter
+    from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.relay.decisions import DecisionLog
+    from lacewingcourse.relay.job import Job
+    from lacewingcourse.relay.ports import AnswerHead
+    from lacewingcourse.relay.sending import Sender
+    from lacewingcourse.relay.stall_watcher import StallWatcher
+    from lacewingcourse.relay.upstream import Exchange
+
+#: Seconds for which a run may stand still without a known cause before it goes on on
+#: another path. Callers leave after two seconds of silence. A shorter time sends
+#: streams away from paths that are only busy, and the prompts that are then read again
+#: make the others busier.
+SILENCE_PATIENCE = 1.5
+
+
+class StreamEnd(Enum):
+    """How one run of a stream ended."""
+
+    WHOLE = "whole"
+    LOST = "lost"
+    STALLED = "stalled"
+    REJECTED = "rejected"
+    ABANDONED = "abandoned"
+    OVERDUE = "overdue"
+
+
+@attrs.frozen
+class RunResult:
+    """What became of one run of a stream.
+
+    Attributes:
+        end: How it ended.
+        reason: What happened.
+        fault_address: Address of the endpoint at fault, or empty.
+        misdirected: Whether that endpoint does not hold what the path names.
+        first_lost: Whether the connection to the first part broke.
+        replacement: Path on which the stream goes on, None if it is still to be found.
+    """
+
+    end: StreamEnd
+    reason: str = ""
+    fault_address: str = ""
+    misdirected: bool = False
+    first_lost: bool = False
+    replacement: Path | None = None
+
+
+@attrs.define
+class StreamState:
+    """What was passed on of a stream.
+
+    Attributes:
+        cutter: Cuts bytes into events, and knows the last one passed on.
+        head: Head of the first run's answer, None before it.
+        quiet_since: Time since which nothing arrived of the present run, seconds.
+    """
+
+    cutter: EventCutter
+    head: AnswerHead | None = None
+    quiet_since: float = 0.0
+
+
+@attrs.define
+class StreamRun:
+    """Passes on what arrives of a run.
+
+    A run that stands still is kept open until the stream may go on elsewhere. Its
+    engine may go on after all, and a run that is closed first leaves the caller with a
+    part of an answer where no repeat is allowed or no other path has room.
+
+    Attributes:
+        job: The request.
+        exchange: What was sent for this run.
+        state: What was passed on, over all runs.
+        sender: What sent it.
+        stalls: Watches streams for standing still.
+        log: Log of decisions.
+        replacement: Returns the path on which the stream may go on, or why there is
+            none at present.
+        head: Head of this run's answer, None before it.
+        moving_since: Time since which the stream is to go on elsewhere, None if it is
+            not.
+    """
+
+    job: Job
+    exchange: Exchange
+    state: StreamState
+    sender: Sender
+    stalls: StallWatcher
+    log: DecisionLog
+    replacement: Callable[[], Path | Refusal]
+    head: AnswerHead | None = None
+    moving_since: float | None = None
+
+    async def relay(self) -> RunResult:
+        """Pass on what arrives until the run ends."""
+        arrivals = self.exchange.arrivals
+        self.state.quiet_since = self.sender.clock()
+        while True:
+            now = self.sender.clock()
+            arrival = await next_arrival(self.exchange, self._look_at(now), now)
+            result: RunResult | None = None
+            if isinstance(arrival, Head):
+                result = await self._take_head(arrival)
+            elif isinstance(arrival, Data):
+                self.take(arrival.data)
+            elif isinstance(arrival, Stalled):
+                result = self._stand_still(arrival)
+            else:
+                result = self._ended(arrival)
+            if result is not None:
+                return result
+            if self.head is not None and arrivals.empty():
+                self.exchange.sink = self.take
+
+    def take(self, data: bytes) -> None:
+        """Take bytes of the run, and pass on the events that are whole."""
+        self._pass_on(self.state.cutter.feed(data))
+        if self.state.cutter.overgrown:
+            self.exchange.arrivals.put_nowait(End(False, "bytes that are no events"))
+
+    def _look_at(self, now: float) -> float:
+        """Return when to look again if nothing arrives, seconds."""
+        if self.moving_since is not None:
+            return min(self.job.until, now + RETRY_PERIOD)
+        if self.job.may_move:
+            return min(self.job.until, self.state.quiet_since + SILENCE_PATIENCE)
+        return self.job.until
+
+    async def _take_head(self, arrival: Head) -> RunResult | None:
+        """Take the head of an answer; return the end of a run that is no stream."""
+        self.head = self.sender.codec.head(
+            arrival.status, arrival.headers, self.job.request
+        )
+        if not self.head.succeeded:
+            return await self._refused()
+        if self.state.head is None:
+            self.state.head = self.head
+        return None
+
+    def _pass_on(self, events: bytes) -> None:
+        """Write whole events to the caller."""
+        if not events:
+            return
+        now = self.sender.clock()
+        self.state.quiet_since = now
+        self.job.progress(now)
+        self.stalls.progress(self.job, now)
+        if self.job.caller.begun:
+            self.job.caller.write(events)
+            return
+        headers = self.sender.codec.for_caller(self.state.head)
+        headers.pop("Content-Length", None)
+        self.job.caller.begin(self.state.head.status, headers, events)
+
+    def _stand_still(self, arrival: Stalled) -> RunResult | None:
+        """Return the end of a run that stands still, None if it is kept open."""
+        now = self.sender.clock()
+        if now >= self.job.until:
+            self._give_up("the time of the route is over")
+            return RunResult(StreamEnd.OVERDUE, self.job.reason)
+        if not self.job.may_move or not arrival.known and self._goes_on(now):
+            return None
+        found = self.replacement()
+        if isinstance(found, Refusal):
+            self._stay(found, now)
+            return None
+        self._give_up("the stream stood still")
+        return RunResult(StreamEnd.STALLED, self.job.reason, replacement=found)
+
+    def _goes_on(self, now: float) -> bool:
+        """Tell whether events went past a wait, so that the run is well."""
+        if self.moving_since is None:
+            return now < self.state.quiet_since + SILENCE_PATIENCE
+        if self.state.quiet_since <= self.moving_since:
+            return False
+        self.moving_since = None
+        self.stalls.resume(self.job, now)
+        return True
+
+    def _stay(self, cause: Refusal, now: float) -> None:
+        """Keep a run open that stands still, and look for its replacement again."""
+        if self.moving_since is None:
+            self.moving_since = now
+            self.log.not_moved(self.job, cause, now)
+
+    def _give_up(self, reason: str) -> None:
+        """Close a run that is still open."""
+        self.exchange.abandon()
+        self.job.note(SendOutcome.MAY_HAVE_RUN, reason)
+
+    def _ended(self, arrival: End | Abandoned) -> RunResult:
+        """Return what the end of a run amounts to."""
+        if isinstance(arrival, Abandoned):
+            self._give_up(arrival.reason)
+            self.job.caller.break_off()
+            return RunResult(StreamEnd.ABANDONED, arrival.reason)
+        if arrival.complete and not self.state.cutter.pending:
+            self.sender.release(self.exchange, self.head)
+            self._end_whole()
+            return RunResult(StreamEnd.WHOLE)
+        self._give_up(arrival.reason or "cut event")
+        # An engine ends a run that stood still behind another part; it is not lost.
+        if self.moving_since is not None:
+            return RunResult(StreamEnd.STALLED, self.job.reason)
+        return RunResult(StreamEnd.LOST, self.job.reason, first_lost=True)
+
+    def _end_whole(self) -> None:
+        """End the caller's answer, which may have no events."""
+        caller = self.job.caller
+        if not caller.begun:
+            headers = self.sender.codec.for_caller(self.state.head)
+            caller.begin(self.state.head.status, headers)
+        caller.end()
+
+    async def _refused(self) -> RunResult:
+        """Read the body of an answer that is no stream, and pass on a failure."""
+        job, head = self.job, self.head
+        body = bytearray()
+        while True:
+            now = self.sender.clock()
+            arrival = await next_arrival(self.exchange, job.until, now)
+            if isinstance(arrival, Data):
+                body += arrival.data
+            elif not isinstance(arrival, Head):
+                break
+        whole = isinstance(arrival, End) and arrival.complete
+        self.sender.release(self.exchange, head if whole else None)
+        if isinstance(arrival, Abandoned):
+            return RunResult(StreamEnd.ABANDONED, arrival.reason)
+        if head.standing is Standing.REJECTED:
+            reason = f"rejected with {head.status}"
+            job.note(SendOutcome.REJECTED, reason)
+            return RunResult(
+                StreamEnd.REJECTED, reason, head.fault_address, head.misdirected
+            )
+        job.note(SendOutcome.MAY_HAVE_RUN, f"status {head.status} {head.reason}")
+        unfit = head.standing is not Standing.ANSWERED or not whole
+        if unfit or job.may_send_again or job.caller.begun:
+            return RunResult(StreamEnd.LOST, job.reason)
+        headers = self.sender.codec.for_caller(head)
+        job.caller.answer(head.status, headers, bytes(body))
+        return RunResult(StreamEnd.WHOLE)
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -164,6 +164,7 @@
     def __attrs_post_init__(self) -> None:
         self.runs: list[tuple[float, str, Run]] = []
         self.caller = CallerStub()
+        self.ended_at = 0.0
         self.log = Decisions()
         self.budget = RepeatBudget(0.0, 10.0, self.slack)
         self.beliefs = Beliefs()
@@ -206,7 +207,9 @@
         )
         for at, call in happenings:
             asyncio.get_running_loop().call_at(at, call, watcher)
-        return await forwarder.serve(self._job(), self.shape)
+        ended = await forwarder.serve(self._job(), self.shape)
+        self.ended_at = self.clock()
+        return ended
 
     def dies(self, *names: str):
         """Return what tells a watcher that endpoints are dead."""
@@ -223,12 +226,13 @@
     async def _report(self, address: str, patience: float) -> EngineReport:
         return EngineReport()
 
-    def _find(self, job, shape, demand) -> Path | Refusal:
+    def _find(self, job, shape, demand, besides=()) -> Path | Refusal:
+        avoided = job.avoid.union(besides)
         first = path_of("a", "b")
-        if not first.uses(job.avoid):
+        if not first.uses(avoided):
             return first
         second = path_of("c", "d")
-        if second.uses(job.avoid):
+        if second.uses(avoided):
             return Refusal(ErrorKind.NO_ROUTE, "no path holds every layer")
         if self.clock() < self.room_from:
             return Refusal(ErrorKind.OVERLOADED, "no path has memory")
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -13,6 +13,8 @@
 
 import pytest
 
+from lacewingcourse.core.errors import ErrorKind, Outcome
+
 from .stream_play import NONE, PLENTY, Engine, StreamPlay, whole_answer
 from .virtual_time import play
 
@@ -86,3 +88,39 @@
     assert ended is None
     assert played.caller.body == whole_answer()
     assert played.firsts == ["a", "c"]
+
+
+def test_a_run_that_goes_on_after_all_is_watched_again(stream):
+    """Taken for dead a second time, it moves, now that a repeat is left."""
+    played = stream(Engine(pause_after=5, pause=0.4), slack=NONE)
+    dies_again = 0.8
+    ended = play(
+        played.serve(
+            (IN_PAUSE, played.dies("b")),
+            (dies_again, played.allow(PLENTY)),
+            (dies_again, played.dies("b")),
+        )
+    )
+    assert ended is None
+    assert played.caller.body == whole_answer()
+    assert played.firsts == ["a", "c"]
+
+
+def test_an_engine_that_ends_a_run_which_stood_still_is_not_taken_for_crashed(stream):
+    """It ends what depends on a dead part; the request would be refused for good."""
+    played = stream(
+        Engine(pause_after=5, pause=1.0, breaks=True), room_from=IN_PAUSE + 1.5
+    )
+    ended = play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert ended is None
+    assert played.caller.body == whole_answer()
+    assert played.beliefs.crashes.losses(played.ended_at) == {}
+
+
+def test_a_request_that_no_engine_ran_is_refused_as_such(stream):
+    """Its caller was told that it may have run, and not when to come back."""
+    played = stream(Engine(status=503), slack=NONE)
+    ended = play(played.serve())
+    assert ended.kind is ErrorKind.REPEATS_EXHAUSTED
+    assert ended.outcome is Outcome.NOT_RUN
+    assert ended.retry_after is not None
