Leave a slow endpoint of a plain service only for another one that may be asked

Callers of idempotent calls got 502 although the endpoint answered in time: after two and a half objectives the send was closed to try another endpoint, and then no repeat was left or no other endpoint was free. Change: the answer is read on while nothing may replace it, to the end of the caller's time. A call that no endpoint ran and for which no repeat is left is told so, with a Retry-After; an endpoint's own failure is passed on when no further connection can be made.

--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -12,15 +12,16 @@
 from lacewingcourse.core.pipelines.waiting import wait_in_time
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.sending import (
+    AnswerReader,
     NoAnswer,
     NotSent,
     Sender,
     WholeAnswer,
-    collect,
 )
 from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from random import Random
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
@@ -28,6 +29,7 @@
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
+    from lacewingcourse.relay.upstream import Exchange
 
 #: Connections that may fail to be made for one request before it is refused.
 MOST_NOT_SENT = 3
@@ -74,8 +76,8 @@
             if isinstance(endpoint, Refusal):
                 job.reason = job.reason or endpoint.reason
                 return last or job.failure(endpoint.kind, CALL_RETRY_AFTER)
-            if job.sends and not self.budget.take(job.service, now):
-                return last or job.failure(ErrorKind.ENDPOINT_FAILED, None)
+            if job.sends:
+                self.budget.take(job.service, now)
             result = await self._attempt(job, endpoint, now)
             if isinstance(result, NotSent):
                 self.beliefs.suspects.suspect(endpoint.id, result.reason, now)
@@ -83,7 +85,7 @@
                 job.reason = result.reason
                 unsent += 1
                 if unsent >= MOST_NOT_SENT:
-                    return job.failure(ErrorKind.NO_ROUTE, CALL_RETRY_AFTER)
+                    return last or job.failure(ErrorKind.NO_ROUTE, CALL_RETRY_AFTER)
                 continue
             job.avoid.add(endpoint.id)
             if isinstance(result, WholeAnswer):
@@ -106,12 +108,24 @@
             return False
         return now < wait_in_time(job.request.received_at, job.route.objective)
 
-    def _choose(self, job: Job, now: float) -> Endpoint | Refusal:
+    def _choose(
+        self, job: Job, now: float, besides: Collection[str] = ()
+    ) -> Endpoint | Refusal:
+        """Return the endpoint that a call may be sent to now, or why there is none.
+
+        Args:
+            job: The call.
+            now: Present time in seconds.
+            besides: Endpoints to avoid besides those that it avoids anyway.
+        """
+        if job.sends and not self.budget.allows(job.service, now):
+            return Refusal(ErrorKind.REPEATS_EXHAUSTED, "no repeat is left")
         usable = self.beliefs.usable(job.service, now)
         if not usable:
             usable = self.beliefs.fleet.of_service(job.service)
         loads = self.beliefs.loads
-        return choose_endpoint(usable, loads, self.zone, job.avoid, self.rng)
+        avoided = job.avoid.union(besides)
+        return choose_endpoint(usable, loads, self.zone, avoided, self.rng)
 
     async def _attempt(
         self, job: Job, endpoint: Endpoint, now: float
@@ -130,14 +144,39 @@
             self.log.sent(job, endpoint.id, age, 0.0)
             if job.caller.gone:
                 job.caller_gone()
-            until = self._until(job, now)
-            return await collect(self.sender, sent, job.request, until)
+            return await self._read(job, endpoint, sent, now)
         finally:
             job.current = None
             self.beliefs.loads.end_call(endpoint.id)
 
-    def _until(self, job: Job, now: float) -> float:
-        """Return until when one endpoint is waited for."""
+    async def _read(
+        self, job: Job, endpoint: Endpoint, exchange: Exchange, sent_at: float
+    ) -> WholeAnswer | NoAnswer:
+        """Return an endpoint's answer, or how it was left.
+
+        A slow endpoint is left only for another one that may be asked: closed first,
+        an answer that would have come in time is lost where there is none.
+        """
+        reader = AnswerReader(self.sender, exchange, job.request)
+        answer = await reader.read(self._patience(job, sent_at))
+        while answer is None:
+            now = self.sender.clock()
+            if now >= job.until:
+                return reader.give_up("no answer in time", timed_out=True)
+            if self._may_leave(job, endpoint, now):
+                return reader.give_up("no answer yet, and another one may give it")
+            answer = await reader.read(min(job.until, now + RETRY_PERIOD))
+        return answer
+
+    def _may_leave(self, job: Job, endpoint: Endpoint, now: float) -> bool:
+        """Tell whether another endpoint may be asked in place of a slow one."""
+        if not job.may_try_another:
+            return False
+        other = self._choose(job, now, besides=(endpoint.id,))
+        return not isinstance(other, Refusal)
+
+    def _patience(self, job: Job, now: float) -> float:
+        """Return until when an endpoint is waited for before another one is tried."""
         if not job.route.repeat.may_repeat or not job.may_try_another:
             return job.until
         patience = max(0.1, PATIENCE_OBJECTIVES * job.route.objective)
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -137,33 +137,56 @@
     connection_lost: bool = False
 
 
-async def collect(
-    sender: Sender, exchange: Exchange, request: CallerRequest, until: float
-) -> WholeAnswer | NoAnswer:
-    """Read an answer to its end.
+@attrs.define
+class AnswerReader:
+    """Reads the answer of a plain service.
 
-    Args:
+    Attributes:
         sender: What sent the request.
         exchange: What was sent.
         request: The caller's request.
-        until: Time until which to wait, seconds.
+        head: Head of the answer, None before it.
+        body: Body as far as it arrived.
     """
+
+    sender: Sender
+    exchange: Exchange
+    request: CallerRequest
     head: AnswerHead | None = None
-    body = bytearray()
-    while True:
-        arrival = await next_arrival(exchange, until, sender.clock())
-        if isinstance(arrival, Head):
-            head = sender.codec.head(arrival.status, arrival.headers, request)
-        elif isinstance(arrival, Data):
-            body += arrival.data
-        elif isinstance(arrival, (Stalled, Abandoned)):
-            exchange.abandon()
-            reason = getattr(arrival, "reason", "no answer in time")
-            timed_out = isinstance(arrival, Stalled)
-            return NoAnswer(SendOutcome.MAY_HAVE_RUN, reason, timed_out)
-        elif isinstance(arrival, End):
-            sender.release(exchange, head)
-            return _judge(arrival, head, bytes(body))
+    body: bytearray = attrs.field(factory=bytearray)
+
+    async def read(self, until: float) -> WholeAnswer | NoAnswer | None:
+        """Return the answer; None if it has not ended by some time.
+
+        Args:
+            until: That time, seconds.
+        """
+        while True:
+            now = self.sender.clock()
+            arrival = await next_arrival(self.exchange, until, now)
+            if isinstance(arrival, Head):
+                self.head = self.sender.codec.head(
+                    arrival.status, arrival.headers, self.request
+                )
+            elif isinstance(arrival, Data):
+                self.body += arrival.data
+            elif isinstance(arrival, Abandoned):
+                return self.give_up(arrival.reason)
+            elif isinstance(arrival, End):
+                self.sender.release(self.exchange, self.head)
+                return _judge(arrival, self.head, bytes(self.body))
+            else:
+                return None
+
+    def give_up(self, reason: str, timed_out: bool = False) -> NoAnswer:
+        """Close the exchange, so that the endpoint stops its work.
+
+        Args:
+            reason: Why it is closed.
+            timed_out: Whether the time was over.
+        """
+        self.exchange.abandon()
+        return NoAnswer(SendOutcome.MAY_HAVE_RUN, reason, timed_out)
 
 
 def _judge(end: End, head: AnswerHead | None, body: bytes) -> WholeAnswer | NoAnswer:
--- /dev/null
+++ b/packages/relay/tests/relay/test_calls.py
@@ -0,0 +1,158 @@
+"""Tests of calls to plain services whose endpoints are slow.
+
+Callers of idempotent calls got 502 although the endpoint would have answered in time:
+after some objectives its send was closed to try another endpoint, and only then it was
+asked whether a repeat was left and another endpoint free.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from types import SimpleNamespace
+
+import attrs
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
+from lacewingcourse.core.pipelines.fleet import Endpoint
+from lacewingcourse.core.pipelines.repeats import RepeatBudget
+from lacewingcourse.core.pipelines.routing import Organisation, Repeat, Route
+from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.calls import CallForwarder
+from lacewingcourse.relay.job import Job
+from lacewingcourse.relay.ports import AnswerHead, Standing
+from lacewingcourse.relay.sending import WholeAnswer
+from lacewingcourse.relay.upstream import Data, End, Head
+
+from .stream_play import NONE, PLENTY, Decisions
+from .virtual_time import play
+
+#: Seconds that a slow endpoint takes, and a quick one.
+SLOW = 1.0
+QUICK = 0.05
+#: Status of an endpoint that has not run a call.
+REJECTED = 503
+
+
+class Send:
+    """A send to an endpoint that answers after some time."""
+
+    def __init__(self, name: str, seconds: float, status: int) -> None:
+        self.arrivals: asyncio.Queue = asyncio.Queue()
+        self.reusable = True
+        self.abandoned = False
+        self._task = asyncio.ensure_future(self._answer(name, seconds, status))
+
+    def abandon(self) -> None:
+        """Stop the endpoint's work."""
+        self.abandoned = True
+        self._task.cancel()
+
+    async def _answer(self, name: str, seconds: float, status: int) -> None:
+        await asyncio.sleep(seconds)
+        self.arrivals.put_nowait(Head(status, HTTPHeaders()))
+        self.arrivals.put_nowait(Data(name.encode()))
+        self.arrivals.put_nowait(End(True))
+
+
+@attrs.define(slots=False)
+class CallPlay:
+    """A call to a service of two endpoints; the first one sent to is the slow one.
+
+    Attributes:
+        slack: Repeats that are allowed.
+        endpoints: Endpoints of the service.
+        status: Status of every answer.
+        repeat: What may be repeated.
+    """
+
+    slack: float = PLENTY
+    endpoints: int = 2
+    status: int = 200
+    repeat: Repeat = Repeat.IDEMPOTENT
+
+    def __attrs_post_init__(self) -> None:
+        self.sends: list[Send] = []
+        self.codec = SimpleNamespace(head=self._head)
+
+    def clock(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def serve(self) -> WholeAnswer | Refusal:
+        """Serve the call; return its answer, or how it ended."""
+        beliefs = Beliefs()
+        for number in range(self.endpoints):
+            name = f"e{number}"
+            beliefs.fleet.put(Endpoint(name, "desk", f"{name}:1", "east", 6))
+        forwarder = CallForwarder(
+            beliefs,
+            self,
+            RepeatBudget(0.0, 10.0, self.slack),
+            "east",
+            Random(1),
+            Decisions(),
+        )
+        return await forwarder.serve(self._job())
+
+    def _job(self) -> Job:
+        route = Route(
+            "desk",
+            "h",
+            "/",
+            self.repeat,
+            (("desk", 1.0),),
+            timeout=2.5,
+            objective=0.2,
+            gap=0.2,
+            priority=1,
+            most_attempts=2,
+            needs_key=False,
+        )
+        request = SimpleNamespace(
+            host="h", target="/", key=None, body=b"", received_at=0.0
+        )
+        caller = SimpleNamespace(gone=False, begun=False)
+        return Job(request, route, "desk", Organisation(""), caller, False, 2.5)
+
+    def _head(self, status, headers, request) -> AnswerHead:
+        standing = Standing.REJECTED if status == REJECTED else Standing.ANSWERED
+        return AnswerHead(status, headers, standing)
+
+    async def send(self, request, sending, fresh) -> Send:
+        seconds = QUICK if self.sends else SLOW
+        self.sends.append(Send(sending.endpoint, seconds, self.status))
+        return self.sends[-1]
+
+    def release(self, exchange, head) -> None:
+        """Keep nothing."""
+
+
+@pytest.mark.parametrize("lacks", [{"slack": NONE}, {"endpoints": 1}])
+def test_a_slow_endpoint_is_waited_for_where_nothing_replaces_it(lacks):
+    played = CallPlay(**lacks)
+    answer = play(played.serve())
+    assert isinstance(answer, WholeAnswer)
+    assert len(played.sends) == 1
+
+
+def test_a_slow_endpoint_is_left_for_one_that_may_be_asked():
+    played = CallPlay()
+    answer = play(played.serve())
+    assert isinstance(answer, WholeAnswer)
+    assert [send.abandoned for send in played.sends] == [True, False]
+
+
+def test_a_call_that_may_run_once_waits_for_its_endpoint():
+    played = CallPlay(repeat=Repeat.ONCE)
+    assert isinstance(play(played.serve()), WholeAnswer)
+    assert len(played.sends) == 1
+
+
+def test_a_call_that_no_endpoint_ran_is_refused_as_such():
+    """Its caller was told that it may have run, and not when to come back."""
+    ended = play(CallPlay(slack=NONE, status=REJECTED).serve())
+    assert ended.kind is ErrorKind.REPEATS_EXHAUSTED
+    assert ended.outcome is Outcome.NOT_RUN
+    assert ended.retry_after is not None
