Blame no endpoint for a request whose time was over before it was sent

Callers were refused for want of a path although every engine lived: a request whose time was over when it was to be sent was taken for an engine that could not be reached. The engine was left out for all requests, at all entries, for two seconds and more, and the request went on to the next first part until none was left. Under overload, when little time is left of many requests, this takes engines out just then, and answers that must move find no path. Change: why a request never left is a closed set; what is overdue ends as such and blames nobody.

--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -16,6 +16,7 @@
     NoAnswer,
     NotSent,
     Sender,
+    Unsent,
     WholeAnswer,
 )
 from lacewingcourse.relay.upstream import SendOutcome
@@ -79,6 +80,8 @@
             if job.sends:
                 self.budget.take(job.service, now)
             result = await self._attempt(job, endpoint, now)
+            if isinstance(result, NotSent) and result.cause is Unsent.OVERDUE:
+                return last or job.failure(ErrorKind.DEADLINE_EXCEEDED, None)
             if isinstance(result, NotSent):
                 self.beliefs.suspects.suspect(endpoint.id, result.reason, now)
                 job.avoid.add(endpoint.id)
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -26,15 +27,27 @@
     from lacewingcourse.relay.ports import RequestCodec
 
 
+class Unsent(Enum):
+    """Why a request never left this process."""
+
+    UNREACHABLE = "no connection could be made"
+    OVERDUE = "the time was over before it was sent"
+
+
 @attrs.frozen
 class NotSent:
     """A sentinel value: the request never left this process.
 
     Attributes:
-        reason: What happened.
+        cause: Why.
     """
 
-    reason: str
+    cause: Unsent
+
+    @property
+    def reason(self) -> str:
+        """What happened, for people."""
+        return self.cause.value
 
 
 @attrs.define
@@ -67,12 +80,12 @@
         if connection is None:
             connection = await self.pool.connect(sending.address)
         if connection is None:
-            return NotSent("no connection could be made")
+            return NotSent(Unsent.UNREACHABLE)
         passed = self.clock() - started
         sending = attrs.evolve(sending, time_left=sending.time_left - passed)
         if sending.time_left <= 0:
             connection.close()
-            return NotSent("the time was over before it was sent")
+            return NotSent(Unsent.OVERDUE)
         exchange = Exchange(connection, lambda s, h: self._is_ours(s, h, request))
         headers = self.codec.outgoing(request, sending)
         exchange.start(request.method, request.target, headers, request.body)
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -12,7 +12,7 @@
 from lacewingcourse.core.pipelines.suspects import is_full
 from lacewingcourse.core.pipelines.waiting import come_back_after
 from lacewingcourse.relay.path_finder import demand_of
-from lacewingcourse.relay.sending import NotSent, Sender
+from lacewingcourse.relay.sending import NotSent, Sender, Unsent
 from lacewingcourse.relay.stream_run import (
     RunResult,
     StreamEnd,
@@ -151,7 +151,7 @@
             sent = await self.sender.send(job.request, sending, fresh=False)
             if isinstance(sent, NotSent):
                 job.note(SendOutcome.NEVER_LEFT, sent.reason)
-                return None
+                return self._unsent(sent)
             job.sends += 1
             job.firsts.add(first.endpoint)
             job.current = sent
@@ -176,6 +176,16 @@
             self.stalls.end(job)
             self.beliefs.loads.end(path, demand.tokens)
 
+    def _unsent(self, sent: NotSent) -> RunResult | None:
+        """Return what a request amounts to that was not sent; None to try elsewhere.
+
+        A time that is over says nothing of the endpoint: left out for it, one request
+        after the other would take every endpoint from all others.
+        """
+        if sent.cause is Unsent.OVERDUE:
+            return RunResult(StreamEnd.OVERDUE, sent.reason)
+        return None
+
     def _learn(self, job: Job, path: Path, result: RunResult) -> None:
         """Leave out what failed, for this request or for all."""
         now = self.sender.clock()
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -23,7 +23,7 @@
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.ports import AnswerHead, Standing
-from lacewingcourse.relay.sending import WholeAnswer
+from lacewingcourse.relay.sending import NotSent, Unsent, WholeAnswer
 from lacewingcourse.relay.upstream import Data, End, Head
 
 from .stream_play import NONE, PLENTY, Decisions
@@ -66,15 +66,18 @@
         endpoints: Endpoints of the service.
         status: Status of every answer.
         repeat: What may be repeated.
+        overdue: Whether its time is over when it is to be sent.
     """
 
     slack: float = PLENTY
     endpoints: int = 2
     status: int = 200
     repeat: Repeat = Repeat.IDEMPOTENT
+    overdue: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.sends: list[Send] = []
+        self.beliefs = Beliefs()
         self.codec = SimpleNamespace(head=self._head)
 
     def clock(self) -> float:
@@ -82,12 +85,11 @@
 
     async def serve(self) -> WholeAnswer | Refusal:
         """Serve the call; return its answer, or how it ended."""
-        beliefs = Beliefs()
         for number in range(self.endpoints):
             name = f"e{number}"
-            beliefs.fleet.put(Endpoint(name, "desk", f"{name}:1", "east", 6))
+            self.beliefs.fleet.put(Endpoint(name, "desk", f"{name}:1", "east", 6))
         forwarder = CallForwarder(
-            beliefs,
+            self.beliefs,
             self,
             RepeatBudget(0.0, 10.0, self.slack),
             "east",
@@ -120,7 +122,9 @@
         standing = Standing.REJECTED if status == REJECTED else Standing.ANSWERED
         return AnswerHead(status, headers, standing)
 
-    async def send(self, request, sending, fresh) -> Send:
+    async def send(self, request, sending, fresh) -> Send | NotSent:
+        if self.overdue:
+            return NotSent(Unsent.OVERDUE)
         seconds = QUICK if self.sends else SLOW
         self.sends.append(Send(sending.endpoint, seconds, self.status))
         return self.sends[-1]
@@ -150,6 +154,15 @@
     assert len(played.sends) == 1
 
 
+def test_a_call_whose_time_was_over_takes_no_endpoint_from_others():
+    """Its endpoint was taken for one that cannot be reached, and left out for all."""
+    played = CallPlay(overdue=True)
+    ended = play(played.serve())
+    assert ended.kind is ErrorKind.DEADLINE_EXCEEDED
+    assert ended.outcome is Outcome.NOT_RUN
+    assert played.beliefs.suspects.excluded(0.0) == set()
+
+
 def test_a_call_that_no_endpoint_ran_is_refused_as_such():
     """Its caller was told that it may have run, and not when to come back."""
     ended = play(CallPlay(slack=NONE, status=REJECTED).serve())
