Send again over a new connection where an endpoint had dropped a kept one

Callers were refused, or their answers closed in the middle within milliseconds, though every engine lived: engines drop idle connections without notice, and what is sent next on each is reset. Each reset counted as a lost run: an attempt of the route, a repeat, a mark of a crash, and the engine left out for the request; the next path was chosen for its kept connections, which were as old. A stream that may run once went over kept connections too, and was lost at the first. Ruled out: that an engine crashes under the request is told by the new connection, which then cannot be made; it counts as before. Change: a reset of a kept connection before a byte of an answer is told apart; the kept ones to that address are closed, and the request goes to the same endpoint over a new one. The outcome stays 'may have run' where no answer follows. What may run once uses new connections.

--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -79,7 +79,7 @@
                 return last or job.failure(endpoint.kind, CALL_RETRY_AFTER)
             if job.sends:
                 self.budget.take(job.service, now)
-            result = await self._attempt(job, endpoint, now)
+            result = await self._attempt(job, endpoint)
             if isinstance(result, NotSent) and result.cause is Unsent.OVERDUE:
                 return last or job.failure(ErrorKind.DEADLINE_EXCEEDED, None)
             if isinstance(result, NotSent):
@@ -131,26 +131,54 @@
         return choose_endpoint(usable, loads, self.zone, avoided, self.rng)
 
     async def _attempt(
-        self, job: Job, endpoint: Endpoint, now: float
+        self, job: Job, endpoint: Endpoint
     ) -> WholeAnswer | NoAnswer | NotSent:
+        """Return an endpoint's answer, or what became of the call there."""
         self.beliefs.loads.begin_call(endpoint.id)
         try:
-            sending = job.sending(endpoint.name, endpoint.address, None, now, "")
             fresh = not job.route.repeat.may_repeat
-            sent = await self.sender.send(job.request, sending, fresh)
-            if isinstance(sent, NotSent):
-                return sent
-            job.sends += 1
-            job.firsts.add(endpoint.id)
-            job.current = sent
-            age = now - self.beliefs.fleet.known_at
-            self.log.sent(job, endpoint.id, age, 0.0)
-            if job.caller.gone:
-                job.caller_gone()
+            result = await self._ask(job, endpoint, fresh)
+            if not isinstance(result, NoAnswer) or not result.dropped:
+                return result
+            # Endpoints drop kept connections without notice; it is no lost run.
+            self.sender.pool.drop(endpoint.address)
+            job.sends -= 1
+            job.note(result.outcome, result.reason)
+            again = await self._ask(job, endpoint, fresh=True)
+            if isinstance(again, NotSent):
+                # It is gone, perhaps under this call.
+                job.sends += 1
+                return result
+            return again
+        finally:
+            self.beliefs.loads.end_call(endpoint.id)
+
+    async def _ask(
+        self, job: Job, endpoint: Endpoint, fresh: bool
+    ) -> WholeAnswer | NoAnswer | NotSent:
+        """Send a call to an endpoint and read its answer.
+
+        Args:
+            job: The call.
+            endpoint: The endpoint.
+            fresh: Whether to send it over a new connection.
+        """
+        now = self.sender.clock()
+        sending = job.sending(endpoint.name, endpoint.address, None, now, "")
+        sent = await self.sender.send(job.request, sending, fresh)
+        if isinstance(sent, NotSent):
+            return sent
+        job.sends += 1
+        job.firsts.add(endpoint.id)
+        job.current = sent
+        age = now - self.beliefs.fleet.known_at
+        self.log.sent(job, endpoint.id, age, 0.0)
+        if job.caller.gone:
+            job.caller_gone()
+        try:
             return await self._read(job, endpoint, sent, now)
         finally:
             job.current = None
-            self.beliefs.loads.end_call(endpoint.id)
 
     async def _read(
         self, job: Job, endpoint: Endpoint, exchange: Exchange, sent_at: float
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -142,12 +142,14 @@
         reason: What happened.
         timed_out: Whether the time was over.
         connection_lost: Whether the endpoint's connection ended before its answer.
+        dropped: Whether that connection had been kept, and nothing came over it.
     """
 
     outcome: SendOutcome
     reason: str
     timed_out: bool = False
     connection_lost: bool = False
+    dropped: bool = False
 
 
 @attrs.define
@@ -187,7 +189,7 @@
                 return self.give_up(arrival.reason)
             elif isinstance(arrival, End):
                 self.sender.release(self.exchange, self.head)
-                return _judge(arrival, self.head, bytes(self.body))
+                return self._judge(arrival)
             else:
                 return None
 
@@ -201,15 +203,18 @@
         self.exchange.abandon()
         return NoAnswer(SendOutcome.MAY_HAVE_RUN, reason, timed_out)
 
-
-def _judge(end: End, head: AnswerHead | None, body: bytes) -> WholeAnswer | NoAnswer:
-    """Return what an answer that has ended amounts to."""
-    if head is None or not end.complete:
-        reason = end.reason or "no head"
-        return NoAnswer(SendOutcome.MAY_HAVE_RUN, reason, connection_lost=True)
-    if head.standing is Standing.REJECTED:
-        reason = f"rejected with {head.status}"
-        return NoAnswer(SendOutcome.REJECTED, reason)
-    if head.standing is not Standing.ANSWERED:
-        return NoAnswer(SendOutcome.MAY_HAVE_RUN, head.reason)
-    return WholeAnswer(head, body)
+    def _judge(self, end: End) -> WholeAnswer | NoAnswer:
+        """Return what an answer that has ended amounts to."""
+        head = self.head
+        if head is None or not end.complete:
+            reason = end.reason or "no head"
+            dropped = self.exchange.was_dropped
+            return NoAnswer(
+                SendOutcome.MAY_HAVE_RUN, reason, connection_lost=True, dropped=dropped
+            )
+        if head.standing is Standing.REJECTED:
+            reason = f"rejected with {head.status}"
+            return NoAnswer(SendOutcome.REJECTED, reason)
+        if head.standing is not Standing.ANSWERED:
+            return NoAnswer(SendOutcome.MAY_HAVE_RUN, head.reason)
+        return WholeAnswer(head, bytes(self.body))
--- a/packages/relay/src/lacewingcourse/relay/stream_run.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_run.py
@@ -23,8 +23,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lacewingcourse.core.pipelines.choice import Demand
     from lacewingcourse.core.pipelines.events import EventCutter
     from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.ports import AnswerHead
@@ -48,6 +50,7 @@
     REJECTED = "rejected"
     ABANDONED = "abandoned"
     OVERDUE = "overdue"
+    DROPPED = "dropped"
 
 
 @attrs.frozen
@@ -73,14 +76,20 @@
 
 @attrs.define
 class StreamState:
-    """What was passed on of a stream.
+    """A stream, over all of its runs.
 
     Attributes:
+        job: The request.
+        shape: Figures of the service's engines.
+        demand: What it needs of a path.
         cutter: Cuts bytes into events, and knows the last one passed on.
         head: Head of the first run's answer, None before it.
         quiet_since: Time since which nothing arrived of the present run, seconds.
     """
 
+    job: Job
+    shape: EngineShape
+    demand: Demand
     cutter: EventCutter
     head: AnswerHead | None = None
     quiet_since: float = 0.0
@@ -95,9 +104,8 @@
     part of an answer where no repeat is allowed or no other path has room.
 
     Attributes:
-        job: The request.
+        state: The stream.
         exchange: What was sent for this run.
-        state: What was passed on, over all runs.
         sender: What sent it.
         stalls: Watches streams for standing still.
         log: Log of decisions.
@@ -108,9 +116,8 @@
             not.
     """
 
-    job: Job
-    exchange: Exchange
     state: StreamState
+    exchange: Exchange
     sender: Sender
     stalls: StallWatcher
     log: DecisionLog
@@ -118,6 +125,11 @@
     head: AnswerHead | None = None
     moving_since: float | None = None
 
+    @property
+    def job(self) -> Job:
+        """The request."""
+        return self.state.job
+
     async def relay(self) -> RunResult:
         """Pass on what arrives until the run ends."""
         arrivals = self.exchange.arrivals
@@ -226,6 +238,8 @@
             self._end_whole()
             return RunResult(StreamEnd.WHOLE)
         self._give_up(arrival.reason or "cut event")
+        if self.exchange.was_dropped:
+            return RunResult(StreamEnd.DROPPED, self.job.reason)
         # An engine ends a run that stood still behind another part; it is not lost.
         if self.moving_since is not None:
             return RunResult(StreamEnd.STALLED, self.job.reason)
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -25,7 +25,6 @@
     from collections.abc import Collection
     from random import Random
 
-    from lacewingcourse.core.pipelines.choice import Demand
     from lacewingcourse.core.pipelines.path import Part, Path
     from lacewingcourse.core.pipelines.repeats import RepeatBudget
     from lacewingcourse.core.pipelines.shape import EngineShape
@@ -35,6 +34,7 @@
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.path_finder import PathFinder
     from lacewingcourse.relay.stall_watcher import StallWatcher
+    from lacewingcourse.relay.upstream import Exchange
 
 
 @attrs.define
@@ -63,22 +63,21 @@
 
     async def serve(self, job: Job, shape: EngineShape) -> Refusal | None:
         """Forward a stream; return why its answer is not whole, if it is not."""
-        state = StreamState(EventCutter(last_id=job.request.resume_after))
-        demand = demand_of(job, shape)
+        cutter = EventCutter(last_id=job.request.resume_after)
+        state = StreamState(job, shape, demand_of(job, shape), cutter)
         replacement: Path | None = None
         while True:
-            path = replacement or await self._wait_for_path(job, shape, demand)
+            path = replacement or await self._wait_for_path(state)
             if isinstance(path, Refusal):
                 return self._give_up(job, path.kind, path.reason)
             now = self.sender.clock()
             if job.sends:
                 self.budget.take(job.service, now)
-            self._note_transfers(path, demand, shape, now)
-            result = await self._run(job, path, demand, shape, state, now)
+            self._note_transfers(state, path, now)
+            result = await self._run(state, path)
             replacement = result.replacement if result is not None else None
             if result is None:
-                self.beliefs.suspects.suspect(path.first.endpoint, job.reason, now)
-                job.avoid.add(path.first.endpoint)
+                self._unreachable(job)
                 continue
             if result.end in (StreamEnd.WHOLE, StreamEnd.ABANDONED):
                 return None
@@ -88,93 +87,114 @@
             if not job.may_send_again:
                 return self._give_up(job, self._kind(result), "no attempt is left")
 
-    async def _wait_for_path(
-        self, job: Job, shape: EngineShape, demand: Demand
-    ) -> Path | Refusal:
+    async def _wait_for_path(self, state: StreamState) -> Path | Refusal:
         """Return a path for a request, or why none was found while it waited."""
         asked = self.sender.clock()
         path = await self.admission.path_for(
-            job, demand, lambda: self._path(job, shape, demand)
+            state.job, state.demand, lambda: self._path(state)
         )
-        job.waited += self.sender.clock() - asked
+        state.job.waited += self.sender.clock() - asked
         return path
 
     def _path(
-        self,
-        job: Job,
-        shape: EngineShape,
-        demand: Demand,
-        besides: Collection[str] = (),
+        self, state: StreamState, besides: Collection[str] = ()
     ) -> Path | Refusal:
-        """Return a path that a request may be sent on now, or why there is none."""
+        """Return a path that a request may be sent on now, or why there is none.
+
+        Args:
+            state: The stream.
+            besides: Endpoints to avoid besides those that it avoids anyway.
+        """
+        job = state.job
         if job.sends and not self.budget.allows(job.service, self.sender.clock()):
             return Refusal(ErrorKind.REPEATS_EXHAUSTED, "no repeat is left")
-        return self.finder.find(job, shape, demand, besides)
+        return self.finder.find(job, state.shape, state.demand, besides)
 
-    def _replacement(
-        self, job: Job, shape: EngineShape, demand: Demand
-    ) -> Path | Refusal:
+    def _replacement(self, state: StreamState) -> Path | Refusal:
         """Return a path for a stream whose run stands still but is open."""
-        path = job.path
+        job, path, tokens = state.job, state.job.path, state.demand.tokens
         besides = [] if path.uses(job.avoid) else [p.endpoint for p in path.parts]
         # The run ends with the move, so what it takes is free for the next one.
-        self.beliefs.loads.end(path, demand.tokens)
+        self.beliefs.loads.end(path, tokens)
         try:
-            return self._path(job, shape, demand, besides)
+            return self._path(state, besides)
         finally:
-            self.beliefs.loads.begin(path, demand.tokens)
+            self.beliefs.loads.begin(path, tokens)
 
-    def _note_transfers(
-        self, path: Path, demand: Demand, shape: EngineShape, now: float
-    ) -> None:
+    def _note_transfers(self, state: StreamState, path: Path, now: float) -> None:
         """Note the time that a prompt takes on the pipes of its path."""
         for pair in path.crossings:
-            seconds = shape.transfer_seconds(demand.prompt)
+            seconds = state.shape.transfer_seconds(state.demand.prompt)
             self.beliefs.pipes.add(pair, seconds, now)
 
-    async def _run(
-        self,
-        job: Job,
-        path: Path,
-        demand: Demand,
-        shape: EngineShape,
-        state: StreamState,
-        now: float,
-    ) -> RunResult | None:
+    async def _run(self, state: StreamState, path: Path) -> RunResult | None:
         """Run a stream on a path; None if the request never left this process."""
-        self.beliefs.loads.begin(path, demand.tokens)
+        job = state.job
+        job.path = path
+        self.beliefs.loads.begin(path, state.demand.tokens)
         try:
-            first = path.first
-            job.path = path
-            after = state.cutter.last_id
-            sending = job.sending(first.name, first.address, path, now, after)
-            sent = await self.sender.send(job.request, sending, fresh=False)
-            if isinstance(sent, NotSent):
-                job.note(SendOutcome.NEVER_LEFT, sent.reason)
-                return self._unsent(sent)
-            job.sends += 1
-            job.firsts.add(first.endpoint)
-            job.current = sent
-            self.stalls.begin(job, now)
-            age = now - self.beliefs.fleet.known_at
-            self.log.sent(job, first.endpoint, age, job.waited)
-            if job.caller.gone:
-                job.caller_gone()
+            result = await self._relay(state, fresh=not job.route.repeat.may_repeat)
+            if result is None or result.end is not StreamEnd.DROPPED:
+                return result
+            # Endpoints drop kept connections without notice. Taken for a lost run, each
+            # of these would use up an attempt of the route and a repeat.
+            job.sends -= 1
+            self.sender.pool.drop(path.first.address)
+            again = await self._relay(state, fresh=True)
+            if again is None:
+                # The endpoint is gone, perhaps under this request.
+                job.sends += 1
+                self._unreachable(job)
+                return RunResult(StreamEnd.LOST, result.reason, first_lost=True)
+            return again
+        finally:
+            self.beliefs.loads.end(path, state.demand.tokens)
+
+    async def _relay(self, state: StreamState, fresh: bool) -> RunResult | None:
+        """Send a stream on its path and pass on what comes; None if it never left.
+
+        Args:
+            state: The stream.
+            fresh: Whether to send it over a new connection.
+        """
+        job = state.job
+        now = self.sender.clock()
+        first = job.path.first
+        after = state.cutter.last_id
+        sending = job.sending(first.name, first.address, job.path, now, after)
+        sent = await self.sender.send(job.request, sending, fresh)
+        if isinstance(sent, NotSent):
+            job.note(SendOutcome.NEVER_LEFT, sent.reason)
+            return self._unsent(sent)
+        try:
+            self._begin(job, sent, now)
             state.cutter.restart()
+            replacement = partial(self._replacement, state)
             run = StreamRun(
-                job,
-                sent,
-                state,
-                self.sender,
-                self.stalls,
-                self.log,
-                partial(self._replacement, job, shape, demand),
+                state, sent, self.sender, self.stalls, self.log, replacement
             )
             return await run.relay()
         finally:
             job.current = None
             self.stalls.end(job)
-            self.beliefs.loads.end(path, demand.tokens)
+
+    def _begin(self, job: Job, sent: Exchange, now: float) -> None:
+        """Note a run that was sent."""
+        first = job.path.first
+        job.sends += 1
+        job.firsts.add(first.endpoint)
+        job.current = sent
+        self.stalls.begin(job, now)
+        age = now - self.beliefs.fleet.known_at
+        self.log.sent(job, first.endpoint, age, job.waited)
+        if job.caller.gone:
+            job.caller_gone()
+
+    def _unreachable(self, job: Job) -> None:
+        """Leave out an endpoint to which no connection could be made."""
+        endpoint = job.path.first.endpoint
+        self.beliefs.suspects.suspect(endpoint, job.reason, self.sender.clock())
+        job.avoid.add(endpoint)
 
     def _unsent(self, sent: NotSent) -> RunResult | None:
         """Return what a request amounts to that was not sent; None to try elsewhere.
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -123,11 +123,13 @@
         stream: The connection.
         address: Address of the endpoint.
         usable_until: Time until which it may be used again, seconds.
+        reused: Whether it carried another exchange before.
     """
 
     stream: EndpointStream
     address: str
     usable_until: float = 0.0
+    reused: bool = False
 
     def close(self) -> None:
         """End it at once."""
@@ -151,6 +153,7 @@
             connection = waiting.pop()
             if now < connection.usable_until and connection.stream.clean:
                 connection.stream.set_close_callback(None)
+                connection.reused = True
                 self._drop_if_empty(address)
                 return connection
             connection.close()
@@ -187,11 +190,18 @@
     def expire(self, now: float) -> None:
         """Close the connections that may not be used any more."""
         for address, waiting in list(self.idle.items()):
-            for connection in [c for c in waiting if c.usable_until <= now]:
-                waiting.remove(connection)
-                connection.stream.set_close_callback(None)
-                connection.close()
-            self._drop_if_empty(address)
+            self._close(address, [c for c in waiting if c.usable_until <= now])
+
+    def drop(self, address: str) -> None:
+        """Close all idle connections to an endpoint, which has dropped one of them."""
+        self._close(address, list(self.idle.get(address, ())))
+
+    def _close(self, address: str, connections: list[Connection]) -> None:
+        for connection in connections:
+            self.idle[address].remove(connection)
+            connection.stream.set_close_callback(None)
+            connection.close()
+        self._drop_if_empty(address)
 
     def _drop_if_empty(self, address: str) -> None:
         """Keep no address without a connection: those that are kept are preferred."""
@@ -212,6 +222,7 @@
         connection: Connection that carries it.
         arrivals: What arrived and was not taken yet.
         complete: Whether an answer was read to its end.
+        heard: Whether anything of an answer arrived.
         sink: Takes bytes of the body as they arrive, None to put them into
             `arrivals`. A stream's events go through it without a switch of tasks,
             which saves a fifth of an entry's processor time.
@@ -225,6 +236,7 @@
         self.connection = connection
         self.arrivals: asyncio.Queue[Arrival] = asyncio.Queue()
         self.complete = False
+        self.heard = False
         self.sink: Callable[[bytes], None] | None = None
         self._is_ours = is_ours
         self._skipping = False
@@ -256,10 +268,20 @@
         """Whether the connection may carry another request."""
         return self.complete and not self._until_close and not self._closes
 
+    @property
+    def was_dropped(self) -> bool:
+        """Whether the endpoint seems to have dropped the connection before its use.
+
+        One that was kept and ends before a byte of an answer nearly always had been
+        dropped while it was idle; that the request ran is not ruled out.
+        """
+        return self.connection.reused and not self.heard
+
     def headers_received(
         self, start_line: ResponseStartLine | RequestStartLine, headers: HTTPHeaders
     ) -> None:
         """Take the head of an answer."""
+        self.heard = True
         status = start_line.code
         if status < 200:
             return
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -21,7 +21,7 @@
 from lacewingcourse.relay.ports import AnswerHead, EngineReport, Standing
 from lacewingcourse.relay.stall_watcher import StallWatcher
 from lacewingcourse.relay.streams import StreamForwarder
-from lacewingcourse.relay.upstream import Data, End, Head
+from lacewingcourse.relay.upstream import ConnectionPool, Data, End, Head
 
 #: Events of an answer.
 EVENTS = 20
@@ -52,22 +52,25 @@
         pause: Seconds of that pause.
         breaks: Whether it ends the run there.
         status: Status of its answer.
+        drops: Whether it has dropped the connections that are kept to it.
     """
 
     pause_after: int | None = None
     pause: float = 0.0
     breaks: bool = False
     status: int = 200
+    drops: bool = False
 
 
 class Run:
     """A run of a stream on an engine; stands for the exchange that carries it."""
 
-    def __init__(self, engine: Engine, after: int) -> None:
+    def __init__(self, engine: Engine, after: int, fresh: bool) -> None:
         self.arrivals: asyncio.Queue = asyncio.Queue()
         self.sink = None
         self.reusable = True
         self.abandoned = False
+        self.was_dropped = engine.drops and not fresh
         self._task = asyncio.ensure_future(self._write(engine, after))
 
     def abandon(self) -> None:
@@ -76,6 +79,9 @@
         self._task.cancel()
 
     async def _write(self, engine: Engine, after: int) -> None:
+        if self.was_dropped:
+            self.arrivals.put_nowait(End(False, "closed"))
+            return
         self.arrivals.put_nowait(Head(engine.status, HTTPHeaders()))
         if engine.status != 200:
             self.arrivals.put_nowait(End(True))
@@ -165,6 +171,7 @@
         self.runs: list[tuple[float, str, Run]] = []
         self.caller = CallerStub()
         self.ended_at = 0.0
+        self.pool = ConnectionPool()
         self.log = Decisions()
         self.budget = RepeatBudget(0.0, 10.0, self.slack)
         self.beliefs = Beliefs()
@@ -278,7 +285,7 @@
     async def send(self, request, sending, fresh) -> Run:
         name = sending.path.first.endpoint
         after = int(sending.resume_after or 0)
-        run = Run(self.engines.get(name, Engine()), after)
+        run = Run(self.engines.get(name, Engine()), after, fresh)
         self.runs.append((self.clock(), name, run))
         return run
 
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -24,7 +24,7 @@
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.ports import AnswerHead, Standing
 from lacewingcourse.relay.sending import NotSent, Unsent, WholeAnswer
-from lacewingcourse.relay.upstream import Data, End, Head
+from lacewingcourse.relay.upstream import ConnectionPool, Data, End, Head
 
 from .stream_play import NONE, PLENTY, Decisions
 from .virtual_time import play
@@ -39,10 +39,11 @@
 class Send:
     """A send to an endpoint that answers after some time."""
 
-    def __init__(self, name: str, seconds: float, status: int) -> None:
+    def __init__(self, name: str, seconds: float, status: int, dropped: bool) -> None:
         self.arrivals: asyncio.Queue = asyncio.Queue()
         self.reusable = True
         self.abandoned = False
+        self.was_dropped = dropped
         self._task = asyncio.ensure_future(self._answer(name, seconds, status))
 
     def abandon(self) -> None:
@@ -51,6 +52,9 @@
         self._task.cancel()
 
     async def _answer(self, name: str, seconds: float, status: int) -> None:
+        if self.was_dropped:
+            self.arrivals.put_nowait(End(False, "closed"))
+            return
         await asyncio.sleep(seconds)
         self.arrivals.put_nowait(Head(status, HTTPHeaders()))
         self.arrivals.put_nowait(Data(name.encode()))
@@ -67,6 +71,7 @@
         status: Status of every answer.
         repeat: What may be repeated.
         overdue: Whether its time is over when it is to be sent.
+        drops: Whether the endpoints have dropped the connections that are kept to them.
     """
 
     slack: float = PLENTY
@@ -74,10 +79,12 @@
     status: int = 200
     repeat: Repeat = Repeat.IDEMPOTENT
     overdue: bool = False
+    drops: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.sends: list[Send] = []
         self.beliefs = Beliefs()
+        self.pool = ConnectionPool()
         self.codec = SimpleNamespace(head=self._head)
 
     def clock(self) -> float:
@@ -126,7 +133,8 @@
         if self.overdue:
             return NotSent(Unsent.OVERDUE)
         seconds = QUICK if self.sends else SLOW
-        self.sends.append(Send(sending.endpoint, seconds, self.status))
+        dropped = self.drops and not fresh
+        self.sends.append(Send(sending.endpoint, seconds, self.status, dropped))
         return self.sends[-1]
 
     def release(self, exchange, head) -> None:
@@ -154,6 +162,13 @@
     assert len(played.sends) == 1
 
 
+@pytest.mark.parametrize("repeat", [Repeat.IDEMPOTENT, Repeat.ONCE])
+def test_a_call_is_answered_although_kept_connections_were_dropped(repeat):
+    """Its callers got 502 although the endpoint lived."""
+    played = CallPlay(slack=NONE, endpoints=1, drops=True, repeat=repeat)
+    assert isinstance(play(played.serve()), WholeAnswer)
+
+
 def test_a_call_whose_time_was_over_takes_no_endpoint_from_others():
     """Its endpoint was taken for one that cannot be reached, and left out for all."""
     played = CallPlay(overdue=True)
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -14,6 +14,7 @@
 import pytest
 
 from lacewingcourse.core.errors import ErrorKind, Outcome
+from lacewingcourse.core.pipelines.routing import Repeat
 
 from .stream_play import NONE, PLENTY, Engine, StreamPlay, whole_answer
 from .virtual_time import play
@@ -124,3 +125,12 @@
     assert ended.kind is ErrorKind.REPEATS_EXHAUSTED
     assert ended.outcome is Outcome.NOT_RUN
     assert ended.retry_after is not None
+
+
+@pytest.mark.parametrize("repeat", [Repeat.RESUMABLE_STREAM, Repeat.STREAM])
+def test_a_dropped_connection_takes_no_attempt_and_no_repeat(stream, repeat):
+    """Streams were given up, within milliseconds, though their engines lived."""
+    played = stream(Engine(drops=True), slack=NONE, attempts=1, repeat=repeat)
+    assert play(played.serve()) is None
+    assert played.caller.body == whole_answer()
+    assert played.beliefs.crashes.losses(played.ended_at) == {}
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -14,6 +14,7 @@
 from lacewingcourse.core.pipelines.load import Load
 from lacewingcourse.core.pipelines.path import Part, Path
 from lacewingcourse.core.pipelines.repeats import RepeatBudget
+from lacewingcourse.core.pipelines.routing import Repeat
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.ports import AnswerHead, Standing
@@ -142,7 +143,9 @@
         request=request,
         service="rooms",
         caller=SimpleNamespace(gone=False, begun=False),
-        route=SimpleNamespace(name="rooms", most_attempts=2),
+        route=SimpleNamespace(
+            name="rooms", most_attempts=2, repeat=Repeat.RESUMABLE_STREAM
+        ),
         waited=0.0,
         sends=0,
         firsts=set(),
