Bear a lack of file descriptors: idle connections give way, and no endpoint is blamed

Where the process had no file descriptor left, the socket to the next engine could not be made, and that error ended the request as a defect: 500, and an answer under way broken off at once, another way to an answer closed in the middle within milliseconds. Change: idle connections to endpoints are closed first; where none is left either, a request is refused with a Retry-After and an answer under way waits. Ruled out: that the lack is taken for an endpoint that cannot be reached, which would take endpoints from all.

--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -11,15 +11,8 @@
 from lacewingcourse.core.pipelines.choice import choose_endpoint
 from lacewingcourse.core.pipelines.waiting import wait_in_time
 from lacewingcourse.relay.admission import RETRY_PERIOD
-from lacewingcourse.relay.sending import (
-    AnswerReader,
-    NoAnswer,
-    NotSent,
-    Sender,
-    Unsent,
-    WholeAnswer,
-)
-from lacewingcourse.relay.upstream import SendOutcome
+from lacewingcourse.relay.sending import AnswerReader, NoAnswer, Sender, WholeAnswer
+from lacewingcourse.relay.upstream import NotSent, SendOutcome, Unsent
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -38,6 +31,11 @@
 PATIENCE_OBJECTIVES = 2.5
 #: Status from which an endpoint's answer is its own failure.
 SERVER_ERROR = 500
+#: How a call ends that was not sent for a reason which lies with no endpoint.
+UNSENT_ENDS = {
+    Unsent.OVERDUE: ErrorKind.DEADLINE_EXCEEDED,
+    Unsent.NO_DESCRIPTOR: ErrorKind.OVERLOADED,
+}
 #: Seconds after which a refused call is worth trying again.
 CALL_RETRY_AFTER = 0.3
 
@@ -80,8 +78,9 @@
             if job.sends:
                 self.budget.take(job.service, now)
             result = await self._attempt(job, endpoint)
-            if isinstance(result, NotSent) and result.cause is Unsent.OVERDUE:
-                return last or job.failure(ErrorKind.DEADLINE_EXCEEDED, None)
+            if isinstance(result, NotSent) and result.cause in UNSENT_ENDS:
+                job.reason = result.reason
+                return last or job.failure(UNSENT_ENDS[result.cause], CALL_RETRY_AFTER)
             if isinstance(result, NotSent):
                 self.beliefs.suspects.suspect(endpoint.id, result.reason, now)
                 job.avoid.add(endpoint.id)
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,8 +16,10 @@
     End,
     Exchange,
     Head,
+    NotSent,
     SendOutcome,
     Stalled,
+    Unsent,
 )
 
 if TYPE_CHECKING:
@@ -27,29 +28,6 @@
     from lacewingcourse.relay.ports import RequestCodec
 
 
-class Unsent(Enum):
-    """Why a request never left this process."""
-
-    UNREACHABLE = "no connection could be made"
-    OVERDUE = "the time was over before it was sent"
-
-
-@attrs.frozen
-class NotSent:
-    """A sentinel value: the request never left this process.
-
-    Attributes:
-        cause: Why.
-    """
-
-    cause: Unsent
-
-    @property
-    def reason(self) -> str:
-        """What happened, for people."""
-        return self.cause.value
-
-
 @attrs.define
 class Sender:
     """Sends requests over pooled connections.
@@ -79,8 +57,8 @@
             connection = self.pool.take(sending.address, started)
         if connection is None:
             connection = await self.pool.connect(sending.address)
-        if connection is None:
-            return NotSent(Unsent.UNREACHABLE)
+        if isinstance(connection, NotSent):
+            return connection
         passed = self.clock() - started
         sending = attrs.evolve(sending, time_left=sending.time_left - passed)
         if sending.time_left <= 0:
--- a/packages/relay/src/lacewingcourse/relay/stream_run.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_run.py
@@ -51,6 +51,7 @@
     ABANDONED = "abandoned"
     OVERDUE = "overdue"
     DROPPED = "dropped"
+    HELD = "held"
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -11,15 +12,16 @@
 from lacewingcourse.core.pipelines.events import EventCutter
 from lacewingcourse.core.pipelines.suspects import is_full
 from lacewingcourse.core.pipelines.waiting import come_back_after
+from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.path_finder import demand_of
-from lacewingcourse.relay.sending import NotSent, Sender, Unsent
+from lacewingcourse.relay.sending import Sender
 from lacewingcourse.relay.stream_run import (
     RunResult,
     StreamEnd,
     StreamRun,
     StreamState,
 )
-from lacewingcourse.relay.upstream import SendOutcome
+from lacewingcourse.relay.upstream import NotSent, SendOutcome, Unsent
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -81,6 +83,11 @@
                 continue
             if result.end in (StreamEnd.WHOLE, StreamEnd.ABANDONED):
                 return None
+            if result.end is StreamEnd.HELD:
+                if not job.caller.begun:
+                    return self._give_up(job, ErrorKind.OVERLOADED, result.reason)
+                await asyncio.sleep(RETRY_PERIOD)
+                continue
             self._learn(job, path, result)
             if result.end is StreamEnd.OVERDUE:
                 return self._give_up(job, ErrorKind.DEADLINE_EXCEEDED, result.reason)
@@ -199,11 +206,14 @@
     def _unsent(self, sent: NotSent) -> RunResult | None:
         """Return what a request amounts to that was not sent; None to try elsewhere.
 
-        A time that is over says nothing of the endpoint: left out for it, one request
-        after the other would take every endpoint from all others.
+        A time that is over, or a lack of this entry, says nothing of the endpoint: left
+        out for it, one request after the other would take every endpoint from all
+        others.
         """
         if sent.cause is Unsent.OVERDUE:
             return RunResult(StreamEnd.OVERDUE, sent.reason)
+        if sent.cause is Unsent.NO_DESCRIPTOR:
+            return RunResult(StreamEnd.HELD, sent.reason)
         return None
 
     def _learn(self, job: Job, path: Path, result: RunResult) -> None:
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -98,6 +98,30 @@
 Arrival = Head | Data | End | Stalled | Abandoned
 
 
+class Unsent(Enum):
+    """Why a request never left this process."""
+
+    UNREACHABLE = "no connection could be made"
+    OVERDUE = "the time was over before it was sent"
+    NO_DESCRIPTOR = "this entry has no file descriptor left"
+
+
+@attrs.frozen
+class NotSent:
+    """A sentinel value: the request never left this process.
+
+    Attributes:
+        cause: Why.
+    """
+
+    cause: Unsent
+
+    @property
+    def reason(self) -> str:
+        """What happened, for people."""
+        return self.cause.value
+
+
 class EndpointStream(IOStream):
     """A connection to an endpoint."""
 
@@ -160,9 +184,11 @@
         self._drop_if_empty(address)
         return None
 
-    async def connect(self, address: str) -> Connection | None:
-        """Return a new connection, None if it cannot be made in time."""
-        made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    async def connect(self, address: str) -> Connection | NotSent:
+        """Return a new connection, or why it cannot be made in time."""
+        made = self._socket()
+        if made is None:
+            return NotSent(Unsent.NO_DESCRIPTOR)
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         stream = EndpointStream(made)
@@ -171,9 +197,23 @@
             await asyncio.wait_for(connecting, CONNECT_TIMEOUT)
         except (TimeoutError, StreamClosedError, OSError):
             stream.close()
-            return None
+            return NotSent(Unsent.UNREACHABLE)
         return Connection(stream, address)
 
+    def _socket(self) -> socket.socket | None:
+        """Return a new socket, None if this process has no file descriptor for it.
+
+        Idle connections give theirs up first: a request is worth more than the time
+        that a kept connection saves another one.
+        """
+        for _ in range(2):
+            try:
+                return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            except OSError:
+                for address in list(self.idle):
+                    self.drop(address)
+        return None
+
     def give_back(
         self, connection: Connection, keep_alive: float | None, now: float
     ) -> None:
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -21,7 +21,14 @@
 from lacewingcourse.relay.ports import AnswerHead, EngineReport, Standing
 from lacewingcourse.relay.stall_watcher import StallWatcher
 from lacewingcourse.relay.streams import StreamForwarder
-from lacewingcourse.relay.upstream import ConnectionPool, Data, End, Head
+from lacewingcourse.relay.upstream import (
+    ConnectionPool,
+    Data,
+    End,
+    Head,
+    NotSent,
+    Unsent,
+)
 
 #: Events of an answer.
 EVENTS = 20
@@ -156,6 +163,7 @@
         engines: What the first engine of each path does, by its name.
         slack: Repeats that are allowed.
         room_from: Time from which the second path has room, seconds.
+        lacks_descriptors: Time from which there are no file descriptors, and until when.
         repeat: What may be repeated.
         attempts: Endpoints to which the route lets a request be sent.
     """
@@ -164,6 +172,7 @@
     engines: dict[str, Engine]
     slack: float = PLENTY
     room_from: float = 0.0
+    lacks_descriptors: tuple[float, float] = (0.0, 0.0)
     repeat: Repeat = Repeat.RESUMABLE_STREAM
     attempts: int = 2
 
@@ -282,7 +291,10 @@
         standing = Standing.ANSWERED if status == 200 else Standing.REJECTED
         return AnswerHead(status, headers, standing)
 
-    async def send(self, request, sending, fresh) -> Run:
+    async def send(self, request, sending, fresh) -> Run | NotSent:
+        start, end = self.lacks_descriptors
+        if start <= self.clock() < end:
+            return NotSent(Unsent.NO_DESCRIPTOR)
         name = sending.path.first.endpoint
         after = int(sending.resume_after or 0)
         run = Run(self.engines.get(name, Engine()), after, fresh)
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -17,7 +17,14 @@
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.caller import CallerConnections
 from lacewingcourse.relay.gateway import Gateway
-from lacewingcourse.relay.upstream import ConnectionPool, Data, End, Exchange
+from lacewingcourse.relay.upstream import (
+    ConnectionPool,
+    Data,
+    End,
+    Exchange,
+    NotSent,
+    Unsent,
+)
 
 #: Seconds after which a caller that gets nothing is taken to wait for ever.
 LONG = 10.0
@@ -248,7 +255,8 @@
         os.close(lowest)
         resource.setrlimit(resource.RLIMIT_NOFILE, (lowest, hard))
         try:
-            assert await pool.connect("127.0.0.1:9") is None
+            made = await pool.connect("127.0.0.1:9")
+            assert made == NotSent(Unsent.NO_DESCRIPTOR)
         finally:
             resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
 
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -23,8 +23,15 @@
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.ports import AnswerHead, Standing
-from lacewingcourse.relay.sending import NotSent, Unsent, WholeAnswer
-from lacewingcourse.relay.upstream import ConnectionPool, Data, End, Head
+from lacewingcourse.relay.sending import WholeAnswer
+from lacewingcourse.relay.upstream import (
+    ConnectionPool,
+    Data,
+    End,
+    Head,
+    NotSent,
+    Unsent,
+)
 
 from .stream_play import NONE, PLENTY, Decisions
 from .virtual_time import play
@@ -70,7 +77,7 @@
         endpoints: Endpoints of the service.
         status: Status of every answer.
         repeat: What may be repeated.
-        overdue: Whether its time is over when it is to be sent.
+        unsent: Why it cannot be sent, None if it can.
         drops: Whether the endpoints have dropped the connections that are kept to them.
     """
 
@@ -78,7 +85,7 @@
     endpoints: int = 2
     status: int = 200
     repeat: Repeat = Repeat.IDEMPOTENT
-    overdue: bool = False
+    unsent: Unsent | None = None
     drops: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -130,8 +137,8 @@
         return AnswerHead(status, headers, standing)
 
     async def send(self, request, sending, fresh) -> Send | NotSent:
-        if self.overdue:
-            return NotSent(Unsent.OVERDUE)
+        if self.unsent is not None:
+            return NotSent(self.unsent)
         seconds = QUICK if self.sends else SLOW
         dropped = self.drops and not fresh
         self.sends.append(Send(sending.endpoint, seconds, self.status, dropped))
@@ -169,11 +176,18 @@
     assert isinstance(play(played.serve()), WholeAnswer)
 
 
-def test_a_call_whose_time_was_over_takes_no_endpoint_from_others():
+@pytest.mark.parametrize(
+    ("cause", "kind"),
+    [
+        (Unsent.OVERDUE, ErrorKind.DEADLINE_EXCEEDED),
+        (Unsent.NO_DESCRIPTOR, ErrorKind.OVERLOADED),
+    ],
+)
+def test_what_lies_with_no_endpoint_takes_none_from_other_calls(cause, kind):
     """Its endpoint was taken for one that cannot be reached, and left out for all."""
-    played = CallPlay(overdue=True)
+    played = CallPlay(unsent=cause)
     ended = play(played.serve())
-    assert ended.kind is ErrorKind.DEADLINE_EXCEEDED
+    assert ended.kind is kind
     assert ended.outcome is Outcome.NOT_RUN
     assert played.beliefs.suspects.excluded(0.0) == set()
 
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -134,3 +134,18 @@
     assert play(played.serve()) is None
     assert played.caller.body == whole_answer()
     assert played.beliefs.crashes.losses(played.ended_at) == {}
+
+
+def test_an_answer_waits_for_a_file_descriptor(stream):
+    """It was broken off by the error that the lack of one raised."""
+    played = stream(Engine(pause_after=5, breaks=True), lacks_descriptors=(0.1, 1.0))
+    assert play(played.serve()) is None
+    assert played.caller.body == whole_answer()
+
+
+def test_a_request_is_refused_where_no_file_descriptor_is_left(stream):
+    played = stream(Engine(), lacks_descriptors=(0.0, 9.0))
+    ended = play(played.serve())
+    assert ended.kind is ErrorKind.OVERLOADED
+    assert ended.outcome is Outcome.NOT_RUN
+    assert played.beliefs.suspects.excluded(played.ended_at) == set()
