--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -163,7 +163,7 @@
         engines: What the first engine of each path does, by its name.
         slack: Repeats that are allowed.
         room_from: Time from which the second path has room, seconds.
-        lacks_descriptors: Time from which there are no file descriptors, and until when.
+        lacks_descriptors: From when until when there are no file descriptors, seconds.
         repeat: What may be repeated.
         attempts: Endpoints to which the route lets a request be sent.
     """
