Take nobody for dead while nobody answers

Callers' answers were cut off many at once, beside new versions of the configuration.

Cause: a version of some hundred kilobytes fills the link of a small entry (10 to 20 Mbit/s) for a tenth of a second. Events and answers to questions come behind it. The entry found streams silent, asked their endpoints, had no answer within 50 ms and took one after the other for dead; it told all entries, which moved their streams too, until nobody had a repeat left.

Change: silence is judged by comparison. An endpoint is dead if others answered what they were asked together with it; where none did, it is asked once more beside the endpoint heard last and one that no stream here uses, and if these are silent too nothing is concluded. A dead endpoint among answering ones is found as soon as before. What peers found dead moves a stream only if it waits for that endpoint: others may be passing events through it. A test held the wrong belief that an endpoint is left out when all others are silent too; it asks now for one that is silent among answering ones. Tests: 3 new ones failed before.

--- a/packages/core/src/lacewingcourse/core/pipelines/stalls.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/stalls.py
@@ -180,6 +180,20 @@
             for w in found
         ]
 
+    def last_heard(self, besides: str) -> str | None:
+        """Return the address that something passed last, None if there is none.
+
+        Args:
+            besides: An address that does not count.
+        """
+        heard = [
+            (watched.progressed_at, part.address)
+            for watched in self.streams
+            for part in watched.path.parts
+            if part.address != besides
+        ]
+        return max(heard)[1] if heard else None
+
     def _last_passed(self) -> dict[str, float]:
         """Return when something last passed through each endpoint."""
         passed: dict[str, float] = {}
--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -73,6 +73,19 @@
         found = self._choose(job, shape, demand, avoided, IDLE_SHARE)
         return not isinstance(found, Refusal)
 
+    def unused(self, addresses: Collection[str]) -> str | None:
+        """Return the address of an engine that is not among some, None without one."""
+        endpoints = self.beliefs.fleet.endpoints.values()
+        excluded = self.beliefs.suspects.excluded(self.clock())
+        found = [
+            endpoint.address
+            for endpoint in endpoints
+            if endpoint.placeable
+            and endpoint.address not in addresses
+            and endpoint.id not in excluded
+        ]
+        return self.rng.choice(found) if found else None
+
     def _choose(
         self,
         job: Job,
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -35,6 +35,19 @@
 #: Seconds after which a question is put a second time, or at once if its connection
 #: failed: a packet may be lost, and a kept connection may have been reset.
 SECOND_QUESTION = 0.02
+#: Seconds between two questions that count as put together.
+TOGETHER = 0.005
+
+
+@attrs.frozen
+class NobodyAnswers:
+    """A sentinel value: neither an endpoint nor those compared with it answered.
+
+    Attributes:
+        compared: Addresses of the others.
+    """
+
+    compared: tuple[str, ...]
 
 
 @attrs.define
@@ -55,6 +68,7 @@
         jobs: The requests whose streams are watched.
         asked: When each endpoint was last asked, by address.
         asking: Addresses of the endpoints that are being asked.
+        answered: When the last question that each address answered was put.
     """
 
     reports: EngineReports
@@ -69,6 +83,7 @@
     jobs: dict[Watched, Job] = attrs.field(factory=dict)
     asked: dict[str, float] = attrs.field(factory=dict)
     asking: set[str] = attrs.field(factory=set)
+    answered: dict[str, float] = attrs.field(factory=dict)
 
     def begin(self, job: Job, now: float) -> None:
         """Watch a stream that was sent."""
@@ -113,8 +128,9 @@
         """Move silent streams whose cause is known, ask about the others."""
         known = self.suspects.silent(now)
         for silence in self.watch.silent(now):
-            if silence.watched.path.uses(known):
-                self._move(silence.watched, known)
+            cause = known.intersection(p.endpoint for p in silence.unheard)
+            if cause:
+                self._move(silence.watched, cause)
                 continue
             self._ask_all(silence.unheard, now)
         for silence in self.watch.cut_off(now):
@@ -167,6 +183,11 @@
         started = self.clock()
         try:
             found = await self._answer(part, started)
+            if isinstance(found, Unavailable) and not self._others_answer(
+                part, started
+            ):
+                started = self.clock()
+                found = await self._compare(part)
         finally:
             self.asking.discard(part.address)
         if isinstance(found, Undecodable):
@@ -178,6 +199,10 @@
             # A process that stood still itself has not read an answer that came.
             if self.clock() - started < ANSWER_TIMEOUT + SECOND_QUESTION + PERIOD:
                 self._dead({part.endpoint}, f"no report: {found.reason}")
+        elif isinstance(found, NobodyAnswers):
+            self.log.belief(
+                "not_suspected", endpoint=part.endpoint, compared=found.compared
+            )
         elif self.on_start(part.name, found.born):
             self.restarted(part.endpoint)
         else:
@@ -188,15 +213,15 @@
         self, part: Part, started: float
     ) -> EngineReport | Unavailable | Undecodable:
         """Return an endpoint's report, or why neither of two questions brought one."""
-        address = part.address
-        first = asyncio.ensure_future(self.reports.report(address, ANSWER_TIMEOUT))
+        first = asyncio.ensure_future(self._report(part.address))
         await asyncio.wait({first}, timeout=SECOND_QUESTION)
         if first.done() and not isinstance(first.result(), Unavailable):
             return first.result()
         now = self.clock()
-        if now - started < SECOND_QUESTION + PERIOD:
+        prompt = now - started < SECOND_QUESTION + PERIOD
+        if prompt and self._others_answer(part, started):
             self._move_early(part.endpoint, now)
-        second = asyncio.ensure_future(self.reports.report(address, ANSWER_TIMEOUT))
+        second = asyncio.ensure_future(self._report(part.address))
         waiting = {first, second}
         while waiting:
             done, waiting = await asyncio.wait(
@@ -208,6 +233,52 @@
                     return found
         return found
 
+    async def _report(self, address: str) -> EngineReport | Unavailable | Undecodable:
+        """Put one question to an endpoint."""
+        asked = self.clock()
+        found = await self.reports.report(address, ANSWER_TIMEOUT)
+        if not isinstance(found, Unavailable):
+            self.answered[address] = asked
+        return found
+
+    def _others_answer(self, part: Part, started: float) -> bool:
+        """Tell whether others answered what they were asked together with an endpoint.
+
+        While something fills the link of this entry, nobody's answers come in time:
+        silence then tells of the entry, and not of those that it asks.
+        """
+        since = started - TOGETHER
+        return any(
+            asked >= since
+            for address, asked in self.answered.items()
+            if address != part.address
+        )
+
+    async def _compare(
+        self, part: Part
+    ) -> EngineReport | Unavailable | Undecodable | NobodyAnswers:
+        """Ask an endpoint once more, together with others that should answer."""
+        others = self._controls(part)
+        if not others:
+            return await self._report(part.address)
+        own, *found = await asyncio.gather(
+            self._report(part.address), *(self._report(other) for other in others)
+        )
+        if isinstance(own, Unavailable) and _all_unavailable(found):
+            return NobodyAnswers(tuple(others))
+        return own
+
+    def _controls(self, part: Part) -> list[str]:
+        """Return addresses of endpoints to compare one with.
+
+        The one heard last lives if this entry hears anything; one that no stream uses
+        does not share the fate of those that fell silent together.
+        """
+        used = {p.address for w in self.watch.streams for p in w.path.parts}
+        heard = self.watch.last_heard(besides=part.address)
+        unused = self.finder.unused(used | {part.address})
+        return [address for address in (heard, unused) if address is not None]
+
     def _take_report(self, asked: Part, found: EngineReport) -> None:
         """Leave out what an engine names as the cause that requests stand still."""
         addresses = {stalled.address for stalled in found.stalled}
@@ -238,3 +309,7 @@
             job.avoid.update(endpoints)
             job.current.arrivals.put_nowait(Stalled(known=True))
             self.end(job)
+
+
+def _all_unavailable(found: list[EngineReport | Unavailable | Undecodable]) -> bool:
+    return all(isinstance(answer, Unavailable) for answer in found)
--- a/packages/relay/tests/relay/test_stall_watcher.py
+++ b/packages/relay/tests/relay/test_stall_watcher.py
@@ -57,14 +57,16 @@
 def make_watcher(events):
     """Return a function that makes a watcher which notes what it suspects."""
 
-    def make(found, idle=False):
+    def make(found, idle=False, unused=None):
         suspects = Suspects()
 
         def on_suspect(endpoints, reason):
             for endpoint in endpoints:
                 suspects.suspect(endpoint, reason, 0.0, silent=True)
 
-        finder = SimpleNamespace(is_idle=lambda job, avoid: idle)
+        finder = SimpleNamespace(
+            is_idle=lambda job, avoid: idle, unused=lambda besides: unused
+        )
         log = SimpleNamespace(belief=lambda event, **fields: events.append(event))
         return StallWatcher(
             Reports(found),
@@ -118,12 +120,59 @@
 
 
 def test_a_first_endpoint_without_report_is_left_out(make_watcher):
-    watcher = make_watcher(Unavailable("timed out"))
+    watcher = make_watcher(None)
+    watcher.reports = OneDead("a:1")
     job = make_job(path_of("a", "b"))
     watched_until(watcher, job, 0.2)
     assert job.avoid == {"a"}
 
 
+def test_nobody_is_taken_for_dead_while_nobody_answers(make_watcher, events):
+    """Answers were cut off while an entry's link was full.
+
+    A version of the configuration filled the link of a small entry for a tenth of a
+    second. Events and answers to questions came behind it, so the entry took every
+    endpoint that it asked for dead, told the others, and sent all streams elsewhere
+    until no repeat was left. Nearly all of these endpoints lived: runs passed through
+    them before and after, and hardly any was found dead at other times.
+    """
+    watcher = make_watcher(Unavailable("timed out"))
+    job = make_job(path_of("a", "b"))
+    watched_until(watcher, job, 0.2)
+    assert {"a:1", "b:1"} <= set(watcher.reports.asked)
+    assert watcher.suspects.excluded(0.2) == set()
+    assert job.current.arrivals.empty()
+    assert set(events) == {"not_suspected"}
+
+
+def test_an_endpoint_asked_alone_is_compared_with_another_one(make_watcher):
+    watcher = make_watcher(None, unused="c:1")
+    watcher.reports = OneDead("a:1")
+    job = make_job(path_of("a"))
+    watched_until(watcher, job, 0.2)
+    assert watcher.reports.asked == ["a:1", "a:1", "a:1", "c:1"]
+    assert watcher.suspects.excluded(0.2) == {"a"}
+
+
+def test_a_stream_stays_that_is_silent_behind_another_part_than_the_known_one(
+    make_watcher,
+):
+    """A peer had taken an endpoint for dead through which other streams passed."""
+    watcher = make_watcher(EngineReport())
+    watcher.suspects.from_peer("b", 2.0, now=0.0, silent=True)
+    silent, heard = make_job(path_of("a", "b")), make_job(path_of("c", "b"))
+
+    async def run():
+        watcher.begin(silent, 0.0)
+        watcher.progress(silent, 0.0)
+        watcher.begin(heard, 0.0)
+        watcher.progress(heard, 0.19)
+        watcher.look(0.2)
+
+    asyncio.run(run())
+    assert silent.current.arrivals.empty()
+
+
 def test_a_silent_stream_moves_at_once_when_a_peer_told_the_cause(make_watcher):
     watcher = make_watcher(EngineReport())
     watcher.suspects.from_peer("b", 2.0, now=0.0, silent=True)
@@ -215,8 +264,10 @@
 
     def __init__(self, dead: str) -> None:
         self.dead = dead
+        self.asked: list[str] = []
 
     async def report(self, address: str, patience: float):
+        self.asked.append(address)
         await asyncio.sleep(0)
         return Unavailable("refused") if address == self.dead else EngineReport()
 
