--- /dev/null
+++ b/packages/relay/tests/relay/test_versions.py
@@ -0,0 +1,110 @@
+"""Tests of requests under way when another version of the configuration comes."""
+
+from __future__ import annotations
+
+from random import Random
+from types import SimpleNamespace
+
+import attrs
+import pytest
+
+from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.pipelines.choice import Demand
+from lacewingcourse.core.pipelines.shape import Accelerator
+from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.path_finder import PathFinder
+from lacewingcourse.relay.streams import RunResult, StreamEnd, StreamForwarder
+
+#: What a request needs.
+DEMAND = Demand(1_000, 200)
+
+
+class Anything:
+    """Takes any call and does nothing."""
+
+    def __getattr__(self, name: str):
+        return lambda *args, **kwargs: None
+
+
+@pytest.fixture
+def beliefs(small, shape):
+    """Four endpoints, two for each of two layers."""
+    found = Beliefs()
+    come(found, rooms=shape)
+    for name, layer in zip("abcd", (0, 0, 1, 1), strict=True):
+        found.fleet.put(small(name, layer))
+    return found
+
+
+def come(beliefs, **shapes):
+    """Put a version in force with the figures of some services."""
+    services = {
+        name: SimpleNamespace(name=name, shape=shape) for name, shape in shapes.items()
+    }
+    beliefs.table = SimpleNamespace(services=services)
+
+
+def other_kinds(shape, *names):
+    """Return figures whose accelerators are of other kinds."""
+    kinds = {name: Accelerator(name, 150.0, 1.0, 1.0) for name in names}
+    return attrs.evolve(shape, accelerators=kinds)
+
+
+def job_of(begun=True):
+    """Return a request of which events may have been passed on."""
+    return SimpleNamespace(
+        service="rooms",
+        caller=SimpleNamespace(begun=begun),
+        avoid=set(),
+        request=SimpleNamespace(prompt=1_000, answer_hint=None, most_answer=0),
+        only_firsts=None,
+    )
+
+
+@pytest.mark.parametrize("kinds", [("small", "large"), ("small",)])
+def test_a_stream_finds_a_path_by_the_figures_that_it_began_with(beliefs, shape, kinds):
+    """Another version changes steps and kinds, and the service may be gone."""
+    finder = PathFinder(beliefs, Random(1), lambda: 0.0)
+    come(beliefs, rooms=attrs.evolve(other_kinds(shape, *kinds), step_ms=3.0))
+    assert not isinstance(finder.find(job_of(), shape, DEMAND), Refusal)
+    come(beliefs)
+    assert not isinstance(finder.find(job_of(), shape, DEMAND), Refusal)
+
+
+def test_paths_are_not_searched_anew_while_old_and_new_requests_look_in_turn(
+    beliefs, shape
+):
+    """A version changes figures while requests wait with those they came with.
+
+    Waiting requests and new ones look for paths in turn, and each look throws the
+    other's candidates away and searches anew. A search over a fleet of 117 endpoints
+    holds up the loop, and the more requests wait the more often it does. Candidates
+    are kept for one set of figures of a service only.
+    """
+    newer = attrs.evolve(shape, step_ms=2.0)
+    come(beliefs, rooms=newer)
+    old = beliefs.paths("rooms", shape, 0.0)
+    new = beliefs.paths("rooms", newer, 0.0)
+    assert beliefs.paths("rooms", shape, 0.0) is old
+    assert beliefs.paths("rooms", newer, 0.0) is new
+
+
+@pytest.mark.parametrize("kinds", [("small", "large"), ("large",)])
+def test_a_rejected_stream_survives_a_version_of_other_kinds(beliefs, shape, kinds):
+    """A part on a stream's path rejects it after a version has dropped the part's kind.
+
+    The caller's answer is broken off, or it is told of a defect. How full the part is
+    is worked out from the version in force, whose kinds the part has none of, and the
+    look-up of its kind raises an error.
+    """
+    path = beliefs.paths("rooms", shape, 0.0)[0]
+    come(beliefs, rooms=other_kinds(shape, *kinds))
+    sender = SimpleNamespace(clock=lambda: 0.0)
+    nothing = Anything()
+    forwarder = StreamForwarder(
+        beliefs, nothing, sender, nothing, Random(1), nothing, nothing, nothing
+    )
+    result = RunResult(StreamEnd.REJECTED, "rejected", path.parts[1].address)
+    job = job_of()
+    forwarder._learn(job, path, result)
+    assert job.avoid == {path.parts[1].endpoint}
