--- a/packages/relay/tests/relay/test_versions.py
+++ b/packages/relay/tests/relay/test_versions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from random import Random
 from types import SimpleNamespace
 
@@ -10,11 +12,17 @@
 
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.core.pipelines.choice import Demand
+from lacewingcourse.core.pipelines.paces import PaceBook
 from lacewingcourse.core.pipelines.shape import Accelerator
+from lacewingcourse.core.pipelines.suspects import Suspects
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.path_finder import PathFinder
+from lacewingcourse.relay.ports import EngineReport
+from lacewingcourse.relay.stall_watcher import PERIOD, SECOND_QUESTION, StallWatcher
 from lacewingcourse.relay.streams import RunResult, StreamEnd, StreamForwarder
 
+#: Turns of the loop between the arrival of an answer and its being read.
+TURNS = 3
 #: What a request needs.
 DEMAND = Demand(1_000, 200)
 
@@ -108,3 +116,63 @@
     job = job_of()
     forwarder._learn(job, path, result)
     assert job.avoid == {path.parts[1].endpoint}
+
+
+class HeldUp:
+    """Endpoints that answer at once, to a loop that stands still meanwhile."""
+
+    def __init__(self, stands: bool) -> None:
+        self.stands = stands
+        self.now = 0.0
+
+    def clock(self) -> float:
+        return self.now
+
+    async def report(self, address: str, patience: float) -> EngineReport:
+        if self.stands and self.now == 0.0:
+            time.sleep(SECOND_QUESTION + PERIOD / 4)
+            self.now = SECOND_QUESTION + PERIOD / 2
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+        return EngineReport()
+
+
+@pytest.mark.parametrize("stands", [False, True])
+def test_a_stream_stays_where_it_is_while_the_entry_itself_stands_still(
+    beliefs, shape, stands
+):
+    """The loop stands still for a moment after an endpoint was asked whether it lives.
+
+    The endpoint has answered, but its answer is read some turns of the loop after the
+    time for it is over. The streams through it are sent elsewhere, each at the price
+    of a repeat, and where none is left the answer is broken off. Decoding a version
+    of a thousand routes, or searching paths once, takes as long as is needed for it.
+    """
+    held_up = HeldUp(stands)
+    finder = SimpleNamespace(is_idle=lambda job, avoid: True)
+    nothing = Anything()
+    watcher = StallWatcher(
+        held_up,
+        Suspects(),
+        PaceBook(),
+        finder,
+        held_up.clock,
+        nothing,
+        nothing.on_suspect,
+        lambda name, born: False,
+    )
+
+    async def run():
+        job = job_of()
+        job.path = beliefs.paths("rooms", shape, 0.0)[0]
+        job.route = SimpleNamespace(gap=0.2, objective=0.5)
+        job.may_move, job.watched = True, None
+        job.current = SimpleNamespace(arrivals=asyncio.Queue())
+        watcher.begin(job, -2.0)
+        watcher.progress(job, -1.0)
+        watcher.ask(job.path.first, 0.0)
+        while watcher.asking:
+            await asyncio.sleep(0)
+        return job
+
+    assert asyncio.run(run()).current.arrivals.empty()
