Keep paths for the figures of two versions; bear a kind that a version has dropped

Callers whose stream a part rejected after a version had dropped the part's kind of accelerator saw their answer broken off, or a defect: how full the part was asked for the kind's figures (KeyError). Change: a kind that is unknown has no room; candidates and choosers are kept for two sets of figures.

--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -249,7 +249,10 @@
         endpoint = self.endpoints.get(part.endpoint)
         if endpoint is None or endpoint.layers is None:
             return float("inf")
-        accelerator = self.shape.accelerators[endpoint.accelerator]
+        accelerator = self.shape.accelerators.get(endpoint.accelerator)
+        # A version may have dropped the kind while requests still run on it.
+        if accelerator is None:
+            return float("inf")
         room = self.shape.room(accelerator, len(endpoint.layers))
         taken = self.loads.of(part.endpoint).cells
         return (taken + demand.tokens * len(part.layers)) / max(room, 1.0)
--- a/packages/relay/src/lacewingcourse/relay/beliefs.py
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -23,6 +23,11 @@
     from lacewingcourse.core.pipelines.shape import EngineShape
 
 
+#: Figures of a service's engines for which paths are kept. Requests go on by those of
+#: the version that they came under, beside others of a newer one.
+MOST_SHAPES = 2
+
+
 @attrs.frozen
 class CandidateSet:
     """Candidate paths of a service, and what they were worked out from.
@@ -52,11 +57,11 @@
         suspects: Endpoints that are left out for now.
         paces: Endpoints that run slower than published.
         crashes: Requests that crash endpoints.
-        candidates: Candidate paths by service.
+        candidates: Candidate paths by service, for the figures used last.
         durations: How long answers took lately.
         watch: Notes what holds up the loop.
-        choosers: What chooses among them by model, and the revision of the fleet that
-            it was made for.
+        choosers: What chooses among them by model, for the figures used last, each with
+            the revision of the fleet that it was made for.
     """
 
     table: RoutingTable | None = None
@@ -66,10 +71,10 @@
     suspects: Suspects = attrs.field(factory=Suspects)
     paces: PaceBook = attrs.field(factory=PaceBook)
     crashes: CrashBook = attrs.field(factory=CrashBook)
-    candidates: dict[str, CandidateSet] = attrs.field(factory=dict)
+    candidates: dict[str, list[CandidateSet]] = attrs.field(factory=dict)
     durations: Durations = attrs.field(factory=Durations)
     watch: LoopWatch = attrs.field(factory=LoopWatch)
-    choosers: dict[str, tuple[int, PathChooser]] = attrs.field(factory=dict)
+    choosers: dict[str, list[tuple[int, PathChooser]]] = attrs.field(factory=dict)
 
     def accept(self, table: RoutingTable) -> bool:
         """Put a version in force unless a newer one is; tell whether it was."""
@@ -108,19 +113,20 @@
     def paths(self, service: str, shape: EngineShape, now: float) -> list[Path]:
         """Return the candidate paths of a service."""
         excluded = frozenset(self.suspects.excluded(now))
-        known = self.candidates.get(service)
         revision = self.fleet.revision
-        if (
-            known is not None
-            and known.revision == revision
-            and known.excluded == excluded
-            and known.shape == shape
-        ):
-            return known.paths
+        known = [
+            found
+            for found in self.candidates.get(service, ())
+            if found.revision == revision and found.excluded == excluded
+        ]
+        for found in known:
+            if found.shape == shape:
+                return found.paths
         with self.watch.section("candidate paths"):
             paths = candidate_paths(self.usable(service, now), shape)
-        self.candidates[service] = CandidateSet(revision, excluded, shape, paths)
-        # It keeps the figures of the paths that these replace.
+        kept = [CandidateSet(revision, excluded, shape, paths), *known]
+        self.candidates[service] = kept[:MOST_SHAPES]
+        # They keep the figures of the paths that these replace.
         self.choosers.pop(shape.model, None)
         return paths
 
@@ -129,11 +135,13 @@
 
         It is kept for as long as no endpoint changes, with the figures of its paths.
         """
-        known = self.choosers.get(shape.model)
         revision = self.fleet.revision
-        if known is not None and known[0] == revision and known[1].shape == shape:
-            return known[1]
+        known = [c for c in self.choosers.get(shape.model, ()) if c[0] == revision]
+        for _, chooser in known:
+            if chooser.shape == shape:
+                return chooser
         endpoints = self.fleet.endpoints
         found = PathChooser(shape, endpoints, self.loads, self.pipes, self.paces)
-        self.choosers[shape.model] = (revision, found)
+        kept = [(revision, found), *known]
+        self.choosers[shape.model] = kept[:MOST_SHAPES]
         return found
