Move only streams that are silent, and on news that is fresh

Callers' answers were cut off, or lost an attempt and a repeat, although their events flowed: a suspicion moved every stream through the endpoint, and one that was seconds old moved a silent stream without a question, here and at all entries that had been told. Change: a suspicion moves the streams that are silent, the others at the next look if they fall silent; after half a second an endpoint is asked again before a stream moves away from it. The tests' clock goes with the time they look at. Ruled out: to take a suspicion back on an answer; an endpoint that another one names as unreachable may well answer this entry.

--- a/packages/core/src/lacewingcourse/core/pipelines/suspects.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/suspects.py
@@ -134,10 +134,18 @@
         """Return the endpoints that are left out."""
         return {name for name, found in self.members.items() if found.until > now}
 
-    def silent(self, now: float) -> set[str]:
-        """Return the endpoints that are left out because they do not answer."""
-        members = self.members.items()
-        return {name for name, found in members if found.silent and found.until > now}
+    def silent(self, now: float, since: float = float("-inf")) -> set[str]:
+        """Return the endpoints that are left out because they do not answer.
+
+        Args:
+            now: Present time in seconds.
+            since: Time since which the failure was seen, seconds.
+        """
+        return {
+            name
+            for name, found in self.members.items()
+            if found.silent and found.until > now and found.failed_at >= since
+        }
 
     def remaining(self, now: float, reach: Reach = Reach.OWN) -> dict[str, float]:
         """Return the seconds for which endpoints are left out.
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -35,6 +35,9 @@
 #: Seconds after which a question is put a second time, or at once if its connection
 #: failed: a packet may be lost, and a kept connection may have been reset.
 SECOND_QUESTION = 0.02
+#: Seconds for which it is believed without a question that an endpoint is dead. An
+#: older suspicion may have been refuted meanwhile.
+FRESH = 0.5
 #: Seconds between two questions that count as put together.
 TOGETHER = 0.005
 
@@ -126,7 +129,7 @@
 
     def look(self, now: float) -> None:
         """Move silent streams whose cause is known, ask about the others."""
-        known = self.suspects.silent(now)
+        known = self.suspects.silent(now, since=now - FRESH)
         for silence in self.watch.silent(now):
             cause = known.intersection(p.endpoint for p in silence.unheard)
             if cause:
@@ -289,17 +292,19 @@
 
     def restarted(self, ended: str) -> None:
         """Send the streams through an incarnation that has ended on elsewhere."""
-        self._move_all({ended})
+        for watched in list(self.jobs):
+            if watched.path.uses({ended}):
+                self._move(watched, {ended})
 
     def _dead(self, endpoints: set[str], reason: str) -> None:
         """Leave out endpoints, and send the streams through them on elsewhere."""
         self.on_suspect(tuple(sorted(endpoints)), reason)
-        self._move_all(endpoints)
-
-    def _move_all(self, endpoints: set[str]) -> None:
-        """Send all streams through some endpoints on elsewhere."""
+        now = self.clock()
         for watched in list(self.jobs):
-            if watched.path.uses(endpoints):
+            # Events that flow refute the suspicion; one that falls silent later is
+            # seen at the next look.
+            silent = now - watched.progressed_at > watched.early_patience
+            if silent and watched.path.uses(endpoints):
                 self._move(watched, endpoints)
 
     def _move(self, watched: Watched, endpoints: set[str]) -> None:
--- a/packages/relay/tests/relay/test_stall_watcher.py
+++ b/packages/relay/tests/relay/test_stall_watcher.py
@@ -16,6 +16,8 @@
 from lacewingcourse.relay.stall_watcher import SECOND_QUESTION, StallWatcher
 from lacewingcourse.relay.upstream import Stalled
 
+from .network import Clock
+
 #: Turns of the loop in which all questions are put and answered.
 TURNS = 20
 #: Start of the endpoints that the watcher knows.
@@ -73,7 +75,7 @@
             suspects,
             PaceBook(),
             finder,
-            lambda: 0.0,
+            Clock(),
             log,
             on_suspect,
             lambda name, born: born > BORN,
@@ -90,6 +92,8 @@
 
 def watched_until(watcher, job, now):
     """Watch a stream that is silent from 0 until a time, and look."""
+    if isinstance(watcher.clock, Clock):
+        watcher.clock.now = now
 
     async def run():
         watcher.begin(job, 0.0)
