Secure the next connection first, and charge a repeat when a send leaves

Change: the connection is reserved while the old run goes on, and given up if events come; repeats are charged when the bytes leave; a dropped connection is told by an end within 0.1 s of the send; an engine's failure is kept and passed on, 4xx at once. What is queued is read before a run is moved. Looks for a path are 50 ms apart.

--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -11,7 +11,13 @@
 from lacewingcourse.core.pipelines.choice import choose_endpoint
 from lacewingcourse.core.pipelines.waiting import wait_in_time
 from lacewingcourse.relay.admission import RETRY_PERIOD
-from lacewingcourse.relay.sending import AnswerReader, NoAnswer, Sender, WholeAnswer
+from lacewingcourse.relay.sending import (
+    SERVER_ERROR,
+    AnswerReader,
+    NoAnswer,
+    Sender,
+    WholeAnswer,
+)
 from lacewingcourse.relay.upstream import NotSent, SendOutcome, Unsent
 
 if TYPE_CHECKING:
@@ -29,8 +35,6 @@
 MOST_NOT_SENT = 3
 #: Objectives after which an idempotent call is tried at another endpoint.
 PATIENCE_OBJECTIVES = 2.5
-#: Status from which an endpoint's answer is its own failure.
-SERVER_ERROR = 500
 #: How a call ends that was not sent for a reason which lies with no endpoint.
 UNSENT_ENDS = {
     Unsent.OVERDUE: ErrorKind.DEADLINE_EXCEEDED,
@@ -75,8 +79,6 @@
             if isinstance(endpoint, Refusal):
                 job.reason = job.reason or endpoint.reason
                 return last or job.failure(endpoint.kind, CALL_RETRY_AFTER)
-            if job.sends:
-                self.budget.take(job.service, now)
             result = await self._attempt(job, endpoint)
             if isinstance(result, NotSent) and result.cause in UNSENT_ENDS:
                 job.reason = result.reason
@@ -144,7 +146,7 @@
             job.sends -= 1
             job.note(result.outcome, result.reason)
             again = await self._ask(job, endpoint, fresh=True)
-            if isinstance(again, NotSent):
+            if isinstance(again, NotSent) and again.cause is Unsent.UNREACHABLE:
                 # It is gone, perhaps under this call.
                 job.sends += 1
                 return result
@@ -167,6 +169,8 @@
         sent = await self.sender.send(job.request, sending, fresh)
         if isinstance(sent, NotSent):
             return sent
+        if job.sends:
+            self.budget.take(job.service, now)
         job.sends += 1
         job.firsts.add(endpoint.id)
         job.current = sent
@@ -187,7 +191,7 @@
         A slow endpoint is left only for another one that may be asked: closed first,
         an answer that would have come in time is lost where there is none.
         """
-        reader = AnswerReader(self.sender, exchange, job.request)
+        reader = AnswerReader(self.sender, exchange, job.request, sent_at)
         answer = await reader.read(self._patience(job, sent_at))
         while answer is None:
             now = self.sender.clock()
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -11,6 +11,7 @@
 from lacewingcourse.relay.upstream import (
     Abandoned,
     Arrival,
+    Connection,
     ConnectionPool,
     Data,
     End,
@@ -28,6 +29,13 @@
     from lacewingcourse.relay.ports import RequestCodec
 
 
+#: Status from which an endpoint's answer is its own failure.
+SERVER_ERROR = 500
+#: Seconds after a send in which the end of a kept connection tells that it had been
+#: dropped. Later ends may be crashes under the request.
+DROP_NOTICED = 0.1
+
+
 @attrs.define
 class Sender:
     """Sends requests over pooled connections.
@@ -42,21 +50,37 @@
     codec: RequestCodec
     clock: Callable[[], float]
 
-    async def send(
-        self, request: CallerRequest, sending: Sending, fresh: bool
-    ) -> Exchange | NotSent:
-        """Send a request; `fresh` asks for a connection never used before.
+    async def reserve(self, address: str, fresh: bool) -> Connection | NotSent:
+        """Return a connection to an endpoint that nobody uses.
 
         A connection that was used may have been closed by the endpoint just now, and
         then nobody knows whether the request ran; what may run only once therefore
         goes over a new one.
+
+        Args:
+            address: Address of the endpoint.
+            fresh: Whether it must never have been used before.
+        """
+        kept = None if fresh else self.pool.take(address, self.clock())
+        return kept or await self.pool.connect(address)
+
+    async def send(
+        self,
+        request: CallerRequest,
+        sending: Sending,
+        fresh: bool,
+        reserved: Connection | None = None,
+    ) -> Exchange | NotSent:
+        """Send a request.
+
+        Args:
+            request: The request.
+            sending: Where to send it, and with what.
+            fresh: Whether to send it over a connection never used before.
+            reserved: Connection to send it over, None to take one.
         """
-        connection = None
         started = self.clock()
-        if not fresh:
-            connection = self.pool.take(sending.address, started)
-        if connection is None:
-            connection = await self.pool.connect(sending.address)
+        connection = reserved or await self.reserve(sending.address, fresh)
         if isinstance(connection, NotSent):
             return connection
         passed = self.clock() - started
@@ -138,6 +162,7 @@
         sender: What sent the request.
         exchange: What was sent.
         request: The caller's request.
+        sent_at: When it was sent, seconds.
         head: Head of the answer, None before it.
         body: Body as far as it arrived.
     """
@@ -145,6 +170,7 @@
     sender: Sender
     exchange: Exchange
     request: CallerRequest
+    sent_at: float
     head: AnswerHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
 
@@ -186,7 +212,8 @@
         head = self.head
         if head is None or not end.complete:
             reason = end.reason or "no head"
-            dropped = self.exchange.was_dropped
+            soon = self.sender.clock() < self.sent_at + DROP_NOTICED
+            dropped = self.exchange.was_dropped and soon
             return NoAnswer(
                 SendOutcome.MAY_HAVE_RUN, reason, connection_lost=True, dropped=dropped
             )
--- a/packages/relay/src/lacewingcourse/relay/stream_run.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_run.py
@@ -8,9 +8,13 @@
 import attrs
 
 from lacewingcourse.core.errors import Refusal
-from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.ports import Standing
-from lacewingcourse.relay.sending import next_arrival
+from lacewingcourse.relay.sending import (
+    DROP_NOTICED,
+    SERVER_ERROR,
+    WholeAnswer,
+    next_arrival,
+)
 from lacewingcourse.relay.upstream import (
     Abandoned,
     Data,
@@ -21,7 +25,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from lacewingcourse.core.pipelines.choice import Demand
     from lacewingcourse.core.pipelines.events import EventCutter
@@ -32,7 +36,7 @@
     from lacewingcourse.relay.ports import AnswerHead
     from lacewingcourse.relay.sending import Sender
     from lacewingcourse.relay.stall_watcher import StallWatcher
-    from lacewingcourse.relay.upstream import Exchange
+    from lacewingcourse.relay.upstream import Connection, Exchange
 
 #: Seconds for which a run may stand still without a known cause before it goes on on
 #: another path. Callers leave after two seconds of silence. A shorter time sends
@@ -41,6 +45,13 @@
 SILENCE_PATIENCE = 1.5
 
 
+#: Seconds between two looks for a path for a run that stands still. Many do at once
+#: when an endpoint dies, and each look compares paths.
+MOVE_PERIOD = 0.05
+#: Seconds for which the body of an answer that is no stream is waited for.
+BODY_PATIENCE = 0.5
+
+
 class StreamEnd(Enum):
     """How one run of a stream ended."""
 
@@ -52,6 +63,20 @@
     OVERDUE = "overdue"
     DROPPED = "dropped"
     HELD = "held"
+    FAILED = "failed"
+
+
+@attrs.frozen
+class Replacement:
+    """What a stream goes on with in place of a run that stands still.
+
+    Attributes:
+        path: Its next path.
+        connection: A connection to the first part of it.
+    """
+
+    path: Path
+    connection: Connection
 
 
 @attrs.frozen
@@ -64,7 +89,7 @@
         fault_address: Address of the endpoint at fault, or empty.
         misdirected: Whether that endpoint does not hold what the path names.
         first_lost: Whether the connection to the first part broke.
-        replacement: Path on which the stream goes on, None if it is still to be found.
+        replacement: What the stream goes on with, None if that is still to be found.
     """
 
     end: StreamEnd
@@ -72,7 +97,7 @@
     fault_address: str = ""
     misdirected: bool = False
     first_lost: bool = False
-    replacement: Path | None = None
+    replacement: Replacement | None = None
 
 
 @attrs.define
@@ -86,6 +111,7 @@
         cutter: Cuts bytes into events, and knows the last one passed on.
         head: Head of the first run's answer, None before it.
         quiet_since: Time since which nothing arrived of the present run, seconds.
+        failure: An engine's own failure, which is passed on if nothing better comes.
     """
 
     job: Job
@@ -94,6 +120,7 @@
     cutter: EventCutter
     head: AnswerHead | None = None
     quiet_since: float = 0.0
+    failure: WholeAnswer | None = None
 
 
 @attrs.define
@@ -110,9 +137,10 @@
         sender: What sent it.
         stalls: Watches streams for standing still.
         log: Log of decisions.
-        replacement: Returns the path on which the stream may go on, or why there is
-            none at present.
+        replacement: Returns what the stream may go on with, or why there is nothing at
+            present.
         head: Head of this run's answer, None before it.
+        began_at: When the run was sent, seconds.
         moving_since: Time since which the stream is to go on elsewhere, None if it is
             not.
     """
@@ -122,8 +150,9 @@
     sender: Sender
     stalls: StallWatcher
     log: DecisionLog
-    replacement: Callable[[], Path | Refusal]
+    replacement: Callable[[], Awaitable[Replacement | Refusal]]
     head: AnswerHead | None = None
+    began_at: float = 0.0
     moving_since: float | None = None
 
     @property
@@ -134,7 +163,7 @@
     async def relay(self) -> RunResult:
         """Pass on what arrives until the run ends."""
         arrivals = self.exchange.arrivals
-        self.state.quiet_since = self.sender.clock()
+        self.began_at = self.state.quiet_since = self.sender.clock()
         while True:
             now = self.sender.clock()
             arrival = await next_arrival(self.exchange, self._look_at(now), now)
@@ -144,7 +173,7 @@
             elif isinstance(arrival, Data):
                 self.take(arrival.data)
             elif isinstance(arrival, Stalled):
-                result = self._stand_still(arrival)
+                result = await self._stand_still(arrival)
             else:
                 result = self._ended(arrival)
             if result is not None:
@@ -161,7 +190,7 @@
     def _look_at(self, now: float) -> float:
         """Return when to look again if nothing arrives, seconds."""
         if self.moving_since is not None:
-            return min(self.job.until, now + RETRY_PERIOD)
+            return min(self.job.until, now + MOVE_PERIOD)
         if self.job.may_move:
             return min(self.job.until, self.state.quiet_since + SILENCE_PATIENCE)
         return self.job.until
@@ -192,18 +221,24 @@
         headers.pop("Content-Length", None)
         self.job.caller.begin(self.state.head.status, headers, events)
 
-    def _stand_still(self, arrival: Stalled) -> RunResult | None:
+    async def _stand_still(self, arrival: Stalled) -> RunResult | None:
         """Return the end of a run that stands still, None if it is kept open."""
         now = self.sender.clock()
         if now >= self.job.until:
             self._give_up("the time of the route is over")
             return RunResult(StreamEnd.OVERDUE, self.job.reason)
-        if not self.job.may_move or not arrival.known and self._goes_on(now):
+        if not self.job.may_move or not self.exchange.arrivals.empty():
             return None
-        found = self.replacement()
+        if not arrival.known and self._goes_on(now):
+            return None
+        found = await self.replacement()
         if isinstance(found, Refusal):
             self._stay(found, now)
             return None
+        if self.state.quiet_since > now or not self.exchange.arrivals.empty():
+            # It went on, or ended, while the connection was made.
+            found.connection.close()
+            return None
         self._give_up("the stream stood still")
         return RunResult(StreamEnd.STALLED, self.job.reason, replacement=found)
 
@@ -214,6 +249,7 @@
         if self.state.quiet_since <= self.moving_since:
             return False
         self.moving_since = None
+        self.job.avoid.difference_update(p.endpoint for p in self.job.path.parts)
         self.stalls.resume(self.job, now)
         return True
 
@@ -230,6 +266,7 @@
 
     def _ended(self, arrival: End | Abandoned) -> RunResult:
         """Return what the end of a run amounts to."""
+        now = self.sender.clock()
         if isinstance(arrival, Abandoned):
             self._give_up(arrival.reason)
             self.job.caller.break_off()
@@ -239,11 +276,11 @@
             self._end_whole()
             return RunResult(StreamEnd.WHOLE)
         self._give_up(arrival.reason or "cut event")
-        if self.exchange.was_dropped:
-            return RunResult(StreamEnd.DROPPED, self.job.reason)
         # An engine ends a run that stood still behind another part; it is not lost.
         if self.moving_since is not None:
             return RunResult(StreamEnd.STALLED, self.job.reason)
+        if self.exchange.was_dropped and now < self.began_at + DROP_NOTICED:
+            return RunResult(StreamEnd.DROPPED, self.job.reason)
         return RunResult(StreamEnd.LOST, self.job.reason, first_lost=True)
 
     def _end_whole(self) -> None:
@@ -258,9 +295,10 @@
         """Read the body of an answer that is no stream, and pass on a failure."""
         job, head = self.job, self.head
         body = bytearray()
+        until = min(job.until, self.sender.clock() + BODY_PATIENCE)
         while True:
             now = self.sender.clock()
-            arrival = await next_arrival(self.exchange, job.until, now)
+            arrival = await next_arrival(self.exchange, until, now)
             if isinstance(arrival, Data):
                 body += arrival.data
             elif not isinstance(arrival, Head):
@@ -276,9 +314,10 @@
                 StreamEnd.REJECTED, reason, head.fault_address, head.misdirected
             )
         job.note(SendOutcome.MAY_HAVE_RUN, f"status {head.status} {head.reason}")
-        unfit = head.standing is not Standing.ANSWERED or not whole
-        if unfit or job.may_send_again or job.caller.begun:
+        if head.standing is not Standing.ANSWERED or not whole or job.caller.begun:
+            return RunResult(StreamEnd.LOST, job.reason)
+        self.state.failure = WholeAnswer(head, bytes(body))
+        # What an engine says of the request itself, another one would say as well.
+        if head.status >= SERVER_ERROR and job.may_send_again:
             return RunResult(StreamEnd.LOST, job.reason)
-        headers = self.sender.codec.for_caller(head)
-        job.caller.answer(head.status, headers, bytes(body))
-        return RunResult(StreamEnd.WHOLE)
+        return RunResult(StreamEnd.FAILED, job.reason)
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -16,6 +16,7 @@
 from lacewingcourse.relay.path_finder import demand_of
 from lacewingcourse.relay.sending import Sender
 from lacewingcourse.relay.stream_run import (
+    Replacement,
     RunResult,
     StreamEnd,
     StreamRun,
@@ -36,7 +37,7 @@
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.path_finder import PathFinder
     from lacewingcourse.relay.stall_watcher import StallWatcher
-    from lacewingcourse.relay.upstream import Exchange
+    from lacewingcourse.relay.upstream import Connection, Exchange
 
 
 @attrs.define
@@ -67,32 +68,34 @@
         """Forward a stream; return why its answer is not whole, if it is not."""
         cutter = EventCutter(last_id=job.request.resume_after)
         state = StreamState(job, shape, demand_of(job, shape), cutter)
-        replacement: Path | None = None
+        replacement: Replacement | None = None
         while True:
-            path = replacement or await self._wait_for_path(state)
+            if replacement is not None:
+                path = replacement.path
+            else:
+                path = await self._wait_for_path(state)
             if isinstance(path, Refusal):
-                return self._give_up(job, path.kind, path.reason)
+                return self._give_up(state, path.kind, path.reason)
             now = self.sender.clock()
-            if job.sends:
-                self.budget.take(job.service, now)
             self._note_transfers(state, path, now)
-            result = await self._run(state, path)
+            reserved = replacement.connection if replacement is not None else None
+            result = await self._run(state, path, reserved)
             replacement = result.replacement if result is not None else None
             if result is None:
-                self._unreachable(job)
+                self._unreachable(job, path)
                 continue
             if result.end in (StreamEnd.WHOLE, StreamEnd.ABANDONED):
                 return None
             if result.end is StreamEnd.HELD:
-                if not job.caller.begun:
-                    return self._give_up(job, ErrorKind.OVERLOADED, result.reason)
+                if not job.caller.begun or job.caller.gone:
+                    return self._give_up(state, ErrorKind.OVERLOADED, result.reason)
                 await asyncio.sleep(RETRY_PERIOD)
                 continue
             self._learn(job, path, result)
             if result.end is StreamEnd.OVERDUE:
-                return self._give_up(job, ErrorKind.DEADLINE_EXCEEDED, result.reason)
-            if not job.may_send_again:
-                return self._give_up(job, self._kind(result), "no attempt is left")
+                return self._give_up(state, ErrorKind.DEADLINE_EXCEEDED, result.reason)
+            if result.end is StreamEnd.FAILED or not job.may_send_again:
+                return self._give_up(state, self._kind(result), "no attempt is left")
 
     async def _wait_for_path(self, state: StreamState) -> Path | Refusal:
         """Return a path for a request, or why none was found while it waited."""
@@ -117,7 +120,19 @@
             return Refusal(ErrorKind.REPEATS_EXHAUSTED, "no repeat is left")
         return self.finder.find(job, state.shape, state.demand, besides)
 
-    def _replacement(self, state: StreamState) -> Path | Refusal:
+    async def _replacement(self, state: StreamState) -> Replacement | Refusal:
+        """Return a path, with a connection, for a stream whose run stands still."""
+        path = self._replacing_path(state)
+        if isinstance(path, Refusal):
+            return path
+        connection = await self.sender.reserve(path.first.address, fresh=False)
+        if not isinstance(connection, NotSent):
+            return Replacement(path, connection)
+        if connection.cause is Unsent.UNREACHABLE:
+            self._unreachable(state.job, path)
+        return Refusal(ErrorKind.NO_ROUTE, connection.reason)
+
+    def _replacing_path(self, state: StreamState) -> Path | Refusal:
         """Return a path for a stream whose run stands still but is open."""
         job, path, tokens = state.job, state.job.path, state.demand.tokens
         besides = [] if path.uses(job.avoid) else [p.endpoint for p in path.parts]
@@ -134,13 +149,22 @@
             seconds = state.shape.transfer_seconds(state.demand.prompt)
             self.beliefs.pipes.add(pair, seconds, now)
 
-    async def _run(self, state: StreamState, path: Path) -> RunResult | None:
-        """Run a stream on a path; None if the request never left this process."""
+    async def _run(
+        self, state: StreamState, path: Path, reserved: Connection | None
+    ) -> RunResult | None:
+        """Run a stream on a path; None if the request never left this process.
+
+        Args:
+            state: The stream.
+            path: The path.
+            reserved: Connection to its first part, None to take one.
+        """
         job = state.job
         job.path = path
         self.beliefs.loads.begin(path, state.demand.tokens)
         try:
-            result = await self._relay(state, fresh=not job.route.repeat.may_repeat)
+            fresh = not job.route.repeat.may_repeat
+            result = await self._relay(state, fresh, reserved)
             if result is None or result.end is not StreamEnd.DROPPED:
                 return result
             # Endpoints drop kept connections without notice. Taken for a lost run, each
@@ -151,25 +175,32 @@
             if again is None:
                 # The endpoint is gone, perhaps under this request.
                 job.sends += 1
-                self._unreachable(job)
+                self._unreachable(job, path)
                 return RunResult(StreamEnd.LOST, result.reason, first_lost=True)
             return again
         finally:
             self.beliefs.loads.end(path, state.demand.tokens)
 
-    async def _relay(self, state: StreamState, fresh: bool) -> RunResult | None:
+    async def _relay(
+        self, state: StreamState, fresh: bool, reserved: Connection | None = None
+    ) -> RunResult | None:
         """Send a stream on its path and pass on what comes; None if it never left.
 
         Args:
             state: The stream.
             fresh: Whether to send it over a new connection.
+            reserved: Connection to send it over, None to take one.
         """
         job = state.job
         now = self.sender.clock()
         first = job.path.first
         after = state.cutter.last_id
+        if now >= job.until:
+            if reserved is not None:
+                reserved.close()
+            return self._unsent(NotSent(Unsent.OVERDUE))
         sending = job.sending(first.name, first.address, job.path, now, after)
-        sent = await self.sender.send(job.request, sending, fresh)
+        sent = await self.sender.send(job.request, sending, fresh, reserved)
         if isinstance(sent, NotSent):
             job.note(SendOutcome.NEVER_LEFT, sent.reason)
             return self._unsent(sent)
@@ -188,6 +219,8 @@
     def _begin(self, job: Job, sent: Exchange, now: float) -> None:
         """Note a run that was sent."""
         first = job.path.first
+        if job.sends:
+            self.budget.take(job.service, now)
         job.sends += 1
         job.firsts.add(first.endpoint)
         job.current = sent
@@ -197,10 +230,11 @@
         if job.caller.gone:
             job.caller_gone()
 
-    def _unreachable(self, job: Job) -> None:
-        """Leave out an endpoint to which no connection could be made."""
-        endpoint = job.path.first.endpoint
-        self.beliefs.suspects.suspect(endpoint, job.reason, self.sender.clock())
+    def _unreachable(self, job: Job, path: Path) -> None:
+        """Leave out the first endpoint of a path, to which no connection was made."""
+        endpoint = path.first.endpoint
+        reason = Unsent.UNREACHABLE.value
+        self.beliefs.suspects.suspect(endpoint, reason, self.sender.clock())
         job.avoid.add(endpoint)
 
     def _unsent(self, sent: NotSent) -> RunResult | None:
@@ -252,8 +286,15 @@
             return ErrorKind.OVERLOADED
         return ErrorKind.STAGE_LOST
 
-    def _give_up(self, job: Job, kind: ErrorKind, cause: str) -> Refusal:
-        """Return how a stream ends that cannot go on."""
+    def _give_up(
+        self, state: StreamState, kind: ErrorKind, cause: str
+    ) -> Refusal | None:
+        """Return how a stream ends that cannot go on; None if it was answered."""
+        job = state.job
+        if state.failure is not None and not job.caller.begun:
+            headers = self.sender.codec.for_caller(state.failure.head)
+            job.caller.answer(state.failure.head.status, headers, state.failure.body)
+            return None
         if job.caller.begun:
             return Refusal(kind, cause, Outcome.PARTIAL)
         job.reason = job.reason or cause
--- /dev/null
+++ b/packages/relay/tests/relay/test_secured.py
@@ -0,0 +1,154 @@
+"""Tests of what is given up only once what replaces it is secured.
+
+Answers were cut off, or runs that were well closed, because something was released,
+charged or believed before the step that it was for had been taken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+
+from lacewingcourse.relay.ports import AnswerHead, Standing
+from lacewingcourse.relay.upstream import End, NotSent, Unsent
+
+from .stream_play import NONE, PLENTY, Engine, Run, StreamPlay, whole_answer
+from .virtual_time import play
+
+SHORT_PAUSE = Engine(pause_after=5, pause=0.4)
+IN_PAUSE = 0.4
+#: A budget without a share of requests that allows exactly one repeat (0.7 * 2 >= 1).
+ONE = 2.0
+
+
+@attrs.define(slots=False)
+class Unreachable(StreamPlay):
+    """Connections to some first parts cannot be made; each try takes 0.35 s."""
+
+    gone: tuple[str, ...] = ()
+
+    async def reserve(self, address, fresh):
+        if address.partition(":")[0] in self.gone:
+            await asyncio.sleep(0.35)
+            return NotSent(Unsent.UNREACHABLE)
+        return await super().reserve(address, fresh)
+
+
+def test_a_run_is_not_closed_for_a_first_part_that_cannot_be_reached(shape):
+    played = Unreachable(shape, {"a": SHORT_PAUSE}, slack=ONE, gone=("c",))
+    play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert played.caller.body == whole_answer()
+
+
+def test_a_run_is_not_closed_for_an_engine_that_then_rejects(shape):
+    """The engine of the next path has no room, which only its answer tells."""
+    engines = {"a": SHORT_PAUSE, "c": Engine(status=503)}
+    played = StreamPlay(shape, engines, slack=ONE)
+    play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert played.caller.body == whole_answer()
+
+
+def test_a_send_that_never_left_takes_no_repeat(shape):
+    played = Unreachable(
+        shape, {"a": Engine(pause_after=5, breaks=True)}, slack=PLENTY, gone=("c",)
+    )
+    play(played.serve())
+    assert len(played.budget.repeats.get("rooms", ())) == 0
+
+
+def test_waiting_for_a_descriptor_takes_no_repeats(shape):
+    engine = Engine(pause_after=5, breaks=True)
+    played = StreamPlay(shape, {"a": engine}, lacks_descriptors=(0.1, 1.0))
+    play(played.serve())
+    assert len(played.budget.repeats["rooms"]) == 1
+
+
+def test_waiting_for_a_descriptor_ends_with_the_time_of_the_route(shape):
+    engine = Engine(pause_after=5, breaks=True)
+    played = StreamPlay(shape, {"a": engine}, lacks_descriptors=(0.1, 60.0))
+    play(played.serve())
+    assert played.ended_at <= 20.1
+
+
+def test_waiting_for_a_descriptor_ends_when_the_caller_has_left(shape):
+    engine = Engine(pause_after=5, breaks=True)
+    played = StreamPlay(shape, {"a": engine}, lacks_descriptors=(0.1, 10.0))
+
+    def leave(watcher) -> None:
+        played.caller.gone = True
+
+    play(played.serve((1.0, leave)))
+    assert played.ended_at <= 1.5
+
+
+@attrs.define(slots=False)
+class Failing(StreamPlay):
+    """Engines whose answers without success are their own, signed ones."""
+
+    def _head(self, status, headers, request) -> AnswerHead:
+        return AnswerHead(status, headers, Standing.ANSWERED)
+
+
+@pytest.mark.parametrize("status", [422, 500])
+def test_an_engines_own_answer_is_kept_until_another_may_be_asked(shape, status):
+    played = Failing(shape, {"a": Engine(status=status)}, slack=NONE)
+    play(played.serve())
+    assert played.caller.status == status
+
+
+class HeldRun(Run):
+    """A run over a kept connection that the engine ends late, before its head."""
+
+    def __init__(self, after: int, held: float) -> None:
+        self.held = held
+        super().__init__(Engine(), after, False)
+        self.was_dropped = True
+
+    async def _write(self, engine, after) -> None:
+        await asyncio.sleep(self.held)
+        self.arrivals.put_nowait(End(False, "closed"))
+
+
+@attrs.define(slots=False)
+class Held(StreamPlay):
+    """The first run stands still behind b and is ended without a head after a while."""
+
+    async def send(self, request, sending, fresh, reserved=None):
+        name = sending.path.first.endpoint
+        if name == "a" and not fresh:
+            run = HeldRun(0, 1.0)
+            self.runs.append((self.clock(), name, run))
+            return run
+        return await super().send(request, sending, fresh, reserved)
+
+
+def test_a_run_that_stood_still_is_not_sent_again_on_the_path_of_a_dead_part(shape):
+    played = Held(shape, {"a": Engine()}, room_from=1.2)
+    play(played.serve((0.2, played.dies("b"))))
+    assert played.firsts.count("a") == 1
+
+
+def test_a_run_ended_long_after_it_was_sent_was_no_dropped_connection(shape):
+    """A crash under the request while it waited in the engine for its first token."""
+    played = Held(shape, {"a": Engine()})
+    play(played.serve())
+    assert played.firsts == ["a", "c"]
+    assert played.beliefs.crashes.losses(played.ended_at)
+
+
+def test_a_run_whose_events_flow_is_not_closed_for_a_part_that_is_said_to_be_dead(
+    shape,
+):
+    """Its events refute it; each such move took an attempt and a repeat."""
+    played = StreamPlay(shape, {"a": Engine()})
+    play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert played.firsts == ["a"]
+
+
+def test_an_answer_whose_events_flow_is_not_lost_to_a_move(shape):
+    engines = {"a": Engine(), "c": Engine(status=503)}
+    played = StreamPlay(shape, engines, slack=ONE)
+    play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert played.caller.body == whole_answer()
