End the requests that are open when a leaving entry's time is over

What callers saw: a call that an engine still worked on when the time of an entry that was asked to end was over had its connection closed without a word.

Cause: at `readiness.last` the loop ended with all of its tasks, and nothing was written for the requests that were open.

At the last moment each open request is cut short: its task is stopped, then the exchange with the engine is closed, then it is answered as `Job.failure` tells it: 503 with Retry-After if it was not sent, 502 if it may have run. An answer that was begun can only be broken off, with a `broken_off` line.

Why it holds: the task is cancelled before anything is written and the exchange is closed in the same turn of the loop, so nothing is sent and nothing else is answered in between. A request whose send is under way counts as one that may have run.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -25,6 +25,7 @@
 from lacewingcourse.relay.gateway import Gateway
 from lacewingcourse.relay.gossip import Gossip
 from lacewingcourse.relay.housekeeping import Housekeeping
+from lacewingcourse.relay.leaving import Departure
 from lacewingcourse.relay.loop_watch import LoopWatch
 from lacewingcourse.relay.metrics import METRICS_PATH
 from lacewingcourse.relay.path_finder import PathFinder
@@ -55,9 +56,6 @@
 
 #: Seconds between two looks at the settings file, which changes without a signal too.
 SETTINGS_PERIOD = 2.0
-#: Seconds after the request to end for which new connections may still come: the
-#: balancer asks once a second and takes an instance out after two misses.
-BALANCER_DELAY = 3.2
 #: Seconds beyond the callers' idle time for which their connections are kept.
 IDLE_MARGIN = 2.0
 #: Seconds for which connections of callers may stay idle before it is configured.
@@ -180,6 +178,9 @@
         self.callers = CallerConnections(
             self.gateway.serve, self.clock, lambda: self.readiness.leaving
         )
+        self.departure = Departure(
+            self.readiness, self.callers, self.gateway, self.clock
+        )
         self.front = HTTPServer(
             self.callers, idle_connection_timeout=FIRST_IDLE_TIMEOUT
         )
@@ -397,11 +398,6 @@
             self._reload()
 
     async def _leave(self) -> None:
-        """End when the callers' requests are answered, in time at the latest."""
-        since = self.readiness.leaving_since
-        while self.clock() < self.readiness.last:
-            waited = self.clock() - since
-            if waited > BALANCER_DELAY and not self.callers.open:
-                break
-            await asyncio.sleep(0.05)
+        """End when the callers' requests have their ends."""
+        await self.departure.carry_out()
         self.ended.set()
--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -80,6 +80,11 @@
         self.connection.set_close_callback(self._on_close)
         self._task = asyncio.ensure_future(self._serve(self))
 
+    def cancel(self) -> None:
+        """Stop serving the request; what serves it writes nothing any more."""
+        if self._task is not None:
+            self._task.cancel()
+
     def on_connection_close(self) -> None:
         """Take the early end of the request; nothing was begun for it."""
         self.gone = True
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -11,6 +11,7 @@
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.sending import WholeAnswer
+from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +39,8 @@
 #: Factor up to which that time is spread, so that those refused together do not return
 #: together.
 RETRY_SPREAD = 1.25
+#: Why a request is refused or cut short by an entry that leaves.
+LEAVING = "this entry is about to end"
 
 
 @attrs.define
@@ -54,6 +57,7 @@
         clock: Returns the present time in seconds.
         ready_in: Returns the seconds until another entry takes connections.
         rng: Source of draws.
+        jobs: What is done for the requests that were routed and have not ended.
     """
 
     beliefs: Beliefs
@@ -65,6 +69,7 @@
     clock: Callable[[], float]
     ready_in: Callable[[], float]
     rng: Random
+    jobs: dict[CallerExchange, Job] = attrs.field(factory=dict)
 
     async def serve(self, caller: CallerExchange) -> None:
         """Serve one request of a caller; whatever happens, it is answered."""
@@ -76,6 +81,45 @@
                 caller.break_off()
             else:
                 self._refuse(caller, None, Refusal(ErrorKind.INTERNAL, "a defect"))
+        finally:
+            self.jobs.pop(caller, None)
+
+    def cut_short(self, caller: CallerExchange, now: float) -> None:
+        """End a request for which no time is left, as truly as can be told.
+
+        Its task is stopped first, so that nothing is sent for it any more and nothing
+        else is answered.
+
+        Args:
+            caller: Whose request it is.
+            now: Present time in seconds.
+        """
+        caller.cancel()
+        job = self.jobs.get(caller)
+        if caller.ended or caller.gone:
+            return
+        if job is None:
+            wait = self._other_entry()
+            refusal = Refusal(ErrorKind.DRAINING, LEAVING, retry_after=wait)
+            self._refuse(caller, None, refusal)
+            return
+        self._stop(job)
+        if caller.begun:
+            caller.break_off()
+            cause = Refusal(ErrorKind.DRAINING, LEAVING, Outcome.PARTIAL)
+            self.log.broken_off(job, cause, now)
+            return
+        refusal = job.failure(ErrorKind.DRAINING, self._other_entry())
+        self.log.refused(job.request, refusal, job)
+        self._refuse(caller, job.request, refusal)
+
+    def _stop(self, job: Job) -> None:
+        """Stop what an endpoint does for a request that is cut short."""
+        if job.current is None:
+            job.reason = LEAVING
+            return
+        job.note(SendOutcome.MAY_HAVE_RUN, LEAVING)
+        job.current.abandon()
 
     async def _serve(self, caller: CallerExchange) -> None:
         request = self.codec.decode(
@@ -99,6 +143,7 @@
             self._refuse(caller, request, refusal)
             return
         caller.on_gone = job.caller_gone
+        self.jobs[caller] = job
         self.calls.budget.on_request(job.service, self.clock())
         refusal = await self._forward(job)
         now = self.clock()
@@ -141,8 +186,8 @@
             patience = min(patience, request.patience)
         until = request.received_at + patience
         if not self.readiness.takes(route.name, self.clock(), until):
-            reason = "this entry is about to end"
-            return Refusal(ErrorKind.DRAINING, reason, retry_after=self._other_entry())
+            wait = self._other_entry()
+            return Refusal(ErrorKind.DRAINING, LEAVING, retry_after=wait)
         return Job(
             request=request,
             route=route,
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -27,12 +27,20 @@
 @asynccontextmanager
 async def serving(serve, last=lambda: False, **parameters):
     """Serve callers; yields the address."""
+    async with serving_connections(serve, last, **parameters) as (address, _):
+        yield address
+
+
+@asynccontextmanager
+async def serving_connections(serve, last=lambda: False, **parameters):
+    """Serve callers; yields the address and the connections."""
     clock = asyncio.get_running_loop().time
-    server = HTTPServer(CallerConnections(serve, clock, last), **parameters)
+    connections = CallerConnections(serve, clock, last)
+    server = HTTPServer(connections, **parameters)
     server.listen(0, "127.0.0.1")
     (listening,) = server._sockets.values()
     try:
-        yield listening.getsockname()
+        yield listening.getsockname(), connections
     finally:
         server.stop()
         await server.close_all_connections()
--- /dev/null
+++ b/packages/relay/tests/relay/test_leaving.py
@@ -0,0 +1,120 @@
+"""Tests of what callers get whose requests are open when the entry must end."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.gateway import Gateway
+from lacewingcourse.relay.leaving import Departure
+from lacewingcourse.relay.readiness import Readiness
+
+from .test_caller import REQUEST, gateway, read_answer, run, serving_connections
+
+#: Seconds in which the entry must have ended.
+GRACE = 1.0
+#: Seconds after which another entry takes connections.
+BACK = 0.3
+
+
+class Sent:
+    """A request that an endpoint works on without end."""
+
+    def __init__(self) -> None:
+        self.stopped = False
+
+    def abandon(self) -> None:
+        """Stop the endpoint's work."""
+        self.stopped = True
+
+
+class Lines:
+    """The log of decisions: the names of its lines."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def __getattr__(self, name: str):
+        return lambda *args, **fields: self.told.append(name)
+
+
+def refusal(refused, request):
+    """Return an answer that shows the time after which to come back."""
+    headers = HTTPHeaders()
+    if refused.retry_after is not None:
+        headers["Retry-After"] = str(refused.retry_after)
+    return refused.answer.status, headers, b""
+
+
+def entry_with(forward, lines) -> Gateway:
+    """Return a gateway that forwards streams in some way."""
+    found = gateway(forward, [])
+    found.log = lines
+    found.codec.refusal = refusal
+    found.ready_in = lambda: BACK
+    found.rng = SimpleNamespace(uniform=lambda low, high: low)
+    return found
+
+
+async def leave(entry, connections) -> None:
+    """Ask an entry to end and wait until it has."""
+    readiness = Readiness(Beliefs(), GRACE)
+    readiness.leave(entry.clock())
+    await Departure(readiness, connections, entry, entry.clock).carry_out()
+
+
+def test_a_request_that_was_not_sent_may_come_back_when_the_entry_ends():
+    lines = Lines()
+
+    async def waits(job, shape):
+        await asyncio.Event().wait()
+
+    async def test():
+        entry = entry_with(waits, lines)
+        async with serving_connections(entry.serve) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            await leave(entry, connections)
+            head, _ = await read_answer(reader)
+            assert head.startswith(b"HTTP/1.1 503")
+            assert b"Retry-After: 0.3" in head
+            assert lines.told == ["refused"]
+            assert not entry.jobs
+
+    run(test)
+
+
+@pytest.mark.parametrize("begun", [False, True])
+def test_what_an_endpoint_does_is_stopped_when_the_entry_ends(begun):
+    lines = Lines()
+    sent = Sent()
+
+    async def sends(job, shape):
+        job.current = sent
+        try:
+            if begun:
+                job.caller.begin(200, HTTPHeaders(), b"some")
+            await asyncio.Event().wait()
+        finally:
+            job.current = None
+
+    async def test():
+        entry = entry_with(sends, lines)
+        async with serving_connections(entry.serve) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            await leave(entry, connections)
+            if begun:
+                assert (await reader.read()).endswith(b"4\r\nsome\r\n")
+            else:
+                head, _ = await read_answer(reader)
+                assert head.startswith(b"HTTP/1.1 502")
+                assert b"Retry-After" not in head
+        assert sent.stopped
+        assert lines.told == ["broken_off" if begun else "refused"]
+
+    run(test)
