Wait, when leaving, for whole requests to come and whole answers to go

What callers saw: a caller that was sending its body had its connection closed; one that read a long answer slowly got a part of it. Both seconds before the entry had to end.

Cause: a leaving entry counted a request from the end of its body on, and until its answer was handed to the connection, while its bytes still waited in the process.

Ruled out: that the time was over (both ended after 3.2 s of 8); that the kernel loses the bytes (it sends on what it has after the process has ended).

Change: a request counts as open from its head until its last byte has left the process or its connection is closed. Both faults are the two ends of this one count, so they are mended together. After the last moment, at which a request without its body is refused, answers get a tenth of a second more of the time kept for the end. The line `ended` tells how many are lost.

Why it holds: tornado tells a delegate that has a head of either the whole request or the early end; a write of nothing is done only when all before it is, and fails when the connection closes. Both are bounded by `readiness.last`.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -278,7 +278,7 @@
         self._start(self._watch_settings())
         self.log.belief("started", zone=self.settings.zone)
         await self.ended.wait()
-        self.log.belief("ended")
+        self.log.belief("ended", open=len(self.callers.open))
 
     def _listen(self, server: HTTPServer, address: str) -> None:
         host, port = split_address(address)
--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -44,6 +44,7 @@
         serve: Callable[[CallerExchange], Awaitable[None]],
         clock: Callable[[], float],
         last: Callable[[], bool],
+        unended: set[CallerExchange],
     ) -> None:
         self.connection = connection
         self.method = ""
@@ -59,13 +60,15 @@
         self._serve = serve
         self._clock = clock
         self._last = last
+        self._unended = unended
         self._task: asyncio.Task | None = None
         self._closes = False
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
-        """Take the head of the request."""
+        """Take the head of the request, from which on its caller waits for an end."""
+        self._unended.add(self)
         self.arrived_at = self._clock()
         self.method = start_line.method
         self.target = start_line.path
@@ -79,6 +82,7 @@
         """Serve the request, which is whole now."""
         self.connection.set_close_callback(self._on_close)
         self._task = asyncio.ensure_future(self._serve(self))
+        self._task.add_done_callback(self._on_served)
 
     def cancel(self) -> None:
         """Stop serving the request; what serves it writes nothing any more."""
@@ -88,6 +92,7 @@
     def on_connection_close(self) -> None:
         """Take the early end of the request; nothing was begun for it."""
         self.gone = True
+        self._unended.discard(self)
 
     def begin(self, status: int, headers: HTTPHeaders, first: bytes = b"") -> None:
         """Write the head of the answer, and the first bytes of its body."""
@@ -109,15 +114,13 @@
         if self.ended:
             return
         self.ended = True
-        stream = self.connection.stream
         try:
             self.connection.finish()
         except StreamClosedError:
             return
         self.whole = True
-        if self._closes and stream is not None and not stream.closed():
-            pending = stream.write(b"")
-            pending.add_done_callback(lambda future: _close(stream, future))
+        if self._closes:
+            self._after_last_byte(self.connection.close)
 
     def break_off(self) -> None:
         """End the answer so that it cannot look whole."""
@@ -133,6 +136,24 @@
         self.begin(status, headers, sent)
         self.end()
 
+    def _after_last_byte(self, work: Callable[[], None]) -> None:
+        """Do something once all that was written has left this process."""
+        stream = self.connection.stream
+        if stream.closed() or not stream.writing():
+            work()
+            return
+        # Nothing is written by it, but it is done only when all before it has been.
+        pending = stream.write(b"")
+        pending.add_done_callback(_forget)
+        pending.add_done_callback(lambda future: work())
+
+    def _on_served(self, task: asyncio.Task) -> None:
+        """Count the request as open until its answer has left this process.
+
+        Bytes that wait for a slow caller are lost if the process ends before.
+        """
+        self._after_last_byte(lambda: self._unended.discard(self))
+
     def _nodelay(self) -> None:
         if self.connection.stream is not None and not self.connection.stream.closed():
             self.connection.stream.set_nodelay(True)
@@ -152,16 +173,11 @@
         future.exception()
 
 
-def _close(stream, future: asyncio.Future) -> None:
-    _forget(future)
-    stream.close()
-
-
 class CallerConnections(HTTPServerConnectionDelegate):
     """The connections of callers.
 
     Attributes:
-        open: Requests that were begun and not ended.
+        open: Requests whose heads have come and whose answers have not left yet.
     """
 
     def __init__(
@@ -180,12 +196,5 @@
     ) -> HTTPMessageDelegate:
         """Return what takes the next request of a connection."""
         return CallerExchange(
-            request_conn, self._serve_counted, self._clock, self._last
+            request_conn, self._serve, self._clock, self._last, self.open
         )
-
-    async def _serve_counted(self, exchange: CallerExchange) -> None:
-        self.open.add(exchange)
-        try:
-            await self._serve(exchange)
-        finally:
-            self.open.discard(exchange)
--- a/packages/relay/src/lacewingcourse/relay/leaving.py
+++ b/packages/relay/src/lacewingcourse/relay/leaving.py
@@ -19,6 +19,8 @@
 BALANCER_DELAY = 3.2
 #: Seconds between two looks at what is still open.
 LOOK_PERIOD = 0.05
+#: Seconds of those kept for the end in which the last answers may be written out.
+WRITING_TIME = 0.1
 
 
 @attrs.define
@@ -45,6 +47,13 @@
         # its connection closed without a word.
         for caller in list(self.callers.open):
             self.gateway.cut_short(caller, self.clock())
+        await self._write_out()
+
+    async def _write_out(self) -> None:
+        """Wait a moment for answers that have not left this process."""
+        until = self.readiness.last + WRITING_TIME
+        while self.callers.open and self.clock() < until:
+            await asyncio.sleep(LOOK_PERIOD)
 
     def _is_over(self, now: float) -> bool:
         """Tell whether nothing is waited for any more."""
--- a/packages/relay/tests/relay/test_leaving.py
+++ b/packages/relay/tests/relay/test_leaving.py
@@ -118,3 +118,56 @@
         assert lines.told == ["broken_off" if begun else "refused"]
 
     run(test)
+
+
+def test_a_request_whose_body_is_on_its_way_may_come_back_when_the_entry_ends():
+    lines = Lines()
+
+    async def test():
+        entry = entry_with(None, lines)
+        async with serving_connections(entry.serve) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")
+            while not connections.open:
+                await asyncio.sleep(0)
+            await leave(entry, connections)
+            head, _ = await read_answer(reader)
+            assert head.startswith(b"HTTP/1.1 503")
+            assert not connections.open
+
+    run(test)
+
+
+def test_a_request_counts_until_its_answer_has_left_the_process():
+    size = 32 * 1024 * 1024
+
+    async def large(exchange):
+        exchange.answer(200, HTTPHeaders(), b"x" * size)
+
+    async def test():
+        async with serving_connections(large) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            (exchange,) = connections.open
+            assert exchange.whole
+            await reader.readexactly(size)
+            while connections.open:
+                await asyncio.sleep(0)
+
+    run(test)
+
+
+def test_a_request_whose_caller_leaves_is_open_no_more():
+    async def test():
+        async with serving_connections(None) as (address, connections):
+            _, writer = await asyncio.open_connection(*address)
+            writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")
+            while not connections.open:
+                await asyncio.sleep(0)
+            writer.close()
+            while connections.open:
+                await asyncio.sleep(0)
+
+    run(test)
