Hold connections that wait already to the limits in force

What callers saw: a kept connection was closed before the time that the version in force allows; a proper request got 400 because its body was longer than an older version allowed.

Cause: tornado takes the idle time and the longest body when a connection begins to wait for a request, and a version that came later did not reach those that waited.

Ruled out: that the version was not in force (others were served by it on new connections).

Change: the entry closes idle connections itself (`idle.py`) and looks at the limit again before it does. A replaced longer time counts for connections that became idle up to 60 s after it was replaced: callers go by the version that they know, and nothing tells which. The longest body is set when the head has come, by tornado's own call for it. tornado's timer is off; one timer for each wait replaces it, as before.

Why it holds: at every moment an idle connection lives at least as long as the longest of the times that its caller may go by. The close is one turn of the loop behind the timer, so a head that came while the process stood still is told of first.

Left: the longest head is still taken when a connection begins to wait; tornado has no call for it.

Changes to tests: the server of test_caller.py has tornado's timer off, as the entry has.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -56,10 +56,6 @@
 
 #: Seconds between two looks at the settings file, which changes without a signal too.
 SETTINGS_PERIOD = 2.0
-#: Seconds beyond the callers' idle time for which their connections are kept.
-IDLE_MARGIN = 2.0
-#: Seconds for which connections of callers may stay idle before it is configured.
-FIRST_IDLE_TIMEOUT = 60.0
 
 
 @attrs.frozen
@@ -181,9 +177,9 @@
         self.departure = Departure(
             self.readiness, self.callers, self.gateway, self.clock
         )
-        self.front = HTTPServer(
-            self.callers, idle_connection_timeout=FIRST_IDLE_TIMEOUT
-        )
+        self.front = HTTPServer(self.callers)
+        # Idle connections are closed by `IdleWatch`.
+        self.front.conn_params.header_timeout = None
         self.ready = HTTPServer(
             SmallServer({("GET", self.settings.ready_path): self._on_ready})
         )
@@ -344,8 +340,8 @@
         """Apply the limits of a version that has come into force, and tell it."""
         self._tell_peers()
         limits = self.beliefs.table.limits
+        self.callers.idle.put_in_force(limits.idle_timeout, self.clock())
         params = self.front.conn_params
-        params.header_timeout = limits.idle_timeout + IDLE_MARGIN
         params.max_header_size = limits.header_bytes
         params.max_body_size = limits.body_bytes
 
--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -14,6 +14,8 @@
 )
 from tornado.iostream import StreamClosedError
 
+from lacewingcourse.relay.idle import IdleTime, IdleWatch
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -45,6 +47,7 @@
         clock: Callable[[], float],
         last: Callable[[], bool],
         unended: set[CallerExchange],
+        watch: IdleWatch,
     ) -> None:
         self.connection = connection
         self.method = ""
@@ -61,6 +64,7 @@
         self._clock = clock
         self._last = last
         self._unended = unended
+        self._watch = watch
         self._task: asyncio.Task | None = None
         self._closes = False
 
@@ -68,12 +72,24 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         """Take the head of the request, from which on its caller waits for an end."""
+        self._watch.stop()
         self._unended.add(self)
+        self._take_limits()
         self.arrived_at = self._clock()
         self.method = start_line.method
         self.target = start_line.path
         self.headers = headers
 
+    def _take_limits(self) -> None:
+        """Hold the body to the version in force.
+
+        The connection took the limit when it began to wait for this request, since
+        when another version may have come.
+        """
+        limit = self.connection.params.max_body_size
+        if limit is not None:
+            self.connection.set_max_body_size(limit)
+
     def data_received(self, chunk: bytes) -> None:
         """Take bytes of the body."""
         self.body += chunk
@@ -178,6 +194,7 @@
 
     Attributes:
         open: Requests whose heads have come and whose answers have not left yet.
+        idle: How long connections may stay idle.
     """
 
     def __init__(
@@ -187,6 +204,7 @@
         last: Callable[[], bool],
     ) -> None:
         self.open: set[CallerExchange] = set()
+        self.idle = IdleTime()
         self._serve = serve
         self._clock = clock
         self._last = last
@@ -195,6 +213,7 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return what takes the next request of a connection."""
+        watch = IdleWatch(request_conn, self.idle, self._clock)
         return CallerExchange(
-            request_conn, self._serve, self._clock, self._last, self.open
+            request_conn, self._serve, self._clock, self._last, self.open, watch
         )
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -37,6 +37,8 @@
     clock = asyncio.get_running_loop().time
     connections = CallerConnections(serve, clock, last)
     server = HTTPServer(connections, **parameters)
+    # As in the entry, where `IdleWatch` closes idle connections.
+    server.conn_params.header_timeout = None
     server.listen(0, "127.0.0.1")
     (listening,) = server._sockets.values()
     try:
