End streams for callers that speak HTTP/1.0 and ask to keep the connection

What callers saw: a whole stream, and then silence for ever.

Cause: they know no chunks, so a stream without a length ends only with its connection, and tornado keeps that for callers who ask for it.

Ruled out: that the end was not written (there is none without chunks).

Change: an answer without a length to such a caller is closed behind its last byte. tornado promises the connection to them whatever it is told, also where a leaving entry closes it; the field that makes it do so is taken out of the request's head then.

Why it holds: the close comes after the last byte has left the process, as for a leaving entry. The field concerns one connection only and is not passed on to engines. Answers with a length are kept as before.

--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -60,6 +60,7 @@
         self.ended = False
         self.whole = False
         self.on_gone: Callable[[], None] | None = None
+        self._version = ""
         self._serve = serve
         self._clock = clock
         self._last = last
@@ -76,6 +77,7 @@
         self._unended.add(self)
         self._take_limits()
         self.arrived_at = self._clock()
+        self._version = start_line.version
         self.method = start_line.method
         self.target = start_line.path
         self.headers = headers
@@ -120,13 +122,29 @@
     def begin(self, status: int, headers: HTTPHeaders, first: bytes = b"") -> None:
         """Write the head of the answer, and the first bytes of its body."""
         self.begun = True
-        if self._last():
-            headers["Connection"] = "close"
+        if self._last() or self._ends_by_close(headers):
             self._closes = True
+            headers["Connection"] = "close"
+            self._promise_nothing()
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         self._nodelay()
         self._note(self.connection.write_headers(line, headers, first))
 
+    def _promise_nothing(self) -> None:
+        """Keep tornado from promising the connection to a caller of HTTP/1.0.
+
+        It does so where the caller asked for it, in place of what is told here.
+        """
+        if self.headers.get("Connection", "").lower() == "keep-alive":
+            del self.headers["Connection"]
+
+    def _ends_by_close(self, headers: HTTPHeaders) -> bool:
+        """Tell whether only the end of the connection can end the answer.
+
+        A caller that speaks HTTP/1.0 knows no chunks.
+        """
+        return self._version == "HTTP/1.0" and "Content-Length" not in headers
+
     def write(self, data: bytes) -> None:
         """Write bytes of the answer's body."""
         if not self.gone and data:
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -165,6 +165,25 @@
     run(test)
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_caller_that_knows_no_chunks_is_told_whether_its_connection_is_kept(leaves):
+    async def test():
+        async with serving(echo, last=lambda: leaves) as address:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"GET /0 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+            head, body = await read_answer(reader)
+            assert body == b"/0"
+            if leaves:
+                assert b"Connection: close" in head
+                assert await reader.read() == b""
+                return
+            assert b"Connection: Keep-Alive" in head
+            writer.write(b"GET /1 HTTP/1.0\r\n\r\n")
+            assert (await read_answer(reader))[1] == b"/1"
+
+    run(test)
+
+
 def test_a_body_beyond_the_limit_is_refused_with_an_answer():
     def ask(address):
         with socket.create_connection(address, LONG) as caller:
