Close an answer that is broken off behind what was passed on

What callers saw: fewer events than were passed on, so that a caller which asks again with the last event's identifier gets them a second time; a slow one lost most.

Cause: the connection was closed at once, with what the kernel had no room for still in the process.

Ruled out: that the last chunk must be written for it (it is not, so the answer still cannot look whole).

Change: it is closed once its last byte has left the process; nothing is written behind its end.

Why it holds: the close waits for the write that is the last, and that one ends also when the caller closes. A leaving entry bounds it as it does whole answers.

--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -146,8 +146,8 @@
         return self._version == "HTTP/1.0" and "Content-Length" not in headers
 
     def write(self, data: bytes) -> None:
-        """Write bytes of the answer's body."""
-        if not self.gone and data:
+        """Write bytes of the answer's body; none behind its end."""
+        if data and not self.gone and not self.ended:
             self._note(self.connection.write(data))
 
     def end(self) -> None:
@@ -164,9 +164,13 @@
             self._after_last_byte(self.connection.close)
 
     def break_off(self) -> None:
-        """End the answer so that it cannot look whole."""
+        """End the answer so that it cannot look whole.
+
+        It is closed behind what was passed on: a caller that resumes it asks for what
+        follows the last event that it got.
+        """
         self.ended = True
-        self.connection.close()
+        self._after_last_byte(self.connection.close)
 
     def answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Write a whole answer with a known length."""
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -145,6 +145,51 @@
     run(test)
 
 
+def test_an_answer_that_is_broken_off_keeps_what_was_passed_on():
+    """Fewer events came than were passed on, so it was resumed further back.
+
+    What the kernel had no room for waited in the process, and was dropped.
+    """
+    size = 32 * 1024 * 1024
+
+    async def serve(exchange):
+        exchange.begin(200, HTTPHeaders(), b"x" * size)
+        exchange.break_off()
+        exchange.write(b"behind its end")
+
+    async def test():
+        async with serving(serve) as address:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"chunked" in head
+            body = await reader.read()
+            assert body.endswith(b"xxxx\r\n")
+            assert body.count(b"x") == size
+
+    run(test)
+
+
+def test_a_caller_that_leaves_an_answer_that_is_broken_off_is_open_no_more():
+    size = 32 * 1024 * 1024
+
+    async def serve(exchange):
+        exchange.begin(200, HTTPHeaders(), b"x" * size)
+        exchange.break_off()
+
+    async def test():
+        async with serving_connections(serve) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            await reader.readuntil(b"\r\n\r\n")
+            assert connections.open
+            writer.close()
+            while connections.open:
+                await asyncio.sleep(0)
+
+    run(test)
+
+
 def test_a_stream_ends_for_a_caller_that_knows_no_chunks():
     """A caller waits for ever behind a whole answer.
 
