Show that an endpoint works on behind a defect

What callers saw: nothing wrong; they get 500 or a broken-off answer. The endpoint works on for nobody until it has ended.

Cause: the forwarders forget the exchange when they are left by an exception, and do not close it. Behind them the gateway no longer knows it, so it cannot be closed there.

The place to mend is in calls.py and streams.py.

--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -156,3 +156,16 @@
     assert ended.kind is ErrorKind.REPEATS_EXHAUSTED
     assert ended.outcome is Outcome.NOT_RUN
     assert ended.retry_after is not None
+
+
+def test_a_defect_stops_what_an_endpoint_does_for_a_call():
+    """The endpoint works on for a caller that has been answered 500."""
+    played = CallPlay(endpoints=1)
+
+    def fails(status, headers, request):
+        raise ValueError("a defect")
+
+    played.codec.head = fails
+    with pytest.raises(ValueError, match="a defect"):
+        play(played.serve())
+    assert [send.abandoned for send in played.sends] == [True]
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -124,3 +124,16 @@
     assert ended.kind is ErrorKind.REPEATS_EXHAUSTED
     assert ended.outcome is Outcome.NOT_RUN
     assert ended.retry_after is not None
+
+
+def test_a_defect_stops_what_an_endpoint_does_for_a_stream(stream):
+    """The endpoint works on for a caller whose answer has been ended."""
+    played = stream(Engine())
+
+    def fails(status, headers, request):
+        raise ValueError("a defect")
+
+    played._head = fails
+    with pytest.raises(ValueError, match="a defect"):
+        play(played.serve())
+    assert [run.abandoned for _, _, run in played.runs] == [True]
