--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -25,6 +25,7 @@
 from lacewingcourse.relay.gateway import Gateway
 from lacewingcourse.relay.gossip import Gossip
 from lacewingcourse.relay.housekeeping import Housekeeping
+from lacewingcourse.relay.leaving import Departure
 from lacewingcourse.relay.loop_watch import LoopWatch
 from lacewingcourse.relay.metrics import METRICS_PATH
 from lacewingcourse.relay.path_finder import PathFinder
@@ -55,13 +56,6 @@
 
 #: Seconds between two looks at the settings file, which changes without a signal too.
 SETTINGS_PERIOD = 2.0
-#: Seconds after the request to end for which new connections may still come: the
-#: balancer asks once a second and takes an instance out after two misses.
-BALANCER_DELAY = 3.2
-#: Seconds beyond the callers' idle time for which their connections are kept.
-IDLE_MARGIN = 2.0
-#: Seconds for which connections of callers may stay idle before it is configured.
-FIRST_IDLE_TIMEOUT = 60.0
 
 
 @attrs.frozen
@@ -180,9 +174,12 @@
         self.callers = CallerConnections(
             self.gateway.serve, self.clock, lambda: self.readiness.leaving
         )
-        self.front = HTTPServer(
-            self.callers, idle_connection_timeout=FIRST_IDLE_TIMEOUT
+        self.departure = Departure(
+            self.readiness, self.callers, self.gateway, self.clock
         )
+        self.front = HTTPServer(self.callers)
+        # Idle connections are closed by `IdleWatch`.
+        self.front.conn_params.header_timeout = None
         self.ready = HTTPServer(
             SmallServer({("GET", self.settings.ready_path): self._on_ready})
         )
@@ -277,7 +274,7 @@
         self._start(self._watch_settings())
         self.log.belief("started", zone=self.settings.zone)
         await self.ended.wait()
-        self.log.belief("ended")
+        self.log.belief("ended", open=len(self.callers.open))
 
     def _listen(self, server: HTTPServer, address: str) -> None:
         host, port = split_address(address)
@@ -343,8 +340,8 @@
         """Apply the limits of a version that has come into force, and tell it."""
         self._tell_peers()
         limits = self.beliefs.table.limits
+        self.callers.idle.put_in_force(limits.idle_timeout, self.clock())
         params = self.front.conn_params
-        params.header_timeout = limits.idle_timeout + IDLE_MARGIN
         params.max_header_size = limits.header_bytes
         params.max_body_size = limits.body_bytes
 
@@ -397,11 +394,6 @@
             self._reload()
 
     async def _leave(self) -> None:
-        """End when the callers' requests are answered, in time at the latest."""
-        since = self.readiness.leaving_since
-        while self.clock() < self.readiness.last:
-            waited = self.clock() - since
-            if waited > BALANCER_DELAY and not self.callers.open:
-                break
-            await asyncio.sleep(0.05)
+        """End when the callers' requests have their ends."""
+        await self.departure.carry_out()
         self.ended.set()
--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -14,6 +14,8 @@
 )
 from tornado.iostream import StreamClosedError
 
+from lacewingcourse.relay.idle import IdleTime, IdleWatch
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -44,6 +46,8 @@
         serve: Callable[[CallerExchange], Awaitable[None]],
         clock: Callable[[], float],
         last: Callable[[], bool],
+        unended: set[CallerExchange],
+        watch: IdleWatch,
     ) -> None:
         self.connection = connection
         self.method = ""
@@ -56,47 +60,94 @@
         self.ended = False
         self.whole = False
         self.on_gone: Callable[[], None] | None = None
+        self._version = ""
         self._serve = serve
         self._clock = clock
         self._last = last
+        self._unended = unended
+        self._watch = watch
         self._task: asyncio.Task | None = None
         self._closes = False
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
-        """Take the head of the request."""
+        """Take the head of the request, from which on its caller waits for an end."""
+        self._watch.stop()
+        self._unended.add(self)
+        self._take_limits()
         self.arrived_at = self._clock()
+        self._version = start_line.version
         self.method = start_line.method
         self.target = start_line.path
         self.headers = headers
 
+    def _take_limits(self) -> None:
+        """Hold the body to the version in force.
+
+        The connection took the limit when it began to wait for this request, since
+        when another version may have come.
+        """
+        limit = self.connection.params.max_body_size
+        if limit is not None:
+            self.connection.set_max_body_size(limit)
+
     def data_received(self, chunk: bytes) -> None:
         """Take bytes of the body."""
         self.body += chunk
 
     def finish(self) -> None:
-        """Serve the request, which is whole now."""
+        """Serve the request, which is whole now.
+
+        A request that was sent ahead is read from the memory of a connection also when
+        that has been closed. Its caller takes it as not read and may ask elsewhere.
+        """
+        if self.connection.stream.closed():
+            self.on_connection_close()
+            return
         self.connection.set_close_callback(self._on_close)
         self._task = asyncio.ensure_future(self._serve(self))
+        self._task.add_done_callback(self._on_served)
+
+    def cancel(self) -> None:
+        """Stop serving the request; what serves it writes nothing any more."""
+        if self._task is not None:
+            self._task.cancel()
 
     def on_connection_close(self) -> None:
         """Take the early end of the request; nothing was begun for it."""
         self.gone = True
+        self._unended.discard(self)
 
     def begin(self, status: int, headers: HTTPHeaders, first: bytes = b"") -> None:
         """Write the head of the answer, and the first bytes of its body."""
         self.begun = True
-        if self._last():
-            headers["Connection"] = "close"
+        if self._last() or self._ends_by_close(headers):
             self._closes = True
+            headers["Connection"] = "close"
+            self._promise_nothing()
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         self._nodelay()
         self._note(self.connection.write_headers(line, headers, first))
 
+    def _promise_nothing(self) -> None:
+        """Keep tornado from promising the connection to a caller of HTTP/1.0.
+
+        It does so where the caller asked for it, in place of what is told here.
+        """
+        if self.headers.get("Connection", "").lower() == "keep-alive":
+            del self.headers["Connection"]
+
+    def _ends_by_close(self, headers: HTTPHeaders) -> bool:
+        """Tell whether only the end of the connection can end the answer.
+
+        A caller that speaks HTTP/1.0 knows no chunks.
+        """
+        return self._version == "HTTP/1.0" and "Content-Length" not in headers
+
     def write(self, data: bytes) -> None:
-        """Write bytes of the answer's body."""
-        if not self.gone and data:
+        """Write bytes of the answer's body; none behind its end."""
+        if data and not self.gone and not self.ended:
             self._note(self.connection.write(data))
 
     def end(self) -> None:
@@ -104,20 +155,22 @@
         if self.ended:
             return
         self.ended = True
-        stream = self.connection.stream
         try:
             self.connection.finish()
         except StreamClosedError:
             return
         self.whole = True
-        if self._closes and stream is not None and not stream.closed():
-            pending = stream.write(b"")
-            pending.add_done_callback(lambda future: _close(stream, future))
+        if self._closes:
+            self._after_last_byte(self.connection.close)
 
     def break_off(self) -> None:
-        """End the answer so that it cannot look whole."""
+        """End the answer so that it cannot look whole.
+
+        It is closed behind what was passed on: a caller that resumes it asks for what
+        follows the last event that it got.
+        """
         self.ended = True
-        self.connection.close()
+        self._after_last_byte(self.connection.close)
 
     def answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Write a whole answer with a known length."""
@@ -128,6 +181,24 @@
         self.begin(status, headers, sent)
         self.end()
 
+    def _after_last_byte(self, work: Callable[[], None]) -> None:
+        """Do something once all that was written has left this process."""
+        stream = self.connection.stream
+        if stream.closed() or not stream.writing():
+            work()
+            return
+        # Nothing is written by it, but it is done only when all before it has been.
+        pending = stream.write(b"")
+        pending.add_done_callback(_forget)
+        pending.add_done_callback(lambda future: work())
+
+    def _on_served(self, task: asyncio.Task) -> None:
+        """Count the request as open until its answer has left this process.
+
+        Bytes that wait for a slow caller are lost if the process ends before.
+        """
+        self._after_last_byte(lambda: self._unended.discard(self))
+
     def _nodelay(self) -> None:
         if self.connection.stream is not None and not self.connection.stream.closed():
             self.connection.stream.set_nodelay(True)
@@ -147,16 +218,12 @@
         future.exception()
 
 
-def _close(stream, future: asyncio.Future) -> None:
-    _forget(future)
-    stream.close()
-
-
 class CallerConnections(HTTPServerConnectionDelegate):
     """The connections of callers.
 
     Attributes:
-        open: Requests that were begun and not ended.
+        open: Requests whose heads have come and whose answers have not left yet.
+        idle: How long connections may stay idle.
     """
 
     def __init__(
@@ -166,6 +233,7 @@
         last: Callable[[], bool],
     ) -> None:
         self.open: set[CallerExchange] = set()
+        self.idle = IdleTime()
         self._serve = serve
         self._clock = clock
         self._last = last
@@ -174,13 +242,7 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return what takes the next request of a connection."""
+        watch = IdleWatch(request_conn, self.idle, self._clock)
         return CallerExchange(
-            request_conn, self._serve_counted, self._clock, self._last
+            request_conn, self._serve, self._clock, self._last, self.open, watch
         )
-
-    async def _serve_counted(self, exchange: CallerExchange) -> None:
-        self.open.add(exchange)
-        try:
-            await self._serve(exchange)
-        finally:
-            self.open.discard(exchange)
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -180,6 +180,10 @@
             job.caller_gone()
         try:
             return await self._read(job, endpoint, sent, now)
+        except BaseException:
+            # The endpoint must not work on for a caller whose answer has ended.
+            sent.abandon()
+            raise
         finally:
             job.current = None
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -212,6 +212,10 @@
                 state, sent, self.sender, self.stalls, self.log, replacement
             )
             return await run.relay()
+        except BaseException:
+            # The engine must not work on for a caller whose answer has ended.
+            sent.abandon()
+            raise
         finally:
             job.current = None
             self.stalls.end(job)
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -34,12 +34,22 @@
 @asynccontextmanager
 async def serving(serve, last=lambda: False, **parameters):
     """Serve callers; yields the address."""
+    async with serving_connections(serve, last, **parameters) as (address, _):
+        yield address
+
+
+@asynccontextmanager
+async def serving_connections(serve, last=lambda: False, **parameters):
+    """Serve callers; yields the address and the connections."""
     clock = asyncio.get_running_loop().time
-    server = HTTPServer(CallerConnections(serve, clock, last), **parameters)
+    connections = CallerConnections(serve, clock, last)
+    server = HTTPServer(connections, **parameters)
+    # As in the entry, where `IdleWatch` closes idle connections.
+    server.conn_params.header_timeout = None
     server.listen(0, "127.0.0.1")
     (listening,) = server._sockets.values()
     try:
-        yield listening.getsockname()
+        yield listening.getsockname(), connections
     finally:
         server.stop()
         await server.close_all_connections()
@@ -142,6 +152,51 @@
     run(test)
 
 
+def test_an_answer_that_is_broken_off_keeps_what_was_passed_on():
+    """Fewer events came than were passed on, so it was resumed further back.
+
+    What the kernel had no room for waited in the process, and was dropped.
+    """
+    size = 32 * 1024 * 1024
+
+    async def serve(exchange):
+        exchange.begin(200, HTTPHeaders(), b"x" * size)
+        exchange.break_off()
+        exchange.write(b"behind its end")
+
+    async def test():
+        async with serving(serve) as address:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"chunked" in head
+            body = await reader.read()
+            assert body.endswith(b"xxxx\r\n")
+            assert body.count(b"x") == size
+
+    run(test)
+
+
+def test_a_caller_that_leaves_an_answer_that_is_broken_off_is_open_no_more():
+    size = 32 * 1024 * 1024
+
+    async def serve(exchange):
+        exchange.begin(200, HTTPHeaders(), b"x" * size)
+        exchange.break_off()
+
+    async def test():
+        async with serving_connections(serve) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            await reader.readuntil(b"\r\n\r\n")
+            assert connections.open
+            writer.close()
+            while connections.open:
+                await asyncio.sleep(0)
+
+    run(test)
+
+
 def test_a_stream_ends_for_a_caller_that_knows_no_chunks():
     """A caller waits for ever behind a whole answer.
 
@@ -162,6 +217,25 @@
     run(test)
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_caller_that_knows_no_chunks_is_told_whether_its_connection_is_kept(leaves):
+    async def test():
+        async with serving(echo, last=lambda: leaves) as address:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"GET /0 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+            head, body = await read_answer(reader)
+            assert body == b"/0"
+            if leaves:
+                assert b"Connection: close" in head
+                assert await reader.read() == b""
+                return
+            assert b"Connection: Keep-Alive" in head
+            writer.write(b"GET /1 HTTP/1.0\r\n\r\n")
+            assert (await read_answer(reader))[1] == b"/1"
+
+    run(test)
+
+
 def test_a_body_beyond_the_limit_is_refused_with_an_answer():
     def ask(address):
         with socket.create_connection(address, LONG) as caller:
--- /dev/null
+++ b/packages/relay/tests/relay/test_leaving.py
@@ -0,0 +1,194 @@
+"""Tests of what callers get whose requests are open when the entry must end."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.gateway import Gateway
+from lacewingcourse.relay.leaving import Departure
+from lacewingcourse.relay.readiness import Readiness
+
+from .test_caller import REQUEST, gateway, read_answer, run, serving_connections
+
+#: Seconds in which the entry must have ended.
+GRACE = 1.0
+#: Seconds after which another entry takes connections.
+BACK = 0.3
+
+
+class Sent:
+    """A request that an endpoint works on without end."""
+
+    def __init__(self) -> None:
+        self.stopped = False
+
+    def abandon(self) -> None:
+        """Stop the endpoint's work."""
+        self.stopped = True
+
+
+class Lines:
+    """The log of decisions: the names of its lines."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def __getattr__(self, name: str):
+        return lambda *args, **fields: self.told.append(name)
+
+
+def refusal(refused, request):
+    """Return an answer that shows the time after which to come back."""
+    headers = HTTPHeaders()
+    if refused.retry_after is not None:
+        headers["Retry-After"] = str(refused.retry_after)
+    return refused.answer.status, headers, b""
+
+
+def entry_with(forward, lines) -> Gateway:
+    """Return a gateway that forwards streams in some way."""
+    found = gateway(forward, [])
+    found.log = lines
+    found.codec.refusal = refusal
+    found.ready_in = lambda: BACK
+    found.rng = SimpleNamespace(uniform=lambda low, high: low)
+    return found
+
+
+async def leave(entry, connections) -> None:
+    """Ask an entry to end and wait until it has."""
+    readiness = Readiness(Beliefs(), GRACE)
+    readiness.leave(entry.clock())
+    await Departure(readiness, connections, entry, entry.clock).carry_out()
+
+
+def test_a_request_that_was_not_sent_may_come_back_when_the_entry_ends():
+    lines = Lines()
+
+    async def waits(job, shape):
+        await asyncio.Event().wait()
+
+    async def test():
+        entry = entry_with(waits, lines)
+        async with serving_connections(entry.serve) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            await leave(entry, connections)
+            head, _ = await read_answer(reader)
+            assert head.startswith(b"HTTP/1.1 503")
+            assert b"Retry-After: 0.3" in head
+            assert lines.told == ["refused"]
+            assert not entry.jobs
+
+    run(test)
+
+
+@pytest.mark.parametrize("begun", [False, True])
+def test_what_an_endpoint_does_is_stopped_when_the_entry_ends(begun):
+    lines = Lines()
+    sent = Sent()
+
+    async def sends(job, shape):
+        job.current = sent
+        try:
+            if begun:
+                job.caller.begin(200, HTTPHeaders(), b"some")
+            await asyncio.Event().wait()
+        finally:
+            job.current = None
+
+    async def test():
+        entry = entry_with(sends, lines)
+        async with serving_connections(entry.serve) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            await leave(entry, connections)
+            if begun:
+                assert (await reader.read()).endswith(b"4\r\nsome\r\n")
+            else:
+                head, _ = await read_answer(reader)
+                assert head.startswith(b"HTTP/1.1 502")
+                assert b"Retry-After" not in head
+        assert sent.stopped
+        assert lines.told == ["broken_off" if begun else "refused"]
+
+    run(test)
+
+
+def test_a_request_whose_body_is_on_its_way_may_come_back_when_the_entry_ends():
+    lines = Lines()
+
+    async def test():
+        entry = entry_with(None, lines)
+        async with serving_connections(entry.serve) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")
+            while not connections.open:
+                await asyncio.sleep(0)
+            await leave(entry, connections)
+            head, _ = await read_answer(reader)
+            assert head.startswith(b"HTTP/1.1 503")
+            assert not connections.open
+
+    run(test)
+
+
+def test_a_request_counts_until_its_answer_has_left_the_process():
+    size = 32 * 1024 * 1024
+
+    async def large(exchange):
+        exchange.answer(200, HTTPHeaders(), b"x" * size)
+
+    async def test():
+        async with serving_connections(large) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            (exchange,) = connections.open
+            assert exchange.whole
+            await reader.readexactly(size)
+            while connections.open:
+                await asyncio.sleep(0)
+
+    run(test)
+
+
+def test_a_request_whose_caller_leaves_is_open_no_more():
+    async def test():
+        async with serving_connections(None) as (address, connections):
+            _, writer = await asyncio.open_connection(*address)
+            writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")
+            while not connections.open:
+                await asyncio.sleep(0)
+            writer.close()
+            while connections.open:
+                await asyncio.sleep(0)
+
+    run(test)
+
+
+def test_nothing_is_passed_on_behind_a_last_answer_that_is_read_slowly():
+    size = 32 * 1024 * 1024
+    served = []
+
+    async def large(exchange):
+        served.append(exchange.target)
+        exchange.answer(200, HTTPHeaders(), b"x" * size)
+
+    async def test():
+        leaving = serving_connections(large, last=lambda: True)
+        async with leaving as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0 + REQUEST % 1)
+            await reader.readuntil(b"\r\n\r\n")
+            assert len(await reader.read()) == size
+            assert not connections.open
+        assert served == ["/0"]
+
+    run(test)
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -150,3 +150,16 @@
     assert ended.kind is ErrorKind.OVERLOADED
     assert ended.outcome is Outcome.NOT_RUN
     assert played.beliefs.suspects.excluded(played.ended_at) == set()
+
+
+def test_a_defect_stops_what_an_endpoint_does_for_a_stream(stream):
+    """The endpoint works on for a caller whose answer has been ended."""
+    played = stream(Engine())
+
+    def fails(status, headers, request):
+        raise ValueError("a defect")
+
+    played._head = fails
+    with pytest.raises(ValueError, match="a defect"):
+        play(played.serve())
+    assert [run.abandoned for _, _, run in played.runs] == [True]
