Give a head its own time behind a connection's idle time

A caller whose head took long was cut where the idle time is short: the time for a head was published and read, and used nowhere. Both are allowed from the start of the wait now. Test: test_a_head_may_take_its_own_time_where_the_idle_time_is_short.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -340,7 +340,9 @@
         """Apply the limits of a version that has come into force, and tell it."""
         self._tell_peers()
         limits = self.beliefs.table.limits
-        self.callers.idle.put_in_force(limits.idle_timeout, self.clock())
+        # A head may begin when the connection's time to stay idle is nearly over.
+        seconds = limits.idle_timeout + limits.header_timeout
+        self.callers.idle.put_in_force(seconds, self.clock())
         params = self.front.conn_params
         params.max_header_size = limits.header_bytes
         params.max_body_size = limits.body_bytes
