--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -222,6 +222,7 @@
         told = UNTOLD_KEEP_ALIVE if keep_alive is None else keep_alive
         if told <= 0 or len(waiting) >= MOST_IDLE or not connection.stream.clean:
             connection.close()
+            self._drop_if_empty(connection.address)
             return
         connection.usable_until = now + told * KEEP_ALIVE_SHARE
         connection.stream.set_close_callback(lambda: self._forget(connection))
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -18,6 +18,7 @@
 from lacewingcourse.relay.caller import CallerConnections
 from lacewingcourse.relay.gateway import Gateway
 from lacewingcourse.relay.upstream import (
+    Connection,
     ConnectionPool,
     Data,
     End,
@@ -426,3 +427,13 @@
             assert body == b"some"
 
     run(test)
+
+
+def test_an_address_without_a_usable_connection_is_not_preferred():
+    """Paths are chosen for the connections that are kept to their first engines."""
+    closed = []
+    stream = SimpleNamespace(clean=False, close=lambda: closed.append(True))
+    pool = ConnectionPool()
+    pool.give_back(Connection(stream, "a:1"), keep_alive=10.0, now=0.0)
+    assert closed == [True]
+    assert "a:1" not in pool.idle
