--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -248,11 +248,13 @@
         """Tell whether others answered what they were asked together with an endpoint.
 
         While something fills the link of this entry, nobody's answers come in time:
-        silence then tells of the entry, and not of those that it asks.
+        silence then tells of the entry, and not of those that it asks. What was asked
+        later may be answered over a link that is free again.
         """
         since = started - TOGETHER
+        until = started + SECOND_QUESTION + TOGETHER
         return any(
-            asked >= since
+            since <= asked <= until
             for address, asked in self.answered.items()
             if address != part.address
         )
--- a/packages/relay/tests/relay/test_stall_watcher.py
+++ b/packages/relay/tests/relay/test_stall_watcher.py
@@ -13,7 +13,7 @@
 from lacewingcourse.core.pipelines.suspects import Suspects
 from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.ports import EngineReport, StalledRequest, Unavailable
-from lacewingcourse.relay.stall_watcher import SECOND_QUESTION, StallWatcher
+from lacewingcourse.relay.stall_watcher import SECOND_QUESTION, TOGETHER, StallWatcher
 from lacewingcourse.relay.upstream import Stalled
 
 from .network import Clock
@@ -149,6 +149,17 @@
     assert set(events) == {"not_suspected"}
 
 
+def test_an_answer_to_a_later_question_says_nothing_of_an_earlier_one(make_watcher):
+    """The link was free again when the other endpoint was asked."""
+    watcher = make_watcher(Unavailable("timed out"))
+    job = make_job(path_of("a"))
+    later = 0.2 + SECOND_QUESTION + 2 * TOGETHER
+    watcher.answered["c:1"] = later
+    watched_until(watcher, job, 0.2)
+    assert watcher.reports.asked == ["a:1"] * 3
+    assert watcher.suspects.excluded(0.2) == {"a"}
+
+
 def test_an_endpoint_asked_alone_is_compared_with_another_one(make_watcher):
     watcher = make_watcher(None, unused="c:1")
     watcher.reports = OneDead("a:1")
