Set connections and the watch of the settings apart from what uses them

Connections to endpoints with what keeps them are connections.py now, the look at the settings file settings_watch.py.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -19,6 +19,7 @@
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.caller import CallerConnections
 from lacewingcourse.relay.calls import CallForwarder
+from lacewingcourse.relay.connections import ConnectionPool
 from lacewingcourse.relay.decisions import DecisionLog
 from lacewingcourse.relay.duty_holder import DutyHolder
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
@@ -33,10 +34,10 @@
 from lacewingcourse.relay.placement_duty import PlacementDuty
 from lacewingcourse.relay.readiness import Readiness
 from lacewingcourse.relay.sending import Sender
+from lacewingcourse.relay.settings_watch import SettingsWatch
 from lacewingcourse.relay.small_server import Question, Reply, SmallServer
 from lacewingcourse.relay.stall_watcher import StallWatcher
 from lacewingcourse.relay.streams import StreamForwarder
-from lacewingcourse.relay.upstream import ConnectionPool
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -54,9 +55,6 @@
     )
     from lacewingcourse.relay.settings import RelaySettings
 
-#: Seconds between two looks at the settings file, which changes without a signal too.
-SETTINGS_PERIOD = 2.0
-
 
 @attrs.frozen
 class Platform:
@@ -111,7 +109,6 @@
         """
         self.settings = settings
         self._front = front
-        self._changed = changed
         self.platform = platform
         self.loop = asyncio.get_running_loop()
         self.clock = self.loop.time
@@ -127,6 +124,7 @@
             settings.bounds.repeat_slack,
         )
         self.ended = asyncio.Event()
+        self.reloading = SettingsWatch(changed, self._apply, self.log)
         self._tasks: list[asyncio.Task] = []
         self._compose()
 
@@ -264,14 +262,14 @@
         if self.settings.metrics:
             self._listen(self.metrics_server, self.settings.metrics)
         self.loop.add_signal_handler(signal.SIGTERM, self._on_term)
-        self.loop.add_signal_handler(signal.SIGHUP, self._on_hup)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reloading.on_signal)
         self._start(self.configuration.run())
         self._start(self.directory.run())
         self._start(self.placement.run())
         self._start(self.house.run())
         self._start(self.stalls.run())
         self._start(self.watch.run())
-        self._start(self._watch_settings())
+        self._start(self.reloading.run())
         self.log.belief("started", zone=self.settings.zone)
         await self.ended.wait()
         self.log.belief("ended", open=len(self.callers.open))
@@ -371,29 +369,13 @@
         self.log.belief("leaving", open=len(self.callers.open))
         self._start(self._leave())
 
-    def _on_hup(self) -> None:
-        self.log.belief("reload_asked")
-        self._reload()
-
-    def _reload(self) -> None:
-        """Apply the settings if their file has changed."""
-        found = self._changed()
-        if found is None:
-            return
-        if isinstance(found, str):
-            self.log.belief("reload_refused", reason=found)
-            return
-        self.settings = found
-        self.budget.ratio = found.bounds.repeat_ratio
-        self.budget.window = found.bounds.repeat_window
-        self.budget.slack = found.bounds.repeat_slack
-        self.peers.seeds = found.seeds
-        self.log.belief("reloaded", seeds=list(found.seeds))
-
-    async def _watch_settings(self) -> None:
-        while True:
-            await asyncio.sleep(SETTINGS_PERIOD)
-            self._reload()
+    def _apply(self, settings: RelaySettings) -> None:
+        """Put in force what may change in the life of a process."""
+        self.settings = settings
+        self.budget.ratio = settings.bounds.repeat_ratio
+        self.budget.window = settings.bounds.repeat_window
+        self.budget.slack = settings.bounds.repeat_slack
+        self.peers.seeds = settings.seeds
 
     async def _leave(self) -> None:
         """End when the callers' requests have their ends."""
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -11,6 +11,10 @@
 from lacewingcourse.core.pipelines.choice import choose_endpoint
 from lacewingcourse.core.pipelines.waiting import wait_in_time
 from lacewingcourse.relay.admission import RETRY_PERIOD
+from lacewingcourse.relay.connections import (
+    NotSent,
+    Unsent,
+)
 from lacewingcourse.relay.sending import (
     SERVER_ERROR,
     AnswerReader,
@@ -18,7 +22,7 @@
     Sender,
     WholeAnswer,
 )
-from lacewingcourse.relay.upstream import NotSent, SendOutcome, Unsent
+from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -14,7 +14,7 @@
     from lacewingcourse.core.pipelines.peers import PeerBook
     from lacewingcourse.core.pipelines.repeats import RepeatBudget
     from lacewingcourse.relay.beliefs import Beliefs
-    from lacewingcourse.relay.upstream import ConnectionPool
+    from lacewingcourse.relay.connections import ConnectionPool
 
 #: Seconds between two rounds.
 PERIOD = 0.25
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -9,7 +9,11 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.crashes import fingerprint_of
 from lacewingcourse.relay.ports import Sending
-from lacewingcourse.relay.upstream import Abandoned, Exchange, SendOutcome
+from lacewingcourse.relay.upstream import (
+    Abandoned,
+    Exchange,
+    SendOutcome,
+)
 
 if TYPE_CHECKING:
     from lacewingcourse.core.pipelines.path import Path
--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -20,8 +20,8 @@
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.beliefs import Beliefs
+    from lacewingcourse.relay.connections import ConnectionPool
     from lacewingcourse.relay.job import Job
-    from lacewingcourse.relay.upstream import ConnectionPool
 
 #: Share of an endpoint's memory up to which the fleet counts as idle: a stream that is
 #: moved on a mere sign then takes nothing from others.
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -7,20 +7,22 @@
 
 import attrs
 
+from lacewingcourse.relay.connections import (
+    Connection,
+    ConnectionPool,
+    NotSent,
+    Unsent,
+)
 from lacewingcourse.relay.ports import AnswerHead, CallerRequest, Sending, Standing
 from lacewingcourse.relay.upstream import (
     Abandoned,
     Arrival,
-    Connection,
-    ConnectionPool,
     Data,
     End,
     Exchange,
     Head,
-    NotSent,
     SendOutcome,
     Stalled,
-    Unsent,
 )
 
 if TYPE_CHECKING:
--- a/packages/relay/src/lacewingcourse/relay/stream_run.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_run.py
@@ -31,12 +31,13 @@
     from lacewingcourse.core.pipelines.events import EventCutter
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.shape import EngineShape
+    from lacewingcourse.relay.connections import Connection
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.ports import AnswerHead
     from lacewingcourse.relay.sending import Sender
     from lacewingcourse.relay.stall_watcher import StallWatcher
-    from lacewingcourse.relay.upstream import Connection, Exchange
+    from lacewingcourse.relay.upstream import Exchange
 
 #: Seconds for which a run may stand still without a known cause before it goes on on
 #: another path. Callers leave after two seconds of silence. A shorter time sends
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -13,6 +13,10 @@
 from lacewingcourse.core.pipelines.suspects import is_full
 from lacewingcourse.core.pipelines.waiting import come_back_after
 from lacewingcourse.relay.admission import RETRY_PERIOD
+from lacewingcourse.relay.connections import (
+    NotSent,
+    Unsent,
+)
 from lacewingcourse.relay.path_finder import demand_of
 from lacewingcourse.relay.sending import Sender
 from lacewingcourse.relay.stream_run import (
@@ -22,7 +26,7 @@
     StreamRun,
     StreamState,
 )
-from lacewingcourse.relay.upstream import NotSent, SendOutcome, Unsent
+from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -33,11 +37,12 @@
     from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.admission import Admission
     from lacewingcourse.relay.beliefs import Beliefs
+    from lacewingcourse.relay.connections import Connection
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.path_finder import PathFinder
     from lacewingcourse.relay.stall_watcher import StallWatcher
-    from lacewingcourse.relay.upstream import Connection, Exchange
+    from lacewingcourse.relay.upstream import Exchange
 
 
 @attrs.define
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -17,17 +17,19 @@
 from lacewingcourse.core.pipelines.shape import EngineShape, Layers
 from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.connections import (
+    ConnectionPool,
+    NotSent,
+    Unsent,
+)
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.ports import AnswerHead, EngineReport, Standing
 from lacewingcourse.relay.stall_watcher import StallWatcher
 from lacewingcourse.relay.streams import StreamForwarder
 from lacewingcourse.relay.upstream import (
-    ConnectionPool,
     Data,
     End,
     Head,
-    NotSent,
-    Unsent,
 )
 
 #: Events of an answer.
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -16,15 +16,17 @@
 
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.caller import CallerConnections
-from lacewingcourse.relay.gateway import Gateway
-from lacewingcourse.relay.upstream import (
+from lacewingcourse.relay.connections import (
     Connection,
     ConnectionPool,
+    NotSent,
+    Unsent,
+)
+from lacewingcourse.relay.gateway import Gateway
+from lacewingcourse.relay.upstream import (
     Data,
     End,
     Exchange,
-    NotSent,
-    Unsent,
 )
 
 #: Seconds after which a caller that gets nothing is taken to wait for ever.
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -21,16 +21,18 @@
 from lacewingcourse.core.pipelines.routing import Organisation, Repeat, Route
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.calls import CallForwarder
+from lacewingcourse.relay.connections import (
+    ConnectionPool,
+    NotSent,
+    Unsent,
+)
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.ports import AnswerHead, Standing
 from lacewingcourse.relay.sending import WholeAnswer
 from lacewingcourse.relay.upstream import (
-    ConnectionPool,
     Data,
     End,
     Head,
-    NotSent,
-    Unsent,
 )
 
 from .stream_play import NONE, PLENTY, Decisions
--- a/packages/relay/tests/relay/test_housekeeping.py
+++ b/packages/relay/tests/relay/test_housekeeping.py
@@ -11,8 +11,8 @@
 from lacewingcourse.core.pipelines.repeats import RepeatBudget
 from lacewingcourse.relay import housekeeping
 from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.connections import ConnectionPool
 from lacewingcourse.relay.housekeeping import FREEZE, Housekeeping
-from lacewingcourse.relay.upstream import ConnectionPool
 
 
 @pytest.fixture
--- a/packages/relay/tests/relay/test_secured.py
+++ b/packages/relay/tests/relay/test_secured.py
@@ -11,8 +11,12 @@
 import attrs
 import pytest
 
+from lacewingcourse.relay.connections import (
+    NotSent,
+    Unsent,
+)
 from lacewingcourse.relay.ports import AnswerHead, Standing
-from lacewingcourse.relay.upstream import End, NotSent, Unsent
+from lacewingcourse.relay.upstream import End
 
 from .stream_play import NONE, PLENTY, Engine, Run, StreamPlay, whole_answer
 from .virtual_time import play
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -19,7 +19,10 @@
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.ports import AnswerHead, Standing
 from lacewingcourse.relay.streams import StreamForwarder
-from lacewingcourse.relay.upstream import End, Head
+from lacewingcourse.relay.upstream import (
+    End,
+    Head,
+)
 
 #: Tokens that a part of one layer has memory for.
 ROOM = 50_000
