Take an engine that ends a run while it is being moved for no crashed one

An engine ends what stood still behind a dead part; where that came while the connection to the next path was being made, the end counted as a crash under the request, three of which refuse it for good. The wish to move is noted before the connection is made now. Test failed before.

--- a/packages/relay/src/lacewingcourse/relay/stream_run.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_run.py
@@ -232,9 +232,13 @@
             return None
         if not arrival.known and self._goes_on(now):
             return None
+        first_look = self.moving_since is None
+        if first_look:
+            self.moving_since = now
         found = await self.replacement()
         if isinstance(found, Refusal):
-            self._stay(found, now)
+            if first_look:
+                self.log.not_moved(self.job, found, now)
             return None
         if self.state.quiet_since > now or not self.exchange.arrivals.empty():
             # It went on, or ended, while the connection was made.
@@ -254,12 +258,6 @@
         self.stalls.resume(self.job, now)
         return True
 
-    def _stay(self, cause: Refusal, now: float) -> None:
-        """Keep a run open that stands still, and look for its replacement again."""
-        if self.moving_since is None:
-            self.moving_since = now
-            self.log.not_moved(self.job, cause, now)
-
     def _give_up(self, reason: str) -> None:
         """Close a run that is still open."""
         self.exchange.abandon()
--- a/packages/relay/tests/relay/test_secured.py
+++ b/packages/relay/tests/relay/test_secured.py
@@ -156,3 +156,21 @@
     played = StreamPlay(shape, engines, slack=ONE)
     play(played.serve((IN_PAUSE, played.dies("b"))))
     assert played.caller.body == whole_answer()
+
+
+@attrs.define(slots=False)
+class SlowToReach(StreamPlay):
+    """Connections take a while to be made."""
+
+    async def reserve(self, address, fresh):
+        await asyncio.sleep(0.2)
+        return await super().reserve(address, fresh)
+
+
+def test_an_engine_that_ends_a_run_while_it_is_moved_is_not_taken_for_crashed(shape):
+    """It ended what stood still behind a dead part, while a connection was made."""
+    engine = Engine(pause_after=5, pause=0.2, breaks=True)
+    played = SlowToReach(shape, {"a": engine})
+    play(played.serve((0.55, played.dies("b"))))
+    assert played.caller.body == whole_answer()
+    assert played.beliefs.crashes.losses(played.ended_at) == {}
