Hold heads to the limit in force, and answer those beyond it

A caller's proper request on a kept connection was cut without an answer, long after a version had raised the longest head: the library takes its limit when the wait for the next request begins. Change: the library's limit leaves room for later versions, the one in force is looked at once the head has come, and what is beyond it gets 431 in place of a closed connection.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -17,7 +17,7 @@
 from lacewingcourse.relay.address import split_address
 from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.beliefs import Beliefs
-from lacewingcourse.relay.caller import CallerConnections
+from lacewingcourse.relay.caller import MOST_HEAD, CallerConnections
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.connections import ConnectionPool
 from lacewingcourse.relay.decisions import DecisionLog
@@ -175,7 +175,7 @@
         self.departure = Departure(
             self.readiness, self.callers, self.gateway, self.clock
         )
-        self.front = HTTPServer(self.callers)
+        self.front = HTTPServer(self.callers, max_header_size=MOST_HEAD)
         # Idle connections are closed by `IdleWatch`.
         self.front.conn_params.header_timeout = None
         self.ready = HTTPServer(
@@ -342,7 +342,10 @@
         seconds = limits.idle_timeout + limits.header_timeout
         self.callers.idle.put_in_force(seconds, self.clock())
         params = self.front.conn_params
-        params.max_header_size = limits.header_bytes
+        # A connection takes this when it begins to wait, so it leaves room for a later
+        # version; the limit in force is looked at once a head has come.
+        params.max_header_size = max(MOST_HEAD, limits.header_bytes)
+        self.callers.longest_head = limits.header_bytes
         params.max_body_size = limits.body_bytes
 
     def _on_lag(self, late: float, section: Section) -> None:
--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -23,6 +23,15 @@
     from tornado.httputil import RequestStartLine
 
 
+#: Bytes of a head that are read before a version tells the limit, and beside a smaller
+#: one.
+MOST_HEAD = 64 * 1024
+#: Status of a request whose head is longer than the version in force allows.
+HEAD_TOO_LONG = 431
+#: Bytes between and around the name and the value of a header.
+HEADER_MARKS = len(": \r\n")
+
+
 class CallerExchange(HTTPMessageDelegate):
     """One request of a caller and the answer to it.
 
@@ -48,6 +57,7 @@
         last: Callable[[], bool],
         unended: set[CallerExchange],
         watch: IdleWatch,
+        longest_head: Callable[[], int],
     ) -> None:
         self.connection = connection
         self.method = ""
@@ -66,6 +76,7 @@
         self._last = last
         self._unended = unended
         self._watch = watch
+        self._longest_head = longest_head
         self._task: asyncio.Task | None = None
         self._closes = False
 
@@ -106,9 +117,19 @@
             self.on_connection_close()
             return
         self.connection.set_close_callback(self._on_close)
+        if self._head_bytes() > self._longest_head():
+            self.answer(HEAD_TOO_LONG, HTTPHeaders(), b"")
+            self._after_last_byte(lambda: self._unended.discard(self))
+            return
         self._task = asyncio.ensure_future(self._serve(self))
         self._task.add_done_callback(self._on_served)
 
+    def _head_bytes(self) -> int:
+        """Return about how many bytes the head has."""
+        fields = self.headers.get_all()
+        sizes = (len(name) + len(value) + HEADER_MARKS for name, value in fields)
+        return len(self.method) + len(self.target) + sum(sizes)
+
     def cancel(self) -> None:
         """Stop serving the request; what serves it writes nothing any more."""
         if self._task is not None:
@@ -224,6 +245,7 @@
     Attributes:
         open: Requests whose heads have come and whose answers have not left yet.
         idle: How long connections may stay idle.
+        longest_head: Bytes that the head of a request may have.
     """
 
     def __init__(
@@ -234,6 +256,7 @@
     ) -> None:
         self.open: set[CallerExchange] = set()
         self.idle = IdleTime()
+        self.longest_head = MOST_HEAD
         self._serve = serve
         self._clock = clock
         self._last = last
@@ -244,5 +267,11 @@
         """Return what takes the next request of a connection."""
         watch = IdleWatch(request_conn, self.idle, self._clock)
         return CallerExchange(
-            request_conn, self._serve, self._clock, self._last, self.open, watch
+            request_conn,
+            self._serve,
+            self._clock,
+            self._last,
+            self.open,
+            watch,
+            lambda: self.longest_head,
         )
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -439,3 +439,20 @@
     pool.give_back(Connection(stream, "a:1"), keep_alive=10.0, now=0.0)
     assert closed == [True]
     assert "a:1" not in pool.idle
+
+
+def test_a_head_beyond_the_limit_is_refused_with_an_answer():
+    """Its connection was closed without a word."""
+
+    async def test():
+        async with serving_connections(echo) as (address, callers):
+            callers.longest_head = 200
+            reader, writer = await asyncio.open_connection(*address)
+            filler = b"X-Filler: " + b"f" * 300 + b"\r\n\r\n"
+            writer.write((REQUEST % 0).removesuffix(b"\r\n") + filler)
+            head, _ = await read_answer(reader)
+            assert head.startswith(b"HTTP/1.1 431")
+            writer.write(REQUEST % 1)
+            assert (await read_answer(reader))[1] == b"/1"
+
+    run(test)
