--- a/packages/relay/src/lacewingcourse/relay/stream_run.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_run.py
@@ -218,9 +218,7 @@
         if self.job.caller.begun:
             self.job.caller.write(events)
             return
-        headers = self.sender.codec.for_caller(self.state.head)
-        headers.pop("Content-Length", None)
-        self.job.caller.begin(self.state.head.status, headers, events)
+        self._begin_answer(events)
 
     async def _stand_still(self, arrival: Stalled) -> RunResult | None:
         """Return the end of a run that stands still, None if it is kept open."""
@@ -284,11 +282,15 @@
 
     def _end_whole(self) -> None:
         """End the caller's answer, which may have no events."""
-        caller = self.job.caller
-        if not caller.begun:
-            headers = self.sender.codec.for_caller(self.state.head)
-            caller.begin(self.state.head.status, headers)
-        caller.end()
+        if not self.job.caller.begun:
+            self._begin_answer(b"")
+        self.job.caller.end()
+
+    def _begin_answer(self, events: bytes) -> None:
+        """Begin the caller's answer; its length is not that of one run."""
+        headers = self.sender.codec.for_caller(self.state.head)
+        headers.pop("Content-Length", None)
+        self.job.caller.begin(self.state.head.status, headers, events)
 
     async def _refused(self) -> RunResult:
         """Read the body of an answer that is no stream, and pass on a failure."""
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -131,6 +131,7 @@
     def begin(self, status, headers, first=b"") -> None:
         self.begun = True
         self.status = status
+        self.headers = headers
         self.body += first
 
     def write(self, data) -> None:
@@ -172,6 +173,7 @@
         lacks_descriptors: From when until when there are no file descriptors, seconds.
         repeat: What may be repeated.
         attempts: Endpoints to which the route lets a request be sent.
+        resume_after: Last event that the caller has already, or empty.
     """
 
     shape: EngineShape
@@ -181,6 +183,7 @@
     lacks_descriptors: tuple[float, float] = (0.0, 0.0)
     repeat: Repeat = Repeat.RESUMABLE_STREAM
     attempts: int = 2
+    resume_after: str = ""
 
     def __attrs_post_init__(self) -> None:
         self.runs: list[tuple[float, str, Run]] = []
@@ -281,7 +284,7 @@
             key=None,
             body=b"",
             received_at=0.0,
-            resume_after="",
+            resume_after=self.resume_after,
             answer_hint=None,
             most_answer=EVENTS,
             prompt=100,
@@ -291,7 +294,10 @@
     @property
     def codec(self):
         """What reads heads; an answer without success is a rejection."""
-        return SimpleNamespace(head=self._head, for_caller=lambda head: HTTPHeaders())
+        headers = {"Content-Length": str(len(whole_answer()))}
+        return SimpleNamespace(
+            head=self._head, for_caller=lambda head: HTTPHeaders(headers)
+        )
 
     def _head(self, status, headers, request) -> AnswerHead:
         standing = Standing.ANSWERED if status == 200 else Standing.REJECTED
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -16,7 +16,14 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome
 from lacewingcourse.core.pipelines.routing import Repeat
 
-from .stream_play import NONE, PLENTY, Engine, StreamPlay, whole_answer
+from .stream_play import (
+    EVENTS,
+    NONE,
+    PLENTY,
+    Engine,
+    StreamPlay,
+    whole_answer,
+)
 from .virtual_time import play
 
 #: An engine that stands still for a moment after its fifth event.
@@ -163,3 +170,12 @@
     with pytest.raises(ValueError, match="a defect"):
         play(played.serve())
     assert [run.abandoned for _, _, run in played.runs] == [True]
+
+
+@pytest.mark.parametrize("resume_after", ["", str(EVENTS)])
+def test_an_answer_has_no_length_of_one_run(stream, resume_after):
+    """An answer without new events was promised a body, and broken off as a defect."""
+    played = stream(Engine(), resume_after=resume_after)
+    assert play(played.serve()) is None
+    assert played.caller.whole
+    assert "Content-Length" not in played.caller.headers
