Make the routes of the relay's tests in one place

Cause: two tests of the incident wrote the route of an older one anew, and a stand-in's line said that its caller leaves, which it does not. Change: route_of serves all three.

--- /dev/null
+++ b/packages/relay/tests/relay/routes.py
@@ -0,0 +1,36 @@
+"""Routes that the tests of requests share."""
+
+from __future__ import annotations
+
+from lacewingcourse.core.pipelines.routing import Repeat, Route
+
+
+def route_of(
+    service: str,
+    repeat: Repeat,
+    attempts: int = 2,
+    timeout: float = 20.0,
+    objective: float = 0.5,
+) -> Route:
+    """Return a route of one service, under its name.
+
+    Args:
+        service: The service.
+        repeat: What may be repeated.
+        attempts: Endpoints to which a request may be sent.
+        timeout: Seconds for which it may be kept waiting.
+        objective: Seconds in which an answer is wanted.
+    """
+    return Route(
+        service,
+        "h",
+        "/",
+        repeat,
+        ((service, 1.0),),
+        timeout=timeout,
+        objective=objective,
+        gap=0.2,
+        priority=1,
+        most_attempts=attempts,
+        needs_key=False,
+    )
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -13,7 +13,7 @@
 from lacewingcourse.core.pipelines.paces import PaceBook
 from lacewingcourse.core.pipelines.path import Part, Path
 from lacewingcourse.core.pipelines.repeats import RepeatBudget
-from lacewingcourse.core.pipelines.routing import Organisation, Repeat, Route
+from lacewingcourse.core.pipelines.routing import Organisation, Repeat
 from lacewingcourse.core.pipelines.shape import EngineShape, Layers
 from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.beliefs import Beliefs
@@ -32,6 +32,8 @@
     Head,
 )
 
+from .routes import route_of
+
 #: Events of an answer.
 EVENTS = 20
 #: Seconds between two of them.
@@ -117,7 +119,7 @@
 
 
 class CallerStub:
-    """A caller that reads, and leaves after two seconds of silence."""
+    """A caller that reads what it is sent, and stays."""
 
     def __init__(self) -> None:
         self.body = b""
@@ -264,19 +266,7 @@
         return second
 
     def _job(self) -> Job:
-        route = Route(
-            "rooms",
-            "h",
-            "/",
-            self.repeat,
-            (("rooms", 1.0),),
-            timeout=20.0,
-            objective=0.5,
-            gap=0.2,
-            priority=1,
-            most_attempts=self.attempts,
-            needs_key=False,
-        )
+        route = route_of("rooms", self.repeat, self.attempts)
         request = SimpleNamespace(
             id="r",
             host="h",
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -18,7 +18,7 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.repeats import RepeatBudget
-from lacewingcourse.core.pipelines.routing import Organisation, Repeat, Route
+from lacewingcourse.core.pipelines.routing import Organisation, Repeat
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.connections import (
@@ -35,6 +35,7 @@
     Head,
 )
 
+from .routes import route_of
 from .stream_play import NONE, PLENTY, Decisions
 from .virtual_time import play
 
@@ -115,19 +116,7 @@
         return await forwarder.serve(self._job())
 
     def _job(self) -> Job:
-        route = Route(
-            "desk",
-            "h",
-            "/",
-            self.repeat,
-            (("desk", 1.0),),
-            timeout=2.5,
-            objective=0.2,
-            gap=0.2,
-            priority=1,
-            most_attempts=2,
-            needs_key=False,
-        )
+        route = route_of("desk", self.repeat, timeout=2.5, objective=0.2)
         request = SimpleNamespace(
             host="h", target="/", key=None, body=b"", received_at=0.0
         )
--- a/packages/relay/tests/relay/test_job.py
+++ b/packages/relay/tests/relay/test_job.py
@@ -6,29 +6,19 @@
 
 import pytest
 
-from lacewingcourse.core.pipelines.routing import Organisation, Repeat, Route
+from lacewingcourse.core.pipelines.routing import Organisation, Repeat
 from lacewingcourse.relay.job import MOST_REJECTIONS, Job
 from lacewingcourse.relay.upstream import SendOutcome
 
+from .routes import route_of
+
 
 @pytest.fixture
 def make_job():
     """Return a function that makes a request of a route with two attempts."""
 
     def make(repeat=Repeat.RESUMABLE_STREAM):
-        route = Route(
-            "rooms",
-            "h",
-            "/",
-            repeat,
-            (("rooms", 1.0),),
-            timeout=20.0,
-            objective=0.5,
-            gap=0.2,
-            priority=1,
-            most_attempts=2,
-            needs_key=False,
-        )
+        route = route_of("rooms", repeat)
         request = SimpleNamespace(received_at=10.0)
         caller = SimpleNamespace(gone=False, begun=True)
         return Job(request, route, "rooms", Organisation(""), caller, False, 30.0)
