Take no request while ending that may outlast the grace time

Timeline: request to end at 27.100 s; a stream taken at 30.114 s; events until 34.747 s, 162 of them, 28 ms apart; closed by the entry at 34.750 s.

Cause: a leaving entry took what it expected to end in time, the 0.95 quantile of the last 64 answers of the route. One answer in twenty takes longer, and its caller pays for the guess. Ruled out: the engine (events until 2 ms before the close), the caller's and the route's time (12.4 s were left), a lost run (one send, no rejection).

Change: what is taken while an entry ends is one of four named choices (LAST_REQUESTS, setting LACEWINGCOURSE_LAST_REQUESTS): none, expected (as it stood), bounded (the longest answer that the caller allows, at the slowest pace seen, ends in time), redirected (expected while the balancer still sends callers here that it sends nowhere else, bounded after that). The tokens in an event are read from the published figures.

Why it holds: after the balancer has noticed, nothing is taken whose longest answer would not be over before the end; the longest is the caller's own bound at the 0.95 quantile of the intervals seen, and a quarter more.

--- a/packages/core/src/lacewingcourse/core/pipelines/durations.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/durations.py
@@ -6,32 +6,71 @@
 
 import attrs
 
-#: Answers of a route that are remembered: enough for a quantile, few enough to follow a
-#: load that changes within seconds.
-REMEMBERED = 64
-#: Answers before which a route's are not judged by.
-LEAST_SEEN = 8
+#: Answers that are remembered: enough for a quantile, few enough to follow a load that
+#: changes within seconds.
+MAX_SAMPLES = 64
+#: Answers before which there is no estimate.
+MIN_SAMPLES = 8
 #: Share of the remembered answers that took no longer than is expected of the next.
 QUANTILE = 0.95
+#: How many times as long as expected a stream may take as the load rises meanwhile.
+LOAD_MARGIN = 1.25
 
 
 @attrs.define
 class Durations:
-    """The time that answers of each route took.
+    """The time that answers took.
 
     Attributes:
-        seen: Seconds of the last answers by route.
+        answers: Seconds of the last whole answers by route.
+        first_events: Seconds to the first event of the last streams by service.
+        event_intervals: Mean seconds between two events of the last streams by service.
     """
 
-    seen: dict[str, deque[float]] = attrs.field(factory=dict)
+    answers: dict[str, deque[float]] = attrs.field(factory=dict)
+    first_events: dict[str, deque[float]] = attrs.field(factory=dict)
+    event_intervals: dict[str, deque[float]] = attrs.field(factory=dict)
 
     def note(self, route: str, seconds: float) -> None:
         """Take how long a whole answer took."""
-        self.seen.setdefault(route, deque(maxlen=REMEMBERED)).append(seconds)
+        _add(self.answers, route, seconds)
+
+    def note_stream(self, service: str, first_event: float, interval: float) -> None:
+        """Take how a whole stream went.
+
+        Args:
+            service: Service that wrote it.
+            first_event: Seconds to its first event.
+            interval: Mean seconds between two of its events.
+        """
+        _add(self.first_events, service, first_event)
+        _add(self.event_intervals, service, interval)
 
     def expected(self, route: str) -> float | None:
         """Return the seconds that nearly all answers take, None if few were seen."""
-        found = sorted(self.seen.get(route, ()))
-        if len(found) < LEAST_SEEN:
+        return _quantile(self.answers, route)
+
+    def longest_stream(self, service: str, max_events: int) -> float | None:
+        """Return the seconds that a stream takes at the most, None if few were seen.
+
+        Args:
+            service: Service that writes it.
+            max_events: Events that it may have.
+        """
+        first_event = _quantile(self.first_events, service)
+        interval = _quantile(self.event_intervals, service)
+        if first_event is None or interval is None:
             return None
-        return found[min(len(found) - 1, int(QUANTILE * len(found)))]
+        return LOAD_MARGIN * (first_event + max_events * interval)
+
+
+def _add(samples: dict[str, deque[float]], name: str, seconds: float) -> None:
+    samples.setdefault(name, deque(maxlen=MAX_SAMPLES)).append(seconds)
+
+
+def _quantile(samples: dict[str, deque[float]], name: str) -> float | None:
+    """Return the quantile of the samples of a name, None if there are few."""
+    found = sorted(samples.get(name, ()))
+    if len(found) < MIN_SAMPLES:
+        return None
+    return found[min(len(found) - 1, int(QUANTILE * len(found)))]
--- a/packages/core/src/lacewingcourse/core/pipelines/shape.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/shape.py
@@ -68,6 +68,7 @@
         usual_prompt: Mean prompt in tokens.
         usual_answer: Mean answer in tokens.
         accelerators: Kinds by name.
+        event_tokens: Tokens that one event of a stream holds.
     """
 
     model: str
@@ -85,6 +86,7 @@
     usual_prompt: int
     usual_answer: int
     accelerators: dict[str, Accelerator]
+    event_tokens: int = 1
 
     @property
     def cell_bytes(self) -> float:
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -13,6 +13,7 @@
 
 from lacewingcourse.core.pipelines.peers import PeerBook
 from lacewingcourse.core.pipelines.repeats import RepeatBudget
+from lacewingcourse.core.pipelines.shutdown import LAST_REQUESTS
 from lacewingcourse.core.pipelines.waiting import WAITS
 from lacewingcourse.relay.address import split_address
 from lacewingcourse.relay.admission import Admission
@@ -115,7 +116,11 @@
         self.beliefs = Beliefs()
         self.metrics = platform.metrics
         self.log = DecisionLog(self.clock, self.metrics, self._version)
-        self.readiness = Readiness(self.beliefs, settings.bounds.grace)
+        self.readiness = Readiness(
+            self.beliefs,
+            settings.bounds.grace,
+            LAST_REQUESTS.get(settings.last_requests),
+        )
         self.pool = ConnectionPool()
         self.book = PeerBook(settings.name, settings.zone)
         self.budget = RepeatBudget(
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -150,8 +150,7 @@
         if refusal is None:
             if caller.whole:
                 self.beliefs.crashes.clear(job.fingerprint)
-                took = now - request.received_at
-                self.beliefs.durations.note(job.route.name, took)
+                self._note_duration(job, now)
             self.log.served(job, now)
             return
         if not caller.begun:
@@ -163,6 +162,14 @@
             caller.break_off()
             self.log.broken_off(job, refusal, now)
 
+    def _note_duration(self, job: Job, now: float) -> None:
+        """Note how long a whole answer took."""
+        durations, received = self.beliefs.durations, job.request.received_at
+        durations.note(job.route.name, now - received)
+        if job.events > 1:
+            interval = (job.progressed_at - job.first_at) / (job.events - 1)
+            durations.note_stream(job.service, job.first_at - received, interval)
+
     async def _wait_for_configuration(self, request: CallerRequest) -> None:
         """Hold a request that came before the first configuration did."""
         until = request.received_at + FIRST_CONFIGURATION_WAIT
@@ -185,13 +192,15 @@
         if request.patience is not None:
             patience = min(patience, request.patience)
         until = request.received_at + patience
-        if not self.readiness.takes(route.name, self.clock(), until):
+        service = route.service_for(request.id)
+        now = self.clock()
+        if not self.readiness.takes(route, service, request.most_answer, now, until):
             wait = self._other_entry()
             return Refusal(ErrorKind.DRAINING, LEAVING, retry_after=wait)
         return Job(
             request=request,
             route=route,
-            service=route.service_for(request.id),
+            service=service,
             organisation=organisation,
             caller=caller,
             strip_key=table.keys is not None,
--- a/packages/relay/src/lacewingcourse/relay/readiness.py
+++ b/packages/relay/src/lacewingcourse/relay/readiness.py
@@ -1,4 +1,4 @@
-"""Whether this entry takes new connections, and how it ends."""
+"""Whether this entry takes new connections, and which requests while it ends."""
 
 from __future__ import annotations
 
@@ -6,13 +6,15 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.shutdown import AnswerTime, take_until_redirected
+
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewingcourse.core.pipelines.routing import Route
     from lacewingcourse.relay.beliefs import Beliefs
 
 
-#: Share of the time for ending that an answer is expected to take of a route of which
-#: few were seen: an entry that has just started takes requests for the first third.
-UNKNOWN_SHARE = 0.65
 #: Seconds of the time for ending that are kept for the end itself.
 END_MARGIN = 0.4
 
@@ -24,11 +26,14 @@
     Attributes:
         beliefs: What is believed of the deployment.
         grace: Seconds in which the process must have ended once it is asked to.
+        takes_last: Tells whether a request is taken while the process ends, see
+            `shutdown.LAST_REQUESTS`.
         leaving_since: When the request to end came, None before it.
     """
 
     beliefs: Beliefs
     grace: float
+    takes_last: Callable[[AnswerTime, float], bool] = take_until_redirected
     leaving_since: float | None = None
 
     def leave(self, now: float) -> None:
@@ -47,24 +52,40 @@
         since = self.leaving_since
         return float("inf") if since is None else since + self.grace - END_MARGIN
 
-    def takes(self, route: str, now: float, until: float) -> bool:
+    def takes(
+        self, route: Route, service: str, max_answer: int, now: float, until: float
+    ) -> bool:
         """Tell whether a request is served.
 
         The balancer sends connections here for some seconds after the request to end,
         and while all entries are restarted in turn there are times when every one of
-        them is ending. Whatever is expected to be answered before the end is taken.
+        them is ending.
 
         Args:
-            route: Name of its route.
+            route: Its route.
+            service: Its service.
+            max_answer: Tokens that its answer may have, 0 if that is not told.
             now: Present time in seconds.
             until: Time at which the route's time or the caller's is over.
         """
-        if not self.leaving or until <= self.last:
+        if not self.leaving:
             return True
-        expected = self.beliefs.durations.expected(route)
-        if expected is None:
-            expected = UNKNOWN_SHARE * self.grace
-        return now + expected <= self.last
+        time = AnswerTime(
+            expected=self.beliefs.durations.expected(route.name),
+            longest=self._longest(service, max_answer),
+            limit=until - now,
+            grace=self.grace,
+            since_asked=now - self.leaving_since,
+        )
+        return self.takes_last(time, self.last - now)
+
+    def _longest(self, service: str, max_answer: int) -> float | None:
+        """Return the seconds that an answer takes at the most, None if unknown."""
+        shape = self.beliefs.shape(service)
+        if shape is None or not max_answer:
+            return None
+        max_events = -(-max_answer // shape.event_tokens)
+        return self.beliefs.durations.longest_stream(service, max_events)
 
     def is_ready(self) -> bool:
         """Tell whether new connections should come here.
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -39,6 +39,8 @@
         seeds: Addresses of other entries that may be asked first.
         bounds: Limits that are promised.
         wait: Name of how long a request waits for room, see `waiting.WAITS`.
+        last_requests: Name of what is taken while the entry ends, see
+            `shutdown.LAST_REQUESTS`.
     """
 
     name: str
@@ -51,3 +53,4 @@
     seeds: tuple[str, ...]
     bounds: Bounds
     wait: str = "in_time"
+    last_requests: str = "redirected"
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -276,6 +276,7 @@
             id="r",
             received_at=now,
             body=b"",
+            most_answer=0,
         ),
         refusal=lambda refusal, request: (refusal.answer.status, HTTPHeaders(), b""),
     )
@@ -286,7 +287,7 @@
             budget=SimpleNamespace(on_request=lambda service, now: None),
         ),
         SimpleNamespace(serve=fails),
-        SimpleNamespace(takes=lambda route, now, until: True),
+        SimpleNamespace(takes=lambda *request: True),
         SimpleNamespace(failed=caller_log.append),
         asyncio.get_running_loop().time,
         lambda: 0.0,
--- /dev/null
+++ b/packages/relay/tests/relay/test_last_requests.py
@@ -0,0 +1,234 @@
+"""Tests of what an entry takes that was asked to end.
+
+Callers lost answers that they were reading. An entry was asked to end; three seconds
+later, when the balancer had no other instance to send callers to, it took a stream,
+since answers of that route were usually over in two seconds. This one was as long as
+its caller allowed. The engine wrote on without a fault until the grace time was over,
+and the entry closed the connection in the middle of the answer. The log showed the
+cause: `broken_off` with kind `draining`, events until two milliseconds before it, and
+12 seconds left of the caller's time.
+
+What nearly all answers take is a guess, and the caller of the one that takes longer
+pays for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from types import SimpleNamespace
+
+import attrs
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from lacewingcourse.core.pipelines.routing import Organisation, Repeat
+from lacewingcourse.core.pipelines.shutdown import LAST_REQUESTS
+from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.gateway import Gateway
+from lacewingcourse.relay.leaving import Departure
+from lacewingcourse.relay.readiness import Readiness
+
+from .routes import route_of
+from .stream_play import CallerStub, Decisions
+from .virtual_time import play
+
+#: Seconds in which the entry must have ended.
+GRACE = 8.0
+#: Events of the longest answer that callers allow, and seconds between two.
+MAX_EVENTS = 173
+INTERVAL = 0.028
+#: Tokens in one event.
+EVENT_TOKENS = 2
+
+
+class Caller(CallerStub):
+    """A caller of a request whose answer has a number of events."""
+
+    def __init__(self, events: int) -> None:
+        super().__init__()
+        self.events = events
+        self.cancelled = False
+        self.task: asyncio.Task | None = None
+        self.method, self.target, self.headers = "POST", "/", HTTPHeaders()
+        self.arrived_at = asyncio.get_running_loop().time()
+
+    def cancel(self) -> None:
+        """Stop serving the request."""
+        self.task.cancel()
+
+
+@attrs.define
+class LeavingEntry:
+    """An entry that serves streams until it ends.
+
+    Attributes:
+        gateway: Takes requests.
+        departure: Ends the entry.
+    """
+
+    gateway: Gateway
+    departure: Departure
+
+    def call(self, events: int) -> Caller:
+        """Send it a request whose answer has a number of events."""
+        caller = Caller(events)
+        caller.task = asyncio.ensure_future(self.gateway.serve(caller))
+        self.departure.callers.open.add(caller)
+        caller.task.add_done_callback(
+            lambda task: self.departure.callers.open.discard(caller)
+        )
+        return caller
+
+    async def serve_usual_answers(self) -> None:
+        """Serve answers of which nearly all are over in two seconds."""
+        callers = [self.call(events) for events in range(41, 73)]
+        await asyncio.gather(*(caller.task for caller in callers))
+
+
+async def write_events(job, shape) -> None:
+    """Write an answer as an engine does that is well."""
+    job.caller.begin(200, HTTPHeaders())
+    clock = asyncio.get_running_loop().time
+    for _ in range(job.caller.events):
+        await asyncio.sleep(INTERVAL)
+        job.progress(clock())
+    job.caller.end()
+
+
+def decode(method, target, headers, now):
+    """Return the request of a caller."""
+    return SimpleNamespace(
+        id="r",
+        host="h",
+        path="/",
+        target="/",
+        key=None,
+        body=b"",
+        patience=None,
+        received_at=now,
+        most_answer=MAX_EVENTS * EVENT_TOKENS,
+    )
+
+
+@pytest.fixture
+def entry(shape):
+    """Return a function that makes an entry in the running loop."""
+
+    def make(choice: str) -> LeavingEntry:
+        clock = asyncio.get_running_loop().time
+        beliefs = Beliefs()
+        figures = attrs.evolve(shape, event_tokens=EVENT_TOKENS)
+        route = route_of("rooms", Repeat.RESUMABLE_STREAM)
+        beliefs.table = SimpleNamespace(
+            services={"rooms": SimpleNamespace(shape=figures)},
+            route=lambda host, path: route,
+            organisation=lambda found, key: Organisation(""),
+            keys=None,
+        )
+        readiness = Readiness(beliefs, GRACE, LAST_REQUESTS.get(choice))
+        codec = SimpleNamespace(
+            decode=decode,
+            refusal=lambda refusal, request: (
+                refusal.answer.status,
+                HTTPHeaders({"Retry-After": str(refusal.retry_after)}),
+                b"",
+            ),
+        )
+        streams = SimpleNamespace(serve=write_events)
+        calls = SimpleNamespace(budget=SimpleNamespace(on_request=lambda *args: None))
+        gateway = Gateway(
+            beliefs,
+            codec,
+            calls,
+            streams,
+            readiness,
+            Decisions(),
+            clock,
+            lambda: 0.0,
+            Random(1),
+        )
+        callers = SimpleNamespace(open=set())
+        return LeavingEntry(gateway, Departure(readiness, callers, gateway, clock))
+
+    return make
+
+
+async def call_while_leaving(entry: LeavingEntry, after: float) -> Caller:
+    """Return a caller that met an entry some seconds after it was asked to end.
+
+    Its answer is the longest that it allows, as is one that was begun before.
+    """
+    await entry.serve_usual_answers()
+    clock = asyncio.get_running_loop().time
+    entry.call(MAX_EVENTS)
+    entry.gateway.readiness.leave(clock())
+    ending = asyncio.ensure_future(entry.departure.carry_out())
+    await asyncio.sleep(after)
+    caller = entry.call(MAX_EVENTS)
+    await ending
+    return caller
+
+
+@pytest.mark.parametrize("choice", ["bounded", "redirected"])
+@pytest.mark.parametrize("after", [0.1, 1.0, 2.0, 2.9, 3.1, 4.5])
+def test_no_answer_is_cut_off_that_was_begun_after_the_request_to_end(
+    entry, choice, after
+):
+    async def test():
+        caller = await call_while_leaving(entry(choice), after)
+        assert not caller.broken
+        assert caller.whole
+
+    play(test())
+
+
+@pytest.mark.parametrize("choice", ["bounded", "redirected"])
+def test_an_answer_that_may_outlast_the_end_is_refused_at_once(entry, choice):
+    async def test():
+        caller = await call_while_leaving(entry(choice), 3.0)
+        assert caller.status == 503
+        assert float(caller.headers["Retry-After"]) < 0.1
+
+    play(test())
+
+
+def test_an_answer_that_cannot_outlast_the_end_is_taken(entry):
+    """While all entries end one after the other, callers have no other one."""
+
+    async def test():
+        caller = await call_while_leaving(entry("bounded"), 1.0)
+        assert caller.status == 200
+
+    play(test())
+
+
+def test_a_caller_that_can_meet_no_other_instance_yet_is_taken(entry):
+    """The balancer sends it here until it has missed two answers.
+
+    Refused, it came back to the same entry, and had no further try.
+    """
+
+    async def test():
+        caller = await call_while_leaving(entry("redirected"), 2.0)
+        assert caller.whole
+
+    play(test())
+
+
+def test_an_expectation_takes_an_answer_that_is_then_cut_off(entry):
+    """What was seen, kept as a choice for deployments where no answer is that long."""
+
+    async def test():
+        caller = await call_while_leaving(entry("expected"), 3.0)
+        assert caller.broken
+
+    play(test())
+
+
+def test_an_entry_may_take_nothing_more(entry):
+    async def test():
+        caller = await call_while_leaving(entry("none"), 0.1)
+        assert caller.status == 503
+
+    play(test())
