Let one entry find out whether an endpoint still rejects, and tell the others at once

Cause: these endpoints were leaving or dead (0.0 to 0.5 of their memory taken) while the directory was away, so nobody was told. Each entry left one out for 2 s after a rejection of its own or its peers' word; then all of them sent it requests within the same 0.1 to 0.4 s. i-4a65... was tried by 8 entries at 18.8 s, 8 more at 20.8 to 21.1 s; i-a6c8... at 18.8, 20.9 to 21.2 and 25.0 to 25.2 s. Ruled out: a lack of memory or slots (see above), suspicions that cross on their way (news take 0.2 to 0.6 s; the tries lie 2 s apart).

Change: who was told waits half a second longer than who saw it; a later end that a peer tells is taken over, and counts as its failures; a rejection is told at once and not in the next round of news. A probe of the endpoint's health was not taken: its answers may be false on this platform, and each is priced.

Why it holds: at each end of an exclusion those try it that have a request before the first rejection is told; exclusions then last 4 and 8 s for all. Two entries cannot keep a suspicion alive between them, as only an end a second later is taken over (tested with news that are 0.01 and 0.1 s late).

--- a/packages/core/src/lacewingcourse/core/pipelines/suspects.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/suspects.py
@@ -16,6 +16,12 @@
 #: Seconds below which the rest of a peer's suspicion is not taken over. Otherwise
 #: entries that tell one another would keep it alive between them.
 LEAST_REMAINING = 0.3
+#: Seconds for which those who were told of a failure wait beyond the one who saw it. An
+#: endpoint that still rejects is then found out by one entry and not by all at once.
+RECHECK_DELAY = 0.5
+#: Seconds by which a peer's exclusion must end later to be taken over. It tells of a
+#: further failure then; less is this entry's own word that comes back.
+MIN_EXTENSION = 1.0
 #: Share of its memory from which an endpoint that rejects may just be full. What it
 #: holds is known but for answers that outgrow their estimate and what peers sent just
 #: now: sound ones rejected with 0.65 and more believed to be taken. Dead ones were
@@ -122,13 +128,18 @@
         known = self.members.get(endpoint)
         if remaining < LEAST_REMAINING:
             return
+        until = now + min(remaining, LONGEST_EXCLUSION)
         if known is not None and known.until >= now:
             known.silent = known.silent or silent
+            if until > known.until + MIN_EXTENSION:
+                known.until = until + RECHECK_DELAY
+                known.failures = max(known.failures, _failures_of(remaining))
             return
-        until = now + min(remaining, LONGEST_EXCLUSION)
         reach = Reach.ZONE if near else Reach.ALL
         reason = "told by a peer"
-        self.members[endpoint] = Suspicion(until, 1, now, reason, reach, silent)
+        failures = _failures_of(remaining)
+        until += RECHECK_DELAY
+        self.members[endpoint] = Suspicion(until, failures, now, reason, reach, silent)
 
     def excluded(self, now: float) -> set[str]:
         """Return the endpoints that are left out."""
@@ -165,3 +176,12 @@
         for name, found in list(self.members.items()):
             if now - found.failed_at > FORGIVEN_AFTER and found.until < now:
                 del self.members[name]
+
+
+def _failures_of(remaining: float) -> int:
+    """Return the least failures in succession after which so much time remains."""
+    failures, length = 1, FIRST_EXCLUSION
+    while length < min(remaining, LONGEST_EXCLUSION):
+        failures += 1
+        length *= 2
+    return failures
--- a/packages/core/tests/pipelines/test_suspects.py
+++ b/packages/core/tests/pipelines/test_suspects.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from lacewingcourse.core.pipelines.suspects import FIRST_EXCLUSION, Suspects, is_full
+from lacewingcourse.core.pipelines.suspects import (
+    FIRST_EXCLUSION,
+    RECHECK_DELAY,
+    Suspects,
+    is_full,
+)
 
 
 def test_an_endpoint_is_left_out_and_comes_back():
@@ -56,3 +61,84 @@
     suspects.from_peer("b", 1.0, now=0.1, silent=True)
     suspects.from_peer("b", 1.0, now=0.2, silent=False)
     assert suspects.silent(0.3) == {"a", "b"}
+
+
+def test_those_who_were_told_wait_for_the_one_who_saw_it():
+    """An engine that had to leave was told of by nobody, as the directory was away.
+
+    Each of thirty entries left it out for two seconds, at first after a rejection of
+    its own and later after its peers' word. When that was over, all of them sent it
+    requests again within the same moment: each was rejected, and took one of the few
+    retries that the streams behind a lost endpoint then lacked.
+    """
+    seen, told = Suspects(), Suspects()
+    seen.suspect("a", "rejected with 503", now=0.0)
+    told.from_peer("a", FIRST_EXCLUSION, now=0.0)
+    assert seen.excluded(FIRST_EXCLUSION) == set()
+    assert told.excluded(FIRST_EXCLUSION) == {"a"}
+    assert told.excluded(FIRST_EXCLUSION + RECHECK_DELAY) == set()
+
+
+def test_a_further_failure_that_a_peer_saw_leaves_it_out_for_longer():
+    suspects = Suspects()
+    suspects.suspect("a", "rejected with 503", now=0.0)
+    suspects.from_peer("a", 2 * FIRST_EXCLUSION, now=FIRST_EXCLUSION - 0.1)
+    assert suspects.excluded(FIRST_EXCLUSION) == {"a"}
+    assert suspects.excluded(3 * FIRST_EXCLUSION) == {"a"}
+
+
+def test_failures_that_a_peer_saw_count_for_the_next_exclusion():
+    suspects = Suspects()
+    suspects.from_peer("a", 2 * FIRST_EXCLUSION, now=0.0)
+    again = suspects.suspect("a", "rejected with 503", now=5.0)
+    assert again.until == 5.0 + 4 * FIRST_EXCLUSION
+
+
+@pytest.mark.parametrize("delay", [0.01, 0.1])
+def test_entries_do_not_keep_a_suspicion_alive_between_them(delay):
+    """Each tells the other what remains; on the way it does not get less."""
+    one, other = Suspects(), Suspects()
+    one.suspect("a", "reset", now=0.0)
+    other.suspect("a", "reset", now=0.05)
+    now = 0.1
+    while now < 20.0 and (one.excluded(now) or other.excluded(now)):
+        for teller, listener in ((one, other), (other, one)):
+            for endpoint, remaining in teller.remaining(now).items():
+                listener.from_peer(endpoint, remaining, now + delay)
+        now += 0.2
+    assert now <= FIRST_EXCLUSION + 2 * RECHECK_DELAY
+
+
+def rejections_of(entries: int, news: float, seconds: float) -> int:
+    """Return how many requests an endpoint rejects that nobody tells to be leaving.
+
+    Every entry has a request each 0.1 seconds, and hears of what others saw after some
+    time.
+    """
+    books = [Suspects() for _ in range(entries)]
+    due: list[tuple[float, int, float]] = []
+    rejected = 0
+    for step in range(int(seconds * 100)):
+        now = step / 100
+        for at, teller, remaining in [d for d in due if d[0] <= now]:
+            due.remove((at, teller, remaining))
+            for number, book in enumerate(books):
+                if number != teller:
+                    book.from_peer("a", remaining - news, now, near=False)
+        for number, book in enumerate(books):
+            if step % 10 == number % 10 and "a" not in book.excluded(now):
+                rejected += 1
+                found = book.suspect("a", "rejected with 503", now)
+                due.append((now + news, number, found.until - now))
+    return rejected
+
+
+@pytest.mark.parametrize("news", [0.03, 0.1])
+def test_an_endpoint_that_rejects_costs_few_retries_once_one_entry_knows(news):
+    """Ten seconds of an endpoint that leaves and that the directory tells nothing of.
+
+    It is left out for 2, 4 and 8 seconds, so that it is tried at three times; at each
+    the entries try it that have a request before they hear of the first rejection.
+    """
+    at_a_time = 30 * min(1.0, (news + 0.01) / 0.1)
+    assert rejections_of(entries=30, news=news, seconds=10.0) <= 3 * at_a_time
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -162,6 +162,7 @@
             self.admission,
             self.stalls,
             self.log,
+            self._tell_peers,
         )
         self.gateway = Gateway(
             self.beliefs,
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -29,7 +29,7 @@
 from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
     from random import Random
 
     from lacewingcourse.core.pipelines.path import Part, Path
@@ -58,6 +58,7 @@
         admission: Lets requests onto paths.
         stalls: Watches streams for standing still.
         log: Log of decisions.
+        on_suspect: Called when an endpoint is left out that other entries still use.
     """
 
     beliefs: Beliefs
@@ -68,6 +69,7 @@
     admission: Admission
     stalls: StallWatcher
     log: DecisionLog
+    on_suspect: Callable[[], None] = lambda: None
 
     async def serve(self, job: Job, shape: EngineShape) -> Refusal | None:
         """Forward a stream; return why its answer is not whole, if it is not."""
@@ -272,6 +274,9 @@
                 self.stalls.ask(at_fault[0], now)
             else:
                 self.beliefs.suspects.suspect(endpoint, result.reason, now)
+                # Its word reaches the others in a round of news; until then each of
+                # them sends it requests, and every one costs a retry.
+                self.on_suspect()
         elif result.first_lost:
             job.avoid.add(path.first.endpoint)
             self.beliefs.crashes.strike(job.fingerprint, path.first.endpoint, now)
