Begin the next run of a stream beside the one that stands still

Cause: room was asked for before the run was closed, but by this entry's belief only; the engine's answer alone tells that it has room.

Two ways: (i) the next run opened beside the old one where the parts that both use have room for both by what is believed; (ii) a reservation of room, which the protocol does not know: a report is 200 ms old and reserves nothing. (i) is built: `relay/moving.py` finds and begins the next run, `stream_run.py` closes the old one when the next is accepted, keeps it when the next is rejected or lost or when its own events go on first, and takes the next one over when the old engine ends its run meanwhile. Where memory does not hold both, the old run is closed first as before: it takes the memory that the next one needs.

--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -0,0 +1,112 @@
+"""What a stream goes on with when its run stands still."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.relay.connections import NotSent, Unsent
+from lacewingcourse.relay.run_results import Replacement, RunResult, Standby, StreamEnd
+
+if TYPE_CHECKING:
+    from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.relay.job import Job
+    from lacewingcourse.relay.stream_run import StreamState
+    from lacewingcourse.relay.streams import StreamForwarder
+
+
+@attrs.define
+class Mover:
+    """Finds the next path of a stream, and begins a run on it beside the present one.
+
+    Only its engine's answer tells whether that path has room after all. Until then the
+    present run is all that its caller has.
+
+    Attributes:
+        forwarder: Forwards the stream.
+        state: The stream.
+        path: Path of the run that stands still.
+        fresh: Whether the next run goes over a new connection.
+    """
+
+    forwarder: StreamForwarder
+    state: StreamState
+    path: Path
+    fresh: bool = False
+
+    @property
+    def job(self) -> Job:
+        """The request."""
+        return self.state.job
+
+    async def find(self) -> Replacement | Refusal:
+        """Return a path with a connection to it, or why there is none."""
+        found = self._next_path()
+        if isinstance(found, Refusal):
+            return found
+        path, has_room = found
+        connection = await self.forwarder.sender.reserve(path.first.address, self.fresh)
+        if not isinstance(connection, NotSent):
+            return Replacement(path, connection, has_room)
+        if connection.cause is Unsent.UNREACHABLE:
+            self.forwarder.unreachable(self.job, path)
+        return Refusal(ErrorKind.NO_ROUTE, connection.reason)
+
+    async def begin(self, found: Replacement) -> Standby | None:
+        """Begin a run on a path that was found; None if it was not sent."""
+        forwarder, job, path = self.forwarder, self.job, found.path
+        now = forwarder.sender.clock()
+        after = self.state.cutter.last_id
+        sending = job.sending(path.first.name, path.first.address, path, now, after)
+        sent = await forwarder.sender.send(
+            job.request, sending, self.fresh, found.connection
+        )
+        if isinstance(sent, NotSent):
+            return None
+        forwarder.beliefs.loads.begin(path, self.state.demand.tokens)
+        forwarder.note_send(job, path)
+        forwarder.stalls.end(job)
+        forwarder.stalls.begin(job, now)
+        return Standby(path, sent, now)
+
+    def end(self, standby: Standby) -> None:
+        """Note that a run has ended, or that its stream goes on with it."""
+        self.forwarder.beliefs.loads.end(standby.path, self.state.demand.tokens)
+
+    def drop(self, standby: Standby) -> None:
+        """Close a run in whose place the other one goes on."""
+        standby.exchange.abandon()
+        self._keep_present(standby)
+
+    def failed(self, standby: Standby, result: RunResult) -> None:
+        """Learn from a run that its engine did not accept."""
+        if result.end is StreamEnd.DROPPED:
+            # It takes no attempt; the next one goes over a new connection.
+            self.job.sends -= 1
+            self.fresh = True
+            self.forwarder.sender.pool.drop(standby.path.first.address)
+        else:
+            self.forwarder.learn(self.job, standby.path, result)
+        self._keep_present(standby)
+
+    def _keep_present(self, standby: Standby) -> None:
+        self.end(standby)
+        self.forwarder.stalls.end(self.job)
+        self.job.path = self.path
+
+    def _next_path(self) -> tuple[Path, bool] | Refusal:
+        """Return a path, and whether it has room beside the present run."""
+        job, path, tokens = self.job, self.path, self.state.demand.tokens
+        besides = [] if path.uses(job.avoid) else [p.endpoint for p in path.parts]
+        found = self.forwarder.path_now(self.state, besides)
+        if not isinstance(found, Refusal):
+            return found, True
+        loads = self.forwarder.beliefs.loads
+        loads.end(path, tokens)
+        try:
+            found = self.forwarder.path_now(self.state, besides)
+        finally:
+            loads.begin(path, tokens)
+        return found if isinstance(found, Refusal) else (found, False)
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/run_results.py
@@ -0,0 +1,82 @@
+"""How runs of a stream end, and what takes their place."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.relay.connections import Connection
+    from lacewingcourse.relay.upstream import Exchange, Head
+
+
+class StreamEnd(Enum):
+    """How one run of a stream ended."""
+
+    WHOLE = "whole"
+    LOST = "lost"
+    STALLED = "stalled"
+    REJECTED = "rejected"
+    ABANDONED = "abandoned"
+    OVERDUE = "overdue"
+    DROPPED = "dropped"
+    HELD = "held"
+    FAILED = "failed"
+
+
+@attrs.define(eq=False)
+class Standby:
+    """A run that was begun beside one that stands still, and may take its place.
+
+    Attributes:
+        path: Its path.
+        exchange: What was sent for it.
+        began_at: When it was sent, seconds.
+        head: Head of its answer, None before it.
+    """
+
+    path: Path
+    exchange: Exchange
+    began_at: float
+    head: Head | None = None
+
+
+@attrs.frozen
+class Replacement:
+    """What a stream goes on with in place of a run that stands still.
+
+    Attributes:
+        path: Its next path.
+        connection: A connection to the first part of it, None once it was sent.
+        has_room: Whether its parts have room while the other run is still open.
+        standby: The run on it, None if it is still to be sent.
+    """
+
+    path: Path
+    connection: Connection | None = None
+    has_room: bool = False
+    standby: Standby | None = None
+
+
+@attrs.frozen
+class RunResult:
+    """What became of one run of a stream.
+
+    Attributes:
+        end: How it ended.
+        reason: What happened.
+        fault_address: Address of the endpoint at fault, or empty.
+        misdirected: Whether that endpoint does not hold what the path names.
+        first_lost: Whether the connection to the first part broke.
+        replacement: What the stream goes on with, None if that is still to be found.
+    """
+
+    end: StreamEnd
+    reason: str = ""
+    fault_address: str = ""
+    misdirected: bool = False
+    first_lost: bool = False
+    replacement: Replacement | None = None
--- a/packages/relay/src/lacewingcourse/relay/stream_run.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_run.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from enum import Enum
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.relay.ports import Standing
+from lacewingcourse.relay.run_results import Replacement, RunResult, StreamEnd
 from lacewingcourse.relay.sending import (
     DROP_NOTICED,
     SERVER_ERROR,
@@ -22,22 +23,21 @@
     Head,
     SendOutcome,
     Stalled,
+    StandbyHeard,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from lacewingcourse.core.pipelines.choice import Demand
     from lacewingcourse.core.pipelines.events import EventCutter
-    from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.shape import EngineShape
-    from lacewingcourse.relay.connections import Connection
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
+    from lacewingcourse.relay.moving import Mover
     from lacewingcourse.relay.ports import AnswerHead
+    from lacewingcourse.relay.run_results import Standby
     from lacewingcourse.relay.sending import Sender
     from lacewingcourse.relay.stall_watcher import StallWatcher
-    from lacewingcourse.relay.upstream import Exchange
+    from lacewingcourse.relay.upstream import Arrival, Exchange
 
 #: Seconds for which a run may stand still without a known cause before it goes on on
 #: another path. Callers leave after two seconds of silence. A shorter time sends
@@ -51,54 +51,10 @@
 MOVE_PERIOD = 0.05
 #: Seconds for which the body of an answer that is no stream is waited for.
 BODY_PATIENCE = 0.5
-
-
-class StreamEnd(Enum):
-    """How one run of a stream ended."""
-
-    WHOLE = "whole"
-    LOST = "lost"
-    STALLED = "stalled"
-    REJECTED = "rejected"
-    ABANDONED = "abandoned"
-    OVERDUE = "overdue"
-    DROPPED = "dropped"
-    HELD = "held"
-    FAILED = "failed"
-
-
-@attrs.frozen
-class Replacement:
-    """What a stream goes on with in place of a run that stands still.
-
-    Attributes:
-        path: Its next path.
-        connection: A connection to the first part of it.
-    """
-
-    path: Path
-    connection: Connection
-
-
-@attrs.frozen
-class RunResult:
-    """What became of one run of a stream.
-
-    Attributes:
-        end: How it ended.
-        reason: What happened.
-        fault_address: Address of the endpoint at fault, or empty.
-        misdirected: Whether that endpoint does not hold what the path names.
-        first_lost: Whether the connection to the first part broke.
-        replacement: What the stream goes on with, None if that is still to be found.
-    """
-
-    end: StreamEnd
-    reason: str = ""
-    fault_address: str = ""
-    misdirected: bool = False
-    first_lost: bool = False
-    replacement: Replacement | None = None
+#: Why a run is closed in whose place another one goes on.
+STOOD_STILL = "the stream stood still"
+#: Why a run is lost that ended in an event.
+CUT_EVENT = "cut event"
 
 
 @attrs.define
@@ -128,9 +84,10 @@
 class StreamRun:
     """Passes on what arrives of a run.
 
-    A run that stands still is kept open until the stream may go on elsewhere. Its
+    A run that stands still is kept open until another one was accepted, if the parts
+    that they share have room for both, and at least until another one may begin. Its
     engine may go on after all, and a run that is closed first leaves the caller with a
-    part of an answer where no repeat is allowed or no other path has room.
+    part of an answer where nothing takes its place.
 
     Attributes:
         state: The stream.
@@ -138,12 +95,15 @@
         sender: What sent it.
         stalls: Watches streams for standing still.
         log: Log of decisions.
-        replacement: Returns what the stream may go on with, or why there is nothing at
-            present.
+        mover: Finds and begins what the stream goes on with.
+        first: Head that arrived already, None if none did.
         head: Head of this run's answer, None before it.
         began_at: When the run was sent, seconds.
         moving_since: Time since which the stream is to go on elsewhere, None if it is
             not.
+        standby: Run that was begun beside this one, None without one.
+        listening: Waits for the standby's answer.
+        over: How this run ended while its standby was not heard, None if it did not.
     """
 
     state: StreamState
@@ -151,10 +111,14 @@
     sender: Sender
     stalls: StallWatcher
     log: DecisionLog
-    replacement: Callable[[], Awaitable[Replacement | Refusal]]
+    mover: Mover
+    first: Head | None = None
     head: AnswerHead | None = None
     began_at: float = 0.0
     moving_since: float | None = None
+    standby: Standby | None = None
+    listening: asyncio.Task | None = None
+    over: RunResult | None = None
 
     @property
     def job(self) -> Job:
@@ -163,8 +127,18 @@
 
     async def relay(self) -> RunResult:
         """Pass on what arrives until the run ends."""
+        try:
+            return await self._relay()
+        finally:
+            if self.standby is not None:
+                self.listening.cancel()
+                self.mover.drop(self.standby)
+
+    async def _relay(self) -> RunResult:
         arrivals = self.exchange.arrivals
         self.began_at = self.state.quiet_since = self.sender.clock()
+        if self.first is not None:
+            await self._take_head(self.first)
         while True:
             now = self.sender.clock()
             arrival = await next_arrival(self.exchange, self._look_at(now), now)
@@ -175,6 +149,8 @@
                 self.take(arrival.data)
             elif isinstance(arrival, Stalled):
                 result = await self._stand_still(arrival)
+            elif isinstance(arrival, StandbyHeard):
+                result = self._take_standby(arrival.heard)
             else:
                 result = self._ended(arrival)
             if result is not None:
@@ -190,6 +166,8 @@
 
     def _look_at(self, now: float) -> float:
         """Return when to look again if nothing arrives, seconds."""
+        if self.standby is not None:
+            return min(self.job.until, self.standby.began_at + SILENCE_PATIENCE)
         if self.moving_since is not None:
             return min(self.job.until, now + MOVE_PERIOD)
         if self.job.may_move:
@@ -202,7 +180,7 @@
             arrival.status, arrival.headers, self.job.request
         )
         if not self.head.succeeded:
-            return await self._refused()
+            return await self._refused(self.exchange, self.head)
         if self.state.head is None:
             self.state.head = self.head
         return None
@@ -226,6 +204,8 @@
         if now >= self.job.until:
             self._give_up("the time of the route is over")
             return RunResult(StreamEnd.OVERDUE, self.job.reason)
+        if self.standby is not None:
+            return self._give_up_standby(arrival, now)
         if not self.job.may_move or not self.exchange.arrivals.empty():
             return None
         if not arrival.known and self._goes_on(now):
@@ -233,7 +213,7 @@
         first_look = self.moving_since is None
         if first_look:
             self.moving_since = now
-        found = await self.replacement()
+        found = await self.mover.find()
         if isinstance(found, Refusal):
             if first_look:
                 self.log.not_moved(self.job, found, now)
@@ -242,9 +222,60 @@
             # It went on, or ended, while the connection was made.
             found.connection.close()
             return None
-        self._give_up("the stream stood still")
+        if found.has_room:
+            await self._begin_standby(found)
+            return None
+        self._give_up(STOOD_STILL)
         return RunResult(StreamEnd.STALLED, self.job.reason, replacement=found)
 
+    async def _begin_standby(self, found: Replacement) -> None:
+        """Begin the next run beside this one."""
+        self.standby = await self.mover.begin(found)
+        if self.standby is not None:
+            self.listening = asyncio.ensure_future(self._listen(self.standby))
+
+    async def _listen(self, standby: Standby) -> None:
+        """Wait for the answer to a standby, and tell this run of it."""
+        now = self.sender.clock()
+        arrival = await next_arrival(standby.exchange, self.job.until, now)
+        heard: Head | RunResult
+        if isinstance(arrival, Head):
+            head = self.sender.codec.head(
+                arrival.status, arrival.headers, self.job.request
+            )
+            heard = arrival
+            if not head.succeeded:
+                heard = await self._refused(standby.exchange, head)
+        else:
+            heard = self._lost(standby.exchange, standby.began_at, arrival)
+        self.exchange.arrivals.put_nowait(StandbyHeard(heard))
+
+    def _take_standby(self, heard: Head | RunResult) -> RunResult | None:
+        """Go on with the standby if it was accepted and this run did not go on."""
+        standby, self.standby = self.standby, None
+        if isinstance(heard, RunResult):
+            self.mover.failed(standby, heard)
+            return self.over
+        if self.state.quiet_since > standby.began_at:
+            self.mover.drop(standby)
+            self._goes_on(self.sender.clock())
+            return None
+        if self.over is None:
+            self._give_up(STOOD_STILL)
+        self.mover.end(standby)
+        standby.head = heard
+        replacement = Replacement(standby.path, standby=standby)
+        return RunResult(StreamEnd.STALLED, self.job.reason, replacement=replacement)
+
+    def _give_up_standby(self, arrival: Stalled, now: float) -> RunResult | None:
+        """Drop a standby that stands still as well."""
+        if not arrival.known and now < self.standby.began_at + SILENCE_PATIENCE:
+            return None
+        self.listening.cancel()
+        standby, self.standby = self.standby, None
+        self.mover.drop(standby)
+        return self.over
+
     def _goes_on(self, now: float) -> bool:
         """Tell whether events went past a wait, so that the run is well."""
         if self.moving_since is None:
@@ -261,9 +292,8 @@
         self.exchange.abandon()
         self.job.note(SendOutcome.MAY_HAVE_RUN, reason)
 
-    def _ended(self, arrival: End | Abandoned) -> RunResult:
-        """Return what the end of a run amounts to."""
-        now = self.sender.clock()
+    def _ended(self, arrival: End | Abandoned) -> RunResult | None:
+        """Return what the end of a run amounts to, None while another is heard of."""
         if isinstance(arrival, Abandoned):
             self._give_up(arrival.reason)
             self.job.caller.break_off()
@@ -272,13 +302,25 @@
             self.sender.release(self.exchange, self.head)
             self._end_whole()
             return RunResult(StreamEnd.WHOLE)
-        self._give_up(arrival.reason or "cut event")
+        if self.moving_since is None:
+            return self._lost(self.exchange, self.began_at, arrival)
         # An engine ends a run that stood still behind another part; it is not lost.
-        if self.moving_since is not None:
-            return RunResult(StreamEnd.STALLED, self.job.reason)
-        if self.exchange.was_dropped and now < self.began_at + DROP_NOTICED:
-            return RunResult(StreamEnd.DROPPED, self.job.reason)
-        return RunResult(StreamEnd.LOST, self.job.reason, first_lost=True)
+        self._give_up(arrival.reason or CUT_EVENT)
+        result = RunResult(StreamEnd.STALLED, self.job.reason)
+        if self.standby is None:
+            return result
+        self.over = result
+        return None
+
+    def _lost(self, exchange: Exchange, began_at: float, arrival: Arrival) -> RunResult:
+        """Return what the early end of a run amounts to."""
+        reason = getattr(arrival, "reason", "") or CUT_EVENT
+        exchange.abandon()
+        self.job.note(SendOutcome.MAY_HAVE_RUN, reason)
+        now = self.sender.clock()
+        if exchange.was_dropped and now < began_at + DROP_NOTICED:
+            return RunResult(StreamEnd.DROPPED, reason)
+        return RunResult(StreamEnd.LOST, reason, first_lost=True)
 
     def _end_whole(self) -> None:
         """End the caller's answer, which may have no events."""
@@ -292,20 +334,20 @@
         headers.pop("Content-Length", None)
         self.job.caller.begin(self.state.head.status, headers, events)
 
-    async def _refused(self) -> RunResult:
-        """Read the body of an answer that is no stream, and pass on a failure."""
-        job, head = self.job, self.head
+    async def _refused(self, exchange: Exchange, head: AnswerHead) -> RunResult:
+        """Read the body of an answer that is no stream, and keep a failure."""
+        job = self.job
         body = bytearray()
         until = min(job.until, self.sender.clock() + BODY_PATIENCE)
         while True:
             now = self.sender.clock()
-            arrival = await next_arrival(self.exchange, until, now)
+            arrival = await next_arrival(exchange, until, now)
             if isinstance(arrival, Data):
                 body += arrival.data
             elif not isinstance(arrival, Head):
                 break
         whole = isinstance(arrival, End) and arrival.complete
-        self.sender.release(self.exchange, head if whole else None)
+        self.sender.release(exchange, head if whole else None)
         if isinstance(arrival, Abandoned):
             return RunResult(StreamEnd.ABANDONED, arrival.reason)
         if head.standing is Standing.REJECTED:
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,15 +16,11 @@
     NotSent,
     Unsent,
 )
+from lacewingcourse.relay.moving import Mover
 from lacewingcourse.relay.path_finder import demand_of
+from lacewingcourse.relay.run_results import Replacement, RunResult, StreamEnd
 from lacewingcourse.relay.sending import Sender
-from lacewingcourse.relay.stream_run import (
-    Replacement,
-    RunResult,
-    StreamEnd,
-    StreamRun,
-    StreamState,
-)
+from lacewingcourse.relay.stream_run import StreamRun, StreamState
 from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
@@ -37,12 +32,11 @@
     from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.admission import Admission
     from lacewingcourse.relay.beliefs import Beliefs
-    from lacewingcourse.relay.connections import Connection
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.path_finder import PathFinder
     from lacewingcourse.relay.stall_watcher import StallWatcher
-    from lacewingcourse.relay.upstream import Exchange
+    from lacewingcourse.relay.upstream import Exchange, Head
 
 
 @attrs.define
@@ -85,11 +79,10 @@
                 return self._give_up(state, path.kind, path.reason)
             now = self.sender.clock()
             self._note_transfers(state, path, now)
-            reserved = replacement.connection if replacement is not None else None
-            result = await self._run(state, path, reserved)
+            result = await self._run(state, path, replacement)
             replacement = result.replacement if result is not None else None
             if result is None:
-                self._unreachable(job, path)
+                self.unreachable(job, path)
                 continue
             if result.end in (StreamEnd.WHOLE, StreamEnd.ABANDONED):
                 return None
@@ -98,7 +91,9 @@
                     return self._give_up(state, ErrorKind.OVERLOADED, result.reason)
                 await asyncio.sleep(RETRY_PERIOD)
                 continue
-            self._learn(job, path, result)
+            self.learn(job, path, result)
+            if replacement is not None and replacement.standby is not None:
+                continue
             if result.end is StreamEnd.OVERDUE:
                 return self._give_up(state, ErrorKind.DEADLINE_EXCEEDED, result.reason)
             if result.end is StreamEnd.FAILED or not job.may_send_again:
@@ -108,12 +103,12 @@
         """Return a path for a request, or why none was found while it waited."""
         asked = self.sender.clock()
         path = await self.admission.path_for(
-            state.job, state.demand, lambda: self._path(state)
+            state.job, state.demand, lambda: self.path_now(state)
         )
         state.job.waited += self.sender.clock() - asked
         return path
 
-    def _path(
+    def path_now(
         self, state: StreamState, besides: Collection[str] = ()
     ) -> Path | Refusal:
         """Return a path that a request may be sent on now, or why there is none.
@@ -127,29 +122,6 @@
             return Refusal(ErrorKind.REPEATS_EXHAUSTED, "no repeat is left")
         return self.finder.find(job, state.shape, state.demand, besides)
 
-    async def _replacement(self, state: StreamState) -> Replacement | Refusal:
-        """Return a path, with a connection, for a stream whose run stands still."""
-        path = self._replacing_path(state)
-        if isinstance(path, Refusal):
-            return path
-        connection = await self.sender.reserve(path.first.address, fresh=False)
-        if not isinstance(connection, NotSent):
-            return Replacement(path, connection)
-        if connection.cause is Unsent.UNREACHABLE:
-            self._unreachable(state.job, path)
-        return Refusal(ErrorKind.NO_ROUTE, connection.reason)
-
-    def _replacing_path(self, state: StreamState) -> Path | Refusal:
-        """Return a path for a stream whose run stands still but is open."""
-        job, path, tokens = state.job, state.job.path, state.demand.tokens
-        besides = [] if path.uses(job.avoid) else [p.endpoint for p in path.parts]
-        # The run ends with the move, so what it takes is free for the next one.
-        self.beliefs.loads.end(path, tokens)
-        try:
-            return self._path(state, besides)
-        finally:
-            self.beliefs.loads.begin(path, tokens)
-
     def _note_transfers(self, state: StreamState, path: Path, now: float) -> None:
         """Note the time that a prompt takes on the pipes of its path."""
         for pair in path.crossings:
@@ -157,21 +129,21 @@
             self.beliefs.pipes.add(pair, seconds, now)
 
     async def _run(
-        self, state: StreamState, path: Path, reserved: Connection | None
+        self, state: StreamState, path: Path, replacement: Replacement | None
     ) -> RunResult | None:
         """Run a stream on a path; None if the request never left this process.
 
         Args:
             state: The stream.
             path: The path.
-            reserved: Connection to its first part, None to take one.
+            replacement: What it was found as, None for a stream that moves from none.
         """
         job = state.job
         job.path = path
         self.beliefs.loads.begin(path, state.demand.tokens)
         try:
             fresh = not job.route.repeat.may_repeat
-            result = await self._relay(state, fresh, reserved)
+            result = await self._relay(state, fresh, replacement)
             if result is None or result.end is not StreamEnd.DROPPED:
                 return result
             # Endpoints drop kept connections without notice. Taken for a lost run, each
@@ -182,22 +154,26 @@
             if again is None:
                 # The endpoint is gone, perhaps under this request.
                 job.sends += 1
-                self._unreachable(job, path)
+                self.unreachable(job, path)
                 return RunResult(StreamEnd.LOST, result.reason, first_lost=True)
             return again
         finally:
             self.beliefs.loads.end(path, state.demand.tokens)
 
     async def _relay(
-        self, state: StreamState, fresh: bool, reserved: Connection | None = None
+        self, state: StreamState, fresh: bool, replacement: Replacement | None = None
     ) -> RunResult | None:
         """Send a stream on its path and pass on what comes; None if it never left.
 
         Args:
             state: The stream.
             fresh: Whether to send it over a new connection.
-            reserved: Connection to send it over, None to take one.
+            replacement: What it goes on with, None if its path is its first one.
         """
+        if replacement is not None and replacement.standby is not None:
+            standby = replacement.standby
+            return await self._pass_on(state, standby.exchange, standby.head)
+        reserved = replacement.connection if replacement is not None else None
         job = state.job
         now = self.sender.clock()
         first = job.path.first
@@ -211,12 +187,29 @@
         if isinstance(sent, NotSent):
             job.note(SendOutcome.NEVER_LEFT, sent.reason)
             return self._unsent(sent)
+        self.note_send(job, job.path)
+        return await self._pass_on(state, sent, None)
+
+    async def _pass_on(
+        self, state: StreamState, sent: Exchange, head: Head | None
+    ) -> RunResult:
+        """Pass on what arrives of a run that was sent.
+
+        Args:
+            state: The stream.
+            sent: What was sent.
+            head: Head of its answer if that arrived already.
+        """
+        job = state.job
         try:
-            self._begin(job, sent, now)
+            job.current = sent
+            self.stalls.begin(job, self.sender.clock())
+            if job.caller.gone:
+                job.caller_gone()
             state.cutter.restart()
-            replacement = partial(self._replacement, state)
+            mover = Mover(self, state, job.path)
             run = StreamRun(
-                state, sent, self.sender, self.stalls, self.log, replacement
+                state, sent, self.sender, self.stalls, self.log, mover, head
             )
             return await run.relay()
         except BaseException:
@@ -227,21 +220,18 @@
             job.current = None
             self.stalls.end(job)
 
-    def _begin(self, job: Job, sent: Exchange, now: float) -> None:
-        """Note a run that was sent."""
-        first = job.path.first
+    def note_send(self, job: Job, path: Path) -> None:
+        """Note that a run was sent on a path."""
+        now = self.sender.clock()
         if job.sends:
             self.budget.take(job.service, now)
         job.sends += 1
-        job.firsts.add(first.endpoint)
-        job.current = sent
-        self.stalls.begin(job, now)
+        job.firsts.add(path.first.endpoint)
+        job.path = path
         age = now - self.beliefs.fleet.known_at
-        self.log.sent(job, first.endpoint, age, job.waited)
-        if job.caller.gone:
-            job.caller_gone()
+        self.log.sent(job, path.first.endpoint, age, job.waited)
 
-    def _unreachable(self, job: Job, path: Path) -> None:
+    def unreachable(self, job: Job, path: Path) -> None:
         """Leave out the first endpoint of a path, to which no connection was made."""
         endpoint = path.first.endpoint
         reason = Unsent.UNREACHABLE.value
@@ -261,7 +251,7 @@
             return RunResult(StreamEnd.HELD, sent.reason)
         return None
 
-    def _learn(self, job: Job, path: Path, result: RunResult) -> None:
+    def learn(self, job: Job, path: Path, result: RunResult) -> None:
         """Leave out what failed, for this request or for all."""
         now = self.sender.clock()
         at_fault = [p for p in path.parts if p.address == result.fault_address]
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
 
     from lacewingcourse.relay.connections import Connection
+    from lacewingcourse.relay.run_results import RunResult
 
 #: Bytes that an endpoint's head may have.
 MOST_HEAD = 64 * 1024
@@ -83,7 +84,18 @@
     reason: str
 
 
-Arrival = Head | Data | End | Stalled | Abandoned
+@attrs.frozen
+class StandbyHeard:
+    """A run that was begun beside this one was accepted, or not.
+
+    Attributes:
+        heard: Head of its answer, or how it ended.
+    """
+
+    heard: Head | RunResult
+
+
+Arrival = Head | Data | End | Stalled | Abandoned | StandbyHeard
 
 
 class Exchange(HTTPMessageDelegate):
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -65,6 +65,7 @@
         status: Status of its answer.
         drops: Whether it has dropped the connections that are kept to it.
         stops_after: Event after which it writes nothing more, None for none.
+        accepts_after: Seconds after which its answer begins.
     """
 
     pause_after: int | None = None
@@ -73,6 +74,7 @@
     status: int = 200
     drops: bool = False
     stops_after: int | None = None
+    accepts_after: float = 0.0
 
 
 class Run:
@@ -95,6 +97,7 @@
         if self.was_dropped:
             self.arrivals.put_nowait(End(False, "closed"))
             return
+        await asyncio.sleep(engine.accepts_after)
         self.arrivals.put_nowait(Head(engine.status, HTTPHeaders()))
         if engine.status != 200:
             self.arrivals.put_nowait(End(True))
@@ -234,7 +237,8 @@
         )
         for at, call in happenings:
             asyncio.get_running_loop().call_at(at, call, watcher)
-        ended = await forwarder.serve(self._job(), self.shape)
+        self.job = self._job()
+        ended = await forwarder.serve(self.job, self.shape)
         self.ended_at = self.clock()
         return ended
 
--- a/packages/relay/tests/relay/test_secured.py
+++ b/packages/relay/tests/relay/test_secured.py
@@ -11,6 +11,7 @@
 import attrs
 import pytest
 
+from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.relay.connections import (
     NotSent,
     Unsent,
@@ -54,6 +55,85 @@
     assert played.caller.body == whole_answer()
 
 
+SLOW = Engine(accepts_after=0.3)
+
+
+def test_a_run_is_closed_once_the_next_one_was_accepted(shape):
+    engines = {"a": Engine(stops_after=5), "c": SLOW}
+    played = StreamPlay(shape, engines)
+    first = []
+
+    def look(watcher) -> None:
+        first.extend(run.abandoned for _, _, run in played.runs)
+
+    play(played.serve((IN_PAUSE, played.dies("b")), (IN_PAUSE + 0.2, look)))
+    assert first == [False, False]
+    assert [run.abandoned for _, _, run in played.runs] == [True, False]
+    assert played.caller.body == whole_answer()
+
+
+def test_a_run_that_goes_on_before_the_next_one_was_accepted_is_kept(shape):
+    engines = {"a": SHORT_PAUSE, "c": SLOW}
+    played = StreamPlay(shape, engines)
+    play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert [run.abandoned for _, _, run in played.runs] == [False, True]
+    assert played.caller.body == whole_answer()
+
+
+def test_an_engine_that_ends_its_run_leaves_the_one_begun_beside_it(shape):
+    engines = {"a": Engine(pause_after=5, pause=0.3, breaks=True), "c": SLOW}
+    played = StreamPlay(shape, engines)
+    play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert played.firsts == ["a", "c"]
+    assert played.caller.body == whole_answer()
+
+
+def test_an_engine_that_drops_the_next_run_costs_no_attempt(shape):
+    engines = {"a": Engine(stops_after=5), "c": Engine(drops=True)}
+    played = StreamPlay(shape, engines)
+    play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert played.caller.body == whole_answer()
+    assert played.job.sends == 2
+
+
+def test_a_caller_that_leaves_ends_both_runs(shape):
+    played = StreamPlay(shape, {"a": Engine(stops_after=5), "c": SLOW})
+
+    def leave(watcher) -> None:
+        played.caller.gone = True
+        played.job.caller_gone()
+
+    play(played.serve((IN_PAUSE, played.dies("b")), (IN_PAUSE + 0.1, leave)))
+    assert [run.abandoned for _, _, run in played.runs] == [True, True]
+
+
+@pytest.mark.parametrize("engine", [SLOW, Engine(status=503), Engine(drops=True)])
+def test_what_runs_beside_one_another_leaves_no_load(shape, engine):
+    played = StreamPlay(shape, {"a": SHORT_PAUSE, "c": engine})
+    play(played.serve((IN_PAUSE, played.dies("b"))))
+    assert played.beliefs.loads.own == {}
+
+
+@attrs.define(slots=False)
+class Narrow(StreamPlay):
+    """Endpoints whose memory holds one run of the stream."""
+
+    def _find(self, job, shape, demand, besides=()):
+        found = super()._find(job, shape, demand, besides)
+        if self.beliefs.loads.own:
+            return Refusal(ErrorKind.OVERLOADED, "no path has memory")
+        return found
+
+
+def test_a_run_gives_way_to_one_that_has_no_room_beside_it(shape):
+    played = Narrow(shape, {"a": Engine(stops_after=5), "c": SLOW})
+    play(played.serve((IN_PAUSE, played.dies("b"))))
+    (_, _, first), (begun_at, _, _) = played.runs
+    assert first.abandoned
+    assert begun_at < IN_PAUSE + 0.1
+    assert played.caller.body == whole_answer()
+
+
 def test_a_send_that_never_left_takes_no_repeat(shape):
     played = Unreachable(
         shape, {"a": Engine(pause_after=5, breaks=True)}, slack=PLENTY, gone=("c",)
--- a/packages/relay/tests/relay/test_versions.py
+++ b/packages/relay/tests/relay/test_versions.py
@@ -114,7 +114,7 @@
     )
     result = RunResult(StreamEnd.REJECTED, "rejected", path.parts[1].address)
     job = job_of()
-    forwarder._learn(job, path, result)
+    forwarder.learn(job, path, result)
     assert job.avoid == {path.parts[1].endpoint}
 
 
