--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -2,19 +2,51 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.relay.connections import NotSent, Unsent
-from lacewingcourse.relay.run_results import Replacement, RunResult, Standby, StreamEnd
+from lacewingcourse.relay.stream_state import Replacement, Standby, StreamEnd
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.job import Job
-    from lacewingcourse.relay.stream_run import StreamState
-    from lacewingcourse.relay.streams import StreamForwarder
+    from lacewingcourse.relay.sending import Sender
+    from lacewingcourse.relay.stall_watcher import StallWatcher
+    from lacewingcourse.relay.stream_state import RunResult, StreamState
+
+
+class Forwarder(Protocol):
+    """What forwards a stream, as far as a move needs it.
+
+    Attributes:
+        beliefs: What is believed of the endpoints.
+        sender: What sends.
+        stalls: Watches streams for standing still.
+    """
+
+    beliefs: Beliefs
+    sender: Sender
+    stalls: StallWatcher
+
+    def path_now(
+        self, state: StreamState, besides: Collection[str] = ()
+    ) -> Path | Refusal:
+        """Return a path that a request may be sent on now, or why there is none."""
+
+    def note_send(self, job: Job, path: Path) -> None:
+        """Note that a run was sent on a path."""
+
+    def unreachable(self, job: Job, path: Path) -> None:
+        """Leave out the first endpoint of a path, to which no connection was made."""
+
+    def learn(self, job: Job, path: Path, result: RunResult) -> None:
+        """Leave out what failed, for this request or for all."""
 
 
 @attrs.define
@@ -31,7 +63,7 @@
         fresh: Whether the next run goes over a new connection.
     """
 
-    forwarder: StreamForwarder
+    forwarder: Forwarder
     state: StreamState
     path: Path
     fresh: bool = False
@@ -80,15 +112,15 @@
         standby.exchange.abandon()
         self._keep_present(standby)
 
-    def failed(self, standby: Standby, result: RunResult) -> None:
+    def failed(self, standby: Standby) -> None:
         """Learn from a run that its engine did not accept."""
-        if result.end is StreamEnd.DROPPED:
+        if standby.failure.end is StreamEnd.DROPPED:
             # It takes no attempt; the next one goes over a new connection.
             self.job.sends -= 1
             self.fresh = True
             self.forwarder.sender.pool.drop(standby.path.first.address)
         else:
-            self.forwarder.learn(self.job, standby.path, result)
+            self.forwarder.learn(self.job, standby.path, standby.failure)
         self._keep_present(standby)
 
     def _keep_present(self, standby: Standby) -> None:
--- a/packages/relay/src/lacewingcourse/relay/stream_run.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_run.py
@@ -9,13 +9,13 @@
 
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.relay.ports import Standing
-from lacewingcourse.relay.run_results import Replacement, RunResult, StreamEnd
 from lacewingcourse.relay.sending import (
     DROP_NOTICED,
     SERVER_ERROR,
     WholeAnswer,
     next_arrival,
 )
+from lacewingcourse.relay.stream_state import Replacement, RunResult, StreamEnd
 from lacewingcourse.relay.upstream import (
     Abandoned,
     Data,
@@ -27,16 +27,13 @@
 )
 
 if TYPE_CHECKING:
-    from lacewingcourse.core.pipelines.choice import Demand
-    from lacewingcourse.core.pipelines.events import EventCutter
-    from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.moving import Mover
     from lacewingcourse.relay.ports import AnswerHead
-    from lacewingcourse.relay.run_results import Standby
     from lacewingcourse.relay.sending import Sender
     from lacewingcourse.relay.stall_watcher import StallWatcher
+    from lacewingcourse.relay.stream_state import Standby, StreamState
     from lacewingcourse.relay.upstream import Arrival, Exchange
 
 #: Seconds for which a run may stand still without a known cause before it goes on on
@@ -57,29 +54,6 @@
 CUT_EVENT = "cut event"
 
 
-@attrs.define
-class StreamState:
-    """A stream, over all of its runs.
-
-    Attributes:
-        job: The request.
-        shape: Figures of the service's engines.
-        demand: What it needs of a path.
-        cutter: Cuts bytes into events, and knows the last one passed on.
-        head: Head of the first run's answer, None before it.
-        quiet_since: Time since which nothing arrived of the present run, seconds.
-        failure: An engine's own failure, which is passed on if nothing better comes.
-    """
-
-    job: Job
-    shape: EngineShape
-    demand: Demand
-    cutter: EventCutter
-    head: AnswerHead | None = None
-    quiet_since: float = 0.0
-    failure: WholeAnswer | None = None
-
-
 @attrs.define
 class StreamRun:
     """Passes on what arrives of a run.
@@ -150,7 +124,7 @@
             elif isinstance(arrival, Stalled):
                 result = await self._stand_still(arrival)
             elif isinstance(arrival, StandbyHeard):
-                result = self._take_standby(arrival.heard)
+                result = self._take_standby()
             else:
                 result = self._ended(arrival)
             if result is not None:
@@ -238,23 +212,28 @@
         """Wait for the answer to a standby, and tell this run of it."""
         now = self.sender.clock()
         arrival = await next_arrival(standby.exchange, self.job.until, now)
-        heard: Head | RunResult
         if isinstance(arrival, Head):
             head = self.sender.codec.head(
                 arrival.status, arrival.headers, self.job.request
             )
-            heard = arrival
-            if not head.succeeded:
-                heard = await self._refused(standby.exchange, head)
+            if head.succeeded:
+                standby.head = arrival
+            else:
+                standby.failure = await self._refused(standby.exchange, head)
         else:
-            heard = self._lost(standby.exchange, standby.began_at, arrival)
-        self.exchange.arrivals.put_nowait(StandbyHeard(heard))
+            exchange, began_at = standby.exchange, standby.began_at
+            standby.failure = self._lost(exchange, began_at, arrival)
+        self.exchange.arrivals.put_nowait(StandbyHeard())
 
-    def _take_standby(self, heard: Head | RunResult) -> RunResult | None:
+    def _take_standby(self) -> RunResult | None:
         """Go on with the standby if it was accepted and this run did not go on."""
-        standby, self.standby = self.standby, None
-        if isinstance(heard, RunResult):
-            self.mover.failed(standby, heard)
+        standby = self.standby
+        if standby is None or not (standby.head or standby.failure):
+            # It tells of one that was dropped just before.
+            return None
+        self.standby = None
+        if standby.failure is not None:
+            self.mover.failed(standby)
             return self.over
         if self.state.quiet_since > standby.began_at:
             self.mover.drop(standby)
@@ -263,7 +242,6 @@
         if self.over is None:
             self._give_up(STOOD_STILL)
         self.mover.end(standby)
-        standby.head = heard
         replacement = Replacement(standby.path, standby=standby)
         return RunResult(StreamEnd.STALLED, self.job.reason, replacement=replacement)
 
--- a/packages/relay/src/lacewingcourse/relay/run_results.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -1,4 +1,4 @@
-"""How runs of a stream end, and what takes their place."""
+"""A stream over all of its runs: how they end, and what takes their place."""
 
 from __future__ import annotations
 
@@ -8,8 +8,14 @@
 import attrs
 
 if TYPE_CHECKING:
+    from lacewingcourse.core.pipelines.choice import Demand
+    from lacewingcourse.core.pipelines.events import EventCutter
     from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.connections import Connection
+    from lacewingcourse.relay.job import Job
+    from lacewingcourse.relay.ports import AnswerHead
+    from lacewingcourse.relay.sending import WholeAnswer
     from lacewingcourse.relay.upstream import Exchange, Head
 
 
@@ -35,13 +41,15 @@
         path: Its path.
         exchange: What was sent for it.
         began_at: When it was sent, seconds.
-        head: Head of its answer, None before it.
+        head: Head of its answer if it was accepted, else None.
+        failure: How it ended if it was not, else None.
     """
 
     path: Path
     exchange: Exchange
     began_at: float
     head: Head | None = None
+    failure: RunResult | None = None
 
 
 @attrs.frozen
@@ -80,3 +88,26 @@
     misdirected: bool = False
     first_lost: bool = False
     replacement: Replacement | None = None
+
+
+@attrs.define
+class StreamState:
+    """A stream, over all of its runs.
+
+    Attributes:
+        job: The request.
+        shape: Figures of the service's engines.
+        demand: What it needs of a path.
+        cutter: Cuts bytes into events, and knows the last one passed on.
+        head: Head of the first run's answer, None before it.
+        quiet_since: Time since which nothing arrived of the present run, seconds.
+        failure: An engine's own failure, which is passed on if nothing better comes.
+    """
+
+    job: Job
+    shape: EngineShape
+    demand: Demand
+    cutter: EventCutter
+    head: AnswerHead | None = None
+    quiet_since: float = 0.0
+    failure: WholeAnswer | None = None
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -18,9 +18,14 @@
 )
 from lacewingcourse.relay.moving import Mover
 from lacewingcourse.relay.path_finder import demand_of
-from lacewingcourse.relay.run_results import Replacement, RunResult, StreamEnd
 from lacewingcourse.relay.sending import Sender
-from lacewingcourse.relay.stream_run import StreamRun, StreamState
+from lacewingcourse.relay.stream_run import StreamRun
+from lacewingcourse.relay.stream_state import (
+    Replacement,
+    RunResult,
+    StreamEnd,
+    StreamState,
+)
 from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -21,7 +21,6 @@
     from collections.abc import Callable
 
     from lacewingcourse.relay.connections import Connection
-    from lacewingcourse.relay.run_results import RunResult
 
 #: Bytes that an endpoint's head may have.
 MOST_HEAD = 64 * 1024
@@ -86,13 +85,7 @@
 
 @attrs.frozen
 class StandbyHeard:
-    """A run that was begun beside this one was accepted, or not.
-
-    Attributes:
-        heard: Head of its answer, or how it ended.
-    """
-
-    heard: Head | RunResult
+    """A run that was begun beside this one was accepted, or not."""
 
 
 Arrival = Head | Data | End | Stalled | Abandoned | StandbyHeard
