Call the budget of second sends by its usual name: retry budget

Names only: RepeatBudget, repeats.py and may_repeat are RetryBudget, retry_budget.py and may_retry; what of a route may be run again is its RetrySafety.

--- a/packages/core/src/lacewingcourse/core/errors.py
+++ b/packages/core/src/lacewingcourse/core/errors.py
@@ -52,7 +52,7 @@
     STALE_INCARNATION = "stale_incarnation"
     STALE_FENCING = "stale_fencing"
     STAGE_LOST = "stage_lost"
-    REPEATS_EXHAUSTED = "repeats_exhausted"
+    RETRIES_EXHAUSTED = "retries_exhausted"
     ENDPOINT_FAILED = "endpoint_failed"
     REQUEST_CRASHES_ENDPOINTS = "request_crashes_endpoints"
     CALLER_GONE = "caller_gone"
@@ -117,7 +117,7 @@
     ErrorKind.STALE_INCARNATION: Answer(409, "The instance has restarted"),
     ErrorKind.STALE_FENCING: Answer(409, "The fencing number is old"),
     ErrorKind.STAGE_LOST: Answer(502, "A stage of the pipeline was lost", True),
-    ErrorKind.REPEATS_EXHAUSTED: Answer(503, "No further send is allowed now", True),
+    ErrorKind.RETRIES_EXHAUSTED: Answer(503, "No further send is allowed now", True),
     ErrorKind.ENDPOINT_FAILED: Answer(502, "The endpoint failed", True),
     ErrorKind.REQUEST_CRASHES_ENDPOINTS: Answer(
         422, "The request crashes the endpoints that run it"
--- a/packages/core/src/lacewingcourse/core/pipelines/routing.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/routing.py
@@ -14,7 +14,7 @@
     from lacewingcourse.core.pipelines.shape import EngineShape
 
 
-class Repeat(Enum):
+class RetrySafety(Enum):
     """What may be run again of a route's requests."""
 
     IDEMPOTENT = "idempotent"
@@ -23,9 +23,9 @@
     RESUMABLE_STREAM = "resumable_stream"
 
     @property
-    def may_repeat(self) -> bool:
+    def may_retry(self) -> bool:
         """Whether a request may be run more than once."""
-        return self in (Repeat.IDEMPOTENT, Repeat.RESUMABLE_STREAM)
+        return self in (RetrySafety.IDEMPOTENT, RetrySafety.RESUMABLE_STREAM)
 
 
 @attrs.frozen
@@ -36,7 +36,7 @@
         name: Its name.
         host: Host that requests name, lower case.
         prefix: Path prefix, with a slash at both ends.
-        repeat: What may be run again.
+        retry_safety: What may be run again.
         shares: Services with their weights.
         timeout: Seconds for which a request may be kept waiting.
         objective: Seconds within which an answer is wanted.
@@ -49,7 +49,7 @@
     name: str
     host: str
     prefix: str
-    repeat: Repeat
+    retry_safety: RetrySafety
     shares: tuple[tuple[str, float], ...]
     timeout: float
     objective: float
--- a/packages/core/tests/pipelines/test_routing.py
+++ b/packages/core/tests/pipelines/test_routing.py
@@ -9,7 +9,7 @@
 from lacewingcourse.core.pipelines.routing import (
     Limits,
     Organisation,
-    Repeat,
+    RetrySafety,
     Route,
     RoutingTable,
     is_newer,
@@ -19,7 +19,7 @@
     name="long",
     host="maps.example",
     prefix="/rooms/label/",
-    repeat=Repeat.RESUMABLE_STREAM,
+    retry_safety=RetrySafety.RESUMABLE_STREAM,
     shares=(("mapchat", 1.0),),
     timeout=20.0,
     objective=0.5,
--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -27,7 +27,7 @@
 RETRY_PERIOD = 0.03
 #: Reasons for which there may be a path a moment later.
 MOMENTARY = frozenset(
-    {ErrorKind.OVERLOADED, ErrorKind.NO_ROUTE, ErrorKind.REPEATS_EXHAUSTED}
+    {ErrorKind.OVERLOADED, ErrorKind.NO_ROUTE, ErrorKind.RETRIES_EXHAUSTED}
 )
 
 
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -12,7 +12,7 @@
 from tornado.httpserver import HTTPServer
 
 from lacewingcourse.core.pipelines.peers import PeerBook
-from lacewingcourse.core.pipelines.repeats import RepeatBudget
+from lacewingcourse.core.pipelines.retry_budget import RetryBudget
 from lacewingcourse.core.pipelines.shutdown import LAST_REQUESTS
 from lacewingcourse.core.pipelines.waiting import WAITS
 from lacewingcourse.relay.address import split_address
@@ -123,10 +123,10 @@
         )
         self.pool = ConnectionPool()
         self.book = PeerBook(settings.name, settings.zone)
-        self.budget = RepeatBudget(
-            settings.bounds.repeat_ratio,
-            settings.bounds.repeat_window,
-            settings.bounds.repeat_slack,
+        self.budget = RetryBudget(
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_window,
+            settings.bounds.retry_slack,
         )
         self.ended = asyncio.Event()
         self.reloading = SettingsWatch(changed, self._apply, self.log)
@@ -381,9 +381,9 @@
     def _apply(self, settings: RelaySettings) -> None:
         """Put in force what may change in the life of a process."""
         self.settings = settings
-        self.budget.ratio = settings.bounds.repeat_ratio
-        self.budget.window = settings.bounds.repeat_window
-        self.budget.slack = settings.bounds.repeat_slack
+        self.budget.ratio = settings.bounds.retry_ratio
+        self.budget.window = settings.bounds.retry_window
+        self.budget.slack = settings.bounds.retry_slack
         self.peers.seeds = settings.seeds
 
     async def _leave(self) -> None:
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -29,7 +29,7 @@
     from random import Random
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
-    from lacewingcourse.core.pipelines.repeats import RepeatBudget
+    from lacewingcourse.core.pipelines.retry_budget import RetryBudget
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
@@ -63,7 +63,7 @@
 
     beliefs: Beliefs
     sender: Sender
-    budget: RepeatBudget
+    budget: RetryBudget
     zone: str
     rng: Random
     log: DecisionLog
@@ -127,7 +127,7 @@
             besides: Endpoints to avoid besides those that it avoids anyway.
         """
         if job.sends and not self.budget.allows(job.service, now):
-            return Refusal(ErrorKind.REPEATS_EXHAUSTED, "no repeat is left")
+            return Refusal(ErrorKind.RETRIES_EXHAUSTED, "no retry is left")
         usable = self.beliefs.usable(job.service, now)
         if not usable:
             usable = self.beliefs.fleet.of_service(job.service)
@@ -141,7 +141,7 @@
         """Return an endpoint's answer, or what became of the call there."""
         self.beliefs.loads.begin_call(endpoint.id)
         try:
-            fresh = not job.route.repeat.may_repeat
+            fresh = not job.route.retry_safety.may_retry
             result = await self._ask(job, endpoint, fresh)
             if not isinstance(result, NoAnswer) or not result.dropped:
                 return result
@@ -219,7 +219,7 @@
 
     def _patience(self, job: Job, now: float) -> float:
         """Return until when an endpoint is waited for before another one is tried."""
-        if not job.route.repeat.may_repeat or not job.may_try_another:
+        if not job.route.retry_safety.may_retry or not job.may_try_another:
             return job.until
         patience = max(0.1, PATIENCE_OBJECTIVES * job.route.objective)
         return min(job.until, now + patience)
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
 
     from lacewingcourse.core.pipelines.peers import PeerBook
-    from lacewingcourse.core.pipelines.repeats import RepeatBudget
+    from lacewingcourse.core.pipelines.retry_budget import RetryBudget
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.connections import ConnectionPool
 
@@ -38,7 +38,7 @@
     beliefs: Beliefs
     pool: ConnectionPool
     book: PeerBook
-    budget: RepeatBudget
+    budget: RetryBudget
     clock: Callable[[], float]
     on_thaw: Callable[[float], None]
 
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -25,7 +25,7 @@
 #: Least urgent rank that engines know, of ten.
 MOST_URGENCY = 9
 #: Rejections after which a request is given up; each takes a round trip and counts as a
-#: repeat. When a rejection ended a stream whose route allows two attempts, answers that
+#: retry. When a rejection ended a stream whose route allows two attempts, answers that
 #: callers read were cut off because a second path had no memory at that moment.
 MOST_REJECTIONS = 4
 
@@ -101,7 +101,7 @@
             return False
         if self.rejections > MOST_REJECTIONS:
             return False
-        repeatable = self.route.repeat.may_repeat
+        repeatable = self.route.retry_safety.may_retry
         return repeatable or self.worst is not SendOutcome.MAY_HAVE_RUN
 
     @property
@@ -117,7 +117,7 @@
     @property
     def may_move(self) -> bool:
         """Whether its stream may go on on another path while a run is under way."""
-        return self.may_send_again and self.route.repeat.may_repeat
+        return self.may_send_again and self.route.retry_safety.may_retry
 
     def progress(self, now: float) -> None:
         """Note events that were passed on."""
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -51,7 +51,7 @@
         self.sends = Counter(
             "lacewingcourse_relay_sends", "Sends of requests to endpoints", **known
         )
-        self.repeats = Counter(
+        self.retries = Counter(
             "lacewingcourse_relay_repeats",
             "Sends beyond the first of a request",
             **known,
@@ -163,4 +163,4 @@
 
     def _count_sends(self, job: Job) -> None:
         self.sends.inc(job.sends)
-        self.repeats.inc(max(0, job.sends - 1))
+        self.retries.inc(max(0, job.sends - 1))
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -11,16 +11,16 @@
 
     Attributes:
         grace: Seconds between the request to end and the end.
-        repeat_ratio: Sends beyond the first that are allowed for each request.
-        repeat_window: Seconds in which they are counted.
-        repeat_slack: Sends beyond the first that are allowed besides.
+        retry_ratio: Sends beyond the first that are allowed for each request.
+        retry_window: Seconds in which they are counted.
+        retry_slack: Sends beyond the first that are allowed besides.
         fencing_checked: Whether endpoints refuse orders with old fencing numbers.
     """
 
     grace: float
-    repeat_ratio: float
-    repeat_window: float
-    repeat_slack: float
+    retry_ratio: float
+    retry_window: float
+    retry_slack: float
     fencing_checked: bool
 
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -33,7 +33,7 @@
     from random import Random
 
     from lacewingcourse.core.pipelines.path import Part, Path
-    from lacewingcourse.core.pipelines.repeats import RepeatBudget
+    from lacewingcourse.core.pipelines.retry_budget import RetryBudget
     from lacewingcourse.core.pipelines.shape import EngineShape
     from lacewingcourse.relay.admission import Admission
     from lacewingcourse.relay.beliefs import Beliefs
@@ -63,7 +63,7 @@
     beliefs: Beliefs
     finder: PathFinder
     sender: Sender
-    budget: RepeatBudget
+    budget: RetryBudget
     rng: Random
     admission: Admission
     stalls: StallWatcher
@@ -124,7 +124,7 @@
         """
         job = state.job
         if job.sends and not self.budget.allows(job.service, self.sender.clock()):
-            return Refusal(ErrorKind.REPEATS_EXHAUSTED, "no repeat is left")
+            return Refusal(ErrorKind.RETRIES_EXHAUSTED, "no retry is left")
         return self.finder.find(job, state.shape, state.demand, besides)
 
     def _note_transfers(self, state: StreamState, path: Path, now: float) -> None:
@@ -147,12 +147,12 @@
         job.path = path
         self.beliefs.loads.begin(path, state.demand.tokens)
         try:
-            fresh = not job.route.repeat.may_repeat
+            fresh = not job.route.retry_safety.may_retry
             result = await self._relay(state, fresh, replacement)
             if result is None or result.end is not StreamEnd.DROPPED:
                 return result
             # Endpoints drop kept connections without notice. Taken for a lost run, each
-            # of these would use up an attempt of the route and a repeat.
+            # of these would use up an attempt of the route and a retry.
             job.sends -= 1
             self.sender.pool.drop(path.first.address)
             again = await self._relay(state, fresh=True)
--- a/packages/relay/tests/relay/routes.py
+++ b/packages/relay/tests/relay/routes.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from lacewingcourse.core.pipelines.routing import Repeat, Route
+from lacewingcourse.core.pipelines.routing import RetrySafety, Route
 
 
 def route_of(
     service: str,
-    repeat: Repeat,
+    retry_safety: RetrySafety,
     attempts: int = 2,
     timeout: float = 20.0,
     objective: float = 0.5,
@@ -16,7 +16,7 @@
 
     Args:
         service: The service.
-        repeat: What may be repeated.
+        retry_safety: What may be repeated.
         attempts: Endpoints to which a request may be sent.
         timeout: Seconds for which it may be kept waiting.
         objective: Seconds in which an answer is wanted.
@@ -25,7 +25,7 @@
         service,
         "h",
         "/",
-        repeat,
+        retry_safety,
         ((service, 1.0),),
         timeout=timeout,
         objective=objective,
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -12,8 +12,8 @@
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.pipelines.paces import PaceBook
 from lacewingcourse.core.pipelines.path import Part, Path
-from lacewingcourse.core.pipelines.repeats import RepeatBudget
-from lacewingcourse.core.pipelines.routing import Organisation, Repeat
+from lacewingcourse.core.pipelines.retry_budget import RetryBudget
+from lacewingcourse.core.pipelines.routing import Organisation, RetrySafety
 from lacewingcourse.core.pipelines.shape import EngineShape, Layers
 from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.beliefs import Beliefs
@@ -38,7 +38,7 @@
 EVENTS = 20
 #: Seconds between two of them.
 STEP = 0.05
-#: A budget that allows repeats without end, and one that allows none.
+#: A budget that allows retries without end, and one that allows none.
 PLENTY = 10_000.0
 NONE = 0.0
 
@@ -176,7 +176,7 @@
         slack: Repeats that are allowed.
         room_from: Time from which the second path has room, seconds.
         lacks_descriptors: From when until when there are no file descriptors, seconds.
-        repeat: What may be repeated.
+        retry_safety: What may be repeated.
         attempts: Endpoints to which the route lets a request be sent.
         resume_after: Last event that the caller has already, or empty.
     """
@@ -186,7 +186,7 @@
     slack: float = PLENTY
     room_from: float = 0.0
     lacks_descriptors: tuple[float, float] = (0.0, 0.0)
-    repeat: Repeat = Repeat.RESUMABLE_STREAM
+    retry_safety: RetrySafety = RetrySafety.RESUMABLE_STREAM
     attempts: int = 2
     resume_after: str = ""
 
@@ -196,7 +196,7 @@
         self.ended_at = 0.0
         self.pool = ConnectionPool()
         self.log = Decisions()
-        self.budget = RepeatBudget(0.0, 10.0, self.slack)
+        self.budget = RetryBudget(0.0, 10.0, self.slack)
         self.beliefs = Beliefs()
         service = SimpleNamespace(shape=self.shape)
         self.beliefs.table = SimpleNamespace(services={"rooms": service})
@@ -247,7 +247,7 @@
         return lambda watcher: watcher._dead(set(names), "no report")
 
     def allow(self, slack: float):
-        """Return what changes the repeats that are allowed."""
+        """Return what changes the retries that are allowed."""
 
         def change(watcher) -> None:
             self.budget.slack = slack
@@ -270,7 +270,7 @@
         return second
 
     def _job(self) -> Job:
-        route = route_of("rooms", self.repeat, self.attempts)
+        route = route_of("rooms", self.retry_safety, self.attempts)
         request = SimpleNamespace(
             id="r",
             host="h",
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -2,7 +2,7 @@
 
 Callers of idempotent calls got 502 although the endpoint would have answered in time:
 after some objectives its send was closed to try another endpoint, and only then it was
-asked whether a repeat was left and another endpoint free.
+asked whether a retry was left and another endpoint free.
 """
 
 from __future__ import annotations
@@ -17,8 +17,8 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.fleet import Endpoint
-from lacewingcourse.core.pipelines.repeats import RepeatBudget
-from lacewingcourse.core.pipelines.routing import Organisation, Repeat
+from lacewingcourse.core.pipelines.retry_budget import RetryBudget
+from lacewingcourse.core.pipelines.routing import Organisation, RetrySafety
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.connections import (
@@ -79,7 +79,7 @@
         slack: Repeats that are allowed.
         endpoints: Endpoints of the service.
         status: Status of every answer.
-        repeat: What may be repeated.
+        retry_safety: What may be repeated.
         unsent: Why it cannot be sent, None if it can.
         drops: Whether the endpoints have dropped the connections that are kept to them.
     """
@@ -87,7 +87,7 @@
     slack: float = PLENTY
     endpoints: int = 2
     status: int = 200
-    repeat: Repeat = Repeat.IDEMPOTENT
+    retry_safety: RetrySafety = RetrySafety.IDEMPOTENT
     unsent: Unsent | None = None
     drops: bool = False
 
@@ -108,7 +108,7 @@
         forwarder = CallForwarder(
             self.beliefs,
             self,
-            RepeatBudget(0.0, 10.0, self.slack),
+            RetryBudget(0.0, 10.0, self.slack),
             "east",
             Random(1),
             Decisions(),
@@ -116,7 +116,7 @@
         return await forwarder.serve(self._job())
 
     def _job(self) -> Job:
-        route = route_of("desk", self.repeat, timeout=2.5, objective=0.2)
+        route = route_of("desk", self.retry_safety, timeout=2.5, objective=0.2)
         request = SimpleNamespace(
             host="h", target="/", key=None, body=b"", received_at=0.0
         )
@@ -155,15 +155,15 @@
 
 
 def test_a_call_that_may_run_once_waits_for_its_endpoint():
-    played = CallPlay(repeat=Repeat.ONCE)
+    played = CallPlay(retry_safety=RetrySafety.ONCE)
     assert isinstance(play(played.serve()), WholeAnswer)
     assert len(played.sends) == 1
 
 
-@pytest.mark.parametrize("repeat", [Repeat.IDEMPOTENT, Repeat.ONCE])
-def test_a_call_is_answered_although_kept_connections_were_dropped(repeat):
+@pytest.mark.parametrize("retry_safety", [RetrySafety.IDEMPOTENT, RetrySafety.ONCE])
+def test_a_call_is_answered_although_kept_connections_were_dropped(retry_safety):
     """Its callers got 502 although the endpoint lived."""
-    played = CallPlay(slack=NONE, endpoints=1, drops=True, repeat=repeat)
+    played = CallPlay(slack=NONE, endpoints=1, drops=True, retry_safety=retry_safety)
     assert isinstance(play(played.serve()), WholeAnswer)
 
 
@@ -186,7 +186,7 @@
 def test_a_call_that_no_endpoint_ran_is_refused_as_such():
     """Its caller was told that it may have run, and not when to come back."""
     ended = play(CallPlay(slack=NONE, status=REJECTED).serve())
-    assert ended.kind is ErrorKind.REPEATS_EXHAUSTED
+    assert ended.kind is ErrorKind.RETRIES_EXHAUSTED
     assert ended.outcome is Outcome.NOT_RUN
     assert ended.retry_after is not None
 
--- a/packages/relay/tests/relay/test_housekeeping.py
+++ b/packages/relay/tests/relay/test_housekeeping.py
@@ -8,7 +8,7 @@
 
 from lacewingcourse.core.pipelines.paces import PACE_KEPT
 from lacewingcourse.core.pipelines.peers import PeerBook
-from lacewingcourse.core.pipelines.repeats import RepeatBudget
+from lacewingcourse.core.pipelines.retry_budget import RetryBudget
 from lacewingcourse.relay import housekeeping
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.connections import ConnectionPool
@@ -20,7 +20,7 @@
     """Return a function that makes the housekeeping of an entry."""
 
     def make(on_thaw=lambda slept: None):
-        budget = RepeatBudget(0.2, 10.0, 200.0)
+        budget = RetryBudget(0.2, 10.0, 200.0)
         book = PeerBook("a")
         pool = ConnectionPool()
         return Housekeeping(Beliefs(), pool, book, budget, lambda: 0.0, on_thaw)
--- a/packages/relay/tests/relay/test_job.py
+++ b/packages/relay/tests/relay/test_job.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lacewingcourse.core.pipelines.routing import Organisation, Repeat
+from lacewingcourse.core.pipelines.routing import Organisation, RetrySafety
 from lacewingcourse.relay.job import MOST_REJECTIONS, Job
 from lacewingcourse.relay.upstream import SendOutcome
 
@@ -17,8 +17,8 @@
 def make_job():
     """Return a function that makes a request of a route with two attempts."""
 
-    def make(repeat=Repeat.RESUMABLE_STREAM):
-        route = route_of("rooms", repeat)
+    def make(retry_safety=RetrySafety.RESUMABLE_STREAM):
+        route = route_of("rooms", retry_safety)
         request = SimpleNamespace(received_at=10.0)
         caller = SimpleNamespace(gone=False, begun=True)
         return Job(request, route, "rooms", Organisation(""), caller, False, 30.0)
@@ -61,7 +61,7 @@
 
 
 def test_what_may_run_once_is_not_sent_again_after_it_may_have_run(make_job):
-    job = make_job(Repeat.ONCE)
+    job = make_job(RetrySafety.ONCE)
     send(job, "a", SendOutcome.REJECTED)
     assert job.may_send_again
     send(job, "a", SendOutcome.MAY_HAVE_RUN)
--- a/packages/relay/tests/relay/test_last_requests.py
+++ b/packages/relay/tests/relay/test_last_requests.py
@@ -22,7 +22,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
-from lacewingcourse.core.pipelines.routing import Organisation, Repeat
+from lacewingcourse.core.pipelines.routing import Organisation, RetrySafety
 from lacewingcourse.core.pipelines.shutdown import LAST_REQUESTS
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.gateway import Gateway
@@ -119,7 +119,7 @@
         clock = asyncio.get_running_loop().time
         beliefs = Beliefs()
         figures = attrs.evolve(shape, event_tokens=EVENT_TOKENS)
-        route = route_of("rooms", Repeat.RESUMABLE_STREAM)
+        route = route_of("rooms", RetrySafety.RESUMABLE_STREAM)
         beliefs.table = SimpleNamespace(
             services={"rooms": SimpleNamespace(shape=figures)},
             route=lambda host, path: route,
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -2,11 +2,11 @@
 
 Callers saw answers closed in the middle, many at once, while the fleet was overloaded.
 An endpoint on the path of running streams was taken for dead. The entry closed each
-run first and asked only then whether a repeat was allowed and whether another path had
+run first and asked only then whether a retry was allowed and whether another path had
 room; where not, it broke the answer off, although the run was still open and its
 engine might have gone on. In the record of such an answer the run and the answer ended
 within 4 ms and no second send was made: no wait fits between them, so the budget of
-repeats, the one question without a wait, had said no.
+retries, the one question without a wait, had said no.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 import pytest
 
 from lacewingcourse.core.errors import ErrorKind, Outcome
-from lacewingcourse.core.pipelines.routing import Repeat
+from lacewingcourse.core.pipelines.routing import RetrySafety
 
 from .stream_play import (
     EVENTS,
@@ -89,7 +89,7 @@
     assert played.firsts == ["a", "c"]
 
 
-def test_an_answer_whose_engine_ended_it_waits_for_a_repeat(stream):
+def test_an_answer_whose_engine_ended_it_waits_for_a_retry(stream):
     """It was given up at once, while its caller would have read on for two seconds."""
     played = stream(Engine(pause_after=5, breaks=True), slack=NONE)
     ended = play(played.serve((1.0, played.allow(PLENTY))))
@@ -99,7 +99,7 @@
 
 
 def test_a_run_that_goes_on_after_all_is_watched_again(stream):
-    """Taken for dead a second time, it moves, now that a repeat is left."""
+    """Taken for dead a second time, it moves, now that a retry is left."""
     played = stream(Engine(pause_after=5, pause=0.4, stops_after=8), slack=NONE)
     dies_again = 1.1
     ended = play(
@@ -130,15 +130,19 @@
     """Its caller was told that it may have run, and not when to come back."""
     played = stream(Engine(status=503), slack=NONE)
     ended = play(played.serve())
-    assert ended.kind is ErrorKind.REPEATS_EXHAUSTED
+    assert ended.kind is ErrorKind.RETRIES_EXHAUSTED
     assert ended.outcome is Outcome.NOT_RUN
     assert ended.retry_after is not None
 
 
-@pytest.mark.parametrize("repeat", [Repeat.RESUMABLE_STREAM, Repeat.STREAM])
-def test_a_dropped_connection_takes_no_attempt_and_no_repeat(stream, repeat):
+@pytest.mark.parametrize(
+    "retry_safety", [RetrySafety.RESUMABLE_STREAM, RetrySafety.STREAM]
+)
+def test_a_dropped_connection_takes_no_attempt_and_no_retry(stream, retry_safety):
     """Streams were given up, within milliseconds, though their engines lived."""
-    played = stream(Engine(drops=True), slack=NONE, attempts=1, repeat=repeat)
+    played = stream(
+        Engine(drops=True), slack=NONE, attempts=1, retry_safety=retry_safety
+    )
     assert play(played.serve()) is None
     assert played.caller.body == whole_answer()
     assert played.beliefs.crashes.losses(played.ended_at) == {}
--- a/packages/relay/tests/relay/test_readiness.py
+++ b/packages/relay/tests/relay/test_readiness.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from lacewingcourse.core.pipelines.routing import Limits, Repeat, RoutingTable
+from lacewingcourse.core.pipelines.routing import Limits, RetrySafety, RoutingTable
 from lacewingcourse.core.pipelines.shutdown import (
     UNKNOWN_SHARE,
     take_bounded,
@@ -21,8 +21,8 @@
 
 #: Seconds in which a process must have ended.
 GRACE = 8.0
-ROOMS = route_of("rooms", Repeat.RESUMABLE_STREAM)
-CALLS = route_of("calls", Repeat.IDEMPOTENT)
+ROOMS = route_of("rooms", RetrySafety.RESUMABLE_STREAM)
+CALLS = route_of("calls", RetrySafety.IDEMPOTENT)
 #: A time until which callers wait that is never reached.
 FAR = 500.0
 
--- a/packages/relay/tests/relay/test_secured.py
+++ b/packages/relay/tests/relay/test_secured.py
@@ -24,7 +24,7 @@
 
 SHORT_PAUSE = Engine(pause_after=5, pause=0.4)
 IN_PAUSE = 0.4
-#: A budget without a share of requests that allows exactly one repeat (0.7 * 2 >= 1).
+#: A budget without a share of requests that allows exactly one retry (0.7 * 2 >= 1).
 ONE = 2.0
 
 
@@ -134,19 +134,19 @@
     assert played.caller.body == whole_answer()
 
 
-def test_a_send_that_never_left_takes_no_repeat(shape):
+def test_a_send_that_never_left_takes_no_retry(shape):
     played = Unreachable(
         shape, {"a": Engine(pause_after=5, breaks=True)}, slack=PLENTY, gone=("c",)
     )
     play(played.serve())
-    assert len(played.budget.repeats.get("rooms", ())) == 0
+    assert len(played.budget.retries.get("rooms", ())) == 0
 
 
 def test_waiting_for_a_descriptor_takes_no_repeats(shape):
     engine = Engine(pause_after=5, breaks=True)
     played = StreamPlay(shape, {"a": engine}, lacks_descriptors=(0.1, 1.0))
     play(played.serve())
-    assert len(played.budget.repeats["rooms"]) == 1
+    assert len(played.budget.retries["rooms"]) == 1
 
 
 def test_waiting_for_a_descriptor_ends_with_the_time_of_the_route(shape):
@@ -225,7 +225,7 @@
 def test_a_run_whose_events_flow_is_not_closed_for_a_part_that_is_said_to_be_dead(
     shape,
 ):
-    """Its events refute it; each such move took an attempt and a repeat."""
+    """Its events refute it; each such move took an attempt and a retry."""
     played = StreamPlay(shape, {"a": Engine()})
     play(played.serve((IN_PAUSE, played.dies("b"))))
     assert played.firsts == ["a"]
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -13,8 +13,8 @@
 from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.load import Load
 from lacewingcourse.core.pipelines.path import Part, Path
-from lacewingcourse.core.pipelines.repeats import RepeatBudget
-from lacewingcourse.core.pipelines.routing import Repeat
+from lacewingcourse.core.pipelines.retry_budget import RetryBudget
+from lacewingcourse.core.pipelines.routing import RetrySafety
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.ports import AnswerHead, Standing
@@ -82,7 +82,7 @@
             beliefs,
             SimpleNamespace(find=lambda job, shape, demand: PATH),
             Sender(status),
-            RepeatBudget(0.2, 10.0, 20),
+            RetryBudget(0.2, 10.0, 20),
             Random(1),
             Once(),
             told,
@@ -147,7 +147,7 @@
         service="rooms",
         caller=SimpleNamespace(gone=False, begun=False),
         route=SimpleNamespace(
-            name="rooms", most_attempts=2, repeat=Repeat.RESUMABLE_STREAM
+            name="rooms", most_attempts=2, retry_safety=RetrySafety.RESUMABLE_STREAM
         ),
         waited=0.0,
         sends=0,
--- a/packages/relay/tests/relay/test_versions.py
+++ b/packages/relay/tests/relay/test_versions.py
@@ -145,7 +145,7 @@
 
     The endpoint has answered, but its answer is read some turns of the loop after the
     time for it is over. The streams through it are sent elsewhere, each at the price
-    of a repeat, and where none is left the answer is broken off. Decoding a version
+    of a retry, and where none is left the answer is broken off. Decoding a version
     of a thousand routes, or searching paths once, takes as long as is needed for it.
     """
     held_up = HeldUp(stands)
