Ask a store that gives no answer less and less

Cause: a fixed period of 0.25 s after a failure, whatever came before.

Two ways, behind the setting LACEWINGCOURSE_STORE_RETRY: fixed (as it stood) and backoff, twice as long after each failure, one second at the most, a quarter of it drawn. One second is the bound that the promise sets: entries are back two seconds after the store, and news of what one has read take up to 0.6 s.

--- a/packages/core/src/lacewingcourse/core/pipelines/freshness.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/freshness.py
@@ -2,10 +2,47 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
+from lacewingcourse.core.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 #: Age in seconds that is told of knowledge that there never was.
 NEVER = 1e6
+#: Seconds after which a source that gave no answer is asked again, at first and at the
+#: most. The longest leaves time to pass on what one entry reads within two seconds.
+MIN_RETRY_DELAY = 0.25
+MAX_RETRY_DELAY = 1.0
+#: Share of a delay that is drawn, so that entries do not ask together.
+JITTER_SHARE = 0.25
+
+
+#: When a source that gave no answer is asked again: returns the seconds until then,
+#: from the failures before and a number from 0 to 1 that is drawn.
+RETRY_DELAYS: Registry[Callable[[int, float], float]] = Registry(
+    "delay before a source is asked again"
+)
+
+
+@RETRY_DELAYS.register("fixed")
+def fixed_delay(failures: int, draw: float) -> float:
+    """Wait the same time after each failure."""
+    return MIN_RETRY_DELAY
+
+
+@RETRY_DELAYS.register("backoff")
+def backoff_delay(failures: int, draw: float) -> float:
+    """Wait twice as long after each failure, up to a limit.
+
+    While the source is away for seconds every entry asks it; the first that has an
+    answer tells the others.
+    """
+    delay = min(MAX_RETRY_DELAY, MIN_RETRY_DELAY * 2**failures)
+    return delay * (1 - JITTER_SHARE * draw)
 
 
 @attrs.define
@@ -20,13 +57,17 @@
         patience: Age in seconds at which the entries after the first read themselves.
         step: Seconds that each further entry waits longer.
         confirmed_at: When what is known here was last known to be the newest.
-        next_try: Time before which no further read is made, after a failure.
+        next_try: Time before which no further read is made.
+        retry_delay: Returns the seconds after which a failed read is made again.
+        failures: Failed reads in succession.
     """
 
     patience: float
     step: float
     confirmed_at: float = float("-inf")
     next_try: float = float("-inf")
+    retry_delay: Callable[[int, float], float] = backoff_delay
+    failures: int = 0
 
     def confirm(self, at: float) -> None:
         """Note that what is known was the newest at some time."""
@@ -36,10 +77,28 @@
         """Forget when what is known was last confirmed, so that it is read again."""
         self.confirmed_at = float("-inf")
         self.next_try = float("-inf")
+        self.failures = 0
+
+    def failed(self, now: float, draw: float) -> None:
+        """Note a failed read.
+
+        Args:
+            now: Present time in seconds.
+            draw: A number from 0 to 1 that spreads the entries.
+        """
+        self.next_try = now + self.retry_delay(self.failures, draw)
+        self.failures += 1
+
+    def succeeded(self, now: float, interval: float = 0.0) -> None:
+        """Note a read.
 
-    def failed(self, retry_at: float) -> None:
-        """Note a failed read."""
-        self.next_try = retry_at
+        Args:
+            now: Present time in seconds.
+            interval: Seconds until the next one.
+        """
+        self.failures = 0
+        self.confirm(now)
+        self.next_try = now + interval
 
     def due(self, rank: int, now: float) -> bool:
         """Tell whether this entry reads now."""
--- a/packages/core/tests/pipelines/test_peers.py
+++ b/packages/core/tests/pipelines/test_peers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lacewingcourse.core.pipelines.freshness import Freshness
+from lacewingcourse.core.pipelines.freshness import MIN_RETRY_DELAY, Freshness
 from lacewingcourse.core.pipelines.peers import (
     BACK_AFTER,
     PEER_FORGOTTEN,
@@ -63,9 +63,9 @@
 
 def test_a_failed_read_is_not_repeated_at_once():
     freshness = Freshness(patience=1.0, step=0.1)
-    freshness.failed(retry_at=5.0)
-    assert not freshness.due(0, now=4.9)
-    assert freshness.due(0, now=5.0)
+    freshness.failed(now=5.0, draw=0.0)
+    assert not freshness.due(0, now=5.0 + MIN_RETRY_DELAY - 0.01)
+    assert freshness.due(0, now=5.0 + MIN_RETRY_DELAY)
 
 
 def test_confirmation_never_goes_back():
@@ -78,7 +78,8 @@
 def test_knowledge_from_before_a_freeze_is_read_again():
     freshness = Freshness(patience=1.0, step=0.1)
     freshness.confirm(10.0)
-    freshness.failed(retry_at=11.0)
+    for _ in range(4):
+        freshness.failed(now=10.0, draw=0.0)
     freshness.expire()
     assert freshness.due(3, now=10.1)
 
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -11,6 +11,7 @@
 import attrs
 from tornado.httpserver import HTTPServer
 
+from lacewingcourse.core.pipelines.freshness import RETRY_DELAYS
 from lacewingcourse.core.pipelines.peers import PeerBook
 from lacewingcourse.core.pipelines.retry_budget import RETRY_SHARINGS, RetryBudget
 from lacewingcourse.core.pipelines.shutdown import LAST_REQUESTS
@@ -196,6 +197,7 @@
             self.clock,
             self._rank,
             self._on_configuration,
+            draw=rng.random,
         )
         self.directory = DirectoryFollower(
             self.platform.directory,
@@ -207,7 +209,11 @@
             self.stalls.restarted,
             self.metrics.unreadable_entries.inc,
             watch=self.watch,
+            draw=rng.random,
         )
+        for follower in (self.configuration, self.directory):
+            delay = RETRY_DELAYS.get(self.settings.store_retry)
+            follower.freshness.retry_delay = delay
         self.holder = DutyHolder(
             self.settings.name,
             self.platform.leases,
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -34,8 +34,6 @@
 #: Seconds between two reads of the directory. An endpoint that leaves must get no
 #: new work two seconds after its entry says so; half of that is left for the way.
 DIRECTORY_PERIOD = 0.5
-#: Seconds after which a source that gave no answer is asked again.
-RETRY_PERIOD = 0.25
 #: Seconds between two looks at whether this entry has to read.
 LOOK_PERIOD = 0.05
 #: Age in seconds at which entries after the first read the configuration themselves,
@@ -68,6 +66,7 @@
         freshness: How old the knowledge is.
         reachable: Whether the source answered last.
         listed: Whether the source was asked for the newest version before.
+        draw: Returns a number from 0 to 1 that spreads the entries.
     """
 
     source: ConfigurationSource
@@ -81,6 +80,7 @@
     )
     reachable: bool = True
     listed: bool = False
+    draw: Callable[[], float] = lambda: 0.0
 
     async def run(self) -> None:
         """Follow the source for ever."""
@@ -95,7 +95,7 @@
         found = await (self.source.next() if self.listed else self.source.newest())
         now = self.clock()
         if isinstance(found, Unavailable):
-            self.freshness.failed(now + RETRY_PERIOD)
+            self.freshness.failed(now, self.draw())
             self._lost(found)
             return
         if isinstance(found, Undecodable):
@@ -103,7 +103,7 @@
             found = None
         self._regained()
         self.listed = True
-        self.freshness.confirm(now)
+        self.freshness.succeeded(now)
         if found is not None:
             self.take(found, "store")
 
@@ -147,6 +147,7 @@
         reachable: Whether the directory answered last.
         told: Unreadable entries that were logged, oldest first.
         watch: Notes what holds up the loop.
+        draw: Returns a number from 0 to 1 that spreads the entries.
     """
 
     directory: EndpointDirectory
@@ -164,6 +165,7 @@
     reachable: bool = True
     told: dict[UnreadableEntry, None] = attrs.field(factory=dict)
     watch: LoopWatch = attrs.field(factory=LoopWatch)
+    draw: Callable[[], float] = lambda: 0.0
 
     async def run(self) -> None:
         """Follow the directory for ever."""
@@ -183,7 +185,7 @@
             if self.reachable:
                 self.reachable = False
                 self.log.belief("directory_lost", reason=news.reason)
-            self.freshness.failed(now + RETRY_PERIOD)
+            self.freshness.failed(now, self.draw())
             return
         if not self.reachable:
             self.reachable = True
@@ -191,8 +193,7 @@
         fleet.confirm(now)
         revision = fleet.revision
         self.apply(news, now)
-        self.freshness.confirm(now)
-        self.freshness.failed(now + DIRECTORY_PERIOD)
+        self.freshness.succeeded(now, DIRECTORY_PERIOD)
         if fleet.revision != revision:
             self.on_change()
 
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -41,6 +41,8 @@
         wait: Name of how long a request waits for room, see `waiting.WAITS`.
         retry_sharing: Name of how entries share retries, see
             `retry_budget.RETRY_SHARINGS`.
+        store_retry: Name of when a source that gave no answer is asked again, see
+            `freshness.RETRY_DELAYS`.
         last_requests: Name of what is taken while the entry ends, see
             `shutdown.LAST_REQUESTS`.
     """
@@ -56,4 +58,5 @@
     bounds: Bounds
     wait: str = "in_time"
     retry_sharing: str = "lent"
+    store_retry: str = "backoff"
     last_requests: str = "redirected"
