Call the requests that wait for room what they are: an admission queue

Names only: WaitingRoom is AdmissionQueue, Waiting is QueuedRequest, may_pass is has_precedence, enter and leave are push and discard, come_back_after is retry_after, the module waiting is admission_queue.

--- a/packages/bench/src/lacewingcourse/bench/pipeline_play.py
+++ b/packages/bench/src/lacewingcourse/bench/pipeline_play.py
@@ -16,13 +16,13 @@
 import attrs
 
 from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.pipelines.admission_queue import WAITS, retry_after
 from lacewingcourse.core.pipelines.capacity import InTurn, fleet_bound
 from lacewingcourse.core.pipelines.choice import Demand, PathChooser
 from lacewingcourse.core.pipelines.layout import plan_layout
 from lacewingcourse.core.pipelines.load import LoadBook
 from lacewingcourse.core.pipelines.path import LOCAL_HOP_MS, Path, candidate_paths
 from lacewingcourse.core.pipelines.pipes import PipeBook
-from lacewingcourse.core.pipelines.waiting import WAITS, come_back_after
 from lacewingcourse.core.registry import Registry
 
 if TYPE_CHECKING:
@@ -288,7 +288,7 @@
             stream.refused = True
             return
         seconds = self.shape.usual_answer * self.full_token_ms / 1000
-        stream.returns_at = now + come_back_after(seconds, self.rng.random())
+        stream.returns_at = now + retry_after(seconds, self.rng.random())
         self.returning.append(stream)
 
     def _return(self, now: float) -> None:
--- a/packages/core/src/lacewingcourse/core/pipelines/waiting.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/admission_queue.py
@@ -23,7 +23,7 @@
 #: over; spread, those refused together do not return together. At one and a half times
 #: what a fleet serves, callers who were asked back after 2 to 5 s got 0.71 of their
 #: answers in time, after 1 to 2.5 s 0.66 (played, 29 entries).
-RETURN_ANSWERS = (1.0, 2.5)
+RETRY_AFTER_ANSWERS = (1.0, 2.5)
 #: Silence after which a caller leaves: the longest of some seconds, some objectives of
 #: its route, and some times the pause that it allows between two events.
 LEAST_PATIENCE = 2.0
@@ -71,19 +71,19 @@
     return patience + PATIENCE_MARGIN
 
 
-def come_back_after(answer: float | None, draw: float) -> float:
+def retry_after(answer: float | None, draw: float) -> float:
     """Return the seconds after which a refused caller is asked to come back.
 
     Args:
         answer: Seconds that an answer of the route lasts, None if that is unknown.
         draw: A number from 0 to 1 that spreads the callers.
     """
-    least, most = RETURN_ANSWERS
+    least, most = RETRY_AFTER_ANSWERS
     return (least + draw * (most - least)) * (answer or USUAL_ANSWER)
 
 
 @attrs.define(eq=False)
-class Waiting:
+class QueuedRequest:
     """A request that waits.
 
     Attributes:
@@ -100,7 +100,7 @@
 
 
 @attrs.define
-class WaitingRoom:
+class AdmissionQueue:
     """The requests that wait at this entry.
 
     The more urgent go before the others. A large one that does not fit yet is not
@@ -110,19 +110,19 @@
         members: The requests.
     """
 
-    members: list[Waiting] = attrs.field(factory=list)
+    members: list[QueuedRequest] = attrs.field(factory=list)
 
-    def enter(self, waiting: Waiting) -> None:
+    def push(self, request: QueuedRequest) -> None:
         """Take a request."""
-        self.members.append(waiting)
-        self.members.sort(key=lambda w: (w.urgency, w.since))
+        self.members.append(request)
+        self.members.sort(key=lambda queued: (queued.urgency, queued.since))
 
-    def leave(self, waiting: Waiting) -> None:
+    def discard(self, request: QueuedRequest) -> None:
         """Let a request go."""
-        if waiting in self.members:
-            self.members.remove(waiting)
+        if request in self.members:
+            self.members.remove(request)
 
-    def may_pass(self, urgency: int, now: float) -> bool:
+    def has_precedence(self, urgency: int, now: float) -> bool:
         """Tell whether a newcomer may take room before those that wait."""
         for member in self.members:
             half = member.since + (member.until - member.since) / 2
--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -8,9 +8,9 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.pipelines.waiting import (
-    Waiting,
-    WaitingRoom,
+from lacewingcourse.core.pipelines.admission_queue import (
+    AdmissionQueue,
+    QueuedRequest,
     continued_wait,
     wait_in_time,
 )
@@ -38,12 +38,12 @@
     Attributes:
         clock: Returns the present time in seconds.
         wait: Returns until when a request waits, from when it came and its objective.
-        room: The requests that wait.
+        queue: The requests that wait.
     """
 
     clock: Callable[[], float]
     wait: Callable[[float, float], float] = wait_in_time
-    room: WaitingRoom = attrs.field(factory=WaitingRoom)
+    queue: AdmissionQueue = attrs.field(factory=AdmissionQueue)
 
     async def path_for(
         self, job: Job, demand: Demand, choose: Callable[[], Path | Refusal]
@@ -59,32 +59,32 @@
         found = self._now(job, choose, now)
         if not _worth_waiting(found):
             return found
-        waiting = self._waiting(job, demand, now)
-        self.room.enter(waiting)
+        queued = self._queued(job, demand, now)
+        self.queue.push(queued)
         try:
             while _worth_waiting(found) and not job.caller.gone:
                 now = self.clock()
-                if now >= waiting.until:
+                if now >= queued.until:
                     break
-                await asyncio.sleep(min(RETRY_PERIOD, waiting.until - now))
+                await asyncio.sleep(min(RETRY_PERIOD, queued.until - now))
                 found = choose()
             return found
         finally:
-            self.room.leave(waiting)
+            self.queue.discard(queued)
 
-    def _waiting(self, job: Job, demand: Demand, now: float) -> Waiting:
+    def _queued(self, job: Job, demand: Demand, now: float) -> QueuedRequest:
         """Return how long a request waits."""
         if job.caller.begun:
             patience = continued_wait(job.route.objective, job.route.gap)
             until = job.progressed_at + patience
         else:
             until = self.wait(job.request.received_at, job.route.objective)
-        return Waiting(job.urgency, demand.tokens, now, min(until, job.until))
+        return QueuedRequest(job.urgency, demand.tokens, now, min(until, job.until))
 
     def _now(
         self, job: Job, choose: Callable[[], Path | Refusal], now: float
     ) -> Path | Refusal:
-        if not self.room.may_pass(job.urgency, now) and not job.caller.begun:
+        if not self.queue.has_precedence(job.urgency, now) and not job.caller.begun:
             return Refusal(ErrorKind.OVERLOADED, "others wait for room")
         return choose()
 
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -11,11 +11,11 @@
 import attrs
 from tornado.httpserver import HTTPServer
 
+from lacewingcourse.core.pipelines.admission_queue import WAITS
 from lacewingcourse.core.pipelines.freshness import RETRY_DELAYS
 from lacewingcourse.core.pipelines.peers import PeerBook
 from lacewingcourse.core.pipelines.retry_budget import RETRY_SHARINGS, RetryBudget
 from lacewingcourse.core.pipelines.shutdown import LAST_REQUESTS
-from lacewingcourse.core.pipelines.waiting import WAITS
 from lacewingcourse.relay.address import split_address
 from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.beliefs import Beliefs
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -8,8 +8,8 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.admission_queue import wait_in_time
 from lacewingcourse.core.pipelines.choice import choose_endpoint
-from lacewingcourse.core.pipelines.waiting import wait_in_time
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.connections import (
     NotSent,
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -38,7 +38,7 @@
         metrics: IP address and port of the metrics, empty for none.
         seeds: Addresses of other entries that may be asked first.
         bounds: Limits that are promised.
-        wait: Name of how long a request waits for room, see `waiting.WAITS`.
+        wait: Name of how long a request waits for room, see `admission_queue.WAITS`.
         retry_sharing: Name of how entries share retries, see
             `retry_budget.RETRY_SHARINGS`.
         store_retry: Name of when a source that gave no answer is asked again, see
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -8,9 +8,9 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
+from lacewingcourse.core.pipelines.admission_queue import retry_after
 from lacewingcourse.core.pipelines.events import EventCutter
 from lacewingcourse.core.pipelines.suspects import is_full
-from lacewingcourse.core.pipelines.waiting import come_back_after
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.connections import (
     NotSent,
@@ -313,4 +313,4 @@
             return Refusal(kind, cause, Outcome.PARTIAL)
         job.reason = job.reason or cause
         answer = self.beliefs.durations.expected(job.route.name)
-        return job.failure(kind, come_back_after(answer, self.rng.random()))
+        return job.failure(kind, retry_after(answer, self.rng.random()))
--- a/packages/relay/tests/relay/test_admission.py
+++ b/packages/relay/tests/relay/test_admission.py
@@ -8,8 +8,8 @@
 import pytest
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.admission_queue import IN_TIME_SHARE, continued_wait
 from lacewingcourse.core.pipelines.choice import Demand
-from lacewingcourse.core.pipelines.waiting import IN_TIME_SHARE, continued_wait
 from lacewingcourse.relay.admission import Admission
 
 FULL = Refusal(ErrorKind.OVERLOADED, "no room")
@@ -83,4 +83,4 @@
     job = make_job(begun=False)
     path = asyncio.run(admission.path_for(job, DEMAND, lambda: next(found)))
     assert path == "path"
-    assert admission.room.members == []
+    assert admission.queue.members == []
