Call links between zones and the speed of endpoints by their usual names

Names only: PipeBook, pipes.py are LinkUsage, links.py; PaceBook, paces.py are SpeedEstimator, speed.py; MOST_USE is MAX_LINK_UTILISATION.

--- a/packages/bench/src/lacewingcourse/bench/pipeline_play.py
+++ b/packages/bench/src/lacewingcourse/bench/pipeline_play.py
@@ -20,9 +20,9 @@
 from lacewingcourse.core.pipelines.capacity import InTurn, fleet_bound
 from lacewingcourse.core.pipelines.choice import Demand, PathChooser
 from lacewingcourse.core.pipelines.layout import plan_layout
+from lacewingcourse.core.pipelines.links import LinkUsage
 from lacewingcourse.core.pipelines.load import LoadBook
 from lacewingcourse.core.pipelines.path import LOCAL_HOP_MS, Path, candidate_paths
-from lacewingcourse.core.pipelines.pipes import PipeBook
 from lacewingcourse.core.registry import Registry
 
 if TYPE_CHECKING:
@@ -188,7 +188,7 @@
         self.last = seconds + PATIENCE
         self.rng = random.Random(seed)
         self.loads = LoadBook()
-        self.pipes = PipeBook()
+        self.links = LinkUsage()
         self.streams: list[Stream] = []
         self.running: list[Stream] = []
         self.returning: list[Stream] = []
@@ -256,7 +256,7 @@
 
     def _admit(self, now: float) -> None:
         """Give paths to those that wait; refuse those that waited for too long."""
-        chooser = PathChooser(self.shape, self.endpoints, self.loads, self.pipes)
+        chooser = PathChooser(self.shape, self.endpoints, self.loads, self.links)
         still: list[Stream] = []
         failures: Counter[int] = Counter()
         for stream in self._by_entry():
@@ -312,8 +312,8 @@
             self.reading_until[part.endpoint] = ready
         for pair in path.crossings:
             seconds = self.shape.transfer_seconds(tokens)
-            ready += seconds / max(0.05, 1.0 - self.pipes.use(pair, now))
-            self.pipes.add(pair, seconds, now)
+            ready += seconds / max(0.05, 1.0 - self.links.use(pair, now))
+            self.links.add(pair, seconds, now)
         stream.ready_at = ready
         self.loads.begin(path, stream.demand.tokens)
         self.running.append(stream)
--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -7,20 +7,20 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.links import MAX_LINK_UTILISATION
 from lacewingcourse.core.pipelines.load import NO_LOAD
-from lacewingcourse.core.pipelines.paces import PaceBook
 from lacewingcourse.core.pipelines.path_figures import figures_of
-from lacewingcourse.core.pipelines.pipes import MOST_USE
+from lacewingcourse.core.pipelines.speed import SpeedEstimator
 
 if TYPE_CHECKING:
     from collections.abc import Collection
     from random import Random
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
+    from lacewingcourse.core.pipelines.links import LinkUsage
     from lacewingcourse.core.pipelines.load import LoadBook
     from lacewingcourse.core.pipelines.path import Part, Path
     from lacewingcourse.core.pipelines.path_figures import PathFigures
-    from lacewingcourse.core.pipelines.pipes import PipeBook
     from lacewingcourse.core.pipelines.shape import EngineShape
 
 #: Share of an endpoint's memory for requests that is given away. Answers are longer
@@ -29,7 +29,7 @@
 ROOM_SHARE = 0.9
 #: The same for a stream whose caller already reads it: cut, it is worth nothing.
 CONTINUED_ROOM_SHARE = 1.0
-#: How many times as dear a path is for each pipe between zones that it takes.
+#: How many times as dear a path is for each link between zones that it takes.
 CROSSING_FACTOR = 1.4
 #: How many times as dear a path looks to whose first endpoint there is no connection. A
 #: new one takes a round trip of some milliseconds and a place among those that an
@@ -89,8 +89,8 @@
         shape: Published figures of the engines.
         endpoints: Endpoints by id; one whose layers change needs another chooser.
         loads: What runs where.
-        pipes: How busy the pipes between zones are.
-        paces: Endpoints that run slower than published.
+        links: How busy the links between zones are.
+        speeds: Endpoints that run slower than published.
         looked_at: Paths that are compared for a request, if any of them fits.
         figures: Figures of the paths that were asked for, by identity.
     """
@@ -98,8 +98,8 @@
     shape: EngineShape
     endpoints: dict[str, Endpoint]
     loads: LoadBook
-    pipes: PipeBook
-    paces: PaceBook = attrs.field(factory=PaceBook)
+    links: LinkUsage
+    speeds: SpeedEstimator = attrs.field(factory=SpeedEstimator)
     looked_at: int = LOOKED_AT
     figures: dict[int, PathFigures] = attrs.field(factory=dict, repr=False)
 
@@ -178,17 +178,17 @@
     def fits(
         self, path: Path, demand: Demand, now: float, share: float = ROOM_SHARE
     ) -> bool:
-        """Tell whether parts have memory, the first one a slot, and pipes time."""
+        """Tell whether parts have memory, the first one a slot, and links time."""
         return self.cost(path, demand, now, share) is not None
 
     def cost(
         self, path: Path, demand: Demand, now: float, share: float = ROOM_SHARE
     ) -> float | None:
-        """Return the predicted time, raised as memory and pipes fill.
+        """Return the predicted time, raised as memory and links fill.
 
-        None if a part, a pipe or the first part's slots are full. A part that runs out
+        None if a part, a link or the first part's slots are full. A part that runs out
         of memory stops its newest request, so a slower path with room is better than a
-        faster one that is nearly full. Prompts wait for one another on a pipe between
+        faster one that is nearly full. Prompts wait for one another on a link between
         zones, so a path over it is taken when those within a zone are a good deal
         fuller.
         """
@@ -211,7 +211,7 @@
         None if a part has no memory for the request. This is the inner loop of every
         choice, so it walks the parts once.
         """
-        sums, slow = self.loads.sums, self.paces.members
+        sums, slow = self.loads.sums, self.speeds.members
         tokens, prompt, answer = demand.tokens, demand.prompt, demand.answer
         total, fullest = path.token_ms, 0.0
         for part in self._figures(path).parts:
@@ -224,19 +224,21 @@
             step = part.step_ms + load.requests * part.request_ms
             time = step * answer + part.read_ms * prompt
             if part.endpoint in slow:
-                time *= self.paces.of(part.endpoint, now)
+                time *= self.speeds.of(part.endpoint, now)
             total += time
         return total, fullest
 
     def _crossing_cost(self, path: Path, demand: Demand, now: float) -> float:
-        """Return how many times as dear pipes make a path, infinite if one is full."""
+        """Return how many times as dear links make a path, infinite if one is full."""
         transfer = self.shape.transfer_seconds(demand.prompt)
         factor = 1.0
         for pair in path.crossings:
-            use = self.pipes.use(pair, now)
-            if use + transfer > MOST_USE:
+            use = self.links.use(pair, now)
+            if use + transfer > MAX_LINK_UTILISATION:
                 return float("inf")
-            factor *= CROSSING_FACTOR / max(1.0 - use / MOST_USE, LEAST_LEFT)
+            factor *= CROSSING_FACTOR / max(
+                1.0 - use / MAX_LINK_UTILISATION, LEAST_LEFT
+            )
         return factor
 
     def predicted_ms(self, path: Path, demand: Demand, now: float) -> float:
--- a/packages/core/src/lacewingcourse/core/pipelines/layout.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/layout.py
@@ -51,7 +51,7 @@
     """Return the layers that empty endpoints shall take.
 
     Copies stay within an availability zone where its memory allows it: a prompt's
-    activations fill the pipes between zones long before its parts are busy. What is
+    activations fill the links between zones long before its parts are busy. What is
     held already is kept.
 
     Args:
--- a/packages/core/src/lacewingcourse/core/pipelines/pipes.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/links.py
@@ -1,4 +1,4 @@
-"""How busy the pipes between availability zones are with prompts."""
+"""How busy the links between availability zones are with prompts."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Seconds over which the use of a pipe is counted.
+#: Seconds over which the use of a link is counted.
 WINDOW = 1.0
-#: Share of a pipe's time that prompts may take. Transfers wait for one another, and
-#: every token of every path over the pipe waits with them; above one half the waits
+#: Share of a link's time that prompts may take. Transfers wait for one another, and
+#: every token of every path over the link waits with them; above one half the waits
 #: grow past the pauses that callers accept.
-MOST_USE = 0.45
+MAX_LINK_UTILISATION = 0.45
 
 #: Two zones in order of their names.
 ZonePair = tuple[str, str]
@@ -27,23 +27,23 @@
 
 
 @attrs.define
-class PipeBook:
-    """The use of pipes by this entry's requests, and by those of its peers.
+class LinkUsage:
+    """The use of links by this entry's requests, and by those of its peers.
 
     Attributes:
         own: Times and seconds of this entry's transfers, by pair.
-        peers: Shares of the pipes' time that each peer told, by pair.
+        peers: Shares of the links' time that each peer told, by pair.
     """
 
     own: dict[ZonePair, deque[tuple[float, float]]] = attrs.field(factory=dict)
     peers: dict[str, dict[ZonePair, float]] = attrs.field(factory=dict)
 
     def add(self, pair: ZonePair, seconds: float, now: float) -> None:
-        """Note a transfer that takes a pipe for some seconds."""
+        """Note a transfer that takes a link for some seconds."""
         self.own.setdefault(pair, deque()).append((now, seconds))
 
     def own_use(self, pair: ZonePair, now: float) -> float:
-        """Return the share of a pipe's time that this entry's requests take."""
+        """Return the share of a link's time that this entry's requests take."""
         transfers = self.own.get(pair)
         if not transfers:
             return 0.0
@@ -52,7 +52,7 @@
         return sum(seconds for _, seconds in transfers) / WINDOW
 
     def uses(self, now: float) -> dict[ZonePair, float]:
-        """Return the shares that this entry's requests take, without idle pipes."""
+        """Return the shares that this entry's requests take, without idle links."""
         found = {pair: self.own_use(pair, now) for pair in self.own}
         return {pair: use for pair, use in found.items() if use > 0}
 
@@ -81,6 +81,6 @@
         self.peers.pop(peer, None)
 
     def use(self, pair: ZonePair, now: float) -> float:
-        """Return the share of a pipe's time that is taken, over all entries."""
+        """Return the share of a link's time that is taken, over all entries."""
         told = sum(uses.get(pair, 0.0) for uses in self.peers.values())
         return told + self.own_use(pair, now)
--- a/packages/core/src/lacewingcourse/core/pipelines/path.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/path.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from lacewingcourse.core.pipelines.pipes import ZonePair, pair_of
+from lacewingcourse.core.pipelines.links import ZonePair, pair_of
 from lacewingcourse.core.pipelines.shape import Layers
 
 if TYPE_CHECKING:
@@ -20,7 +20,7 @@
 #: Milliseconds that a token takes between parts in one availability zone.
 LOCAL_HOP_MS = 0.2
 #: Milliseconds that a usual prompt's activations are taken to cost for each
-#: crossing of availability zones, spread over the tokens of an answer. Its pipe is
+#: crossing of availability zones, spread over the tokens of an answer. Its link is
 #: shared by all paths and narrow: 71 MB for 774 tokens take 32 ms at 18 Gbit/s.
 CROSSING_MS = 4.0
 #: How much dearer a part looks for each earlier candidate path that uses it. On a fleet
--- a/packages/core/tests/pipelines/test_choice.py
+++ b/packages/core/tests/pipelines/test_choice.py
@@ -16,9 +16,9 @@
     PathChooser,
     choose_endpoint,
 )
+from lacewingcourse.core.pipelines.links import LinkUsage
 from lacewingcourse.core.pipelines.load import Load, LoadBook
 from lacewingcourse.core.pipelines.path import candidate_paths
-from lacewingcourse.core.pipelines.pipes import PipeBook
 
 from .conftest import make_endpoint, make_five_zones, placed
 
@@ -27,7 +27,7 @@
 
 def chooser_of(fleet, shape):
     """Return what chooses over an idle fleet."""
-    return PathChooser(shape, {e.id: e for e in fleet}, LoadBook(), PipeBook())
+    return PathChooser(shape, {e.id: e for e in fleet}, LoadBook(), LinkUsage())
 
 
 def filled(chooser, paths, rng):
--- a/packages/core/tests/pipelines/test_paces.py
+++ b/packages/core/tests/pipelines/test_speed.py
@@ -5,59 +5,59 @@
 import random
 
 from lacewingcourse.core.pipelines.choice import Demand, PathChooser
+from lacewingcourse.core.pipelines.links import LinkUsage
 from lacewingcourse.core.pipelines.load import LoadBook
-from lacewingcourse.core.pipelines.paces import (
+from lacewingcourse.core.pipelines.path import candidate_paths
+from lacewingcourse.core.pipelines.speed import (
     ASK_AGAIN,
-    MOST_PACE,
-    PACE_KEPT,
-    USUAL_PACE,
-    PaceBook,
+    ESTIMATE_KEPT,
+    MAX_SLOWDOWN,
+    USUAL_SLOWDOWN,
+    SpeedEstimator,
 )
-from lacewingcourse.core.pipelines.path import candidate_paths
-from lacewingcourse.core.pipelines.pipes import PipeBook
 
 from .conftest import holding, make_endpoint, make_shape
 
 
 def test_an_endpoints_word_is_believed_for_a_while():
-    book = PaceBook()
+    book = SpeedEstimator()
     book.tell("a", 5.0, now=0.0)
-    assert book.of("a", PACE_KEPT - 0.1) == 5.0
-    assert book.of("a", PACE_KEPT) == 1.0
-    book.expire(PACE_KEPT)
+    assert book.of("a", ESTIMATE_KEPT - 0.1) == 5.0
+    assert book.of("a", ESTIMATE_KEPT) == 1.0
+    book.expire(ESTIMATE_KEPT)
     assert book.members == {}
 
 
 def test_an_endpoint_that_is_well_again_counts_as_published():
-    book = PaceBook()
+    book = SpeedEstimator()
     book.tell("a", 5.0, now=0.0)
-    book.tell("a", USUAL_PACE, now=0.5)
+    book.tell("a", USUAL_SLOWDOWN, now=0.5)
     assert book.of("a", 0.6) == 1.0
 
 
 def test_what_peers_tell_decays_on_its_way():
-    first, second = PaceBook(), PaceBook()
+    first, second = SpeedEstimator(), SpeedEstimator()
     first.tell("a", 5.0, now=0.0)
     for endpoint, (factor, remaining) in first.remaining(2.0).items():
         second.from_peer(endpoint, factor, remaining, now=2.0)
         second.from_peer(endpoint, 9.0, remaining - 0.5, now=2.0)
     assert second.of("a", 2.9) == 5.0
-    assert second.of("a", PACE_KEPT) == 1.0
+    assert second.of("a", ESTIMATE_KEPT) == 1.0
 
 
 def test_no_pace_beyond_reason_is_believed():
-    book = PaceBook()
+    book = SpeedEstimator()
     book.tell("a", 1e30, now=0.0)
     book.from_peer("b", 1e30, 1e30, now=0.0)
-    assert book.of("a", 0.1) == book.of("b", 0.1) == MOST_PACE
-    assert book.of("b", PACE_KEPT) == 1.0
+    assert book.of("a", 0.1) == book.of("b", 0.1) == MAX_SLOWDOWN
+    assert book.of("b", ESTIMATE_KEPT) == 1.0
 
 
 def test_a_slow_endpoint_is_asked_again_before_it_is_forgotten():
-    book = PaceBook()
+    book = SpeedEstimator()
     book.tell("a", 5.0, now=0.0)
-    assert book.expiring(PACE_KEPT - ASK_AGAIN - 0.1) == set()
-    assert book.expiring(PACE_KEPT - ASK_AGAIN + 0.1) == {"a"}
+    assert book.expiring(ESTIMATE_KEPT - ASK_AGAIN - 0.1) == set()
+    assert book.expiring(ESTIMATE_KEPT - ASK_AGAIN + 0.1) == {"a"}
 
 
 def test_requests_pass_by_an_endpoint_that_says_that_it_is_slow():
@@ -68,10 +68,10 @@
         for zone in ("east", "west")
         for index, start in enumerate((0, 40))
     ]
-    book = PaceBook()
+    book = SpeedEstimator()
     book.tell("east1", 5.0, now=0.0)
     known = {endpoint.id: endpoint for endpoint in endpoints}
-    chooser = PathChooser(shape, known, LoadBook(), PipeBook(), book)
+    chooser = PathChooser(shape, known, LoadBook(), LinkUsage(), book)
     paths = candidate_paths(endpoints, shape)
     rng = random.Random(1)
     for _ in range(10):
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -148,7 +148,7 @@
         self.stalls = StallWatcher(
             self.platform.reports,
             self.beliefs.suspects,
-            self.beliefs.paces,
+            self.beliefs.speeds,
             finder,
             self.clock,
             self.log,
--- a/packages/relay/src/lacewingcourse/relay/beliefs.py
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -10,11 +10,11 @@
 from lacewingcourse.core.pipelines.crashes import CrashBook
 from lacewingcourse.core.pipelines.durations import Durations
 from lacewingcourse.core.pipelines.fleet import Fleet
+from lacewingcourse.core.pipelines.links import LinkUsage
 from lacewingcourse.core.pipelines.load import LoadBook
-from lacewingcourse.core.pipelines.paces import PaceBook
 from lacewingcourse.core.pipelines.path import Path, candidate_paths
-from lacewingcourse.core.pipelines.pipes import PipeBook
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
+from lacewingcourse.core.pipelines.speed import SpeedEstimator
 from lacewingcourse.core.pipelines.suspects import Suspects
 from lacewingcourse.relay.loop_watch import LoopWatch
 
@@ -53,9 +53,9 @@
         table: Configuration in force, None before there is one.
         fleet: Endpoints.
         loads: What runs where.
-        pipes: How busy the pipes between zones are.
+        links: How busy the links between zones are.
         suspects: Endpoints that are left out for now.
-        paces: Endpoints that run slower than published.
+        speeds: Endpoints that run slower than published.
         crashes: Requests that crash endpoints.
         candidates: Candidate paths by service, for the figures used last.
         durations: How long answers took lately.
@@ -67,9 +67,9 @@
     table: RoutingTable | None = None
     fleet: Fleet = attrs.field(factory=Fleet)
     loads: LoadBook = attrs.field(factory=LoadBook)
-    pipes: PipeBook = attrs.field(factory=PipeBook)
+    links: LinkUsage = attrs.field(factory=LinkUsage)
     suspects: Suspects = attrs.field(factory=Suspects)
-    paces: PaceBook = attrs.field(factory=PaceBook)
+    speeds: SpeedEstimator = attrs.field(factory=SpeedEstimator)
     crashes: CrashBook = attrs.field(factory=CrashBook)
     candidates: dict[str, list[CandidateSet]] = attrs.field(factory=dict)
     durations: Durations = attrs.field(factory=Durations)
@@ -141,7 +141,7 @@
             if chooser.shape == shape:
                 return chooser
         endpoints = self.fleet.endpoints
-        found = PathChooser(shape, endpoints, self.loads, self.pipes, self.paces)
+        found = PathChooser(shape, endpoints, self.loads, self.links, self.speeds)
         kept = [(revision, found), *known]
         self.choosers[shape.model] = kept[:MOST_SHAPES]
         return found
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -75,7 +75,7 @@
         reach = REACH_OF_SCOPE[scope]
         covered = self._covered(scope, receiver)
         loads = self.beliefs.loads.total(covered)
-        pipes = self.beliefs.pipes.total(now, covered)
+        links = self.beliefs.links.total(now, covered)
         table, lease = self.beliefs.table, self.holder.lease
         return PeerNews(
             name=self.name,
@@ -92,10 +92,10 @@
                 for endpoint, load in loads.items()
                 if load.requests
             },
-            pipes=[(*pair, round(use, 3)) for pair, use in pipes.items()],
+            links=[(*pair, round(use, 3)) for pair, use in links.items()],
             suspects=self.beliefs.suspects.remaining(now, reach),
             silent=sorted(self.beliefs.suspects.silent(now)),
-            paces=self.beliefs.paces.remaining(now),
+            speeds=self.beliefs.speeds.remaining(now),
             crashes=self.beliefs.crashes.losses(now, reach),
             peers={
                 peer.name: (peer.address, peer.zone, round(now - peer.heard_at, 3))
@@ -132,8 +132,8 @@
         for endpoint, remaining in news.suspects.items():
             silent = endpoint in news.silent
             self.beliefs.suspects.from_peer(endpoint, remaining, now, near, silent)
-        for endpoint, (factor, remaining) in news.paces.items():
-            self.beliefs.paces.from_peer(endpoint, factor, remaining, now)
+        for endpoint, (factor, remaining) in news.speeds.items():
+            self.beliefs.speeds.from_peer(endpoint, factor, remaining, now)
         self.beliefs.crashes.from_peer(news.crashes, now, near)
         self.holder.hear(news.holder, news.fencing, news.holder_age, news.released)
 
@@ -148,19 +148,19 @@
     def _take_loads(self, news: PeerNews, now: float) -> None:
         """Take what others run, unless it is known already in another sum."""
         role = self.book.role(now)
-        loads, pipes = self.beliefs.loads, self.beliefs.pipes
-        uses = {(first, second): use for first, second, use in news.pipes}
+        loads, links = self.beliefs.loads, self.beliefs.links
+        uses = {(first, second): use for first, second, use in news.links}
         if role is Role.MEMBER:
             if news.scope is Scope.OTHERS:
                 self._forget_but({OTHERS})
                 loads.from_peer(OTHERS, loads_of(news), now)
-                pipes.from_peer(OTHERS, uses)
+                links.from_peer(OTHERS, uses)
             return
         key = self._key_of(news, role)
         if key:
             self._forget(OTHERS)
             loads.from_peer(key, loads_of(news), now)
-            pipes.from_peer(key, uses)
+            links.from_peer(key, uses)
 
     def _key_of(self, news: PeerNews, role: Role) -> str:
         """Return under which key loads are kept, empty for those in another sum."""
@@ -177,7 +177,7 @@
 
     def _forget(self, key: str) -> None:
         self.beliefs.loads.forget(key)
-        self.beliefs.pipes.forget(key)
+        self.beliefs.links.forget(key)
 
     def _covered(self, scope: Scope, receiver: str) -> Callable[[str], bool]:
         """Return which loads of others a message tells besides this entry's own."""
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -57,9 +57,9 @@
         """Forget what is over, and count the entries that share the budget."""
         self.pool.expire(now)
         for peer in self.beliefs.loads.expire(now):
-            self.beliefs.pipes.forget(peer)
+            self.beliefs.links.forget(peer)
         self.beliefs.suspects.expire(now)
-        self.beliefs.paces.expire(now)
+        self.beliefs.speeds.expire(now)
         self.beliefs.crashes.expire(now)
         self.budget.entries = max(self.book.count(now), self.budget.entries)
 
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -35,9 +35,9 @@
         version_age: Seconds since it was known to be the newest.
         position: How far it knows the directory.
         position_age: Seconds since that was known to be all.
-        scope: Whose loads and uses of pipes are told.
+        scope: Whose loads and uses of links are told.
         loads: Requests, requests led, and tokens times layers, by endpoint.
-        pipes: Shares of the time of pipes between zones, as pairs of zones and share.
+        links: Shares of the time of links between zones, as pairs of zones and share.
         suspects: Seconds for which each endpoint is left out.
         crashes: Seconds since the loss of endpoints under requests, by fingerprint
             and endpoint.
@@ -49,7 +49,7 @@
         holder_age: Seconds since anybody heard that holder.
         released: Fencing number of the last holder that gave the duty back.
         silent: Those among the endpoints left out that do not answer at all.
-        paces: Times that the steps of endpoints take as long as published, and the
+        speeds: Times that the steps of endpoints take as long as published, and the
             seconds for which that is believed.
     """
 
@@ -63,7 +63,7 @@
     position_age: float
     scope: Scope
     loads: dict[str, tuple[int, int, float]]
-    pipes: list[tuple[str, str, float]]
+    links: list[tuple[str, str, float]]
     suspects: dict[str, float]
     crashes: dict[str, dict[str, float]]
     peers: dict[str, tuple[str, str, float]]
@@ -71,7 +71,7 @@
     holder: str
     fencing: int
     silent: list[str] = attrs.field(factory=list)
-    paces: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    speeds: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     holder_age: float = 0.0
     released: int = 0
 
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from lacewingcourse.core.pipelines.paces import PaceBook
     from lacewingcourse.core.pipelines.path import Part
+    from lacewingcourse.core.pipelines.speed import SpeedEstimator
     from lacewingcourse.core.pipelines.stalls import Watched
     from lacewingcourse.core.pipelines.suspects import Suspects
     from lacewingcourse.relay.decisions import DecisionLog
@@ -60,7 +60,7 @@
     Attributes:
         reports: What engines tell of themselves.
         suspects: Endpoints that are left out.
-        paces: Endpoints that run slower than published.
+        speeds: Endpoints that run slower than published.
         finder: Finds paths.
         clock: Returns the present time in seconds.
         log: Log of decisions.
@@ -76,7 +76,7 @@
 
     reports: EngineReports
     suspects: Suspects
-    paces: PaceBook
+    speeds: SpeedEstimator
     finder: PathFinder
     clock: Callable[[], float]
     log: DecisionLog
@@ -143,7 +143,7 @@
 
     def _ask_slow(self, now: float) -> None:
         """Ask endpoints that were slow whether they still are, while they are used."""
-        slow = self.paces.expiring(now)
+        slow = self.speeds.expiring(now)
         if slow:
             parts = {part for w in self.watch.streams for part in w.path.parts}
             self._ask_all((p for p in parts if p.endpoint in slow), now)
@@ -209,7 +209,7 @@
         elif self.on_start(part.name, found.born):
             self.restarted(part.endpoint)
         else:
-            self.paces.tell(part.endpoint, found.pace, self.clock())
+            self.speeds.tell(part.endpoint, found.pace, self.clock())
             self._take_report(part, found)
 
     async def _answer(
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -133,10 +133,10 @@
         return self.finder.find(job, state.shape, state.demand, besides)
 
     def _note_transfers(self, state: StreamState, path: Path, now: float) -> None:
-        """Note the time that a prompt takes on the pipes of its path."""
+        """Note the time that a prompt takes on the links of its path."""
         for pair in path.crossings:
             seconds = state.shape.transfer_seconds(state.demand.prompt)
-            self.beliefs.pipes.add(pair, seconds, now)
+            self.beliefs.links.add(pair, seconds, now)
 
     async def _run(
         self, state: StreamState, path: Path, replacement: Replacement | None
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -10,11 +10,11 @@
 from tornado.httputil import HTTPHeaders
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.pipelines.paces import PaceBook
 from lacewingcourse.core.pipelines.path import Part, Path
 from lacewingcourse.core.pipelines.retry_budget import RetryBudget
 from lacewingcourse.core.pipelines.routing import Organisation, RetrySafety
 from lacewingcourse.core.pipelines.shape import EngineShape, Layers
+from lacewingcourse.core.pipelines.speed import SpeedEstimator
 from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.connections import (
@@ -218,7 +218,7 @@
         watcher = StallWatcher(
             SimpleNamespace(report=self._report),
             self.beliefs.suspects,
-            PaceBook(),
+            SpeedEstimator(),
             SimpleNamespace(is_idle=lambda job, avoid: False),
             self.clock,
             self.log,
--- a/packages/relay/tests/relay/test_housekeeping.py
+++ b/packages/relay/tests/relay/test_housekeeping.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from lacewingcourse.core.pipelines.paces import PACE_KEPT
 from lacewingcourse.core.pipelines.peers import PeerBook
 from lacewingcourse.core.pipelines.retry_budget import RetryBudget
+from lacewingcourse.core.pipelines.speed import ESTIMATE_KEPT
 from lacewingcourse.relay import housekeeping
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.connections import ConnectionPool
@@ -30,13 +30,13 @@
 
 def test_what_is_over_is_forgotten(make_house):
     house = make_house()
-    house.beliefs.paces.tell("e", 5.0, now=0.0)
-    house.beliefs.pipes.from_peer("b", {("east", "west"): 0.3})
+    house.beliefs.speeds.tell("e", 5.0, now=0.0)
+    house.beliefs.links.from_peer("b", {("east", "west"): 0.3})
     house.beliefs.loads.from_peer("b", {}, now=0.0)
-    house.forget(PACE_KEPT + 1.0)
-    assert house.beliefs.paces.members == {}
+    house.forget(ESTIMATE_KEPT + 1.0)
+    assert house.beliefs.speeds.members == {}
     assert house.beliefs.loads.peers == {}
-    assert house.beliefs.pipes.peers == {}
+    assert house.beliefs.links.peers == {}
 
 
 def test_the_budget_is_shared_by_the_most_entries_that_were_alive(make_house):
--- a/packages/relay/tests/relay/test_versions.py
+++ b/packages/relay/tests/relay/test_versions.py
@@ -12,8 +12,8 @@
 
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.core.pipelines.choice import Demand
-from lacewingcourse.core.pipelines.paces import PaceBook
 from lacewingcourse.core.pipelines.shape import Accelerator
+from lacewingcourse.core.pipelines.speed import SpeedEstimator
 from lacewingcourse.core.pipelines.suspects import Suspects
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.path_finder import PathFinder
@@ -154,7 +154,7 @@
     watcher = StallWatcher(
         held_up,
         Suspects(),
-        PaceBook(),
+        SpeedEstimator(),
         finder,
         held_up.clock,
         nothing,
