Let a request that lacks only a retry come back at once

Cause: a lack of a retry was treated as a lack of room. It waited with the others for half of its objective, and its caller was asked back when paths would be free.

Two ways: (i) as it stood; (ii) refused at once and asked back after 0.05 to 0.15 s: the caller's new request is a first send, needs no retry, and is in time. An answer that its caller reads still waits for one, as it cannot be asked back.

Why it holds: the test fails before; nothing is told as not run that may have run (Job.failure).

--- a/packages/core/src/lacewingcourse/core/pipelines/admission_queue.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/admission_queue.py
@@ -22,6 +22,9 @@
 #: the most. By then what fills the paths now has ended; jitter keeps callers refused
 #: together from returning together.
 RETRY_AFTER_ANSWERS = (1.0, 2.5)
+#: Seconds after which a request may come back that lacks nothing but a retry, at the
+#: least and at the most.
+DENIED_RETRY_AFTER = (0.05, 0.15)
 #: Silence after which a caller leaves: the longest of some seconds, some objectives of
 #: its route, and some times the pause that it allows between two events.
 LEAST_PATIENCE = 2.0
@@ -78,6 +81,18 @@
     return (least + draw * (most - least)) * (answer or USUAL_ANSWER)
 
 
+def retry_after_denied(draw: float) -> float:
+    """Return the seconds after which a request comes back that lacks a retry.
+
+    The caller's new request is a first send and needs none.
+
+    Args:
+        draw: A number from 0 to 1 that spreads the callers.
+    """
+    least, most = DENIED_RETRY_AFTER
+    return least + draw * (most - least)
+
+
 @attrs.define(eq=False)
 class QueuedRequest:
     """A request that waits.
--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -26,9 +26,7 @@
 #: leave is heard of a few times a second, so no wake-up tells of it.
 RETRY_PERIOD = 0.03
 #: Reasons for which there may be a path a moment later.
-MOMENTARY = frozenset(
-    {ErrorKind.OVERLOADED, ErrorKind.NO_ROUTE, ErrorKind.RETRIES_EXHAUSTED}
-)
+MOMENTARY = frozenset({ErrorKind.OVERLOADED, ErrorKind.NO_ROUTE})
 
 
 @attrs.define
@@ -57,12 +55,12 @@
         """
         now = self.clock()
         found = self._now(job, choose, now)
-        if not _worth_waiting(found):
+        if not _worth_waiting(found, job):
             return found
         queued = self._queued(job, demand, now)
         self.queue.push(queued)
         try:
-            while _worth_waiting(found) and not job.caller.gone:
+            while _worth_waiting(found, job) and not job.caller.gone:
                 now = self.clock()
                 if now >= queued.until:
                     break
@@ -89,10 +87,16 @@
         return choose()
 
 
-def _worth_waiting(found: Path | Refusal) -> bool:
-    """Tell whether room may turn up soon.
+def _worth_waiting(found: Path | Refusal, job: Job) -> bool:
+    """Tell whether a request waits for room that may turn up soon.
 
     That nothing holds the layers may be news of a moment as well: an entry that has
-    just started learns of the endpoints within some tens of milliseconds.
+    just started learns of the endpoints within some tens of milliseconds. For a retry
+    waits only an answer that its caller reads: any other caller comes back with a new
+    request, which needs none.
     """
-    return isinstance(found, Refusal) and found.kind in MOMENTARY
+    if not isinstance(found, Refusal):
+        return False
+    if found.kind is ErrorKind.RETRIES_EXHAUSTED:
+        return job.caller.begun
+    return found.kind in MOMENTARY
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -8,7 +8,10 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
-from lacewingcourse.core.pipelines.admission_queue import retry_after
+from lacewingcourse.core.pipelines.admission_queue import (
+    retry_after,
+    retry_after_denied,
+)
 from lacewingcourse.core.pipelines.events import EventCutter
 from lacewingcourse.core.pipelines.suspects import is_full
 from lacewingcourse.relay.admission import RETRY_PERIOD
@@ -312,5 +315,11 @@
         if job.caller.begun:
             return Refusal(kind, cause, Outcome.PARTIAL)
         job.reason = job.reason or cause
-        answer = self.beliefs.durations.expected(job.route.name)
-        return job.failure(kind, retry_after(answer, self.rng.random()))
+        return job.failure(kind, self._retry_after(job, kind))
+
+    def _retry_after(self, job: Job, kind: ErrorKind) -> float:
+        """Return the seconds after which the caller of a refused request comes back."""
+        draw = self.rng.random()
+        if kind is ErrorKind.RETRIES_EXHAUSTED:
+            return retry_after_denied(draw)
+        return retry_after(self.beliefs.durations.expected(job.route.name), draw)
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -135,6 +135,21 @@
     assert ended.retry_after is not None
 
 
+def test_a_request_that_lacks_only_a_retry_comes_back_at_once(stream):
+    """It was held for half of its objective, and then told to come back after seconds.
+
+    An engine that had to leave rejected it, and the budget of retries was used up. Its
+    caller's new request is a first send and needs no retry: back after a tenth of a
+    second it is in time, but it was asked back when one to two and a half answers had
+    passed, and was late whatever it met.
+    """
+    played = stream(Engine(status=503), slack=NONE)
+    ended = play(played.serve())
+    assert ended.outcome is Outcome.NOT_RUN
+    assert played.ended_at <= 0.05
+    assert 0.05 <= ended.retry_after <= 0.15
+
+
 @pytest.mark.parametrize(
     "retry_safety", [RetrySafety.RESUMABLE_STREAM, RetrySafety.STREAM]
 )
