Let an entry that has just started lend no more than its share

Found in reading: an entry that knows none of the others yet takes the whole slack for its own (the count of entries is learned with the first news), and would have lent half of it. Cause: the share is worked out from what the lender knows. Change: the request tells how many entries its sender knows, and the lender counts by the larger number. The test fails without it (85 lent where 5 may be).

--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -100,10 +100,12 @@
     Attributes:
         service: Service for whose requests they are.
         count: Retries that it lacks.
+        entries: Entries that share the budget, as far as it knows.
     """
 
     service: str
     count: int
+    entries: int
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/retry_loans.py
+++ b/packages/relay/src/lacewingcourse/relay/retry_loans.py
@@ -89,7 +89,8 @@
         lenders = self._lenders(asked_at)
         if not lenders:
             return 0
-        message = encode(LoanRequest(service, ceil(wanted / len(lenders))))
+        count = ceil(wanted / len(lenders))
+        message = encode(LoanRequest(service, count, self.budget.entries))
         answers = await asyncio.gather(
             *(self.fetch(lender.address, LOAN_PATH, message) for lender in lenders)
         )
@@ -123,5 +124,8 @@
         if isinstance(found, Undecodable):
             self.on_unreadable()
             return Reply(400)
+        # One that has just started knows few of the others yet, and takes its share for
+        # much larger than it is.
+        self.budget.entries = max(self.budget.entries, found.entries)
         lent = self.budget.lend(found.service, found.count, self.clock())
         return Reply(200, encode(LoanReply(lent)))
