--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -31,6 +31,7 @@
 from lacewingcourse.relay.leaving import Departure
 from lacewingcourse.relay.loop_watch import LoopWatch
 from lacewingcourse.relay.metrics import METRICS_PATH
+from lacewingcourse.relay.metrics_page import MetricsPage
 from lacewingcourse.relay.path_finder import PathFinder
 from lacewingcourse.relay.peers import PeerExchange
 from lacewingcourse.relay.placement_duty import PlacementDuty
@@ -268,7 +269,14 @@
             self.clock,
             self._on_thaw,
         )
-        shown = {("GET", METRICS_PATH): self._on_metrics}
+        page = MetricsPage(
+            self.metrics,
+            self.beliefs,
+            self.configuration.freshness,
+            self.directory.freshness,
+            self.clock,
+        )
+        shown = {("GET", METRICS_PATH): page.answer}
         handlers = self.peers.handlers() | self.loans.handlers()
         self.peer_server = HTTPServer(SmallServer(handlers | shown))
         self.metrics_server = HTTPServer(SmallServer(shown))
@@ -318,20 +326,6 @@
         table = self.beliefs.table
         return table.version if table else 0
 
-    def _on_metrics(self, question: Question) -> Reply:
-        """Return the metrics, with ages as they are now."""
-        now = self.clock()
-        self.metrics.configuration_age.set(self.configuration.freshness.age(now))
-        self.metrics.directory_age.set(self.directory.freshness.age(now))
-        self.metrics.version.set(self._version())
-        endpoints = self.beliefs.fleet.endpoints.values()
-        leaving = sum(endpoint.leaving for endpoint in endpoints)
-        states = self.metrics.endpoints
-        states.labels("present").set(len(endpoints) - leaving)
-        states.labels("leaving").set(leaving)
-        states.labels("suspected").set(len(self.beliefs.suspects.excluded(now)))
-        return self.metrics.answer(question)
-
     def _rank(self) -> int:
         return self.book.rank(self.clock())
 
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/metrics_page.py
@@ -0,0 +1,52 @@
+"""The metrics of an entry, with what has no event that could change it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewingcourse.core.pipelines.freshness import Freshness
+    from lacewingcourse.relay.beliefs import Beliefs
+    from lacewingcourse.relay.metrics import Metrics
+    from lacewingcourse.relay.small_server import Question, Reply
+
+
+@attrs.define
+class MetricsPage:
+    """Answers questions after the metrics, with ages and states as they are now.
+
+    Attributes:
+        metrics: The metrics.
+        beliefs: What this entry believes.
+        configuration: How old the configuration is.
+        directory: How old what is known of the endpoints is.
+        clock: Returns the present time in seconds.
+    """
+
+    metrics: Metrics
+    beliefs: Beliefs
+    configuration: Freshness
+    directory: Freshness
+    clock: Callable[[], float]
+
+    def answer(self, question: Question) -> Reply:
+        """Return the metrics."""
+        now = self.clock()
+        self.metrics.configuration_age.set(self.configuration.age(now))
+        self.metrics.directory_age.set(self.directory.age(now))
+        table = self.beliefs.table
+        self.metrics.version.set(table.version if table else 0)
+        self._count_endpoints(now)
+        return self.metrics.answer(question)
+
+    def _count_endpoints(self, now: float) -> None:
+        endpoints = self.beliefs.fleet.endpoints.values()
+        leaving = sum(endpoint.leaving for endpoint in endpoints)
+        states = self.metrics.endpoints
+        states.labels("present").set(len(endpoints) - leaving)
+        states.labels("leaving").set(leaving)
+        states.labels("suspected").set(len(self.beliefs.suspects.excluded(now)))
