--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -232,6 +232,22 @@
             path=_path(job),
         )
 
+    def standby_dropped(self, job: Job, ran: float) -> None:
+        """Tell that a run begun beside another one was closed.
+
+        Args:
+            job: The request; its path is that of the run that was closed.
+            ran: Seconds for which it was open.
+        """
+        self._line(
+            "standby_dropped",
+            request=job.request.id,
+            sends=job.sends,
+            events=job.events,
+            ran_ms=_ms(ran),
+            path=_path(job),
+        )
+
     def lost(
         self,
         job: Job,
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -15,6 +15,7 @@
 
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.relay.beliefs import Beliefs
+    from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.sending import Sender
     from lacewingcourse.relay.stall_watcher import StallWatcher
@@ -28,11 +29,13 @@
         beliefs: What is believed of the endpoints.
         sender: What sends.
         stalls: Watches streams for standing still.
+        log: Log of decisions.
     """
 
     beliefs: Beliefs
     sender: Sender
     stalls: StallWatcher
+    log: DecisionLog
 
     def path_now(
         self, state: StreamState, besides: Collection[str] = ()
@@ -110,6 +113,8 @@
     def drop(self, standby: Standby) -> None:
         """Close a run in whose place the other one goes on."""
         standby.exchange.abandon()
+        ran = self.forwarder.sender.clock() - standby.began_at
+        self.forwarder.log.standby_dropped(self.job, ran)
         self._keep_present(standby)
 
     def failed(self, standby: Standby) -> None:
