Let a request that may have run wait for a retry, as it cannot come back

Found in reading: a stream whose first run was lost before any event was answered 502 at once where no retry was left. Its caller cannot be told that it has not run, and asks again only after such a promise; before it waited for half of its objective, in which a loan arrives. Change: what waits for a retry, and may use the reserved ones, is what cannot be asked back (Job.may_come_back): an answer that is read, or a request that may have run. Test: fails before (answered 502, whole after).

--- a/packages/core/src/lacewingcourse/core/pipelines/retry_budget.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/retry_budget.py
@@ -16,8 +16,8 @@
 #: Share of what the deployment allows that is used; entries count their own requests
 #: only, and windows of different entries do not end together.
 SAFETY_SHARE = 0.7
-#: Share of an entry's retries that is kept for answers which callers read already. Any
-#: other request can be refused, and its caller come back.
+#: Share of an entry's retries that is kept for requests which cannot be refused truly.
+#: The caller of any other one can come back.
 RESERVED_SHARE = 0.25
 #: Share of the retries left that an entry lends at a time.
 LENT_SHARE = 0.5
@@ -83,8 +83,8 @@
         Args:
             service: The service.
             now: Present time in seconds.
-            reserved: Whether the retry may be one of those kept for answers that
-                callers read.
+            reserved: Whether the retry may be one of those kept for requests that
+                cannot be refused.
         """
         if self._loans(service, now):
             return True
--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -92,11 +92,11 @@
 
     That nothing holds the layers may be news of a moment as well: an entry that has
     just started learns of the endpoints within some tens of milliseconds. For a retry
-    waits only an answer that its caller reads: any other caller comes back with a new
+    waits only what cannot be asked back: any other caller comes back with a new
     request, which needs none.
     """
     if not isinstance(found, Refusal):
         return False
     if found.kind is ErrorKind.RETRIES_EXHAUSTED:
-        return job.caller.begun
+        return not job.may_come_back
     return found.kind in MOMENTARY
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -118,6 +118,11 @@
         """Whether its stream may go on on another path while a run is under way."""
         return self.may_send_again and self.route.retry_safety.may_retry
 
+    @property
+    def may_come_back(self) -> bool:
+        """Whether its caller may be told truly that it has not run, and ask again."""
+        return not self.caller.begun and self.worst is not SendOutcome.MAY_HAVE_RUN
+
     def progress(self, now: float) -> None:
         """Note events that were passed on."""
         self.events += 1
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -130,7 +130,9 @@
         """
         job = state.job
         now = self.sender.clock()
-        if job.sends and not self.budget.allows(job.service, now, job.caller.begun):
+        if job.sends and not self.budget.allows(
+            job.service, now, reserved=not job.may_come_back
+        ):
             self.on_denied(job.service, job.request.id)
             return Refusal(ErrorKind.RETRIES_EXHAUSTED, "no retry is left")
         return self.finder.find(job, state.shape, state.demand, besides)
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -59,7 +59,8 @@
     """What the first engine of a path does with a run.
 
     Attributes:
-        pause_after: Event after which it pauses, None for no pause.
+        pause_after: Event after which it pauses, 0 for before the first one, None for
+            no pause.
         pause: Seconds of that pause.
         breaks: Whether it ends the run there.
         status: Status of its answer.
@@ -102,6 +103,9 @@
         if engine.status != 200:
             self.arrivals.put_nowait(End(True))
             return
+        if engine.breaks and engine.pause_after == 0:
+            self.arrivals.put_nowait(End(False, "ended early"))
+            return
         for number in range(after + 1, EVENTS + 1):
             await asyncio.sleep(STEP)
             self._put(event(number))
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -151,6 +151,14 @@
     assert 0.05 <= ended.retry_after <= 0.15
 
 
+def test_a_request_that_may_have_run_waits_for_a_retry(stream):
+    """Its caller cannot be told that it has not run, and would not ask again."""
+    played = stream(Engine(breaks=True, pause_after=0), slack=NONE)
+    play(played.serve((0.1, played.allow(PLENTY))))
+    assert played.firsts == ["a", "c"]
+    assert played.caller.body == whole_answer()
+
+
 def test_a_request_without_room_comes_back_after_usual_answers(stream):
     """Callers were asked back after 5 to 14 s where half of the answers took 2 s.
 
