Log what an ending entry allows for each request that comes

Change: a line last_request for each request that comes while the entry ends: taken or not, seconds since the request to end and until the end, what its answer was expected to take, the longest it was believed to take, and what its caller allows. A counter with the same outcomes. With broken_off, joined by the request, it tells expectation from bound.

--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -16,6 +16,7 @@
     from loguru import Message
 
     from lacewingcourse.core.errors import Refusal
+    from lacewingcourse.core.pipelines.shutdown import AnswerTime
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.metrics import Metrics
     from lacewingcourse.relay.ports import CallerRequest
@@ -177,6 +178,29 @@
             took_ms=_ms(self.clock() - request.received_at),
         )
 
+    def last_request(
+        self, request: CallerRequest, taken: bool, time: AnswerTime, left: float
+    ) -> None:
+        """Tell whether a request was taken that came while this entry ends.
+
+        Args:
+            request: The request.
+            taken: Whether it was.
+            time: How long its answer may take.
+            left: Seconds until every answer must have ended.
+        """
+        self.metrics.last_requests.labels("taken" if taken else "refused").inc()
+        self._line(
+            "last_request",
+            request=request.id,
+            taken=taken,
+            since_asked_ms=_ms(time.since_asked),
+            left_ms=_ms(left),
+            expected_ms=_ms_or_none(time.expected),
+            longest_ms=_ms_or_none(time.longest),
+            limit_ms=_ms(time.limit),
+        )
+
     def belief(self, event: str, **fields: Any) -> None:
         """Tell of a change of what this process believes."""
         self._line(event, **fields)
@@ -297,3 +321,8 @@
 def _ms(seconds: float) -> float:
     """Return a time in milliseconds as log lines show it."""
     return round(seconds * 1000, 1)
+
+
+def _ms_or_none(seconds: float | None) -> float | None:
+    """Return a time in milliseconds, None if it is unknown."""
+    return None if seconds is None else _ms(seconds)
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable
     from random import Random
 
+    from lacewingcourse.core.pipelines.routing import Route
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.caller import CallerExchange
     from lacewingcourse.relay.calls import CallForwarder
@@ -193,7 +194,7 @@
         until = request.received_at + patience
         service = route.service_for(request.id)
         now = self.clock()
-        if not self.readiness.takes(route, service, request.most_answer, now, until):
+        if not self._takes(request, route, service, now, until):
             wait = self._other_entry()
             return Refusal(ErrorKind.DRAINING, LEAVING, retry_after=wait)
         return Job(
@@ -206,6 +207,23 @@
             until=until,
         )
 
+    def _takes(
+        self,
+        request: CallerRequest,
+        route: Route,
+        service: str,
+        now: float,
+        until: float,
+    ) -> bool:
+        """Tell whether a request is served, which not all are while the entry ends."""
+        readiness = self.readiness
+        asked = (route, service, request.most_answer, now, until)
+        taken = readiness.takes(*asked)
+        if readiness.leaving:
+            time, left = readiness.answer_time(*asked), readiness.last - now
+            self.log.last_request(request, taken, time, left)
+        return taken
+
     def _other_entry(self) -> float:
         """Return the seconds after which a caller meets an entry that serves it."""
         wait = self.ready_in()
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -48,6 +48,12 @@
             ["kind"],
             **known,
         )
+        self.last_requests = Counter(
+            "lacewingcourse_relay_last_requests",
+            "Requests that came while the entry was ending: taken or refused",
+            ["outcome"],
+            **known,
+        )
         self.sends = Counter(
             "lacewingcourse_relay_sends", "Sends of requests to endpoints", **known
         )
--- a/packages/relay/src/lacewingcourse/relay/readiness.py
+++ b/packages/relay/src/lacewingcourse/relay/readiness.py
@@ -55,7 +55,16 @@
     def takes(
         self, route: Route, service: str, max_answer: int, now: float, until: float
     ) -> bool:
-        """Tell whether a request is served.
+        """Tell whether a request is served, see `answer_time` for the arguments."""
+        if not self.leaving:
+            return True
+        time = self.answer_time(route, service, max_answer, now, until)
+        return self.takes_last(time, self.last - now)
+
+    def answer_time(
+        self, route: Route, service: str, max_answer: int, now: float, until: float
+    ) -> AnswerTime:
+        """Return how long the answer to a request may take while this entry ends.
 
         The balancer sends connections here for some seconds after the request to end,
         and while all entries are restarted in turn there are times when every one of
@@ -68,16 +77,13 @@
             now: Present time in seconds.
             until: Time at which the route's time or the caller's is over.
         """
-        if not self.leaving:
-            return True
-        time = AnswerTime(
+        return AnswerTime(
             expected=self.beliefs.durations.expected(route.name),
             longest=self._longest(service, max_answer),
             limit=until - now,
             grace=self.grace,
             since_asked=now - self.leaving_since,
         )
-        return self.takes_last(time, self.last - now)
 
     def _longest(self, service: str, max_answer: int) -> float | None:
         """Return the seconds that an answer takes at the most, None if unknown."""
--- a/packages/relay/tests/relay/test_last_requests.py
+++ b/packages/relay/tests/relay/test_last_requests.py
@@ -232,3 +232,15 @@
         assert caller.status == 503
 
     play(test())
+
+
+@pytest.mark.parametrize("choice", ["bounded", "none"])
+def test_each_request_that_comes_while_ending_is_logged(entry, choice):
+    async def test():
+        leaving = entry(choice)
+        await leaving.call(1).task
+        leaving.gateway.readiness.leave(asyncio.get_running_loop().time())
+        await leaving.call(1).task
+        assert leaving.gateway.log.events.count("last_request") == 1
+
+    play(test())
