--- a/packages/relay/tests/relay/test_last_requests.py
+++ b/packages/relay/tests/relay/test_last_requests.py
@@ -17,6 +17,7 @@
 import asyncio
 from random import Random
 from types import SimpleNamespace
+from typing import TYPE_CHECKING
 
 import attrs
 import pytest
@@ -28,11 +29,15 @@
 from lacewingcourse.relay.gateway import Gateway
 from lacewingcourse.relay.leaving import Departure
 from lacewingcourse.relay.readiness import Readiness
+from lacewingcourse.relay.settings import RelaySettings
 
 from .routes import route_of
 from .stream_play import CallerStub, Decisions
 from .virtual_time import play
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 #: Seconds in which the entry must have ended.
 GRACE = 8.0
 #: Events of the longest answer that callers allow, and seconds between two.
@@ -40,17 +45,25 @@
 INTERVAL = 0.028
 #: Tokens in one event.
 EVENT_TOKENS = 2
+#: Header of a request that tells how many events its answer may have.
+MAX_EVENTS_HEADER = "Max-Events"
+#: What is taken unless an operator chooses otherwise.
+DEFAULT = RelaySettings.__attrs_attrs__.last_requests.default
 
 
 class Caller(CallerStub):
     """A caller of a request whose answer has a number of events."""
 
-    def __init__(self, events: int) -> None:
+    def __init__(
+        self, events: int, max_events: int, interval: Callable[[], float]
+    ) -> None:
         super().__init__()
         self.events = events
+        self.interval = interval
         self.cancelled = False
         self.task: asyncio.Task | None = None
-        self.method, self.target, self.headers = "POST", "/", HTTPHeaders()
+        self.method, self.target = "POST", "/"
+        self.headers = HTTPHeaders({MAX_EVENTS_HEADER: str(max_events)})
         self.arrived_at = asyncio.get_running_loop().time()
 
     def cancel(self) -> None:
@@ -65,14 +78,16 @@
     Attributes:
         gateway: Takes requests.
         departure: Ends the entry.
+        slowness: How many times as long as usual endpoints take for an event.
     """
 
     gateway: Gateway
     departure: Departure
+    slowness: float = 1.0
 
-    def call(self, events: int) -> Caller:
+    def call(self, events: int, max_events: int = MAX_EVENTS) -> Caller:
         """Send it a request whose answer has a number of events."""
-        caller = Caller(events)
+        caller = Caller(events, max_events, lambda: INTERVAL * self.slowness)
         caller.task = asyncio.ensure_future(self.gateway.serve(caller))
         self.departure.callers.open.add(caller)
         caller.task.add_done_callback(
@@ -91,7 +106,7 @@
     job.caller.begin(200, HTTPHeaders())
     clock = asyncio.get_running_loop().time
     for _ in range(job.caller.events):
-        await asyncio.sleep(INTERVAL)
+        await asyncio.sleep(job.caller.interval())
         job.progress(clock())
     job.caller.end()
 
@@ -107,7 +122,7 @@
         body=b"",
         patience=None,
         received_at=now,
-        most_answer=MAX_EVENTS * EVENT_TOKENS,
+        most_answer=int(headers[MAX_EVENTS_HEADER]) * EVENT_TOKENS,
     )
 
 
@@ -244,3 +259,25 @@
         assert leaving.gateway.log.events.count("last_request") == 1
 
     play(test())
+
+
+@pytest.mark.parametrize("slowness", [1.5, 2.0, 4.0])
+@pytest.mark.parametrize("events", [60, 100, 130])
+@pytest.mark.parametrize("after", [2.6, 3.1, 3.4, 4.5])
+def test_no_answer_begun_late_is_cut_off_when_endpoints_slow_down_meanwhile(
+    entry, after, events, slowness
+):
+    async def test():
+        leaving = entry(DEFAULT)
+        await leaving.serve_usual_answers()
+        leaving.gateway.readiness.leave(asyncio.get_running_loop().time())
+        ending = asyncio.ensure_future(leaving.departure.carry_out())
+        leaving.call(MAX_EVENTS)
+        await asyncio.sleep(after)
+        caller = leaving.call(events, max_events=events)
+        await asyncio.sleep(0.2)
+        leaving.slowness = slowness
+        await ending
+        assert not caller.broken
+
+    play(test())
