Judge a request again at each send while the entry is ending

Cause: whether an entry that is ending takes a request was asked once, at arrival.

Change: a request carries the question (Job.takes, Job.refused_at), and it is asked with the present time where a path or an endpoint is chosen, which is also each look of one that waits, and where it is sent, after the connection was made. Kind draining: 503 with the Retry-After of the gateway if nothing may have run, else what Job.failure says, or the engine's own failure if there is one. A silent run is not closed for another one that may not be sent. An answer that was begun goes on as before.

Why it holds: every send goes through Sender.send, which asks with no wait between the answer and the first byte; every wait ends at a choice that is refused.

--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -43,6 +43,7 @@
 UNSENT_ENDS = {
     Unsent.OVERDUE: ErrorKind.DEADLINE_EXCEEDED,
     Unsent.NO_DESCRIPTOR: ErrorKind.OVERLOADED,
+    Unsent.LEAVING: ErrorKind.DRAINING,
 }
 #: Seconds after which a refused call is worth trying again.
 CALL_RETRY_AFTER = 0.3
@@ -77,7 +78,7 @@
             if now >= job.until:
                 return last or job.failure(ErrorKind.DEADLINE_EXCEEDED, None)
             endpoint = self._choose(job, now)
-            if isinstance(endpoint, Refusal) and self._waits(job, now):
+            if isinstance(endpoint, Refusal) and self._waits(job, endpoint, now):
                 await asyncio.sleep(RETRY_PERIOD)
                 continue
             if isinstance(endpoint, Refusal):
@@ -110,8 +111,10 @@
             if not job.may_try_another:
                 return self._failed(job, result)
 
-    def _waits(self, job: Job, now: float) -> bool:
+    def _waits(self, job: Job, refusal: Refusal, now: float) -> bool:
         """Tell whether a call that found no endpoint may find one in a moment."""
+        if refusal.kind is ErrorKind.DRAINING:
+            return False
         if job.sends or job.avoid or job.caller.gone:
             return False
         return now < wait_in_time(job.request.received_at, job.route.objective)
@@ -126,6 +129,9 @@
             now: Present time in seconds.
             besides: Endpoints to avoid besides those that it avoids anyway.
         """
+        refusal = job.refused_at(now)
+        if refusal is not None:
+            return refusal
         if job.sends and not self.budget.allows(job.service, now, reserved=False):
             return Refusal(ErrorKind.RETRIES_EXHAUSTED, "no retry is left")
         usable = self.beliefs.usable(job.service, now)
@@ -170,7 +176,7 @@
         """
         now = self.sender.clock()
         sending = job.sending(endpoint.name, endpoint.address, None, now, "")
-        sent = await self.sender.send(job.request, sending, fresh)
+        sent = await self.sender.send(job, sending, fresh)
         if isinstance(sent, NotSent):
             return sent
         if job.sends:
--- a/packages/relay/src/lacewingcourse/relay/connections.py
+++ b/packages/relay/src/lacewingcourse/relay/connections.py
@@ -30,6 +30,7 @@
     UNREACHABLE = "no connection could be made"
     OVERDUE = "the time was over before it was sent"
     NO_DESCRIPTOR = "this entry has no file descriptor left"
+    LEAVING = "this entry is about to end"
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.relay.admission import RETRY_PERIOD
+from lacewingcourse.relay.connections import Unsent
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.sending import WholeAnswer
 from lacewingcourse.relay.upstream import SendOutcome
@@ -39,7 +40,7 @@
 #: together.
 RETRY_SPREAD = 1.25
 #: Why a request is refused or cut short by an entry that leaves.
-LEAVING = "this entry is about to end"
+LEAVING = Unsent.LEAVING.value
 
 
 @attrs.define
@@ -131,6 +132,7 @@
         await self._wait_for_configuration(request)
         job = self._job(caller, request)
         if isinstance(job, Refusal):
+            job = self._with_return_time(job)
             self.log.refused(request, job, None)
             self._refuse(caller, request, job)
             return
@@ -153,6 +155,7 @@
             self.log.served(job, now)
             return
         if not caller.begun:
+            refusal = self._with_return_time(refusal)
             self.log.refused(request, refusal, job)
             self._refuse(caller, request, refusal)
         elif caller.gone:
@@ -192,11 +195,12 @@
             patience = min(patience, request.patience)
         until = request.received_at + patience
         service = route.service_for(request.id)
-        now = self.clock()
-        if not self.readiness.takes(route, service, request.most_answer, now, until):
-            wait = self._other_entry()
-            return Refusal(ErrorKind.DRAINING, LEAVING, retry_after=wait)
-        return Job(
+
+        def takes(now: float) -> bool:
+            most = request.most_answer
+            return self.readiness.takes(route, service, most, now, until)
+
+        job = Job(
             request=request,
             route=route,
             service=service,
@@ -204,7 +208,15 @@
             caller=caller,
             strip_key=table.keys is not None,
             until=until,
+            takes=takes,
         )
+        return job.refused_at(self.clock()) or job
+
+    def _with_return_time(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that tells when to come back if this entry is ending."""
+        if refusal.kind is not ErrorKind.DRAINING:
+            return refusal
+        return attrs.evolve(refusal, retry_after=self._other_entry())
 
     def _other_entry(self) -> float:
         """Return the seconds after which a caller meets an entry that serves it."""
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -8,6 +8,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.crashes import fingerprint_of
+from lacewingcourse.relay.connections import Unsent
 from lacewingcourse.relay.ports import Sending
 from lacewingcourse.relay.upstream import (
     Abandoned,
@@ -16,6 +17,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.routing import Organisation, Route
     from lacewingcourse.core.pipelines.stalls import Watched
@@ -55,6 +58,7 @@
         waited: Seconds for which it waited for room on paths.
         events: Times at which events were passed on.
         watched: What watches its stream for standing still, None if nothing does.
+        takes: Tells whether an entry that is ending takes it at some time, seconds.
     """
 
     request: CallerRequest
@@ -78,6 +82,7 @@
     waited: float = 0.0
     events: int = 0
     watched: Watched | None = None
+    takes: Callable[[float], bool] = lambda now: True
 
     @property
     def fingerprint(self) -> str:
@@ -118,6 +123,18 @@
         """Whether its stream may go on on another path while a run is under way."""
         return self.may_send_again and self.route.retry_safety.may_retry
 
+    def refused_at(self, now: float) -> Refusal | None:
+        """Return why it may not be sent by an entry that is ending, None if it may.
+
+        An answer that its caller reads already goes on.
+
+        Args:
+            now: Present time in seconds.
+        """
+        if self.caller.begun or self.takes(now):
+            return None
+        return Refusal(ErrorKind.DRAINING, Unsent.LEAVING.value)
+
     @property
     def may_come_back(self) -> bool:
         """Whether its caller may be told truly that it has not run, and ask again."""
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -84,6 +84,10 @@
         path, has_room = found
         connection = await self.forwarder.sender.reserve(path.first.address, self.fresh)
         if not isinstance(connection, NotSent):
+            refusal = self.job.refused_at(self.forwarder.sender.clock())
+            if refusal is not None:
+                connection.close()
+                return refusal
             return Replacement(path, connection, has_room)
         if connection.cause is Unsent.UNREACHABLE:
             self.forwarder.unreachable(self.job, path)
@@ -95,9 +99,7 @@
         now = forwarder.sender.clock()
         after = self.state.cutter.last_id
         sending = job.sending(path.first.name, path.first.address, path, now, after)
-        sent = await forwarder.sender.send(
-            job.request, sending, self.fresh, found.connection
-        )
+        sent = await forwarder.sender.send(job, sending, self.fresh, found.connection)
         if isinstance(sent, NotSent):
             return None
         forwarder.beliefs.loads.begin(path, self.state.demand.tokens)
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -13,7 +13,7 @@
     NotSent,
     Unsent,
 )
-from lacewingcourse.relay.ports import AnswerHead, CallerRequest, Sending, Standing
+from lacewingcourse.relay.ports import AnswerHead, Sending, Standing
 from lacewingcourse.relay.upstream import (
     Abandoned,
     Arrival,
@@ -28,7 +28,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lacewingcourse.relay.ports import RequestCodec
+    from lacewingcourse.relay.job import Job
+    from lacewingcourse.relay.ports import CallerRequest, RequestCodec
 
 
 #: Status from which an endpoint's answer is its own failure.
@@ -68,24 +69,29 @@
 
     async def send(
         self,
-        request: CallerRequest,
+        job: Job,
         sending: Sending,
         fresh: bool,
         reserved: Connection | None = None,
     ) -> Exchange | NotSent:
-        """Send a request.
+        """Send a request if it may still be sent once there is a connection.
 
         Args:
-            request: The request.
+            job: The request.
             sending: Where to send it, and with what.
             fresh: Whether to send it over a connection never used before.
             reserved: Connection to send it over, None to take one.
         """
         started = self.clock()
+        request = job.request
         connection = reserved or await self.reserve(sending.address, fresh)
         if isinstance(connection, NotSent):
             return connection
-        passed = self.clock() - started
+        now = self.clock()
+        if job.refused_at(now) is not None:
+            connection.close()
+            return NotSent(Unsent.LEAVING)
+        passed = now - started
         sending = attrs.evolve(sending, time_left=sending.time_left - passed)
         if sending.time_left <= 0:
             connection.close()
--- a/packages/relay/src/lacewingcourse/relay/stream_state.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -30,6 +30,7 @@
     OVERDUE = "overdue"
     DROPPED = "dropped"
     HELD = "held"
+    NOT_TAKEN = "not_taken"
     FAILED = "failed"
 
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -97,6 +97,8 @@
                 continue
             if result.end in (StreamEnd.WHOLE, StreamEnd.ABANDONED):
                 return None
+            if result.end is StreamEnd.NOT_TAKEN:
+                return self._give_up(state, ErrorKind.DRAINING, result.reason)
             if result.end is StreamEnd.HELD:
                 if not job.caller.begun or job.caller.gone:
                     return self._give_up(state, ErrorKind.OVERLOADED, result.reason)
@@ -130,6 +132,9 @@
         """
         job = state.job
         now = self.sender.clock()
+        refusal = job.refused_at(now)
+        if refusal is not None:
+            return refusal
         if job.sends and not self.budget.allows(
             job.service, now, reserved=not job.may_come_back
         ):
@@ -198,7 +203,7 @@
                 reserved.close()
             return self._unsent(NotSent(Unsent.OVERDUE))
         sending = job.sending(first.name, first.address, job.path, now, after)
-        sent = await self.sender.send(job.request, sending, fresh, reserved)
+        sent = await self.sender.send(job, sending, fresh, reserved)
         if isinstance(sent, NotSent):
             job.note(SendOutcome.NEVER_LEFT, sent.reason)
             return self._unsent(sent)
@@ -264,6 +269,8 @@
             return RunResult(StreamEnd.OVERDUE, sent.reason)
         if sent.cause is Unsent.NO_DESCRIPTOR:
             return RunResult(StreamEnd.HELD, sent.reason)
+        if sent.cause is Unsent.LEAVING:
+            return RunResult(StreamEnd.NOT_TAKEN, sent.reason)
         return None
 
     def learn(self, job: Job, path: Path, result: RunResult) -> None:
