--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.relay.admission import RETRY_PERIOD
+from lacewingcourse.relay.connections import Unsent
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.sending import WholeAnswer
 from lacewingcourse.relay.upstream import SendOutcome
@@ -17,7 +18,6 @@
     from collections.abc import Callable
     from random import Random
 
-    from lacewingcourse.core.pipelines.routing import Route
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.caller import CallerExchange
     from lacewingcourse.relay.calls import CallForwarder
@@ -40,7 +40,7 @@
 #: together.
 RETRY_SPREAD = 1.25
 #: Why a request is refused or cut short by an entry that leaves.
-LEAVING = "this entry is about to end"
+LEAVING = Unsent.LEAVING.value
 
 
 @attrs.define
@@ -132,6 +132,7 @@
         await self._wait_for_configuration(request)
         job = self._job(caller, request)
         if isinstance(job, Refusal):
+            job = self._with_return_time(job)
             self.log.refused(request, job, None)
             self._refuse(caller, request, job)
             return
@@ -154,6 +155,7 @@
             self.log.served(job, now)
             return
         if not caller.begun:
+            refusal = self._with_return_time(refusal)
             self.log.refused(request, refusal, job)
             self._refuse(caller, request, refusal)
         elif caller.gone:
@@ -193,11 +195,12 @@
             patience = min(patience, request.patience)
         until = request.received_at + patience
         service = route.service_for(request.id)
-        now = self.clock()
-        if not self._takes(request, route, service, now, until):
-            wait = self._other_entry()
-            return Refusal(ErrorKind.DRAINING, LEAVING, retry_after=wait)
-        return Job(
+
+        def takes(now: float) -> bool:
+            most = request.most_answer
+            return self.readiness.takes(route, service, most, now, until)
+
+        job = Job(
             request=request,
             route=route,
             service=service,
@@ -205,24 +208,27 @@
             caller=caller,
             strip_key=table.keys is not None,
             until=until,
+            takes=takes,
         )
-
-    def _takes(
-        self,
-        request: CallerRequest,
-        route: Route,
-        service: str,
-        now: float,
-        until: float,
-    ) -> bool:
-        """Tell whether a request is served, which not all are while the entry ends."""
-        readiness = self.readiness
-        asked = (route, service, request.most_answer, now, until)
-        taken = readiness.takes(*asked)
-        if readiness.leaving:
-            time, left = readiness.answer_time(*asked), readiness.last - now
-            self.log.last_request(request, taken, time, left)
-        return taken
+        now = self.clock()
+        refusal = job.refused_at(now)
+        if self.readiness.leaving:
+            self._log_last_request(job, refusal is None, now)
+        return refusal or job
+
+    def _with_return_time(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that tells when to come back if this entry is ending."""
+        if refusal.kind is not ErrorKind.DRAINING:
+            return refusal
+        return attrs.evolve(refusal, retry_after=self._other_entry())
+
+    def _log_last_request(self, job: Job, taken: bool, now: float) -> None:
+        """Tell whether a request was taken that came while this entry ends."""
+        readiness, request = self.readiness, job.request
+        time = readiness.answer_time(
+            job.route, job.service, request.most_answer, now, job.until
+        )
+        self.log.last_request(request, taken, time, readiness.last - now)
 
     def _other_entry(self) -> float:
         """Return the seconds after which a caller meets an entry that serves it."""
--- a/packages/relay/tests/relay/test_last_requests.py
+++ b/packages/relay/tests/relay/test_last_requests.py
@@ -55,7 +55,10 @@
     """A caller of a request whose answer has a number of events."""
 
     def __init__(
-        self, events: int, max_events: int, interval: Callable[[], float]
+        self,
+        events: int,
+        max_events: int = MAX_EVENTS,
+        interval: Callable[[], float] = lambda: INTERVAL,
     ) -> None:
         super().__init__()
         self.events = events
