Take late, while ending, only what its caller's or route's time ends before the entry

Cause and class: admission by an estimate against a hard end. A quantile with a margin is still an estimate; only the caller's own time and the route's end an answer for certain.

Change: 2.5 s after the request to end, when the balancer sends callers elsewhere, a request is taken if its caller's or its route's time is over before the entry ends. The choice bounded is gone, limited takes its place; the longest answer is no longer estimated.

--- a/packages/core/src/lacewingcourse/core/pipelines/durations.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/durations.py
@@ -15,8 +15,6 @@
 QUANTILE = 0.95
 #: Share of them that took no longer than a usual one.
 MEDIAN = 0.5
-#: How many times as long as expected a stream may take as the load rises meanwhile.
-LOAD_MARGIN = 1.25
 
 
 @attrs.define
@@ -56,19 +54,6 @@
         """Return the seconds that a usual answer takes, None if few were seen."""
         return _quantile(self.answers, route, MEDIAN)
 
-    def longest_stream(self, service: str, max_events: int) -> float | None:
-        """Return the seconds that a stream takes at the most, None if few were seen.
-
-        Args:
-            service: Service that writes it.
-            max_events: Events that it may have.
-        """
-        first_event = _quantile(self.first_events, service)
-        interval = _quantile(self.event_intervals, service)
-        if first_event is None or interval is None:
-            return None
-        return LOAD_MARGIN * (first_event + max_events * interval)
-
 
 def _add(samples: dict[str, deque[float]], name: str, seconds: float) -> None:
     samples.setdefault(name, deque(maxlen=MAX_SAMPLES)).append(seconds)
--- a/packages/core/src/lacewingcourse/core/pipelines/shutdown.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/shutdown.py
@@ -24,14 +24,12 @@
 
     Attributes:
         expected: Seconds that nearly all answers of its route take, None if unknown.
-        longest: Seconds that the longest answer it may get takes, None if unknown.
         limit: Seconds until the time of the route or of the caller is over.
         grace: Seconds between the request to end and the end of the instance.
         since_asked: Seconds since the request to end.
     """
 
     expected: float | None
-    longest: float | None
     limit: float
     grace: float
     since_asked: float
@@ -62,26 +60,22 @@
     return min(expected, time.limit) <= left
 
 
-@LAST_REQUESTS.register("bounded")
-def take_bounded(time: AnswerTime, left: float) -> bool:
-    """Take what ends in time even if its answer gets as long as it may.
+@LAST_REQUESTS.register("limited")
+def take_limited(time: AnswerTime, left: float) -> bool:
+    """Take what is over in time by the limit of its route or caller.
 
-    An answer is cut off at the end of the grace time, and no caller can tell one that
-    will be from one that will not.
+    No pace seen before bounds an answer whose endpoints may slow down meanwhile.
     """
-    longest = time.limit
-    if time.longest is not None:
-        longest = min(time.longest, time.limit)
-    return longest <= left
+    return time.limit <= left
 
 
 @LAST_REQUESTS.register("redirected")
 def take_until_redirected(time: AnswerTime, left: float) -> bool:
-    """Take what is expected to end in time, later what is bound to.
+    """Take what is expected to end in time, later what is over by its limit.
 
     A caller that is refused before the balancer has noticed meets the same instance
     again. Later it finds another one, so nothing is risked for it any more.
     """
     if time.since_asked <= REDIRECT_TIME:
         return take_expected(time, left)
-    return take_bounded(time, left)
+    return take_limited(time, left)
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -196,8 +196,7 @@
             taken=taken,
             since_asked_ms=_ms(time.since_asked),
             left_ms=_ms(left),
-            expected_ms=_ms_or_none(time.expected),
-            longest_ms=_ms_or_none(time.longest),
+            expected_ms=None if time.expected is None else _ms(time.expected),
             limit_ms=_ms(time.limit),
         )
 
@@ -321,8 +320,3 @@
 def _ms(seconds: float) -> float:
     """Return a time in milliseconds as log lines show it."""
     return round(seconds * 1000, 1)
-
-
-def _ms_or_none(seconds: float | None) -> float | None:
-    """Return a time in milliseconds, None if it is unknown."""
-    return None if seconds is None else _ms(seconds)
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -197,8 +197,7 @@
         service = route.service_for(request.id)
 
         def takes(now: float) -> bool:
-            most = request.most_answer
-            return self.readiness.takes(route, service, most, now, until)
+            return self.readiness.takes(route.name, now, until)
 
         job = Job(
             request=request,
@@ -224,11 +223,8 @@
 
     def _log_last_request(self, job: Job, taken: bool, now: float) -> None:
         """Tell whether a request was taken that came while this entry ends."""
-        readiness, request = self.readiness, job.request
-        time = readiness.answer_time(
-            job.route, job.service, request.most_answer, now, job.until
-        )
-        self.log.last_request(request, taken, time, readiness.last - now)
+        time = self.readiness.answer_time(job.route.name, now, job.until)
+        self.log.last_request(job.request, taken, time, self.readiness.last - now)
 
     def _other_entry(self) -> float:
         """Return the seconds after which a caller meets an entry that serves it."""
--- a/packages/relay/src/lacewingcourse/relay/readiness.py
+++ b/packages/relay/src/lacewingcourse/relay/readiness.py
@@ -11,7 +11,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lacewingcourse.core.pipelines.routing import Route
     from lacewingcourse.relay.beliefs import Beliefs
 
 
@@ -52,18 +51,13 @@
         since = self.leaving_since
         return float("inf") if since is None else since + self.grace - END_MARGIN
 
-    def takes(
-        self, route: Route, service: str, max_answer: int, now: float, until: float
-    ) -> bool:
+    def takes(self, route: str, now: float, until: float) -> bool:
         """Tell whether a request is served, see `answer_time` for the arguments."""
         if not self.leaving:
             return True
-        time = self.answer_time(route, service, max_answer, now, until)
-        return self.takes_last(time, self.last - now)
+        return self.takes_last(self.answer_time(route, now, until), self.last - now)
 
-    def answer_time(
-        self, route: Route, service: str, max_answer: int, now: float, until: float
-    ) -> AnswerTime:
+    def answer_time(self, route: str, now: float, until: float) -> AnswerTime:
         """Return how long the answer to a request may take while this entry ends.
 
         The balancer sends connections here for some seconds after the request to end,
@@ -71,28 +65,17 @@
         them is ending.
 
         Args:
-            route: Its route.
-            service: Its service.
-            max_answer: Tokens that its answer may have, 0 if that is not told.
+            route: Name of its route.
             now: Present time in seconds.
             until: Time at which the route's time or the caller's is over.
         """
         return AnswerTime(
-            expected=self.beliefs.durations.expected(route.name),
-            longest=self._longest(service, max_answer),
+            expected=self.beliefs.durations.expected(route),
             limit=until - now,
             grace=self.grace,
             since_asked=now - self.leaving_since,
         )
 
-    def _longest(self, service: str, max_answer: int) -> float | None:
-        """Return the seconds that an answer takes at the most, None if unknown."""
-        shape = self.beliefs.shape(service)
-        if shape is None or not max_answer:
-            return None
-        max_events = -(-max_answer // shape.event_tokens)
-        return self.beliefs.durations.longest_stream(service, max_events)
-
     def is_ready(self) -> bool:
         """Tell whether new connections should come here.
 
