Tell refused callers when the first ending entry is expected back

While all entries of a deployment are ending, callers that one of them refuses were told to wait until the first that was asked to end has used its whole grace time. Entries end as soon as their last answer has, so these callers waited for seconds too long.

An ending entry knows what is open: it expects its end from the events that its streams may still have at the pace seen lately, from what nearly all answers of a route take, or from the grace time where nothing is known, and never before the balancer has stopped sending callers. It tells this with each round of news (`ends_in`). The others keep it for each, and callers wait for the first of all, this entry among them. One that falls silent while ending has ended with its last word. While none is known to be back, nobody is told to come at once.

The time between the end and the first connections was taken as 1 s. The spread is a fixed 0.5 s in place of a quarter of the wait.

In test_peers only the module changed from which BACK_AFTER is imported.

--- a/packages/core/src/lacewingcourse/core/pipelines/durations.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/durations.py
@@ -69,6 +69,23 @@
             return None
         return LOAD_MARGIN * (first_event + max_events * interval)
 
+    def rest_of_stream(
+        self, service: str, max_events: int, has_begun: bool
+    ) -> float | None:
+        """Return the seconds that a stream takes yet, None if few were seen.
+
+        Args:
+            service: Service that writes it.
+            max_events: Events that it may still have.
+            has_begun: Whether its first event has come.
+        """
+        first_event = _quantile(self.first_events, service)
+        interval = _quantile(self.event_intervals, service)
+        if first_event is None or interval is None:
+            return None
+        rest = max(0, max_events) * interval
+        return rest if has_begun else first_event + rest
+
 
 def _add(samples: dict[str, deque[float]], name: str, seconds: float) -> None:
     samples.setdefault(name, deque(maxlen=MAX_SAMPLES)).append(seconds)
--- a/packages/core/src/lacewingcourse/core/pipelines/peers.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/peers.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.ending import NEWS_PERIOD, Return, first_back
+
 #: Seconds after which an entry that was not heard is taken to be gone. Entries speak
 #: several times a second; a freeze or a cut of a second must not be missed by all.
 PEER_SILENT = 1.2
@@ -22,9 +24,6 @@
 HUBS_PER_ZONE = 2
 #: Silent entries that are tried in one round of a large deployment.
 MOST_SILENT = 2
-#: Seconds after its end in which an entry that starts again takes connections: its
-#: start, and the balancer's next question.
-BACK_AFTER = 1.0
 #: Rank from which those count that are no hubs. Above the hubs of today's zones, so
 #: that they read the platform only when all hubs have fallen silent.
 MEMBER_RANK = 8
@@ -50,6 +49,7 @@
         known_since: When its address was learned.
         leaving: Whether it is ending.
         leaving_since: When it was first heard to be ending, None if it is not.
+        ends_at: When it told that it is expected to have ended, None if it did not.
     """
 
     name: str
@@ -59,6 +59,23 @@
     known_since: float = 0.0
     leaving: bool = False
     leaving_since: float | None = None
+    ends_at: float | None = None
+
+    def ended_by(self, grace: float, now: float) -> float:
+        """Return when it is expected to have ended, seconds.
+
+        One that fell silent while ending has ended with its last word.
+
+        Args:
+            grace: Seconds in which an entry that is ending must have ended.
+            now: Present time in seconds.
+        """
+        told = self.ends_at
+        if told is None:
+            told = self.leaving_since + grace
+        if now - self.heard_at <= PEER_SILENT:
+            return told
+        return min(told, self.heard_at + NEWS_PERIOD)
 
 
 @attrs.define
@@ -94,15 +111,32 @@
             known.zone = zone
 
     def hear(
-        self, name: str, address: str, leaving: bool, now: float, zone: str = ""
+        self,
+        name: str,
+        address: str,
+        leaving: bool,
+        now: float,
+        zone: str = "",
+        ends_in: float | None = None,
     ) -> None:
-        """Note that an entry was heard."""
+        """Note that an entry was heard.
+
+        Args:
+            name: Its name.
+            address: Its address for entries.
+            leaving: Whether it is ending.
+            now: Present time in seconds.
+            zone: Its availability zone, empty if unknown.
+            ends_in: Seconds until it expects to have ended, None if it does not tell.
+        """
         if name == self.name:
             return
         self.learn(name, address, now, zone)
         peer = self.peers[name]
         peer.heard_at = now
         peer.leaving = leaving
+        ending = leaving and ends_in is not None
+        peer.ends_at = now + ends_in if ending else None
         if not leaving:
             peer.leaving_since = None
         elif peer.leaving_since is None:
@@ -120,6 +154,7 @@
             known.heard_at = now - age
             known.leaving = False
             known.leaving_since = None
+            known.ends_at = None
 
     def alive(self, now: float) -> list[str]:
         """Return the names of the entries known to be alive, this one among them."""
@@ -130,18 +165,39 @@
         ]
         return sorted([self.name, *heard])
 
-    def ready_in(self, grace: float, now: float) -> float:
-        """Return the seconds until another entry is expected to take connections.
+    def first_back(
+        self, grace: float, now: float, own_end: float | None = None
+    ) -> Return | None:
+        """Return the entry that takes connections first, None if one does now.
 
         Args:
             grace: Seconds in which an entry that is ending must have ended.
             now: Present time in seconds.
+            own_end: When this entry is expected to have ended, None if it is not
+                ending.
         """
         if len(self.alive(now)) > 1:
-            return 0.0
-        since = [peer.leaving_since for peer in self.peers.values()]
-        known = [leaving_since for leaving_since in since if leaving_since is not None]
-        return max(0.0, min(known, default=now - grace) + grace + BACK_AFTER - now)
+            return None
+        returns = [
+            Return(peer.name, peer.ended_by(grace, now))
+            for peer in self.peers.values()
+            if peer.leaving_since is not None
+        ]
+        if own_end is not None:
+            returns.append(Return(self.name, own_end))
+        return first_back(returns, now) or Return(self.name, now)
+
+    def ready_in(self, grace: float, now: float, own_end: float | None = None) -> float:
+        """Return the seconds until an entry is expected to take connections.
+
+        Args:
+            grace: Seconds in which an entry that is ending must have ended.
+            now: Present time in seconds.
+            own_end: When this entry is expected to have ended, None if it is not
+                ending.
+        """
+        first = self.first_back(grace, now, own_end)
+        return first.wait(now) if first is not None else 0.0
 
     def zone_of(self, name: str) -> str:
         """Return the availability zone of an entry, empty if it is unknown."""
--- /dev/null
+++ b/packages/core/tests/pipelines/test_ending.py
@@ -0,0 +1,98 @@
+"""Tests of when instances that are ending are expected to be back."""
+
+from __future__ import annotations
+
+import pytest
+
+from lacewingcourse.core.pipelines.ending import (
+    BACK_AFTER,
+    LEAST_WAIT,
+    NEWS_PERIOD,
+    OVERDUE_TIME,
+    expected_end,
+)
+from lacewingcourse.core.pipelines.peers import PEER_SILENT, PeerBook
+
+#: Seconds in which an entry must have ended.
+GRACE = 8.0
+
+
+def ending_book(**ends_in: float | None) -> PeerBook:
+    """Return the book of entry a, which heard others at 4 that end in some time."""
+    book = PeerBook("a")
+    for name, seconds in ends_in.items():
+        book.hear(name, f"{name}:1", True, 4.0, ends_in=seconds)
+    return book
+
+
+@pytest.mark.parametrize(
+    ("rests", "end"),
+    [([], 13.2), ([1.0], 13.2), ([1.0, 3.0, 2.0], 14.0), ([float("inf")], 17.6)],
+)
+def test_an_instance_ends_with_its_longest_answer(rests, end):
+    assert expected_end(13.2, 17.6, rests, now=11.0) == end
+
+
+def test_one_without_open_answers_that_may_end_ends_now():
+    assert expected_end(13.2, 17.6, [], now=14.0) == 14.0
+
+
+def test_the_first_of_several_that_end_is_waited_for():
+    """Callers waited for the grace time of entries that ended seconds before."""
+    book = ending_book(b=3.0, c=0.5, d=2.0)
+    assert book.ready_in(GRACE, 4.0, own_end=8.0) == pytest.approx(0.5 + BACK_AFTER)
+
+
+def test_this_entry_may_be_the_first_that_is_back():
+    book = ending_book(b=3.0, c=2.5)
+    assert book.ready_in(GRACE, 4.0, own_end=5.0) == pytest.approx(1.0 + BACK_AFTER)
+
+
+def test_an_entry_that_does_not_tell_its_end_uses_its_grace_time():
+    book = ending_book(b=None)
+    assert book.ready_in(GRACE, 4.0) == pytest.approx(GRACE + BACK_AFTER)
+
+
+def test_an_entry_tells_its_end_anew():
+    book = ending_book(b=3.0, c=3.5)
+    book.hear("b", "b:1", True, 4.2, ends_in=0.4)
+    assert book.ready_in(GRACE, 4.2) == pytest.approx(0.4 + BACK_AFTER)
+
+
+def test_an_entry_that_fell_silent_while_ending_has_ended():
+    now = 4.0 + PEER_SILENT + 0.1
+    left = 4.0 + NEWS_PERIOD + BACK_AFTER - now
+    assert ending_book(b=3.0).ready_in(GRACE, now) == pytest.approx(left)
+
+
+def test_an_entry_that_fell_silent_ended_when_it_told_to():
+    book = ending_book(b=0.05)
+    now = 4.0 + PEER_SILENT + 0.1
+    assert book.first_back(GRACE, now).ends_at == pytest.approx(4.05)
+
+
+def test_callers_are_not_sent_at_once_to_an_entry_that_is_not_heard_back():
+    """They came back within some milliseconds, to entries that were still ending."""
+    book = ending_book(b=0.0)
+    now = 4.0 + BACK_AFTER + 0.1
+    assert book.ready_in(GRACE, now, own_end=now + 1.0) == LEAST_WAIT
+
+
+def test_an_entry_that_does_not_come_back_is_waited_for_no_more():
+    book = ending_book(b=0.0)
+    now = 4.0 + BACK_AFTER + OVERDUE_TIME + 0.1
+    wait = book.ready_in(GRACE, now, own_end=now + 1.0)
+    assert wait == pytest.approx(1.0 + BACK_AFTER)
+
+
+def test_an_entry_that_is_back_is_not_waited_for():
+    book = ending_book(b=0.0, c=3.0)
+    book.hear("b", "b:1", False, 5.2)
+    assert book.first_back(GRACE, 5.3, own_end=9.0) is None
+    assert book.ready_in(GRACE, 5.3, own_end=9.0) == 0.0
+
+
+def test_what_is_waited_for_is_told():
+    first = ending_book(b=1.0).first_back(GRACE, 4.0)
+    assert first.told(4.0) == "b ends in 1.0 s"
+    assert first.told(5.5) == "b ended 0.5 s ago"
--- a/packages/core/tests/pipelines/test_peers.py
+++ b/packages/core/tests/pipelines/test_peers.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from lacewingcourse.core.pipelines.ending import BACK_AFTER
 from lacewingcourse.core.pipelines.freshness import MIN_RETRY_DELAY, Freshness
 from lacewingcourse.core.pipelines.peers import (
-    BACK_AFTER,
     PEER_FORGOTTEN,
     PEER_SILENT,
     PeerBook,
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -24,6 +24,7 @@
 from lacewingcourse.relay.connections import ConnectionPool
 from lacewingcourse.relay.decisions import DecisionLog
 from lacewingcourse.relay.duty_holder import DutyHolder
+from lacewingcourse.relay.endings import Endings
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
 from lacewingcourse.relay.gateway import Gateway
 from lacewingcourse.relay.gossip import Gossip
@@ -176,8 +177,9 @@
             self.readiness,
             self.log,
             self.clock,
-            self._ready_in,
+            lambda: self.endings.ready_in(),
             rng,
+            waits_for=lambda: self.endings.waits_for(),
         )
         self.callers = CallerConnections(
             self.gateway.serve, self.clock, lambda: self.readiness.leaving
@@ -185,6 +187,9 @@
         self.departure = Departure(
             self.readiness, self.callers, self.gateway, self.clock
         )
+        self.endings = Endings(
+            self.readiness, self.callers, self.gateway, self.book, self.clock
+        )
         self.front = HTTPServer(self.callers, max_header_size=MOST_HEAD)
         # Idle connections are closed by `IdleWatch`.
         self.front.conn_params.header_timeout = None
@@ -243,6 +248,7 @@
             self.readiness,
             self.log,
             self.clock,
+            self.endings.ends_in,
         )
         self.peers = PeerExchange(
             gossip,
@@ -329,10 +335,6 @@
     def _rank(self) -> int:
         return self.book.rank(self.clock())
 
-    def _ready_in(self) -> float:
-        """Return the seconds until another entry is expected to take connections."""
-        return self.book.ready_in(self.settings.bounds.grace, self.clock())
-
     def _on_suspect(self, endpoints: tuple[str, ...], reason: str) -> None:
         """Leave out endpoints that were found to be dead, and tell it."""
         now = self.clock()
@@ -394,7 +396,8 @@
             return
         self.readiness.leave(self.clock())
         self.front.conn_params.no_keep_alive = True
-        self.log.belief("leaving", open=len(self.callers.open))
+        ends_in = self.endings.ends_in()
+        self.log.belief("leaving", open=len(self.callers.open), ends_in=ends_in)
         self._start(self._leave())
 
     def _apply(self, settings: RelaySettings) -> None:
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -160,10 +160,23 @@
         )
 
     def refused(
-        self, request: CallerRequest, refusal: Refusal, job: Job | None
+        self,
+        request: CallerRequest,
+        refusal: Refusal,
+        job: Job | None,
+        waits_for: str = "",
     ) -> None:
-        """Tell of a request that ended without an endpoint's answer."""
+        """Tell of a request that ended without an endpoint's answer.
+
+        Args:
+            request: The request.
+            refusal: Why it was refused.
+            job: What was done for it, None if nothing was.
+            waits_for: What its caller is told to wait for, empty if that is no other
+                entry.
+        """
         self.metrics.refused(refusal, job)
+        basis = {"waits_for": waits_for} if waits_for else {}
         self._line(
             "refused",
             request=request.id,
@@ -175,6 +188,7 @@
             path=_path(job) if job else [],
             version=self.version(),
             took_ms=_ms(self.clock() - request.received_at),
+            **basis,
         )
 
     def belief(self, event: str, **fields: Any) -> None:
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -35,9 +35,9 @@
 #: others serve; its next connection goes to another one. While every entry is ending,
 #: the time is that until the first is back.
 LEAVING_RETRY = 0.05
-#: Factor up to which that time is spread, so that those refused together do not return
+#: Seconds by which that time is spread, so that those refused together do not return
 #: together.
-RETRY_SPREAD = 1.25
+RETRY_SPREAD = 0.5
 #: Why a request is refused or cut short by an entry that leaves.
 LEAVING = "this entry is about to end"
 
@@ -54,9 +54,11 @@
         readiness: Whether this entry is ending.
         log: Log of decisions.
         clock: Returns the present time in seconds.
-        ready_in: Returns the seconds until another entry takes connections.
+        ready_in: Returns the seconds until an entry takes connections.
         rng: Source of draws.
         jobs: What is done for the requests that were routed and have not ended.
+        serving: Those whose requests have arrived whole and have not ended.
+        waits_for: Returns what the seconds of `ready_in` rest on, for the log.
     """
 
     beliefs: Beliefs
@@ -69,9 +71,12 @@
     ready_in: Callable[[], float]
     rng: Random
     jobs: dict[CallerExchange, Job] = attrs.field(factory=dict)
+    serving: set[CallerExchange] = attrs.field(factory=set)
+    waits_for: Callable[[], str] = lambda: ""
 
     async def serve(self, caller: CallerExchange) -> None:
         """Serve one request of a caller; whatever happens, it is answered."""
+        self.serving.add(caller)
         try:
             await self._serve(caller)
         except Exception as error:
@@ -82,6 +87,7 @@
                 self._refuse(caller, None, Refusal(ErrorKind.INTERNAL, "a defect"))
         finally:
             self.jobs.pop(caller, None)
+            self.serving.discard(caller)
 
     def cut_short(self, caller: CallerExchange, now: float) -> None:
         """End a request for which no time is left, as truly as can be told.
@@ -109,7 +115,7 @@
             self.log.broken_off(job, cause, now)
             return
         refusal = job.failure(ErrorKind.DRAINING, self._other_entry())
-        self.log.refused(job.request, refusal, job)
+        self.log.refused(job.request, refusal, job, self._basis(refusal))
         self._refuse(caller, job.request, refusal)
 
     def _stop(self, job: Job) -> None:
@@ -131,7 +137,7 @@
         await self._wait_for_configuration(request)
         job = self._job(caller, request)
         if isinstance(job, Refusal):
-            self.log.refused(request, job, None)
+            self.log.refused(request, job, None, self._basis(job))
             self._refuse(caller, request, job)
             return
         if self.beliefs.crashes.is_refused(job.fingerprint, self.clock()):
@@ -209,8 +215,14 @@
     def _other_entry(self) -> float:
         """Return the seconds after which a caller meets an entry that serves it."""
         wait = self.ready_in()
-        spread = self.rng.uniform(1.0, RETRY_SPREAD)
-        return max(LEAVING_RETRY, wait * spread)
+        if not wait:
+            return LEAVING_RETRY
+        return wait + self.rng.uniform(0.0, RETRY_SPREAD)
+
+    def _basis(self, refusal: Refusal) -> str:
+        """Return what the caller of a refused request waits for, empty for nothing."""
+        waits = refusal.kind is ErrorKind.DRAINING and refusal.retry_after is not None
+        return self.waits_for() if waits else ""
 
     async def _forward(self, job: Job) -> Refusal | None:
         """Forward a request; return why it has no whole answer, if it has none."""
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -50,6 +50,8 @@
         readiness: Whether this entry is ending.
         log: Log of decisions.
         clock: Returns the present time in seconds.
+        ends_in: Returns the seconds until this entry expects to have ended, None if it
+            is not ending.
     """
 
     name: str
@@ -62,6 +64,7 @@
     readiness: Readiness
     log: DecisionLog
     clock: Callable[[], float]
+    ends_in: Callable[[], float | None] = lambda: None
 
     def news_for(self, receiver: str, zone: str) -> PeerNews:
         """Return what this entry tells another one.
@@ -106,6 +109,7 @@
             fencing=lease.fencing if lease else 0,
             holder_age=round(self.holder.silence(), 3) if lease else 0.0,
             released=self.holder.released,
+            ends_in=self.ends_in(),
         )
 
     def scope_for(self, receiver: str, zone: str, now: float) -> Scope:
@@ -121,7 +125,9 @@
         """Learn from another entry."""
         now = self.clock()
         was_alive = news.name in self.book.alive(now)
-        self.book.hear(news.name, news.address, news.leaving, now, news.zone)
+        self.book.hear(
+            news.name, news.address, news.leaving, now, news.zone, news.ends_in
+        )
         if not was_alive and not news.leaving:
             self.log.belief("peer_heard", peer=news.name, address=news.address)
         for name, (address, zone, age) in news.peers.items():
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -51,6 +51,8 @@
         silent: Those among the endpoints left out that do not answer at all.
         speeds: Times that the steps of endpoints take as long as published, and the
             seconds for which that is believed.
+        ends_in: Seconds until the sender expects to have ended, None if it is not
+            ending.
     """
 
     name: str
@@ -74,6 +76,7 @@
     speeds: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     holder_age: float = 0.0
     released: int = 0
+    ends_in: float | None = None
 
 
 @attrs.frozen
