Pass nothing on and read nothing unanswered after an entry's last look

With nothing open that is 3.2 s after the request to end, while callers may still come. New connections were accepted to the end and reset with the process.

Cause: after the look the sockets went on being read for some turns of the loop, and what is taken is judged by the time that is left, of which there was enough.

Change: at the last look, with no wait after it, nothing is taken any more (Readiness.closed, which each send asks as well), the connections that wait to be accepted are accepted and the listening socket is closed. For 0.05 s what callers have sent is read and refused with 503 and a Retry-After; then what has no end gets one, and all connections without a request are closed in a turn in which all that was read has been told.

Why it holds: the look and the closing are one step of the loop. A connection that comes between the last accept and the close of the socket is still reset: the kernel knows no other way.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -25,6 +25,7 @@
 from lacewingcourse.relay.decisions import DecisionLog
 from lacewingcourse.relay.duty_holder import DutyHolder
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
+from lacewingcourse.relay.front import Front
 from lacewingcourse.relay.gateway import Gateway
 from lacewingcourse.relay.gossip import Gossip
 from lacewingcourse.relay.housekeeping import Housekeeping
@@ -182,12 +183,17 @@
         self.callers = CallerConnections(
             self.gateway.serve, self.clock, lambda: self.readiness.leaving
         )
-        self.departure = Departure(
-            self.readiness, self.callers, self.gateway, self.clock
-        )
-        self.front = HTTPServer(self.callers, max_header_size=MOST_HEAD)
+        self.front = Front(self.callers, max_header_size=MOST_HEAD)
         # Idle connections are closed by `IdleWatch`.
         self.front.conn_params.header_timeout = None
+        self.departure = Departure(
+            self.readiness,
+            self.callers,
+            self.gateway,
+            self.clock,
+            self.front.stop_listening,
+            self.front.close_idle,
+        )
         self.ready = HTTPServer(
             SmallServer({("GET", self.settings.ready_path): self._on_ready})
         )
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/front.py
@@ -0,0 +1,77 @@
+"""The server that callers connect to, and how it stops reading from them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Collection, Iterable
+
+    from tornado.http1connection import HTTP1ServerConnection
+
+    from lacewingcourse.relay.caller import CallerExchange
+
+
+class Front(HTTPServer):
+    """The server that callers connect to.
+
+    Attributes:
+        listening: Sockets on which new connections come.
+        streams: Connections that have not been closed.
+    """
+
+    def initialize(self, *args, **parameters) -> None:
+        """Make the server; the library calls this in place of `__init__`."""
+        super().initialize(*args, **parameters)
+        self.listening: list[socket.socket] = []
+        self.streams: set[IOStream] = set()
+
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Accept connections on sockets that listen."""
+        added = list(sockets)
+        self.listening += added
+        super().add_sockets(added)
+
+    def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        """Read requests from a new connection."""
+        self.streams.add(stream)
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
+        """Forget a connection that has been closed."""
+        self.streams.discard(server_conn.stream)
+        super().on_close(server_conn)
+
+    def stop_listening(self) -> None:
+        """Refuse new connections; those that wait to be accepted are read from.
+
+        The kernel resets connections that wait behind a socket which is closed.
+        """
+        for listening in self.listening:
+            self._accept_waiting(listening)
+        self.stop()
+
+    def _accept_waiting(self, listening: socket.socket) -> None:
+        while True:
+            try:
+                connection, address = listening.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                # None waits, or no descriptor is left for it.
+                return
+            self.handle_stream(IOStream(connection), address)
+
+    def close_idle(self, unended: Collection[CallerExchange]) -> None:
+        """Close all connections but those of some requests.
+
+        Args:
+            unended: Requests whose answers have not left this process.
+        """
+        busy = {caller.connection.stream for caller in unended}
+        for stream in self.streams.difference(busy):
+            stream.close()
--- a/packages/relay/src/lacewingcourse/relay/leaving.py
+++ b/packages/relay/src/lacewingcourse/relay/leaving.py
@@ -8,9 +8,9 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
-    from lacewingcourse.relay.caller import CallerConnections
+    from lacewingcourse.relay.caller import CallerConnections, CallerExchange
     from lacewingcourse.relay.gateway import Gateway
     from lacewingcourse.relay.readiness import Readiness
 
@@ -19,7 +19,8 @@
 BALANCER_DELAY = 3.2
 #: Seconds between two looks at what is still open.
 LOOK_PERIOD = 0.05
-#: Seconds of those kept for the end in which the last answers may be written out.
+#: Seconds of those kept for the end in which what callers have sent is read and
+#: refused, and the last answers are written out.
 WRITING_TIME = 0.1
 
 
@@ -32,28 +33,47 @@
         callers: The connections of callers.
         gateway: Ends requests that have no answer by then.
         clock: Returns the present time in seconds.
+        stop_listening: Called to refuse new connections from then on.
+        close_idle: Called to close all connections but those of some requests.
     """
 
     readiness: Readiness
     callers: CallerConnections
     gateway: Gateway
     clock: Callable[[], float]
+    stop_listening: Callable[[], None] = lambda: None
+    close_idle: Callable[[Collection[CallerExchange]], None] = lambda unended: None
 
     async def carry_out(self) -> None:
         """Wait for the callers' answers, and end what has none in time."""
         while not self._is_over(self.clock()):
             await asyncio.sleep(LOOK_PERIOD)
-        # With the loop ends every task, and a caller whose task is merely dropped sees
-        # its connection closed without a word.
+        # With no wait since the look, nothing was taken that it did not count.
+        self.readiness.closed = True
+        self.stop_listening()
+        self._cut_short()
+        await self._write_out()
+
+    def _cut_short(self) -> None:
+        """End what has no end.
+
+        With the loop ends every task, and a caller whose task is merely dropped sees
+        its connection closed without a word.
+        """
         for caller in list(self.callers.open):
             self.gateway.cut_short(caller, self.clock())
-        await self._write_out()
 
     async def _write_out(self) -> None:
-        """Wait a moment for answers that have not left this process."""
-        until = self.readiness.last + WRITING_TIME
-        while self.callers.open and self.clock() < until:
+        """Refuse what callers have sent, and wait for answers to leave this process."""
+        until = self.clock() + WRITING_TIME
+        while True:
+            # A timer wakes this up once all that was read has been told, and before
+            # more is read: no connection is closed on which a request was read.
             await asyncio.sleep(LOOK_PERIOD)
+            self._cut_short()
+            self.close_idle(self.callers.open)
+            if not self.callers.open or self.clock() >= until:
+                return
 
     def _is_over(self, now: float) -> bool:
         """Tell whether nothing is waited for any more."""
--- a/packages/relay/src/lacewingcourse/relay/readiness.py
+++ b/packages/relay/src/lacewingcourse/relay/readiness.py
@@ -29,12 +29,14 @@
         takes_last: Tells whether a request is taken while the process ends, see
             `shutdown.LAST_REQUESTS`.
         leaving_since: When the request to end came, None before it.
+        closed: Whether nothing is taken any more, since the process ends at once.
     """
 
     beliefs: Beliefs
     grace: float
     takes_last: Callable[[AnswerTime, float], bool] = take_until_redirected
     leaving_since: float | None = None
+    closed: bool = False
 
     def leave(self, now: float) -> None:
         """Note the request to end."""
@@ -70,6 +72,8 @@
         """
         if not self.leaving:
             return True
+        if self.closed:
+            return False
         time = AnswerTime(
             expected=self.beliefs.durations.expected(route.name),
             longest=self._longest(service, max_answer),
