--- a/packages/relay/src/lacewingcourse/relay/readiness.py
+++ b/packages/relay/src/lacewingcourse/relay/readiness.py
@@ -28,12 +28,14 @@
         takes_last: Tells whether a request is taken while the process ends, see
             `shutdown.LAST_REQUESTS`.
         leaving_since: When the request to end came, None before it.
+        closed: Whether nothing is taken any more, since the process ends at once.
     """
 
     beliefs: Beliefs
     grace: float
     takes_last: Callable[[AnswerTime, float], bool] = take_until_redirected
     leaving_since: float | None = None
+    closed: bool = False
 
     def leave(self, now: float) -> None:
         """Note the request to end."""
@@ -55,6 +57,8 @@
         """Tell whether a request is served, see `answer_time` for the arguments."""
         if not self.leaving:
             return True
+        if self.closed:
+            return False
         return self.takes_last(self.answer_time(route, now, until), self.last - now)
 
     def answer_time(self, route: str, now: float, until: float) -> AnswerTime:
