Keep the retry budget when entries restart

The service could get more retries than the deployment allows when entries restart within one window.

Cause: a process that starts takes itself for the only entry until it has heard others, so the whole slack was its own (what it lent was guarded by the count that the borrower tells, its own use was not); and what the process before it used or lent within the window ended with that process.

Change: a process has none of the slack for 3 s, by when it has counted the others. Then, until a window and these 3 s are over, it has the 0.3 of its share that the safety share leaves over, in proportion to its age; it has its 0.7 after that. What it lacks it borrows, as before. When `bootstrap` tells that all start for the first time, it has its 0.7 after 3 s. The count of entries also holds those that are ending, silent or only listed, for as long as they are known (20 s); what is kept for life is the most that were alive at once, as before, so that stale names in the registry do not shrink the share for good.

Why it holds, for the entry of one name in any window of W seconds: - Two processes that are old (W + 3 s) do not both use the window, since the second gets its 0.7 later than W + LOAN_TIME after the first one's end, when what that lent has been used, too. So 0.7 of the share is used once at most. - A young process of age a has used at most 0.3 a / (W + 3) of the share. The ages that those which begin within the window reach in it add up to W at most, so they have 0.3 of the share together, however many there are. What a young one lent counts up to LOAN_TIME after its end; ages of W + 1 s still give less than 0.3. - A young process that began before the window rules the old one out: its own are 0.3 (or 0.7 within the window once it is old), those after it 0.3. Together at most the share, so the slack over all entries. The other part is 0.7 x ratio x the requests that the process took itself, each of which one process counts; requests of the process before are not counted, which is on the safe side. Entries that are added are young, others hear of them within 3 s, and what these used of larger shares before is 0.7 of the slack at most. One at a new address keeps its name. At a first start, or where k of n entries have ended and were not known, the sum is 0.7 (1 + k / n) of the slack, within it up to k = 0.4 n. Not covered: an entry that starts cut off from other zones for longer than 20 s counts only those that it hears (docs/proofs.md).

--- a/packages/core/src/lacewingcourse/core/pipelines/retry_budget.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/retry_budget.py
@@ -23,7 +23,9 @@
 LENT_SHARE = 0.5
 #: Seconds after it was asked for in which a borrowed retry must be used.
 LOAN_TIME = 1.0
-
+#: Seconds after its start by which an entry has heard of the others and they of it. No
+#: less than `LOAN_TIME`, in which loans of the process before are used.
+COUNTING_TIME = 3.0
 
 #: How entries share the slack: returns how many retries one asks others for, from how
 #: many of its requests lack one.
@@ -51,11 +53,19 @@
     at the end of the time in which that may be used, so the sum over all entries stays
     within what is allowed however late or lost the messages are.
 
+    A process that has started knows neither how many entries there are nor what the
+    process before it used or lent. Until no window holds any of that, it has only what
+    the safety share leaves over, and that in proportion to its age: all processes that
+    start in an entry within one window have that part once together.
+
     Attributes:
         ratio: Retries that are allowed for each request.
         window: Length of the window in seconds.
         slack: Retries that are allowed besides, over all entries.
-        entries: Entries that share the slack.
+        entries: Most entries that were known to be alive at once.
+        known: Entries that are known now, silent and ending ones among them.
+        started_at: When this process started, seconds.
+        has_predecessor: Whether another process may have had the share before.
         requests: Times of the requests in the window, by service.
         retries: Times from which retries count, used here or lent, by service.
         loans: Times until which borrowed retries may be used, by service.
@@ -66,6 +76,9 @@
     window: float
     slack: float
     entries: int = 1
+    known: int = 1
+    started_at: float = float("-inf")
+    has_predecessor: bool = True
     requests: dict[str, deque[float]] = attrs.field(factory=dict)
     retries: dict[str, list[float]] = attrs.field(factory=dict)
     loans: dict[str, list[float]] = attrs.field(factory=dict)
@@ -135,8 +148,18 @@
         """Return the retries of this entry in a window."""
         requests = self.requests.get(service)
         count = 0 if requests is None else self._drop_old(requests, now)
-        share = self.slack / max(1, self.entries)
-        return SAFETY_SHARE * (self.ratio * count + share)
+        return SAFETY_SHARE * (self.ratio * count) + self._share(now)
+
+    def _share(self, now: float) -> float:
+        """Return the part of the slack that is this entry's own."""
+        age = now - self.started_at
+        if age < COUNTING_TIME:
+            return 0.0
+        share = self.slack / max(1, self.entries, self.known)
+        full_age = self.window + COUNTING_TIME
+        if self.has_predecessor and age < full_age:
+            return (1.0 - SAFETY_SHARE) * share * age / full_age
+        return SAFETY_SHARE * share
 
     def _left(self, service: str, now: float) -> float:
         """Return the retries of its own that this entry may still use."""
--- a/packages/core/tests/pipelines/test_retry_budget.py
+++ b/packages/core/tests/pipelines/test_retry_budget.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+from random import Random
+
+import pytest
+
 from lacewingcourse.core.pipelines.retry_budget import (
+    COUNTING_TIME,
     LOAN_TIME,
     RESERVED_SHARE,
     SAFETY_SHARE,
@@ -71,3 +76,104 @@
     while budget.allows("s", now=0.0, reserved=False):
         budget.take("s", now=0.0)
     assert sum(budget.take("s", now=0.0) for _ in range(8)) == 8 * RESERVED_SHARE
+
+
+#: Retries for each request, seconds of a window and retries besides, of a deployment.
+RATIO, WINDOW, SLACK = 0.2, 10.0, 100.0
+
+
+def most_beyond(requests: list[float], retries: list[float]) -> float:
+    """Return the most retries in a window beyond what its requests allow."""
+    return max(
+        sum(at - WINDOW < time <= at for time in retries)
+        - RATIO * sum(at - WINDOW < time <= at for time in requests)
+        for at in retries
+    )
+
+
+@pytest.mark.parametrize("heard", [1, 8])
+@pytest.mark.parametrize("seed", range(8))
+def test_entries_that_restart_within_a_window_stay_within_the_slack(seed, heard):
+    """Some more than once, whether or not they have heard of one another."""
+    rng = Random(seed)
+    entries = [RetryBudget(RATIO, WINDOW, SLACK, entries=8) for _ in range(8)]
+    requests, retries = [], []
+    for tick in range(800):
+        now = tick * 0.05
+        for number, budget in enumerate(entries):
+            if 8.0 <= now <= 16.0 and rng.random() < 0.01:
+                new = RetryBudget(RATIO, WINDOW, SLACK, heard, started_at=now)
+                entries[number] = new
+            if now - budget.started_at > COUNTING_TIME:
+                budget.entries = 8
+            if rng.random() < 0.1:
+                budget.on_request("s", now)
+                requests.append(now)
+            while budget.take("s", now):
+                retries.append(now)
+    assert most_beyond(requests, retries) <= SLACK
+    assert any(time > 30.0 for time in retries)
+
+
+def test_entries_that_are_added_stay_within_the_slack():
+    """Others have used more than the share that is left to them until they hear it."""
+    entries = [RetryBudget(RATIO, WINDOW, SLACK, entries=4) for _ in range(4)]
+    retries = []
+    for tick in range(800):
+        now = tick * 0.05
+        if now == 10.0:
+            for _ in range(4):
+                new = RetryBudget(RATIO, WINDOW, SLACK, 8, started_at=now)
+                entries.append(new)
+        for budget in entries:
+            if now >= 10.0 + COUNTING_TIME:
+                budget.entries = 8
+            while budget.take("s", now):
+                retries.append(now)
+    assert most_beyond([], retries) <= SLACK
+
+
+@pytest.mark.parametrize("heard", [1, 5])
+def test_an_entry_that_has_not_counted_the_others_has_what_its_requests_allow(heard):
+    budget = RetryBudget(RATIO, WINDOW, SLACK, heard, started_at=50.0)
+    for _ in range(50):
+        budget.on_request("s", now=51.0)
+    assert sum(budget.take("s", now=52.9) for _ in range(50)) == 7
+    assert budget.lend("s", 5, now=52.9) == 0
+
+
+def test_an_entry_that_restarts_uses_what_others_lend():
+    budget = RetryBudget(RATIO, WINDOW, SLACK, entries=5, started_at=50.0)
+    budget.borrow("s", 2, asked_at=51.0)
+    assert sum(budget.take("s", now=51.1) for _ in range(5)) == 2
+
+
+def test_processes_that_restart_again_and_again_have_a_part_of_the_share_together():
+    taken = 0
+    for start in range(50, 60, 4):
+        budget = RetryBudget(RATIO, WINDOW, SLACK, entries=1, started_at=float(start))
+        taken += sum(budget.take("s", now=start + 3.9) for _ in range(100))
+    assert 0 < taken <= (1.0 - SAFETY_SHARE) * SLACK
+
+
+def test_a_share_is_back_once_no_window_holds_what_was_used_before():
+    budget = RetryBudget(RATIO, WINDOW, SLACK, entries=5, started_at=50.0)
+    back_at = 50.0 + WINDOW + COUNTING_TIME
+    taken = sum(budget.take("s", now=back_at - 0.1) for _ in range(50))
+    assert taken == int((1.0 - SAFETY_SHARE) * SLACK / 5 - 0.1)
+    taken += sum(budget.take("s", now=back_at) for _ in range(50))
+    assert taken == int(SAFETY_SHARE * SLACK / 5)
+
+
+def test_the_first_process_waits_only_until_the_entries_are_counted():
+    budget = RetryBudget(
+        RATIO, WINDOW, SLACK, entries=1, started_at=50.0, has_predecessor=False
+    )
+    assert not budget.allows("s", now=50.0 + COUNTING_TIME - 0.1)
+    assert budget.allows("s", now=50.0 + COUNTING_TIME)
+
+
+def test_entries_that_are_known_but_not_alive_have_their_shares():
+    budget = RetryBudget(RATIO, WINDOW, SLACK, entries=5)
+    budget.known = 10
+    assert sum(budget.take("s", now=1.0) for _ in range(50)) == 7
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -130,6 +130,8 @@
             settings.bounds.retry_ratio,
             settings.bounds.retry_window,
             settings.bounds.retry_slack,
+            started_at=self.clock(),
+            has_predecessor=not settings.first_start,
         )
         self.ended = asyncio.Event()
         self.reloading = SettingsWatch(changed, self._apply, self.log)
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -62,6 +62,7 @@
         self.beliefs.speeds.expire(now)
         self.beliefs.crashes.expire(now)
         self.budget.entries = max(self.book.count(now), self.budget.entries)
+        self.budget.known = 1 + len(self.book.peers)
 
 
 def seconds_asleep(now: float) -> float:
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -38,6 +38,8 @@
         metrics: IP address and port of the metrics, empty for none.
         seeds: Addresses of other entries that may be asked first.
         bounds: Limits that are promised.
+        first_start: Whether all entries start for the first time, so that no process
+            ran before this one.
         wait: Name of how long a request waits for room, see `admission_queue.WAITS`.
         retry_sharing: Name of how entries share retries, see
             `retry_budget.RETRY_SHARINGS`.
@@ -56,6 +58,7 @@
     metrics: str
     seeds: tuple[str, ...]
     bounds: Bounds
+    first_start: bool = False
     wait: str = "in_time"
     retry_sharing: str = "lent"
     store_retry: str = "backoff"
--- a/packages/relay/tests/relay/test_gossip.py
+++ b/packages/relay/tests/relay/test_gossip.py
@@ -5,7 +5,8 @@
 import pytest
 
 from lacewingcourse.core.pipelines.peers import PEER_SILENT, Role
-from lacewingcourse.relay.peers import PERIOD
+from lacewingcourse.core.pipelines.retry_budget import COUNTING_TIME
+from lacewingcourse.relay.peers import PERIOD, REGISTRY_PERIOD
 
 from .network import Network
 
@@ -33,6 +34,14 @@
     )
 
 
+@pytest.mark.parametrize("zones", [{"a": 2, "b": 1}, dict.fromkeys("abcde", 14)])
+def test_entries_are_counted_before_they_use_their_shares_of_the_retries(zones):
+    network = Network(zones)
+    network.rounds(int((COUNTING_TIME - REGISTRY_PERIOD) / PERIOD))
+    counts = {e.book.count(network.clock()) for e in network.entries.values()}
+    assert counts == {sum(zones.values())}
+
+
 def test_many_entries_agree_on_two_hubs_a_zone(large):
     hubs = {name for name, role in large.roles().items() if role is Role.HUB}
     assert hubs == {"a-00", "a-01", "b-00", "b-01", "c-00", "c-01"}
--- a/packages/relay/tests/relay/test_housekeeping.py
+++ b/packages/relay/tests/relay/test_housekeeping.py
@@ -48,6 +48,19 @@
     assert house.budget.entries == 3
 
 
+def test_entries_that_end_or_are_not_heard_yet_keep_their_shares_of_the_budget(
+    make_house,
+):
+    house = make_house()
+    house.book.hear("b", "b:1", True, 0.0)
+    house.book.learn("c", "c:1", 0.0)
+    house.forget(0.1)
+    assert (house.budget.known, house.budget.entries) == (3, 1)
+    house.book.expire(100.0)
+    house.forget(100.0)
+    assert house.budget.known == 1
+
+
 @pytest.mark.parametrize(("slept", "told"), [(FREEZE / 2, 0), (FREEZE + 1.0, 1)])
 def test_a_freeze_is_told(make_house, monkeypatch, slept, told):
     freezes = []
--- a/packages/relay/tests/relay/test_retry_loans.py
+++ b/packages/relay/tests/relay/test_retry_loans.py
@@ -101,6 +101,12 @@
         self.sent.append(clock())
         return clock() - since
 
+    def restart(self, name: str) -> None:
+        """Let a new process that has heard of nobody take an entry's place."""
+        now = asyncio.get_running_loop().time()
+        budget = RetryBudget(0.2, WINDOW, SLACK, started_at=now)
+        self.entries[name].budget = budget
+
     def most_in_a_window(self) -> int:
         """Return the most retries that all entries made in any window."""
         return max(
@@ -182,3 +188,40 @@
         assert 0 < reply.count <= SAFETY_SHARE * SLACK / 31
 
     play(test())
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_entries_that_restart_one_after_the_other_stay_within_the_budget(seed):
+    """All of them within one window, with streams waiting for retries all the while."""
+
+    async def test():
+        fleet = Fleet(Random(seed), delay=0.1, loss=0.1, look_again=0.2)
+        fleet.add(6)
+        tasks = [asyncio.ensure_future(e.run()) for e in fleet.entries.values()]
+        waits = [
+            asyncio.ensure_future(fleet.retry(name, number))
+            for name in fleet.entries
+            for number in range(150)
+        ]
+        await asyncio.sleep(WINDOW / 2)
+        for name in fleet.entries:
+            fleet.restart(name)
+            await asyncio.sleep(1.2)
+            fleet.entries[name].budget.entries = 6
+        await asyncio.sleep(3 * WINDOW)
+        for task in tasks + waits:
+            task.cancel()
+        assert fleet.most_in_a_window() <= SLACK
+
+    play(test())
+
+
+def test_an_entry_that_has_just_started_goes_on_with_the_retries_of_the_others():
+    async def test():
+        fleet = Fleet(Random(1))
+        fleet.add(31)
+        fleet.restart("e00")
+        waits = await lose_streams(fleet, affected=1, streams=10)
+        assert max(waits) <= 0.3
+
+    play(test())
