End the process and other requests whatever one request's end meets

What callers saw: by reading, not in the field. Where the entry must end and the end of one request raises (its refusal cannot be made, or its log line cannot), the other open requests got no end, and the process ran until it was killed.

Cause: `Departure.carry_out` ends requests one after the other and nothing stood between one that raises and the rest. The task that waits for it then never set `ended`.

Evidence: before the change, the three new cases failed: with one of three requests that raises, not begun and begun, the departure raised; and a departure that raises left `ended` unset.

The change: `Gateway.cut_short` logs the defect and closes that caller's connection, so that it sees an end that cannot look whole. The process ends whether or not the departure raises; `_on_task_done` logs what it raised, as for every task.

Why it holds: closing the connection needs neither the codec nor the log, and the request is marked as ended, so that later looks pass it over.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -415,6 +415,8 @@
         self.peers.seeds = settings.seeds
 
     async def _leave(self) -> None:
-        """End when the callers' requests have their ends."""
-        await self.departure.carry_out()
-        self.ended.set()
+        """End when the callers' requests have their ends, or cannot get them."""
+        try:
+            await self.departure.carry_out()
+        finally:
+            self.ended.set()
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -91,7 +91,7 @@
             self.serving.discard(caller)
 
     def cut_short(self, caller: CallerExchange, now: float) -> None:
-        """End a request for which no time is left, as truly as can be told.
+        """End a request for which no time is left, whatever happens.
 
         Its task is stopped first, so that nothing is sent for it any more and nothing
         else is answered.
@@ -101,6 +101,15 @@
             now: Present time in seconds.
         """
         caller.cancel()
+        try:
+            self._tell_end(caller, now)
+        except Exception as error:
+            self.log.failed(error)
+            if not caller.ended:
+                caller.break_off()
+
+    def _tell_end(self, caller: CallerExchange, now: float) -> None:
+        """End a request that was stopped, as truly as can be told."""
         job = self.jobs.get(caller)
         if caller.ended or caller.gone:
             return
--- a/packages/relay/tests/relay/test_leaving.py
+++ b/packages/relay/tests/relay/test_leaving.py
@@ -8,6 +8,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from lacewingcourse.relay.application import Application
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.gateway import Gateway
 from lacewingcourse.relay.leaving import Departure
@@ -60,6 +61,20 @@
     return found
 
 
+def failing_once(work, lines):
+    """Return a function that has a defect the first time, and then does its work."""
+    failed = []
+
+    def run_once(*args):
+        if failed:
+            return work(*args)
+        failed.append(True)
+        lines.told.append("raised")
+        raise ValueError("a defect")
+
+    return run_once
+
+
 async def leave(entry, connections) -> None:
     """Ask an entry to end and wait until it has."""
     readiness = Readiness(Beliefs(), GRACE)
@@ -192,3 +207,52 @@
         assert served == ["/0"]
 
     run(test)
+
+
+@pytest.mark.parametrize("begun", [False, True])
+def test_a_defect_in_the_end_of_one_request_takes_no_end_from_others(begun):
+    lines = Lines()
+
+    async def waits(job, shape):
+        if begun:
+            job.caller.begin(200, HTTPHeaders(), b"some")
+        await asyncio.Event().wait()
+
+    async def test():
+        entry = entry_with(waits, lines)
+        entry.codec.refusal = failing_once(refusal, lines)
+        lines.broken_off = failing_once(lambda *args: lines.told.append("end"), lines)
+        leaving = serving_connections(entry.serve, last=lambda: True)
+        async with leaving as (address, connections):
+            callers = [await asyncio.open_connection(*address) for _ in range(3)]
+            for _, writer in callers:
+                writer.write(REQUEST % 0)
+            while len(entry.jobs) < len(callers):
+                await asyncio.sleep(0)
+            await leave(entry, connections)
+            assert not connections.open
+            ends = sorted([await reader.read() for reader, _ in callers])
+        if begun:
+            assert all(end.endswith(b"4\r\nsome\r\n") for end in ends)
+            assert lines.told == ["raised", "failed", "end", "end"]
+        else:
+            assert ends[0] == b""
+            assert all(end.startswith(b"HTTP/1.1 503") for end in ends[1:])
+            assert lines.told.count("failed") == 1
+
+    run(test)
+
+
+def test_a_process_whose_departure_has_a_defect_ends():
+    class Broken:
+        async def carry_out(self):
+            raise ValueError("a defect")
+
+    async def test():
+        entry = object.__new__(Application)
+        entry.departure, entry.ended = Broken(), asyncio.Event()
+        with pytest.raises(ValueError, match="a defect"):
+            await entry._leave()
+        assert entry.ended.is_set()
+
+    run(test)
