Refuse at once what is held for a configuration when the entry must end

What callers saw: by reading, not in the field.

Cause: the wait for the first configuration did not look at the request to end, and its refusal was of the kind `not_ready`, which no time of another entry goes with.

Evidence: the new test holds a request on an entry whose clock stands still, so that only the request to end can end the wait.

The change: the wait ends when the entry is ending, and the request is refused as `draining`, with the time of the entry that is back first, as every other request is that an ending entry does not take.

--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -188,14 +188,21 @@
             durations.note_stream(job.service, job.first_at - received, interval)
 
     async def _wait_for_configuration(self, request: CallerRequest) -> None:
-        """Hold a request that came before the first configuration did."""
+        """Hold a request that came before the first configuration did.
+
+        An entry that is ending asks its caller to go elsewhere at once.
+        """
         until = request.received_at + FIRST_CONFIGURATION_WAIT
         while self.beliefs.table is None and self.clock() < until:
+            if self.readiness.leaving:
+                return
             await asyncio.sleep(RETRY_PERIOD)
 
     def _job(self, caller: CallerExchange, request: CallerRequest) -> Job | Refusal:
         """Return what is to be done for a request, or why nothing is."""
         table = self.beliefs.table
+        if table is None and self.readiness.leaving:
+            return Refusal(ErrorKind.DRAINING, LEAVING)
         if table is None:
             reason = "no configuration is known yet"
             return Refusal(ErrorKind.NOT_READY, reason, retry_after=NOT_READY_RETRY)
--- a/packages/relay/tests/relay/test_leaving.py
+++ b/packages/relay/tests/relay/test_leaving.py
@@ -256,3 +256,26 @@
         assert entry.ended.is_set()
 
     run(test)
+
+
+def test_a_request_held_for_the_first_configuration_is_refused_once_the_entry_ends():
+    lines = Lines()
+
+    async def test():
+        entry = entry_with(None, lines)
+        entry.beliefs.table = None
+        entry.readiness = Readiness(Beliefs(), GRACE)
+        # The time for which it is held at the most is never over.
+        entry.clock = lambda: 0.0
+        async with serving_connections(entry.serve) as (address, _):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(REQUEST % 0)
+            while not entry.serving:
+                await asyncio.sleep(0)
+            entry.readiness.leave(entry.clock())
+            head, _ = await read_answer(reader)
+            assert head.startswith(b"HTTP/1.1 503")
+            assert b"Retry-After: 0.3" in head
+            assert lines.told == ["refused"]
+
+    run(test)
