--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -91,7 +91,7 @@
             self.serving.discard(caller)
 
     def cut_short(self, caller: CallerExchange, now: float) -> None:
-        """End a request for which no time is left, as truly as can be told.
+        """End a request for which no time is left, whatever happens.
 
         Its task is stopped first, so that nothing is sent for it any more and nothing
         else is answered.
@@ -101,6 +101,15 @@
             now: Present time in seconds.
         """
         caller.cancel()
+        try:
+            self._tell_end(caller, now)
+        except Exception as error:
+            self.log.failed(error)
+            if not caller.ended:
+                caller.break_off()
+
+    def _tell_end(self, caller: CallerExchange, now: float) -> None:
+        """End a request that was stopped, as truly as can be told."""
         job = self.jobs.get(caller)
         if caller.ended or caller.gone:
             return
@@ -179,14 +188,21 @@
             durations.note_stream(job.service, job.first_at - received, interval)
 
     async def _wait_for_configuration(self, request: CallerRequest) -> None:
-        """Hold a request that came before the first configuration did."""
+        """Hold a request that came before the first configuration did.
+
+        An entry that is ending asks its caller to go elsewhere at once.
+        """
         until = request.received_at + FIRST_CONFIGURATION_WAIT
         while self.beliefs.table is None and self.clock() < until:
+            if self.readiness.leaving:
+                return
             await asyncio.sleep(RETRY_PERIOD)
 
     def _job(self, caller: CallerExchange, request: CallerRequest) -> Job | Refusal:
         """Return what is to be done for a request, or why nothing is."""
         table = self.beliefs.table
+        if table is None and self.readiness.leaving:
+            return Refusal(ErrorKind.DRAINING, LEAVING)
         if table is None:
             reason = "no configuration is known yet"
             return Refusal(ErrorKind.NOT_READY, reason, retry_after=NOT_READY_RETRY)
