Count the grace time from before a loop that was held up when SIGTERM came

The platform's 8 s ran on, and its kill came first.

Change: the time counts from the look of LoopWatch before the last one. Whatever had come by then has been handled, so the signal came later; while the loop is well this gives up 0.05 to 0.1 s. Time for which the machine was suspended, which the loop's clock does not count, is taken off; a changed grace time of the settings holds at once. The departure starts before anything that only tells of it, and other entries are told at once. While an entry is ending, no refusal of any kind asks its caller back before an entry is expected to take connections: OVERLOADED and RETRIES_EXHAUSTED kept 0.05 to 0.5 s and sent callers, who have one further try, back to entries that were ending.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -398,15 +398,18 @@
         self.directory.freshness.expire()
         self.holder.lease = None
         self.budget.drop_loans()
+        self.readiness.suspended(slept)
 
     def _on_term(self) -> None:
         if self.readiness.leaving:
             return
-        self.readiness.leave(self.clock())
+        # The grace time runs while a loop that is held up has not noticed the signal.
+        self.readiness.leave(self.watch.previous_look)
         self.front.conn_params.no_keep_alive = True
+        self._start(self._leave())
+        self._tell_peers()
         ends_in = self.endings.ends_in()
         self.log.belief("leaving", open=len(self.callers.open), ends_in=ends_in)
-        self._start(self._leave())
 
     def _apply(self, settings: RelaySettings) -> None:
         """Put in force what may change in the life of a process."""
@@ -414,6 +417,7 @@
         self.budget.ratio = settings.bounds.retry_ratio
         self.budget.window = settings.bounds.retry_window
         self.budget.slack = settings.bounds.retry_slack
+        self.readiness.grace = settings.bounds.grace
         self.peers.seeds = settings.seeds
 
     async def _leave(self) -> None:
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -238,10 +238,13 @@
         return refusal or job
 
     def _with_return_time(self, refusal: Refusal) -> Refusal:
-        """Return a refusal that tells when to come back if this entry is ending."""
-        if refusal.kind is not ErrorKind.DRAINING:
+        """Return a refusal that sends no caller back to entries which are ending."""
+        if refusal.kind is ErrorKind.DRAINING:
+            return attrs.evolve(refusal, retry_after=self._other_entry())
+        if refusal.retry_after is None or not self.readiness.leaving:
             return refusal
-        return attrs.evolve(refusal, retry_after=self._other_entry())
+        wait = max(refusal.retry_after, self._other_entry())
+        return attrs.evolve(refusal, retry_after=wait)
 
     def _log_last_request(self, job: Job, taken: bool, now: float) -> None:
         """Tell whether a request was taken that came while this entry ends."""
--- a/packages/relay/src/lacewingcourse/relay/loop_watch.py
+++ b/packages/relay/src/lacewingcourse/relay/loop_watch.py
@@ -43,12 +43,22 @@
         observe: Called with the lateness of each look, seconds.
         tell: Called with the lateness and the longest piece of work if it was late.
         longest: The longest named piece of work since the last look.
+        last_look: When it last looked, seconds.
+        previous_look: When it looked before that. The loop has handled since then
+            whatever had come by that time, however long it was held up.
     """
 
     clock: Callable[[], float] = time.monotonic
     observe: Callable[[float], None] = lambda seconds: None
     tell: Callable[[float, Section], None] = lambda seconds, section: None
     longest: Section = Section(OTHER, 0.0)
+    last_look: float = attrs.field()
+    previous_look: float = attrs.field()
+
+    @last_look.default
+    @previous_look.default
+    def _now(self) -> float:
+        return self.clock()
 
     @contextmanager
     def section(self, name: str) -> Iterator[None]:
@@ -66,7 +76,9 @@
         while True:
             expected = self.clock() + PERIOD
             await asyncio.sleep(PERIOD)
-            self.look(self.clock() - expected)
+            now = self.clock()
+            self.previous_look, self.last_look = self.last_look, now
+            self.look(now - expected)
 
     def look(self, late: float) -> None:
         """Take how late the timer was, seconds."""
--- a/packages/relay/src/lacewingcourse/relay/readiness.py
+++ b/packages/relay/src/lacewingcourse/relay/readiness.py
@@ -42,6 +42,11 @@
         if self.leaving_since is None:
             self.leaving_since = now
 
+    def suspended(self, seconds: float) -> None:
+        """Count time for which the machine was suspended, which the clock does not."""
+        if self.leaving_since is not None:
+            self.leaving_since -= seconds
+
     @property
     def leaving(self) -> bool:
         """Whether this entry is ending."""
--- a/packages/relay/tests/relay/test_loop_watch.py
+++ b/packages/relay/tests/relay/test_loop_watch.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+import os
+import signal
+import time
+
 import pytest
 
-from lacewingcourse.relay.loop_watch import OTHER, TOLD, LoopWatch, Section
+from lacewingcourse.relay.loop_watch import OTHER, PERIOD, TOLD, LoopWatch, Section
+
+from .test_caller import run
 
 
 @pytest.fixture
@@ -53,3 +60,40 @@
     watch.look(0.01)
     watch.look(0.1)
     assert told[0][1].name == OTHER
+
+
+@pytest.mark.parametrize("offset", [0.0, 0.3, 0.6, 0.9, 0.99])
+def test_a_signal_noticed_late_counts_from_before_it_came(offset):
+    async def test():
+        loop = asyncio.get_running_loop()
+        watch = LoopWatch(loop.time)
+        watching = asyncio.ensure_future(watch.run())
+        counted = loop.create_future()
+        loop.add_signal_handler(
+            signal.SIGUSR1, lambda: counted.set_result(watch.previous_look)
+        )
+        await asyncio.sleep(4 * PERIOD + offset * PERIOD)
+        asked = loop.time()
+        os.kill(os.getpid(), signal.SIGUSR1)
+        time.sleep(0.5)
+        assert asked - 0.5 < await counted <= asked
+        watching.cancel()
+        loop.remove_signal_handler(signal.SIGUSR1)
+
+    run(test)
+
+
+@pytest.mark.parametrize("held_up", [0.0, 0.5])
+def test_the_look_before_the_last_precedes_work_that_held_the_loop_up(held_up):
+    async def test():
+        loop = asyncio.get_running_loop()
+        watch = LoopWatch(loop.time)
+        watching = asyncio.ensure_future(watch.run())
+        await asyncio.sleep(4 * PERIOD)
+        begun = loop.time()
+        time.sleep(held_up)
+        await asyncio.sleep(0)
+        assert watch.previous_look <= begun
+        watching.cancel()
+
+    run(test)
