Send refused callers to a returned entry once the balancer does

While all entries of a deployment were ending and the first of them was just heard again, the others told the callers that they refused to come back after 0.05 s. The balancer asks once a second whether an entry is ready. Until its next question it sent these callers to entries that were still ending, which refused them for good.

An entry that is heard again after it was ending counts as reached by callers 1 s later, the time between two questions of the balancer. Another one that did not end, or was back before, counts at once, as before. Of several that are back the first is waited for.

Five tests fail with the book of before and pass now, four of them new. The fifth is test_an_entry_that_was_restarted_is_ending_no_more: it wanted callers to come at once 0.1 s after the entry was heard, which is the fault.

--- a/packages/core/src/lacewingcourse/core/pipelines/ending.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/ending.py
@@ -18,6 +18,9 @@
 NEWS_PERIOD = 0.2
 #: Seconds after its end in which an instance takes connections again.
 BACK_AFTER = RESTART_TIME + START_TIME + NEWS_PERIOD
+#: Seconds after its return in which the balancer sends callers to an instance: it asks
+#: once a second, and until then may send them to those that are ending.
+ROTATION_TIME = 1.0
 #: Least seconds until one is back while none is known to be: its own first news.
 LEAST_WAIT = 0.5
 #: Seconds beyond the expected time after which an instance is waited for no more.
@@ -26,27 +29,34 @@
 
 @attrs.frozen
 class Return:
-    """An instance that is to start again.
+    """An instance that starts again.
 
     Attributes:
         name: Its name.
         ends_at: When it has ended or is expected to, seconds.
+        back_since: When it was first heard again, None if it was not.
     """
 
     name: str
     ends_at: float
+    back_since: float | None = None
 
     @property
-    def back_at(self) -> float:
-        """When it is expected to take connections, seconds."""
+    def ready_at(self) -> float:
+        """When callers are expected to be sent to it, seconds."""
+        if self.back_since is not None:
+            return self.back_since + ROTATION_TIME
         return self.ends_at + BACK_AFTER
 
     def wait(self, now: float) -> float:
-        """Return the seconds until it is expected to take connections."""
-        return max(LEAST_WAIT, self.back_at - now)
+        """Return the seconds until callers are expected to be sent to it."""
+        least = LEAST_WAIT if self.back_since is None else 0.0
+        return max(least, self.ready_at - now)
 
     def told(self, now: float) -> str:
         """Return what is known of it, for a log line."""
+        if self.back_since is not None:
+            return f"{self.name} is back since {now - self.back_since:.1f} s"
         left = self.ends_at - now
         if left >= 0:
             return f"{self.name} ends in {left:.1f} s"
@@ -70,5 +80,5 @@
 
 def first_back(returns: Iterable[Return], now: float) -> Return | None:
     """Return the instance that is expected to be back first, None if none is."""
-    due = [each for each in returns if each.back_at + OVERDUE_TIME > now]
-    return min(due, key=lambda each: each.ends_at, default=None)
+    due = [each for each in returns if each.ready_at + OVERDUE_TIME > now]
+    return min(due, key=lambda each: each.ready_at, default=None)
--- a/packages/core/src/lacewingcourse/core/pipelines/peers.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/peers.py
@@ -7,7 +7,12 @@
 
 import attrs
 
-from lacewingcourse.core.pipelines.ending import NEWS_PERIOD, Return, first_back
+from lacewingcourse.core.pipelines.ending import (
+    NEWS_PERIOD,
+    ROTATION_TIME,
+    Return,
+    first_back,
+)
 
 #: Seconds after which an entry that was not heard is taken to be gone. Entries speak
 #: several times a second; a freeze or a cut of a second must not be missed by all.
@@ -50,6 +55,8 @@
         leaving: Whether it is ending.
         leaving_since: When it was first heard to be ending, None if it is not.
         ends_at: When it told that it is expected to have ended, None if it did not.
+        back_since: When it was first heard again after it had been ending, minus
+            infinity if it was not ending.
     """
 
     name: str
@@ -60,6 +67,28 @@
     leaving: bool = False
     leaving_since: float | None = None
     ends_at: float | None = None
+    back_since: float = float("-inf")
+
+    def note_back(self, heard_at: float) -> None:
+        """Note that it was heard when it was not ending."""
+        if self.leaving:
+            self.back_since = heard_at
+        self.heard_at = heard_at
+        self.leaving = False
+        self.leaving_since = self.ends_at = None
+
+    def note_ending(self, ends_in: float | None, now: float) -> None:
+        """Note that it was heard to be ending.
+
+        Args:
+            ends_in: Seconds until it expects to have ended, None if it does not tell.
+            now: Present time in seconds.
+        """
+        self.heard_at = now
+        self.leaving = True
+        self.ends_at = None if ends_in is None else now + ends_in
+        if self.leaving_since is None:
+            self.leaving_since = now
 
     def ended_by(self, grace: float, now: float) -> float:
         """Return when it is expected to have ended, seconds.
@@ -133,14 +162,10 @@
             return
         self.learn(name, address, now, zone)
         peer = self.peers[name]
-        peer.heard_at = now
-        peer.leaving = leaving
-        ending = leaving and ends_in is not None
-        peer.ends_at = now + ends_in if ending else None
-        if not leaving:
-            peer.leaving_since = None
-        elif peer.leaving_since is None:
-            peer.leaving_since = now
+        if leaving:
+            peer.note_ending(ends_in, now)
+        else:
+            peer.note_back(now)
 
     def hear_of(
         self, name: str, address: str, zone: str, age: float, now: float
@@ -151,10 +176,7 @@
         self.learn(name, address, now, zone)
         known = self.peers[name]
         if known.heard_at < now - age:
-            known.heard_at = now - age
-            known.leaving = False
-            known.leaving_since = None
-            known.ends_at = None
+            known.note_back(now - age)
 
     def alive(self, now: float) -> list[str]:
         """Return the names of the entries known to be alive, this one among them."""
@@ -168,7 +190,7 @@
     def first_back(
         self, grace: float, now: float, own_end: float | None = None
     ) -> Return | None:
-        """Return the entry that takes connections first, None if one does now.
+        """Return the entry that callers are sent to first, None if they are to one.
 
         Args:
             grace: Seconds in which an entry that is ending must have ended.
@@ -176,8 +198,12 @@
             own_end: When this entry is expected to have ended, None if it is not
                 ending.
         """
-        if len(self.alive(now)) > 1:
+        alive = [self.peers[name] for name in self.alive(now) if name != self.name]
+        if any(now - peer.back_since >= ROTATION_TIME for peer in alive):
             return None
+        if alive:
+            first = min(alive, key=lambda peer: peer.back_since)
+            return Return(first.name, first.back_since, first.back_since)
         returns = [
             Return(peer.name, peer.ended_by(grace, now))
             for peer in self.peers.values()
--- a/packages/core/tests/pipelines/test_ending.py
+++ b/packages/core/tests/pipelines/test_ending.py
@@ -9,6 +9,7 @@
     LEAST_WAIT,
     NEWS_PERIOD,
     OVERDUE_TIME,
+    ROTATION_TIME,
     expected_end,
 )
 from lacewingcourse.core.pipelines.peers import PEER_SILENT, PeerBook
@@ -85,14 +86,49 @@
     assert wait == pytest.approx(1.0 + BACK_AFTER)
 
 
-def test_an_entry_that_is_back_is_not_waited_for():
+def test_an_entry_that_is_back_is_waited_for_until_callers_are_sent_to_it():
+    """Callers came at once, were sent to entries still ending, and refused for good."""
     book = ending_book(b=0.0, c=3.0)
     book.hear("b", "b:1", False, 5.2)
-    assert book.first_back(GRACE, 5.3, own_end=9.0) is None
-    assert book.ready_in(GRACE, 5.3, own_end=9.0) == 0.0
+    book.hear("b", "b:1", False, 5.4)
+    wait = book.ready_in(GRACE, 5.5, own_end=9.0)
+    assert wait == pytest.approx(5.2 + ROTATION_TIME - 5.5)
+
+
+def test_of_two_entries_that_are_back_the_first_is_waited_for():
+    book = ending_book(b=0.0, c=0.0)
+    book.hear("c", "c:1", False, 5.1)
+    book.hear("b", "b:1", False, 5.2)
+    wait = book.ready_in(GRACE, 5.3, own_end=9.0)
+    assert wait == pytest.approx(5.1 + ROTATION_TIME - 5.3)
+
+
+def test_an_entry_of_which_others_tell_that_it_is_back_is_waited_for():
+    book = ending_book(b=0.0)
+    book.hear_of("b", "b:1", "", age=0.2, now=5.4)
+    wait = book.ready_in(GRACE, 5.5, own_end=9.0)
+    assert wait == pytest.approx(5.2 + ROTATION_TIME - 5.5)
+
+
+def test_an_entry_that_has_been_back_for_some_time_is_not_waited_for():
+    book = ending_book(b=0.0, c=3.0)
+    book.hear("b", "b:1", False, 5.2)
+    book.hear("b", "b:1", False, 5.2 + ROTATION_TIME)
+    now = 5.3 + ROTATION_TIME
+    assert book.first_back(GRACE, now, own_end=9.0) is None
+    assert book.ready_in(GRACE, now, own_end=9.0) == 0.0
+
+
+def test_an_entry_that_did_not_end_is_not_waited_for():
+    book = ending_book(b=0.0)
+    book.hear("c", "c:1", False, 4.9)
+    assert book.ready_in(GRACE, 5.0, own_end=9.0) == 0.0
 
 
 def test_what_is_waited_for_is_told():
     first = ending_book(b=1.0).first_back(GRACE, 4.0)
     assert first.told(4.0) == "b ends in 1.0 s"
     assert first.told(5.5) == "b ended 0.5 s ago"
+    book = ending_book(b=1.0)
+    book.hear("b", "b:1", False, 7.0)
+    assert book.first_back(GRACE, 7.4).told(7.4) == "b is back since 0.4 s"
--- a/packages/core/tests/pipelines/test_peers.py
+++ b/packages/core/tests/pipelines/test_peers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lacewingcourse.core.pipelines.ending import BACK_AFTER
+from lacewingcourse.core.pipelines.ending import BACK_AFTER, ROTATION_TIME
 from lacewingcourse.core.pipelines.freshness import MIN_RETRY_DELAY, Freshness
 from lacewingcourse.core.pipelines.peers import (
     PEER_FORGOTTEN,
@@ -103,5 +103,7 @@
     book = book_of("a", "b", 0.0)
     book.hear("b", "b:1", True, 2.0)
     book.hear("b", "b:1", False, 10.5)
-    assert book.ready_in(8.0, now=10.6) == 0.0
+    assert book.ready_in(8.0, now=10.6) == 10.5 + ROTATION_TIME - 10.6
+    book.hear("b", "b:1", False, 10.5 + ROTATION_TIME)
+    assert book.ready_in(8.0, now=10.5 + ROTATION_TIME) == 0.0
     assert book.peers["b"].leaving_since is None
