Believe an ending entry itself as long as it is heard

An ending entry could be taken for back though it was still ending, until its next news. Other entries tell how many seconds ago they heard it, and that age does not count the way of the message. Had they heard it before its request to end, and came their word late, the hearing seemed newer than the entry's own word, and callers that were refused then waited for its return in place of its end. Not seen in a record; found by reading.

What others tell of an ending entry counts only once it is silent here. An entry that starts again speaks with the others itself within a round. test_slow_news_of_another_entry_brings_no_ending_one_back fails with the book of before.

--- a/packages/core/src/lacewingcourse/core/pipelines/peers.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/peers.py
@@ -170,11 +170,17 @@
     def hear_of(
         self, name: str, address: str, zone: str, age: float, now: float
     ) -> None:
-        """Note that another entry heard an entry some seconds ago."""
+        """Note that another entry heard an entry some seconds ago.
+
+        The age does not count the way of the message, so the word of an ending entry
+        itself is believed as long as it is heard.
+        """
         if name == self.name:
             return
         self.learn(name, address, now, zone)
         known = self.peers[name]
+        if known.leaving and now - known.heard_at <= PEER_SILENT:
+            return
         if known.heard_at < now - age:
             known.note_back(now - age)
 
--- a/packages/core/tests/pipelines/test_ending.py
+++ b/packages/core/tests/pipelines/test_ending.py
@@ -110,6 +110,14 @@
     assert wait == pytest.approx(5.2 + ROTATION_TIME - 5.5)
 
 
+def test_slow_news_of_another_entry_brings_no_ending_one_back():
+    """Others had heard it before its request to end, and their word came late."""
+    book = ending_book(b=3.0)
+    book.hear_of("b", "b:1", "", age=0.15, now=4.2)
+    assert book.alive(4.2) == ["a"]
+    assert book.first_back(GRACE, 4.2).told(4.2) == "b ends in 2.8 s"
+
+
 def test_an_entry_that_has_been_back_for_some_time_is_not_waited_for():
     book = ending_book(b=0.0, c=3.0)
     book.hear("b", "b:1", False, 5.2)
