Close no connection at the last moment on which a request lies in memory

What callers saw: by reading, not in the field. A caller that had sent a request ahead, behind an answer begun before the request to end, could find its connection closed behind that answer: the request had been read into the entry's memory and got no answer.

Cause: an answer counted as open until its last byte had left, but the connection reads the next head from its memory some turns of the loop later. A look between the two closed the connection as idle.

Evidence: the new test looks at each turn of the loop whether a request is open between two that were sent together.

The change: a request counts as open four turns longer. The next one then counts, and an entry after its last look refuses it with 503 and closes behind the answer.

Why it holds: the turns between the last byte and the read from memory are fixed by the server's loop, not by time or load. Where the last byte leaves within those turns before the process ends, nothing can be written any more; the row says so.

--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -28,6 +28,9 @@
 MOST_HEAD = 64 * 1024
 #: Status of a request whose head is longer than the version in force allows.
 HEAD_TOO_LONG = 431
+#: Turns of the loop after the last byte of an answer by which a connection has read the
+#: head that its caller sent ahead.
+NEXT_HEAD_TURNS = 4
 #: Bytes between and around the name and the value of a header.
 HEADER_MARKS = len(": \r\n")
 
@@ -119,7 +122,7 @@
         self.connection.set_close_callback(self._on_close)
         if self._head_bytes() > self._longest_head():
             self.answer(HEAD_TOO_LONG, HTTPHeaders(), b"")
-            self._after_last_byte(lambda: self._unended.discard(self))
+            self._after_last_byte(self._count_no_more)
             return
         self._task = asyncio.ensure_future(self._serve(self))
         self._task.add_done_callback(self._on_served)
@@ -218,7 +221,17 @@
 
         Bytes that wait for a slow caller are lost if the process ends before.
         """
-        self._after_last_byte(lambda: self._unended.discard(self))
+        self._after_last_byte(self._count_no_more)
+
+    def _count_no_more(self, turns: int = NEXT_HEAD_TURNS) -> None:
+        """Count the request as open until one that was sent ahead counts.
+
+        An entry that ends closes connections on which nothing is open.
+        """
+        if turns:
+            asyncio.get_running_loop().call_soon(self._count_no_more, turns - 1)
+        else:
+            self._unended.discard(self)
 
     def _nodelay(self) -> None:
         if self.connection.stream is not None and not self.connection.stream.closed():
--- a/packages/relay/tests/relay/test_leaving.py
+++ b/packages/relay/tests/relay/test_leaving.py
@@ -279,3 +279,33 @@
             assert lines.told == ["refused"]
 
     run(test)
+
+
+@pytest.mark.parametrize("size", [4, 32 * 1024 * 1024])
+def test_a_request_sent_ahead_is_open_before_the_one_ahead_of_it_is_open_no_more(size):
+    """A connection on which nothing is open is closed by an entry that ends."""
+    served = []
+
+    async def serve(exchange):
+        served.append(exchange.target)
+        exchange.answer(200, HTTPHeaders(), b"x" * size)
+
+    async def read_all(reader):
+        while await reader.read(65536):
+            pass
+
+    async def test():
+        async with serving_connections(serve) as (address, connections):
+            reader, writer = await asyncio.open_connection(*address)
+            reading = asyncio.ensure_future(read_all(reader))
+            writer.write(REQUEST % 0 + REQUEST % 1)
+            while not connections.open:
+                await asyncio.sleep(0)
+            while len(served) < 2:
+                assert connections.open
+                await asyncio.sleep(0)
+            while connections.open:
+                await asyncio.sleep(0)
+            reading.cancel()
+
+    run(test)
