Hold a retry for a request while it connects, count it as it is sent

What could be seen: many requests that lost their endpoint at one moment all sent again, whatever was left. Each asked the budget when a path or endpoint was chosen, then waited for a connection, and took its retry only after the send, without looking at the answer. The takes beyond the limit were refused and not recorded, so those sends were not even counted: the sum over a window could exceed what the deployment allows.

The change: a request holds a retry from the choice of its path or endpoint (RetryBudget.hold), Sender.send takes it once there is a connection, before anything is written. Streams, moves and calls all send through it, so there is one place that counts. The hold is given back there if nothing is sent, where no path or endpoint is found, where a move is not made after all, and at the end of serving (caller gone, error, cancellation). A stream that finds none left after connecting looks for a path again and waits or is refused as usual; a call is refused as lacking a retry. A move asks once more when its connection is made, so no run is closed for one that may not be sent.

A hold only makes less be left to others (allows, take, lend); it is no right: if the share shrinks or the loan ends meanwhile, the send is not made. A borrowed retry stays among the loans until it is sent and may be used until its own end, held or given back. The time counted is that of the send, after connecting; calls counted the time before. Rejected sends are counted like all others, and so are resends over a new connection, except, as before, where the dropped send was the request's first.

Without holds, with the check at the send alone, all calls at a slow endpoint would close their send for the one retry that is left.

The plays of streams and calls now send through the real Sender.send and stand in only for the connection, so that what they show is what the relay does. Existing assertions are unchanged.

--- a/packages/core/src/lacewingcourse/core/pipelines/retry_budget.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/retry_budget.py
@@ -11,7 +11,7 @@
 from lacewingcourse.core.registry import Registry
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Hashable
 
 #: Share of what the deployment allows that is used; entries count their own requests
 #: only, and windows of different entries do not end together.
@@ -58,6 +58,10 @@
     the safety share leaves over, and that in proportion to its age: all processes that
     start in an entry within one window have that part once together.
 
+    A request holds a retry while it connects to the endpoint that was chosen for it.
+    Only a send counts, and takes only what is left then: a hold keeps others from a
+    retry, and gives no right to more than there is.
+
     Attributes:
         ratio: Retries that are allowed for each request.
         window: Length of the window in seconds.
@@ -69,6 +73,7 @@
         requests: Times of the requests in the window, by service.
         retries: Times from which retries count, used here or lent, by service.
         loans: Times until which borrowed retries may be used, by service.
+        holds: Requests that hold a retry, by service.
         wanted: Requests that lacked a retry since others were last asked, by service.
     """
 
@@ -82,6 +87,7 @@
     requests: dict[str, deque[float]] = attrs.field(factory=dict)
     retries: dict[str, list[float]] = attrs.field(factory=dict)
     loans: dict[str, list[float]] = attrs.field(factory=dict)
+    holds: dict[str, set[Hashable]] = attrs.field(factory=dict)
     wanted: dict[str, set[str]] = attrs.field(factory=dict)
 
     def on_request(self, service: str, now: float) -> None:
@@ -91,7 +97,7 @@
         times.append(now)
 
     def allows(self, service: str, now: float, reserved: bool = True) -> bool:
-        """Tell whether a retry is left for a service.
+        """Tell whether a retry is left for a service that no request holds.
 
         Args:
             service: The service.
@@ -99,13 +105,46 @@
             reserved: Whether the retry may be one of those kept for requests that
                 cannot be refused.
         """
-        if self._loans(service, now):
+        if len(self._loans(service, now)) > len(self.holds.get(service, ())):
             return True
         kept = 0.0 if reserved else RESERVED_SHARE * self._limit(service, now)
-        return self._left(service, now) - kept >= 1
+        return self._free(service, now) - kept >= 1
+
+    def hold(
+        self, service: str, request: Hashable, now: float, reserved: bool = True
+    ) -> bool:
+        """Hold a retry for a request; tell whether one is left.
+
+        Args:
+            service: The service.
+            request: The request. It holds one retry, however often it asks.
+            now: Present time in seconds.
+            reserved: Whether the retry may be one of those kept for requests that
+                cannot be refused.
+        """
+        held = self.release(service, request)
+        if not self.allows(service, now, reserved or held):
+            return False
+        self.holds.setdefault(service, set()).add(request)
+        return True
+
+    def release(self, service: str, request: Hashable) -> bool:
+        """Give back the retry that a request holds; tell whether it held one."""
+        holds = self.holds.get(service)
+        if not holds or request not in holds:
+            return False
+        holds.remove(request)
+        return True
+
+    def take(self, service: str, now: float, request: Hashable | None = None) -> bool:
+        """Take one retry for a service; tell whether it was allowed.
 
-    def take(self, service: str, now: float) -> bool:
-        """Take one retry for a service; tell whether it was allowed."""
+        Args:
+            service: The service.
+            now: Present time in seconds.
+            request: The request that is sent, which holds none afterwards.
+        """
+        self.release(service, request)
         if not self.allows(service, now):
             return False
         loans = self._loans(service, now)
@@ -121,7 +160,7 @@
 
     def lend(self, service: str, wanted: int, now: float) -> int:
         """Return how many retries are lent to another entry that wants some."""
-        free = LENT_SHARE * self._left(service, now)
+        free = LENT_SHARE * self._free(service, now)
         lent = max(0, min(wanted, floor(free)))
         until = now + LOAN_TIME
         self.retries.setdefault(service, []).extend([until] * lent)
@@ -168,6 +207,11 @@
         self.retries[service] = used
         return self._limit(service, now) - len(used)
 
+    def _free(self, service: str, now: float) -> float:
+        """Return the retries of its own that no request of this entry holds."""
+        held = len(self.holds.get(service, ())) - len(self._loans(service, now))
+        return self._left(service, now) - max(0, held)
+
     def _loans(self, service: str, now: float) -> list[float]:
         """Return the borrowed retries that may be used."""
         loans = self.loans.get(service)
--- a/packages/core/tests/pipelines/test_retry_budget.py
+++ b/packages/core/tests/pipelines/test_retry_budget.py
@@ -78,6 +78,59 @@
     assert sum(budget.take("s", now=0.0) for _ in range(8)) == 8 * RESERVED_SHARE
 
 
+def test_a_held_retry_is_left_to_no_other_request_until_it_is_given_back():
+    budget = RetryBudget(ratio=0.0, window=10.0, slack=2.0 / SAFETY_SHARE)
+    assert budget.hold("s", "a", now=0.0)
+    assert budget.hold("s", "a", now=0.0)
+    assert budget.hold("s", "b", now=0.0)
+    assert not budget.hold("s", "c", now=0.0)
+    assert not budget.take("s", now=0.0)
+    assert budget.lend("s", 2, now=0.0) == 0
+    budget.release("s", "a")
+    assert budget.hold("s", "c", now=0.0)
+
+
+def test_a_held_retry_counts_from_when_it_is_sent():
+    budget = RetryBudget(ratio=0.0, window=10.0, slack=1.0 / SAFETY_SHARE)
+    assert budget.hold("s", "a", now=0.0)
+    assert budget.take("s", now=5.0, request="a")
+    assert not budget.allows("s", now=14.9)
+    assert budget.allows("s", now=15.0)
+
+
+def test_a_hold_gives_no_right_to_more_than_is_left_at_the_send():
+    budget = RetryBudget(ratio=0.0, window=10.0, slack=2.0 / SAFETY_SHARE)
+    assert budget.hold("s", "a", now=0.0)
+    assert budget.hold("s", "b", now=0.0)
+    budget.entries = 2
+    assert sum(budget.take("s", now=0.1, request=name) for name in "ab") == 1
+
+
+def test_a_request_that_may_be_refused_keeps_what_it_holds():
+    budget = RetryBudget(ratio=0.0, window=10.0, slack=4.0 / SAFETY_SHARE)
+    assert budget.hold("s", "a", now=0.0, reserved=False)
+    assert all(budget.hold("s", name, now=0.0) for name in "bcd")
+    assert budget.hold("s", "a", now=0.0, reserved=False)
+    assert budget.take("s", now=0.0, request="a")
+
+
+def test_a_loan_that_was_held_may_be_used_until_its_own_end():
+    budget = RetryBudget(ratio=0.0, window=10.0, slack=0.0)
+    budget.borrow("s", 1, asked_at=0.0)
+    assert budget.hold("s", "a", now=0.1)
+    assert not budget.hold("s", "b", now=0.1)
+    budget.release("s", "a")
+    assert budget.hold("s", "b", now=0.1)
+    assert not budget.take("s", now=LOAN_TIME, request="b")
+
+
+def test_retries_that_are_held_on_loans_are_not_taken_off_what_is_lent():
+    budget = RetryBudget(ratio=0.0, window=10.0, slack=2.0 / SAFETY_SHARE)
+    budget.borrow("s", 1, asked_at=0.0)
+    assert budget.hold("s", "a", now=0.1)
+    assert budget.lend("s", 1, now=0.1) == 1
+
+
 #: Retries for each request, seconds of a window and retries besides, of a deployment.
 RATIO, WINDOW, SLACK = 0.2, 10.0, 100.0
 
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -145,7 +145,7 @@
         rng = random.Random(self.settings.name)
         self.watch = LoopWatch(self.clock, self.metrics.loop_lag.observe, self._on_lag)
         self.beliefs.watch = self.watch
-        sender = Sender(self.pool, self.platform.codec, self.clock)
+        sender = Sender(self.pool, self.platform.codec, self.clock, self.budget)
         zone = self.settings.zone
         calls = CallForwarder(self.beliefs, sender, self.budget, zone, rng, self.log)
         self.admission = Admission(self.clock, WAITS.get(self.settings.wait))
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -44,6 +44,7 @@
     Unsent.OVERDUE: ErrorKind.DEADLINE_EXCEEDED,
     Unsent.NO_DESCRIPTOR: ErrorKind.OVERLOADED,
     Unsent.LEAVING: ErrorKind.DRAINING,
+    Unsent.NO_RETRY: ErrorKind.RETRIES_EXHAUSTED,
 }
 #: Seconds after which a refused call is worth trying again.
 CALL_RETRY_AFTER = 0.3
@@ -71,6 +72,13 @@
 
     async def serve(self, job: Job) -> WholeAnswer | Refusal:
         """Return an endpoint's answer to a call, or how it ends without one."""
+        try:
+            return await self._serve(job)
+        finally:
+            self.budget.release(job.service, job)
+
+    async def _serve(self, job: Job) -> WholeAnswer | Refusal:
+        """Send a call until it is answered or cannot be sent again."""
         unsent = 0
         last: WholeAnswer | None = None
         while True:
@@ -124,6 +132,8 @@
     ) -> Endpoint | Refusal:
         """Return the endpoint that a call may be sent to now, or why there is none.
 
+        The call holds the retry that the send needs.
+
         Args:
             job: The call.
             now: Present time in seconds.
@@ -132,14 +142,17 @@
         refusal = job.refused_at(now)
         if refusal is not None:
             return refusal
-        if job.sends and not self.budget.allows(job.service, now, reserved=False):
-            return Refusal(ErrorKind.RETRIES_EXHAUSTED, "no retry is left")
+        if job.sends and not self.budget.hold(job.service, job, now, reserved=False):
+            return Refusal(ErrorKind.RETRIES_EXHAUSTED, Unsent.NO_RETRY.value)
         usable = self.beliefs.usable(job.service, now)
         if not usable:
             usable = self.beliefs.fleet.of_service(job.service)
         loads = self.beliefs.loads
         avoided = job.avoid.union(besides)
-        return choose_endpoint(usable, loads, self.zone, avoided, self.rng)
+        found = choose_endpoint(usable, loads, self.zone, avoided, self.rng)
+        if isinstance(found, Refusal):
+            self.budget.release(job.service, job)
+        return found
 
     async def _attempt(
         self, job: Job, endpoint: Endpoint
@@ -179,8 +192,6 @@
         sent = await self.sender.send(job, sending, fresh)
         if isinstance(sent, NotSent):
             return sent
-        if job.sends:
-            self.budget.take(job.service, now)
         job.sends += 1
         job.firsts.add(endpoint.id)
         job.current = sent
--- a/packages/relay/src/lacewingcourse/relay/connections.py
+++ b/packages/relay/src/lacewingcourse/relay/connections.py
@@ -31,6 +31,7 @@
     OVERDUE = "the time was over before it was sent"
     NO_DESCRIPTOR = "this entry has no file descriptor left"
     LEAVING = "this entry is about to end"
+    NO_RETRY = "no retry is left"
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -14,6 +14,7 @@
     from collections.abc import Collection
 
     from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.core.pipelines.retry_budget import RetryBudget
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
@@ -28,12 +29,14 @@
     Attributes:
         beliefs: What is believed of the endpoints.
         sender: What sends.
+        budget: Retries that are left.
         stalls: Watches streams for standing still.
         log: Log of decisions.
     """
 
     beliefs: Beliefs
     sender: Sender
+    budget: RetryBudget
     stalls: StallWatcher
     log: DecisionLog
 
@@ -42,6 +45,9 @@
     ) -> Path | Refusal:
         """Return a path that a request may be sent on now, or why there is none."""
 
+    def refused_now(self, job: Job) -> Refusal | None:
+        """Hold the retry that a send needs; return why it may not be sent, if so."""
+
     def note_send(self, job: Job, path: Path) -> None:
         """Note that a run was sent on a path."""
 
@@ -83,15 +89,22 @@
             return found
         path, has_room = found
         connection = await self.forwarder.sender.reserve(path.first.address, self.fresh)
-        if not isinstance(connection, NotSent):
-            refusal = self.job.refused_at(self.forwarder.sender.clock())
-            if refusal is not None:
-                connection.close()
-                return refusal
-            return Replacement(path, connection, has_room)
-        if connection.cause is Unsent.UNREACHABLE:
-            self.forwarder.unreachable(self.job, path)
-        return Refusal(ErrorKind.NO_ROUTE, connection.reason)
+        if isinstance(connection, NotSent):
+            self._release_retry()
+            if connection.cause is Unsent.UNREACHABLE:
+                self.forwarder.unreachable(self.job, path)
+            return Refusal(ErrorKind.NO_ROUTE, connection.reason)
+        replacement = Replacement(path, connection, has_room)
+        refusal = self.forwarder.refused_now(self.job)
+        if refusal is not None:
+            self.discard(replacement)
+            return refusal
+        return replacement
+
+    def discard(self, found: Replacement) -> None:
+        """Give back what a path that was found would have been used with."""
+        found.connection.close()
+        self._release_retry()
 
     async def begin(self, found: Replacement) -> Standby | None:
         """Begin a run on a path that was found; None if it was not sent."""
@@ -130,6 +143,9 @@
             self.forwarder.learn(self.job, standby.path, standby.failure)
         self._keep_present(standby)
 
+    def _release_retry(self) -> None:
+        self.forwarder.budget.release(self.job.service, self.job)
+
     def _keep_present(self, standby: Standby) -> None:
         self.end(standby)
         self.forwarder.stalls.end(self.job)
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lacewingcourse.core.pipelines.retry_budget import RetryBudget
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.ports import CallerRequest, RequestCodec
 
@@ -41,17 +42,20 @@
 
 @attrs.define
 class Sender:
-    """Sends requests over pooled connections.
+    """Sends requests over pooled connections, within what may be sent again.
 
     Attributes:
         pool: Connections to endpoints.
         codec: How requests look on the platform.
         clock: Returns the present time in seconds.
+        budget: Retries that are left. Each send of a request beyond its first takes
+            one.
     """
 
     pool: ConnectionPool
     codec: RequestCodec
     clock: Callable[[], float]
+    budget: RetryBudget
 
     async def reserve(self, address: str, fresh: bool) -> Connection | NotSent:
         """Return a connection to an endpoint that nobody uses.
@@ -76,6 +80,8 @@
     ) -> Exchange | NotSent:
         """Send a request if it may still be sent once there is a connection.
 
+        It holds no retry afterwards, whether it was sent or not.
+
         Args:
             job: The request.
             sending: Where to send it, and with what.
@@ -83,19 +89,29 @@
             reserved: Connection to send it over, None to take one.
         """
         started = self.clock()
-        request = job.request
         connection = reserved or await self.reserve(sending.address, fresh)
         if isinstance(connection, NotSent):
+            self.budget.release(job.service, job)
             return connection
         now = self.clock()
-        if job.refused_at(now) is not None:
-            connection.close()
-            return NotSent(Unsent.LEAVING)
         passed = now - started
         sending = attrs.evolve(sending, time_left=sending.time_left - passed)
-        if sending.time_left <= 0:
+        cause = _cause_unsent(job, sending, self.budget, now)
+        if cause is not None:
+            self.budget.release(job.service, job)
             connection.close()
-            return NotSent(Unsent.OVERDUE)
+            return NotSent(cause)
+        return self.start(job, sending, connection)
+
+    def start(self, job: Job, sending: Sending, connection: Connection) -> Exchange:
+        """Send a request over a connection, whatever speaks against it.
+
+        Args:
+            job: The request.
+            sending: Where to send it, and with what.
+            connection: The connection.
+        """
+        request = job.request
         exchange = Exchange(connection, lambda s, h: self._is_ours(s, h, request))
         headers = self.codec.outgoing(request, sending)
         exchange.start(request.method, request.target, headers, request.body)
@@ -113,6 +129,19 @@
         return head.standing is not Standing.FOREIGN
 
 
+def _cause_unsent(
+    job: Job, sending: Sending, budget: RetryBudget, now: float
+) -> Unsent | None:
+    """Take the retry that a send needs; return why it may not be sent, if so."""
+    if job.refused_at(now) is not None:
+        return Unsent.LEAVING
+    if sending.time_left <= 0:
+        return Unsent.OVERDUE
+    if job.sends and not budget.take(job.service, now, job):
+        return Unsent.NO_RETRY
+    return None
+
+
 async def next_arrival(exchange: Exchange, until: float, now: float) -> Arrival:
     """Return what arrives next, `Stalled` if nothing does until a time.
 
--- a/packages/relay/src/lacewingcourse/relay/stream_run.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_run.py
@@ -194,7 +194,7 @@
             return None
         if self.state.quiet_since > now or not self.exchange.arrivals.empty():
             # It went on, or ended, while the connection was made.
-            found.connection.close()
+            self.mover.discard(found)
             return None
         if found.has_room:
             await self._begin_standby(found)
--- a/packages/relay/src/lacewingcourse/relay/stream_state.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -31,6 +31,7 @@
     DROPPED = "dropped"
     HELD = "held"
     NOT_TAKEN = "not_taken"
+    NO_RETRY = "no_retry"
     FAILED = "failed"
 
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -80,6 +80,14 @@
         """Forward a stream; return why its answer is not whole, if it is not."""
         cutter = EventCutter(last_id=job.request.resume_after)
         state = StreamState(job, shape, demand_of(job, shape), cutter)
+        try:
+            return await self._serve(state)
+        finally:
+            self.budget.release(job.service, job)
+
+    async def _serve(self, state: StreamState) -> Refusal | None:
+        """Run a stream until it is whole or cannot go on."""
+        job = state.job
         replacement: Replacement | None = None
         while True:
             if replacement is not None:
@@ -104,6 +112,8 @@
                     return self._give_up(state, ErrorKind.OVERLOADED, result.reason)
                 await asyncio.sleep(RETRY_PERIOD)
                 continue
+            if result.end is StreamEnd.NO_RETRY:
+                continue
             self.learn(job, path, result)
             if replacement is not None and replacement.standby is not None:
                 continue
@@ -126,21 +136,33 @@
     ) -> Path | Refusal:
         """Return a path that a request may be sent on now, or why there is none.
 
+        The request holds the retry that the send needs.
+
         Args:
             state: The stream.
             besides: Endpoints to avoid besides those that it avoids anyway.
         """
         job = state.job
+        refusal = self.refused_now(job)
+        if refusal is not None:
+            return refusal
+        found = self.finder.find(job, state.shape, state.demand, besides)
+        if isinstance(found, Refusal):
+            self.budget.release(job.service, job)
+        return found
+
+    def refused_now(self, job: Job) -> Refusal | None:
+        """Hold the retry that a send needs; return why it may not be sent, if so."""
         now = self.sender.clock()
         refusal = job.refused_at(now)
         if refusal is not None:
             return refusal
-        if job.sends and not self.budget.allows(
-            job.service, now, reserved=not job.may_come_back
+        if job.sends and not self.budget.hold(
+            job.service, job, now, reserved=not job.may_come_back
         ):
             self.on_denied(job.service, job.request.id)
-            return Refusal(ErrorKind.RETRIES_EXHAUSTED, "no retry is left")
-        return self.finder.find(job, state.shape, state.demand, besides)
+            return Refusal(ErrorKind.RETRIES_EXHAUSTED, Unsent.NO_RETRY.value)
+        return None
 
     def _note_transfers(self, state: StreamState, path: Path, now: float) -> None:
         """Note the time that a prompt takes on the links of its path."""
@@ -242,13 +264,10 @@
 
     def note_send(self, job: Job, path: Path) -> None:
         """Note that a run was sent on a path."""
-        now = self.sender.clock()
-        if job.sends:
-            self.budget.take(job.service, now)
         job.sends += 1
         job.firsts.add(path.first.endpoint)
         job.path = path
-        age = now - self.beliefs.fleet.known_at
+        age = self.sender.clock() - self.beliefs.fleet.known_at
         self.log.sent(job, path.first.endpoint, age, job.waited)
 
     def unreachable(self, job: Job, path: Path) -> None:
@@ -271,6 +290,8 @@
             return RunResult(StreamEnd.HELD, sent.reason)
         if sent.cause is Unsent.LEAVING:
             return RunResult(StreamEnd.NOT_TAKEN, sent.reason)
+        if sent.cause is Unsent.NO_RETRY:
+            return RunResult(StreamEnd.NO_RETRY, sent.reason)
         return None
 
     def learn(self, job: Job, path: Path, result: RunResult) -> None:
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -24,6 +24,7 @@
 )
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.ports import AnswerHead, EngineReport, Standing
+from lacewingcourse.relay.sending import Sender
 from lacewingcourse.relay.stall_watcher import StallWatcher
 from lacewingcourse.relay.streams import StreamForwarder
 from lacewingcourse.relay.upstream import (
@@ -305,15 +306,15 @@
         start, end = self.lacks_descriptors
         if start <= self.clock() < end:
             return NotSent(Unsent.NO_DESCRIPTOR)
-        return SimpleNamespace(close=lambda: None)
+        return SimpleNamespace(close=lambda: None, reused=not fresh)
 
-    async def send(self, request, sending, fresh, reserved=None) -> Run | NotSent:
-        connection = reserved or await self.reserve(sending.address, fresh)
-        if isinstance(connection, NotSent):
-            return connection
+    async def send(self, job, sending, fresh, reserved=None) -> Run | NotSent:
+        return await Sender.send(self, job, sending, fresh, reserved)
+
+    def start(self, job, sending, connection) -> Run:
         name = sending.path.first.endpoint
         after = int(sending.resume_after or 0)
-        run = Run(self.engines.get(name, Engine()), after, fresh)
+        run = Run(self.engines.get(name, Engine()), after, not connection.reused)
         self.runs.append((self.clock(), name, run))
         return run
 
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -28,7 +28,7 @@
 )
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.ports import AnswerHead, Standing
-from lacewingcourse.relay.sending import WholeAnswer
+from lacewingcourse.relay.sending import Sender, WholeAnswer
 from lacewingcourse.relay.upstream import (
     Data,
     End,
@@ -82,6 +82,7 @@
         retry_safety: What may be repeated.
         unsent: Why it cannot be sent, None if it can.
         drops: Whether the endpoints have dropped the connections that are kept to them.
+        slow: Seconds that the first endpoint takes.
     """
 
     slack: float = PLENTY
@@ -90,9 +91,11 @@
     retry_safety: RetrySafety = RetrySafety.IDEMPOTENT
     unsent: Unsent | None = None
     drops: bool = False
+    slow: float = SLOW
 
     def __attrs_post_init__(self) -> None:
         self.sends: list[Send] = []
+        self.budget = RetryBudget(0.0, 10.0, self.slack)
         self.beliefs = Beliefs()
         self.pool = ConnectionPool()
         self.codec = SimpleNamespace(head=self._head)
@@ -108,7 +111,7 @@
         forwarder = CallForwarder(
             self.beliefs,
             self,
-            RetryBudget(0.0, 10.0, self.slack),
+            self.budget,
             "east",
             Random(1),
             Decisions(),
@@ -127,11 +130,17 @@
         standing = Standing.REJECTED if status == REJECTED else Standing.ANSWERED
         return AnswerHead(status, headers, standing)
 
-    async def send(self, request, sending, fresh) -> Send | NotSent:
+    async def reserve(self, address, fresh) -> SimpleNamespace | NotSent:
         if self.unsent is not None:
             return NotSent(self.unsent)
-        seconds = QUICK if self.sends else SLOW
-        dropped = self.drops and not fresh
+        return SimpleNamespace(close=lambda: None, reused=not fresh)
+
+    async def send(self, job, sending, fresh) -> Send | NotSent:
+        return await Sender.send(self, job, sending, fresh)
+
+    def start(self, job, sending, connection) -> Send:
+        seconds = QUICK if self.sends else self.slow
+        dropped = self.drops and connection.reused
         self.sends.append(Send(sending.endpoint, seconds, self.status, dropped))
         return self.sends[-1]
 
--- a/packages/relay/tests/relay/test_sent_while_ending.py
+++ b/packages/relay/tests/relay/test_sent_while_ending.py
@@ -140,7 +140,7 @@
         played = EndingStream(shape, {})
         job = played._job()
         pool = SimpleNamespace(connect=connect)
-        sender = Sender(pool, None, played.clock)
+        sender = Sender(pool, None, played.clock, played.budget)
         path = path_of("a", "b")
         sending = job.sending("a", "a:1", path, played.clock(), "")
         return await sender.send(job, sending, fresh=True)
