Compose the callers' side of the entry in a module of its own

What composes the callers' side (gateway, connections, front, endings, departure), what applies the limits of a version to it and what takes the request to end are `Ingress` in `relay/ingress.py`; the bundle of a platform's ports is `relay/platform_ports.py`, beside the ports themselves, which may not import the metrics that it holds. Behaviour is unchanged.

The test of a departure that has a defect sets the departure at its new place.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -8,7 +8,6 @@
 import socket
 from typing import TYPE_CHECKING
 
-import attrs
 from tornado.httpserver import HTTPServer
 
 from lacewingcourse.core.pipelines.admission_queue import WAITS
@@ -19,18 +18,14 @@
 from lacewingcourse.relay.address import split_address
 from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.beliefs import Beliefs
-from lacewingcourse.relay.caller import MOST_HEAD, CallerConnections
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.connections import ConnectionPool
 from lacewingcourse.relay.decisions import DecisionLog
 from lacewingcourse.relay.duty_holder import DutyHolder
-from lacewingcourse.relay.endings import Endings
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
-from lacewingcourse.relay.front import Front
-from lacewingcourse.relay.gateway import Gateway
 from lacewingcourse.relay.gossip import Gossip
 from lacewingcourse.relay.housekeeping import Housekeeping
-from lacewingcourse.relay.leaving import Departure
+from lacewingcourse.relay.ingress import Ingress
 from lacewingcourse.relay.loop_watch import LoopWatch
 from lacewingcourse.relay.metrics import METRICS_PATH
 from lacewingcourse.relay.metrics_page import MetricsPage
@@ -49,44 +44,10 @@
     from collections.abc import Callable, Coroutine
 
     from lacewingcourse.relay.loop_watch import Section
-    from lacewingcourse.relay.metrics import Metrics
-    from lacewingcourse.relay.ports import (
-        ConfigurationSource,
-        EndpointDirectory,
-        EngineReports,
-        LeaseStore,
-        Orders,
-        PeerRegistry,
-        RequestCodec,
-    )
+    from lacewingcourse.relay.platform_ports import Platform
     from lacewingcourse.relay.settings import RelaySettings
 
 
-@attrs.frozen
-class Platform:
-    """The ports of one platform.
-
-    Attributes:
-        configuration: Where configuration comes from.
-        directory: Where endpoints are listed.
-        orders: Orders to endpoints.
-        reports: What engines tell of themselves.
-        leases: Where the holder of the duty of placing is agreed on.
-        registry: Where entries leave their addresses.
-        codec: How requests look.
-        metrics: Where the entry and the clients of the platform count.
-    """
-
-    configuration: ConfigurationSource
-    directory: EndpointDirectory
-    orders: Orders
-    reports: EngineReports
-    leases: LeaseStore
-    registry: PeerRegistry
-    codec: RequestCodec
-    metrics: Metrics
-
-
 class Application:
     """One entry.
 
@@ -170,34 +131,16 @@
             self._tell_peers,
             self._on_denied,
         )
-        self.gateway = Gateway(
+        self.ingress = Ingress(
             self.beliefs,
             self.platform.codec,
             calls,
             streams,
             self.readiness,
+            self.book,
             self.log,
             self.clock,
-            lambda: self.endings.ready_in(),
             rng,
-            waits_for=lambda: self.endings.waits_for(),
-        )
-        self.callers = CallerConnections(
-            self.gateway.serve, self.clock, lambda: self.readiness.leaving
-        )
-        self.endings = Endings(
-            self.readiness, self.callers, self.gateway, self.book, self.clock
-        )
-        self.front = Front(self.callers, max_header_size=MOST_HEAD)
-        # Idle connections are closed by `IdleWatch`.
-        self.front.conn_params.header_timeout = None
-        self.departure = Departure(
-            self.readiness,
-            self.callers,
-            self.gateway,
-            self.clock,
-            self.front.stop_listening,
-            self.front.close_idle,
         )
         self.ready = HTTPServer(
             SmallServer({("GET", self.settings.ready_path): self._on_ready})
@@ -254,7 +197,7 @@
             self.readiness,
             self.log,
             self.clock,
-            self.endings.ends_in,
+            self.ingress.endings.ends_in,
         )
         self.peers = PeerExchange(
             gossip,
@@ -296,9 +239,9 @@
     async def run(self) -> None:
         """Serve until the request to end has been carried out."""
         if self._front is None:
-            self._listen(self.front, self.settings.front)
+            self._listen(self.ingress.front, self.settings.front)
         else:
-            self.front.add_socket(self._front)
+            self.ingress.front.add_socket(self._front)
         self._listen(self.ready, self.settings.ready)
         if self.settings.peers:
             self._listen(self.peer_server, self.settings.peers)
@@ -318,7 +261,7 @@
         self._start(self.reloading.run())
         self.log.belief("started", zone=self.settings.zone)
         await self.ended.wait()
-        self.log.belief("ended", open=len(self.callers.open))
+        self.log.belief("ended", open=len(self.ingress.callers.open))
 
     def _listen(self, server: HTTPServer, address: str) -> None:
         host, port = split_address(address)
@@ -369,16 +312,7 @@
     def _on_configuration(self) -> None:
         """Apply the limits of a version that has come into force, and tell it."""
         self._tell_peers()
-        limits = self.beliefs.table.limits
-        # A head may begin when the connection's time to stay idle is nearly over.
-        seconds = limits.idle_timeout + limits.header_timeout
-        self.callers.idle.put_in_force(seconds, self.clock())
-        params = self.front.conn_params
-        # A connection takes this when it begins to wait, so it leaves room for a later
-        # version; the limit in force is looked at once a head has come.
-        params.max_header_size = max(MOST_HEAD, limits.header_bytes)
-        self.callers.longest_head = limits.header_bytes
-        params.max_body_size = limits.body_bytes
+        self.ingress.put_in_force(self.beliefs.table.limits)
 
     def _on_lag(self, late: float, section: Section) -> None:
         """Tell that the loop stood still, and what ran meanwhile."""
@@ -398,13 +332,9 @@
         self.budget.drop_loans()
 
     def _on_term(self) -> None:
-        if self.readiness.leaving:
-            return
-        self.readiness.leave(self.clock())
-        self.front.conn_params.no_keep_alive = True
-        ends_in = self.endings.ends_in()
-        self.log.belief("leaving", open=len(self.callers.open), ends_in=ends_in)
-        self._start(self._leave())
+        if not self.readiness.leaving:
+            self.ingress.leave()
+            self._start(self._leave())
 
     def _apply(self, settings: RelaySettings) -> None:
         """Put in force what may change in the life of a process."""
@@ -417,6 +347,6 @@
     async def _leave(self) -> None:
         """End when the callers' requests have their ends, or cannot get them."""
         try:
-            await self.departure.carry_out()
+            await self.ingress.departure.carry_out()
         finally:
             self.ended.set()
--- a/packages/relay/tests/relay/test_leaving.py
+++ b/packages/relay/tests/relay/test_leaving.py
@@ -250,7 +250,8 @@
 
     async def test():
         entry = object.__new__(Application)
-        entry.departure, entry.ended = Broken(), asyncio.Event()
+        entry.ingress = SimpleNamespace(departure=Broken())
+        entry.ended = asyncio.Event()
         with pytest.raises(ValueError, match="a defect"):
             await entry._leave()
         assert entry.ended.is_set()
