--- a/packages/relay/tests/relay/test_request_to_end.py
+++ b/packages/relay/tests/relay/test_request_to_end.py
@@ -28,13 +28,12 @@
     """Return a function that makes what the handlers of an entry use."""
 
     def make(ends_in=lambda: 1.0):
+        readiness = Readiness(Beliefs(), GRACE)
         entry = SimpleNamespace(
-            readiness=Readiness(Beliefs(), GRACE),
+            readiness=readiness,
             clock=lambda: NOW,
             watch=SimpleNamespace(previous_look=BEFORE),
-            front=SimpleNamespace(conn_params=SimpleNamespace(no_keep_alive=False)),
-            endings=SimpleNamespace(ends_in=ends_in),
-            callers=SimpleNamespace(open=set()),
+            ingress=SimpleNamespace(leave=readiness.leave, tell_leaving=ends_in),
             log=Lines(),
             started=[],
             told=[],
