Let a begun answer go on through the only holder of its layers, though it had left it

Cause: an endpoint that a request has left is avoided by it for good, also when it answers again and is the only holder of its layers, though other requests use it.

Change: where no path is left without the endpoints that an answer had left, it goes on through them if its caller reads it already and so cannot ask anew. Those that are suspected are on no path, so it waits until they answer; attempts and the retry budget bound the rest. A request whose answer has not begun is refused as before and comes back.

The new case of test_path_finder failed before.

--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.pipelines.choice import (
     CONTINUED_ROOM_SHARE,
     ROOM_SHARE,
@@ -53,6 +53,9 @@
     ) -> Path | Refusal:
         """Return the path that a request is sent on, or why there is none.
 
+        An answer that was begun goes on through endpoints that it had left, where no
+        others hold their layers: its caller cannot ask for it anew.
+
         Args:
             job: The request.
             shape: Figures of the service's engines.
@@ -61,7 +64,10 @@
         """
         share = CONTINUED_ROOM_SHARE if job.caller.begun else ROOM_SHARE
         avoided = job.avoid.union(besides) if besides else job.avoid
-        return self._choose(job, shape, demand, avoided, share)
+        found = self._choose(job, shape, demand, avoided, share)
+        if job.caller.begun and job.avoid and is_no_route(found):
+            return self._choose(job, shape, demand, besides, share)
+        return found
 
     def is_idle(self, job: Job, avoid: Collection[str]) -> bool:
         """Tell whether a path without some endpoints has much room for a request."""
@@ -105,6 +111,11 @@
         return chooser.choose(paths, demand, avoid, self.rng, now, share, connected)
 
 
+def is_no_route(found: Path | Refusal) -> bool:
+    """Tell whether no path holds every layer."""
+    return isinstance(found, Refusal) and found.kind is ErrorKind.NO_ROUTE
+
+
 def demand_of(job: Job, shape: EngineShape) -> Demand:
     """Return what a request is expected to need of a path."""
     request = job.request
--- a/packages/relay/tests/relay/test_path_finder.py
+++ b/packages/relay/tests/relay/test_path_finder.py
@@ -53,3 +53,23 @@
         assert path.first.endpoint in firsts
     fill(finder, "b")
     assert isinstance(finder.find(job_of(firsts={"b"}), shape, DEMAND), Refusal)
+
+
+@pytest.mark.parametrize(("begun", "goes_on"), [(True, True), (False, False)])
+def test_a_begun_answer_is_not_lost_for_the_only_holder_that_it_had_left(
+    finder, shape, begun, goes_on
+):
+    job = job_of(avoid="cd")
+    job.caller.begun = begun
+    found = finder.find(job, shape, DEMAND)
+    assert isinstance(found, Refusal) is not goes_on
+    assert isinstance(finder.find(job, shape, DEMAND, besides="cd"), Refusal)
+
+
+def test_endpoints_that_were_left_are_avoided_while_others_hold_their_layers(
+    finder, shape
+):
+    job = job_of(avoid="c")
+    job.caller.begun = True
+    for _ in range(20):
+        assert not finder.find(job, shape, DEMAND).uses("c")
