--- a/packages/core/src/lacewingcourse/core/pipelines/ending.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/ending.py
@@ -53,7 +53,7 @@
         least = LEAST_WAIT if self.back_since is None else 0.0
         return max(least, self.ready_at - now)
 
-    def told(self, now: float) -> str:
+    def describe(self, now: float) -> str:
         """Return what is known of it, for a log line."""
         if self.back_since is not None:
             return f"{self.name} is back since {now - self.back_since:.1f} s"
--- a/packages/core/tests/pipelines/test_ending.py
+++ b/packages/core/tests/pipelines/test_ending.py
@@ -115,7 +115,7 @@
     book = ending_book(b=3.0)
     book.hear_of("b", "b:1", "", age=0.15, now=4.2)
     assert book.alive(4.2) == ["a"]
-    assert book.first_back(GRACE, 4.2).told(4.2) == "b ends in 2.8 s"
+    assert book.first_back(GRACE, 4.2).describe(4.2) == "b ends in 2.8 s"
 
 
 def test_an_entry_that_has_been_back_for_some_time_is_not_waited_for():
@@ -135,8 +135,8 @@
 
 def test_what_is_waited_for_is_told():
     first = ending_book(b=1.0).first_back(GRACE, 4.0)
-    assert first.told(4.0) == "b ends in 1.0 s"
-    assert first.told(5.5) == "b ended 0.5 s ago"
+    assert first.describe(4.0) == "b ends in 1.0 s"
+    assert first.describe(5.5) == "b ended 0.5 s ago"
     book = ending_book(b=1.0)
     book.hear("b", "b:1", False, 7.0)
-    assert book.first_back(GRACE, 7.4).told(7.4) == "b is back since 0.4 s"
+    assert book.first_back(GRACE, 7.4).describe(7.4) == "b is back since 0.4 s"
--- a/packages/relay/src/lacewingcourse/relay/endings.py
+++ b/packages/relay/src/lacewingcourse/relay/endings.py
@@ -61,7 +61,7 @@
         now = self.clock()
         grace = self.readiness.grace
         first = self.book.first_back(grace, now, self._own_end(now))
-        return ANOTHER if first is None else first.told(now)
+        return ANOTHER if first is None else first.describe(now)
 
     def _own_end(self, now: float) -> float | None:
         """Return when this entry is expected to have ended, None if it is not ending.
