Tell in log lines and metrics which limits endpoints name, and what is sent under them

What callers saw: nothing yet; endpoints that had named a limit of requests a second were sent several times as many.

No line said what an endpoint named, and no send told under which limit it was made.

The change: the header of an answer is decoded in the adapter, and each entry notes what endpoints name (line 'limit' at each change, with its origin); 'sent' lines have the limit in force; metrics count limited endpoints, sends to them and limits that cannot be read. Nothing is decided by it yet: what is sent where is as before.

Only an answer to a request that was sent after the last naming ends a limit, since answers overtake one another; a rejection ends none, since it may lack the header.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -26,6 +26,7 @@
 from lacewingcourse.relay.gossip import Gossip
 from lacewingcourse.relay.housekeeping import Housekeeping
 from lacewingcourse.relay.ingress import Ingress
+from lacewingcourse.relay.limit_reader import LimitReader
 from lacewingcourse.relay.loop_watch import LoopWatch
 from lacewingcourse.relay.metrics import METRICS_PATH
 from lacewingcourse.relay.metrics_page import MetricsPage
@@ -106,7 +107,15 @@
         rng = random.Random(self.settings.name)
         self.watch = LoopWatch(self.clock, self.metrics.loop_lag.observe, self._on_lag)
         self.beliefs.watch = self.watch
-        sender = Sender(self.pool, self.platform.codec, self.clock, self.budget)
+        limits = LimitReader(
+            self.beliefs.limits,
+            self.log,
+            self.clock,
+            self.metrics.unreadable_limits.inc,
+        )
+        sender = Sender(
+            self.pool, self.platform.codec, self.clock, self.budget, limits.take
+        )
         zone = self.settings.zone
         calls = CallForwarder(self.beliefs, sender, self.budget, zone, rng, self.log)
         self.admission = Admission(self.clock, WAITS.get(self.settings.wait))
--- a/packages/relay/src/lacewingcourse/relay/beliefs.py
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -13,6 +13,7 @@
 from lacewingcourse.core.pipelines.links import LinkUsage
 from lacewingcourse.core.pipelines.load import LoadBook
 from lacewingcourse.core.pipelines.path import Path, candidate_paths
+from lacewingcourse.core.pipelines.request_limits import LimitTable
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
 from lacewingcourse.core.pipelines.suspects import Suspects
@@ -57,6 +58,7 @@
         suspects: Endpoints that are left out for now.
         speeds: Endpoints that run slower than published.
         crashes: Requests that crash endpoints.
+        limits: Requests a second that endpoints take, as they have named them.
         candidates: Candidate paths by service, for the figures used last.
         durations: How long answers took lately.
         watch: Notes what holds up the loop.
@@ -71,6 +73,7 @@
     suspects: Suspects = attrs.field(factory=Suspects)
     speeds: SpeedEstimator = attrs.field(factory=SpeedEstimator)
     crashes: CrashBook = attrs.field(factory=CrashBook)
+    limits: LimitTable = attrs.field(factory=LimitTable)
     candidates: dict[str, list[CandidateSet]] = attrs.field(factory=dict)
     durations: Durations = attrs.field(factory=Durations)
     watch: LoopWatch = attrs.field(factory=LoopWatch)
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -188,7 +188,9 @@
             fresh: Whether to send it over a new connection.
         """
         now = self.sender.clock()
-        sending = job.sending(endpoint.name, endpoint.address, None, now, "")
+        sending = job.sending(
+            endpoint.name, endpoint.address, None, now, "", endpoint.id
+        )
         sent = await self.sender.send(job, sending, fresh)
         if isinstance(sent, NotSent):
             return sent
@@ -196,7 +198,8 @@
         job.firsts.add(endpoint.id)
         job.current = sent
         age = now - self.beliefs.fleet.known_at
-        self.log.sent(job, endpoint.id, age, 0.0)
+        limit = self.beliefs.limits.named(endpoint.id)
+        self.log.sent(job, endpoint.id, age, 0.0, limit)
         if job.caller.gone:
             job.caller_gone()
         try:
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -10,6 +10,8 @@
 import orjson
 from loguru import logger
 
+from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -225,7 +227,31 @@
         else:
             self.metrics.lines_left_out.inc()
 
-    def sent(self, job: Job, endpoint: str, age: float, waited: float) -> None:
+    def limit(self, endpoint: str, named: float, before: float, origin: str) -> None:
+        """Tell of a limit that an endpoint names, or has withdrawn.
+
+        Args:
+            endpoint: Id of the endpoint.
+            named: Requests a second that it takes, `NO_LIMIT` if it names none.
+            before: The same as it was known before.
+            origin: Who told it: an answer, or the name of an entry.
+        """
+        self._line(
+            "limit",
+            endpoint=endpoint,
+            named=_limit(named),
+            before=_limit(before),
+            origin=origin,
+        )
+
+    def sent(
+        self,
+        job: Job,
+        endpoint: str,
+        age: float,
+        waited: float,
+        limit: float = NO_LIMIT,
+    ) -> None:
         """Tell of a send, with what decided where it went.
 
         Args:
@@ -233,7 +259,11 @@
             endpoint: Id of the endpoint that it was sent to.
             age: Age of what is known of the endpoints, seconds.
             waited: Seconds for which it waited for room.
+            limit: Requests a second that the endpoint had named, `NO_LIMIT` for none.
         """
+        basis = {} if limit == NO_LIMIT else {"limit": limit}
+        if basis:
+            self.metrics.limited_send(job)
         self._line(
             "sent",
             request=job.request.id,
@@ -246,6 +276,7 @@
             directory_age_ms=_ms(age),
             waited_ms=_ms(waited),
             version=self.version(),
+            **basis,
         )
 
     def not_moved(self, job: Job, cause: Refusal, now: float) -> None:
@@ -331,6 +362,11 @@
     return [f"{p.address}={p.layers.start}-{p.layers.end}" for p in parts]
 
 
+def _limit(named: float) -> float | None:
+    """Return a limit as log lines show it, None for none."""
+    return None if named == NO_LIMIT else named
+
+
 def _ms(seconds: float) -> float:
     """Return a time in milliseconds as log lines show it."""
     return round(seconds * 1000, 1)
--- a/packages/relay/src/lacewingcourse/relay/explain.py
+++ b/packages/relay/src/lacewingcourse/relay/explain.py
@@ -20,7 +20,7 @@
 BELIEF_EVENTS = frozenset(
     {"configuration", "configuration_source_lost", "configuration_source_regained"}
     | {"directory_lost", "directory_regained", "endpoint_gone", "endpoint_lapsed"}
-    | {"suspected", "duty_taken", "order", "leaving", "started", "reloaded"}
+    | {"suspected", "limit", "duty_taken", "order", "leaving", "started", "reloaded"}
 )
 #: Fields that every line has and the story need not repeat.
 PLAIN_FIELDS = frozenset({"time", "level", "event", "process", "request"})
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -158,7 +158,13 @@
         return max(0, min(MOST_URGENCY, priority))
 
     def sending(
-        self, endpoint: str, address: str, path: Path | None, now: float, after: str
+        self,
+        endpoint: str,
+        address: str,
+        path: Path | None,
+        now: float,
+        after: str,
+        incarnation: str = "",
     ) -> Sending:
         """Return what to send to an endpoint.
 
@@ -168,6 +174,8 @@
             path: Path that starts there, None for a plain service.
             now: Present time.
             after: Identifier of the last event passed on, or empty.
+            incarnation: Id of the endpoint's incarnation, empty if it has no other
+                than its name.
         """
         return Sending(
             endpoint=endpoint,
@@ -178,6 +186,7 @@
             strip_key=self.strip_key,
             resume_after=after,
             urgency=self.urgency,
+            incarnation=incarnation or endpoint,
         )
 
     def note(self, outcome: SendOutcome, reason: str) -> None:
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/limit_reader.py
@@ -0,0 +1,61 @@
+"""Takes the limits that endpoints name in their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
+from lacewingcourse.relay.decoding import Undecodable
+from lacewingcourse.relay.ports import Standing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewingcourse.core.pipelines.request_limits import LimitTable
+    from lacewingcourse.relay.decisions import DecisionLog
+    from lacewingcourse.relay.ports import AnswerHead, Sending
+
+
+@attrs.define
+class LimitReader:
+    """Notes and tells what endpoints name.
+
+    Attributes:
+        limits: What they have named.
+        log: Log of decisions.
+        clock: Returns the present time in seconds.
+        on_unreadable: Called for each limit that cannot be read.
+    """
+
+    limits: LimitTable
+    log: DecisionLog
+    clock: Callable[[], float]
+    on_unreadable: Callable[[], None] = lambda: None
+
+    def take(self, sending: Sending, head: AnswerHead, sent_at: float) -> None:
+        """Take the limit that the head of an answer names, or that it names none.
+
+        Only an answer of the endpoint itself tells that it names none: a rejection
+        may lack the header.
+
+        Args:
+            sending: What it answers.
+            head: The head.
+            sent_at: When that was sent, seconds.
+        """
+        named = head.limit
+        if head.standing is Standing.FOREIGN:
+            return
+        if isinstance(named, Undecodable):
+            self.on_unreadable()
+            self.log.belief(
+                "limit_unreadable", endpoint=sending.incarnation, reason=named.reason
+            )
+            return
+        if named == NO_LIMIT and head.standing is not Standing.ANSWERED:
+            return
+        endpoint, before = sending.incarnation, self.limits.named(sending.incarnation)
+        if self.limits.hear(endpoint, named, sent_at, self.clock()):
+            self.log.limit(endpoint, named, before, "answer")
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -124,6 +124,22 @@
             "Messages of other entries that cannot be read",
             **known,
         )
+        self.limited_endpoints = Gauge(
+            "lacewingcourse_relay_limited_endpoints",
+            "Endpoints that name a limit of requests a second",
+            **known,
+        )
+        self.limited_sends = Counter(
+            "lacewingcourse_relay_limited_sends",
+            "Sends to endpoints that had named a limit: first sends or retries",
+            ["attempt"],
+            **known,
+        )
+        self.unreadable_limits = Counter(
+            "lacewingcourse_relay_unreadable_limits",
+            "Limits named by endpoints that cannot be read",
+            **known,
+        )
         self.loop_lag = Histogram(
             "lacewingcourse_relay_loop_lag_seconds",
             "How late the loop came to a timer that rings twenty times a second",
@@ -159,6 +175,11 @@
         if job is not None:
             self._count_sends(job)
 
+    def limited_send(self, job: Job) -> None:
+        """Count a send to an endpoint that had named a limit."""
+        attempt = "first" if job.sends == 1 else "retry"
+        self.limited_sends.labels(attempt).inc()
+
     def store_call(self, result: str, seconds: float) -> None:
         """Count a call of the store."""
         self.store_calls.labels(result).observe(seconds)
--- a/packages/relay/src/lacewingcourse/relay/metrics_page.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics_page.py
@@ -41,6 +41,8 @@
         table = self.beliefs.table
         self.metrics.version.set(table.version if table else 0)
         self._count_endpoints(now)
+        limited = self.beliefs.limits.limited()
+        self.metrics.limited_endpoints.set(len(limited))
         return self.metrics.answer(question)
 
     def _count_endpoints(self, now: float) -> None:
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -111,7 +111,10 @@
         forwarder, job, path = self.forwarder, self.job, found.path
         now = forwarder.sender.clock()
         after = self.state.cutter.last_id
-        sending = job.sending(path.first.name, path.first.address, path, now, after)
+        first = path.first
+        sending = job.sending(
+            first.name, first.address, path, now, after, first.endpoint
+        )
         sent = await forwarder.sender.send(job, sending, self.fresh, found.connection)
         if isinstance(sent, NotSent):
             return None
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lacewingcourse.core.pipelines.incarnation import UNTOLD
+from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
@@ -73,6 +74,7 @@
         strip_key: Whether the caller's key stops here.
         resume_after: Identifier of the last event passed on, or empty.
         urgency: 0 to 9, 0 for what is served first.
+        incarnation: Id of the endpoint's incarnation.
     """
 
     endpoint: str
@@ -83,6 +85,9 @@
     strip_key: bool
     resume_after: str = ""
     urgency: int = 5
+    incarnation: str = attrs.field(
+        default=attrs.Factory(lambda sending: sending.endpoint, takes_self=True)
+    )
 
 
 class Standing(Enum):
@@ -107,6 +112,8 @@
         misdirected: Whether it is not the one that was meant, or lacks the layers.
         keep_alive: Seconds for which the connection may stay idle, None if untold.
         reason: What is wrong with it, for the log.
+        limit: Requests a second that the endpoint takes from all entries together,
+            `NO_LIMIT` if it names none.
     """
 
     status: int
@@ -116,6 +123,7 @@
     misdirected: bool = False
     keep_alive: float | None = None
     reason: str = ""
+    limit: float | Undecodable = NO_LIMIT
 
     @property
     def succeeded(self) -> bool:
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -28,6 +28,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from tornado.httputil import HTTPHeaders
+
     from lacewingcourse.core.pipelines.retry_budget import RetryBudget
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.ports import CallerRequest, RequestCodec
@@ -50,12 +52,15 @@
         clock: Returns the present time in seconds.
         budget: Retries that are left. Each send of a request beyond its first takes
             one.
+        on_head: Called with the head of each answer, what it answers, and when that was
+            sent in seconds.
     """
 
     pool: ConnectionPool
     codec: RequestCodec
     clock: Callable[[], float]
     budget: RetryBudget
+    on_head: Callable[[Sending, AnswerHead, float], None] = lambda *news: None
 
     async def reserve(self, address: str, fresh: bool) -> Connection | NotSent:
         """Return a connection to an endpoint that nobody uses.
@@ -111,8 +116,14 @@
             sending: Where to send it, and with what.
             connection: The connection.
         """
-        request = job.request
-        exchange = Exchange(connection, lambda s, h: self._is_ours(s, h, request))
+        request, sent_at = job.request, self.clock()
+
+        def is_ours(status: int, headers: HTTPHeaders) -> bool:
+            head = self.codec.head(status, headers, request)
+            self.on_head(sending, head, sent_at)
+            return head.standing is not Standing.FOREIGN
+
+        exchange = Exchange(connection, is_ours)
         headers = self.codec.outgoing(request, sending)
         exchange.start(request.method, request.target, headers, request.body)
         return exchange
@@ -124,10 +135,6 @@
         else:
             exchange.abandon()
 
-    def _is_ours(self, status: int, headers, request: CallerRequest) -> bool:
-        head = self.codec.head(status, headers, request)
-        return head.standing is not Standing.FOREIGN
-
 
 def _cause_unsent(
     job: Job, sending: Sending, budget: RetryBudget, now: float
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -224,7 +224,9 @@
             if reserved is not None:
                 reserved.close()
             return self._unsent(NotSent(Unsent.OVERDUE))
-        sending = job.sending(first.name, first.address, job.path, now, after)
+        sending = job.sending(
+            first.name, first.address, job.path, now, after, first.endpoint
+        )
         sent = await self.sender.send(job, sending, fresh, reserved)
         if isinstance(sent, NotSent):
             job.note(SendOutcome.NEVER_LEFT, sent.reason)
@@ -268,7 +270,8 @@
         job.firsts.add(path.first.endpoint)
         job.path = path
         age = self.sender.clock() - self.beliefs.fleet.known_at
-        self.log.sent(job, path.first.endpoint, age, job.waited)
+        limit = self.beliefs.limits.named(path.first.endpoint)
+        self.log.sent(job, path.first.endpoint, age, job.waited, limit)
 
     def unreachable(self, job: Job, path: Path) -> None:
         """Leave out the first endpoint of a path, to which no connection was made."""
--- /dev/null
+++ b/packages/relay/tests/relay/test_limit_reader.py
@@ -0,0 +1,62 @@
+"""Tests of what an entry takes from the limits that endpoints name."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from lacewingcourse.core.pipelines.request_limits import NO_LIMIT, LimitTable
+from lacewingcourse.relay.decoding import Undecodable
+from lacewingcourse.relay.limit_reader import LimitReader
+from lacewingcourse.relay.ports import AnswerHead, Standing
+
+
+@pytest.fixture
+def reader():
+    """Return a reader that keeps the lines of its log, with what it knows."""
+    lines = []
+    log = SimpleNamespace(
+        limit=lambda *fields: lines.append(("limit", *fields)),
+        belief=lambda event, **fields: lines.append((event, fields["endpoint"])),
+    )
+    made = LimitReader(LimitTable(), log, lambda: 2.0)
+    return SimpleNamespace(take=made.take, limits=made.limits, lines=lines)
+
+
+def answer(limit, standing=Standing.ANSWERED):
+    return AnswerHead(200, HTTPHeaders(), standing, limit=limit)
+
+
+SENDING = SimpleNamespace(incarnation="a@1")
+
+
+def test_a_limit_is_told_when_it_changes(reader):
+    for limit in (2.0, 2.0, 1.0):
+        reader.take(SENDING, answer(limit), 1.0)
+    reader.take(SENDING, answer(NO_LIMIT), 2.5)
+    assert reader.lines == [
+        ("limit", "a@1", 2.0, NO_LIMIT, "answer"),
+        ("limit", "a@1", 1.0, 2.0, "answer"),
+        ("limit", "a@1", NO_LIMIT, 1.0, "answer"),
+    ]
+
+
+@pytest.mark.parametrize("standing", [Standing.REJECTED, Standing.BROKEN])
+def test_only_an_answer_of_the_endpoint_ends_its_limit(reader, standing):
+    reader.take(SENDING, answer(2.0, standing), 1.0)
+    reader.take(SENDING, answer(NO_LIMIT, standing), 2.5)
+    assert reader.limits.named("a@1") == 2.0
+
+
+def test_the_answer_to_another_request_names_nothing(reader):
+    reader.take(SENDING, answer(2.0, Standing.FOREIGN), 1.0)
+    assert reader.limits.members == {}
+
+
+def test_a_limit_that_cannot_be_read_leaves_what_was_known(reader):
+    reader.take(SENDING, answer(2.0), 1.0)
+    reader.take(SENDING, answer(Undecodable("no decimal number")), 2.5)
+    assert reader.limits.named("a@1") == 2.0
+    assert reader.lines[-1] == ("limit_unreadable", "a@1")
