--- a/packages/core/src/lacewingcourse/core/pipelines/admission_queue.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/admission_queue.py
@@ -25,6 +25,8 @@
 #: Seconds after which a request may come back that lacks nothing but a retry, at the
 #: least and at the most.
 DENIED_RETRY_AFTER = (0.05, 0.15)
+#: Seconds over which callers are spread whose requests a limit kept out together.
+LIMITED_SPREAD = 1.0
 #: Silence after which a caller leaves: the longest of some seconds, some objectives of
 #: its route, and some times the pause that it allows between two events.
 LEAST_PATIENCE = 2.0
@@ -93,6 +95,16 @@
     return least + draw * (most - least)
 
 
+def retry_after_limit(next_in: float, draw: float) -> float:
+    """Return the seconds after which a request comes back that a limit kept out.
+
+    Args:
+        next_in: Seconds until an endpoint takes a request.
+        draw: A number from 0 to 1 that spreads the callers.
+    """
+    return next_in + draw * LIMITED_SPREAD
+
+
 @attrs.define(eq=False)
 class QueuedRequest:
     """A request that waits.
--- /dev/null
+++ b/packages/core/src/lacewingcourse/core/pipelines/limit_sharing.py
@@ -0,0 +1,362 @@
+"""How entries share what an endpoint takes that names a limit."""
+
+from __future__ import annotations
+
+from collections import deque
+from math import ceil, inf
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+from lacewingcourse.core.pipelines.permits import (
+    PERMIT_TIME,
+    WINDOW,
+    Grant,
+    Permit,
+    PermitDemand,
+)
+from lacewingcourse.core.pipelines.request_limits import NO_LIMIT, LimitTable
+from lacewingcourse.core.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Hashable, Iterable
+
+#: Seconds for which a bucket is kept that nobody uses.
+BUCKET_KEPT = 60.0
+#: Requests that an entry may save up where each has an even share.
+EVEN_BURST = 1.0
+
+
+class LimitSharing(Protocol):
+    """An entry's part of what limited endpoints take.
+
+    Attributes:
+        entries: Entries that are alive, as far as this one knows.
+    """
+
+    entries: int
+
+    def left(self, endpoint: str, rate: float, now: float) -> int:
+        """Return how many requests this entry may send to an endpoint now."""
+
+    def use(self, endpoint: str, rate: float, now: float) -> None:
+        """Note a request that is sent to an endpoint, whether it is limited or not."""
+
+    def want(self, endpoint: str, request: Hashable, now: float) -> None:
+        """Note that a request was to be sent to an endpoint."""
+
+    def next_in(self, endpoint: str, rate: float, now: float) -> float:
+        """Return the seconds until a request may be sent, 0 if that is not known."""
+
+    def clear(self) -> None:
+        """Trust nothing, since the time may have stood still."""
+
+    def expire(self, now: float) -> None:
+        """Forget what is over."""
+
+
+#: How entries share what a limited endpoint takes.
+LIMIT_SHARINGS: Registry[type[LimitSharing]] = Registry("sharing of limits")
+
+
+@attrs.define
+class Bucket:
+    """A token bucket.
+
+    Attributes:
+        level: Tokens in it.
+        filled_at: When that was worked out, seconds.
+    """
+
+    level: float
+    filled_at: float
+
+    def fill(self, rate: float, now: float) -> None:
+        """Add what has come since."""
+        level = self.level + rate * (now - self.filled_at)
+        self.level, self.filled_at = min(EVEN_BURST, level), now
+
+
+@LIMIT_SHARINGS.register("even")
+@attrs.define
+class EvenSharing:
+    """Each entry has an even share, and asks nobody.
+
+    Every entry may send one request at once, so many entries send a burst together.
+
+    Attributes:
+        entries: Entries that are alive, as far as this one knows.
+        buckets: What this entry may send, by endpoint.
+    """
+
+    entries: int = 1
+    buckets: dict[str, Bucket] = attrs.field(factory=dict)
+
+    def left(self, endpoint: str, rate: float, now: float) -> int:
+        """Return how many requests this entry may send to an endpoint now."""
+        bucket = self.buckets.setdefault(endpoint, Bucket(0.0, now))
+        bucket.fill(rate / self.entries, now)
+        return int(bucket.level)
+
+    def use(self, endpoint: str, rate: float, now: float) -> None:
+        """Note a request that is sent to an endpoint, whether it is limited or not."""
+        if rate != NO_LIMIT:
+            self.buckets[endpoint].level -= 1.0
+
+    def want(self, endpoint: str, request: Hashable, now: float) -> None:
+        """Note that a request was to be sent to an endpoint."""
+
+    def next_in(self, endpoint: str, rate: float, now: float) -> float:
+        """Return the seconds until a request may be sent, 0 if that is not known."""
+        bucket = self.buckets.get(endpoint)
+        return (1.0 - bucket.level) * self.entries / rate if bucket else 0.0
+
+    def clear(self) -> None:
+        """Trust nothing, since the time may have stood still."""
+        self.buckets.clear()
+
+    def expire(self, now: float) -> None:
+        """Forget what is over."""
+        for endpoint, bucket in list(self.buckets.items()):
+            if now - bucket.filled_at > BUCKET_KEPT:
+                del self.buckets[endpoint]
+
+
+@LIMIT_SHARINGS.register("permits")
+@attrs.define
+class PermitSharing:
+    """Each entry asks the one that gives out an endpoint's permits.
+
+    Attributes:
+        entries: Entries that are alive, as far as this one knows.
+        permits: Permits that this entry has, by endpoint.
+        wanted: When each request was last to be sent, by endpoint.
+        ask_at: When the issuer of an endpoint's permits is asked again, seconds.
+        issuers: Who gave the last answer for an endpoint.
+        reported_to: Entry that was last told of the sends to an endpoint.
+        sends: Times of the sends of the last window, with who gave the permit for
+            each, by endpoint.
+    """
+
+    entries: int = 1
+    permits: dict[str, list[Permit]] = attrs.field(factory=dict)
+    wanted: dict[str, dict[Hashable, float]] = attrs.field(factory=dict)
+    ask_at: dict[str, float] = attrs.field(factory=dict)
+    issuers: dict[str, str] = attrs.field(factory=dict)
+    reported_to: dict[str, str] = attrs.field(factory=dict)
+    sends: dict[str, deque[tuple[float, str]]] = attrs.field(factory=dict)
+
+    def left(self, endpoint: str, rate: float, now: float) -> int:
+        """Return how many requests this entry may send to an endpoint now."""
+        return sum(permit.since <= now for permit in self._valid(endpoint, now))
+
+    def use(self, endpoint: str, rate: float, now: float) -> None:
+        """Note a request that is sent to an endpoint, whether it is limited or not."""
+        permits = self._valid(endpoint, now)
+        issuer = permits.pop(0).issuer if permits and rate != NO_LIMIT else ""
+        self.sends.setdefault(endpoint, deque()).append((now, issuer))
+
+    def want(self, endpoint: str, request: Hashable, now: float) -> None:
+        """Note that a request was to be sent to an endpoint."""
+        self.wanted.setdefault(endpoint, {})[request] = now
+
+    def next_in(self, endpoint: str, rate: float, now: float) -> float:
+        """Return the seconds until a request may be sent, 0 if that is not known."""
+        permits = self._valid(endpoint, now)
+        coming = [permit.since - now for permit in permits if permit.since > now]
+        if coming:
+            return min(coming)
+        return max(0.0, self.ask_at.get(endpoint, now) - now)
+
+    def demand(
+        self, entry: str, endpoint: str, asked: str, rate: float, now: float
+    ) -> PermitDemand | None:
+        """Return what this entry asks for, None if it need not ask.
+
+        An entry that gives out permits for the first time is told of the sends of the
+        last window even if no permit is lacking: it must not give them out once more.
+
+        Args:
+            entry: Name of this entry.
+            endpoint: The endpoint.
+            asked: Entry that gives out its permits.
+            rate: Requests a second that the endpoint takes.
+            now: Present time in seconds.
+        """
+        count = self._lacking(endpoint, rate, now)
+        issuer = self.issuers.get(endpoint)
+        ages = [
+            round(now - at, 3)
+            for at, given_by in self.sends.get(endpoint, ())
+            if now - at < WINDOW and (not given_by or given_by != issuer)
+        ]
+        is_known = not ages or self.reported_to.get(endpoint) == asked
+        if not count and is_known:
+            return None
+        return PermitDemand(entry, count, tuple(ages))
+
+    def _lacking(self, endpoint: str, rate: float, now: float) -> int:
+        """Return how many permits this entry lacks.
+
+        Permits are fetched ahead for as many requests as there were lately.
+        """
+        if now < self.ask_at.get(endpoint, -inf):
+            return 0
+        recent = self.wanted.get(endpoint, {})
+        count = sum(now - at <= PERMIT_TIME for at in recent.values())
+        if rate != NO_LIMIT:
+            count = min(count, ceil(rate * PERMIT_TIME))
+        return max(0, count - len(self._valid(endpoint, now)))
+
+    def take(
+        self,
+        endpoint: str,
+        grant: Grant,
+        asked: str,
+        asked_at: float,
+        now: float,
+        draw: float,
+    ) -> None:
+        """Take what the issuer gave.
+
+        Args:
+            endpoint: The endpoint.
+            grant: What it gave.
+            asked: Entry that was asked.
+            asked_at: When it was asked, seconds. It counts a permit from no earlier.
+            now: Present time in seconds.
+            draw: A number from 0 to 1 that spreads the entries that ask again.
+        """
+        permits = self._valid(endpoint, now)
+        for delay in grant.delays:
+            until = asked_at + delay + PERMIT_TIME
+            permits.append(Permit(now + delay, until, grant.issuer))
+        permits.sort(key=lambda permit: permit.since)
+        self.ask_at[endpoint] = now + grant.retry_in * (1.0 + draw)
+        if grant.issuer:
+            self.issuers[endpoint] = grant.issuer
+            self.reported_to[endpoint] = asked
+
+    def clear(self) -> None:
+        """Trust nothing, since the time may have stood still."""
+        self.permits.clear()
+
+    def expire(self, now: float) -> None:
+        """Forget what is over."""
+        for endpoint, requests in list(self.wanted.items()):
+            recent = {r: at for r, at in requests.items() if now - at <= PERMIT_TIME}
+            self.wanted[endpoint] = recent
+            if not recent and not self._valid(endpoint, now):
+                del self.wanted[endpoint]
+                self.permits.pop(endpoint, None)
+                self.ask_at.pop(endpoint, None)
+        for endpoint, sends in list(self.sends.items()):
+            while sends and now - sends[0][0] >= WINDOW:
+                sends.popleft()
+            if not sends:
+                del self.sends[endpoint]
+                self.issuers.pop(endpoint, None)
+                self.reported_to.pop(endpoint, None)
+
+    def _valid(self, endpoint: str, now: float) -> list[Permit]:
+        """Return the permits that may still be used, the earliest first."""
+        permits = self.permits.setdefault(endpoint, [])
+        permits[:] = [permit for permit in permits if permit.until > now]
+        return permits
+
+
+@attrs.define
+class SendLimits:
+    """Decides whether a request may be sent to an endpoint that names a limit.
+
+    A request holds its right to be sent while it connects to the endpoint that was
+    chosen for it, as it holds a retry.
+
+    Attributes:
+        table: The limits that endpoints have named.
+        sharing: This entry's part of them.
+        holds: Requests that are to be sent, by endpoint.
+        on_want: Called when a request is to be sent to a limited endpoint.
+    """
+
+    table: LimitTable = attrs.field(factory=LimitTable)
+    sharing: LimitSharing = attrs.field(factory=PermitSharing)
+    holds: dict[str, set[Hashable]] = attrs.field(factory=dict)
+    on_want: Callable[[], None] = lambda: None
+
+    def blocked(self, now: float) -> set[str]:
+        """Return the endpoints that may not be sent a further request now."""
+        return {e for e in self.table.members if not self.allows(e, now)}
+
+    def want(self, endpoint: str, request: Hashable, now: float) -> None:
+        """Note that a request is to be sent to a limited endpoint."""
+        self.sharing.want(endpoint, request, now)
+        self.on_want()
+
+    def allows(self, endpoint: str, now: float) -> bool:
+        """Tell whether an endpoint may be sent a request beside those to be sent."""
+        rate = self.table.rate(endpoint, now)
+        if rate == NO_LIMIT:
+            return True
+        held = len(self.holds.get(endpoint, ()))
+        return self.sharing.left(endpoint, rate, now) > held
+
+    def hold(self, endpoint: str, request: Hashable, now: float) -> bool:
+        """Hold the right to send a request; tell whether there is one.
+
+        Args:
+            endpoint: The endpoint.
+            request: The request. It holds one right, for its last endpoint.
+            now: Present time in seconds.
+        """
+        self.release(request)
+        if endpoint not in self.table.members:
+            return True
+        self.want(endpoint, request, now)
+        if not self.allows(endpoint, now):
+            return False
+        self.holds.setdefault(endpoint, set()).add(request)
+        return True
+
+    def release(self, request: Hashable) -> None:
+        """Give back the right that a request holds."""
+        for requests in self.holds.values():
+            requests.discard(request)
+
+    def may_take(self, endpoint: str, request: Hashable, now: float) -> bool:
+        """Tell whether a request may be sent, with the right that it holds or one."""
+        self.release(request)
+        return self.allows(endpoint, now)
+
+    def take(self, endpoint: str, request: Hashable, now: float) -> bool:
+        """Use up the right to send a request; tell whether there was one."""
+        if not self.may_take(endpoint, request, now):
+            return False
+        rate = self.table.rate(endpoint, now)
+        self.sharing.use(endpoint, rate, now)
+        return True
+
+    def next_in(self, endpoints: Iterable[str], now: float) -> float:
+        """Return the seconds until a request may be sent to one of some endpoints.
+
+        It is 0 if that is not known yet.
+
+        Args:
+            endpoints: The endpoints, at least one.
+            now: Present time in seconds.
+        """
+        return min(
+            self.sharing.next_in(endpoint, self.table.rate(endpoint, now), now)
+            for endpoint in endpoints
+        )
+
+    def expire(self, present: Collection[str], now: float) -> None:
+        """Forget what is over.
+
+        Args:
+            present: Ids of the endpoints that there are.
+            now: Present time in seconds.
+        """
+        self.table.expire(present, now)
+        self.sharing.expire(now)
+        self.holds = {endpoint: held for endpoint, held in self.holds.items() if held}
--- a/packages/core/src/lacewingcourse/core/pipelines/peers.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/peers.py
@@ -253,6 +253,12 @@
                 members.append(name)
         return found
 
+    def coordinators(self, now: float) -> set[str]:
+        """Return the entries alive that all others know, at least one."""
+        if self.count(now) <= FULL_MESH:
+            return set(self.alive(now))
+        return {name for names in self.hubs(now).values() for name in names}
+
     def role(self, now: float) -> Role:
         """Return how this entry takes part in the exchange."""
         if self.count(now) <= FULL_MESH:
--- a/packages/core/src/lacewingcourse/core/pipelines/request_limits.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/request_limits.py
@@ -3,11 +3,28 @@
 from __future__ import annotations
 
 from math import inf
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 #: Limit of an endpoint that names none.
 NO_LIMIT = inf
+#: Requests a second that an endpoint gets which names less. Without any answer nobody
+#: would notice that it takes more again.
+MIN_RATE = 0.1
+#: Seconds in which the rate in force doubles after a limit was raised or withdrawn. The
+#: load that brought the endpoint into need would otherwise be back at once.
+DOUBLING_TIME = 1.0
+#: Seconds after which a limit that was withdrawn is over.
+RELEASE_TIME = 5.0
+#: Seconds for which it is remembered after that, against news of it that come late.
+FORGOTTEN_AFTER = 15.0
+#: Seconds by which another entry's word must be newer to be taken over. Messages take
+#: time that their age does not count.
+MIN_NEWER = 0.05
 
 
 @attrs.define
@@ -17,10 +34,38 @@
     Attributes:
         named: Requests a second that it takes, `NO_LIMIT` once it named none again.
         heard_at: When it last said so, seconds.
+        changed_at: When it first said so, seconds.
+        rate_before: Requests a second that were in force then.
     """
 
     named: float
     heard_at: float
+    changed_at: float
+    rate_before: float = NO_LIMIT
+
+    def take(self, named: float, heard_at: float, now: float) -> bool:
+        """Take what the endpoint names; tell whether that is something else."""
+        self.heard_at = heard_at
+        if named == self.named:
+            return False
+        self.rate_before = self.rate(now)
+        self.named, self.changed_at = named, now
+        return True
+
+    def rate(self, now: float) -> float:
+        """Return the requests a second that may be sent now.
+
+        One that falls holds at once, one that rises or ends is followed in steps.
+        """
+        passed = now - self.changed_at
+        if passed >= RELEASE_TIME:
+            return max(MIN_RATE, self.named)
+        rising = max(MIN_RATE, self.rate_before) * 2 ** (passed / DOUBLING_TIME)
+        return max(MIN_RATE, min(self.named, rising))
+
+    def is_over(self, now: float) -> bool:
+        """Tell whether it was withdrawn so long ago that nobody tells of it."""
+        return self.named == NO_LIMIT and now - self.changed_at > FORGOTTEN_AFTER
 
 
 @attrs.define
@@ -48,18 +93,61 @@
         known = self.members.get(endpoint)
         if named == NO_LIMIT and (known is None or sent_at <= known.heard_at):
             return False
-        if known is None:
-            self.members[endpoint] = RequestLimit(named, now)
-            return True
-        changed = known.named != named
-        known.named, known.heard_at = named, now
-        return changed
+        if known is not None:
+            return known.take(named, now, now)
+        self.members[endpoint] = RequestLimit(named, now, now)
+        return True
+
+    def from_peer(self, endpoint: str, named: float, age: float, now: float) -> bool:
+        """Take what another entry heard of an endpoint; tell whether that is new.
+
+        Args:
+            endpoint: The endpoint.
+            named: Requests a second that it named, `NO_LIMIT` if it named none.
+            age: Seconds since the other entry heard it.
+            now: Present time in seconds.
+        """
+        known = self.members.get(endpoint)
+        heard_at = now - age
+        if known is not None and heard_at > known.heard_at + MIN_NEWER:
+            return known.take(named, heard_at, now)
+        if known is not None or named == NO_LIMIT:
+            return False
+        self.members[endpoint] = RequestLimit(named, heard_at, now)
+        return True
 
     def named(self, endpoint: str) -> float:
         """Return the requests a second that an endpoint named last."""
         known = self.members.get(endpoint)
         return known.named if known is not None else NO_LIMIT
 
+    def rate(self, endpoint: str, now: float) -> float:
+        """Return the requests a second that an endpoint may be sent now."""
+        known = self.members.get(endpoint)
+        return known.rate(now) if known is not None else NO_LIMIT
+
     def limited(self) -> list[str]:
         """Return the endpoints that name a limit."""
         return [e for e, limit in self.members.items() if limit.named != NO_LIMIT]
+
+    def told(self, now: float) -> dict[str, tuple[float | None, float]]:
+        """Return what endpoints named, None for no limit, and how long ago."""
+        return {
+            endpoint: (
+                None if limit.named == NO_LIMIT else limit.named,
+                round(now - limit.heard_at, 3),
+            )
+            for endpoint, limit in self.members.items()
+        }
+
+    def expire(self, present: Collection[str], now: float) -> None:
+        """Forget limits that are over, and those of endpoints that are gone.
+
+        Args:
+            present: Ids of the endpoints that there are.
+            now: Present time in seconds.
+        """
+        for endpoint, limit in list(self.members.items()):
+            gone = endpoint not in present and now - limit.heard_at > FORGOTTEN_AFTER
+            if gone or limit.is_over(now):
+                del self.members[endpoint]
--- /dev/null
+++ b/packages/core/tests/pipelines/test_limit_sharing.py
@@ -0,0 +1,157 @@
+"""Tests of how entries share what an endpoint takes that names a limit."""
+
+from __future__ import annotations
+
+import pytest
+
+from lacewingcourse.core.pipelines.limit_sharing import (
+    EvenSharing,
+    PermitSharing,
+    SendLimits,
+)
+from lacewingcourse.core.pipelines.permits import (
+    Grant,
+    PermitDemand,
+    PermitIssuer,
+    issuer_of,
+)
+from lacewingcourse.core.pipelines.request_limits import MIN_RATE, NO_LIMIT
+
+from .limit_fleet import ENDPOINT, NAMED_AT, LimitFleet
+
+#: Seconds for which a request waits that has nowhere else to go.
+WAIT = 0.25
+#: Part of a limit that is used at the least where callers want more and wait.
+USED_SHARE = 0.6
+SEEDS = [1, 2, 3]
+SIZES = [5, 68]
+LIMITS = [0.5, 1.8, 2.8, 10.0]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("entries", SIZES)
+@pytest.mark.parametrize("limit", LIMITS)
+@pytest.mark.parametrize("patience", [0.0, WAIT])
+def test_entries_together_send_no_more_than_an_endpoint_takes(
+    seed, entries, limit, patience
+):
+    fleet = LimitFleet("permits", entries, limit, seed, patience=patience)
+    fleet.play(25.0)
+    assert fleet.check.breaches() == []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("entries", SIZES)
+@pytest.mark.parametrize("limit", LIMITS)
+def test_requests_that_can_go_nowhere_else_use_the_limit(seed, entries, limit):
+    fleet = LimitFleet("permits", entries, limit, seed, patience=WAIT)
+    fleet.play(40.0)
+    assert USED_SHARE <= fleet.use(NAMED_AT + 4.0) <= 1.05
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("away", [0.5, 3.0])
+@pytest.mark.parametrize("limit", [2.8, 10.0])
+def test_the_limit_holds_while_the_issuer_of_permits_restarts(seed, away, limit):
+    fleet = LimitFleet("permits", 5, limit, seed, patience=WAIT)
+    for at in (12.0, 20.0):
+        fleet.play(at)
+        fleet.restart(issuer_of(ENDPOINT, fleet.entries), away)
+    fleet.play(32.0)
+    assert fleet.check.breaches() == []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("entries", SIZES)
+def test_the_limit_holds_with_an_issuer_that_the_others_do_not_hear(seed, entries):
+    fleet = LimitFleet("permits", entries, 10.0, seed, patience=WAIT)
+    fleet.play(10.0)
+    fleet.notice(issuer_of(ENDPOINT, fleet.entries), False)
+    fleet.play(30.0)
+    assert fleet.check.breaches() == []
+
+
+def limited(sharing, named=2.0):
+    """Return what an entry may send to an endpoint that names a limit."""
+    limits = SendLimits(sharing=sharing)
+    limits.table.hear(ENDPOINT, named, 0.0, 0.0)
+    return limits
+
+
+def test_a_request_holds_its_permit_while_it_connects():
+    limits = limited(PermitSharing())
+    limits.sharing.take(ENDPOINT, Grant("i", (0.0,), 0.0), "i", 0.0, 0.0, 0.0)
+    assert limits.hold(ENDPOINT, "one", 0.1)
+    assert not limits.hold(ENDPOINT, "two", 0.1)
+    assert not limits.may_take(ENDPOINT, "two", 0.2)
+    assert limits.take(ENDPOINT, "one", 0.2)
+    assert not limits.take(ENDPOINT, "one", 0.2)
+
+
+def test_a_permit_that_was_given_back_is_left_to_others():
+    limits = limited(PermitSharing())
+    limits.sharing.take(ENDPOINT, Grant("i", (0.0,), 0.0), "i", 0.0, 0.0, 0.0)
+    limits.hold(ENDPOINT, "one", 0.1)
+    limits.release("one")
+    assert limits.hold(ENDPOINT, "two", 0.1)
+
+
+def test_a_permit_that_is_not_used_in_its_time_is_lost():
+    limits = limited(PermitSharing())
+    limits.sharing.take(ENDPOINT, Grant("i", (0.0,), 0.0), "i", 0.0, 0.4, 0.0)
+    assert limits.allows(ENDPOINT, 0.9)
+    assert not limits.allows(ENDPOINT, 1.0)
+
+
+def test_a_frozen_entry_trusts_no_permit_from_before():
+    limits = limited(PermitSharing())
+    limits.sharing.take(ENDPOINT, Grant("i", (0.0,), 0.0), "i", 0.0, 0.0, 0.0)
+    limits.sharing.clear()
+    assert not limits.allows(ENDPOINT, 0.1)
+
+
+def test_an_endpoint_without_a_limit_is_sent_as_much_as_there_is():
+    limits = SendLimits()
+    assert limits.blocked(0.0) == set()
+    assert all(limits.take(ENDPOINT, n, 0.0) for n in range(100))
+
+
+def test_an_even_share_begins_empty():
+    limits = limited(EvenSharing(entries=4), named=4.0)
+    assert not limits.allows(ENDPOINT, 0.5)
+    assert limits.take(ENDPOINT, "one", 1.5)
+    assert not limits.take(ENDPOINT, "two", 1.5)
+
+
+def test_an_issuer_counts_what_was_sent_before_it_gave_permits():
+    issuer = PermitIssuer("i")
+    told = PermitSharing()
+    for at in range(10):
+        told.use(ENDPOINT, NO_LIMIT, at / 10)
+    demand = told.demand("e", ENDPOINT, "i", 2.0, 1.0)
+    assert (demand.count, len(demand.ages)) == (0, 10)
+    issuer.grant(ENDPOINT, demand, 2.0, 1.0)
+    given = 0
+    for tick in range(10, 45):
+        ask = PermitDemand("other", 1)
+        given += len(issuer.grant(ENDPOINT, ask, 2.0, tick / 10).delays)
+    # A quarter more than eight in four seconds and two besides, less the ten.
+    assert given <= 2 + 1
+
+
+def test_an_endpoint_that_takes_nothing_is_asked_now_and_then():
+    limits = limited(PermitSharing(), named=0.0)
+    assert limits.table.rate(ENDPOINT, 100.0) == MIN_RATE
+
+
+def test_a_limit_that_ends_is_followed_in_steps():
+    limits = limited(PermitSharing())
+    limits.table.hear(ENDPOINT, NO_LIMIT, 1.0, 1.5)
+    rates = [limits.table.rate(ENDPOINT, 1.5 + passed) for passed in (0, 1, 2, 10)]
+    assert rates == [2.0, 4.0, 8.0, NO_LIMIT]
+
+
+def test_a_limit_that_falls_holds_at_once():
+    limits = limited(PermitSharing())
+    limits.table.hear(ENDPOINT, 0.5, 1.0, 1.5)
+    assert limits.table.rate(ENDPOINT, 1.5) == 0.5
--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -55,16 +55,17 @@
         """
         now = self.clock()
         found = self._now(job, choose, now)
-        if not _worth_waiting(found, job):
-            return found
         queued = self._queued(job, demand, now)
+        if not _worth_waiting(found, job, queued.until - now):
+            return found
         self.queue.push(queued)
         try:
-            while _worth_waiting(found, job) and not job.caller.gone:
+            while not job.caller.gone:
                 now = self.clock()
-                if now >= queued.until:
+                left = queued.until - now
+                if left <= 0 or not _worth_waiting(found, job, left):
                     break
-                await asyncio.sleep(min(RETRY_PERIOD, queued.until - now))
+                await asyncio.sleep(min(RETRY_PERIOD, left))
                 found = choose()
             return found
         finally:
@@ -87,16 +88,23 @@
         return choose()
 
 
-def _worth_waiting(found: Path | Refusal, job: Job) -> bool:
+def _worth_waiting(found: Path | Refusal, job: Job, left: float) -> bool:
     """Tell whether a request waits for room that may turn up soon.
 
     That nothing holds the layers may be news of a moment as well: an entry that has
     just started learns of the endpoints within some tens of milliseconds. For a retry
     waits only what cannot be asked back: any other caller comes back with a new
     request, which needs none.
+
+    Args:
+        found: What was found.
+        job: The request.
+        left: Seconds for which it may wait.
     """
     if not isinstance(found, Refusal):
         return False
+    if found.retry_after is not None and found.retry_after >= left:
+        return False
     if found.kind is ErrorKind.RETRIES_EXHAUSTED:
         return not job.may_come_back
     return found.kind in MOMENTARY
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -7,12 +7,15 @@
 import signal
 import socket
 from typing import TYPE_CHECKING
+from uuid import uuid4
 
 from tornado.httpserver import HTTPServer
 
 from lacewingcourse.core.pipelines.admission_queue import WAITS
 from lacewingcourse.core.pipelines.freshness import RETRY_DELAYS
+from lacewingcourse.core.pipelines.limit_sharing import LIMIT_SHARINGS
 from lacewingcourse.core.pipelines.peers import PeerBook
+from lacewingcourse.core.pipelines.permits import PermitIssuer
 from lacewingcourse.core.pipelines.retry_budget import RETRY_SHARINGS, RetryBudget
 from lacewingcourse.core.pipelines.shutdown import LAST_REQUESTS
 from lacewingcourse.relay.address import split_address
@@ -26,6 +29,7 @@
 from lacewingcourse.relay.gossip import Gossip
 from lacewingcourse.relay.housekeeping import Housekeeping
 from lacewingcourse.relay.ingress import Ingress
+from lacewingcourse.relay.limit_permits import PermitExchange
 from lacewingcourse.relay.limit_reader import LimitReader
 from lacewingcourse.relay.loop_watch import LoopWatch
 from lacewingcourse.relay.metrics import METRICS_PATH
@@ -112,9 +116,17 @@
             self.log,
             self.clock,
             self.metrics.unreadable_limits.inc,
+            self._on_limit,
         )
+        send_limits = self.beliefs.send_limits
+        send_limits.sharing = LIMIT_SHARINGS.get(self.settings.limit_sharing)()
         sender = Sender(
-            self.pool, self.platform.codec, self.clock, self.budget, limits.take
+            self.pool,
+            self.platform.codec,
+            self.clock,
+            self.budget,
+            send_limits,
+            limits.take,
         )
         zone = self.settings.zone
         calls = CallForwarder(self.beliefs, sender, self.budget, zone, rng, self.log)
@@ -209,6 +221,7 @@
             self.log,
             self.clock,
             self.ingress.endings.ends_in,
+            self._look_for_permits,
         )
         self.peers = PeerExchange(
             gossip,
@@ -227,11 +240,26 @@
             self.metrics.unreadable_messages.inc,
             RETRY_SHARINGS.get(self.settings.retry_sharing),
         )
+        # A later process of the same name counts anew.
+        issuer = PermitIssuer(f"{self.settings.name} {uuid4()}")
+        self.permits = PermitExchange(
+            send_limits,
+            issuer,
+            self.book,
+            self.peers.fetch,
+            self.clock,
+            rng,
+            self.log,
+            self.metrics.unreadable_messages.inc,
+            lambda: self.readiness.leaving,
+        )
+        send_limits.on_want = self._look_for_permits
         self.house = Housekeeping(
             self.beliefs,
             self.pool,
             self.book,
             self.budget,
+            issuer,
             self.clock,
             self._on_thaw,
         )
@@ -244,6 +272,7 @@
         )
         shown = {("GET", METRICS_PATH): page.answer}
         handlers = self.peers.handlers() | self.loans.handlers()
+        handlers |= self.permits.handlers()
         self.peer_server = HTTPServer(SmallServer(handlers | shown))
         self.metrics_server = HTTPServer(SmallServer(shown))
 
@@ -259,6 +288,7 @@
             self._start(self.peers.run())
             self._start(self.peers.keep_registered())
             self._start(self.loans.run())
+        self._start(self.permits.run())
         if self.settings.metrics:
             self._listen(self.metrics_server, self.settings.metrics)
         self.loop.add_signal_handler(signal.SIGTERM, self._on_term)
@@ -317,6 +347,14 @@
     def _tell_peers(self) -> None:
         self.peers.tell_now()
 
+    def _on_limit(self) -> None:
+        """Tell that an endpoint names another limit, and keep it."""
+        self._tell_peers()
+        self._look_for_permits()
+
+    def _look_for_permits(self) -> None:
+        self.permits.look()
+
     def _on_ready(self, question: Question) -> Reply:
         return Reply(200 if self.readiness.is_ready() else 503)
 
@@ -341,6 +379,7 @@
         self.directory.freshness.expire()
         self.holder.lease = None
         self.budget.drop_loans()
+        self.beliefs.send_limits.sharing.clear()
         self.readiness.suspended(slept)
 
     def _on_term(self) -> None:
--- a/packages/relay/src/lacewingcourse/relay/beliefs.py
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -10,10 +10,10 @@
 from lacewingcourse.core.pipelines.crashes import CrashBook
 from lacewingcourse.core.pipelines.durations import Durations
 from lacewingcourse.core.pipelines.fleet import Fleet
+from lacewingcourse.core.pipelines.limit_sharing import SendLimits
 from lacewingcourse.core.pipelines.links import LinkUsage
 from lacewingcourse.core.pipelines.load import LoadBook
 from lacewingcourse.core.pipelines.path import Path, candidate_paths
-from lacewingcourse.core.pipelines.request_limits import LimitTable
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
 from lacewingcourse.core.pipelines.suspects import Suspects
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.core.pipelines.fleet import Endpoint
+    from lacewingcourse.core.pipelines.request_limits import LimitTable
     from lacewingcourse.core.pipelines.shape import EngineShape
 
 
@@ -58,7 +59,7 @@
         suspects: Endpoints that are left out for now.
         speeds: Endpoints that run slower than published.
         crashes: Requests that crash endpoints.
-        limits: Requests a second that endpoints take, as they have named them.
+        send_limits: What may be sent to endpoints that name limits.
         candidates: Candidate paths by service, for the figures used last.
         durations: How long answers took lately.
         watch: Notes what holds up the loop.
@@ -73,12 +74,17 @@
     suspects: Suspects = attrs.field(factory=Suspects)
     speeds: SpeedEstimator = attrs.field(factory=SpeedEstimator)
     crashes: CrashBook = attrs.field(factory=CrashBook)
-    limits: LimitTable = attrs.field(factory=LimitTable)
+    send_limits: SendLimits = attrs.field(factory=SendLimits)
     candidates: dict[str, list[CandidateSet]] = attrs.field(factory=dict)
     durations: Durations = attrs.field(factory=Durations)
     watch: LoopWatch = attrs.field(factory=LoopWatch)
     choosers: dict[str, list[tuple[int, PathChooser]]] = attrs.field(factory=dict)
 
+    @property
+    def limits(self) -> LimitTable:
+        """The limits that endpoints have named."""
+        return self.send_limits.table
+
     def accept(self, table: RoutingTable) -> bool:
         """Put a version in force unless a newer one is; tell whether it was."""
         if not is_newer(table, self.table):
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -8,13 +8,17 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.pipelines.admission_queue import wait_in_time
+from lacewingcourse.core.pipelines.admission_queue import (
+    retry_after_limit,
+    wait_in_time,
+)
 from lacewingcourse.core.pipelines.choice import choose_endpoint
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.connections import (
     NotSent,
     Unsent,
 )
+from lacewingcourse.relay.path_finder import is_no_route, limited_refusal
 from lacewingcourse.relay.sending import (
     SERVER_ERROR,
     AnswerReader,
@@ -75,7 +79,7 @@
         try:
             return await self._serve(job)
         finally:
-            self.budget.release(job.service, job)
+            self.sender.drop_holds(job)
 
     async def _serve(self, job: Job) -> WholeAnswer | Refusal:
         """Send a call until it is answered or cannot be sent again."""
@@ -91,8 +95,10 @@
                 continue
             if isinstance(endpoint, Refusal):
                 job.reason = job.reason or endpoint.reason
-                return last or job.failure(endpoint.kind, CALL_RETRY_AFTER)
+                return last or job.failure(endpoint.kind, self._retry_after(endpoint))
             result = await self._attempt(job, endpoint)
+            if isinstance(result, NotSent) and result.cause is Unsent.OVER_LIMIT:
+                continue
             if isinstance(result, NotSent) and result.cause in UNSENT_ENDS:
                 job.reason = result.reason
                 return last or job.failure(UNSENT_ENDS[result.cause], CALL_RETRY_AFTER)
@@ -125,14 +131,15 @@
             return False
         if job.sends or job.avoid or job.caller.gone:
             return False
-        return now < wait_in_time(job.request.received_at, job.route.objective)
+        next_at = now + (refusal.retry_after or 0.0)
+        return next_at < wait_in_time(job.request.received_at, job.route.objective)
 
     def _choose(
         self, job: Job, now: float, besides: Collection[str] = ()
     ) -> Endpoint | Refusal:
         """Return the endpoint that a call may be sent to now, or why there is none.
 
-        The call holds the retry that the send needs.
+        The call holds the retry and the place under a limit that the send needs.
 
         Args:
             job: The call.
@@ -147,13 +154,44 @@
         usable = self.beliefs.usable(job.service, now)
         if not usable:
             usable = self.beliefs.fleet.of_service(job.service)
-        loads = self.beliefs.loads
-        avoided = job.avoid.union(besides)
-        found = choose_endpoint(usable, loads, self.zone, avoided, self.rng)
+        limits = self.beliefs.send_limits
+        limits.release(job)
+        found = self._choose_among(job, usable, job.avoid.union(besides), now)
         if isinstance(found, Refusal):
-            self.budget.release(job.service, job)
+            self.sender.drop_holds(job)
+        else:
+            limits.hold(found.id, job, now)
         return found
 
+    def _choose_among(
+        self,
+        job: Job,
+        endpoints: list[Endpoint],
+        avoided: Collection[str],
+        now: float,
+    ) -> Endpoint | Refusal:
+        """Return one of some endpoints that may be sent a call now, or why none may."""
+        limits, loads = self.beliefs.send_limits, self.beliefs.loads
+        found = choose_endpoint(endpoints, loads, self.zone, avoided, self.rng)
+        blocked = limits.blocked(now)
+        if isinstance(found, Refusal) or found.id not in blocked:
+            return found
+        limits.want(found.id, job, now)
+        job.limited.add(found.id)
+        others = [endpoint for endpoint in endpoints if endpoint.id not in blocked]
+        other = choose_endpoint(others, loads, self.zone, avoided, self.rng)
+        if is_no_route(other):
+            ids = {endpoint.id for endpoint in endpoints} & blocked
+            return limited_refusal(limits.next_in(ids, now))
+        return other
+
+    def _retry_after(self, refusal: Refusal) -> float:
+        """Return the seconds after which the caller of a refused call comes back."""
+        if refusal.retry_after is None:
+            return CALL_RETRY_AFTER
+        wait = retry_after_limit(refusal.retry_after, self.rng.random())
+        return max(CALL_RETRY_AFTER, wait)
+
     async def _attempt(
         self, job: Job, endpoint: Endpoint
     ) -> WholeAnswer | NoAnswer | NotSent:
--- a/packages/relay/src/lacewingcourse/relay/connections.py
+++ b/packages/relay/src/lacewingcourse/relay/connections.py
@@ -32,6 +32,7 @@
     NO_DESCRIPTOR = "this entry has no file descriptor left"
     LEAVING = "this entry is about to end"
     NO_RETRY = "no retry is left"
+    OVER_LIMIT = "the endpoint takes no further request at present"
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -188,6 +188,7 @@
             reason=refusal.reason,
             retry_after=refusal.retry_after,
             sends=job.sends if job else 0,
+            limited=sorted(job.limited) if job else [],
             path=_path(job) if job else [],
             version=self.version(),
             took_ms=_ms(self.clock() - request.received_at),
@@ -275,6 +276,7 @@
             avoided=sorted(job.avoid),
             directory_age_ms=_ms(age),
             waited_ms=_ms(waited),
+            limited=sorted(job.limited),
             version=self.version(),
             **basis,
         )
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -9,7 +9,7 @@
 
 from lacewingcourse.core.pipelines.peers import Role
 from lacewingcourse.core.pipelines.suspects import Reach
-from lacewingcourse.relay.peer_messages import PeerNews, Scope, loads_of
+from lacewingcourse.relay.peer_messages import PeerNews, Scope, limit_of, loads_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,6 +52,7 @@
         clock: Returns the present time in seconds.
         ends_in: Returns the seconds until this entry expects to have ended, None if it
             is not ending.
+        on_limit: Called when another entry told a limit that this one did not know.
     """
 
     name: str
@@ -65,6 +66,7 @@
     log: DecisionLog
     clock: Callable[[], float]
     ends_in: Callable[[], float | None] = lambda: None
+    on_limit: Callable[[], None] = lambda: None
 
     def news_for(self, receiver: str, zone: str) -> PeerNews:
         """Return what this entry tells another one.
@@ -110,6 +112,7 @@
             holder_age=round(self.holder.silence(), 3) if lease else 0.0,
             released=self.holder.released,
             ends_in=self.ends_in(),
+            limits=self.beliefs.limits.told(now),
         )
 
     def scope_for(self, receiver: str, zone: str, now: float) -> Scope:
@@ -141,8 +144,18 @@
         for endpoint, (factor, remaining) in news.speeds.items():
             self.beliefs.speeds.from_peer(endpoint, factor, remaining, now)
         self.beliefs.crashes.from_peer(news.crashes, now, near)
+        self._take_limits(news, now)
         self.holder.hear(news.holder, news.fencing, news.holder_age, news.released)
 
+    def _take_limits(self, news: PeerNews, now: float) -> None:
+        """Take which limits endpoints named to others."""
+        limits = self.beliefs.limits
+        for endpoint, (told, age) in news.limits.items():
+            named, before = limit_of(told), limits.named(endpoint)
+            if limits.from_peer(endpoint, named, age, now):
+                self.log.limit(endpoint, named, before, news.name)
+                self.on_limit()
+
     def _take_counts(self, news: PeerNews, now: float) -> None:
         """Take how many entries other zones have."""
         told = {zone: n for zone, n in news.counts.items() if zone != self.book.zone}
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
 
     from lacewingcourse.core.pipelines.peers import PeerBook
+    from lacewingcourse.core.pipelines.permits import PermitIssuer
     from lacewingcourse.core.pipelines.retry_budget import RetryBudget
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.connections import ConnectionPool
@@ -31,6 +32,7 @@
         pool: Connections to endpoints.
         book: The other entries.
         budget: Repeats that are left.
+        issuer: Permits that this entry has given out.
         clock: Returns the present time in seconds.
         on_thaw: Called with the seconds for which this process was frozen.
     """
@@ -39,6 +41,7 @@
     pool: ConnectionPool
     book: PeerBook
     budget: RetryBudget
+    issuer: PermitIssuer
     clock: Callable[[], float]
     on_thaw: Callable[[float], None]
 
@@ -61,6 +64,9 @@
         self.beliefs.suspects.expire(now)
         self.beliefs.speeds.expire(now)
         self.beliefs.crashes.expire(now)
+        self.beliefs.send_limits.expire(self.beliefs.fleet.endpoints, now)
+        self.beliefs.send_limits.sharing.entries = self.book.count(now)
+        self.issuer.expire(now)
         self.budget.entries = max(self.book.count(now), self.budget.entries)
         self.budget.known = 1 + len(self.book.peers)
 
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -49,6 +49,7 @@
         firsts: Endpoints that it was sent to.
         worst: The most that may have become of a send so far.
         avoid: Endpoints that this request is not sent to again.
+        limited: Endpoints that it was kept from because of the limits that they name.
         current: Exchange with an endpoint that is under way.
         reason: Why the last send brought nothing.
         path: Path of the last send of a stream, for the log.
@@ -73,6 +74,7 @@
     firsts: set[str] = attrs.field(factory=set)
     worst: SendOutcome = SendOutcome.NEVER_LEFT
     avoid: set[str] = attrs.field(factory=set)
+    limited: set[str] = attrs.field(factory=set)
     current: Exchange | None = None
     reason: str = ""
     path: Path | None = None
--- a/packages/relay/src/lacewingcourse/relay/limit_reader.py
+++ b/packages/relay/src/lacewingcourse/relay/limit_reader.py
@@ -27,12 +27,14 @@
         log: Log of decisions.
         clock: Returns the present time in seconds.
         on_unreadable: Called for each limit that cannot be read.
+        on_change: Called when an endpoint names another limit.
     """
 
     limits: LimitTable
     log: DecisionLog
     clock: Callable[[], float]
     on_unreadable: Callable[[], None] = lambda: None
+    on_change: Callable[[], None] = lambda: None
 
     def take(self, sending: Sending, head: AnswerHead, sent_at: float) -> None:
         """Take the limit that the head of an answer names, or that it names none.
@@ -59,3 +61,4 @@
         endpoint, before = sending.incarnation, self.limits.named(sending.incarnation)
         if self.limits.hear(endpoint, named, sent_at, self.clock()):
             self.log.limit(endpoint, named, before, "answer")
+            self.on_change()
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -90,7 +90,7 @@
         path, has_room = found
         connection = await self.forwarder.sender.reserve(path.first.address, self.fresh)
         if isinstance(connection, NotSent):
-            self._release_retry()
+            self._drop_holds()
             if connection.cause is Unsent.UNREACHABLE:
                 self.forwarder.unreachable(self.job, path)
             return Refusal(ErrorKind.NO_ROUTE, connection.reason)
@@ -104,7 +104,7 @@
     def discard(self, found: Replacement) -> None:
         """Give back what a path that was found would have been used with."""
         found.connection.close()
-        self._release_retry()
+        self._drop_holds()
 
     async def begin(self, found: Replacement) -> Standby | None:
         """Begin a run on a path that was found; None if it was not sent."""
@@ -146,8 +146,8 @@
             self.forwarder.learn(self.job, standby.path, standby.failure)
         self._keep_present(standby)
 
-    def _release_retry(self) -> None:
-        self.forwarder.budget.release(self.job.service, self.job)
+    def _drop_holds(self) -> None:
+        self.forwarder.sender.drop_holds(self.job)
 
     def _keep_present(self, standby: Standby) -> None:
         self.end(standby)
--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -108,7 +108,22 @@
         if firsts is not None:
             paths = [path for path in paths if path.first.endpoint in firsts]
         connected = self.pool.idle if self.pool is not None else ()
-        return chooser.choose(paths, demand, avoid, self.rng, now, share, connected)
+
+        def choose(among: list[Path]) -> Path | Refusal:
+            return chooser.choose(among, demand, avoid, self.rng, now, share, connected)
+
+        found = choose(paths)
+        limits = self.beliefs.send_limits
+        blocked = limits.blocked(now)
+        if isinstance(found, Refusal) or found.first.endpoint not in blocked:
+            return found
+        limits.want(found.first.endpoint, job, now)
+        job.limited.add(found.first.endpoint)
+        other = choose([path for path in paths if path.first.endpoint not in blocked])
+        if is_no_route(other):
+            firsts = {path.first.endpoint for path in paths} & blocked
+            return limited_refusal(limits.next_in(firsts, now))
+        return other
 
 
 def is_no_route(found: Path | Refusal) -> bool:
@@ -116,6 +131,16 @@
     return isinstance(found, Refusal) and found.kind is ErrorKind.NO_ROUTE
 
 
+def limited_refusal(next_in: float) -> Refusal:
+    """Return that all endpoints which could serve a request are at their limits.
+
+    Args:
+        next_in: Seconds until one of them takes a request, 0 if that is not known.
+    """
+    reason = "every endpoint that could serve it is at the limit that it names"
+    return Refusal(ErrorKind.OVERLOADED, reason, retry_after=next_in)
+
+
 def demand_of(job: Job, shape: EngineShape) -> Demand:
     """Return what a request is expected to need of a path."""
     request = job.request
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -8,6 +8,7 @@
 
 from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.load import Load
+from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
 from lacewingcourse.relay.decoding import StrictDecoder, Undecodable
 
 #: Decoder of all messages between entries.
@@ -53,6 +54,8 @@
             seconds for which that is believed.
         ends_in: Seconds until the sender expects to have ended, None if it is not
             ending.
+        limits: Requests a second that endpoints named, None for no limit, and seconds
+            since they did.
     """
 
     name: str
@@ -77,6 +80,7 @@
     holder_age: float = 0.0
     released: int = 0
     ends_in: float | None = None
+    limits: dict[str, tuple[float | None, float]] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -122,8 +126,56 @@
     count: int
 
 
+@attrs.frozen
+class PermitRequest:
+    """What an entry asks the one that gives out an endpoint's permits.
+
+    Attributes:
+        entry: Name of the entry that asks.
+        endpoint: Id of the endpoint.
+        count: Permits that it lacks.
+        ages: Seconds since its sends to the endpoint that the issuer may not know.
+        named: Requests a second that the endpoint named, None for no limit.
+        age: Seconds since it did.
+    """
+
+    entry: str
+    endpoint: str
+    count: int
+    ages: list[float]
+    named: float | None
+    age: float
+
+
+@attrs.frozen
+class PermitReply:
+    """What the issuer of permits gives.
+
+    Attributes:
+        issuer: Who counts them, empty if the entry does not take itself for it.
+        delays: Seconds until each permit may be used.
+        retry_in: Seconds after which it is worth asking again.
+    """
+
+    issuer: str
+    delays: list[float]
+    retry_in: float
+
+
 #: What entries send one another.
-PeerMessage = PeerNews | FleetNews | LoanRequest | LoanReply
+PeerMessage = (
+    PeerNews | FleetNews | LoanRequest | LoanReply | PermitRequest | PermitReply
+)
+
+
+def told_limit(named: float) -> float | None:
+    """Return a limit as messages tell it."""
+    return None if named == NO_LIMIT else named
+
+
+def limit_of(told: float | None) -> float:
+    """Return the limit that a message tells."""
+    return NO_LIMIT if told is None else max(0.0, told)
 
 
 def loads_of(news: PeerNews) -> dict[str, Load]:
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.limit_sharing import SendLimits
 from lacewingcourse.relay.connections import (
     Connection,
     ConnectionPool,
@@ -52,6 +53,7 @@
         clock: Returns the present time in seconds.
         budget: Retries that are left. Each send of a request beyond its first takes
             one.
+        limits: What may be sent to endpoints that name limits.
         on_head: Called with the head of each answer, what it answers, and when that was
             sent in seconds.
     """
@@ -60,6 +62,7 @@
     codec: RequestCodec
     clock: Callable[[], float]
     budget: RetryBudget
+    limits: SendLimits = attrs.field(factory=SendLimits)
     on_head: Callable[[Sending, AnswerHead, float], None] = lambda *news: None
 
     async def reserve(self, address: str, fresh: bool) -> Connection | NotSent:
@@ -85,7 +88,8 @@
     ) -> Exchange | NotSent:
         """Send a request if it may still be sent once there is a connection.
 
-        It holds no retry afterwards, whether it was sent or not.
+        It holds neither a retry nor a place under a limit afterwards, whether it was
+        sent or not.
 
         Args:
             job: The request.
@@ -96,18 +100,23 @@
         started = self.clock()
         connection = reserved or await self.reserve(sending.address, fresh)
         if isinstance(connection, NotSent):
-            self.budget.release(job.service, job)
+            self.drop_holds(job)
             return connection
         now = self.clock()
         passed = now - started
         sending = attrs.evolve(sending, time_left=sending.time_left - passed)
-        cause = _cause_unsent(job, sending, self.budget, now)
+        cause = self._cause_unsent(job, sending, now)
         if cause is not None:
-            self.budget.release(job.service, job)
+            self.drop_holds(job)
             connection.close()
             return NotSent(cause)
         return self.start(job, sending, connection)
 
+    def drop_holds(self, job: Job) -> None:
+        """Give back the retry and the place under a limit that a request holds."""
+        self.budget.release(job.service, job)
+        self.limits.release(job)
+
     def start(self, job: Job, sending: Sending, connection: Connection) -> Exchange:
         """Send a request over a connection, whatever speaks against it.
 
@@ -128,6 +137,19 @@
         exchange.start(request.method, request.target, headers, request.body)
         return exchange
 
+    def _cause_unsent(self, job: Job, sending: Sending, now: float) -> Unsent | None:
+        """Take what a send needs; return why it may not be sent, if so."""
+        if job.refused_at(now) is not None:
+            return Unsent.LEAVING
+        if sending.time_left <= 0:
+            return Unsent.OVERDUE
+        if not self.limits.may_take(sending.incarnation, job, now):
+            return Unsent.OVER_LIMIT
+        if job.sends and not self.budget.take(job.service, now, job):
+            return Unsent.NO_RETRY
+        self.limits.take(sending.incarnation, job, now)
+        return None
+
     def release(self, exchange: Exchange, head: AnswerHead | None) -> None:
         """Keep or close the connection of an exchange that is over."""
         if head is not None and exchange.reusable:
@@ -136,19 +158,6 @@
             exchange.abandon()
 
 
-def _cause_unsent(
-    job: Job, sending: Sending, budget: RetryBudget, now: float
-) -> Unsent | None:
-    """Take the retry that a send needs; return why it may not be sent, if so."""
-    if job.refused_at(now) is not None:
-        return Unsent.LEAVING
-    if sending.time_left <= 0:
-        return Unsent.OVERDUE
-    if job.sends and not budget.take(job.service, now, job):
-        return Unsent.NO_RETRY
-    return None
-
-
 async def next_arrival(exchange: Exchange, until: float, now: float) -> Arrival:
     """Return what arrives next, `Stalled` if nothing does until a time.
 
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -45,6 +45,8 @@
             `retry_budget.RETRY_SHARINGS`.
         store_retry: Name of when a source that gave no answer is asked again, see
             `freshness.RETRY_DELAYS`.
+        limit_sharing: Name of how entries share what limited endpoints take, see
+            `limit_sharing.LIMIT_SHARINGS`.
         last_requests: Name of what is taken while the entry ends, see
             `shutdown.LAST_REQUESTS`.
     """
@@ -62,4 +64,5 @@
     wait: str = "in_time"
     retry_sharing: str = "lent"
     store_retry: str = "backoff"
+    limit_sharing: str = "permits"
     last_requests: str = "redirected"
--- a/packages/relay/src/lacewingcourse/relay/stream_state.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -32,6 +32,7 @@
     HELD = "held"
     NOT_TAKEN = "not_taken"
     NO_RETRY = "no_retry"
+    LIMITED = "limited"
     FAILED = "failed"
 
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -11,6 +11,7 @@
 from lacewingcourse.core.pipelines.admission_queue import (
     retry_after,
     retry_after_denied,
+    retry_after_limit,
 )
 from lacewingcourse.core.pipelines.events import EventCutter
 from lacewingcourse.core.pipelines.suspects import is_full
@@ -83,7 +84,7 @@
         try:
             return await self._serve(state)
         finally:
-            self.budget.release(job.service, job)
+            self.sender.drop_holds(job)
 
     async def _serve(self, state: StreamState) -> Refusal | None:
         """Run a stream until it is whole or cannot go on."""
@@ -95,7 +96,7 @@
             else:
                 path = await self._wait_for_path(state)
             if isinstance(path, Refusal):
-                return self._give_up(state, path.kind, path.reason)
+                return self._give_up(state, path.kind, path.reason, path.retry_after)
             now = self.sender.clock()
             self._note_transfers(state, path, now)
             result = await self._run(state, path, replacement)
@@ -112,7 +113,7 @@
                     return self._give_up(state, ErrorKind.OVERLOADED, result.reason)
                 await asyncio.sleep(RETRY_PERIOD)
                 continue
-            if result.end is StreamEnd.NO_RETRY:
+            if result.end in (StreamEnd.NO_RETRY, StreamEnd.LIMITED):
                 continue
             self.learn(job, path, result)
             if replacement is not None and replacement.standby is not None:
@@ -136,7 +137,7 @@
     ) -> Path | Refusal:
         """Return a path that a request may be sent on now, or why there is none.
 
-        The request holds the retry that the send needs.
+        The request holds the retry and the place under a limit that the send needs.
 
         Args:
             state: The stream.
@@ -146,9 +147,13 @@
         refusal = self.refused_now(job)
         if refusal is not None:
             return refusal
+        limits = self.beliefs.send_limits
+        limits.release(job)
         found = self.finder.find(job, state.shape, state.demand, besides)
         if isinstance(found, Refusal):
-            self.budget.release(job.service, job)
+            self.sender.drop_holds(job)
+        else:
+            limits.hold(found.first.endpoint, job, self.sender.clock())
         return found
 
     def refused_now(self, job: Job) -> Refusal | None:
@@ -295,6 +300,8 @@
             return RunResult(StreamEnd.NOT_TAKEN, sent.reason)
         if sent.cause is Unsent.NO_RETRY:
             return RunResult(StreamEnd.NO_RETRY, sent.reason)
+        if sent.cause is Unsent.OVER_LIMIT:
+            return RunResult(StreamEnd.LIMITED, sent.reason)
         return None
 
     def learn(self, job: Job, path: Path, result: RunResult) -> None:
@@ -337,9 +344,21 @@
         return ErrorKind.STAGE_LOST
 
     def _give_up(
-        self, state: StreamState, kind: ErrorKind, cause: str
+        self,
+        state: StreamState,
+        kind: ErrorKind,
+        cause: str,
+        next_in: float | None = None,
     ) -> Refusal | None:
-        """Return how a stream ends that cannot go on; None if it was answered."""
+        """Return how a stream ends that cannot go on; None if it was answered.
+
+        Args:
+            state: The stream.
+            kind: Why it cannot.
+            cause: What happened.
+            next_in: Seconds until an endpoint takes a request by the limit that it
+                names, None if no limit is the cause.
+        """
         job = state.job
         if state.failure is not None and not job.caller.begun:
             headers = self.sender.codec.for_caller(state.failure.head)
@@ -348,7 +367,10 @@
         if job.caller.begun:
             return Refusal(kind, cause, Outcome.PARTIAL)
         job.reason = job.reason or cause
-        return job.failure(kind, self._retry_after(job, kind))
+        wait = self._retry_after(job, kind)
+        if next_in is not None:
+            wait = max(wait, retry_after_limit(next_in, self.rng.random()))
+        return job.failure(kind, wait)
 
     def _retry_after(self, job: Job, kind: ErrorKind) -> float:
         """Return the seconds after which the caller of a refused request comes back."""
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.limit_sharing import SendLimits
 from lacewingcourse.core.pipelines.path import Part, Path
 from lacewingcourse.core.pipelines.retry_budget import RetryBudget
 from lacewingcourse.core.pipelines.routing import Organisation, RetrySafety
@@ -311,6 +312,14 @@
     async def send(self, job, sending, fresh, reserved=None) -> Run | NotSent:
         return await Sender.send(self, job, sending, fresh, reserved)
 
+    #: What a send needs is decided as it really is.
+    drop_holds = Sender.drop_holds
+    _cause_unsent = Sender._cause_unsent
+
+    @property
+    def limits(self) -> SendLimits:
+        return self.beliefs.send_limits
+
     def start(self, job, sending, connection) -> Run:
         name = sending.path.first.endpoint
         after = int(sending.resume_after or 0)
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -17,6 +17,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.fleet import Endpoint
+from lacewingcourse.core.pipelines.limit_sharing import SendLimits
 from lacewingcourse.core.pipelines.retry_budget import RetryBudget
 from lacewingcourse.core.pipelines.routing import Organisation, RetrySafety
 from lacewingcourse.relay.beliefs import Beliefs
@@ -138,6 +139,14 @@
     async def send(self, job, sending, fresh) -> Send | NotSent:
         return await Sender.send(self, job, sending, fresh)
 
+    #: What a send needs is decided as it really is.
+    drop_holds = Sender.drop_holds
+    _cause_unsent = Sender._cause_unsent
+
+    @property
+    def limits(self) -> SendLimits:
+        return self.beliefs.send_limits
+
     def start(self, job, sending, connection) -> Send:
         seconds = QUICK if self.sends else self.slow
         dropped = self.drops and connection.reused
--- a/packages/relay/tests/relay/test_request_to_end.py
+++ b/packages/relay/tests/relay/test_request_to_end.py
@@ -43,6 +43,7 @@
             directory=SimpleNamespace(freshness=SimpleNamespace(expire=lambda: None)),
             holder=SimpleNamespace(lease=None),
             budget=SimpleNamespace(drop_loans=lambda: None),
+            beliefs=Beliefs(),
         )
         entry._leave = lambda: "departure"
         entry._start = entry.started.append
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -136,6 +136,9 @@
     def release(self, exchange, head) -> None:
         """Drop the connection."""
 
+    def drop_holds(self, job) -> None:
+        """Hold nothing."""
+
 
 def make_job():
     """Return what the forwarder needs of a request."""
--- a/packages/testing/src/lacewingcourse/testing/limit_check.py
+++ b/packages/testing/src/lacewingcourse/testing/limit_check.py
@@ -42,12 +42,15 @@
         named_at: When it first named it, seconds.
         told: When each entry first passed it on, seconds.
         arrivals: When requests arrived, seconds, with the entry that sent each.
+        excused: Entries with the times since when and until when their requests do not
+            count, since they were restarted, frozen or cut off.
     """
 
     limit: float
     named_at: float
     told: dict[str, float] = attrs.field(factory=dict)
     arrivals: list[tuple[float, str]] = attrs.field(factory=list)
+    excused: list[tuple[str, float, float]] = attrs.field(factory=list)
 
     @property
     def allowed(self) -> float:
@@ -58,10 +61,22 @@
         """Note that an entry passed on an answer that names the limit."""
         self.told[entry] = min(at, self.told.get(entry, at))
 
+    def excuse(self, entry: str, since: float, until: float) -> None:
+        """Note that an entry was restarted, frozen or cut off for some time.
+
+        Args:
+            entry: Its name.
+            since: When that began, seconds.
+            until: When it was over, seconds; it settles after that.
+        """
+        self.excused.append((entry, since, until + SETTLING_TIME))
+
     def got(self, end: float) -> int:
         """Return the requests that count in the window that ends at a time."""
         return sum(
-            end - WINDOW < at <= end and self._is_bound(entry, end)
+            end - WINDOW < at <= end
+            and self._is_bound(entry, end)
+            and not self._is_excused(entry, at)
             for at, entry in self.arrivals
         )
 
@@ -75,3 +90,8 @@
     def _is_bound(self, entry: str, end: float) -> bool:
         told = self.told.get(entry)
         return told is not None and told + REACTION_TIME <= end
+
+    def _is_excused(self, entry: str, at: float) -> bool:
+        return any(
+            name == entry and since <= at < until for name, since, until in self.excused
+        )
--- a/packages/testing/tests/test_limit_check.py
+++ b/packages/testing/tests/test_limit_check.py
@@ -29,3 +29,11 @@
     check = check_of(6)
     check.arrivals += [(-0.5, "e")] * 6
     assert [breach.got for breach in check.breaches()] == [12]
+
+
+def test_an_entry_that_was_restarted_counts_again_once_it_has_settled():
+    check = check_of(12)
+    check.excuse("e", 0.5, 1.0)
+    assert check.breaches() == []
+    check.arrivals += [(4.5 + n / 100, "e") for n in range(12)]
+    assert check.breaches()[-1].got == 12
