--- a/packages/relay/src/lacewingcourse/relay/causes.py
+++ b/packages/relay/src/lacewingcourse/relay/causes.py
@@ -149,6 +149,12 @@
     return fate.refused_kind == "draining"
 
 
+@CAUSES.register("refused at the limit of an endpoint")
+def refused_at_limit(fate: Fate) -> bool:
+    """Tell whether it was kept from an endpoint by the limit that this names."""
+    return fate.refused_kind == "overloaded" and bool(fate.end.get("limited"))
+
+
 @CAUSES.register("refused for want of room")
 def refused_for_room(fate: Fate) -> bool:
     """Tell whether no path had memory for it in time."""
--- a/packages/relay/tests/relay/network.py
+++ b/packages/relay/tests/relay/network.py
@@ -52,7 +52,11 @@
     def add(self, name: str, zone: str) -> Gossip:
         """Add an entry that knows nobody."""
         follower = SimpleNamespace(freshness=Freshness(1.0, 0.1), position=None)
-        nothing = SimpleNamespace(leaving=False, belief=lambda *args, **fields: None)
+        nothing = SimpleNamespace(
+            leaving=False,
+            belief=lambda *args, **fields: None,
+            limit=lambda *fields: None,
+        )
         book = PeerBook(name, zone)
         self.entries[name] = Gossip(
             name,
--- a/packages/relay/tests/relay/test_admission.py
+++ b/packages/relay/tests/relay/test_admission.py
@@ -84,3 +84,19 @@
     path = asyncio.run(admission.path_for(job, DEMAND, lambda: next(found)))
     assert path == "path"
     assert admission.queue.members == []
+
+
+@pytest.mark.parametrize(("next_in", "waits"), [(0.0, True), (0.1, True), (0.5, False)])
+def test_a_request_waits_for_a_limited_endpoint_only_if_that_is_in_time(
+    monkeypatch, next_in, waits
+):
+    clock = Time(100.0)
+
+    async def sleep(seconds):
+        clock.now += seconds
+
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    limited = Refusal(ErrorKind.OVERLOADED, "at its limit", retry_after=next_in)
+    path = Admission(clock).path_for(make_job(begun=False), DEMAND, lambda: limited)
+    assert asyncio.run(path) is limited
+    assert (clock.now > 100.0) is waits
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -18,6 +18,7 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.limit_sharing import SendLimits
+from lacewingcourse.core.pipelines.permits import Grant
 from lacewingcourse.core.pipelines.retry_budget import RetryBudget
 from lacewingcourse.core.pipelines.routing import Organisation, RetrySafety
 from lacewingcourse.relay.beliefs import Beliefs
@@ -96,6 +97,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.sends: list[Send] = []
+        self.sent_to: list[str] = []
         self.budget = RetryBudget(0.0, 10.0, self.slack)
         self.beliefs = Beliefs()
         self.pool = ConnectionPool()
@@ -151,6 +153,7 @@
         seconds = QUICK if self.sends else self.slow
         dropped = self.drops and connection.reused
         self.sends.append(Send(sending.endpoint, seconds, self.status, dropped))
+        self.sent_to.append(sending.endpoint)
         return self.sends[-1]
 
     def release(self, exchange, head) -> None:
@@ -220,3 +223,46 @@
     with pytest.raises(ValueError, match="a defect"):
         play(played.serve())
     assert [send.abandoned for send in played.sends] == [True]
+
+
+def name_limit(played, *names):
+    """Let endpoints name limits, without a permit at hand."""
+    for name in names:
+        played.beliefs.limits.hear(name, 2.0, 0.0, 0.0)
+
+
+def test_a_call_goes_past_an_endpoint_that_is_at_its_limit():
+    played = CallPlay(slow=QUICK)
+    name_limit(played, "e0")
+    assert isinstance(play(played.serve()), WholeAnswer)
+    assert played.sent_to == ["e1"]
+
+
+def test_a_call_that_only_limited_endpoints_could_serve_may_come_back():
+    played = CallPlay()
+    name_limit(played, "e0", "e1")
+    ended = play(played.serve())
+    assert ended.kind is ErrorKind.OVERLOADED
+    assert ended.outcome is Outcome.NOT_RUN
+    assert ended.retry_after > 0
+    assert played.sends == []
+
+
+def test_a_slow_endpoint_is_not_left_for_one_that_is_at_its_limit():
+    played = CallPlay()
+    name_limit(played, "e0", "e1")
+    grant = Grant("i", (0.0,), 10.0)
+    played.beliefs.send_limits.sharing.take("e0", grant, "i", 0.0, 0.0, 0.0)
+    assert isinstance(play(played.serve()), WholeAnswer)
+    assert played.sent_to == ["e0"]
+
+
+def test_a_call_on_a_dropped_connection_takes_another_permit():
+    """The endpoint may have got it: the second send is one more."""
+    played = CallPlay(endpoints=1, drops=True, slow=QUICK)
+    name_limit(played, "e0")
+    grant = Grant("i", (0.0,), 10.0)
+    played.beliefs.send_limits.sharing.take("e0", grant, "i", 0.0, 0.0, 0.0)
+    ended = play(played.serve())
+    assert ended.outcome is Outcome.UNKNOWN
+    assert played.sent_to == ["e0"]
--- a/packages/relay/tests/relay/test_gossip.py
+++ b/packages/relay/tests/relay/test_gossip.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lacewingcourse.core.pipelines.peers import PEER_SILENT, Role
+from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
 from lacewingcourse.core.pipelines.retry_budget import COUNTING_TIME
 from lacewingcourse.relay.peers import PERIOD, REGISTRY_PERIOD
 
@@ -84,6 +85,29 @@
         assert entry.beliefs.suspects.excluded(large.clock()) == set()
 
 
+def test_a_limit_and_its_end_reach_all(large):
+    for named in (2.5, NO_LIMIT):
+        for entry in (large.entries["c-05"], large.entries["a-07"]):
+            now = large.clock()
+            entry.beliefs.limits.hear("x", named, now - 0.01, now)
+        large.rounds(4)
+        told = {entry.beliefs.limits.named("x") for entry in large.entries.values()}
+        assert told == {named}
+
+
+@pytest.mark.parametrize(
+    "zones", [{"a": 2, "b": 1}, {"a": 10, "b": 9, "c": 9}], ids=["few", "many"]
+)
+def test_all_entries_know_those_that_may_give_out_permits(zones):
+    network = Network(zones)
+    network.rounds(15)
+    now = network.clock()
+    known = {frozenset(e.book.coordinators(now)) for e in network.entries.values()}
+    assert len(known) == 1
+    (names,) = known
+    assert names <= set(network.entries)
+
+
 def test_losses_under_a_request_reach_all(large):
     for number, name in enumerate(["a-05", "b-05", "c-05"]):
         crashes = large.entries[name].beliefs.crashes
--- /dev/null
+++ b/packages/relay/tests/relay/test_limit_permits.py
@@ -0,0 +1,142 @@
+"""Tests of permits that entries ask one another for."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+
+from lacewingcourse.core.pipelines.limit_sharing import SendLimits
+from lacewingcourse.core.pipelines.peers import PeerBook
+from lacewingcourse.core.pipelines.permits import PermitIssuer, issuer_of
+from lacewingcourse.relay.limit_permits import PERMITS_PATH, PermitExchange
+from lacewingcourse.relay.peer_messages import (
+    PermitReply,
+    PermitRequest,
+    decode,
+    encode,
+)
+from lacewingcourse.relay.small_server import Question
+
+from .stream_play import Decisions
+from .virtual_time import play
+
+NAMES = ["e0", "e1", "e2"]
+ENDPOINT = "a"
+ISSUER = issuer_of(ENDPOINT, NAMES)
+OTHER = next(name for name in NAMES if name != ISSUER)
+
+
+class Entries:
+    """Entries that know one another, with messages between them.
+
+    Attributes:
+        exchanges: Their exchanges by name.
+        answers: Whether messages are answered.
+        asked: Addresses that messages were sent to.
+    """
+
+    def __init__(self) -> None:
+        self.answers = True
+        self.asked: list[str] = []
+        self.unreadable = 0
+        self.exchanges = {name: self.make(name) for name in NAMES}
+
+    def make(self, name: str) -> PermitExchange:
+        book = PeerBook(name)
+        for other in NAMES:
+            book.hear(other, other, False, 0.0)
+        limits = SendLimits()
+        exchange = PermitExchange(
+            limits,
+            PermitIssuer(f"{name} 1"),
+            book,
+            self.fetch,
+            asyncio.get_running_loop().time,
+            Random(1),
+            Decisions(),
+            self.count_unreadable,
+        )
+        limits.on_want = exchange.look
+        return exchange
+
+    def count_unreadable(self) -> None:
+        self.unreadable += 1
+
+    async def fetch(self, address: str, path: str, body: bytes) -> bytes | None:
+        assert path == PERMITS_PATH
+        self.asked.append(address)
+        await asyncio.sleep(0.001)
+        if not self.answers:
+            return None
+        handler = self.exchanges[address].handlers()["POST", PERMITS_PATH]
+        return handler(Question(path, body)).body
+
+    async def wait_for_permit(self, name: str, limit: float, seconds: float) -> bool:
+        """Let an entry want a permit; tell whether it has one after some time."""
+        exchange = self.exchanges[name]
+        exchange.limits.table.hear(ENDPOINT, limit, 0.0, 0.0)
+        task = asyncio.ensure_future(exchange.run())
+        for _ in range(int(seconds / 0.03)):
+            now = exchange.clock()
+            if exchange.limits.hold(ENDPOINT, "request", now):
+                task.cancel()
+                return True
+            await asyncio.sleep(0.03)
+        task.cancel()
+        return False
+
+
+@pytest.mark.parametrize("name", [ISSUER, OTHER])
+def test_an_entry_gets_a_permit_in_its_turn(name):
+    async def test():
+        entries = Entries()
+        assert await entries.wait_for_permit(name, 2.0, 1.1)
+        assert set(entries.asked) == ({ISSUER} if name == OTHER else set())
+
+    play(test())
+
+
+def test_an_issuer_that_does_not_answer_is_not_pressed():
+    async def test():
+        entries = Entries()
+        entries.answers = False
+        assert not await entries.wait_for_permit(OTHER, 2.0, 1.0)
+        assert len(entries.asked) <= 6
+
+    play(test())
+
+
+def test_an_issuer_learns_of_a_limit_from_who_asks():
+    async def test():
+        entries = Entries()
+        await entries.wait_for_permit(OTHER, 2.0, 1.0)
+        assert entries.exchanges[ISSUER].limits.table.named(ENDPOINT) == 2.0
+
+    play(test())
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+def test_an_entry_that_is_not_the_issuer_gives_no_permit(leaves):
+    async def test():
+        name = ISSUER if leaves else OTHER
+        exchange = Entries().exchanges[name]
+        exchange.is_leaving = lambda: leaves
+        request = PermitRequest("e9", ENDPOINT, 5, [], 100.0, 0.0)
+        reply = exchange._on_request(Question(PERMITS_PATH, encode(request)))
+        assert decode(reply.body, PermitReply).issuer == ""
+        assert decode(reply.body, PermitReply).delays == []
+
+    play(test())
+
+
+def test_what_cannot_be_read_gives_no_permit():
+    async def test():
+        entries = Entries()
+        exchange = entries.exchanges[ISSUER]
+        assert exchange._on_request(Question(PERMITS_PATH, b"{}")).status == 400
+        assert exchange._granted(b"[]").delays == ()
+        assert entries.unreadable == 2
+
+    play(test())
--- a/packages/relay/tests/relay/test_path_finder.py
+++ b/packages/relay/tests/relay/test_path_finder.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.pipelines.choice import Demand
 from lacewingcourse.core.pipelines.load import Load
 from lacewingcourse.relay.beliefs import Beliefs
@@ -26,16 +26,23 @@
     return PathFinder(beliefs, Random(1), lambda: 0.0)
 
 
+class Request(SimpleNamespace):
+    """A request, told from others by its identity."""
+
+    __hash__ = object.__hash__
+
+
 def job_of(avoid=(), firsts=None):
     """Return what the finder needs of a request."""
     caller = SimpleNamespace(begun=False)
     request = SimpleNamespace(prompt=1_000, answer_hint=None, most_answer=0)
-    return SimpleNamespace(
+    return Request(
         service="rooms",
         caller=caller,
         avoid=set(avoid),
         request=request,
         only_firsts=firsts,
+        limited=set(),
     )
 
 
@@ -73,3 +80,31 @@
     job.caller.begun = True
     for _ in range(20):
         assert not finder.find(job, shape, DEMAND).uses("c")
+
+
+def limit(finder, *names):
+    """Let endpoints name limits, without a permit at hand."""
+    for name in names:
+        finder.beliefs.limits.hear(name, 2.0, 0.0, 0.0)
+
+
+def test_a_request_goes_past_an_endpoint_that_is_at_its_limit(finder, shape):
+    limit(finder, "a")
+    for _ in range(20):
+        job = job_of()
+        assert finder.find(job, shape, DEMAND).first.endpoint == "b"
+    assert finder.beliefs.send_limits.sharing.wanted["a"]
+
+
+def test_a_request_that_only_limited_endpoints_could_serve_is_told_so(finder, shape):
+    limit(finder, "a", "b")
+    job = job_of()
+    found = finder.find(job, shape, DEMAND)
+    assert found.kind is ErrorKind.OVERLOADED
+    assert found.retry_after == 0.0
+    assert job.limited
+
+
+def test_a_limited_endpoint_may_be_a_later_part_of_a_path(finder, shape):
+    limit(finder, "c", "d")
+    assert finder.find(job_of(), shape, DEMAND).uses("cd")
--- a/packages/relay/tests/relay/test_versions.py
+++ b/packages/relay/tests/relay/test_versions.py
@@ -66,6 +66,7 @@
         avoid=set(),
         request=SimpleNamespace(prompt=1_000, answer_hint=None, most_answer=0),
         only_firsts=None,
+        limited=set(),
     )
 
 
