--- a/packages/core/src/lacewingcourse/core/pipelines/limit_sharing.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/limit_sharing.py
@@ -152,8 +152,8 @@
 
     def use(self, endpoint: str, rate: float, now: float) -> None:
         """Note a request that is sent to an endpoint, whether it is limited or not."""
-        permits = self._valid(endpoint, now)
-        issuer = permits.pop(0).issuer if permits and rate != NO_LIMIT else ""
+        permits = self._valid(endpoint, now) if rate != NO_LIMIT else []
+        issuer = permits.pop(0).issuer if permits else ""
         self.sends.setdefault(endpoint, deque()).append((now, issuer))
 
     def want(self, endpoint: str, request: Hashable, now: float) -> None:
@@ -227,7 +227,7 @@
             now: Present time in seconds.
             draw: A number from 0 to 1 that spreads the entries that ask again.
         """
-        permits = self._valid(endpoint, now)
+        permits = self.permits.setdefault(endpoint, [])
         for delay in grant.delays:
             until = asked_at + delay + PERMIT_TIME
             permits.append(Permit(now + delay, until, grant.issuer))
@@ -260,7 +260,7 @@
 
     def _valid(self, endpoint: str, now: float) -> list[Permit]:
         """Return the permits that may still be used, the earliest first."""
-        permits = self.permits.setdefault(endpoint, [])
+        permits = self.permits.get(endpoint, [])
         permits[:] = [permit for permit in permits if permit.until > now]
         return permits
 
--- a/packages/core/tests/pipelines/test_limit_sharing.py
+++ b/packages/core/tests/pipelines/test_limit_sharing.py
@@ -155,3 +155,11 @@
     limits = limited(PermitSharing())
     limits.table.hear(ENDPOINT, 0.5, 1.0, 1.5)
     assert limits.table.rate(ENDPOINT, 1.5) == 0.5
+
+
+def test_endpoints_without_limits_leave_nothing_behind():
+    limits = SendLimits()
+    for number in range(100):
+        limits.take(f"a@{number}", "one", 0.0)
+    limits.expire((), 10.0)
+    assert limits.sharing == PermitSharing()
