--- a/packages/core/tests/pipelines/limit_fleet.py
+++ b/packages/core/tests/pipelines/limit_fleet.py
@@ -12,10 +12,10 @@
 from lacewingcourse.core.pipelines.limit_sharing import (
     LIMIT_SHARINGS,
     PermitSharing,
-    SendLimits,
 )
 from lacewingcourse.core.pipelines.peers import PEER_SILENT
 from lacewingcourse.core.pipelines.permits import Grant, PermitIssuer, issuer_of
+from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.testing.limit_check import LimitCheck
 
 if TYPE_CHECKING:
--- a/packages/core/tests/pipelines/test_limit_sharing.py
+++ b/packages/core/tests/pipelines/test_limit_sharing.py
@@ -7,7 +7,6 @@
 from lacewingcourse.core.pipelines.limit_sharing import (
     EvenSharing,
     PermitSharing,
-    SendLimits,
 )
 from lacewingcourse.core.pipelines.permits import (
     Grant,
@@ -16,6 +15,7 @@
     issuer_of,
 )
 from lacewingcourse.core.pipelines.request_limits import MIN_RATE, NO_LIMIT
+from lacewingcourse.core.pipelines.send_limits import SendLimits
 
 from .limit_fleet import ENDPOINT, NAMED_AT, LimitFleet
 
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -116,7 +116,7 @@
             self.log,
             self.clock,
             self.metrics.unreadable_limits.inc,
-            self._on_limit,
+            self._on_limit_fall,
         )
         send_limits = self.beliefs.send_limits
         send_limits.sharing = LIMIT_SHARINGS.get(self.settings.limit_sharing)()
@@ -347,8 +347,8 @@
     def _tell_peers(self) -> None:
         self.peers.tell_now()
 
-    def _on_limit(self) -> None:
-        """Tell that an endpoint names another limit, and keep it."""
+    def _on_limit_fall(self) -> None:
+        """Tell that an endpoint takes less than before, and ask for permits."""
         self._tell_peers()
         self._look_for_permits()
 
--- a/packages/relay/src/lacewingcourse/relay/beliefs.py
+++ b/packages/relay/src/lacewingcourse/relay/beliefs.py
@@ -10,11 +10,11 @@
 from lacewingcourse.core.pipelines.crashes import CrashBook
 from lacewingcourse.core.pipelines.durations import Durations
 from lacewingcourse.core.pipelines.fleet import Fleet
-from lacewingcourse.core.pipelines.limit_sharing import SendLimits
 from lacewingcourse.core.pipelines.links import LinkUsage
 from lacewingcourse.core.pipelines.load import LoadBook
 from lacewingcourse.core.pipelines.path import Path, candidate_paths
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
+from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
 from lacewingcourse.core.pipelines.suspects import Suspects
 from lacewingcourse.relay.loop_watch import LoopWatch
--- a/packages/relay/src/lacewingcourse/relay/limit_permits.py
+++ b/packages/relay/src/lacewingcourse/relay/limit_permits.py
@@ -25,9 +25,9 @@
     from collections.abc import Awaitable, Callable
     from random import Random
 
-    from lacewingcourse.core.pipelines.limit_sharing import SendLimits
     from lacewingcourse.core.pipelines.peers import PeerBook
     from lacewingcourse.core.pipelines.permits import PermitIssuer
+    from lacewingcourse.core.pipelines.send_limits import SendLimits
     from lacewingcourse.relay.decisions import DecisionLog
 
 #: Path under which other entries ask for permits.
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lacewingcourse.core.pipelines.limit_sharing import SendLimits
+from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.relay.connections import (
     Connection,
     ConnectionPool,
--- a/packages/relay/tests/relay/stream_play.py
+++ b/packages/relay/tests/relay/stream_play.py
@@ -10,10 +10,10 @@
 from tornado.httputil import HTTPHeaders
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.pipelines.limit_sharing import SendLimits
 from lacewingcourse.core.pipelines.path import Part, Path
 from lacewingcourse.core.pipelines.retry_budget import RetryBudget
 from lacewingcourse.core.pipelines.routing import Organisation, RetrySafety
+from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.core.pipelines.shape import EngineShape, Layers
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
 from lacewingcourse.relay.admission import Admission
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -17,10 +17,10 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.fleet import Endpoint
-from lacewingcourse.core.pipelines.limit_sharing import SendLimits
 from lacewingcourse.core.pipelines.permits import Grant
 from lacewingcourse.core.pipelines.retry_budget import RetryBudget
 from lacewingcourse.core.pipelines.routing import Organisation, RetrySafety
+from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.connections import (
--- a/packages/relay/tests/relay/test_limit_permits.py
+++ b/packages/relay/tests/relay/test_limit_permits.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from lacewingcourse.core.pipelines.limit_sharing import SendLimits
 from lacewingcourse.core.pipelines.peers import PeerBook
 from lacewingcourse.core.pipelines.permits import PermitIssuer, issuer_of
+from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.relay.limit_permits import PERMITS_PATH, PermitExchange
 from lacewingcourse.relay.peer_messages import (
     PermitReply,
