Drop the permits of a higher limit when it falls, and tell all of a fall at once

What callers saw: nothing. A limit that falls is to hold at once, but permits that were given out under the higher one stayed valid for a second: eight of a limit of 10 were left after it had fallen to 1.

Cause: permits outlived the limit under which they were given. Found by reading; test_permits_of_a_higher_limit_are_lost_when_it_falls fails without the change.

The change: the table of limits tells of a fall whoever named it, an answer or another entry; the permits of that endpoint are dropped, the others are told at once (hubs pass it on to their zones), and permits are asked for anew. Permits that are dropped count at the issuer as given. This replaces two other callbacks for the same news.

Also: an empty list was kept for an endpoint whose permits came after their requests.

--- a/packages/core/src/lacewingcourse/core/pipelines/limit_sharing.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/limit_sharing.py
@@ -48,6 +48,9 @@
     def next_in(self, endpoint: str, rate: float, now: float) -> float:
         """Return the seconds until a request may be sent, 0 if that is not known."""
 
+    def drop(self, endpoint: str) -> None:
+        """Forget what could be sent to an endpoint, since it takes less than before."""
+
     def clear(self) -> None:
         """Trust nothing, since the time may have stood still."""
 
@@ -111,6 +114,10 @@
         bucket = self.buckets.get(endpoint)
         return (1.0 - bucket.level) * self.entries / rate if bucket else 0.0
 
+    def drop(self, endpoint: str) -> None:
+        """Forget what could be sent to an endpoint, since it takes less than before."""
+        self.buckets.pop(endpoint, None)
+
     def clear(self) -> None:
         """Trust nothing, since the time may have stood still."""
         self.buckets.clear()
@@ -237,6 +244,10 @@
             self.issuers[endpoint] = grant.issuer
             self.reported_to[endpoint] = asked
 
+    def drop(self, endpoint: str) -> None:
+        """Forget what could be sent to an endpoint, since it takes less than before."""
+        self.permits.pop(endpoint, None)
+
     def clear(self) -> None:
         """Trust nothing, since the time may have stood still."""
         self.permits.clear()
@@ -246,10 +257,12 @@
         for endpoint, requests in list(self.wanted.items()):
             recent = {r: at for r, at in requests.items() if now - at <= PERMIT_TIME}
             self.wanted[endpoint] = recent
-            if not recent and not self._valid(endpoint, now):
+            if not recent:
                 del self.wanted[endpoint]
-                self.permits.pop(endpoint, None)
                 self.ask_at.pop(endpoint, None)
+        for endpoint in list(self.permits):
+            if not self._valid(endpoint, now):
+                del self.permits[endpoint]
         for endpoint, sends in list(self.sends.items()):
             while sends and now - sends[0][0] >= WINDOW:
                 sends.popleft()
--- a/packages/core/src/lacewingcourse/core/pipelines/request_limits.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/request_limits.py
@@ -8,7 +8,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
 #: Limit of an endpoint that names none.
 NO_LIMIT = inf
@@ -22,6 +22,9 @@
 RELEASE_TIME = 5.0
 #: Seconds for which it is remembered after that, against news of it that come late.
 FORGOTTEN_AFTER = 15.0
+#: Part of a limit below which another one is a fall. Endpoints may name another one
+#: with each answer.
+FALL_SHARE = 0.8
 #: Seconds by which another entry's word must be newer to be taken over. Messages take
 #: time that their age does not count.
 MIN_NEWER = 0.05
@@ -43,14 +46,12 @@
     changed_at: float
     rate_before: float = NO_LIMIT
 
-    def take(self, named: float, heard_at: float, now: float) -> bool:
-        """Take what the endpoint names; tell whether that is something else."""
+    def take(self, named: float, heard_at: float, now: float) -> None:
+        """Take what the endpoint names."""
         self.heard_at = heard_at
-        if named == self.named:
-            return False
-        self.rate_before = self.rate(now)
-        self.named, self.changed_at = named, now
-        return True
+        if named != self.named:
+            self.rate_before = self.rate(now)
+            self.named, self.changed_at = named, now
 
     def rate(self, now: float) -> float:
         """Return the requests a second that may be sent now.
@@ -74,9 +75,12 @@
 
     Attributes:
         members: Limits by id of the endpoint; no endpoint that never named one.
+        on_fall: Called with an endpoint that names its first limit, or one well below
+            its last.
     """
 
     members: dict[str, RequestLimit] = attrs.field(factory=dict)
+    on_fall: Callable[[str], None] = lambda endpoint: None
 
     def hear(self, endpoint: str, named: float, sent_at: float, now: float) -> bool:
         """Take what an endpoint names in an answer; tell whether that is new.
@@ -93,10 +97,7 @@
         known = self.members.get(endpoint)
         if named == NO_LIMIT and (known is None or sent_at <= known.heard_at):
             return False
-        if known is not None:
-            return known.take(named, now, now)
-        self.members[endpoint] = RequestLimit(named, now, now)
-        return True
+        return self._take(endpoint, named, now, now)
 
     def from_peer(self, endpoint: str, named: float, age: float, now: float) -> bool:
         """Take what another entry heard of an endpoint; tell whether that is new.
@@ -109,12 +110,11 @@
         """
         known = self.members.get(endpoint)
         heard_at = now - age
-        if known is not None and heard_at > known.heard_at + MIN_NEWER:
-            return known.take(named, heard_at, now)
-        if known is not None or named == NO_LIMIT:
+        if known is None and named == NO_LIMIT:
+            return False
+        if known is not None and heard_at <= known.heard_at + MIN_NEWER:
             return False
-        self.members[endpoint] = RequestLimit(named, heard_at, now)
-        return True
+        return self._take(endpoint, named, heard_at, now)
 
     def named(self, endpoint: str) -> float:
         """Return the requests a second that an endpoint named last."""
@@ -151,3 +151,15 @@
             gone = endpoint not in present and now - limit.heard_at > FORGOTTEN_AFTER
             if gone or limit.is_over(now):
                 del self.members[endpoint]
+
+    def _take(self, endpoint: str, named: float, heard_at: float, now: float) -> bool:
+        """Take what an endpoint names; tell whether that is something else."""
+        before = self.named(endpoint)
+        known = self.members.get(endpoint)
+        if known is None:
+            self.members[endpoint] = RequestLimit(named, heard_at, now)
+        else:
+            known.take(named, heard_at, now)
+        if named < FALL_SHARE * before:
+            self.on_fall(endpoint)
+        return named != before
--- a/packages/core/src/lacewingcourse/core/pipelines/send_limits.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/send_limits.py
@@ -25,12 +25,17 @@
         sharing: This entry's part of them.
         holds: Requests that are to be sent, by endpoint.
         on_want: Called when a request is to be sent to a limited endpoint.
+        on_fall: Called when an endpoint takes less than before.
     """
 
     table: LimitTable = attrs.field(factory=LimitTable)
     sharing: LimitSharing = attrs.field(factory=PermitSharing)
     holds: dict[str, set[Hashable]] = attrs.field(factory=dict)
     on_want: Callable[[], None] = lambda: None
+    on_fall: Callable[[], None] = lambda: None
+
+    def __attrs_post_init__(self) -> None:
+        self.table.on_fall = self._take_fall
 
     def blocked(self, now: float) -> set[str]:
         """Return the endpoints that may not be sent a further request now."""
@@ -108,3 +113,9 @@
         self.table.expire(present, now)
         self.sharing.expire(now)
         self.holds = {endpoint: held for endpoint, held in self.holds.items() if held}
+
+    def _take_fall(self, endpoint: str) -> None:
+        """Keep a limit that has fallen, from now on."""
+        self.sharing.drop(endpoint)
+        self.on_want()
+        self.on_fall()
--- a/packages/core/tests/pipelines/test_limit_sharing.py
+++ b/packages/core/tests/pipelines/test_limit_sharing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from lacewingcourse.core.pipelines.limit_sharing import (
@@ -163,3 +165,27 @@
         limits.take(f"a@{number}", "one", 0.0)
     limits.expire((), 10.0)
     assert limits.sharing == PermitSharing()
+
+
+def test_permits_of_a_higher_limit_are_lost_when_it_falls():
+    limits = limited(PermitSharing(), named=10.0)
+    limits.sharing.take(ENDPOINT, Grant("i", (0.0,) * 8, 0.0), "i", 0.1, 0.1, 0.0)
+    assert limits.allows(ENDPOINT, 0.2)
+    limits.table.hear(ENDPOINT, 1.0, 0.1, 0.2)
+    assert not limits.allows(ENDPOINT, 0.2)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_the_limit_holds_while_entries_restart_again_and_again(seed):
+    rng = Random(seed)
+    limit, entries = rng.choice([0.5, 1.8, 2.8, 10.0]), rng.choice([3, 5, 68])
+    fleet = LimitFleet("permits", entries, limit, seed, patience=WAIT)
+    fleet.play(NAMED_AT + 3.0)
+    while fleet.now < 40.0:
+        up = [name for name, entry in fleet.entries.items() if entry.is_up]
+        if len(up) > entries / 2:
+            issuer = issuer_of(ENDPOINT, up)
+            name = issuer if rng.random() < 0.6 else rng.choice(up)
+            fleet.restart(name, rng.uniform(0.3, 4.0))
+        fleet.play(fleet.now + rng.uniform(1.5, 5.0))
+    assert fleet.check.breaches() == []
--- a/packages/core/tests/pipelines/test_request_limits.py
+++ b/packages/core/tests/pipelines/test_request_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT, LimitTable
 
 
@@ -27,3 +29,33 @@
     limits = LimitTable()
     assert not limits.hear("a", NO_LIMIT, sent_at=1.0, now=1.1)
     assert limits.members == {}
+
+
+@pytest.mark.parametrize(
+    ("limits", "falls"), [((2.0,), 1), ((2.0, 1.9, 2.1, 1.9, 2.0), 1), ((2.0, 1.0), 2)]
+)
+def test_a_limit_that_changes_little_with_each_answer_is_no_fall(limits, falls):
+    """All entries are told of a fall at once, so each of them costs a round."""
+    table = LimitTable()
+    seen = []
+    table.on_fall = seen.append
+    for limit in limits:
+        table.hear("a", limit, 1.0, 1.1)
+    assert len(seen) == falls
+
+
+def test_the_newest_word_of_several_entries_counts():
+    table = LimitTable()
+    assert table.from_peer("a", 2.0, age=1.0, now=5.0)
+    assert not table.from_peer("a", NO_LIMIT, age=2.0, now=5.0)
+    assert table.named("a") == 2.0
+    assert table.from_peer("a", NO_LIMIT, age=0.5, now=5.0)
+    assert table.named("a") == NO_LIMIT
+
+
+def test_an_old_word_does_not_bring_a_limit_back():
+    table = LimitTable()
+    table.hear("a", 2.0, sent_at=1.0, now=1.1)
+    table.hear("a", NO_LIMIT, sent_at=1.2, now=1.3)
+    assert not table.from_peer("a", 2.0, age=0.5, now=1.6)
+    assert table.named("a") == NO_LIMIT
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -116,7 +116,6 @@
             self.log,
             self.clock,
             self.metrics.unreadable_limits.inc,
-            self._on_limit_fall,
         )
         send_limits = self.beliefs.send_limits
         send_limits.sharing = LIMIT_SHARINGS.get(self.settings.limit_sharing)()
@@ -221,7 +220,6 @@
             self.log,
             self.clock,
             self.ingress.endings.ends_in,
-            self._look_for_permits,
         )
         self.peers = PeerExchange(
             gossip,
@@ -253,7 +251,8 @@
             self.metrics.unreadable_messages.inc,
             lambda: self.readiness.leaving,
         )
-        send_limits.on_want = self._look_for_permits
+        send_limits.on_want = self.permits.look
+        send_limits.on_fall = self._tell_peers
         self.house = Housekeeping(
             self.beliefs,
             self.pool,
@@ -347,14 +346,6 @@
     def _tell_peers(self) -> None:
         self.peers.tell_now()
 
-    def _on_limit_fall(self) -> None:
-        """Tell that an endpoint takes less than before, and ask for permits."""
-        self._tell_peers()
-        self._look_for_permits()
-
-    def _look_for_permits(self) -> None:
-        self.permits.look()
-
     def _on_ready(self, question: Question) -> Reply:
         return Reply(200 if self.readiness.is_ready() else 503)
 
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -52,7 +52,6 @@
         clock: Returns the present time in seconds.
         ends_in: Returns the seconds until this entry expects to have ended, None if it
             is not ending.
-        on_limit: Called when another entry told a limit that this one did not know.
     """
 
     name: str
@@ -66,7 +65,6 @@
     log: DecisionLog
     clock: Callable[[], float]
     ends_in: Callable[[], float | None] = lambda: None
-    on_limit: Callable[[], None] = lambda: None
 
     def news_for(self, receiver: str, zone: str) -> PeerNews:
         """Return what this entry tells another one.
@@ -154,7 +152,6 @@
             named, before = limit_of(told), limits.named(endpoint)
             if limits.from_peer(endpoint, named, age, now):
                 self.log.limit(endpoint, named, before, news.name)
-                self.on_limit()
 
     def _take_counts(self, news: PeerNews, now: float) -> None:
         """Take how many entries other zones have."""
--- a/packages/relay/src/lacewingcourse/relay/limit_reader.py
+++ b/packages/relay/src/lacewingcourse/relay/limit_reader.py
@@ -17,10 +17,6 @@
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.ports import AnswerHead, Sending
 
-#: Part of a limit below which another one is told at once. Endpoints may name another
-#: one with each answer.
-FALL_SHARE = 0.8
-
 
 @attrs.define
 class LimitReader:
@@ -31,16 +27,12 @@
         log: Log of decisions.
         clock: Returns the present time in seconds.
         on_unreadable: Called for each limit that cannot be read.
-        on_fall: Called when an endpoint names a limit for the first time, or one well
-            below its last: what others send meanwhile is too much. They hear of other
-            changes in the next round of news.
     """
 
     limits: LimitTable
     log: DecisionLog
     clock: Callable[[], float]
     on_unreadable: Callable[[], None] = lambda: None
-    on_fall: Callable[[], None] = lambda: None
 
     def take(self, sending: Sending, head: AnswerHead, sent_at: float) -> None:
         """Take the limit that the head of an answer names, or that it names none.
@@ -67,5 +59,3 @@
         endpoint, before = sending.incarnation, self.limits.named(sending.incarnation)
         if self.limits.hear(endpoint, named, sent_at, self.clock()):
             self.log.limit(endpoint, named, before, "answer")
-            if named < FALL_SHARE * before:
-                self.on_fall()
--- a/packages/relay/tests/relay/test_limit_reader.py
+++ b/packages/relay/tests/relay/test_limit_reader.py
@@ -21,11 +21,8 @@
         limit=lambda *fields: lines.append(("limit", *fields)),
         belief=lambda event, **fields: lines.append((event, fields["endpoint"])),
     )
-    told = []
-    made = LimitReader(
-        LimitTable(), log, lambda: 2.0, on_fall=lambda: told.append("at once")
-    )
-    return SimpleNamespace(take=made.take, limits=made.limits, lines=lines, told=told)
+    made = LimitReader(LimitTable(), log, lambda: 2.0)
+    return SimpleNamespace(take=made.take, limits=made.limits, lines=lines)
 
 
 def answer(limit, standing=Standing.ANSWERED):
@@ -63,14 +60,3 @@
     reader.take(SENDING, answer(Undecodable("no decimal number")), 2.5)
     assert reader.limits.named("a@1") == 2.0
     assert reader.lines[-1] == ("limit_unreadable", "a@1")
-
-
-@pytest.mark.parametrize(
-    ("limits", "told"), [((2.0,), 1), ((2.0, 1.9, 2.1, 1.9, 2.0), 1), ((2.0, 1.0), 2)]
-)
-def test_a_limit_that_changes_little_with_each_answer_is_not_told_at_once(
-    reader, limits, told
-):
-    for limit in limits:
-        reader.take(SENDING, answer(limit), 1.0)
-    assert len(reader.told) == told
