Remember the permits of an endpoint for longer than the time between two of them

What callers saw: nothing yet. An endpoint that names 0 (or less than 0.1 a second) would have got no request ever again, so nobody would have noticed that it takes more.

Cause: an issuer forgot the permits of an endpoint 10 s after the last one, and one that begins anew begins empty. At the lowest rate the next permit is due after just these 10 s, so it was forgotten each time before it was given out.

Real entries: a server that named 0 and withdrew it is heard of again (test_limit_news, 6 passed).

The change: permits are remembered for 60 s. core's tests of limits: 113 passed.

--- a/packages/core/src/lacewingcourse/core/pipelines/permits.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/permits.py
@@ -4,7 +4,6 @@
 
 from collections import deque
 from hashlib import blake2b
-from math import inf
 from typing import TYPE_CHECKING
 
 import attrs
@@ -30,8 +29,9 @@
 OWN_SHARE = 0.5
 #: Permits that are given out at a time at the most.
 MAX_PERMITS = 64
-#: Seconds after its last permit in which an endpoint's permits are forgotten.
-FORGOTTEN_AFTER = 10.0
+#: Seconds after its last permit in which an endpoint's permits are forgotten. Well
+#: above the time between two permits at the lowest rate: what begins anew begins empty.
+FORGOTTEN_AFTER = 60.0
 #: Bytes of the hash that ranks entries.
 RANK_BYTES = 8
 
@@ -197,14 +197,14 @@
 
     Args:
         times: Times that count.
-        most: Times that a window may hold.
+        most: Times that a window may hold, at least 1.
         at: The earliest answer.
     """
     counted = sorted(time for time in times if time > at - WINDOW)
     excess = len(counted) + 1 - int(most)
     if excess <= 0:
         return at
-    return counted[excess - 1] + WINDOW if excess <= len(counted) else inf
+    return counted[excess - 1] + WINDOW
 
 
 @attrs.frozen
--- a/packages/core/tests/pipelines/test_limit_sharing.py
+++ b/packages/core/tests/pipelines/test_limit_sharing.py
@@ -189,3 +189,13 @@
             fleet.restart(name, rng.uniform(0.3, 4.0))
         fleet.play(fleet.now + rng.uniform(1.5, 5.0))
     assert fleet.check.breaches() == []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_endpoint_that_takes_nothing_is_sent_a_request_now_and_then(seed):
+    fleet = LimitFleet("permits", 5, 2.0, seed, patience=WAIT)
+    fleet.play(10.0)
+    fleet.name(0.0)
+    fleet.play(75.0)
+    sent = sum(at > 15.0 for at in fleet.sent)
+    assert 3 <= sent <= 60.0 * MIN_RATE + 1
