--- a/packages/core/src/lacewingcourse/core/pipelines/limit_sharing.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/limit_sharing.py
@@ -138,7 +138,7 @@
         entries: Entries that are alive, as far as this one knows.
         permits: Permits that this entry has, by endpoint.
         wanted: When each request was last to be sent, by endpoint.
-        ask_at: When the issuer of an endpoint's permits is asked again, seconds.
+        retry_at: When the issuer of an endpoint's permits is asked again, seconds.
         issuers: Who gave the last answer for an endpoint.
         reported_to: Entry that was last told of the sends to an endpoint.
         sends: Times of the sends of the last window, with who gave the permit for
@@ -148,7 +148,7 @@
     entries: int = 1
     permits: dict[str, list[Permit]] = attrs.field(factory=dict)
     wanted: dict[str, dict[Hashable, float]] = attrs.field(factory=dict)
-    ask_at: dict[str, float] = attrs.field(factory=dict)
+    retry_at: dict[str, float] = attrs.field(factory=dict)
     issuers: dict[str, str] = attrs.field(factory=dict)
     reported_to: dict[str, str] = attrs.field(factory=dict)
     sends: dict[str, deque[tuple[float, str]]] = attrs.field(factory=dict)
@@ -173,7 +173,7 @@
         coming = [permit.since - now for permit in permits if permit.since > now]
         if coming:
             return min(coming)
-        return max(0.0, self.ask_at.get(endpoint, now) - now)
+        return max(0.0, self.retry_at.get(endpoint, now) - now)
 
     def demand(
         self, entry: str, endpoint: str, asked: str, rate: float, now: float
@@ -207,7 +207,7 @@
 
         Permits are fetched ahead for as many requests as there were lately.
         """
-        if now < self.ask_at.get(endpoint, -inf):
+        if now < self.retry_at.get(endpoint, -inf):
             return 0
         recent = self.wanted.get(endpoint, {})
         count = sum(now - at <= PERMIT_TIME for at in recent.values())
@@ -239,7 +239,7 @@
             until = asked_at + delay + PERMIT_TIME
             permits.append(Permit(now + delay, until, grant.issuer))
         permits.sort(key=lambda permit: permit.since)
-        self.ask_at[endpoint] = now + grant.retry_in * (1.0 + draw)
+        self.retry_at[endpoint] = now + grant.retry_in * (1.0 + draw)
         if grant.issuer:
             self.issuers[endpoint] = grant.issuer
             self.reported_to[endpoint] = asked
@@ -259,7 +259,7 @@
             self.wanted[endpoint] = recent
             if not recent:
                 del self.wanted[endpoint]
-                self.ask_at.pop(endpoint, None)
+                self.retry_at.pop(endpoint, None)
         for endpoint in list(self.permits):
             if not self._valid(endpoint, now):
                 del self.permits[endpoint]
--- a/packages/core/src/lacewingcourse/core/pipelines/request_limits.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/request_limits.py
@@ -36,19 +36,19 @@
 
     Attributes:
         named: Requests a second that it takes, `NO_LIMIT` once it named none again.
-        heard_at: When it last said so, seconds.
+        observed_at: When it last said so, seconds.
         changed_at: When it first said so, seconds.
         rate_before: Requests a second that were in force then.
     """
 
     named: float
-    heard_at: float
+    observed_at: float
     changed_at: float
     rate_before: float = NO_LIMIT
 
-    def take(self, named: float, heard_at: float, now: float) -> None:
+    def take(self, named: float, observed_at: float, now: float) -> None:
         """Take what the endpoint names."""
-        self.heard_at = heard_at
+        self.observed_at = observed_at
         if named != self.named:
             self.rate_before = self.rate(now)
             self.named, self.changed_at = named, now
@@ -82,7 +82,7 @@
     members: dict[str, RequestLimit] = attrs.field(factory=dict)
     on_fall: Callable[[str], None] = lambda endpoint: None
 
-    def hear(self, endpoint: str, named: float, sent_at: float, now: float) -> bool:
+    def observe(self, endpoint: str, named: float, sent_at: float, now: float) -> bool:
         """Take what an endpoint names in an answer; tell whether that is new.
 
         Answers overtake one another, so only one to a request that was sent after the
@@ -95,7 +95,7 @@
             now: Present time in seconds.
         """
         known = self.members.get(endpoint)
-        if named == NO_LIMIT and (known is None or sent_at <= known.heard_at):
+        if named == NO_LIMIT and (known is None or sent_at <= known.observed_at):
             return False
         return self._take(endpoint, named, now, now)
 
@@ -109,12 +109,12 @@
             now: Present time in seconds.
         """
         known = self.members.get(endpoint)
-        heard_at = now - age
+        observed_at = now - age
         if known is None and named == NO_LIMIT:
             return False
-        if known is not None and heard_at <= known.heard_at + MIN_NEWER:
+        if known is not None and observed_at <= known.observed_at + MIN_NEWER:
             return False
-        return self._take(endpoint, named, heard_at, now)
+        return self._take(endpoint, named, observed_at, now)
 
     def named(self, endpoint: str) -> float:
         """Return the requests a second that an endpoint named last."""
@@ -130,12 +130,12 @@
         """Return the endpoints that name a limit."""
         return [e for e, limit in self.members.items() if limit.named != NO_LIMIT]
 
-    def told(self, now: float) -> dict[str, tuple[float | None, float]]:
-        """Return what endpoints named, None for no limit, and how long ago."""
+    def observations(self, now: float) -> dict[str, tuple[float | None, float]]:
+        """Return what endpoints named, None for no limit, and seconds since then."""
         return {
             endpoint: (
                 None if limit.named == NO_LIMIT else limit.named,
-                round(now - limit.heard_at, 3),
+                round(now - limit.observed_at, 3),
             )
             for endpoint, limit in self.members.items()
         }
@@ -148,18 +148,20 @@
             now: Present time in seconds.
         """
         for endpoint, limit in list(self.members.items()):
-            gone = endpoint not in present and now - limit.heard_at > FORGOTTEN_AFTER
+            gone = endpoint not in present and now - limit.observed_at > FORGOTTEN_AFTER
             if gone or limit.is_over(now):
                 del self.members[endpoint]
 
-    def _take(self, endpoint: str, named: float, heard_at: float, now: float) -> bool:
+    def _take(
+        self, endpoint: str, named: float, observed_at: float, now: float
+    ) -> bool:
         """Take what an endpoint names; tell whether that is something else."""
         before = self.named(endpoint)
         known = self.members.get(endpoint)
         if known is None:
-            self.members[endpoint] = RequestLimit(named, heard_at, now)
+            self.members[endpoint] = RequestLimit(named, observed_at, now)
         else:
-            known.take(named, heard_at, now)
+            known.take(named, observed_at, now)
         if named < FALL_SHARE * before:
             self.on_fall(endpoint)
         return named != before
--- a/packages/core/tests/pipelines/limit_fleet.py
+++ b/packages/core/tests/pipelines/limit_fleet.py
@@ -130,16 +130,16 @@
     def name(self, limit: float | None = None) -> None:
         """Let the endpoint name its limit, or another one."""
         named = self.limit if limit is None else limit
-        heard_at = self.now
+        observed_at = self.now
         for entry in self.entries.values():
             self.at(
                 self.now + self.rng.uniform(0, SPREADING),
-                lambda entry=entry: self.hear(entry, named, heard_at),
+                lambda entry=entry: self.learn(entry, named, observed_at),
             )
 
-    def hear(self, entry: LimitedEntry, named: float, heard_at: float) -> None:
+    def learn(self, entry: LimitedEntry, named: float, observed_at: float) -> None:
         """Let an entry learn of a limit, which it passes on to a caller."""
-        entry.limits.table.hear(ENDPOINT, named, heard_at + 1e-6, self.now)
+        entry.limits.table.observe(ENDPOINT, named, observed_at + 1e-6, self.now)
         self.check.pass_on(entry.name, self.now)
         self.ask_issuer(entry)
 
@@ -230,7 +230,7 @@
         self.notice(entry.name, True)
         for other in self.entries.values():
             for endpoint, limit in other.limits.table.members.items():
-                age = self.now - limit.heard_at
+                age = self.now - limit.observed_at
                 entry.limits.table.from_peer(endpoint, limit.named, age, self.now)
 
     def notice(self, name: str, is_up: bool) -> None:
--- a/packages/core/tests/pipelines/test_limit_sharing.py
+++ b/packages/core/tests/pipelines/test_limit_sharing.py
@@ -76,7 +76,7 @@
 def limited(sharing, named=2.0):
     """Return what an entry may send to an endpoint that names a limit."""
     limits = SendLimits(sharing=sharing)
-    limits.table.hear(ENDPOINT, named, 0.0, 0.0)
+    limits.table.observe(ENDPOINT, named, 0.0, 0.0)
     return limits
 
 
@@ -148,14 +148,14 @@
 
 def test_a_limit_that_ends_is_followed_in_steps():
     limits = limited(PermitSharing())
-    limits.table.hear(ENDPOINT, NO_LIMIT, 1.0, 1.5)
+    limits.table.observe(ENDPOINT, NO_LIMIT, 1.0, 1.5)
     rates = [limits.table.rate(ENDPOINT, 1.5 + passed) for passed in (0, 1, 2, 10)]
     assert rates == [2.0, 4.0, 8.0, NO_LIMIT]
 
 
 def test_a_limit_that_falls_holds_at_once():
     limits = limited(PermitSharing())
-    limits.table.hear(ENDPOINT, 0.5, 1.0, 1.5)
+    limits.table.observe(ENDPOINT, 0.5, 1.0, 1.5)
     assert limits.table.rate(ENDPOINT, 1.5) == 0.5
 
 
@@ -171,7 +171,7 @@
     limits = limited(PermitSharing(), named=10.0)
     limits.sharing.take(ENDPOINT, Grant("i", (0.0,) * 8, 0.0), "i", 0.1, 0.1, 0.0)
     assert limits.allows(ENDPOINT, 0.2)
-    limits.table.hear(ENDPOINT, 1.0, 0.1, 0.2)
+    limits.table.observe(ENDPOINT, 1.0, 0.1, 0.2)
     assert not limits.allows(ENDPOINT, 0.2)
 
 
--- a/packages/core/tests/pipelines/test_request_limits.py
+++ b/packages/core/tests/pipelines/test_request_limits.py
@@ -10,24 +10,24 @@
 def test_a_limit_holds_until_an_answer_names_none():
     limits = LimitTable()
     assert limits.named("a") == NO_LIMIT
-    assert limits.hear("a", 2.5, sent_at=1.0, now=1.1)
-    assert not limits.hear("a", 2.5, sent_at=1.2, now=1.3)
+    assert limits.observe("a", 2.5, sent_at=1.0, now=1.1)
+    assert not limits.observe("a", 2.5, sent_at=1.2, now=1.3)
     assert limits.limited() == ["a"]
-    assert limits.hear("a", NO_LIMIT, sent_at=1.4, now=1.5)
+    assert limits.observe("a", NO_LIMIT, sent_at=1.4, now=1.5)
     assert limits.named("a") == NO_LIMIT
     assert limits.limited() == []
 
 
 def test_an_answer_that_was_overtaken_ends_no_limit():
     limits = LimitTable()
-    limits.hear("a", 2.5, sent_at=1.0, now=1.1)
-    assert not limits.hear("a", NO_LIMIT, sent_at=1.05, now=1.2)
+    limits.observe("a", 2.5, sent_at=1.0, now=1.1)
+    assert not limits.observe("a", NO_LIMIT, sent_at=1.05, now=1.2)
     assert limits.named("a") == 2.5
 
 
 def test_an_endpoint_that_never_named_a_limit_is_not_kept():
     limits = LimitTable()
-    assert not limits.hear("a", NO_LIMIT, sent_at=1.0, now=1.1)
+    assert not limits.observe("a", NO_LIMIT, sent_at=1.0, now=1.1)
     assert limits.members == {}
 
 
@@ -40,7 +40,7 @@
     seen = []
     table.on_fall = seen.append
     for limit in limits:
-        table.hear("a", limit, 1.0, 1.1)
+        table.observe("a", limit, 1.0, 1.1)
     assert len(seen) == falls
 
 
@@ -55,7 +55,7 @@
 
 def test_an_old_word_does_not_bring_a_limit_back():
     table = LimitTable()
-    table.hear("a", 2.0, sent_at=1.0, now=1.1)
-    table.hear("a", NO_LIMIT, sent_at=1.2, now=1.3)
+    table.observe("a", 2.0, sent_at=1.0, now=1.1)
+    table.observe("a", NO_LIMIT, sent_at=1.2, now=1.3)
     assert not table.from_peer("a", 2.0, age=0.5, now=1.6)
     assert table.named("a") == NO_LIMIT
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -9,7 +9,7 @@
 
 from lacewingcourse.core.pipelines.peers import Role
 from lacewingcourse.core.pipelines.suspects import Reach
-from lacewingcourse.relay.peer_messages import PeerNews, Scope, limit_of, loads_of
+from lacewingcourse.relay.peer_messages import PeerNews, Scope, decode_limit, loads_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -110,7 +110,7 @@
             holder_age=round(self.holder.silence(), 3) if lease else 0.0,
             released=self.holder.released,
             ends_in=self.ends_in(),
-            limits=self.beliefs.limits.told(now),
+            limits=self.beliefs.limits.observations(now),
         )
 
     def scope_for(self, receiver: str, zone: str, now: float) -> Scope:
@@ -149,7 +149,7 @@
         """Take which limits endpoints named to others."""
         limits = self.beliefs.limits
         for endpoint, (told, age) in news.limits.items():
-            named, before = limit_of(told), limits.named(endpoint)
+            named, before = decode_limit(told), limits.named(endpoint)
             if limits.from_peer(endpoint, named, age, now):
                 self.log.limit(endpoint, named, before, news.name)
 
--- a/packages/relay/src/lacewingcourse/relay/limit_permits.py
+++ b/packages/relay/src/lacewingcourse/relay/limit_permits.py
@@ -15,9 +15,9 @@
     PermitReply,
     PermitRequest,
     decode,
+    decode_limit,
     encode,
-    limit_of,
-    told_limit,
+    encode_limit,
 )
 from lacewingcourse.relay.small_server import Question, Reply
 
@@ -73,7 +73,7 @@
         """Return what answers other entries."""
         return {("POST", PERMITS_PATH): self._on_request}
 
-    def look(self) -> None:
+    def check(self) -> None:
         """Note that a permit may be lacking."""
         self.wake.set()
 
@@ -83,10 +83,10 @@
             await self.wake.wait()
             self.wake.clear()
             for endpoint in list(self.limits.table.members):
-                self._begin(endpoint)
+                self._check(endpoint)
             await asyncio.sleep(MIN_INTERVAL)
 
-    def _begin(self, endpoint: str) -> None:
+    def _check(self, endpoint: str) -> None:
         """Ask for permits of an endpoint if any are lacking."""
         sharing = self.limits.sharing
         if endpoint in self.asking or not isinstance(sharing, PermitSharing):
@@ -103,9 +103,11 @@
             self._take(endpoint, demand, grant, asked, now)
             return
         self.asking.add(endpoint)
-        asyncio.ensure_future(self._ask(endpoint, demand, asked))
+        asyncio.ensure_future(self._request_permits(endpoint, demand, asked))
 
-    async def _ask(self, endpoint: str, demand: PermitDemand, asked: str) -> None:
+    async def _request_permits(
+        self, endpoint: str, demand: PermitDemand, asked: str
+    ) -> None:
         """Ask another entry for permits of an endpoint."""
         try:
             asked_at = self.clock()
@@ -123,13 +125,13 @@
         """Return the message that asks for permits of an endpoint."""
         limit = self.limits.table.members.get(endpoint)
         named = limit.named if limit is not None else NO_LIMIT
-        age = now - limit.heard_at if limit is not None else 0.0
+        age = now - limit.observed_at if limit is not None else 0.0
         return PermitRequest(
             entry=demand.entry,
             endpoint=endpoint,
             count=demand.count,
             ages=list(demand.ages),
-            named=told_limit(named),
+            named=encode_limit(named),
             age=round(age, 3),
         )
 
@@ -183,7 +185,7 @@
         endpoint, table = found.endpoint, self.limits.table
         if self._issuer_of(endpoint, now) != self.book.name:
             return PermitReply("", [], UNANSWERED_RETRY)
-        named, before = limit_of(found.named), table.named(endpoint)
+        named, before = decode_limit(found.named), table.named(endpoint)
         if table.from_peer(endpoint, named, found.age, now):
             self.log.limit(endpoint, named, before, found.entry)
         demand = PermitDemand(found.entry, found.count, tuple(found.ages))
--- a/packages/relay/src/lacewingcourse/relay/limit_reader.py
+++ b/packages/relay/src/lacewingcourse/relay/limit_reader.py
@@ -57,5 +57,5 @@
         if named == NO_LIMIT and head.standing is not Standing.ANSWERED:
             return
         endpoint, before = sending.incarnation, self.limits.named(sending.incarnation)
-        if self.limits.hear(endpoint, named, sent_at, self.clock()):
+        if self.limits.observe(endpoint, named, sent_at, self.clock()):
             self.log.limit(endpoint, named, before, "answer")
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -168,12 +168,12 @@
 )
 
 
-def told_limit(named: float) -> float | None:
+def encode_limit(named: float) -> float | None:
     """Return a limit as messages tell it."""
     return None if named == NO_LIMIT else named
 
 
-def limit_of(told: float | None) -> float:
+def decode_limit(told: float | None) -> float:
     """Return the limit that a message tells."""
     return NO_LIMIT if told is None else max(0.0, told)
 
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -228,7 +228,7 @@
 def name_limit(played, *names):
     """Let endpoints name limits, without a permit at hand."""
     for name in names:
-        played.beliefs.limits.hear(name, 2.0, 0.0, 0.0)
+        played.beliefs.limits.observe(name, 2.0, 0.0, 0.0)
 
 
 def test_a_call_goes_past_an_endpoint_that_is_at_its_limit():
--- a/packages/relay/tests/relay/test_gossip.py
+++ b/packages/relay/tests/relay/test_gossip.py
@@ -89,7 +89,7 @@
     for named in (2.5, NO_LIMIT):
         for entry in (large.entries["c-05"], large.entries["a-07"]):
             now = large.clock()
-            entry.beliefs.limits.hear("x", named, now - 0.01, now)
+            entry.beliefs.limits.observe("x", named, now - 0.01, now)
         large.rounds(4)
         told = {entry.beliefs.limits.named("x") for entry in large.entries.values()}
         assert told == {named}
--- a/packages/relay/tests/relay/test_limit_permits.py
+++ b/packages/relay/tests/relay/test_limit_permits.py
@@ -58,7 +58,7 @@
             Decisions(),
             self.count_unreadable,
         )
-        limits.on_want = exchange.look
+        limits.on_want = exchange.check
         return exchange
 
     def count_unreadable(self) -> None:
@@ -76,7 +76,7 @@
     async def wait_for_permit(self, name: str, limit: float, seconds: float) -> bool:
         """Let an entry want a permit; tell whether it has one after some time."""
         exchange = self.exchanges[name]
-        exchange.limits.table.hear(ENDPOINT, limit, 0.0, 0.0)
+        exchange.limits.table.observe(ENDPOINT, limit, 0.0, 0.0)
         task = asyncio.ensure_future(exchange.run())
         for _ in range(int(seconds / 0.03)):
             now = exchange.clock()
--- a/packages/relay/tests/relay/test_path_finder.py
+++ b/packages/relay/tests/relay/test_path_finder.py
@@ -85,7 +85,7 @@
 def limit(finder, *names):
     """Let endpoints name limits, without a permit at hand."""
     for name in names:
-        finder.beliefs.limits.hear(name, 2.0, 0.0, 0.0)
+        finder.beliefs.limits.observe(name, 2.0, 0.0, 0.0)
 
 
 def test_a_request_goes_past_an_endpoint_that_is_at_its_limit(finder, shape):
