--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -18,7 +18,7 @@
     NotSent,
     Unsent,
 )
-from lacewingcourse.relay.path_finder import is_no_route, limited_refusal
+from lacewingcourse.relay.limited_choice import choose_within_limits
 from lacewingcourse.relay.sending import (
     SERVER_ERROR,
     AnswerReader,
@@ -172,18 +172,13 @@
     ) -> Endpoint | Refusal:
         """Return one of some endpoints that may be sent a call now, or why none may."""
         limits, loads = self.beliefs.send_limits, self.beliefs.loads
-        found = choose_endpoint(endpoints, loads, self.zone, avoided, self.rng)
-        blocked = limits.blocked(now)
-        if isinstance(found, Refusal) or found.id not in blocked:
-            return found
-        limits.want(found.id, job, now)
-        job.limited.add(found.id)
-        others = [endpoint for endpoint in endpoints if endpoint.id not in blocked]
-        other = choose_endpoint(others, loads, self.zone, avoided, self.rng)
-        if is_no_route(other):
-            ids = {endpoint.id for endpoint in endpoints} & blocked
-            return limited_refusal(limits.next_in(ids, now))
-        return other
+
+        def choose(among: list[Endpoint]) -> Endpoint | Refusal:
+            return choose_endpoint(among, loads, self.zone, avoided, self.rng)
+
+        return choose_within_limits(
+            limits, job, endpoints, lambda endpoint: endpoint.id, choose, now
+        )
 
     def _retry_after(self, refusal: Refusal) -> float:
         """Return the seconds after which the caller of a refused call comes back."""
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/limited_choice.py
@@ -0,0 +1,59 @@
+"""The choice of where a request is sent, past endpoints that are at their limits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+from lacewingcourse.core.errors import ErrorKind, Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lacewingcourse.core.pipelines.send_limits import SendLimits
+    from lacewingcourse.relay.job import Job
+
+#: What is chosen: a path or an endpoint.
+Choice = TypeVar("Choice")
+
+#: Why a request is refused that only endpoints at their limits could serve.
+AT_LIMIT = "every endpoint that could serve it is at the limit that it names"
+
+
+def choose_within_limits(
+    limits: SendLimits,
+    job: Job,
+    candidates: list[Choice],
+    endpoint_of: Callable[[Choice], str],
+    choose: Callable[[list[Choice]], Choice | Refusal],
+    now: float,
+) -> Choice | Refusal:
+    """Return what a request is sent to, or why there is nothing.
+
+    The best candidate is wanted even if its endpoint is at its limit, so that permits
+    are asked for; another one is taken meanwhile.
+
+    Args:
+        limits: What may be sent to endpoints that name limits.
+        job: The request.
+        candidates: What may be chosen.
+        endpoint_of: Returns the endpoint that a candidate sends the request to.
+        choose: Returns the best of some candidates, or why there is none.
+        now: Present time in seconds.
+    """
+    found = choose(candidates)
+    blocked = limits.blocked(now)
+    if isinstance(found, Refusal) or endpoint_of(found) not in blocked:
+        return found
+    limits.want(endpoint_of(found), job, now)
+    job.limited.add(endpoint_of(found))
+    other = choose([each for each in candidates if endpoint_of(each) not in blocked])
+    if not is_no_route(other):
+        return other
+    wanted = {endpoint_of(each) for each in candidates} & blocked
+    next_in = limits.next_in(wanted, now)
+    return Refusal(ErrorKind.OVERLOADED, AT_LIMIT, retry_after=next_in)
+
+
+def is_no_route(found: Choice | Refusal) -> bool:
+    """Tell whether nothing could be chosen, whatever room there is."""
+    return isinstance(found, Refusal) and found.kind is ErrorKind.NO_ROUTE
--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -6,12 +6,13 @@
 
 import attrs
 
-from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.errors import Refusal
 from lacewingcourse.core.pipelines.choice import (
     CONTINUED_ROOM_SHARE,
     ROOM_SHARE,
     Demand,
 )
+from lacewingcourse.relay.limited_choice import choose_within_limits, is_no_route
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -112,33 +113,10 @@
         def choose(among: list[Path]) -> Path | Refusal:
             return chooser.choose(among, demand, avoid, self.rng, now, share, connected)
 
-        found = choose(paths)
         limits = self.beliefs.send_limits
-        blocked = limits.blocked(now)
-        if isinstance(found, Refusal) or found.first.endpoint not in blocked:
-            return found
-        limits.want(found.first.endpoint, job, now)
-        job.limited.add(found.first.endpoint)
-        other = choose([path for path in paths if path.first.endpoint not in blocked])
-        if is_no_route(other):
-            firsts = {path.first.endpoint for path in paths} & blocked
-            return limited_refusal(limits.next_in(firsts, now))
-        return other
-
-
-def is_no_route(found: Path | Refusal) -> bool:
-    """Tell whether no path holds every layer."""
-    return isinstance(found, Refusal) and found.kind is ErrorKind.NO_ROUTE
-
-
-def limited_refusal(next_in: float) -> Refusal:
-    """Return that all endpoints which could serve a request are at their limits.
-
-    Args:
-        next_in: Seconds until one of them takes a request, 0 if that is not known.
-    """
-    reason = "every endpoint that could serve it is at the limit that it names"
-    return Refusal(ErrorKind.OVERLOADED, reason, retry_after=next_in)
+        return choose_within_limits(
+            limits, job, paths, lambda path: path.first.endpoint, choose, now
+        )
 
 
 def demand_of(job: Job, shape: EngineShape) -> Demand:
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -168,14 +168,14 @@
 )
 
 
-def encode_limit(named: float) -> float | None:
+def encode_limit(limit: float) -> float | None:
     """Return a limit as messages tell it."""
-    return None if named == NO_LIMIT else named
+    return None if limit == NO_LIMIT else limit
 
 
-def decode_limit(told: float | None) -> float:
+def decode_limit(value: float | None) -> float:
     """Return the limit that a message tells."""
-    return NO_LIMIT if told is None else max(0.0, told)
+    return NO_LIMIT if value is None else max(0.0, value)
 
 
 def loads_of(news: PeerNews) -> dict[str, Load]:
