Tell what reads of the configuration bring, and how old a version is behind a refusal

Line configuration_read (records, behind, took_ms, age_ms), a counter by result, age_ms on configuration and version_age_ms on refused. Pages of metrics begin with the configuration and lose the _created lines, which doubled them: the users' monitoring keeps the head of a page only. No logic changes: the port returns what a read brought.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -86,7 +86,9 @@
         self.clock = self.loop.time
         self.beliefs = Beliefs()
         self.metrics = platform.metrics
-        self.log = DecisionLog(self.clock, self.metrics, self._version)
+        self.log = DecisionLog(
+            self.clock, self.metrics, self._version, self._version_age
+        )
         self.readiness = Readiness(
             self.beliefs,
             settings.bounds.grace,
@@ -175,6 +177,7 @@
             self._rank,
             self._on_configuration,
             draw=rng.random,
+            on_read=self.metrics.configuration_read,
         )
         self.directory = DirectoryFollower(
             self.platform.directory,
@@ -321,6 +324,10 @@
         table = self.beliefs.table
         return table.version if table else 0
 
+    def _version_age(self) -> float:
+        """Return the seconds since the version in force was known to be the newest."""
+        return self.configuration.freshness.age(self.clock())
+
     def _rank(self) -> int:
         return self.book.rank(self.clock())
 
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -108,12 +108,14 @@
         clock: Returns the present time in seconds.
         metrics: Counters that go with the lines.
         version: Returns the version of the configuration in force.
+        version_age: Returns the seconds since it was known to be the newest.
         budget: Lines that may be written.
     """
 
     clock: Callable[[], float]
     metrics: Metrics
     version: Callable[[], int]
+    version_age: Callable[[], float] = lambda: 0.0
     budget: LineBudget = attrs.field(factory=LineBudget)
 
     def served(self, job: Job, now: float) -> None:
@@ -191,6 +193,7 @@
             limited=sorted(job.limited) if job else [],
             path=_path(job) if job else [],
             version=self.version(),
+            version_age_ms=_ms(self.version_age()),
             took_ms=_ms(self.clock() - request.received_at),
             **basis,
         )
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -27,6 +27,7 @@
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.peer_messages import FleetNews
     from lacewingcourse.relay.ports import (
+        ConfigurationNews,
         ConfigurationSource,
         EndpointDirectory,
     )
@@ -67,6 +68,7 @@
         reachable: Whether the source answered last.
         listed: Whether the source was asked for the newest version before.
         draw: Returns a number from 0 to 1 that spreads the entries.
+        on_read: Called with what each read brought.
     """
 
     source: ConfigurationSource
@@ -81,6 +83,7 @@
     reachable: bool = True
     listed: bool = False
     draw: Callable[[], float] = lambda: 0.0
+    on_read: Callable[[str], None] = lambda result: None
 
     async def run(self) -> None:
         """Follow the source for ever."""
@@ -92,28 +95,49 @@
 
     async def read(self) -> None:
         """Read once, waiting for a change if the newest version is known."""
+        sent_at = self.clock()
         found = await (self.source.next() if self.listed else self.source.newest())
         now = self.clock()
         if isinstance(found, Unavailable):
+            self.on_read("unavailable")
             self.freshness.failed(now, self.draw())
             self._lost(found)
             return
-        if isinstance(found, Undecodable):
-            self.refuse(found, "store")
-            found = None
+        self._tell_read(found, now - sent_at, self.freshness.age(now))
         self._regained()
         self.listed = True
         self.freshness.succeeded(now)
-        if found is not None:
-            self.take(found, "store")
+        if isinstance(found.table, Undecodable):
+            self.refuse(found.table, "store")
+        elif found.table is not None:
+            self.take(found.table, "store")
 
     def take(self, table: RoutingTable, origin: str) -> None:
         """Put a version in force unless a newer one is."""
         if not self.beliefs.accept(table):
             return
-        self.log.belief("configuration", version=table.version, origin=origin)
+        age = self.freshness.age(self.clock())
+        self.log.belief(
+            "configuration",
+            version=table.version,
+            origin=origin,
+            age_ms=round(age * 1000, 1),
+        )
         self.on_change()
 
+    def _tell_read(self, found: ConfigurationNews, took: float, age: float) -> None:
+        """Count a read that was answered, and tell of one that brought something."""
+        self.on_read(_result_of(found))
+        if not found.records:
+            return
+        self.log.belief(
+            "configuration_read",
+            records=found.records,
+            behind=found.behind,
+            took_ms=round(took * 1000, 1),
+            age_ms=round(age * 1000, 1),
+        )
+
     def refuse(self, found: Undecodable, origin: str) -> None:
         """Tell of a version that cannot be read; what is in force stays."""
         self.log.belief("configuration_unreadable", reason=found.reason, origin=origin)
@@ -129,6 +153,15 @@
             self.log.belief("configuration_source_regained")
 
 
+def _result_of(found: ConfigurationNews) -> str:
+    """Return what a read of the configuration brought, for the metrics."""
+    if found.behind:
+        return "behind"
+    if isinstance(found.table, Undecodable):
+        return "unreadable"
+    return "version" if found.table is not None else "nothing"
+
+
 @attrs.define
 class DirectoryFollower:
     """Keeps what is believed of the endpoints up to date.
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -4,7 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    disable_created_metrics,
+)
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from lacewingcourse.relay.small_server import Question, Reply
@@ -34,8 +40,32 @@
     """
 
     def __init__(self) -> None:
+        # They double the page, and tell nothing that a start does not.
+        disable_created_metrics()
         self.registry = CollectorRegistry()
         known = {"registry": self.registry}
+        self.configuration_age = Gauge(
+            "lacewingcourse_relay_configuration_age_seconds",
+            "Since the configuration was last known to be the newest",
+            **known,
+        )
+        self.directory_age = Gauge(
+            "lacewingcourse_relay_directory_age_seconds",
+            "Since the directory was last known whole",
+            **known,
+        )
+        self.version = Gauge(
+            "lacewingcourse_relay_configuration_version",
+            "Version of the configuration in force",
+            **known,
+        )
+        self.configuration_reads = Counter(
+            "lacewingcourse_relay_configuration_reads",
+            "Reads of the configuration by what they brought: version, nothing, behind"
+            " (more was there), unreadable, unavailable",
+            ["result"],
+            **known,
+        )
         self.requests = Counter(
             "lacewingcourse_relay_requests",
             "Requests by end: served, broken_off, or the kind of the refusal",
@@ -93,21 +123,6 @@
             buckets=STORE_BUCKETS,
             **known,
         )
-        self.configuration_age = Gauge(
-            "lacewingcourse_relay_configuration_age_seconds",
-            "Since the configuration was last known to be the newest",
-            **known,
-        )
-        self.directory_age = Gauge(
-            "lacewingcourse_relay_directory_age_seconds",
-            "Since the directory was last known whole",
-            **known,
-        )
-        self.version = Gauge(
-            "lacewingcourse_relay_configuration_version",
-            "Version of the configuration in force",
-            **known,
-        )
         self.endpoints = Gauge(
             "lacewingcourse_relay_endpoints",
             "Endpoints by state: present, leaving, suspected",
@@ -180,6 +195,10 @@
         attempt = "first" if job.sends == 1 else "retry"
         self.limited_sends.labels(attempt).inc()
 
+    def configuration_read(self, result: str) -> None:
+        """Count a read of the configuration."""
+        self.configuration_reads.labels(result).inc()
+
     def store_call(self, result: str, seconds: float) -> None:
         """Count a call of the store."""
         self.store_calls.labels(result).observe(seconds)
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -212,14 +212,30 @@
     unreadable: tuple[UnreadableEntry, ...] = ()
 
 
+@attrs.frozen
+class ConfigurationNews:
+    """What one read of the configuration brought.
+
+    Attributes:
+        table: Newest version that was read, None if none was, or why the only one
+            cannot be decoded.
+        records: Records that were read.
+        behind: Records that the source holds after these.
+    """
+
+    table: RoutingTable | Undecodable | None
+    records: int = 0
+    behind: int = 0
+
+
 class ConfigurationSource(Protocol):
     """Where accepted configuration comes from."""
 
-    async def newest(self) -> RoutingTable | None | Unavailable:
-        """Return the newest version, None if there is none yet."""
+    async def newest(self) -> ConfigurationNews | Unavailable:
+        """Return the newest version."""
 
-    async def next(self) -> RoutingTable | None | Unavailable:
-        """Wait for a version after the last one returned; None if none came."""
+    async def next(self) -> ConfigurationNews | Unavailable:
+        """Wait for a version after the last one returned."""
 
     def decode(self, document: bytes) -> RoutingTable | Undecodable:
         """Return the version that a published document holds."""
