Read the newest version when taking over, not the history since the last read

Cause: entries other than the reader go by versions that the reader tells, but their own position in the log stayed where they had read last, minutes before. When the reader is cut off from the store, the next one reads from there: the oldest megabyte first. Each such read was taken for the newest version, told to all as confirmed just now, and so put off the next read of everybody by 1.1 s.

Change: a read whose answer does not reach the end of the log asks for the newest version at once; a version that another entry told ends the step with the log, so the next own read lists the newest; what is not known to reach the end does not count as newest.

Why it holds: whatever came since, one call brings the newest version, and only that confirms it.

--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -37,6 +37,8 @@
 DIRECTORY_PERIOD = 0.5
 #: Seconds between two looks at whether this entry has to read.
 LOOK_PERIOD = 0.05
+#: Origin of what this entry read itself, as log lines show it.
+SOURCE = "store"
 #: Age in seconds at which entries after the first read the configuration themselves,
 #: and what each further one waits longer. The first one's reads wait for a change; a
 #: version must be in force within two seconds.
@@ -66,7 +68,8 @@
         on_change: Called after another version was put in force.
         freshness: How old the knowledge is.
         reachable: Whether the source answered last.
-        listed: Whether the source was asked for the newest version before.
+        in_step: Whether what is in force is what this entry read last, so that a read may
+            go on from there.
         draw: Returns a number from 0 to 1 that spreads the entries.
         on_read: Called with what each read brought.
     """
@@ -81,7 +84,7 @@
         factory=lambda: Freshness(CONFIGURATION_PATIENCE, CONFIGURATION_STEP)
     )
     reachable: bool = True
-    listed: bool = False
+    in_step: bool = False
     draw: Callable[[], float] = lambda: 0.0
     on_read: Callable[[str], None] = lambda result: None
 
@@ -96,7 +99,7 @@
     async def read(self) -> None:
         """Read once, waiting for a change if the newest version is known."""
         sent_at = self.clock()
-        found = await (self.source.next() if self.listed else self.source.newest())
+        found = await (self.source.next() if self.in_step else self.source.newest())
         now = self.clock()
         if isinstance(found, Unavailable):
             self.on_read("unavailable")
@@ -105,17 +108,19 @@
             return
         self._tell_read(found, now - sent_at, self.freshness.age(now))
         self._regained()
-        self.listed = True
-        self.freshness.succeeded(now)
+        self.in_step = not found.behind
+        if not found.behind:
+            self.freshness.succeeded(now)
         if isinstance(found.table, Undecodable):
-            self.refuse(found.table, "store")
+            self.refuse(found.table, SOURCE)
         elif found.table is not None:
-            self.take(found.table, "store")
+            self.take(found.table, SOURCE)
 
     def take(self, table: RoutingTable, origin: str) -> None:
         """Put a version in force unless a newer one is."""
         if not self.beliefs.accept(table):
             return
+        self.in_step = origin == SOURCE
         age = self.freshness.age(self.clock())
         self.log.belief(
             "configuration",
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -220,7 +220,8 @@
         table: Newest version that was read, None if none was, or why the only one
             cannot be decoded.
         records: Records that were read.
-        behind: Records that the source holds after these.
+        behind: Records that the source holds after these, 0 if the newest is among
+            them.
     """
 
     table: RoutingTable | Undecodable | None
