Count the age of what was read from when it was asked for, not from its arrival

What callers may see: an entry that is slow, or whose link loses packets, gets an answer of the store seconds after the store gave it, and tells all others that the version in it was the newest just now. They read the store later by that time, and refuse what came meanwhile.

Change: a read confirms what was the newest when it was sent; one that waited in vain, what was when its wait had ended, which the store guarantees. The same for the directory.

Two tests of test_configuration_follower failed before.

--- a/packages/core/src/lacewingcourse/core/pipelines/freshness.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/freshness.py
@@ -89,15 +89,17 @@
         self.next_try = now + self.retry_delay(self.failures, draw)
         self.failures += 1
 
-    def succeeded(self, now: float, interval: float = 0.0) -> None:
-        """Note a read.
+    def succeeded(self, now: float, known_at: float, interval: float = 0.0) -> None:
+        """Note a read that brought all there was.
 
         Args:
             now: Present time in seconds.
+            known_at: When what it brought was the newest. An answer may have been on its
+                way since it was asked for.
             interval: Seconds until the next one.
         """
         self.failures = 0
-        self.confirm(now)
+        self.confirm(known_at)
         self.next_try = now + interval
 
     def due(self, rank: int, now: float) -> bool:
--- a/packages/core/tests/pipelines/test_freshness.py
+++ b/packages/core/tests/pipelines/test_freshness.py
@@ -62,6 +62,6 @@
     freshness = Freshness(0.9, 0.1)
     for _ in range(failures):
         freshness.failed(10.0, 0.0)
-    freshness.succeeded(10.0)
+    freshness.succeeded(10.0, 10.0)
     freshness.failed(20.0, 0.0)
     assert freshness.next_try == 20.0 + MIN_RETRY_DELAY
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -68,8 +68,8 @@
         on_change: Called after another version was put in force.
         freshness: How old the knowledge is.
         reachable: Whether the source answered last.
-        in_step: Whether what is in force is what this entry read last, so that a read may
-            go on from there.
+        in_step: Whether what is in force is what this entry read last, so that a read
+            may go on from there.
         draw: Returns a number from 0 to 1 that spreads the entries.
         on_read: Called with what each read brought.
     """
@@ -110,7 +110,7 @@
         self._regained()
         self.in_step = not found.behind
         if not found.behind:
-            self.freshness.succeeded(now)
+            self.freshness.succeeded(now, sent_at + found.waited)
         if isinstance(found.table, Undecodable):
             self.refuse(found.table, SOURCE)
         elif found.table is not None:
@@ -216,6 +216,7 @@
 
     async def poll(self) -> None:
         """Read once what changed."""
+        sent_at = self.clock()
         news = await self.directory.poll(self.position)
         now = self.clock()
         fleet = self.beliefs.fleet
@@ -228,10 +229,10 @@
         if not self.reachable:
             self.reachable = True
             self.log.belief("directory_regained", known_for=now - fleet.known_at)
-        fleet.confirm(now)
+        fleet.confirm(sent_at)
         revision = fleet.revision
         self.apply(news, now)
-        self.freshness.succeeded(now, DIRECTORY_PERIOD)
+        self.freshness.succeeded(now, sent_at, DIRECTORY_PERIOD)
         if fleet.revision != revision:
             self.on_change()
 
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -222,11 +222,14 @@
         records: Records that were read.
         behind: Records that the source holds after these, 0 if the newest is among
             them.
+        waited: Seconds after the question until which nothing newer had come for
+            certain.
     """
 
     table: RoutingTable | Undecodable | None
     records: int = 0
     behind: int = 0
+    waited: float = 0.0
 
 
 class ConfigurationSource(Protocol):
--- a/packages/relay/tests/relay/test_configuration_follower.py
+++ b/packages/relay/tests/relay/test_configuration_follower.py
@@ -23,19 +23,26 @@
     """A source whose answers a test sets.
 
     Attributes:
+        now: Present time in seconds.
         news: What the next read brings.
+        took: Seconds until it does.
         asked: What it was asked for.
     """
 
+    now: float = 100.0
     news: ConfigurationNews = ConfigurationNews(None)
+    took: float = 0.0
     asked: list[str] = attrs.field(factory=list)
 
     async def newest(self) -> ConfigurationNews:
-        self.asked.append("newest")
-        return self.news
+        return self.answer("newest")
 
     async def next(self) -> ConfigurationNews:
-        self.asked.append("next")
+        return self.answer("next")
+
+    def answer(self, question: str) -> ConfigurationNews:
+        self.asked.append(question)
+        self.now += self.took
         return self.news
 
 
@@ -43,15 +50,17 @@
 def follower():
     """Return a follower whose source and clock a test sets."""
     log = SimpleNamespace(belief=lambda *args, **fields: None)
-    clock = SimpleNamespace(now=100.0)
+    source = Source()
     return ConfigurationFollower(
-        Source(), Beliefs(), log, lambda: clock.now, lambda: 1, lambda: None
+        source, Beliefs(), log, lambda: source.now, lambda: 1, lambda: None
     )
 
 
-def read(follower: ConfigurationFollower, news: ConfigurationNews) -> None:
-    """Let a follower read once."""
-    follower.source.news = news
+def read(
+    follower: ConfigurationFollower, news: ConfigurationNews, took: float = 0.0
+) -> None:
+    """Let a follower read once, which takes some seconds."""
+    follower.source.news, follower.source.took = news, took
     asyncio.run(follower.read())
 
 
@@ -68,3 +77,13 @@
     read(follower, ConfigurationNews(None))
     read(follower, ConfigurationNews(None))
     assert follower.source.asked == ["newest", "next", "newest", "next"]
+
+
+def test_a_late_answer_tells_what_was_the_newest_when_it_was_asked_for(follower):
+    read(follower, ConfigurationNews(table(3), records=1), took=1.5)
+    assert follower.freshness.age(follower.source.now) == pytest.approx(1.5)
+
+
+def test_a_read_that_waited_in_vain_tells_what_was_the_newest_after_its_wait(follower):
+    read(follower, ConfigurationNews(None, waited=0.8), took=1.1)
+    assert follower.freshness.age(follower.source.now) == pytest.approx(0.3)
