Count the way of news as part of the age of what they tell

What callers may see: news that lay on a lossy link, or before a slow or frozen process, were taken as composed on arrival. An entry that is in touch with the store itself then believed its version to be the newest at a time at which nobody knew that, read the store later by as long, and refused what came meanwhile. An age told after the machine of the teller had been suspended left out the time of the suspension.

Cause, of the incident's class: the age of shared knowledge began with its arrival. Found in the code; entries' clocks differ, so the time of composing cannot be sent as it is.

Change: entries echo one another's clock. News that carry back a time of their reader's clock were composed no sooner than that time plus the time for which it was held; what is between is age. News without an echo confirm nothing. Ages go by the clock that counts suspensions. The same for the directory and for what is fetched of it.

--- /dev/null
+++ b/packages/core/tests/pipelines/test_stamps.py
@@ -0,0 +1,57 @@
+"""Tests of bounds on when messages were composed."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from lacewingcourse.core.pipelines.stamps import Echo, StampTable
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_message_is_never_taken_to_be_newer_than_it_is(seed):
+    """Clocks differ by any offset; messages are late, lost or held up."""
+    rng = Random(seed)
+    offset = rng.uniform(-1e6, 1e6)
+    one, other = StampTable(0.0), StampTable(offset)
+    now, ways = 1.0, []
+    for _ in range(200):
+        there, back = rng.expovariate(5.0), rng.expovariate(5.0)
+        if rng.random() < 0.8:
+            other.receive("one", now, now + there + offset)
+        composed_at = now + there + rng.expovariate(5.0)
+        echo = other.echo("one", composed_at + offset)
+        now = composed_at + back
+        bound = one.composed_at(echo, now)
+        if bound is not None:
+            assert bound <= composed_at + 1e-6
+            ways.append(composed_at - bound)
+    assert min(ways) < 0.5
+
+
+@pytest.mark.parametrize(
+    "echo",
+    [None, Echo(5.0, 0.1), Echo(21.0, 0.1), Echo(15.0, -0.1)],
+    ids=[
+        "none",
+        "of an earlier process",
+        "of the future",
+        "held for less than nothing",
+    ],
+)
+def test_an_echo_that_cannot_be_true_bounds_nothing(echo):
+    assert StampTable(10.0).composed_at(echo, 20.0) is None
+
+
+def test_a_message_was_not_composed_after_it_came():
+    assert StampTable(10.0).composed_at(Echo(15.0, 5.1), 20.0) == 20.0
+
+
+def test_stamps_of_instances_that_are_gone_are_forgotten():
+    stamps = StampTable(0.0)
+    stamps.receive("a", 1.0, 1.0)
+    stamps.receive("b", 1.0, 1.0)
+    stamps.keep_only({"b"})
+    assert stamps.echo("a", 2.0) is None
+    assert stamps.echo("b", 2.0) == Echo(1.0, 1.0)
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -21,6 +21,7 @@
 from lacewingcourse.relay.address import split_address
 from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.boot_clock import boot_time
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.connections import ConnectionPool
 from lacewingcourse.relay.decisions import DecisionLog
@@ -84,6 +85,7 @@
         self.platform = platform
         self.loop = asyncio.get_running_loop()
         self.clock = self.loop.time
+        self.boot_clock = boot_time
         self.beliefs = Beliefs()
         self.metrics = platform.metrics
         self.log = DecisionLog(
@@ -173,7 +175,7 @@
             self.platform.configuration,
             self.beliefs,
             self.log,
-            self.clock,
+            self.boot_clock,
             self._rank,
             self._on_configuration,
             draw=rng.random,
@@ -190,6 +192,7 @@
             self.metrics.unreadable_entries.inc,
             watch=self.watch,
             draw=rng.random,
+            boot_clock=self.boot_clock,
         )
         for follower in (self.configuration, self.directory):
             delay = RETRY_DELAYS.get(self.settings.store_retry)
@@ -223,6 +226,7 @@
             self.log,
             self.clock,
             self.ingress.endings.ends_in,
+            self.boot_clock,
         )
         self.peers = PeerExchange(
             gossip,
@@ -271,6 +275,7 @@
             self.configuration.freshness,
             self.directory.freshness,
             self.clock,
+            self.boot_clock,
         )
         shown = {("GET", METRICS_PATH): page.answer}
         handlers = self.peers.handlers() | self.loans.handlers()
@@ -326,7 +331,7 @@
 
     def _version_age(self) -> float:
         """Return the seconds since the version in force was known to be the newest."""
-        return self.configuration.freshness.age(self.clock())
+        return self.configuration.freshness.age(self.boot_clock())
 
     def _rank(self) -> int:
         return self.book.rank(self.clock())
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -176,6 +176,8 @@
         beliefs: Where they are kept.
         log: Log of decisions.
         clock: Returns the present time in seconds.
+        boot_clock: Returns the present time in seconds, counting those for which the
+            machine was suspended; `freshness` goes by it.
         rank: Returns how many live entries come before this one.
         on_change: Called after something changed that other entries must know.
         on_restart: Called with the id of an incarnation that a later one ended.
@@ -204,11 +206,16 @@
     told: dict[UnreadableEntry, None] = attrs.field(factory=dict)
     watch: LoopWatch = attrs.field(factory=LoopWatch)
     draw: Callable[[], float] = lambda: 0.0
+    boot_clock: Callable[[], float] = attrs.field()
+
+    @boot_clock.default
+    def _loop_clock(self) -> Callable[[], float]:
+        return self.clock
 
     async def run(self) -> None:
         """Follow the directory for ever."""
         while True:
-            if self.freshness.due(self.rank(), self.clock()):
+            if self.freshness.due(self.rank(), self.boot_clock()):
                 await self.poll()
             for endpoint in self.beliefs.fleet.expire(self.clock()):
                 self.log.belief("endpoint_lapsed", endpoint=endpoint)
@@ -216,15 +223,15 @@
 
     async def poll(self) -> None:
         """Read once what changed."""
-        sent_at = self.clock()
+        sent_at, boot_sent_at = self.clock(), self.boot_clock()
         news = await self.directory.poll(self.position)
-        now = self.clock()
+        now, boot_now = self.clock(), self.boot_clock()
         fleet = self.beliefs.fleet
         if isinstance(news, Unavailable):
             if self.reachable:
                 self.reachable = False
                 self.log.belief("directory_lost", reason=news.reason)
-            self.freshness.failed(now, self.draw())
+            self.freshness.failed(boot_now, self.draw())
             return
         if not self.reachable:
             self.reachable = True
@@ -232,17 +239,24 @@
         fleet.confirm(sent_at)
         revision = fleet.revision
         self.apply(news, now)
-        self.freshness.succeeded(now, sent_at, DIRECTORY_PERIOD)
+        self.freshness.succeeded(boot_now, boot_sent_at, DIRECTORY_PERIOD)
         if fleet.revision != revision:
             self.on_change()
 
-    def from_peer(self, news: FleetNews, peer: str) -> None:
-        """Take the endpoints that another entry knows, if it has read further."""
+    def from_peer(self, news: FleetNews, peer: str, time_on_way: float) -> None:
+        """Take the endpoints that another entry knows, if it has read further.
+
+        Args:
+            news: What it told.
+            peer: Its name.
+            time_on_way: Seconds since it was asked.
+        """
         if self.position is not None and news.position <= self.position:
             return
         now = self.clock()
+        age = news.age + time_on_way
         entries = tuple(EndpointEntry(e.name, e) for e in news.endpoints)
-        self.beliefs.fleet.confirm(now - news.age)
+        self.beliefs.fleet.confirm(now - age)
         with self.watch.section("endpoints from a peer"):
             changed = self.apply(
                 DirectoryNews(True, entries, news.position), now, told=False
@@ -257,7 +271,7 @@
             )
         for endpoint, remaining in news.lapsed.items():
             self.beliefs.fleet.lapsed.setdefault(endpoint, now + remaining)
-        self.freshness.confirm(now - news.age)
+        self.freshness.confirm(self.boot_clock() - age)
 
     def apply(
         self, news: DirectoryNews, now: float, told: bool = True
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lacewingcourse.core.pipelines.peers import Role
+from lacewingcourse.core.pipelines.stamps import StampTable
 from lacewingcourse.core.pipelines.suspects import Reach
 from lacewingcourse.relay.peer_messages import PeerNews, Scope, decode_limit, loads_of
 
@@ -52,6 +53,9 @@
         clock: Returns the present time in seconds.
         ends_in: Returns the seconds until this entry expects to have ended, None if it
             is not ending.
+        boot_clock: Returns the present time in seconds, counting those for which the
+            machine was suspended.
+        stamps: When the news of others were composed.
     """
 
     name: str
@@ -65,6 +69,16 @@
     log: DecisionLog
     clock: Callable[[], float]
     ends_in: Callable[[], float | None] = lambda: None
+    boot_clock: Callable[[], float] = attrs.field()
+    stamps: StampTable = attrs.field()
+
+    @boot_clock.default
+    def _loop_clock(self) -> Callable[[], float]:
+        return self.clock
+
+    @stamps.default
+    def _no_stamps(self) -> StampTable:
+        return StampTable(self.boot_clock())
 
     def news_for(self, receiver: str, zone: str) -> PeerNews:
         """Return what this entry tells another one.
@@ -73,7 +87,7 @@
             receiver: Its name, empty if it is unknown.
             zone: Its availability zone, empty if it is unknown.
         """
-        now = self.clock()
+        now, boot_now = self.clock(), self.boot_clock()
         scope = self.scope_for(receiver, zone, now)
         reach = REACH_OF_SCOPE[scope]
         covered = self._covered(scope, receiver)
@@ -86,9 +100,9 @@
             address=self.address,
             leaving=self.readiness.leaving,
             version=table.version if table else 0,
-            version_age=self.configuration.freshness.age(now),
+            version_age=self.configuration.freshness.age(boot_now),
             position=self.directory.position or 0,
-            position_age=self.directory.freshness.age(now),
+            position_age=self.directory.freshness.age(boot_now),
             scope=scope,
             loads={
                 endpoint: (load.requests, load.leading, round(load.cells))
@@ -111,8 +125,20 @@
             released=self.holder.released,
             ends_in=self.ends_in(),
             limits=self.beliefs.limits.observations(now),
+            stamp=boot_now,
+            echo=self.stamps.echo(receiver, boot_now),
         )
 
+    def time_on_way(self, news: PeerNews) -> float:
+        """Return the seconds that have passed since news were composed, at the most.
+
+        Returns:
+            Infinity if that is not known.
+        """
+        now = self.boot_clock()
+        composed_at = self.stamps.composed_at(news.echo, now)
+        return float("inf") if composed_at is None else now - composed_at
+
     def scope_for(self, receiver: str, zone: str, now: float) -> Scope:
         """Return whose loads another entry is told."""
         if self.book.role(now) is not Role.HUB:
@@ -125,6 +151,7 @@
     def take(self, news: PeerNews) -> None:
         """Learn from another entry."""
         now = self.clock()
+        self.stamps.receive(news.name, news.stamp, self.boot_clock())
         was_alive = news.name in self.book.alive(now)
         self.book.hear(
             news.name, news.address, news.leaving, now, news.zone, news.ends_in
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 import attrs
 
+from lacewingcourse.relay.boot_clock import boot_time
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -79,4 +80,4 @@
     Args:
         now: Present time of the loop's clock in seconds.
     """
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - now
+    return boot_time() - now
--- a/packages/relay/src/lacewingcourse/relay/metrics_page.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics_page.py
@@ -25,6 +25,7 @@
         configuration: How old the configuration is.
         directory: How old what is known of the endpoints is.
         clock: Returns the present time in seconds.
+        boot_clock: Returns the present time in seconds that ages go by.
     """
 
     metrics: Metrics
@@ -32,15 +33,16 @@
     configuration: Freshness
     directory: Freshness
     clock: Callable[[], float]
+    boot_clock: Callable[[], float]
 
     def answer(self, question: Question) -> Reply:
         """Return the metrics."""
-        now = self.clock()
-        self.metrics.configuration_age.set(self.configuration.age(now))
-        self.metrics.directory_age.set(self.directory.age(now))
+        boot_now = self.boot_clock()
+        self.metrics.configuration_age.set(self.configuration.age(boot_now))
+        self.metrics.directory_age.set(self.directory.age(boot_now))
         table = self.beliefs.table
         self.metrics.version.set(table.version if table else 0)
-        self._count_endpoints(now)
+        self._count_endpoints(self.clock())
         limited = self.beliefs.limits.limited()
         self.metrics.limited_endpoints.set(len(limited))
         return self.metrics.answer(question)
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -9,6 +9,7 @@
 from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.load import Load
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
+from lacewingcourse.core.pipelines.stamps import Echo
 from lacewingcourse.relay.decoding import StrictDecoder, Undecodable
 
 #: Decoder of all messages between entries.
@@ -56,6 +57,8 @@
             ending.
         limits: Requests a second that endpoints named, None for no limit, and seconds
             since they did.
+        stamp: Time of the sender's clock, seconds.
+        echo: Time of the reader's clock that the reader sent, None before it did.
     """
 
     name: str
@@ -81,6 +84,8 @@
     released: int = 0
     ends_in: float | None = None
     limits: dict[str, tuple[float | None, float]] = attrs.field(factory=dict)
+    stamp: float = 0.0
+    echo: Echo | None = None
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/peers.py
+++ b/packages/relay/src/lacewingcourse/relay/peers.py
@@ -109,6 +109,7 @@
         while True:
             now = self.clock()
             self.book.expire(now)
+            self.gossip.stamps.keep_only(set(self.book.peers))
             urgent = self.wake.is_set()
             self.wake.clear()
             for peer in self.book.partners(now, urgent):
@@ -192,25 +193,28 @@
         """Learn from another entry, and fetch what it knows better."""
         with self.gossip.beliefs.watch.section("news of a peer"):
             self.gossip.take(news)
-        now = self.clock()
-        self._compare_configuration(news, now)
-        self._compare_fleet(news, now)
+        time_on_way = self.gossip.time_on_way(news)
+        self._compare_configuration(news, time_on_way)
+        self._compare_fleet(news, time_on_way)
 
-    def _compare_configuration(self, news: PeerNews, now: float) -> None:
+    def _compare_configuration(self, news: PeerNews, time_on_way: float) -> None:
         table = self.gossip.beliefs.table
         version = table.version if table else 0
         if news.version == version and version:
-            self.gossip.configuration.freshness.confirm(now - news.version_age)
+            known_at = self.gossip.boot_clock() - time_on_way - news.version_age
+            self.gossip.configuration.freshness.confirm(known_at)
         elif news.version > version:
             self._begin_fetch("configuration", news, self._fetch_configuration)
 
-    def _compare_fleet(self, news: PeerNews, now: float) -> None:
+    def _compare_fleet(self, news: PeerNews, time_on_way: float) -> None:
         """Take over what another entry has read of the directory after this one."""
         if news.position > (self.gossip.directory.position or 0):
             self._begin_fetch("fleet", news, self._fetch_fleet)
         elif news.position == self.gossip.directory.position:
-            self.gossip.directory.freshness.confirm(now - news.position_age)
-            self.gossip.beliefs.fleet.confirm(now - news.position_age)
+            age = time_on_way + news.position_age
+            freshness = self.gossip.directory.freshness
+            freshness.confirm(self.gossip.boot_clock() - age)
+            self.gossip.beliefs.fleet.confirm(self.clock() - age)
 
     def _begin_fetch(self, what: str, news: PeerNews, fetch) -> None:
         if what not in self.fetching:
@@ -234,10 +238,12 @@
             self.gossip.configuration.take(found, news.name)
 
     async def _fetch_fleet(self, news: PeerNews) -> None:
+        sent_at = self.gossip.boot_clock()
         body = await self.fetch(news.address, FLEET_PATH)
         found = self._read(body, FleetNews, news.address)
         if found is not None:
-            self.gossip.directory.from_peer(found, news.name)
+            time_on_way = self.gossip.boot_clock() - sent_at
+            self.gossip.directory.from_peer(found, news.name, time_on_way)
 
     def _read(self, body: bytes | None, kind: type, origin: str):
         """Return the message that a body holds, None if there is none."""
@@ -277,7 +283,7 @@
         fleet = self.gossip.beliefs.fleet
         news = FleetNews(
             position=self.gossip.directory.position,
-            age=self.gossip.directory.freshness.age(now),
+            age=self.gossip.directory.freshness.age(self.gossip.boot_clock()),
             endpoints=list(fleet.endpoints.values()),
             lapsed={name: until - now for name, until in fleet.lapsed.items()},
         )
