Let the next entry read for all while the platform does not answer the first

What callers may see: while the first entry by name is cut off from the store and others still hear it, each other entry reads only once what it knows is 1.1 s old.

Change: entries tell whether the platform answers them, and those that it does not answer come last in the order of reading, so that the next one waits for versions at the store as the first one did. The holder of the duty is not concerned.

test_gossip: ranks of 5 and 28 entries beside a first one that is cut off; it failed before (no such rank).

--- a/packages/core/src/lacewingcourse/core/pipelines/peers.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/peers.py
@@ -57,6 +57,7 @@
         ends_at: When it told that it is expected to have ended, None if it did not.
         back_since: When it was first heard again after it had been ending, minus
             infinity if it was not ending.
+        reads: Whether the platform answers it, as far as it told.
     """
 
     name: str
@@ -68,6 +69,7 @@
     leaving_since: float | None = None
     ends_at: float | None = None
     back_since: float = float("-inf")
+    reads: bool = True
 
     def note_back(self, heard_at: float) -> None:
         """Note that it was heard when it was not ending."""
@@ -147,6 +149,7 @@
         now: float,
         zone: str = "",
         ends_in: float | None = None,
+        reads: bool = True,
     ) -> None:
         """Note that an entry was heard.
 
@@ -157,11 +160,13 @@
             now: Present time in seconds.
             zone: Its availability zone, empty if unknown.
             ends_in: Seconds until it expects to have ended, None if it does not tell.
+            reads: Whether the platform answers it.
         """
         if name == self.name:
             return
         self.learn(name, address, now, zone)
         peer = self.peers[name]
+        peer.reads = reads
         if leaving:
             peer.note_ending(ends_in, now)
         else:
@@ -269,14 +274,36 @@
     def rank(self, now: float) -> int:
         """Return how many entries alive come before this one."""
         role = self.role(now)
-        if role is Role.EQUAL:
-            return self.alive(now).index(self.name)
-        if role is Role.HUB:
-            hubs = self.hubs(now).values()
-            order = sorted((names.index(n), n) for names in hubs for n in names)
-            return [name for _, name in order].index(self.name)
-        near = [n for n in self.alive(now) if self.zone_of(n) == self.zone]
-        return MEMBER_RANK + near.index(self.name)
+        if role is Role.MEMBER:
+            near = [n for n in self.alive(now) if self.zone_of(n) == self.zone]
+            return MEMBER_RANK + near.index(self.name)
+        return self._coordinators_in_order(now).index(self.name)
+
+    def reader_rank(self, now: float, reads: bool) -> int:
+        """Return how many entries alive read the platform before this one.
+
+        Those come last that the platform does not answer.
+
+        Args:
+            now: Present time in seconds.
+            reads: Whether the platform answers this entry.
+        """
+        if self.role(now) is Role.MEMBER:
+            return self.rank(now)
+        order = self._coordinators_in_order(now)
+        readers = {n for n in order if n != self.name and self.peers[n].reads}
+        if reads:
+            readers.add(self.name)
+        order.sort(key=lambda name: name not in readers)
+        return order.index(self.name)
+
+    def _coordinators_in_order(self, now: float) -> list[str]:
+        """Return the entries alive that all others know, in order of their rank."""
+        if self.count(now) <= FULL_MESH:
+            return self.alive(now)
+        hubs = self.hubs(now).values()
+        order = sorted((names.index(n), n) for names in hubs for n in names)
+        return [name for _, name in order]
 
     def partners(self, now: float, urgent: bool = False) -> list[Peer]:
         """Return the entries to speak to in this round.
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -176,7 +176,7 @@
             self.beliefs,
             self.log,
             self.boot_clock,
-            self._rank,
+            self._reader_rank,
             self._on_configuration,
             draw=rng.random,
             on_read=self.metrics.configuration_read,
@@ -186,7 +186,7 @@
             self.beliefs,
             self.log,
             self.clock,
-            self._rank,
+            self._reader_rank,
             self._tell_peers,
             self.stalls.restarted,
             self.metrics.unreadable_entries.inc,
@@ -336,6 +336,9 @@
     def _rank(self) -> int:
         return self.book.rank(self.clock())
 
+    def _reader_rank(self) -> int:
+        return self.book.reader_rank(self.clock(), self.peers.gossip.reads)
+
     def _on_suspect(self, endpoints: tuple[str, ...], reason: str) -> None:
         """Leave out endpoints that were found to be dead, and tell it."""
         now = self.clock()
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -80,6 +80,11 @@
     def _no_stamps(self) -> StampTable:
         return StampTable(self.boot_clock())
 
+    @property
+    def reads(self) -> bool:
+        """Whether the platform answers this entry."""
+        return self.configuration.reachable and self.directory.reachable
+
     def news_for(self, receiver: str, zone: str) -> PeerNews:
         """Return what this entry tells another one.
 
@@ -125,6 +130,7 @@
             released=self.holder.released,
             ends_in=self.ends_in(),
             limits=self.beliefs.limits.observations(now),
+            reads=self.reads,
             stamp=boot_now,
             echo=self.stamps.echo(receiver, boot_now),
         )
@@ -154,7 +160,13 @@
         self.stamps.receive(news.name, news.stamp, self.boot_clock())
         was_alive = news.name in self.book.alive(now)
         self.book.hear(
-            news.name, news.address, news.leaving, now, news.zone, news.ends_in
+            news.name,
+            news.address,
+            news.leaving,
+            now,
+            news.zone,
+            news.ends_in,
+            news.reads,
         )
         if not was_alive and not news.leaving:
             self.log.belief("peer_heard", peer=news.name, address=news.address)
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -57,6 +57,7 @@
             ending.
         limits: Requests a second that endpoints named, None for no limit, and seconds
             since they did.
+        reads: Whether the platform answers the sender.
         stamp: Time of the sender's clock, seconds.
         echo: Time of the reader's clock that the reader sent, None before it did.
     """
@@ -84,6 +85,7 @@
     released: int = 0
     ends_in: float | None = None
     limits: dict[str, tuple[float | None, float]] = attrs.field(factory=dict)
+    reads: bool = True
     stamp: float = 0.0
     echo: Echo | None = None
 
--- a/packages/relay/tests/relay/network.py
+++ b/packages/relay/tests/relay/network.py
@@ -51,7 +51,9 @@
 
     def add(self, name: str, zone: str) -> Gossip:
         """Add an entry that knows nobody."""
-        follower = SimpleNamespace(freshness=Freshness(1.0, 0.1), position=None)
+        follower = SimpleNamespace(
+            freshness=Freshness(1.0, 0.1), position=None, reachable=True
+        )
         nothing = SimpleNamespace(
             leaving=False,
             belief=lambda *args, **fields: None,
--- a/packages/relay/tests/relay/restarts.py
+++ b/packages/relay/tests/relay/restarts.py
@@ -193,7 +193,9 @@
         )
         callers = SimpleNamespace(open=set())
         endings = Endings(readiness, callers, gateway, book, self.clock)
-        follower = SimpleNamespace(freshness=Freshness(1.0, 0.1), position=None)
+        follower = SimpleNamespace(
+            freshness=Freshness(1.0, 0.1), position=None, reachable=True
+        )
         gossip = Gossip(
             name,
             name,
--- a/packages/relay/tests/relay/test_gossip.py
+++ b/packages/relay/tests/relay/test_gossip.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 
-from lacewingcourse.core.pipelines.peers import PEER_SILENT, Role
+from lacewingcourse.core.pipelines.peers import MEMBER_RANK, PEER_SILENT, Role
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
 from lacewingcourse.core.pipelines.retry_budget import COUNTING_TIME
 from lacewingcourse.relay.peers import PERIOD, REGISTRY_PERIOD
@@ -71,6 +73,27 @@
     assert ranks[:7] == [0, 1, 2, 3, 4, 5, 10]
 
 
+@pytest.mark.parametrize(
+    "zones", [{"a": 2, "b": 2, "c": 1}, {"a": 10, "b": 9, "c": 9}], ids=["few", "many"]
+)
+def test_an_entry_that_the_platform_does_not_answer_leaves_reading_to_the_next(zones):
+    network = Network(zones)
+    network.rounds(15)
+    first, second = "a-00", "a-01" if zones["a"] == 2 else "b-00"
+    cut = network.entries[first]
+    cut.configuration = follower_of_a_cut_entry(cut.configuration)
+    network.rounds(3)
+    now = network.clock()
+    ranks = {n: e.book.reader_rank(now, e.reads) for n, e in network.entries.items()}
+    assert ranks[second] == 0
+    assert ranks[first] == max(r for r in ranks.values() if r < MEMBER_RANK)
+
+
+def follower_of_a_cut_entry(follower: SimpleNamespace) -> SimpleNamespace:
+    """Return what follows a platform that does not answer."""
+    return SimpleNamespace(**vars(follower) | {"reachable": False})
+
+
 def test_a_suspicion_reaches_all_and_dies_out(large):
     large.entries["c-05"].beliefs.suspects.suspect("x", "reset", large.clock())
     large.rounds(4)
--- a/packages/relay/tests/relay/test_news_age.py
+++ b/packages/relay/tests/relay/test_news_age.py
@@ -23,8 +23,10 @@
     network = Network({"a": 2})
     for entry in network.entries.values():
         entry.beliefs.table = VERSION
-        entry.configuration = SimpleNamespace(freshness=Freshness(1.0, 0.1))
-        entry.directory = SimpleNamespace(freshness=Freshness(1.0, 0.1), position=None)
+        # A follower of its own for each: all of a network share one.
+        entry.configuration = entry.directory = SimpleNamespace(
+            freshness=Freshness(1.0, 0.1), position=None, reachable=True
+        )
     return network
 
 
