Divide the time that a version may take over its way, and check the sum

What callers may see: refusals by old versions where two or three delays meet. How old knowledge may grow before an entry reads by itself, how long a read may take and how long it waits were constants of several modules that did not know of one another, nor of the bound that the settings tell: 1.1 s + 0.1 a rank, 0.05, 1.0 after it, 2.15 s in all where 2 are promised, and with 28 entries more than 3.

Change: PropagationBudget divides the bound of the settings: a read waits for a quarter, the second entry reads at 0.4, the last one at 0.45, and the rest is for one call of the store. An entry that the store answers has each version by its own reads within 0.45 of the bound and a round trip, whatever others do.

--- a/packages/core/src/lacewingcourse/core/pipelines/freshness.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/freshness.py
@@ -45,17 +45,60 @@
     return delay * (1 - JITTER_SHARE * draw)
 
 
+#: Shares of the time in which a change must be known everywhere: how long a read waits
+#: for a change, and the ages at which the second and the last entry read themselves.
+#: What is left is for one read and its answer.
+WAIT_SHARE = 0.25
+TAKEOVER_SHARE = 0.4
+LAST_SHARE = 0.45
+#: Share of it that each further entry waits longer.
+STEP_SHARE = 0.0125
+
+
+@attrs.frozen
+class PropagationBudget:
+    """How the time in which a change must be known everywhere is divided.
+
+    An entry whose reads are answered knows each change in time by its own reads,
+    whatever others do: it reads when nobody has told it for `last` that what it knows
+    is the newest.
+
+    Attributes:
+        bound: Seconds from the acknowledgement of a change by which every entry that
+            reaches the source must know it.
+    """
+
+    bound: float
+
+    @property
+    def wait(self) -> float:
+        """Seconds for which a read waits for a change."""
+        return WAIT_SHARE * self.bound
+
+    @property
+    def last(self) -> float:
+        """Age in seconds at which every entry reads."""
+        return LAST_SHARE * self.bound
+
+    def freshness(self) -> Freshness:
+        """Return the age of knowledge that there is not yet."""
+        return Freshness(
+            TAKEOVER_SHARE * self.bound, STEP_SHARE * self.bound, last=self.last
+        )
+
+
 @attrs.define
 class Freshness:
     """Knowledge that one entry reads and the others hear from it.
 
-    The first entry by rank reads as soon as its knowledge is old; each further one
+    The first entries by rank read as soon as their knowledge is old; each further one
     waits a little longer and so reads only if those before it fell silent or are
     turned away.
 
     Attributes:
         patience: Age in seconds at which the entries after the first read themselves.
         step: Seconds that each further entry waits longer.
+        last: Age in seconds at which an entry reads whatever its rank.
         confirmed_at: When what is known here was last known to be the newest.
         next_try: Time before which no further read is made.
         retry_delay: Returns the seconds after which a failed read is made again.
@@ -64,6 +107,7 @@
 
     patience: float
     step: float
+    last: float = float("inf")
     confirmed_at: float = float("-inf")
     next_try: float = float("-inf")
     retry_delay: Callable[[int, float], float] = backoff_delay
@@ -94,8 +138,8 @@
 
         Args:
             now: Present time in seconds.
-            known_at: When what it brought was the newest. An answer may have been on its
-                way since it was asked for.
+            known_at: When what it brought was the newest. An answer may have been on
+                its way since it was asked for.
             interval: Seconds until the next one.
         """
         self.failures = 0
@@ -108,7 +152,8 @@
             return False
         if rank == 0:
             return True
-        return now - self.confirmed_at > self.patience + self.step * (rank - 1)
+        patience = self.patience + self.step * (rank - 1)
+        return now - self.confirmed_at > min(patience, self.last)
 
     def age(self, now: float) -> float:
         """Return how old the knowledge is, in seconds."""
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -12,7 +12,7 @@
 from tornado.httpserver import HTTPServer
 
 from lacewingcourse.core.pipelines.admission_queue import WAITS
-from lacewingcourse.core.pipelines.freshness import RETRY_DELAYS
+from lacewingcourse.core.pipelines.freshness import RETRY_DELAYS, PropagationBudget
 from lacewingcourse.core.pipelines.limit_sharing import LIMIT_SHARINGS
 from lacewingcourse.core.pipelines.peers import PeerBook
 from lacewingcourse.core.pipelines.permits import PermitIssuer
@@ -178,6 +178,7 @@
             self.boot_clock,
             self._reader_rank,
             self._on_configuration,
+            PropagationBudget(self.settings.bounds.configuration),
             draw=rng.random,
             on_read=self.metrics.configuration_read,
         )
@@ -190,6 +191,7 @@
             self._tell_peers,
             self.stalls.restarted,
             self.metrics.unreadable_entries.inc,
+            PropagationBudget(self.settings.bounds.departure),
             watch=self.watch,
             draw=rng.random,
             boot_clock=self.boot_clock,
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -8,7 +8,6 @@
 import attrs
 
 from lacewingcourse.core.pipelines.fleet import EntryEffect
-from lacewingcourse.core.pipelines.freshness import Freshness
 from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.loop_watch import LoopWatch
 from lacewingcourse.relay.ports import (
@@ -22,6 +21,7 @@
     from collections.abc import Callable
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
+    from lacewingcourse.core.pipelines.freshness import Freshness, PropagationBudget
     from lacewingcourse.core.pipelines.routing import RoutingTable
     from lacewingcourse.relay.beliefs import Beliefs
     from lacewingcourse.relay.decisions import DecisionLog
@@ -32,21 +32,13 @@
         EndpointDirectory,
     )
 
-#: Seconds between two reads of the directory. An endpoint that leaves must get no
-#: new work two seconds after its entry says so; half of that is left for the way.
+#: Seconds between two reads of the directory at the most. The directory changes all
+#: the time, so that reads that waited for a change would follow one another at once.
 DIRECTORY_PERIOD = 0.5
 #: Seconds between two looks at whether this entry has to read.
 LOOK_PERIOD = 0.05
 #: Origin of what this entry read itself, as log lines show it.
 SOURCE = "store"
-#: Age in seconds at which entries after the first read the configuration themselves,
-#: and what each further one waits longer. The first one's reads wait for a change; a
-#: version must be in force within two seconds.
-CONFIGURATION_PATIENCE = 1.1
-CONFIGURATION_STEP = 0.1
-#: The same for the directory, which the first entry reads twice a second.
-DIRECTORY_PATIENCE = 0.9
-DIRECTORY_STEP = 0.1
 #: Endpoints that a line about those of another entry shows; a longer line may be cut by
 #: the pipe that takes it.
 MOST_SHOWN = 128
@@ -66,6 +58,7 @@
         clock: Returns the present time in seconds.
         rank: Returns how many live entries come before this one.
         on_change: Called after another version was put in force.
+        budget: How long each step on the way to all entries may take.
         freshness: How old the knowledge is.
         reachable: Whether the source answered last.
         in_step: Whether what is in force is what this entry read last, so that a read
@@ -80,14 +73,17 @@
     clock: Callable[[], float]
     rank: Callable[[], int]
     on_change: Callable[[], None]
-    freshness: Freshness = attrs.field(
-        factory=lambda: Freshness(CONFIGURATION_PATIENCE, CONFIGURATION_STEP)
-    )
+    budget: PropagationBudget
+    freshness: Freshness = attrs.field()
     reachable: bool = True
     in_step: bool = False
     draw: Callable[[], float] = lambda: 0.0
     on_read: Callable[[str], None] = lambda result: None
 
+    @freshness.default
+    def _unknown_age(self) -> Freshness:
+        return self.budget.freshness()
+
     async def run(self) -> None:
         """Follow the source for ever."""
         while True:
@@ -99,7 +95,10 @@
     async def read(self) -> None:
         """Read once, waiting for a change if the newest version is known."""
         sent_at = self.clock()
-        found = await (self.source.next() if self.in_step else self.source.newest())
+        if self.in_step:
+            found = await self.source.next(self.budget.wait)
+        else:
+            found = await self.source.newest()
         now = self.clock()
         if isinstance(found, Unavailable):
             self.on_read("unavailable")
@@ -182,6 +181,7 @@
         on_change: Called after something changed that other entries must know.
         on_restart: Called with the id of an incarnation that a later one ended.
         on_unreadable: Called for each entry that names no endpoint to use.
+        budget: How long each step on the way to all entries may take.
         position: How far the directory was read, None before a whole listing.
         freshness: How old the knowledge is.
         reachable: Whether the directory answered last.
@@ -198,20 +198,28 @@
     on_change: Callable[[], None]
     on_restart: Callable[[str], None]
     on_unreadable: Callable[[], None]
+    budget: PropagationBudget
     position: int | None = None
-    freshness: Freshness = attrs.field(
-        factory=lambda: Freshness(DIRECTORY_PATIENCE, DIRECTORY_STEP)
-    )
+    freshness: Freshness = attrs.field()
     reachable: bool = True
     told: dict[UnreadableEntry, None] = attrs.field(factory=dict)
     watch: LoopWatch = attrs.field(factory=LoopWatch)
     draw: Callable[[], float] = lambda: 0.0
     boot_clock: Callable[[], float] = attrs.field()
 
+    @freshness.default
+    def _unknown_age(self) -> Freshness:
+        return self.budget.freshness()
+
     @boot_clock.default
     def _loop_clock(self) -> Callable[[], float]:
         return self.clock
 
+    @property
+    def period(self) -> float:
+        """Seconds between two reads, less what a look at it may be late."""
+        return min(DIRECTORY_PERIOD, self.budget.wait) - LOOK_PERIOD
+
     async def run(self) -> None:
         """Follow the directory for ever."""
         while True:
@@ -239,7 +247,7 @@
         fleet.confirm(sent_at)
         revision = fleet.revision
         self.apply(news, now)
-        self.freshness.succeeded(boot_now, boot_sent_at, DIRECTORY_PERIOD)
+        self.freshness.succeeded(boot_now, boot_sent_at, self.period)
         if fleet.revision != revision:
             self.on_change()
 
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -238,8 +238,8 @@
     async def newest(self) -> ConfigurationNews | Unavailable:
         """Return the newest version."""
 
-    async def next(self) -> ConfigurationNews | Unavailable:
-        """Wait for a version after the last one returned."""
+    async def next(self, wait: float) -> ConfigurationNews | Unavailable:
+        """Wait some seconds for a version after the last one returned."""
 
     def decode(self, document: bytes) -> RoutingTable | Undecodable:
         """Return the version that a published document holds."""
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -15,6 +15,9 @@
         retry_window: Seconds in which they are counted.
         retry_slack: Sends beyond the first that are allowed besides.
         fencing_checked: Whether endpoints refuse orders with old fencing numbers.
+        configuration: Seconds after its acknowledgement from which a version holds.
+        departure: Seconds after an endpoint has told that it leaves from which it gets
+            no new work.
     """
 
     grace: float
@@ -22,6 +25,8 @@
     retry_window: float
     retry_slack: float
     fencing_checked: bool
+    configuration: float
+    departure: float
 
 
 @attrs.frozen
--- a/packages/relay/tests/relay/test_configuration_follower.py
+++ b/packages/relay/tests/relay/test_configuration_follower.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from lacewingcourse.core.pipelines.freshness import PropagationBudget
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.followers import ConfigurationFollower
 from lacewingcourse.relay.ports import ConfigurationNews
@@ -37,7 +38,7 @@
     async def newest(self) -> ConfigurationNews:
         return self.answer("newest")
 
-    async def next(self) -> ConfigurationNews:
+    async def next(self, wait: float) -> ConfigurationNews:
         return self.answer("next")
 
     def answer(self, question: str) -> ConfigurationNews:
@@ -52,7 +53,13 @@
     log = SimpleNamespace(belief=lambda *args, **fields: None)
     source = Source()
     return ConfigurationFollower(
-        source, Beliefs(), log, lambda: source.now, lambda: 1, lambda: None
+        source,
+        Beliefs(),
+        log,
+        lambda: source.now,
+        lambda: 1,
+        lambda: None,
+        PropagationBudget(2.0),
     )
 
 
