Do not take a version for the newest while a later one cannot be decoded

What callers may see: an entry that cannot decode a version goes on by the one before it, which is right, but told all others that it was confirmed as the newest, so that those who may decode it did not read.

Found in the code.

Change: while the newest version that was read cannot be decoded, reads confirm nothing and are made again after the pause of a failed one.

Two tests of test_configuration_follower failed before.

--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -63,6 +63,7 @@
         reachable: Whether the source answered last.
         in_step: Whether what is in force is what this entry read last, so that a read
             may go on from there.
+        unreadable: Whether the newest version that was read cannot be decoded.
         draw: Returns a number from 0 to 1 that spreads the entries.
         on_read: Called with what each read brought.
     """
@@ -77,6 +78,7 @@
     freshness: Freshness = attrs.field()
     reachable: bool = True
     in_step: bool = False
+    unreadable: bool = False
     draw: Callable[[], float] = lambda: 0.0
     on_read: Callable[[str], None] = lambda result: None
 
@@ -108,7 +110,11 @@
         self._tell_read(found, now - sent_at, self.freshness.age(now))
         self._regained()
         self.in_step = not found.behind
-        if not found.behind:
+        if found.table is not None:
+            self.unreadable = isinstance(found.table, Undecodable)
+        if self.unreadable:
+            self.freshness.failed(now, self.draw())
+        elif not found.behind:
             self.freshness.succeeded(now, sent_at + found.waited)
         if isinstance(found.table, Undecodable):
             self.refuse(found.table, SOURCE)
--- a/packages/relay/tests/relay/test_configuration_follower.py
+++ b/packages/relay/tests/relay/test_configuration_follower.py
@@ -10,6 +10,7 @@
 
 from lacewingcourse.core.pipelines.freshness import PropagationBudget
 from lacewingcourse.relay.beliefs import Beliefs
+from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.followers import ConfigurationFollower
 from lacewingcourse.relay.ports import ConfigurationNews
 
@@ -94,3 +95,19 @@
 def test_a_read_that_waited_in_vain_tells_what_was_the_newest_after_its_wait(follower):
     read(follower, ConfigurationNews(None, waited=0.8), took=1.1)
     assert follower.freshness.age(follower.source.now) == pytest.approx(0.3)
+
+
+def test_a_version_that_cannot_be_read_confirms_nothing_until_a_readable_one_comes(
+    follower,
+):
+    read(follower, ConfigurationNews(table(3), records=1))
+    read(follower, ConfigurationNews(Undecodable("no JSON"), records=1), took=3.0)
+    read(follower, ConfigurationNews(None, waited=0.5), took=0.5)
+    assert follower.freshness.age(follower.source.now) == pytest.approx(3.5)
+    read(follower, ConfigurationNews(table(5), records=1), took=0.1)
+    assert follower.freshness.age(follower.source.now) == pytest.approx(0.1)
+
+
+def test_a_version_that_cannot_be_read_is_not_read_without_a_pause(follower):
+    read(follower, ConfigurationNews(Undecodable("no JSON"), records=1))
+    assert not follower.freshness.due(0, follower.source.now)
