Fetch a version from a further entry when the first does not answer at once

What callers may see: an entry that the store turns away has versions from others only. It fetched one version at a time, so that an entry which had stopped held up the version for 0.6 s, again with each of its news.

Change: after 0.1 s the same is fetched from another entry that tells it, and never twice at once from one. The same for the endpoints.

test_peers: the second entry is asked within a round; it failed before (only the stopped one was asked).

--- a/packages/relay/src/lacewingcourse/relay/peers.py
+++ b/packages/relay/src/lacewingcourse/relay/peers.py
@@ -33,6 +33,8 @@
 #: Seconds in which another entry must answer. Well above a round trip and below what
 #: makes an entry look silent.
 TIMEOUT = 0.6
+#: Seconds after which the same is fetched from a further entry.
+HEDGE_DELAY = 0.1
 #: Seconds between two looks at the registry while no other entry is heard.
 REGISTRY_PERIOD = 2.0
 #: Exchanges with other entries that may be under way at once.
@@ -72,7 +74,9 @@
         clock: Returns the present time in seconds.
         on_unreadable: Called for each message that cannot be read.
         client: HTTP client.
-        fetching: What is being fetched from another entry.
+        fetching: Addresses of entries with which an exchange is under way.
+        fetches: When fetches that are under way began, by what is fetched and the
+            address of the entry.
         wake: Set when something must be told at once.
         packed: The version that was asked for last, compressed, None before it.
     """
@@ -88,6 +92,7 @@
         )
     )
     fetching: set[str] = attrs.field(factory=set)
+    fetches: dict[str, dict[str, float]] = attrs.field(factory=dict)
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     packed: PackedVersion | None = None
 
@@ -217,15 +222,24 @@
             self.gossip.beliefs.fleet.confirm(self.clock() - age)
 
     def _begin_fetch(self, what: str, news: PeerNews, fetch) -> None:
-        if what not in self.fetching:
-            self.fetching.add(what)
-            asyncio.ensure_future(self._fetching(what, news, fetch))
+        """Fetch from an entry unless another fetch of the same has just begun.
+
+        One from an entry that has stopped holds up the others for a moment only.
+        """
+        now = self.clock()
+        under_way = self.fetches.setdefault(what, {})
+        if news.address in under_way:
+            return
+        if any(now - began_at < HEDGE_DELAY for began_at in under_way.values()):
+            return
+        under_way[news.address] = now
+        asyncio.ensure_future(self._fetching(what, news, fetch))
 
     async def _fetching(self, what: str, news: PeerNews, fetch) -> None:
         try:
             await fetch(news)
         finally:
-            self.fetching.discard(what)
+            del self.fetches[what][news.address]
 
     async def _fetch_configuration(self, news: PeerNews) -> None:
         body = await self.fetch(news.address, CONFIGURATION_PATH)
--- a/packages/relay/tests/relay/test_peers.py
+++ b/packages/relay/tests/relay/test_peers.py
@@ -7,9 +7,16 @@
 
 from tornado.httpserver import HTTPServer
 
-from lacewingcourse.relay.peers import CONFIGURATION_PATH, PeerExchange
+from lacewingcourse.relay.peers import (
+    CONFIGURATION_PATH,
+    PERIOD,
+    TIMEOUT,
+    PeerExchange,
+)
 from lacewingcourse.relay.small_server import SmallServer
 
+from .virtual_time import play
+
 #: A version of a thousand routes.
 DOCUMENT = b"".join(
     b'{"name": "route-%d", "host": "host-%d.example", "prefix": "/p%d/"},' % (n, n, n)
@@ -45,6 +52,35 @@
     assert len(packed.body) < len(DOCUMENT) / 5
 
 
+def test_a_version_is_fetched_elsewhere_when_an_entry_has_stopped():
+    """A fetch from an entry that stood still held up the version for its timeout."""
+
+    async def fetched():
+        loop = asyncio.get_running_loop()
+        peers = exchange(DOCUMENT)
+        peers.clock = loop.time
+        asked = []
+
+        async def fetch(news):
+            asked.append((news.address, loop.time()))
+            if news.address == "stopped":
+                await asyncio.sleep(TIMEOUT)
+
+        for _ in range(4):
+            for address in ("stopped", "sound"):
+                news = SimpleNamespace(address=address)
+                peers._begin_fetch("configuration", news, fetch)
+            await asyncio.sleep(PERIOD / 2)
+        await asyncio.sleep(TIMEOUT)
+        return asked, peers.fetches
+
+    asked, left = play(fetched())
+    addresses = [address for address, _ in asked]
+    assert addresses.count("stopped") == 1
+    assert dict(reversed(asked))["sound"] <= PERIOD
+    assert left == {"configuration": {}}
+
+
 def test_a_version_is_compressed_once():
     peers = exchange(DOCUMENT)
     first = peers._on_configuration(None)
