Refuse nothing as unknown by a configuration that is not known to be the newest

What callers saw: 404 and 401 for routes and keys that had come seconds before, from entries that could tell that they had not heard of the store for long. Such a refusal is not true, and callers do not come back after it.

Change: an entry whose version was last confirmed more than 0.6 of the bound ago (no entry that the store answers gets there) holds such a request for up to 0.3 s. If a newer version comes it is decided by that one, if the version is confirmed it is refused as before, and else it is answered 503 with the time to come back. Requests that the version knows do not wait. Changed bounds of the settings hold at once for this and for reading.

Why not longer: the wait is for word that is on its way; a store that is away for seconds costs callers of unknown routes 0.3 s each.

--- a/packages/core/src/lacewingcourse/core/pipelines/freshness.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/freshness.py
@@ -53,6 +53,9 @@
 LAST_SHARE = 0.45
 #: Share of it that each further entry waits longer.
 STEP_SHARE = 0.0125
+#: Share of it after which something that is not known may have come meanwhile. No entry
+#: whose reads are answered gets there.
+STALE_SHARE = 0.6
 
 
 @attrs.frozen
@@ -80,11 +83,22 @@
         """Age in seconds at which every entry reads."""
         return LAST_SHARE * self.bound
 
+    @property
+    def stale(self) -> float:
+        """Age in seconds from which nothing can be said not to exist."""
+        return STALE_SHARE * self.bound
+
     def freshness(self) -> Freshness:
         """Return the age of knowledge that there is not yet."""
-        return Freshness(
-            TAKEOVER_SHARE * self.bound, STEP_SHARE * self.bound, last=self.last
-        )
+        found = Freshness(0.0, 0.0)
+        self.apply(found)
+        return found
+
+    def apply(self, freshness: Freshness) -> None:
+        """Set the ages at which entries read themselves."""
+        freshness.patience = TAKEOVER_SHARE * self.bound
+        freshness.step = STEP_SHARE * self.bound
+        freshness.last = self.last
 
 
 @attrs.define
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -43,6 +43,7 @@
 from lacewingcourse.relay.sending import Sender
 from lacewingcourse.relay.settings_watch import SettingsWatch
 from lacewingcourse.relay.small_server import Question, Reply, SmallServer
+from lacewingcourse.relay.staleness import StalenessGuard
 from lacewingcourse.relay.stall_watcher import StallWatcher
 from lacewingcourse.relay.streams import StreamForwarder
 
@@ -51,7 +52,7 @@
 
     from lacewingcourse.relay.loop_watch import Section
     from lacewingcourse.relay.platform_ports import Platform
-    from lacewingcourse.relay.settings import RelaySettings
+    from lacewingcourse.relay.settings import Bounds, RelaySettings
 
 
 class Application:
@@ -157,6 +158,7 @@
             self._tell_peers,
             self._on_denied,
         )
+        budget = PropagationBudget(self.settings.bounds.configuration)
         self.ingress = Ingress(
             self.beliefs,
             self.platform.codec,
@@ -167,6 +169,7 @@
             self.log,
             self.clock,
             rng,
+            StalenessGuard(self._version_age, budget.stale),
         )
         self.ready = HTTPServer(
             SmallServer({("GET", self.settings.ready_path): self._on_ready})
@@ -178,7 +181,7 @@
             self.boot_clock,
             self._reader_rank,
             self._on_configuration,
-            PropagationBudget(self.settings.bounds.configuration),
+            budget,
             draw=rng.random,
             on_read=self.metrics.configuration_read,
         )
@@ -407,6 +410,15 @@
         self.budget.slack = settings.bounds.retry_slack
         self.readiness.grace = settings.bounds.grace
         self.peers.seeds = settings.seeds
+        self._put_budgets(settings.bounds)
+
+    def _put_budgets(self, bounds: Bounds) -> None:
+        """Put in force how soon changes must be known."""
+        self.configuration.budget = PropagationBudget(bounds.configuration)
+        self.directory.budget = PropagationBudget(bounds.departure)
+        for follower in (self.configuration, self.directory):
+            follower.budget.apply(follower.freshness)
+        self.ingress.gateway.guard.limit = self.configuration.budget.stale
 
     async def _leave(self) -> None:
         """End when the callers' requests have their ends, or cannot get them."""
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -12,6 +12,7 @@
 from lacewingcourse.relay.connections import Unsent
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.sending import WholeAnswer
+from lacewingcourse.relay.staleness import StalenessGuard
 from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
@@ -60,6 +61,7 @@
         jobs: What is done for the requests that were routed and have not ended.
         serving: Those whose requests have arrived whole and have not ended.
         waits_for: Returns what the seconds of `ready_in` rest on, for the log.
+        guard: Tells whether refusals for unknown routes and keys can be trusted.
     """
 
     beliefs: Beliefs
@@ -74,6 +76,7 @@
     jobs: dict[CallerExchange, Job] = attrs.field(factory=dict)
     serving: set[CallerExchange] = attrs.field(factory=set)
     waits_for: Callable[[], str] = lambda: ""
+    guard: StalenessGuard = attrs.field(factory=StalenessGuard)
 
     async def serve(self, caller: CallerExchange) -> None:
         """Serve one request of a caller; whatever happens, it is answered."""
@@ -145,7 +148,7 @@
             return
         request.body = bytes(caller.body)
         await self._wait_for_configuration(request)
-        job = self._job(caller, request)
+        job = await self._certain_job(caller, request)
         if isinstance(job, Refusal):
             job = self._with_return_time(job)
             self.log.refused(request, job, None, self._basis(job))
@@ -198,6 +201,23 @@
                 return
             await asyncio.sleep(RETRY_PERIOD)
 
+    async def _certain_job(
+        self, caller: CallerExchange, request: CallerRequest
+    ) -> Job | Refusal:
+        """Return what is to be done for a request, or why nothing is.
+
+        What is not known here may have come meanwhile, if this entry has not heard for
+        long that its configuration is the newest.
+        """
+        job = self._job(caller, request)
+        if not isinstance(job, Refusal) or not self.guard.doubts(job):
+            return job
+        await self.guard.wait()
+        job = self._job(caller, request)
+        if isinstance(job, Refusal) and self.guard.doubts(job):
+            return self.guard.refusal(self.rng.random())
+        return job
+
     def _job(self, caller: CallerExchange, request: CallerRequest) -> Job | Refusal:
         """Return what is to be done for a request, or why nothing is."""
         table = self.beliefs.table
--- a/packages/relay/src/lacewingcourse/relay/ingress.py
+++ b/packages/relay/src/lacewingcourse/relay/ingress.py
@@ -21,6 +21,7 @@
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.ports import RequestCodec
     from lacewingcourse.relay.readiness import Readiness
+    from lacewingcourse.relay.staleness import StalenessGuard
     from lacewingcourse.relay.streams import StreamForwarder
 
 
@@ -46,6 +47,7 @@
         log: DecisionLog,
         clock: Callable[[], float],
         rng: Random,
+        guard: StalenessGuard,
     ) -> None:
         """Make the callers' side.
 
@@ -59,6 +61,7 @@
             log: Log of decisions.
             clock: Returns the present time in seconds.
             rng: Source of draws.
+            guard: Tells whether refusals for unknown routes and keys can be trusted.
         """
         self.log = log
         self.clock = clock
@@ -74,6 +77,7 @@
             lambda: self.endings.ready_in(),
             rng,
             waits_for=lambda: self.endings.waits_for(),
+            guard=guard,
         )
         self.callers = CallerConnections(
             self.gateway.serve, clock, lambda: readiness.leaving
--- a/packages/relay/tests/relay/test_configuration_follower.py
+++ b/packages/relay/tests/relay/test_configuration_follower.py
@@ -8,11 +8,13 @@
 import attrs
 import pytest
 
-from lacewingcourse.core.pipelines.freshness import PropagationBudget
+from lacewingcourse.core.pipelines.freshness import Freshness, PropagationBudget
+from lacewingcourse.relay.application import Application
 from lacewingcourse.relay.beliefs import Beliefs
 from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.followers import ConfigurationFollower
 from lacewingcourse.relay.ports import ConfigurationNews
+from lacewingcourse.relay.staleness import StalenessGuard
 
 
 def table(version: int) -> SimpleNamespace:
@@ -111,3 +113,19 @@
 def test_a_version_that_cannot_be_read_is_not_read_without_a_pause(follower):
     read(follower, ConfigurationNews(Undecodable("no JSON"), records=1))
     assert not follower.freshness.due(0, follower.source.now)
+
+
+def test_changed_bounds_hold_for_what_is_known_already(follower):
+    directory = SimpleNamespace(budget=None, freshness=Freshness(9.0, 9.0))
+    guard = StalenessGuard()
+    entry = SimpleNamespace(
+        configuration=follower,
+        directory=directory,
+        ingress=SimpleNamespace(gateway=SimpleNamespace(guard=guard)),
+    )
+    follower.freshness.confirm(100.0)
+    Application._put_budgets(entry, SimpleNamespace(configuration=6.0, departure=4.0))
+    assert not follower.freshness.due(1, 101.0)
+    assert follower.freshness.due(1, 100.0 + 6.0 / 2)
+    assert directory.freshness.last == PropagationBudget(4.0).last
+    assert guard.limit == PropagationBudget(6.0).stale
