Count the way of news for limits, silent entries and the holder of the duty too

What callers may see: a limit that an endpoint had named before another one came late on a slow way, was taken as named just now, and replaced the later one at all entries; an entry that had fallen silent counted as alive, and a holder of the duty as heard, for as much longer as the news had been on their way.

Change: the bound that echoes give on the way of news is added to these ages. The first word of an entry has no echo and counts as new, so that it is not missed.

Two tests of test_news_age failed before.

--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from math import isfinite
 from typing import TYPE_CHECKING
 
 import attrs
@@ -170,8 +171,11 @@
         )
         if not was_alive and not news.leaving:
             self.log.belief("peer_heard", peer=news.name, address=news.address)
+        # The first word of an entry has no echo, and must not be missed.
+        on_way = self.time_on_way(news)
+        on_way = on_way if isfinite(on_way) else 0.0
         for name, (address, zone, age) in news.peers.items():
-            self.book.hear_of(name, address, zone, age, now)
+            self.book.hear_of(name, address, zone, on_way + age, now)
         self._take_counts(news, now)
         self._take_loads(news, now)
         near = news.zone == self.book.zone and news.scope is Scope.OWN
@@ -181,15 +185,16 @@
         for endpoint, (factor, remaining) in news.speeds.items():
             self.beliefs.speeds.from_peer(endpoint, factor, remaining, now)
         self.beliefs.crashes.from_peer(news.crashes, now, near)
-        self._take_limits(news, now)
-        self.holder.hear(news.holder, news.fencing, news.holder_age, news.released)
+        self._take_limits(news, now, on_way)
+        holder_age = on_way + news.holder_age
+        self.holder.hear(news.holder, news.fencing, holder_age, news.released)
 
-    def _take_limits(self, news: PeerNews, now: float) -> None:
+    def _take_limits(self, news: PeerNews, now: float, on_way: float) -> None:
         """Take which limits endpoints named to others."""
         limits = self.beliefs.limits
         for endpoint, (told, age) in news.limits.items():
             named, before = decode_limit(told), limits.named(endpoint)
-            if limits.from_peer(endpoint, named, age, now):
+            if limits.from_peer(endpoint, named, on_way + age, now):
                 self.log.limit(endpoint, named, before, news.name)
 
     def _take_counts(self, news: PeerNews, now: float) -> None:
--- a/packages/relay/tests/relay/test_news_age.py
+++ b/packages/relay/tests/relay/test_news_age.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lacewingcourse.core.pipelines.freshness import Freshness
+from lacewingcourse.core.pipelines.peers import PEER_SILENT
 from lacewingcourse.relay.peer_messages import PeerNews, decode, encode
 from lacewingcourse.relay.peers import PERIOD, PeerExchange
 
@@ -62,3 +63,28 @@
     before = age(network)
     deliver(network, teller.news_for(TOLD, "a"))
     assert age(network) == before
+
+
+def test_a_limit_that_was_long_on_its_way_does_not_replace_a_newer_one(network):
+    network.rounds(2)
+    teller, told = network.entries[TELLER], network.entries[TOLD]
+    now = network.clock()
+    teller.beliefs.limits.observe("x", 9.0, now - 0.01, now)
+    news = teller.news_for(TOLD, "a")
+    network.clock.now += 1.0
+    now = network.clock()
+    told.beliefs.limits.observe("x", 2.0, now - 0.01, now)
+    network.clock.now += 0.5
+    deliver(network, news)
+    assert told.beliefs.limits.named("x") == 2.0
+
+
+def test_an_entry_that_fell_silent_is_not_taken_for_alive_by_late_news(network):
+    network.rounds(2)
+    teller = network.entries[TELLER]
+    now = network.clock()
+    teller.book.hear("a-02", "a-02", False, now, "a")
+    news = teller.news_for(TOLD, "a")
+    network.clock.now += PEER_SILENT + PERIOD
+    deliver(network, news)
+    assert "a-02" not in network.entries[TOLD].book.alive(network.clock())
