--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -107,7 +107,7 @@
             self.freshness.failed(now, self.draw())
             self._lost(found)
             return
-        self._tell_read(found, now - sent_at, self.freshness.age(now))
+        self._log_read(found, now - sent_at, self.freshness.age(now))
         self._regained()
         self.in_step = not found.behind
         if found.table is not None:
@@ -135,7 +135,7 @@
         )
         self.on_change()
 
-    def _tell_read(self, found: ConfigurationNews, took: float, age: float) -> None:
+    def _log_read(self, found: ConfigurationNews, took: float, age: float) -> None:
         """Count a read that was answered, and tell of one that brought something."""
         self.on_read(_result_of(found))
         if not found.records:
