Log the shared prompt parts of lost sends, and how far the answer had come

Cause: the lines of lost sends tell neither which parts the prompt had nor whether the endpoint had begun to answer, so the hypotheses on the prompt part that ended server after server cannot be told apart. No decision reads them.

--- a/packages/core/src/lacewingcourse/core/pipelines/crashes.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from hashlib import blake2b
 
 import attrs
@@ -15,10 +16,45 @@
 CRASH_RETENTION = 60.0
 #: Requests that are remembered at most, of each scope.
 MAX_REQUESTS = 2_000
+#: Seconds of events after which an answer no longer counts as being begun. An endpoint
+#: that crashes as it begins to write may have sent a first event.
+ESTABLISHED_AFTER = 1.0
 #: Bytes of a fingerprint.
 FINGERPRINT_BYTES = 12
 
 
+class AnswerProgress(Enum):
+    """How far an endpoint had come with an answer when it was lost.
+
+    Attributes:
+        UNANSWERED: It had sent nothing.
+        BEGUN: It had sent the head, and no event.
+        EARLY: Its first event was less than `ESTABLISHED_AFTER` ago.
+        ESTABLISHED: It had been sending events for longer.
+    """
+
+    UNANSWERED = "unanswered"
+    BEGUN = "begun"
+    EARLY = "early"
+    ESTABLISHED = "established"
+
+
+def answer_progress(
+    answered: bool, first_event_at: float | None, now: float
+) -> AnswerProgress:
+    """Return how far an endpoint has come with an answer.
+
+    Args:
+        answered: Whether it has sent the head.
+        first_event_at: When its first event arrived, seconds, None before that.
+        now: Present time in seconds.
+    """
+    if first_event_at is not None:
+        is_early = now - first_event_at < ESTABLISHED_AFTER
+        return AnswerProgress.EARLY if is_early else AnswerProgress.ESTABLISHED
+    return AnswerProgress.BEGUN if answered else AnswerProgress.UNANSWERED
+
+
 def fingerprint_of(*fields: bytes) -> str:
     """Return a digest that identifies a request when its caller repeats it."""
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -18,6 +18,7 @@
     from loguru import Message
 
     from lacewingcourse.core.errors import Refusal
+    from lacewingcourse.core.pipelines.crashes import AnswerProgress
     from lacewingcourse.core.pipelines.shutdown import AnswerTime
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.metrics import Metrics
@@ -30,6 +31,8 @@
 #: Maximum lines per second by event, for events that occur with each request. Refusals
 #: and lost sends have higher limits than answers and sends, so they are left out last.
 MAX_LINES_PER_SECOND = {"served": 60, "sent": 60, "refused": 150, "defect": 5}
+#: Maximum number of parts of a prompt in a line.
+MAX_LOGGED_PARTS = 12
 
 
 @attrs.define
@@ -347,6 +350,7 @@
         reason: str,
         fault: str = "",
         filled: float | None = None,
+        progress: AnswerProgress | None = None,
     ) -> None:
         """Log a send that got no answer, or a stream that broke off.
 
@@ -357,7 +361,10 @@
             fault: Endpoint on its path that was reported to be at fault, or empty.
             filled: Estimated share of the memory in use at the endpoint at fault, None
                 if unknown.
+            progress: How far the endpoint had come with the answer if the connection to
+                it broke, None if it did not.
         """
+        self.metrics.lost(progress)
         self._line(
             "lost",
             request=job.request.id,
@@ -368,6 +375,8 @@
             reason=reason,
             fault=fault,
             filled=None if filled is None else round(filled, 2),
+            progress=None if progress is None else progress.value,
+            parts=job.shared_parts[:MAX_LOGGED_PARTS],
         )
 
     def _line(self, event: str, **fields: Any) -> None:
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -96,6 +96,12 @@
         target = request.target.encode()
         return fingerprint_of(request.host.encode(), target, key, request.body)
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The parts of its prompt that other requests of the service may hold."""
+        parts = self.request.prompt_parts[:-1]
+        return tuple(f"{self.service} {part}" for part in parts)
+
     @property
     def may_send_again(self) -> bool:
         """Whether it may be sent again given the outcomes so far.
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.core.errors import Refusal
+    from lacewingcourse.core.pipelines.crashes import AnswerProgress
     from lacewingcourse.relay.job import Job
 
 #: HTTP path of the metrics.
@@ -94,6 +95,13 @@
             "Sends beyond the first of a request",
             **common_options,
         )
+        self.lost_sends = Counter(
+            "lacewingcourse_relay_lost_sends",
+            "Sends without a whole answer, by how far it had come when the connection"
+            " broke: unanswered, begun, early, established; otherwise connected",
+            ["progress"],
+            **common_options,
+        )
         self.first_event = Histogram(
             "lacewingcourse_relay_first_event_seconds",
             "From a request's head to the first event passed on",
@@ -192,6 +200,10 @@
         if job is not None:
             self._count_sends(job)
 
+    def lost(self, progress: AnswerProgress | None) -> None:
+        """Count a send that got no whole answer."""
+        self.lost_sends.labels(progress.value if progress else "connected").inc()
+
     def limited_send(self, job: Job) -> None:
         """Count a send to an endpoint that had named a limit."""
         attempt = "first" if job.sends == 1 else "retry"
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -38,6 +38,8 @@
         resume_after: Identifier of the last event that the caller received, or empty.
         headers: All headers.
         body: The body.
+        prompt_parts: Identifiers of the parts of the prompt, in order. Requests share
+            parts; the last one belongs to the request or its session alone.
         received_at: When the head had arrived, seconds.
     """
 
@@ -54,6 +56,7 @@
     headers: HTTPHeaders
     received_at: float
     body: bytes = b""
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.pipelines.crashes import answer_progress
 from lacewingcourse.relay.ports import AnswerKind
 from lacewingcourse.relay.sending import (
     SERVER_ERROR,
@@ -72,6 +73,8 @@
             there was none.
         head: Decoded head of this attempt's response, None before it.
         started_at: When relaying began, seconds.
+        first_event_at: When this attempt passed on its first event, seconds, None
+            before that.
         moving_since: When the attempt was found stalled and the search for another
             path began, seconds; None while it is not stalled.
         standby: Standby attempt, None if there is none.
@@ -89,6 +92,7 @@
     early_head: Head | None = None
     head: AnswerHead | None = None
     started_at: float = 0.0
+    first_event_at: float | None = None
     moving_since: float | None = None
     standby: Standby | None = None
     standby_task: asyncio.Task | None = None
@@ -165,6 +169,8 @@
             return
         now = self.sender.clock()
         self.state.last_event_at = now
+        if self.first_event_at is None:
+            self.first_event_at = now
         self.job.record_events(now)
         self.stalls.progress(self.job, now)
         if self.job.caller.response_started:
@@ -307,7 +313,12 @@
         now = self.sender.clock()
         if exchange.was_dropped and now < started_at + STALE_CONNECTION_WINDOW:
             return AttemptResult(AttemptEnd.DROPPED, reason)
-        return AttemptResult(AttemptEnd.LOST, reason, first_lost=True)
+        answered = exchange is self.exchange and self.head is not None
+        first_event_at = self.first_event_at if answered else None
+        progress = answer_progress(answered, first_event_at, now)
+        return AttemptResult(
+            AttemptEnd.LOST, reason, first_lost=True, progress=progress
+        )
 
     def _finish_response(self) -> None:
         """End the caller's response, which may have no events."""
--- a/packages/relay/src/lacewingcourse/relay/stream_state.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.crashes import AnswerProgress
+
 if TYPE_CHECKING:
     from lacewingcourse.core.pipelines.choice import Demand
     from lacewingcourse.core.pipelines.events import EventSplitter
@@ -97,6 +99,7 @@
         fault_address: Address of the endpoint at fault, or empty.
         misdirected: Whether that endpoint lacks the layers that the path names.
         first_lost: Whether the connection to the first part broke.
+        progress: How far the first part had come with the answer.
         replacement: What the stream continues with, None if it is still to be found.
     """
 
@@ -105,6 +108,7 @@
     fault_address: str = ""
     misdirected: bool = False
     first_lost: bool = False
+    progress: AnswerProgress = AnswerProgress.UNANSWERED
     replacement: Replacement | None = None
 
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -344,7 +344,8 @@
         else:
             job.avoid.add(path.first.endpoint)
         fault = at_fault[0].endpoint if at_fault else ""
-        self.log.lost(job, path.first.endpoint, result.reason, fault, filled)
+        progress = result.progress if result.first_lost else None
+        self.log.lost(job, path.first.endpoint, result.reason, fault, filled, progress)
 
     def _memory_share(self, job: Job, part: Part) -> float:
         """Return the estimated share of a part's memory that is in use."""
--- a/packages/relay/tests/relay/stream_scenario.py
+++ b/packages/relay/tests/relay/stream_scenario.py
@@ -289,6 +289,7 @@
             answer_hint=None,
             max_answer_tokens=EVENT_COUNT,
             prompt=100,
+            prompt_parts=(),
         )
         return Job(request, route, "rooms", Organisation(""), self.caller, False, 20.0)
 
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -56,7 +56,7 @@
     def probe(self, part: Part, now: float) -> None:
         self.probed.append(part.endpoint)
 
-    def lost(self, job, endpoint, reason, fault="", filled=None) -> None:
+    def lost(self, job, endpoint, reason, fault, filled, progress) -> None:
         self.faults.append((fault, filled))
 
     def __getattr__(self, name: str):
