Refuse requests that share a part of their prompt once it crashed three endpoints

Cause: losses were counted by a digest of the whole request, and no two requests with the part are alike, so each started at zero. Behind that, the count of an entry died with its process, expired after 60 s, and was looked at only when a request arrived. Change: losses count against the parts of a prompt that other requests may hold, in full if the answer had begun without an event, in half if it had not begun or had just begun. An established answer clears its parts everywhere. A refused part accounts for the losses under it; while several parts have the same evidence, only requests that hold all of them are refused. Refusals are passed on by any entry, kept in the store for entries that start, last five minutes and are renewed by one loss. Each send looks at them, in one place.

--- a/packages/core/src/lacewingcourse/core/pipelines/crashes.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/crashes.py
@@ -4,11 +4,15 @@
 
 from enum import Enum
 from hashlib import blake2b
+from typing import TYPE_CHECKING
 
 import attrs
 
 from lacewingcourse.core.pipelines.suspects import ObservationScope
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 #: Distinct endpoints that must have been lost while running a request before it is
 #: refused. One or two may be lost by coincidence.
 CRASH_THRESHOLD = 3
@@ -108,9 +112,18 @@
             for endpoint, age in endpoints.items():
                 _record_loss(record, fingerprint, endpoint, now - age)
 
-    def is_refused(self, fingerprint: str, now: float) -> bool:
-        """Tell whether a request is refused."""
-        return len(self._lost_endpoints(fingerprint, now)) >= CRASH_THRESHOLD
+    def is_refused(
+        self, fingerprint: str, now: float, explained: Collection[str] = ()
+    ) -> bool:
+        """Tell whether a request is refused.
+
+        Args:
+            fingerprint: Identifies the request.
+            now: Present time in seconds.
+            explained: Endpoints whose loss has another known cause.
+        """
+        lost = self._lost_endpoints(fingerprint, now).difference(explained)
+        return len(lost) >= CRASH_THRESHOLD
 
     def losses(
         self, now: float, scope: ObservationScope = ObservationScope.OWN
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -26,6 +26,7 @@
 from lacewingcourse.relay.boot_clock import boot_time
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.connections import ConnectionPool
+from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.decisions import DecisionLog
 from lacewingcourse.relay.duty_holder import DutyHolder
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
@@ -41,6 +42,7 @@
 from lacewingcourse.relay.peers import PeerExchange
 from lacewingcourse.relay.placement_duty import PlacementDuty
 from lacewingcourse.relay.readiness import Readiness
+from lacewingcourse.relay.refusal_keeper import RefusalKeeper
 from lacewingcourse.relay.retry_loans import RetryLoans
 from lacewingcourse.relay.routing_state import RoutingState
 from lacewingcourse.relay.sending import Sender
@@ -91,6 +93,7 @@
         self.clock = self.loop.time
         self.boot_clock = boot_time
         self.routing_state = RoutingState()
+        self.routing_state.parts.started_at = self.clock()
         self.metrics = platform.metrics
         self.log = DecisionLog(
             self.clock, self.metrics, self._version, self._version_age
@@ -125,6 +128,20 @@
             self.clock,
             self.metrics.unreadable_limits.inc,
         )
+        self.refusal_keeper = RefusalKeeper(
+            self.platform.refusals,
+            self.routing_state.parts,
+            self.log,
+            self.clock,
+        )
+        crash_guard = CrashGuard(
+            self.routing_state,
+            self.log,
+            self.clock,
+            self._notify_peers,
+            self.refusal_keeper.on_change,
+            self.refusal_keeper.on_change,
+        )
         send_limits = self.routing_state.send_limits
         send_limits.sharing = LIMIT_SHARING_POLICIES.get(self.settings.limit_sharing)()
         sender = Sender(
@@ -134,10 +151,11 @@
             self.budget,
             send_limits,
             limits.observe,
+            crash_guard.refusal,
         )
         zone = self.settings.zone
         calls = CallForwarder(
-            self.routing_state, sender, self.budget, zone, rng, self.log
+            self.routing_state, sender, self.budget, zone, rng, self.log, crash_guard
         )
         self.admission = Admission(self.clock, WAIT_POLICIES.get(self.settings.wait))
         finder = PathFinder(self.routing_state, rng, self.clock, self.pool)
@@ -162,6 +180,7 @@
             self.log,
             self._notify_peers,
             self._on_retry_denied,
+            crash_guard,
         )
         budget = PropagationBudget(self.settings.bounds.configuration)
         self.ingress = Ingress(
@@ -175,6 +194,7 @@
             self.clock,
             rng,
             StalenessGuard(self._version_age, budget.stale),
+            crash_guard,
         )
         self.ready = HTTPServer(
             SmallServer({("GET", self.settings.ready_path): self._on_ready})
@@ -237,6 +257,7 @@
             self.clock,
             self.ingress.restart_estimator.ends_in,
             self.boot_clock,
+            crash_guard=crash_guard,
         )
         self.peers = PeerExchange(
             gossip,
@@ -278,6 +299,7 @@
             issuer,
             self.clock,
             self._on_resume,
+            self.refusal_keeper.on_change,
         )
         page = MetricsPage(
             self.metrics,
@@ -306,6 +328,7 @@
             self._start(self.peers.keep_registered())
             self._start(self.loans.run())
         self._start(self.permits.run())
+        self._start(self.refusal_keeper.run())
         if self.settings.metrics:
             self._listen(self.metrics_server, self.settings.metrics)
         self.loop.add_signal_handler(signal.SIGTERM, self._on_term)
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -13,11 +13,13 @@
     wait_in_time,
 )
 from lacewingcourse.core.pipelines.choice import choose_endpoint
+from lacewingcourse.core.pipelines.crashes import AnswerProgress
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.connections import (
     NotSent,
     Unsent,
 )
+from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.limited_choice import choose_within_limits
 from lacewingcourse.relay.sending import (
     SERVER_ERROR,
@@ -50,6 +52,7 @@
     Unsent.NO_DESCRIPTOR: ErrorKind.OVERLOADED,
     Unsent.LEAVING: ErrorKind.DRAINING,
     Unsent.NO_RETRY: ErrorKind.RETRIES_EXHAUSTED,
+    Unsent.CRASHES: ErrorKind.REQUEST_CRASHES_ENDPOINTS,
 }
 #: `Retry-After` of a refused call in seconds.
 CALL_RETRY_AFTER = 0.3
@@ -66,6 +69,7 @@
         zone: Availability zone of this entry.
         rng: Source of random numbers.
         log: Decision log.
+        crash_guard: Refuses calls that crash endpoints.
     """
 
     routing_state: RoutingState
@@ -74,6 +78,11 @@
     zone: str
     rng: Random
     log: DecisionLog
+    crash_guard: CrashGuard = attrs.field()
+
+    @crash_guard.default
+    def _own_crash_guard(self) -> CrashGuard:
+        return CrashGuard(self.routing_state, self.log, self.sender.clock)
 
     async def serve(self, job: Job) -> WholeAnswer | Refusal:
         """Return an endpoint's answer to a call, or the refusal if it has none."""
@@ -127,10 +136,8 @@
             job.record_outcome(result.outcome, result.reason)
             self.log.lost(job, endpoint.id, result.reason)
             if result.connection_lost:
-                now = self.sender.clock()
-                self.routing_state.crashes.record_loss(
-                    job.fingerprint, endpoint.id, now
-                )
+                progress = AnswerProgress.UNANSWERED
+                self.crash_guard.record_loss(job, endpoint.id, progress)
             if not job.may_try_another:
                 return self._failure(job, result)
 
@@ -155,7 +162,7 @@
             now: Present time in seconds.
             besides: Endpoints to avoid in addition to those that the call avoids.
         """
-        refusal = job.drain_refusal(now)
+        refusal = job.drain_refusal(now) or self.crash_guard.refusal(job)
         if refusal is not None:
             return refusal
         if job.sends and not self.budget.hold(job.service, job, now, reserved=False):
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -10,6 +10,7 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.connections import Unsent
+from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.sending import WholeAnswer
 from lacewingcourse.relay.staleness import StalenessGuard
@@ -62,6 +63,7 @@
         serving: Exchanges whose requests were received completely and have not ended.
         waits_for: Returns which entry `ready_in` is based on, for the log.
         guard: Decides whether refusals for unknown routes and keys can be trusted.
+        crash_guard: Refuses requests that crash endpoints.
     """
 
     routing_state: RoutingState
@@ -77,6 +79,11 @@
     serving: set[CallerExchange] = attrs.field(factory=set)
     waits_for: Callable[[], str] = lambda: ""
     guard: StalenessGuard = attrs.field(factory=StalenessGuard)
+    crash_guard: CrashGuard = attrs.field()
+
+    @crash_guard.default
+    def _own_crash_guard(self) -> CrashGuard:
+        return CrashGuard(self.routing_state, self.log, self.clock)
 
     async def serve(self, caller: CallerExchange) -> None:
         """Serve one request of a caller; always answer it, even after an exception."""
@@ -153,10 +160,8 @@
             self.log.refused(request, job, None, self._awaited_entry(job))
             self._refuse(caller, request, job)
             return
-        if self.routing_state.crashes.is_refused(job.fingerprint, self.clock()):
-            reason = "endpoints were lost each time it ran"
-            kind = ErrorKind.REQUEST_CRASHES_ENDPOINTS
-            refusal = Refusal(kind, reason, Outcome.RAN)
+        refusal = self.crash_guard.refusal(job)
+        if refusal is not None:
             self.log.refused(request, refusal, job)
             self._refuse(caller, request, refusal)
             return
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -11,6 +11,7 @@
 from lacewingcourse.core.pipelines.peers import Role
 from lacewingcourse.core.pipelines.stamps import StampTable
 from lacewingcourse.core.pipelines.suspects import ObservationScope
+from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.peer_messages import (
     GossipMessage,
     Scope,
@@ -62,6 +63,7 @@
         boot_clock: Returns the present time in seconds, including the time for which
             the machine was suspended.
         stamps: Time stamps of received messages, to bound their transit times.
+        crash_guard: Refuses requests that crash endpoints.
     """
 
     name: str
@@ -77,6 +79,7 @@
     ends_in: Callable[[], float | None] = lambda: None
     boot_clock: Callable[[], float] = attrs.field()
     stamps: StampTable = attrs.field()
+    crash_guard: CrashGuard = attrs.field()
 
     @boot_clock.default
     def _loop_clock(self) -> Callable[[], float]:
@@ -86,6 +89,10 @@
     def _no_stamps(self) -> StampTable:
         return StampTable(self.boot_clock())
 
+    @crash_guard.default
+    def _own_crash_guard(self) -> CrashGuard:
+        return CrashGuard(self.routing_state, self.log, self.clock)
+
     @property
     def platform_reachable(self) -> bool:
         """Whether the platform answers this entry."""
@@ -129,6 +136,7 @@
             silent=sorted(self.routing_state.suspects.silent(now)),
             speeds=self.routing_state.speeds.remaining(now),
             crashes=self.routing_state.crashes.losses(now, reach),
+            parts=self.routing_state.parts.reports(now),
             peers={
                 peer.name: (
                     peer.address,
@@ -200,6 +208,7 @@
         for endpoint, (factor, remaining) in message.speeds.items():
             self.routing_state.speeds.from_peer(endpoint, factor, remaining, now)
         self.routing_state.crashes.from_peer(message.crashes, now, seen_in_zone)
+        self.crash_guard.from_peer(message.parts, message.name)
         self._apply_limits(message, now, transit)
         holder_age = transit + message.holder_age
         self.holder.from_peer(
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -36,6 +36,7 @@
         issuer: Issuer of permits of this entry.
         clock: Returns the present time in seconds.
         on_thaw: Called with the seconds for which the machine was suspended.
+        on_forgotten: Called with a prompt part whose refusal was forgotten.
     """
 
     routing_state: RoutingState
@@ -45,6 +46,7 @@
     issuer: PermitIssuer
     clock: Callable[[], float]
     on_thaw: Callable[[float], None]
+    on_forgotten: Callable[[str], None] = lambda part: None
 
     async def run(self) -> None:
         """Run rounds until cancelled."""
@@ -65,6 +67,8 @@
         self.routing_state.suspects.expire(now)
         self.routing_state.speeds.expire(now)
         self.routing_state.crashes.expire(now)
+        for part in self.routing_state.parts.expire(now):
+            self.on_forgotten(part)
         self.routing_state.send_limits.expire(self.routing_state.fleet.endpoints, now)
         self.routing_state.send_limits.sharing.entries = self.book.count(now)
         self.issuer.expire(now)
--- a/packages/relay/src/lacewingcourse/relay/ingress.py
+++ b/packages/relay/src/lacewingcourse/relay/ingress.py
@@ -17,6 +17,7 @@
     from lacewingcourse.core.pipelines.peers import PeerTable
     from lacewingcourse.core.pipelines.routing import Limits
     from lacewingcourse.relay.calls import CallForwarder
+    from lacewingcourse.relay.crash_guard import CrashGuard
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.ports import RequestCodec
     from lacewingcourse.relay.readiness import Readiness
@@ -49,6 +50,7 @@
         clock: Callable[[], float],
         rng: Random,
         guard: StalenessGuard,
+        crash_guard: CrashGuard,
     ) -> None:
         """Initialize the components.
 
@@ -63,6 +65,7 @@
             clock: Returns the present time in seconds.
             rng: Source of random numbers.
             guard: Decides whether refusals for unknown routes and keys can be trusted.
+            crash_guard: Refuses requests that crash endpoints.
         """
         self.log = log
         self.clock = clock
@@ -79,6 +82,7 @@
             rng,
             waits_for=lambda: self.restart_estimator.waits_for(),
             guard=guard,
+            crash_guard=crash_guard,
         )
         self.callers = CallerConnections(
             self.gateway.serve, clock, lambda: readiness.draining
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -61,6 +61,8 @@
         waited: Seconds for which it waited for room on paths.
         events: Number of times that events were passed on.
         watched: State of its stall detection, None if it is not watched.
+        established: Whether its answer was once established, so that it does not crash
+            the endpoints that begin to answer it.
         accepts: Returns whether a draining entry accepts it at a given time in seconds.
     """
 
@@ -86,6 +88,7 @@
     waited: float = 0.0
     events: int = 0
     watched: WatchedStream | None = None
+    established: bool = False
     accepts: Callable[[float], bool] = lambda now: True
 
     @property
@@ -228,6 +231,8 @@
                 None if unknown.
         """
         if self.worst_outcome is not SendOutcome.MAY_HAVE_RUN:
+            if kind is ErrorKind.REQUEST_CRASHES_ENDPOINTS:
+                retry_after = None
             return Refusal(kind, self.reason, Outcome.NOT_RUN, retry_after)
         timed_out = kind is ErrorKind.DEADLINE_EXCEEDED
         reported_kind = kind if timed_out else ErrorKind.ENDPOINT_FAILED
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -160,6 +160,11 @@
             ["attempt"],
             **common_options,
         )
+        self.refused_parts = Gauge(
+            "lacewingcourse_relay_refused_parts",
+            "Parts of prompts that are refused as they crash endpoints",
+            **common_options,
+        )
         self.unreadable_limits = Counter(
             "lacewingcourse_relay_unreadable_limits",
             "Limits named by endpoints that cannot be read",
--- a/packages/relay/src/lacewingcourse/relay/metrics_page.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics_page.py
@@ -46,6 +46,8 @@
         self._count_endpoints(self.clock())
         limited = self.routing_state.limits.limited()
         self.metrics.limited_endpoints.set(len(limited))
+        refused = self.routing_state.parts.in_force(self.clock())
+        self.metrics.refused_parts.set(len(refused))
         return self.metrics.respond(request)
 
     def _count_endpoints(self, now: float) -> None:
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -15,6 +15,7 @@
 
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.retry_budget import RetryBudget
+    from lacewingcourse.relay.crash_guard import CrashGuard
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.routing_state import RoutingState
@@ -32,6 +33,7 @@
         budget: Retry budget.
         stalls: Detects streams that stall behind dead endpoints.
         log: Decision log.
+        crash_guard: Refuses streams that crash endpoints.
     """
 
     routing_state: RoutingState
@@ -39,6 +41,7 @@
     budget: RetryBudget
     stalls: StallWatcher
     log: DecisionLog
+    crash_guard: CrashGuard
 
     def reserve_path(
         self, state: StreamState, also_avoid: Collection[str] = ()
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -8,6 +8,7 @@
 
 from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.load import Load
+from lacewingcourse.core.pipelines.prompt_parts import PartReport
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
 from lacewingcourse.core.pipelines.stamps import Echo
 from lacewingcourse.relay.decoding import StrictDecoder, Undecodable
@@ -48,6 +49,7 @@
         suspects: Seconds for which each endpoint stays excluded.
         crashes: Seconds since the loss of endpoints that ran a request, by fingerprint
             and endpoint.
+        parts: What the receiver needs to know of parts of prompts, by part.
         peers: Address, availability zone and seconds since the last message of each
             entry that the receiver needs to know, by name.
         counts: Number of live entries by availability zone.
@@ -91,6 +93,7 @@
     ends_in: float | None = None
     limits: dict[str, tuple[float | None, float]] = attrs.field(factory=dict)
     reads: bool = True
+    parts: dict[str, PartReport] = attrs.field(factory=dict)
     stamp: float = 0.0
     echo: Echo | None = None
 
--- a/packages/relay/src/lacewingcourse/relay/platform_ports.py
+++ b/packages/relay/src/lacewingcourse/relay/platform_ports.py
@@ -15,6 +15,7 @@
         LeaseStore,
         Orders,
         PeerRegistry,
+        RefusalStore,
         RequestCodec,
     )
 
@@ -30,6 +31,7 @@
         reports: Requests the reports of engines.
         leases: Store of the lease of the placement duty.
         registry: Registry of the addresses of entries.
+        refusals: Store of the refusals of prompt parts.
         codec: Encodes and decodes requests and answers.
         metrics: Metrics that the entry and the clients of the platform share.
     """
@@ -40,5 +42,6 @@
     reports: EngineReports
     leases: LeaseStore
     registry: PeerRegistry
+    refusals: RefusalStore
     codec: RequestCodec
     metrics: Metrics
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -367,6 +367,34 @@
         """
 
 
+@attrs.frozen
+class StoredRefusal:
+    """A refusal of a prompt part as it is stored.
+
+    Attributes:
+        part: The part, with its service.
+        count: Refusals in succession.
+        companions: Parts that a request must hold as well to be refused.
+    """
+
+    part: str
+    count: int
+    companions: list[str] = attrs.field(factory=list)
+
+
+class RefusalStore(Protocol):
+    """Store of the refusals of prompt parts."""
+
+    async def stored(self) -> list[StoredRefusal] | Unavailable:
+        """Return all stored refusals."""
+
+    async def store_refusal(self, refusal: StoredRefusal) -> Unavailable | None:
+        """Store a refusal; return why that failed, None on success."""
+
+    async def remove(self, part: str) -> Unavailable | None:
+        """Remove the refusal of a part; return why that failed, None on success."""
+
+
 class PeerRegistry(Protocol):
     """Registry of the addresses of entries."""
 
--- a/packages/relay/src/lacewingcourse/relay/routing_state.py
+++ b/packages/relay/src/lacewingcourse/relay/routing_state.py
@@ -13,6 +13,7 @@
 from lacewingcourse.core.pipelines.links import LinkUsage
 from lacewingcourse.core.pipelines.load import LoadTable
 from lacewingcourse.core.pipelines.path import Path, candidate_paths
+from lacewingcourse.core.pipelines.prompt_parts import PartHistory
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
 from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
@@ -59,6 +60,7 @@
         suspects: Endpoints that are excluded for a while after a failure.
         speeds: Endpoints that run slower than published.
         crashes: Requests that crash endpoints.
+        parts: Parts of prompts that crash endpoints.
         send_limits: What may be sent to endpoints that name limits.
         candidates: Candidate paths by service, for the shapes used last.
         durations: How long recent answers took.
@@ -74,6 +76,7 @@
     suspects: Suspects = attrs.field(factory=Suspects)
     speeds: SpeedEstimator = attrs.field(factory=SpeedEstimator)
     crashes: CrashHistory = attrs.field(factory=CrashHistory)
+    parts: PartHistory = attrs.field(factory=PartHistory)
     send_limits: SendLimits = attrs.field(factory=SendLimits)
     candidates: dict[str, list[CandidateSet]] = attrs.field(factory=dict)
     durations: Durations = attrs.field(factory=Durations)
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -31,6 +31,7 @@
 
     from tornado.httputil import HTTPHeaders
 
+    from lacewingcourse.core.errors import Refusal
     from lacewingcourse.core.pipelines.retry_budget import RetryBudget
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.ports import CallerRequest, RequestCodec
@@ -55,6 +56,8 @@
         limits: Rate limits of endpoints.
         on_head: Called for each response head with what was sent, the head, and the
             time of the send in seconds.
+        crash_refusal: Returns why a request may not be sent as it crashes endpoints,
+            None if it may.
     """
 
     pool: ConnectionPool
@@ -63,6 +66,7 @@
     budget: RetryBudget
     limits: SendLimits = attrs.field(factory=SendLimits)
     on_head: Callable[[Sending, AnswerHead, float], None] = lambda *news: None
+    crash_refusal: Callable[[Job], Refusal | None] = lambda job: None
 
     async def reserve(self, address: str, fresh: bool) -> Connection | NotSent:
         """Return an idle or new connection to an endpoint, or why there is none.
@@ -142,6 +146,8 @@
             return Unsent.LEAVING
         if sending.time_left <= 0:
             return Unsent.OVERDUE
+        if self.crash_refusal(job) is not None:
+            return Unsent.CRASHES
         if not self.limits.may_send(sending.incarnation, job, now):
             return Unsent.OVER_LIMIT
         if job.sends and not self.budget.take(job.service, now, job):
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -8,7 +8,7 @@
 import attrs
 
 from lacewingcourse.core.errors import Refusal
-from lacewingcourse.core.pipelines.crashes import answer_progress
+from lacewingcourse.core.pipelines.crashes import AnswerProgress, answer_progress
 from lacewingcourse.relay.ports import AnswerKind
 from lacewingcourse.relay.sending import (
     SERVER_ERROR,
@@ -172,12 +172,20 @@
         if self.first_event_at is None:
             self.first_event_at = now
         self.job.record_events(now)
+        if not self.job.established:
+            self._check_established(now)
         self.stalls.progress(self.job, now)
         if self.job.caller.response_started:
             self.job.caller.write(events)
             return
         self._begin_response(events)
 
+    def _check_established(self, now: float) -> None:
+        """Record it once this attempt has been passing on events for some time."""
+        progress = answer_progress(True, self.first_event_at, now)
+        if progress is AnswerProgress.ESTABLISHED:
+            self.mover.forwarder.crash_guard.record_established(self.job)
+
     async def _on_stall(self, arrival: Stalled) -> AttemptResult | None:
         """Process a stall; return the result, None if the attempt stays open."""
         now = self.sender.clock()
--- a/packages/relay/src/lacewingcourse/relay/stream_state.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -36,6 +36,7 @@
         NOT_TAKEN: It was not sent: this entry is shutting down.
         NO_RETRY: It was not sent: the retry budget is used up.
         LIMITED: It was not sent: the endpoint's rate limit is reached.
+        CRASHES: It was not sent: it crashes the endpoints that answer it.
         FAILED: The engine reported an error that is passed on to the caller.
     """
 
@@ -50,6 +51,7 @@
     NOT_TAKEN = "not_taken"
     NO_RETRY = "no_retry"
     LIMITED = "limited"
+    CRASHES = "crashes"
     FAILED = "failed"
 
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -20,6 +20,7 @@
     NotSent,
     Unsent,
 )
+from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.moving import Mover
 from lacewingcourse.relay.path_finder import demand_of
 from lacewingcourse.relay.sending import Sender
@@ -48,6 +49,11 @@
     from lacewingcourse.relay.upstream import Exchange, Head
 
 
+#: Ends of an attempt that was not sent, after which it is decided anew whether and
+#: where to send the request.
+NOT_SENT_YET = frozenset({AttemptEnd.NO_RETRY, AttemptEnd.LIMITED, AttemptEnd.CRASHES})
+
+
 @attrs.define
 class StreamForwarder:
     """Sends streams along paths and relays their events to the callers.
@@ -64,6 +70,7 @@
         on_suspect: Called when an endpoint is excluded that other entries still use.
         on_denied: Called with the service and the request id when the retry budget
             denies a retry.
+        crash_guard: Refuses streams that crash endpoints.
     """
 
     routing_state: RoutingState
@@ -76,6 +83,11 @@
     log: DecisionLog
     on_suspect: Callable[[], None] = lambda: None
     on_denied: Callable[[str, str], None] = lambda service, request: None
+    crash_guard: CrashGuard = attrs.field()
+
+    @crash_guard.default
+    def _own_crash_guard(self) -> CrashGuard:
+        return CrashGuard(self.routing_state, self.log, self.sender.clock)
 
     async def serve(self, job: Job, shape: EngineShape) -> Refusal | None:
         """Forward a stream to the caller.
@@ -113,6 +125,8 @@
             if result is None:
                 self.exclude_unreachable(job, path)
                 continue
+            if result.end is AttemptEnd.WHOLE and job.events:
+                self.crash_guard.record_established(job)
             if result.end in (AttemptEnd.WHOLE, AttemptEnd.ABANDONED):
                 return None
             if result.end is AttemptEnd.NOT_TAKEN:
@@ -122,7 +136,7 @@
                     return self._fail(state, ErrorKind.OVERLOADED, result.reason)
                 await asyncio.sleep(RETRY_PERIOD)
                 continue
-            if result.end in (AttemptEnd.NO_RETRY, AttemptEnd.LIMITED):
+            if result.end in NOT_SENT_YET:
                 continue
             self.record_failure(job, path, result)
             if replacement is not None and replacement.standby is not None:
@@ -169,7 +183,7 @@
     def reserve_retry(self, job: Job) -> Refusal | None:
         """Hold a retry for a request; return why it may not be sent, None if it may."""
         now = self.sender.clock()
-        refusal = job.drain_refusal(now)
+        refusal = job.drain_refusal(now) or self.crash_guard.refusal(job)
         if refusal is not None:
             return refusal
         if job.sends and not self.budget.hold(
@@ -315,6 +329,8 @@
             return AttemptResult(AttemptEnd.NO_RETRY, sent.reason)
         if sent.cause is Unsent.OVER_LIMIT:
             return AttemptResult(AttemptEnd.LIMITED, sent.reason)
+        if sent.cause is Unsent.CRASHES:
+            return AttemptResult(AttemptEnd.CRASHES, sent.reason)
         return None
 
     def record_failure(self, job: Job, path: Path, result: AttemptResult) -> None:
@@ -335,9 +351,7 @@
                 self.on_suspect()
         elif result.first_lost:
             job.avoid.add(path.first.endpoint)
-            self.routing_state.crashes.record_loss(
-                job.fingerprint, path.first.endpoint, now
-            )
+            self.crash_guard.record_loss(job, path.first.endpoint, result.progress)
         elif result.end is AttemptEnd.STALLED:
             if not path.uses(job.avoid):
                 job.avoid.update(part.endpoint for part in path.parts)
--- a/packages/relay/tests/relay/rolling_restart.py
+++ b/packages/relay/tests/relay/rolling_restart.py
@@ -120,6 +120,7 @@
         target="/",
         key=None,
         body=b"",
+        prompt_parts=(),
         timeout=None,
         received_at=now,
         max_answer_tokens=MAX_EVENTS * EVENT_TOKENS,
--- a/packages/relay/tests/relay/stream_scenario.py
+++ b/packages/relay/tests/relay/stream_scenario.py
@@ -22,6 +22,7 @@
     NotSent,
     Unsent,
 )
+from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.ports import AnswerHead, AnswerKind, EngineReport
 from lacewingcourse.relay.routing_state import RoutingState
@@ -185,6 +186,7 @@
         retry_safety: What may be sent again.
         attempts: Maximum number of attempts of the route.
         resume_after: Last event that the caller already has, or empty.
+        prompt_parts: Parts of the prompt, the last one of which is the stream's own.
     """
 
     shape: EngineShape
@@ -195,6 +197,7 @@
     retry_safety: RetrySafety = RetrySafety.RESUMABLE_STREAM
     attempts: int = 2
     resume_after: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
     def __attrs_post_init__(self) -> None:
         self.runs: list[tuple[float, str, EngineRun]] = []
@@ -289,7 +292,7 @@
             answer_hint=None,
             max_answer_tokens=EVENT_COUNT,
             prompt=100,
-            prompt_parts=(),
+            prompt_parts=self.prompt_parts,
         )
         return Job(request, route, "rooms", Organisation(""), self.caller, False, 20.0)
 
@@ -318,6 +321,10 @@
     release_holds = Sender.release_holds
     _claim_send = Sender._claim_send
 
+    @property
+    def crash_refusal(self):
+        return CrashGuard(self.routing_state, self.log, self.clock).refusal
+
     @property
     def limits(self) -> SendLimits:
         return self.routing_state.send_limits
--- a/packages/relay/tests/relay/test_caller.py
+++ b/packages/relay/tests/relay/test_caller.py
@@ -279,6 +279,7 @@
             id="r",
             received_at=now,
             body=b"",
+            prompt_parts=(),
             max_answer_tokens=0,
         ),
         refusal=lambda refusal, request: (refusal.answer.status, HTTPHeaders(), b""),
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -124,7 +124,7 @@
     def _job(self) -> Job:
         route = route_of("desk", self.retry_safety, timeout=2.5, objective=0.2)
         request = SimpleNamespace(
-            host="h", target="/", key=None, body=b"", received_at=0.0
+            host="h", target="/", key=None, body=b"", prompt_parts=(), received_at=0.0
         )
         caller = SimpleNamespace(disconnected=False, response_started=False)
         return Job(request, route, "desk", Organisation(""), caller, False, 2.5)
@@ -144,6 +144,7 @@
     #: Retries and limits are checked by the real sender.
     release_holds = Sender.release_holds
     _claim_send = Sender._claim_send
+    crash_refusal = staticmethod(lambda job: None)
 
     @property
     def limits(self) -> SendLimits:
--- a/packages/relay/tests/relay/test_decoding.py
+++ b/packages/relay/tests/relay/test_decoding.py
@@ -10,6 +10,7 @@
 from hypothesis import given, strategies as st
 
 from lacewingcourse.core.pipelines.fleet import Endpoint
+from lacewingcourse.core.pipelines.prompt_parts import PartReport
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.relay.decoding import MAX_REASON_LENGTH, StrictDecoder, Undecodable
 from lacewingcourse.relay.peer_messages import (
@@ -68,6 +69,7 @@
             counts={"west": 2},
             holder="entry-1",
             fencing=1,
+            parts={"p": PartReport({"a": (1.0, 0.5)}, 2.0, 3.0, 1, ["q"])},
         ),
         **changes,
     )
--- a/packages/relay/tests/relay/test_gossip.py
+++ b/packages/relay/tests/relay/test_gossip.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lacewingcourse.core.pipelines.crashes import AnswerProgress
 from lacewingcourse.core.pipelines.peers import MEMBER_RANK, PEER_SILENCE_TIMEOUT, Role
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
 from lacewingcourse.core.pipelines.retry_budget import PEER_DISCOVERY_TIME
@@ -147,6 +148,32 @@
     )
 
 
+def test_a_refused_part_is_known_to_all_entries_and_to_one_that_starts(large):
+    for number, name in enumerate(["a-05", "b-05", "c-05"]):
+        parts = large.entries[name].routing_state.parts
+        parts.record_loss(("p",), f"x{number}", AnswerProgress.BEGUN, large.clock())
+    large.run_rounds(5)
+    large.entries["a-07"].routing_state.parts.judge(("p",), large.clock())
+    large.run_rounds(5)
+    del large.entries["a-05"], large.entries["a-07"]
+    large.add("a-20", "a").book.set_address("a-00", "a-00", large.clock())
+    large.run_rounds(5)
+    now = large.clock()
+    refused = [
+        e.routing_state.parts.refused_part(("p",), now) for e in large.entries.values()
+    ]
+    assert set(refused) == {"p"}
+
+
+def test_an_answer_at_one_entry_clears_a_part_at_all(large):
+    lost = large.entries["a-05"].routing_state.parts
+    lost.record_loss(("p",), "x", AnswerProgress.BEGUN, large.clock())
+    large.run_rounds(5)
+    large.entries["c-05"].routing_state.parts.record_sound(("p",), large.clock())
+    large.run_rounds(5)
+    assert all(not e.routing_state.parts.losses for e in large.entries.values())
+
+
 def test_entries_find_new_hubs_after_those_of_a_zone_are_gone(large):
     for name in ("b-00", "b-01"):
         del large.entries[name]
--- a/packages/relay/tests/relay/test_requests_while_draining.py
+++ b/packages/relay/tests/relay/test_requests_while_draining.py
@@ -136,6 +136,7 @@
         target="/",
         key=None,
         body=b"",
+        prompt_parts=(),
         timeout=float(headers.get(PATIENCE_HEADER, "inf")),
         received_at=now,
         max_answer_tokens=int(headers[MAX_EVENTS_HEADER]) * EVENT_TOKENS,
