Take a stream without events that ends with its connection for broken off

Callers saw: an empty answer, 200 and complete, when an engine that sends neither length nor chunks crashed before the first event; the loss counted against nothing. Cause: for such an answer any orderly close was its end. Change: a stream that only the close ends is complete once it has an event. A crash at the end of an event looks like the end of the stream; nothing in such an answer tells them apart.

--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -51,6 +51,8 @@
 STALLED_REASON = "the stream stood still"
 #: Reason of an attempt that ended in the middle of an event.
 TRUNCATED_EVENT_REASON = "cut event"
+#: Reason of an attempt whose connection closed before any event.
+NO_EVENT_REASON = "closed before the first event"
 
 
 @attrs.define
@@ -296,7 +298,7 @@
             self._close_attempt(arrival.reason)
             self.job.caller.abort()
             return AttemptResult(AttemptEnd.ABANDONED, arrival.reason)
-        if arrival.complete and not self.state.cutter.pending:
+        if self._is_complete(arrival):
             self.sender.release(self.exchange, self.head)
             self._finish_response()
             return AttemptResult(AttemptEnd.WHOLE)
@@ -311,11 +313,24 @@
         self.ended_result = result
         return None
 
+    def _is_complete(self, arrival: End) -> bool:
+        """Return whether the end of a response completes the stream.
+
+        An engine that crashes closes its connection as well. A stream that only the
+        close ends is therefore taken for broken off if it has no event.
+        """
+        if not arrival.complete or self.state.cutter.pending:
+            return False
+        return not arrival.by_close or self.first_event_at is not None
+
     def _on_lost(
         self, exchange: Exchange, started_at: float, arrival: Arrival
     ) -> AttemptResult:
         """Close an attempt that ended early, and return its result."""
-        reason = getattr(arrival, "reason", "") or TRUNCATED_EVENT_REASON
+        reason = getattr(arrival, "reason", "")
+        if not reason:
+            cut = self.state.cutter.pending
+            reason = TRUNCATED_EVENT_REASON if cut else NO_EVENT_REASON
         exchange.abandon()
         self.job.record_outcome(SendOutcome.MAY_HAVE_RUN, reason)
         now = self.sender.clock()
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -62,10 +62,12 @@
     Attributes:
         complete: Whether it is complete by its HTTP framing.
         reason: What happened if it is not.
+        by_close: Whether only the close of the connection marks its end.
     """
 
     complete: bool
     reason: str = ""
+    by_close: bool = False
 
 
 @attrs.frozen
@@ -193,7 +195,7 @@
             self.arrivals.put_nowait(End(False, f"reset: {error}"))
             return
         self.complete = True
-        self.arrivals.put_nowait(End(True))
+        self.arrivals.put_nowait(End(True, by_close=self._until_close))
 
     def on_connection_close(self) -> None:
         """Process the close of the connection in the middle of a response."""
