Tell entries that missed it when a refused part has proved sound

Callers saw nothing yet; found while reading the change again. An entry told others that a part is sound only while losses of it were known, which is for 60 s, while a refusal lasts for 300 s: the others would have refused sound requests until it ended. Change: a lifted refusal, and one that a peer still reports, count as doubts that are answered. Losses of a part keep it from being dropped beside many others; a message reports at most 12 losses of a part.

--- a/packages/core/src/lacewingcourse/core/pipelines/prompt_parts.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/prompt_parts.py
@@ -53,6 +53,8 @@
 MAX_REFUSED_PARTS = 200
 #: Parts of each kind that one message reports at most.
 MAX_REPORTED_PARTS = 16
+#: Losses of a part that one message reports at most; enough to refuse any part.
+MAX_REPORTED_LOSSES = 12
 
 
 @attrs.frozen
@@ -132,7 +134,7 @@
         sound: When an answer with a part was last established, seconds.
         refused: Refusals by part. They are kept after their end, since a single loss
             then renews them.
-        doubted_at: When a sound part was last doubted by a loss, seconds.
+        doubted_at: When a sound part was last doubted by a loss or a refusal, seconds.
     """
 
     started_at: float = float("-inf")
@@ -330,6 +332,7 @@
             losses[endpoint] = (
                 loss if known is None else attrs.evolve(known, weight=loss.weight)
             )
+        self.losses.move_to_end(part)
         _trim(self.losses, MAX_SUSPECTS)
 
     def _mark_sound(self, part: str, at: float, now: float) -> bool:
@@ -349,6 +352,7 @@
         if refusal is None or refusal.at >= at:
             return False
         del self.refused[part]
+        self.doubted_at[part] = now
         return True
 
     def _refuse(self, part: str, refusal: PartRefusal) -> None:
@@ -364,6 +368,7 @@
         """
         known = self.refused.get(part)
         if refusal.at <= self.sound.get(part, float("-inf")):
+            self.doubted_at[part] = now
             return False
         if now >= refusal.forgotten_at:
             return False
@@ -388,11 +393,10 @@
 
     def _report(self, part: str, now: float) -> PartReport:
         sound, refusal = self.sound.get(part), self.refused.get(part)
+        recent = self._recent(part, now).items()
+        latest = nlargest(MAX_REPORTED_LOSSES, recent, key=lambda item: item[1].at)
         return PartReport(
-            losses={
-                endpoint: (round(now - loss.at, 3), loss.weight)
-                for endpoint, loss in self._recent(part, now).items()
-            },
+            losses={e: (round(now - loss.at, 3), loss.weight) for e, loss in latest},
             sound=None if sound is None else round(now - sound, 3),
             refused=None if refusal is None else round(now - refusal.at, 3),
             count=refusal.count if refusal else 0,
--- a/packages/core/tests/pipelines/test_prompt_parts.py
+++ b/packages/core/tests/pipelines/test_prompt_parts.py
@@ -9,7 +9,9 @@
     CLEARING_TIME,
     FIRST_REFUSAL_TIME,
     LOSS_RETENTION,
+    MAX_COMPANIONS,
     MAX_REFUSAL_TIME,
+    MAX_REPORTED_LOSSES,
     MAX_REPORTED_PARTS,
     MAX_SOUND_PARTS,
     MAX_SUSPECTS,
@@ -229,6 +231,41 @@
     assert refused(cleared, "p", 5.0) is None
 
 
+def test_an_answer_lifts_a_refusal_at_all_entries_after_its_losses_have_expired():
+    cleared, other = PartHistory(), PartHistory()
+    lose(cleared, "p", 3)
+    assert refused(cleared, "p", 3.0) == "p"
+    other.from_peer(cleared.reports(3.0), 3.0)
+    later = 3.0 + LOSS_RETENTION
+    for history in (cleared, other):
+        history.expire(later)
+    cleared.record_sound(("p",), later)
+    other.from_peer(cleared.reports(later), later)
+    assert refused(other, "p", later) is None
+
+
+def test_an_entry_that_missed_the_end_of_a_refusal_learns_of_it():
+    cleared, late = PartHistory(), PartHistory()
+    lose(cleared, "p", 3)
+    assert refused(cleared, "p", 3.0) == "p"
+    late.from_peer(cleared.reports(3.0), 3.0)
+    cleared.record_sound(("p",), 4.0)
+    cleared.expire(20.0)
+    cleared.from_peer(late.reports(20.0), 20.0)
+    late.from_peer(cleared.reports(20.0), 20.0)
+    assert refused(late, "p", 20.0) is None
+
+
+def test_a_part_that_is_lost_again_is_remembered_beside_many_others():
+    history = PartHistory()
+    for endpoint in ("a", "b", "c"):
+        for number in range(MAX_SUSPECTS - 1):
+            rare = (f"rare {endpoint}{number}",)
+            history.record_loss(rare, endpoint, BEGUN, 0.0)
+        history.record_loss(("p",), endpoint, BEGUN, 0.0)
+    assert refused(history, "p", 1.0) == "p"
+
+
 def test_an_entry_that_has_just_started_needs_more_evidence():
     history = PartHistory(started_at=0.0)
     for number in range(3):
@@ -247,6 +284,26 @@
     assert len(history.reports(0.0)) <= MAX_REPORTED_PARTS
 
 
+def test_reports_stay_small_when_many_endpoints_are_lost_under_many_parts():
+    history = PartHistory()
+    parts = tuple(f"mapchat {number:08x}" for number in range(200))
+    for number in range(300):
+        endpoint = f"i-{number:010x}@1787595702702"
+        history.record_loss(parts, endpoint, BEGUN, 0.0)
+    for first in range(0, 200, 10):
+        history.judge(parts[first : first + 10], 1.0)
+    reports = history.reports(1.0)
+    assert len(reports) <= 2 * MAX_REPORTED_PARTS
+    assert max(len(r.losses) for r in reports.values()) <= MAX_REPORTED_LOSSES
+    assert max(len(r.companions) for r in reports.values()) <= MAX_COMPANIONS
+
+
+def test_nothing_is_reported_while_no_endpoint_is_lost():
+    history = PartHistory()
+    history.record_sound(("p", "q"), 0.0)
+    assert history.reports(1.0) == {}
+
+
 def test_losses_expire():
     history = PartHistory()
     lose(history, "p", 2)
