Test that a refusal drops a companion that a lost request lacked

Cause: a mutant of the decision that keeps all companions passed every test; requests with the crashing part and without that companion would have been sent for as long as it lasts. Result: the new test passes, and fails with that mutant.

--- a/packages/core/tests/pipelines/test_prompt_parts.py
+++ b/packages/core/tests/pipelines/test_prompt_parts.py
@@ -133,6 +133,15 @@
     assert refused(history, "pz", 5.0) == "p"
 
 
+def test_a_companion_that_a_lost_request_lacked_is_no_longer_needed():
+    history = PartHistory()
+    lose(history, "pxy", 3)
+    assert refused(history, "pxy", 3.0) == "y"
+    lose(history, "py", 1, 3.0)
+    assert refused(history, "py", 4.0) == "y"
+    assert refused(history, "zy", 4.0) is None
+
+
 def test_a_sound_companion_leaves_the_crashing_part_refused():
     history = PartHistory()
     lose(history, "xp", 3)
