--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -140,7 +140,6 @@
             self.clock,
             self._notify_peers,
             self.refusal_keeper.on_change,
-            self.refusal_keeper.on_change,
         )
         send_limits = self.routing_state.send_limits
         send_limits.sharing = LIMIT_SHARING_POLICIES.get(self.settings.limit_sharing)()
--- a/packages/relay/src/lacewingcourse/relay/crash_guard.py
+++ b/packages/relay/src/lacewingcourse/relay/crash_guard.py
@@ -27,16 +27,14 @@
         log: Decision log.
         clock: Returns the present time in seconds.
         on_evidence: Called when other entries need to know of a loss.
-        on_refused: Called with a part that this entry has refused.
-        on_cleared: Called with a part that this entry refuses no longer.
+        on_change: Called with a part that this entry has refused, or refuses no longer.
     """
 
     routing_state: RoutingState
     log: DecisionLog
     clock: Callable[[], float]
     on_evidence: Callable[[], None] = lambda: None
-    on_refused: Callable[[str], None] = lambda part: None
-    on_cleared: Callable[[str], None] = lambda part: None
+    on_change: Callable[[str], None] = lambda part: None
 
     def refusal(self, job: Job) -> Refusal | None:
         """Return why a request may not be sent, None if it may.
@@ -82,7 +80,7 @@
         cleared = self.routing_state.parts.record_sound(job.shared_parts, self.clock())
         for part in cleared:
             self.log.log_event("part_cleared", part=part, request=job.request.id)
-            self.on_cleared(part)
+            self.on_change(part)
 
     def from_peer(self, reports: dict[str, PartReport], peer: str) -> None:
         """Apply what another entry reports of parts.
@@ -100,7 +98,7 @@
         if part is None:
             return
         self._log_refused(part, "evidence")
-        self.on_refused(part)
+        self.on_change(part)
         self.on_evidence()
 
     def _log_refused(self, part: str, origin: str) -> None:
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -49,6 +49,15 @@
     from lacewingcourse.relay.upstream import Exchange, Head
 
 
+#: Ends of an attempt that was not sent for a reason unrelated to the endpoint.
+UNSENT_ENDS = {
+    Unsent.OVERDUE: AttemptEnd.OVERDUE,
+    Unsent.NO_DESCRIPTOR: AttemptEnd.HELD,
+    Unsent.LEAVING: AttemptEnd.NOT_TAKEN,
+    Unsent.NO_RETRY: AttemptEnd.NO_RETRY,
+    Unsent.OVER_LIMIT: AttemptEnd.LIMITED,
+    Unsent.CRASHES: AttemptEnd.CRASHES,
+}
 #: Ends of an attempt that was not sent, after which it is decided anew whether and
 #: where to send the request.
 NOT_SENT_YET = frozenset({AttemptEnd.NO_RETRY, AttemptEnd.LIMITED, AttemptEnd.CRASHES})
@@ -319,19 +328,8 @@
         endpoints were excluded for it, a few such requests would exclude all of them
         for every other request.
         """
-        if sent.cause is Unsent.OVERDUE:
-            return AttemptResult(AttemptEnd.OVERDUE, sent.reason)
-        if sent.cause is Unsent.NO_DESCRIPTOR:
-            return AttemptResult(AttemptEnd.HELD, sent.reason)
-        if sent.cause is Unsent.LEAVING:
-            return AttemptResult(AttemptEnd.NOT_TAKEN, sent.reason)
-        if sent.cause is Unsent.NO_RETRY:
-            return AttemptResult(AttemptEnd.NO_RETRY, sent.reason)
-        if sent.cause is Unsent.OVER_LIMIT:
-            return AttemptResult(AttemptEnd.LIMITED, sent.reason)
-        if sent.cause is Unsent.CRASHES:
-            return AttemptResult(AttemptEnd.CRASHES, sent.reason)
-        return None
+        end = UNSENT_ENDS.get(sent.cause)
+        return None if end is None else AttemptResult(end, sent.reason)
 
     def record_failure(self, job: Job, path: Path, result: AttemptResult) -> None:
         """Log a failed attempt, and exclude endpoints for this request or for all."""
