--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -11,6 +11,7 @@
 from lacewingcourse.core.pipelines.load import NO_LOAD
 from lacewingcourse.core.pipelines.path_costs import path_costs_of
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
+from lacewingcourse.core.pipelines.suspects import Suspects
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -95,6 +96,7 @@
         speeds: Endpoints that run slower than published.
         sample_size: Paths that are sampled and compared before all are.
         costs_by_path: Cached costs of paths, by the path's identity.
+        suspects: Endpoints that failed lately, whose paths cost more.
     """
 
     shape: EngineShape
@@ -104,6 +106,7 @@
     speeds: SpeedEstimator = attrs.field(factory=SpeedEstimator)
     sample_size: int = PATH_SAMPLE_SIZE
     costs_by_path: dict[int, PathCosts] = attrs.field(factory=dict, repr=False)
+    suspects: Suspects = attrs.field(factory=Suspects, repr=False)
 
     def choose(
         self,
@@ -220,6 +223,9 @@
         cost = time / max(1.0 - fill, MIN_FREE_SHARE)
         if path.crossings:
             cost *= self._cross_zone_factor(path, demand, now)
+        if self.suspects.members:
+            for part in path.parts:
+                cost *= self.suspects.cost_factor(part.endpoint, now)
         return cost if cost < float("inf") else None
 
     def _time_and_fill(
--- a/packages/core/src/lacewingcourse/core/pipelines/path.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/path.py
@@ -12,7 +12,7 @@
 from lacewingcourse.core.pipelines.shape import Layers
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
     from lacewingcourse.core.pipelines.shape import EngineShape
@@ -107,7 +107,11 @@
     return position == layer_count and len(path.parts) <= MAX_PARTS
 
 
-def candidate_paths(endpoints: list[Endpoint], shape: EngineShape) -> list[Path]:
+def candidate_paths(
+    endpoints: list[Endpoint],
+    shape: EngineShape,
+    earlier_uses: Mapping[str, int] | None = None,
+) -> list[Path]:
     """Return candidate paths that differ as much as possible, fastest first.
 
     Each search finds the cheapest path after the cost of the endpoints of earlier paths
@@ -120,6 +124,8 @@
     Args:
         endpoints: Endpoints of the service that may be used.
         shape: Published performance figures of its engines.
+        earlier_uses: Paths that each endpoint counts as being on already, by id, so
+            that others are preferred to it; none if omitted.
     """
     holders = [
         endpoint
@@ -129,7 +135,7 @@
         and endpoint.accelerator in shape.accelerators
     ]
     search_count = max(MIN_SEARCHES, len(holders) // ENDPOINTS_PER_SEARCH)
-    use_counts: dict[str, int] = {}
+    use_counts = dict(earlier_uses or {})
     found: dict[tuple, Path] = {}
     for members in _by_zone(holders):
         zone_searches = max(
--- a/packages/core/src/lacewingcourse/core/pipelines/suspects.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/suspects.py
@@ -1,4 +1,4 @@
-"""Endpoints that are excluded for a while after they failed."""
+"""Suspected endpoints: those that failed lately, graded by what was observed."""
 
 from __future__ import annotations
 
@@ -47,6 +47,37 @@
     return not misdirected and filled >= FULL_THRESHOLD
 
 
+class Grade(IntEnum):
+    """How certain it is that an endpoint does not run requests.
+
+    Endpoints of the lower grades are used again first where too few others hold their
+    layers; one that is gone is never used.
+    """
+
+    #: It accepts connections or answered lately, but not in time.
+    SLOW = 0
+    #: It did not answer, or another endpoint names it as not answering.
+    DOUBTFUL = 1
+    #: It rejected a request, or no connection to it could be made.
+    LOST = 2
+    #: It refuses connections, or no longer holds the layers that the directory lists.
+    GONE = 3
+
+
+#: Factor on the cost of a path for each suspected endpoint that it uses, by grade. A
+#: request that fails there costs its caller a timeout and a retry.
+GRADE_COST_FACTORS = {Grade.SLOW: 2.0, Grade.DOUBTFUL: 4.0, Grade.LOST: 16.0}
+
+
+def assumed_grade(silent: bool) -> Grade:
+    """Return the grade of a failure for which none is known.
+
+    Args:
+        silent: Whether the endpoint did not answer at all.
+    """
+    return Grade.DOUBTFUL if silent else Grade.LOST
+
+
 class ObservationScope(IntEnum):
     """Which entries made an observation: this one, those of its zone, or any."""
 
@@ -68,6 +99,7 @@
         silent: Whether the endpoint does not answer at all, so that streams through it
             stall. One that rejects new requests or was ordered to move may still finish
             those that it runs.
+        grade: How certain it is that the endpoint does not run requests.
     """
 
     until: float
@@ -76,6 +108,9 @@
     reason: str
     scope: ObservationScope = ObservationScope.OWN
     silent: bool = False
+    grade: Grade = attrs.field(
+        default=attrs.Factory(lambda s: assumed_grade(s.silent), takes_self=True)
+    )
 
 
 @attrs.define
@@ -89,33 +124,57 @@
     members: dict[str, Suspicion] = attrs.field(factory=dict)
 
     def suspect(
-        self, endpoint: str, reason: str, now: float, silent: bool = False
+        self,
+        endpoint: str,
+        reason: str,
+        now: float,
+        silent: bool = False,
+        grade: Grade | None = None,
     ) -> Suspicion:
         """Exclude an endpoint, twice as long after each failure in succession.
 
-        A failure during an exclusion does not extend it.
+        A failure during an exclusion does not extend it, but may raise its grade.
 
         Args:
             endpoint: The endpoint.
             reason: What was observed.
             now: Present time in seconds.
             silent: Whether it does not answer at all.
+            grade: Grade of the failure, None for the assumed one.
 
         Returns:
             The exclusion that is now in force.
         """
+        if grade is None:
+            grade = assumed_grade(silent)
         known = self.members.get(endpoint)
         failures = 1
         if known is not None and now - known.failed_at < FAILURE_RESET_TIME:
             if now < known.until:
                 known.silent = known.silent or silent
+                known.grade = max(known.grade, grade)
                 return known
             failures = known.failures + 1
         length = min(MAX_EXCLUSION, FIRST_EXCLUSION * 2 ** (failures - 1))
-        found = Suspicion(now + length, failures, now, reason, silent=silent)
+        found = Suspicion(
+            now + length, failures, now, reason, silent=silent, grade=grade
+        )
         self.members[endpoint] = found
         return found
 
+    def record_late_answer(self, endpoint: str, now: float) -> None:
+        """Lower the grade of an endpoint that answered a probe after its timeout.
+
+        It stays excluded where others hold its layers.
+
+        Args:
+            endpoint: The endpoint.
+            now: Present time in seconds.
+        """
+        known = self.members.get(endpoint)
+        if known is not None and now < known.until and known.grade is Grade.DOUBTFUL:
+            known.grade = Grade.SLOW
+
     def from_peer(
         self,
         endpoint: str,
@@ -123,22 +182,31 @@
         now: float,
         same_zone: bool = True,
         silent: bool = False,
+        grade: Grade | None = None,
     ) -> None:
         """Exclude an endpoint that a peer excludes.
 
+        Among the grades that peers report the lowest counts, as one of them knows
+        that the endpoint is alive, unless it is gone. What this entry observed itself
+        is raised to gone only.
+
         Args:
             endpoint: The endpoint.
             remaining: Seconds for which the peer still excludes it.
             now: Present time in seconds.
             same_zone: Whether an entry of this one's availability zone saw the failure.
             silent: Whether the endpoint does not answer at all.
+            grade: Grade that the peer reports, None if it reports none.
         """
+        if grade is None:
+            grade = assumed_grade(silent)
         known = self.members.get(endpoint)
         if remaining < MIN_REMAINING:
             return
         until = now + min(remaining, MAX_EXCLUSION)
         if known is not None and known.until >= now:
             known.silent = known.silent or silent
+            known.grade = _merged_grade(known, grade)
             if until > known.until + MIN_EXTENSION:
                 known.until = until + RECHECK_DELAY
                 known.failures = max(known.failures, _failures_for(remaining))
@@ -147,12 +215,29 @@
         reason = "reported by a peer"
         failures = _failures_for(remaining)
         until += RECHECK_DELAY
-        self.members[endpoint] = Suspicion(until, failures, now, reason, scope, silent)
+        self.members[endpoint] = Suspicion(
+            until, failures, now, reason, scope, silent, grade
+        )
 
     def excluded(self, now: float) -> set[str]:
         """Return the endpoints that are excluded."""
         return {name for name, found in self.members.items() if found.until > now}
 
+    def grades(self, now: float) -> dict[str, Grade]:
+        """Return the grades of the excluded endpoints by id."""
+        return {
+            name: found.grade
+            for name, found in self.members.items()
+            if found.until > now
+        }
+
+    def cost_factor(self, endpoint: str, now: float) -> float:
+        """Return the factor of an endpoint's suspicion on the cost of its paths."""
+        found = self.members.get(endpoint)
+        if found is None or found.until <= now:
+            return 1.0
+        return GRADE_COST_FACTORS.get(found.grade, float("inf"))
+
     def silent(self, now: float, since: float = float("-inf")) -> set[str]:
         """Return the endpoints that are excluded because they do not answer.
 
@@ -181,6 +266,23 @@
             if found.scope <= scope and found.until > now
         }
 
+    def reported_grades(
+        self, now: float, scope: ObservationScope = ObservationScope.OWN
+    ) -> dict[str, int]:
+        """Return the grades that differ from the assumed ones.
+
+        Args:
+            now: Present time in seconds.
+            scope: Widest scope of the exclusions to return.
+        """
+        return {
+            name: int(found.grade)
+            for name, found in self.members.items()
+            if found.scope <= scope
+            and found.until > now
+            and found.grade is not assumed_grade(found.silent)
+        }
+
     def expire(self, now: float) -> None:
         """Remove exclusions that ended long ago."""
         for name, found in list(self.members.items()):
@@ -188,6 +290,15 @@
                 del self.members[name]
 
 
+def _merged_grade(known: Suspicion, reported: Grade) -> Grade:
+    """Return the grade of a known suspicion after a peer's report."""
+    if Grade.GONE in (known.grade, reported):
+        return Grade.GONE
+    if known.scope is ObservationScope.OWN:
+        return known.grade
+    return min(known.grade, reported)
+
+
 def _failures_for(remaining: float) -> int:
     """Return the lowest failure count whose exclusion lasts that many seconds."""
     failures, length = 1, FIRST_EXCLUSION
--- a/packages/core/tests/pipelines/test_suspects.py
+++ b/packages/core/tests/pipelines/test_suspects.py
@@ -7,6 +7,7 @@
 from lacewingcourse.core.pipelines.suspects import (
     FIRST_EXCLUSION,
     RECHECK_DELAY,
+    Grade,
     Suspects,
     is_full,
 )
@@ -150,3 +151,48 @@
         count_rejections(entries=30, news_delay=news_delay, seconds=10.0)
         <= 3 * at_a_time
     )
+
+
+def test_a_later_failure_during_an_exclusion_raises_its_grade():
+    suspects = Suspects()
+    suspects.suspect("a", "late report", now=0.0, silent=True, grade=Grade.SLOW)
+    suspects.suspect("a", "refused", now=0.1, grade=Grade.GONE)
+    suspects.suspect("a", "late report", now=0.2, silent=True, grade=Grade.SLOW)
+    assert suspects.grades(0.3) == {"a": Grade.GONE}
+    assert suspects.grades(FIRST_EXCLUSION) == {}
+
+
+def test_a_late_answer_shows_that_a_doubtful_endpoint_is_slow():
+    suspects = Suspects()
+    suspects.suspect("a", "no report", now=0.0, silent=True)
+    suspects.suspect("b", "rejected with 503", now=0.0)
+    for endpoint in "ab":
+        suspects.record_late_answer(endpoint, 0.2)
+    assert suspects.grades(0.3) == {"a": Grade.SLOW, "b": Grade.LOST}
+    assert suspects.excluded(0.3) == {"a", "b"}
+
+
+def test_the_lowest_grade_that_peers_report_counts_unless_one_knows_it_gone():
+    suspects = Suspects()
+    for grade in (Grade.DOUBTFUL, Grade.SLOW, Grade.LOST):
+        suspects.from_peer("a", 2.0, now=0.0, silent=True, grade=grade)
+    assert suspects.grades(0.1) == {"a": Grade.SLOW}
+    suspects.from_peer("a", 2.0, now=0.0, grade=Grade.GONE)
+    suspects.from_peer("a", 2.0, now=0.0, grade=Grade.SLOW)
+    assert suspects.grades(0.1) == {"a": Grade.GONE}
+
+
+def test_a_peers_grade_does_not_lower_what_this_entry_observed():
+    suspects = Suspects()
+    suspects.suspect("a", "no connection", now=0.0, grade=Grade.LOST)
+    suspects.from_peer("a", 2.0, now=0.0, grade=Grade.SLOW)
+    assert suspects.grades(0.1) == {"a": Grade.LOST}
+
+
+@pytest.mark.parametrize(
+    ("silent", "grade"), [(True, Grade.DOUBTFUL), (False, Grade.LOST)]
+)
+def test_a_report_without_a_grade_has_the_assumed_one(silent, grade):
+    suspects = Suspects()
+    suspects.from_peer("a", 2.0, now=0.0, silent=silent)
+    assert suspects.grades(0.1) == {"a": grade}
