Grade suspicions by what a probe shows, and await a late report

Cause: an endpoint was declared dead if a report took more than 50 ms, which engines that run twelve times slower than published exceed, and peers took over the exclusion without what was known.

Change: the second probe stays open for 250 ms. An endpoint known as slow is suspected only after that; another is suspected as before, and a late report then shows that it is slow. The grade follows from the probe: refused connections are gone, accepted ones slow, the rest doubtful, as are endpoints that only another one names. No probe is added, and none is sent while a late report is awaited. Gossip carries grades that differ from the assumed ones; messages without them, and unknown values, keep the assumed grade. The log shows the grade of a suspicion and the suspected endpoints on candidate paths; metrics count both.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -51,10 +51,12 @@
 from lacewingcourse.relay.staleness import StalenessGuard
 from lacewingcourse.relay.stall_watcher import StallWatcher
 from lacewingcourse.relay.streams import StreamForwarder
+from lacewingcourse.relay.suspicion_log import SuspicionLog
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from lacewingcourse.core.pipelines.suspects import Grade
     from lacewingcourse.relay.loop_watch import Section
     from lacewingcourse.relay.platform_ports import Platform
     from lacewingcourse.relay.settings import Bounds, RelaySettings
@@ -68,6 +70,7 @@
         routing_state: State that routing decisions depend on.
         readiness: Whether it is ready.
         log: Decision log.
+        suspicion_log: Logs suspicions of endpoints.
     """
 
     def __init__(
@@ -98,6 +101,8 @@
         self.log = DecisionLog(
             self.clock, self.metrics, self._version, self._version_age
         )
+        self.suspicion_log = SuspicionLog(self.log)
+        self.routing_state.on_selection = self.suspicion_log.selected_paths
         self.readiness = Readiness(
             self.routing_state,
             settings.bounds.grace,
@@ -371,12 +376,15 @@
     def _reader_rank(self) -> int:
         return self.book.reader_rank(self.clock(), self.peers.gossip.platform_reachable)
 
-    def _on_suspect(self, endpoints: tuple[str, ...], reason: str) -> None:
-        """Exclude endpoints that are considered dead, and notify other entries."""
+    def _on_suspect(
+        self, endpoints: tuple[str, ...], reason: str, grade: Grade
+    ) -> None:
+        """Suspect endpoints that do not answer, and notify other entries."""
         now = self.clock()
+        suspects = self.routing_state.suspects
         for endpoint in endpoints:
-            self.routing_state.suspects.suspect(endpoint, reason, now, silent=True)
-        self.log.log_event("suspected", endpoints=list(endpoints), reason=reason)
+            suspects.suspect(endpoint, reason, now, silent=True, grade=grade)
+        self.suspicion_log.suspected(endpoints, reason, grade)
         self._notify_peers()
 
     def _on_endpoint_start(self, name: str, born: int) -> bool:
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -31,6 +31,7 @@
 #: Maximum lines per second by event, for events that occur with each request. Refusals
 #: and lost sends have higher limits than answers and sends, so they are left out last.
 MAX_LINES_PER_SECOND = {"served": 60, "sent": 60, "refused": 150, "defect": 5}
+MAX_LINES_PER_SECOND |= {"paths": 20, "late_report": 20}
 #: Maximum number of parts of a prompt in a line.
 MAX_LOGGED_PARTS = 12
 
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -10,7 +10,7 @@
 
 from lacewingcourse.core.pipelines.peers import Role
 from lacewingcourse.core.pipelines.stamps import StampTable
-from lacewingcourse.core.pipelines.suspects import ObservationScope
+from lacewingcourse.core.pipelines.suspects import Grade, ObservationScope
 from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.peer_messages import (
     GossipMessage,
@@ -37,6 +37,8 @@
     Scope.ZONE: ObservationScope.ZONE,
     Scope.OTHERS: ObservationScope.ALL,
 }
+#: Values of the grades of suspicions that this build knows.
+GRADES = frozenset(Grade)
 
 
 @attrs.define
@@ -64,6 +66,7 @@
             the machine was suspended.
         stamps: Time stamps of received messages, to bound their transit times.
         crash_guard: Refuses requests that crash endpoints.
+        unknown_grade_logged: Whether a grade that this build does not know was logged.
     """
 
     name: str
@@ -80,6 +83,7 @@
     boot_clock: Callable[[], float] = attrs.field()
     stamps: StampTable = attrs.field()
     crash_guard: CrashGuard = attrs.field()
+    unknown_grade_logged: bool = False
 
     @boot_clock.default
     def _loop_clock(self) -> Callable[[], float]:
@@ -134,6 +138,7 @@
             links=[(*pair, round(use, 3)) for pair, use in links.items()],
             suspects=self.routing_state.suspects.remaining(now, reach),
             silent=sorted(self.routing_state.suspects.silent(now)),
+            grades=self.routing_state.suspects.reported_grades(now, reach),
             speeds=self.routing_state.speeds.remaining(now),
             crashes=self.routing_state.crashes.losses(now, reach),
             parts=self.routing_state.parts.reports(now),
@@ -200,11 +205,7 @@
         self._apply_counts(message, now)
         self._apply_loads(message, now)
         seen_in_zone = message.zone == self.book.zone and message.scope is Scope.OWN
-        for endpoint, remaining in message.suspects.items():
-            silent = endpoint in message.silent
-            self.routing_state.suspects.from_peer(
-                endpoint, remaining, now, seen_in_zone, silent
-            )
+        self._apply_suspects(message, now, seen_in_zone)
         for endpoint, (factor, remaining) in message.speeds.items():
             self.routing_state.speeds.from_peer(endpoint, factor, remaining, now)
         self.routing_state.crashes.from_peer(message.crashes, now, seen_in_zone)
@@ -215,6 +216,30 @@
             message.holder, message.fencing, holder_age, message.released
         )
 
+    def _apply_suspects(
+        self, message: GossipMessage, now: float, seen_in_zone: bool
+    ) -> None:
+        """Apply the exclusions of another entry."""
+        for endpoint, remaining in message.suspects.items():
+            silent = endpoint in message.silent
+            grade = self._grade(message, endpoint)
+            self.routing_state.suspects.from_peer(
+                endpoint, remaining, now, seen_in_zone, silent, grade
+            )
+
+    def _grade(self, message: GossipMessage, endpoint: str) -> Grade | None:
+        """Return the grade of an exclusion, None if none is reported or it is unknown.
+
+        Later builds may know other grades.
+        """
+        value = message.grades.get(endpoint)
+        if value in GRADES:
+            return Grade(value)
+        if value is not None and not self.unknown_grade_logged:
+            self.unknown_grade_logged = True
+            self.log.log_event("grade_unknown", peer=message.name, grade=value)
+        return None
+
     def _apply_limits(self, message: GossipMessage, now: float, transit: float) -> None:
         """Apply the limits that endpoints named to other entries."""
         limits = self.routing_state.limits
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -135,10 +135,21 @@
         )
         self.endpoints = Gauge(
             "lacewingcourse_relay_endpoints",
-            "Endpoints by state: present, leaving, suspected",
+            "Endpoints by state: present, leaving, suspected; suspected ones by grade",
             ["state"],
             **common_options,
         )
+        self.suspicions = Counter(
+            "lacewingcourse_relay_suspicions",
+            "Endpoints that this entry found not to answer in time, by grade",
+            ["grade"],
+            **common_options,
+        )
+        self.path_fallbacks = Counter(
+            "lacewingcourse_relay_path_fallbacks",
+            "Times that candidate paths began to use other suspected endpoints",
+            **common_options,
+        )
         self.unreadable_entries = Counter(
             "lacewingcourse_relay_unreadable_entries",
             "Entries of the directory that name no endpoint to use, at each reading",
--- a/packages/relay/src/lacewingcourse/relay/metrics_page.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics_page.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
 
+from lacewingcourse.core.pipelines.suspects import Grade
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -56,4 +59,7 @@
         states = self.metrics.endpoints
         states.labels("present").set(len(endpoints) - leaving)
         states.labels("leaving").set(leaving)
-        states.labels("suspected").set(len(self.routing_state.suspects.excluded(now)))
+        grades = Counter(self.routing_state.suspects.grades(now).values())
+        states.labels("suspected").set(grades.total())
+        for grade in Grade:
+            states.labels(grade.name.lower()).set(grades[grade])
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -58,6 +58,8 @@
         holder_age: Seconds since any entry received a message of that holder.
         released: Fencing number of the last holder that released the duty.
         silent: Excluded endpoints that do not answer at all.
+        grades: Grades of the excluded endpoints for which another grade than the
+            assumed one is known, by endpoint.
         speeds: Ratio of the step time of an endpoint to the published one, and seconds
             for which that ratio is used.
         ends_in: Seconds until the sender is expected to have ended, None if it is not
@@ -96,6 +98,7 @@
     parts: dict[str, PartReport] = attrs.field(factory=dict)
     stamp: float = 0.0
     echo: Echo | None = None
+    grades: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -168,10 +168,14 @@
         reason: What happened.
         maybe_applied: Whether the requested change may have been made, or may still be
             made.
+        refused: Whether the connection was refused, so that no process is there.
+        connected: Whether it accepted the connection, so that a process is there.
     """
 
     reason: str
     maybe_applied: bool = False
+    refused: bool = False
+    connected: bool = False
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/routing_state.py
+++ b/packages/relay/src/lacewingcourse/relay/routing_state.py
@@ -12,16 +12,19 @@
 from lacewingcourse.core.pipelines.fleet import Fleet
 from lacewingcourse.core.pipelines.links import LinkUsage
 from lacewingcourse.core.pipelines.load import LoadTable
-from lacewingcourse.core.pipelines.path import Path, candidate_paths
+from lacewingcourse.core.pipelines.path_selection import PathSelection, select_paths
 from lacewingcourse.core.pipelines.prompt_parts import PartHistory
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
 from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
-from lacewingcourse.core.pipelines.suspects import Suspects
+from lacewingcourse.core.pipelines.suspects import Grade, Suspects
 from lacewingcourse.relay.loop_watch import LoopWatch
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lacewingcourse.core.pipelines.fleet import Endpoint
+    from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.request_limits import LimitTable
     from lacewingcourse.core.pipelines.shape import EngineShape
 
@@ -37,15 +40,15 @@
 
     Attributes:
         revision: Revision of the fleet.
-        excluded: Ids of the endpoints that were excluded.
+        grades: Grades of the suspected endpoints by id.
         shape: Shape of the engines.
-        paths: The paths.
+        selection: The paths, and the suspected endpoints on them.
     """
 
     revision: int
-    excluded: frozenset[str]
+    grades: dict[str, Grade]
     shape: EngineShape
-    paths: list[Path]
+    selection: PathSelection
 
 
 @attrs.define
@@ -67,6 +70,8 @@
         watch: Measures the sections of work that block the event loop.
         choosers: Path choosers by model for the shapes used last, each with the
             revision of the fleet for which it was made.
+        on_selection: Called with the name of a service when the suspected endpoints
+            change that its candidate paths use, and with the new selection.
     """
 
     table: RoutingTable | None = None
@@ -82,6 +87,7 @@
     durations: Durations = attrs.field(factory=Durations)
     watch: LoopWatch = attrs.field(factory=LoopWatch)
     choosers: dict[str, list[tuple[int, PathChooser]]] = attrs.field(factory=dict)
+    on_selection: Callable[[str, PathSelection], None] = lambda service, selection: None
 
     @property
     def limits(self) -> LimitTable:
@@ -123,24 +129,35 @@
         return [e for e in self.members(service) if e.id not in excluded]
 
     def paths(self, service: str, shape: EngineShape, now: float) -> list[Path]:
-        """Return the candidate paths of a service, cached until its inputs change."""
-        excluded = frozenset(self.suspects.excluded(now))
+        """Return the candidate paths of a service, cached until its inputs change.
+
+        Suspected endpoints are on them only where their layers lack other holders.
+        """
+        grades = self.suspects.grades(now)
         revision = self.fleet.revision
         known = [
             cached
             for cached in self.candidates.get(service, ())
-            if cached.revision == revision and cached.excluded == excluded
+            if cached.revision == revision and cached.grades == grades
         ]
         for cached in known:
             if cached.shape == shape:
-                return cached.paths
+                return cached.selection.paths
         with self.watch.section("candidate paths"):
-            paths = candidate_paths(self.usable(service, now), shape)
-        kept = [CandidateSet(revision, excluded, shape, paths), *known]
+            selection = select_paths(self.members(service), grades, shape)
+        before = self.suspected_on_paths(service)
+        kept = [CandidateSet(revision, grades, shape, selection), *known]
         self.candidates[service] = kept[:CACHED_SHAPES]
+        if selection.suspected != before:
+            self.on_selection(service, selection)
         # The choosers cache figures of the paths that are replaced here.
         self.choosers.pop(shape.model, None)
-        return paths
+        return selection.paths
+
+    def suspected_on_paths(self, service: str) -> dict[str, Grade]:
+        """Return the suspected endpoints on the newest candidate paths of a service."""
+        newest = next(iter(self.candidates.get(service, ())), None)
+        return {} if newest is None else newest.selection.suspected
 
     def chooser(self, shape: EngineShape) -> PathChooser:
         """Return the path chooser for an engine shape.
@@ -153,7 +170,14 @@
             if chooser.shape == shape:
                 return chooser
         endpoints = self.fleet.endpoints
-        created = PathChooser(shape, endpoints, self.loads, self.links, self.speeds)
+        created = PathChooser(
+            shape,
+            endpoints,
+            self.loads,
+            self.links,
+            self.speeds,
+            suspects=self.suspects,
+        )
         kept = [(revision, created), *known]
         self.choosers[shape.model] = kept[:CACHED_SHAPES]
         return created
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -8,8 +8,9 @@
 import attrs
 
 from lacewingcourse.core.pipelines.stalls import StallWatch
+from lacewingcourse.core.pipelines.suspects import Grade
 from lacewingcourse.relay.decoding import Undecodable
-from lacewingcourse.relay.ports import Unavailable
+from lacewingcourse.relay.ports import EngineReport, Unavailable
 from lacewingcourse.relay.upstream import Stalled
 
 if TYPE_CHECKING:
@@ -22,7 +23,7 @@
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.path_finder import PathFinder
-    from lacewingcourse.relay.ports import EngineReport, EngineReports
+    from lacewingcourse.relay.ports import EngineReports
 
 #: Seconds between two checks, a fraction of the shortest silence that is examined.
 CHECK_PERIOD = 0.02
@@ -31,6 +32,9 @@
 #: Seconds in which a live endpoint responds to a probe. A report takes one round trip,
 #: and does not wait for a slot of the engine.
 PROBE_TIMEOUT = 0.05
+#: Seconds for which the response to the second probe is awaited. An endpoint that runs
+#: several times slower than published responds too late, but is alive.
+LATE_PROBE_TIMEOUT = 0.25
 #: Seconds after which a second probe is sent; it is sent at once if the first one
 #: failed. A packet may have been lost, or a pooled connection reset.
 SECOND_PROBE_DELAY = 0.02
@@ -63,7 +67,7 @@
         finder: Finds paths.
         clock: Returns the current time in seconds.
         log: Decision log.
-        on_suspect: Called with endpoints that were found dead, and the reason.
+        on_suspect: Called with endpoints that do not answer, the reason and the grade.
         on_start: Called with an endpoint's name and the start time that it reports;
             returns whether it has restarted since it was last known.
         watch: Decides which streams may have stalled.
@@ -80,7 +84,7 @@
     finder: PathFinder
     clock: Callable[[], float]
     log: DecisionLog
-    on_suspect: Callable[[tuple[str, ...], str], None]
+    on_suspect: Callable[[tuple[str, ...], str, Grade], None]
     on_start: Callable[[str, int], bool]
     watch: StallWatch = attrs.field(factory=StallWatch)
     jobs: dict[WatchedStream, Job] = attrs.field(factory=dict)
@@ -183,15 +187,28 @@
 
     async def _run_probe(self, part: Part) -> None:
         started = self.clock()
+        second = None
         try:
-            found = await self._probe_twice(part, started)
+            found, second = await self._probe_twice(part, started)
             if isinstance(found, Unavailable) and not self._others_answered(
                 part, started
             ):
                 started = self.clock()
                 found = await self._probe_with_controls(part)
+            self._apply_probe(part, found, started)
+            if second is not None:
+                await self._await_late_report(part, second)
         finally:
             self.probing.discard(part.address)
+
+    def _apply_probe(
+        self,
+        part: Part,
+        found: EngineReport | Unavailable | Undecodable | AllUnavailable,
+        started: float,
+    ) -> None:
+        """Apply the result of the probes that were sent to an endpoint."""
+        now = self.clock()
         if isinstance(found, Undecodable):
             # It responded, so it is alive; the content of its report is unknown.
             self.log.log_event(
@@ -199,11 +216,13 @@
             )
         elif isinstance(found, Unavailable):
             # If the event loop was held up, a response may have arrived unread.
-            if (
-                self.clock() - started
-                < PROBE_TIMEOUT + SECOND_PROBE_DELAY + CHECK_PERIOD
-            ):
-                self._declare_dead({part.endpoint}, f"no report: {found.reason}")
+            longest = self._timeout(part, now) + SECOND_PROBE_DELAY + CHECK_PERIOD
+            if now - started < longest:
+                self._declare_dead(
+                    {part.endpoint},
+                    f"no report: {found.reason}",
+                    self._grade(part, found, now),
+                )
         elif isinstance(found, AllUnavailable):
             self.log.log_event(
                 "not_suspected", endpoint=part.endpoint, compared=found.compared
@@ -211,39 +230,88 @@
         elif self.on_start(part.name, found.born):
             self.move_streams_from(part.endpoint)
         else:
-            self.speeds.update(part.endpoint, found.slowdown, self.clock())
+            self.speeds.update(part.endpoint, found.slowdown, now)
             self._apply_report(part, found)
 
+    async def _await_late_report(self, part: Part, second: asyncio.Task) -> None:
+        """Note that an endpoint is alive if it responds to a probe after the timeout.
+
+        It is not probed meanwhile.
+        """
+        found = await second
+        if isinstance(found, Unavailable):
+            return
+        now = self.clock()
+        self.suspects.record_late_answer(part.endpoint, now)
+        slowdown = found.slowdown if isinstance(found, EngineReport) else None
+        if slowdown is not None and not self.on_start(part.name, found.born):
+            self.speeds.update(part.endpoint, slowdown, now)
+        self.log.log_event("late_report", endpoint=part.endpoint, slowdown=slowdown)
+
+    def _is_slow(self, endpoint: str, now: float) -> bool:
+        """Return whether an endpoint reported lately that it runs slowly, or late."""
+        found = self.suspects.grades(now).get(endpoint)
+        return found is Grade.SLOW or self.speeds.slowdown(endpoint, now) > 1.0
+
+    def _timeout(self, part: Part, now: float) -> float:
+        """Return the seconds after which an endpoint without response is suspected."""
+        return (
+            LATE_PROBE_TIMEOUT if self._is_slow(part.endpoint, now) else PROBE_TIMEOUT
+        )
+
+    def _grade(self, part: Part, found: Unavailable, now: float) -> Grade:
+        """Return the grade of an endpoint that sent no report in time."""
+        if found.refused:
+            return Grade.GONE
+        if found.connected or self._is_slow(part.endpoint, now):
+            return Grade.SLOW
+        return Grade.DOUBTFUL
+
     async def _probe_twice(
         self, part: Part, started: float
-    ) -> EngineReport | Unavailable | Undecodable:
-        """Return an endpoint's report, or why neither of two probes returned one."""
+    ) -> tuple[EngineReport | Unavailable | Undecodable, asyncio.Task | None]:
+        """Probe an endpoint, and once more if it does not respond soon.
+
+        Returns:
+            Its report or why there is none in time, and the second probe if it is still
+            awaited.
+        """
         first = asyncio.ensure_future(self._fetch_report(part.address))
         await asyncio.wait({first}, timeout=SECOND_PROBE_DELAY)
         if first.done() and not isinstance(first.result(), Unavailable):
-            return first.result()
+            return first.result(), None
         now = self.clock()
+        timeout = self._timeout(part, now)
         on_time = now - started < SECOND_PROBE_DELAY + CHECK_PERIOD
-        if on_time and self._others_answered(part, started):
+        fast = timeout == PROBE_TIMEOUT
+        if fast and on_time and self._others_answered(part, started):
             self._move_early(part.endpoint, now)
-        second = asyncio.ensure_future(self._fetch_report(part.address))
+        second = asyncio.ensure_future(
+            self._fetch_report(part.address, LATE_PROBE_TIMEOUT)
+        )
         waiting = {first, second}
+        found = Unavailable(f"no response within {timeout} s")
+        until = now + timeout
         while waiting:
             done, waiting = await asyncio.wait(
-                waiting, return_when=asyncio.FIRST_COMPLETED
+                waiting,
+                timeout=max(0.0, until - self.clock()),
+                return_when=asyncio.FIRST_COMPLETED,
             )
             for task in done:
                 found = task.result()
                 if not isinstance(found, Unavailable):
-                    return found
-        return found
+                    return found, None
+            if not done:
+                return found, second
+        return found, None
 
     async def _fetch_report(
-        self, address: str
+        self, address: str, timeout: float = PROBE_TIMEOUT
     ) -> EngineReport | Unavailable | Undecodable:
         """Send one probe to an endpoint, and return its report."""
         probed_at = self.clock()
-        found = await self.reports.report(address, PROBE_TIMEOUT)
+        found = await self.reports.report(address, timeout)
         if not isinstance(found, Unavailable):
             self.answered_probe_at[address] = probed_at
         return found
@@ -268,10 +336,11 @@
     ) -> EngineReport | Unavailable | Undecodable | AllUnavailable:
         """Probe an endpoint once more, together with controls that should respond."""
         others = self._controls(part)
+        timeout = self._timeout(part, self.clock())
         if not others:
-            return await self._fetch_report(part.address)
+            return await self._fetch_report(part.address, timeout)
         own, *found = await asyncio.gather(
-            self._fetch_report(part.address),
+            self._fetch_report(part.address, timeout),
             *(self._fetch_report(other) for other in others),
         )
         if isinstance(own, Unavailable) and _all_unavailable(found):
@@ -294,8 +363,12 @@
         addresses = {stalled.address for stalled in found.stalled}
         parts = {p for w in self.watch.streams for p in w.path.parts}
         dead = {part.endpoint for part in parts if part.address in addresses}
-        if dead:
-            self._declare_dead(dead, f"named by {source.address} as not answering")
+        reason = f"named by {source.address} as not answering"
+        now = self.clock()
+        for endpoint in sorted(dead):
+            slow = self._is_slow(endpoint, now)
+            grade = Grade.SLOW if slow else Grade.DOUBTFUL
+            self._declare_dead({endpoint}, reason, grade)
 
     def move_streams_from(self, ended: str) -> None:
         """Move the streams that use an incarnation which has ended."""
@@ -303,9 +376,9 @@
             if watched.path.uses({ended}):
                 self._move(watched, {ended})
 
-    def _declare_dead(self, endpoints: set[str], reason: str) -> None:
-        """Report endpoints as dead, and move the silent streams that use them."""
-        self.on_suspect(tuple(sorted(endpoints)), reason)
+    def _declare_dead(self, endpoints: set[str], reason: str, grade: Grade) -> None:
+        """Report endpoints as suspected, and move the silent streams that use them."""
+        self.on_suspect(tuple(sorted(endpoints)), reason, grade)
         now = self.clock()
         for watched in list(self.jobs):
             # A stream that still receives events refutes the suspicion. If it falls
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -14,7 +14,7 @@
     retry_after_limit,
 )
 from lacewingcourse.core.pipelines.events import EventSplitter
-from lacewingcourse.core.pipelines.suspects import is_full
+from lacewingcourse.core.pipelines.suspects import Grade, is_full
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.connections import (
     NotSent,
@@ -343,7 +343,10 @@
             if is_full(result.misdirected, filled):
                 self.stalls.probe(at_fault[0], now)
             else:
-                self.routing_state.suspects.suspect(endpoint, result.reason, now)
+                grade = Grade.GONE if result.misdirected else Grade.LOST
+                self.routing_state.suspects.suspect(
+                    endpoint, result.reason, now, grade=grade
+                )
                 # Gossip reaches the other entries one round later. Until then each of
                 # them sends requests to this endpoint, and each request costs a retry.
                 self.on_suspect()
--- a/packages/relay/tests/relay/test_gossip.py
+++ b/packages/relay/tests/relay/test_gossip.py
@@ -4,12 +4,16 @@
 
 from types import SimpleNamespace
 
+import attrs
+import orjson
 import pytest
 
 from lacewingcourse.core.pipelines.crashes import AnswerProgress
 from lacewingcourse.core.pipelines.peers import MEMBER_RANK, PEER_SILENCE_TIMEOUT, Role
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
 from lacewingcourse.core.pipelines.retry_budget import PEER_DISCOVERY_TIME
+from lacewingcourse.core.pipelines.suspects import Grade
+from lacewingcourse.relay.peer_messages import GossipMessage, decode, encode
 from lacewingcourse.relay.peers import GOSSIP_PERIOD, REGISTRY_PERIOD
 
 from .network import Network
@@ -23,6 +27,13 @@
     return network
 
 
+@pytest.fixture
+def pair():
+    """Two entries of a zone."""
+    network = Network({"a": 2})
+    return network.entries["a-00"], network.entries["a-01"]
+
+
 def give_loads(network: Network) -> None:
     """Start one request of each entry on one endpoint."""
     for entry in network.entries.values():
@@ -112,6 +123,55 @@
         assert entry.routing_state.suspects.excluded(large.clock()) == set()
 
 
+@pytest.mark.parametrize("grade", list(Grade))
+def test_the_grade_of_a_suspicion_reaches_all_entries(large, grade):
+    suspects = large.entries["c-05"].routing_state.suspects
+    suspects.suspect("x", "late report", large.clock(), silent=True, grade=grade)
+    large.run_rounds(4)
+    for entry in large.entries.values():
+        assert entry.routing_state.suspects.grades(large.clock()) == {"x": grade}
+
+
+def without_grades(message: GossipMessage) -> GossipMessage:
+    """Return a message as an older build sends it."""
+    document = orjson.loads(encode(message))
+    del document["grades"]
+    return decode(orjson.dumps(document), GossipMessage)
+
+
+def test_a_suspicion_of_an_older_build_has_the_assumed_grade(pair):
+    sender, receiver = pair
+    suspects = sender.routing_state.suspects
+    suspects.suspect("x", "late report", 0.0, silent=True, grade=Grade.SLOW)
+    receiver.receive(without_grades(sender.message_for(receiver.name, "a")))
+    assert receiver.routing_state.suspects.grades(0.0) == {"x": Grade.DOUBTFUL}
+
+
+def test_a_message_with_grades_keeps_its_meaning_for_older_builds(pair):
+    """Older builds read the fields that they know and ignore the others."""
+    sender, receiver = pair
+    suspects = sender.routing_state.suspects
+    suspects.suspect("x", "late report", 0.0, silent=True, grade=Grade.SLOW)
+    document = orjson.loads(encode(sender.message_for(receiver.name, "a")))
+    assert document["suspects"].keys() == {"x"}
+    assert document["silent"] == ["x"]
+    unknown = orjson.dumps(document | {"field_of_a_later_build": 1})
+    assert decode(unknown, GossipMessage).grades == {"x": Grade.SLOW}
+
+
+@pytest.mark.parametrize("value", [-1, 7, 10**30])
+def test_an_unknown_grade_changes_nothing_and_is_logged_once(pair, value):
+    sender, receiver = pair
+    logged = []
+    receiver.log = SimpleNamespace(log_event=lambda event, **f: logged.append(event))
+    sender.routing_state.suspects.suspect("x", "reset", 0.0)
+    message = sender.message_for(receiver.name, "a")
+    for _ in range(3):
+        receiver.receive(attrs.evolve(message, grades={"x": value, "y": value}))
+    assert receiver.routing_state.suspects.grades(0.0) == {"x": Grade.LOST}
+    assert logged.count("grade_unknown") == 1
+
+
 def test_a_limit_and_its_end_reach_all(large):
     for named in (2.5, NO_LIMIT):
         for entry in (large.entries["c-05"], large.entries["a-07"]):
