Repair layers whose last holder is gone first, and trust no rejected order

Cause: layers without a holder got one only within their group of zones, and only from endpoints that may move for a reinforcement. An endpoint that rejected an order because it carried out another one, or whose report was unreadable or older than the rejection, counted as a holder of the ordered layers until the order expired. An order that took longer than expected was sent again. A holder that refused connections counted until its entry lapsed.

Change: layers that no endpoint of the service holds are planned first, the longest gap first, from empty endpoints of any zone, else from any endpoint whose layers have other holders. After a rejection the report is read once; the endpoint is planned anew if that explains it, and counts for no layers otherwise until the next report. An overdue order is dropped only if the endpoint is not busy. Endpoints that refuse connections count no longer.

--- a/packages/core/src/lacewingcourse/core/pipelines/layout.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/layout.py
@@ -158,7 +158,7 @@
 ) -> _Layout:
     """Return the layout of a group with some copies, and its estimated rate."""
     plan = _complete_plan(copies, empty, [], shape)
-    placed = _apply_plan(empty, plan)
+    placed = apply_plan(empty, plan)
     sole_share = len(sole_holders(placed, shape)) / len(placed)
     loss_factor = 1.0 - LOSS_TIME_SHARE * sole_share
     rate = estimated_rate(_whole_copies(copies, empty, shape), placed, shape)
@@ -173,7 +173,7 @@
     found: list[list[Endpoint]] = []
     members: list[Endpoint] = []
     for assignment in copies:
-        members.append(_with_layers(known[assignment.endpoint], assignment))
+        members.append(with_layers(known[assignment.endpoint], assignment))
         if assignment.layers.end == shape.layers:
             found.append(members)
             members = []
@@ -196,20 +196,20 @@
     """
     plan = list(copies)
     taken = {assignment.endpoint: assignment for assignment in plan}
-    holding = holding + [_with_layers(e, taken[e.id]) for e in empty if e.id in taken]
+    holding = holding + [with_layers(e, taken[e.id]) for e in empty if e.id in taken]
     rest = [e for e in empty if e.id not in taken]
     for endpoint in sorted(rest, key=lambda e: slowness(e, shape)):
         assignment = _weakest_range(endpoint, holding, shape)
         if assignment is not None:
             plan.append(assignment)
-            holding.append(_with_layers(endpoint, assignment))
+            holding.append(with_layers(endpoint, assignment))
     return plan + _fill_gaps(holding, shape)
 
 
-def _apply_plan(endpoints: list[Endpoint], plan: list[Assignment]) -> list[Endpoint]:
+def apply_plan(endpoints: list[Endpoint], plan: list[Assignment]) -> list[Endpoint]:
     """Return endpoints with the layers that they hold after a plan."""
     taken = {assignment.endpoint: assignment for assignment in plan}
-    return [_with_layers(e, taken[e.id]) if e.id in taken else e for e in endpoints]
+    return [with_layers(e, taken[e.id]) if e.id in taken else e for e in endpoints]
 
 
 def sole_holders(endpoints: list[Endpoint], shape: EngineShape) -> list[Endpoint]:
@@ -248,7 +248,7 @@
     plan: list[Assignment] = []
     members = list(holding)
     while True:
-        gap = _longest_gap(token_capacity(members, shape))
+        gap = longest_gap(token_capacity(members, shape))
         if gap is None or len(gap) == shape.layers:
             return plan
         moved = {assignment.endpoint for assignment in plan}
@@ -264,7 +264,7 @@
         assignment = Assignment(donor.id, Layers(gap.start, gap.start + span))
         plan.append(assignment)
         members = [e for e in members if e.id != donor.id]
-        members.append(_with_layers(donor, assignment))
+        members.append(with_layers(donor, assignment))
 
 
 def can_spare(endpoint: Endpoint, members: list[Endpoint], shape: EngineShape) -> bool:
@@ -302,7 +302,7 @@
     if shape.max_layers(shape.accelerators[endpoint.accelerator]) < span:
         return None
     capacity = token_capacity(holding, shape)
-    gap = _longest_gap(capacity)
+    gap = longest_gap(capacity)
     if gap is not None:
         max_span = layers_that_fit(
             endpoint, shape, MIN_REQUESTS_PER_COPY * shape.mean_request_tokens
@@ -332,7 +332,7 @@
     )
 
 
-def _longest_gap(capacity: list[float]) -> Layers | None:
+def longest_gap(capacity: list[float]) -> Layers | None:
     """Return the longest run of layers without a holder, None if there is none."""
     best: Layers | None = None
     start: int | None = None
@@ -346,6 +346,6 @@
     return best
 
 
-def _with_layers(endpoint: Endpoint, assignment: Assignment) -> Endpoint:
+def with_layers(endpoint: Endpoint, assignment: Assignment) -> Endpoint:
     """Return an endpoint with the layers of its assignment."""
     return attrs.evolve(endpoint, layers=assignment.layers)
--- a/packages/core/src/lacewingcourse/core/pipelines/suspects.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/suspects.py
@@ -231,6 +231,17 @@
             if found.until > now
         }
 
+    def refusing(self, now: float) -> set[str]:
+        """Return the excluded endpoints that refuse connections.
+
+        One that is gone for new requests only, as it was ordered to move, answers.
+        """
+        return {
+            name
+            for name, found in self.members.items()
+            if found.grade is Grade.GONE and found.silent and found.until > now
+        }
+
     def cost_factor(self, endpoint: str, now: float) -> float:
         """Return the factor of an endpoint's suspicion on the cost of its paths."""
         found = self.members.get(endpoint)
--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -9,12 +9,19 @@
 import attrs
 
 from lacewingcourse.core.pipelines.copies import Assignment
-from lacewingcourse.core.pipelines.layout import placement_groups, search_group_layout
+from lacewingcourse.core.pipelines.layout import (
+    apply_plan,
+    placement_groups,
+    search_group_layout,
+)
 from lacewingcourse.core.pipelines.rebalancing import search_rebalancing
+from lacewingcourse.core.pipelines.repair import search_repairs
+from lacewingcourse.core.pipelines.suspects import Grade
+from lacewingcourse.relay.pending_order import PendingOrder
 from lacewingcourse.relay.ports import EngineReport, Lease, OrderOutcome, Unavailable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
     from lacewingcourse.core.pipelines.layout import LayoutSearch
@@ -44,24 +51,14 @@
 #: Seconds for which a search may block the event loop before it yields. The loop also
 #: forwards streams, whose callers accept pauses of some hundred milliseconds.
 SEARCH_SLICE = 0.005
+#: Seconds after which the report of an endpoint that rejected an order is requested
+#: again, unless it explains the rejection.
+REPORT_RETRY_DELAY = 1.0
 #: Age in seconds of the known directory up to which a holder keeps ordering while the
 #: store is unavailable. The directory is read twice a second, so two reads may fail.
 MAX_DIRECTORY_AGE = 1.5
 
 
-@attrs.frozen
-class PendingOrder:
-    """An order whose effect the directory does not show yet.
-
-    Attributes:
-        assignment: The ordered assignment.
-        until: Time by which its effect is expected, seconds.
-    """
-
-    assignment: Assignment
-    until: float
-
-
 @attrs.define
 class PlacementDuty:
     """Places layers on endpoints while this entry holds the duty.
@@ -142,22 +139,24 @@
             self.turns.clear()
         for endpoint_id, order in list(self.pending.items()):
             endpoint = present.get(endpoint_id)
-            in_effect = (
-                endpoint is not None and endpoint.layers == order.assignment.layers
-            )
-            if endpoint is None or in_effect or order.until < now:
+            if endpoint is None or order.is_in_effect(endpoint):
                 del self.pending[endpoint_id]
+            elif order.until < now:
+                # A second order would load the same layers again after the first one.
+                extended = attrs.evolve(order, until=now + ORDER_MARGIN)
+                self.pending[endpoint_id] = extended
+                self._start(self._drop_unless_busy(endpoint, extended))
 
     async def _place_service(
         self, service: str, shape: EngineShape, now: float
     ) -> None:
-        endpoints = [
-            self._with_pending_order(e) for e in self.routing_state.members(service)
-        ]
+        endpoints = self._planned_endpoints(service, now)
         holds_nothing = all(e.layers is None for e in endpoints)
         if holds_nothing and now - self.grown_at < SETTLE_TIME:
             return
-        tasks: list[asyncio.Task] = []
+        repairs = await run_in_slices(search_repairs(endpoints, shape))
+        tasks = await self._send_orders(repairs, shape, now)
+        endpoints = apply_plan(endpoints, repairs)
         for group in placement_groups(endpoints, shape):
             plan = await run_in_slices(search_group_layout(group, shape))
             tasks += await self._send_orders(plan, shape, now)
@@ -180,15 +179,19 @@
             duration = self._expected_duration(
                 max(moved_layers, len(assignment.layers)), shape
             )
-            order = asyncio.ensure_future(self._order(assignment, duration, now))
-            order.add_done_callback(self._on_order_done)
-            tasks.append(order)
+            tasks.append(self._start(self._order(assignment, duration, now)))
         return tasks
 
-    def _on_order_done(self, order: asyncio.Task) -> None:
+    def _start(self, work: Coroutine[None, None, None]) -> asyncio.Task:
+        """Start a task whose errors are logged."""
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(self._on_task_done)
+        return task
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
         """Log the error of a failed task, whose result nothing else reads."""
-        if not order.cancelled() and order.exception() is not None:
-            self.log.failed(order.exception())
+        if not task.cancelled() and task.exception() is not None:
+            self.log.failed(task.exception())
 
     def _count_moved_layers(self, plan: list[Assignment]) -> int:
         """Return the number of layers to be loaded by endpoints that hold others.
@@ -246,22 +249,36 @@
             self.holder.accept_lease(found, self.clock())
         return False
 
-    def _with_pending_order(self, endpoint: Endpoint) -> Endpoint:
-        """Return an endpoint with the layers of its pending order, if it has one."""
-        order = self.pending.get(endpoint.id)
-        if order is None:
-            return endpoint
-        return attrs.evolve(endpoint, layers=order.assignment.layers)
+    def _planned_endpoints(self, service: str, now: float) -> list[Endpoint]:
+        """Return a service's endpoints with the layers that they hold or will hold.
+
+        Left out are those that refuse connections, and those that carry out an order of
+        another holder until its effect is known. Other suspected ones count as holders.
+        """
+        refusing = self.routing_state.suspects.refusing(now)
+        planned = []
+        for endpoint in self.routing_state.members(service):
+            order = self.pending.get(endpoint.id)
+            if order is None and endpoint.id not in refusing:
+                planned.append(endpoint)
+            elif order is not None and order.assignment is not None:
+                layers = order.assignment.layers
+                planned.append(attrs.evolve(endpoint, layers=layers))
+        return planned
 
     async def _order(self, assignment: Assignment, duration: float, now: float) -> None:
         endpoint = self.routing_state.fleet.endpoints.get(assignment.endpoint)
         lease = self.holder.lease
         if endpoint is None or lease is None:
             return
-        self.pending[endpoint.id] = PendingOrder(assignment, now + duration)
+        self.pending[endpoint.id] = PendingOrder(
+            assignment, now + duration, endpoint.layers
+        )
         if endpoint.layers is not None and len(endpoint.layers):
             # It must get no new requests for the layers that it drops.
-            self.routing_state.suspects.suspect(endpoint.id, "ordered to move", now)
+            self.routing_state.suspects.suspect(
+                endpoint.id, "ordered to move", now, grade=Grade.GONE
+            )
         accepted = await self._accepted_by(endpoint)
         outcome = await self.orders.place(
             endpoint, assignment.layers, lease.fencing, accepted
@@ -321,16 +338,29 @@
     async def _correct_accepted(self, endpoint: Endpoint, accepted: int | None) -> None:
         """Read the number of accepted orders from an endpoint that rejected an order.
 
-        Unless the endpoint is carrying out another order, its order is planned again
-        with the right number.
+        It is planned again at once with the right number unless it is carrying out an
+        order of another holder, whose layers the directory will show.
         """
         self.accepted.pop(endpoint.id, None)
         report = await self._report(endpoint)
-        if report is None or report.accepted is None:
-            return
-        self.accepted[endpoint.id] = report.accepted
-        if report.accepted != accepted and not report.busy:
-            self.pending.pop(endpoint.id, None)
+        if report is not None and report.accepted not in (None, accepted):
+            self.accepted[endpoint.id] = report.accepted
+            if not report.busy:
+                self.pending.pop(endpoint.id, None)
+                return
+        # Reports are some hundred milliseconds old, and may not show the order yet.
+        self.pending[endpoint.id] = PendingOrder(
+            None, self.clock() + REPORT_RETRY_DELAY, endpoint.layers
+        )
+
+    async def _drop_unless_busy(self, endpoint: Endpoint, order: PendingOrder) -> None:
+        """Drop an order without effect unless the endpoint is carrying one out."""
+        report = await self._report(endpoint)
+        if report is not None and report.accepted is not None:
+            self.accepted[endpoint.id] = report.accepted
+        is_busy = report is not None and report.busy
+        if not is_busy and self.pending.get(endpoint.id) is order:
+            del self.pending[endpoint.id]
 
 
 async def run_in_slices(search: LayoutSearch) -> list[Assignment]:
