Move no stream from a slow endpoint to another suspected one

Cause: since suspected endpoints may be on candidate paths, a stream that was silent behind a slow endpoint moved to another suspected one. The move costs a retry, and the prompt is read again at a slow endpoint. The watcher's callback also has a grade now, which the scripted scenario of streams did not pass.

Change: the next path of a silent stream avoids all suspected endpoints unless its present path has one that may be dead. The scenario passes the grade.

--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.suspects import Grade
 from lacewingcourse.relay.connections import NotSent, Unsent
 from lacewingcourse.relay.stream_state import AttemptEnd, Replacement, Standby
 
@@ -160,10 +161,23 @@
         self.forwarder.stalls.end(self.job)
         self.job.path = self.path
 
+    def _suspects_to_avoid(self) -> Collection[str]:
+        """Return the suspected endpoints unless the present path may have lost one.
+
+        A stream behind an endpoint that is only slow gains nothing behind another one,
+        where its prompt would be read again.
+        """
+        now = self.forwarder.sender.clock()
+        grades = self.forwarder.routing_state.suspects.grades(now)
+        known = {grades.get(part.endpoint) for part in self.path.parts}
+        return grades if known <= {None, Grade.SLOW} else ()
+
     def _next_path(self) -> tuple[Path, bool] | Refusal:
         """Return a path, and whether it has room while the current attempt is open."""
         job, path, tokens = self.job, self.path, self.state.demand.tokens
-        also_avoid = [] if path.uses(job.avoid) else [p.endpoint for p in path.parts]
+        also_avoid = set(self._suspects_to_avoid())
+        if not path.uses(job.avoid):
+            also_avoid.update(part.endpoint for part in path.parts)
         found = self.forwarder.reserve_path(self.state, also_avoid)
         if not isinstance(found, Refusal):
             return found, True
--- a/packages/relay/tests/relay/stream_scenario.py
+++ b/packages/relay/tests/relay/stream_scenario.py
@@ -16,6 +16,7 @@
 from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.core.pipelines.shape import EngineShape, Layers
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
+from lacewingcourse.core.pipelines.suspects import Grade
 from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.connections import (
     ConnectionPool,
@@ -232,7 +233,7 @@
             SimpleNamespace(is_idle=lambda job, avoid: False),
             self.clock,
             self.log,
-            lambda endpoints, reason: None,
+            lambda endpoints, reason, grade: None,
             lambda name, born: False,
         )
         forwarder = StreamForwarder(
@@ -254,7 +255,9 @@
 
     def declare_dead(self, *names: str):
         """Return a function that makes a watcher declare endpoints dead."""
-        return lambda watcher: watcher._declare_dead(set(names), "no report")
+        return lambda watcher: watcher._declare_dead(
+            set(names), "no report", Grade.DOUBTFUL
+        )
 
     def set_slack(self, slack: float):
         """Return a function that changes the retries that the budget allows."""
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -15,6 +15,7 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.admission_queue import RETRY_AFTER_ANSWERS
 from lacewingcourse.core.pipelines.routing import RetrySafety
+from lacewingcourse.core.pipelines.suspects import Grade
 
 from .stream_scenario import (
     EVENT_COUNT,
@@ -232,3 +233,23 @@
     assert run_virtual(scenario.serve()) is None
     assert scenario.caller.response_complete
     assert "Content-Length" not in scenario.caller.headers
+
+
+@pytest.mark.parametrize(
+    ("grade", "firsts"), [(Grade.SLOW, ["a"]), (Grade.DOUBTFUL, ["a", "c"])]
+)
+def test_a_stream_behind_a_slow_endpoint_moves_to_no_suspected_one(
+    stream, grade, firsts
+):
+    """Guards against moves from one slow endpoint to another, each read anew.
+
+    Behind an endpoint that may be dead, a suspected one is better than none.
+    """
+    scenario = stream(SHORT_PAUSE)
+    suspects = scenario.routing_state.suspects
+    for endpoint in "bc":
+        suspects.suspect(endpoint, "late report", 0.0, silent=True, grade=grade)
+    ended = run_virtual(scenario.serve((IN_PAUSE, scenario.declare_dead("b"))))
+    assert ended is None
+    assert scenario.caller.body == whole_answer()
+    assert scenario.firsts == firsts
