Keep the paths without suspected endpoints beside those with them

Cause: once some layer needed suspected endpoints, all candidate paths were searched anew over the larger set, which found fewer of the paths without suspected endpoints: of 28 with four in five of 114 endpoints suspected, 19 paths of both kinds were left.

Change: paths over the endpoints that are not suspected come first and stay; those with suspected ones are added.

--- a/packages/core/src/lacewingcourse/core/pipelines/path_selection.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/path_selection.py
@@ -51,7 +51,8 @@
 
     A suspected endpoint is used if it holds layers that lack other holders or have too
     little capacity on them: those of the lowest grade first, then those of the next
-    one. So there is a path as long as every layer has a holder that is not gone.
+    one. So there is a path as long as every layer has a holder that is not gone. Paths
+    without suspected endpoints stay beside those with them.
 
     Args:
         endpoints: Endpoints of the service that accept new requests.
@@ -60,10 +61,12 @@
     """
     held = [e for e in endpoints if e.accelerator in shape.accelerators]
     clean = [e for e in held if e.id not in grades]
+    paths = candidate_paths(clean, shape)
     if len(clean) == len(held):
-        return PathSelection(candidate_paths(held, shape), {})
+        return PathSelection(paths, {})
     holders = _with_needed(clean, held, grades, shape)
-    paths = _paths(holders, grades, shape)
+    if len(holders) > len(clean):
+        paths = _merged(paths, _paths(holders, grades, shape))
     if not paths:
         # Parts may not join to a path although every layer has a holder.
         holders = [e for e in held if grades.get(e.id) is not Grade.GONE]
@@ -72,14 +75,20 @@
     return PathSelection(paths, suspected)
 
 
+def _merged(clean: list[Path], others: list[Path]) -> list[Path]:
+    """Return paths without suspected endpoints together with others, fastest first."""
+    known = {path.parts for path in clean}
+    added = [path for path in others if path.parts not in known]
+    return sorted(clean + added, key=lambda path: path.token_ms)
+
+
 def _paths(
     holders: list[Endpoint], grades: Mapping[str, Grade], shape: EngineShape
 ) -> list[Path]:
     """Return candidate paths over endpoints, those not suspected preferred."""
     uses = {e.id: EARLIER_USES[grades[e.id]] for e in holders if e.id in grades}
-    paths = candidate_paths(holders, shape, uses)
     # A search that avoids an endpoint may find only paths that use it twice.
-    return paths or (candidate_paths(holders, shape) if uses else paths)
+    return candidate_paths(holders, shape, uses) or candidate_paths(holders, shape)
 
 
 def _with_needed(
