Count an endpoint that refuses connections as a holder, except for repairs

Cause: it was left out of every plan, so an endpoint of its zone could move at once although others held the layers and the crashed one restarts within seconds.

Change: only the repair of layers without any holder leaves it out. A test shows that choices after a suspicion has ended are those without one.

--- a/packages/core/tests/pipelines/test_path_selection.py
+++ b/packages/core/tests/pipelines/test_path_selection.py
@@ -41,6 +41,24 @@
     assert selection.suspected == {}
 
 
+def test_choices_after_a_suspicion_has_ended_are_those_without_one(fleet, shape):
+    """The same requests go the same ways where nothing is suspected any more."""
+    suspects = Suspects()
+    suspects.suspect(fleet[0].id, "no report", 0.0, silent=True)
+    chosen = []
+    for known in (Suspects(), suspects):
+        chooser = PathChooser(shape, {e.id: e for e in fleet}, LoadTable(), LinkUsage())
+        chooser.suspects = known
+        paths = select_paths(fleet, known.grades(9.0), shape).paths
+        rng = random.Random(3)
+        chosen.append([])
+        for _ in range(100):
+            path = chooser.choose(paths, DEMAND, (), rng, 9.0)
+            chooser.loads.begin(path, DEMAND.tokens)
+            chosen[-1].append(path)
+    assert chosen[0] == chosen[1]
+
+
 @pytest.mark.parametrize("grade", list(Grade))
 def test_a_suspected_endpoint_is_left_out_where_others_hold_its_layers(
     row, shape, grade
--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -150,11 +150,15 @@
     async def _place_service(
         self, service: str, shape: EngineShape, now: float
     ) -> None:
-        endpoints = self._planned_endpoints(service, now)
+        endpoints = self._planned_endpoints(service)
         holds_nothing = all(e.layers is None for e in endpoints)
         if holds_nothing and now - self.grown_at < SETTLE_TIME:
             return
-        repairs = await run_in_slices(search_repairs(endpoints, shape))
+        # Without any holder nothing runs, so repairs do not wait until the entry of an
+        # endpoint that refuses connections lapses. Other plans do: it may restart.
+        refusing = self.routing_state.suspects.refusing(now) - set(self.pending)
+        present = [e for e in endpoints if e.id not in refusing]
+        repairs = await run_in_slices(search_repairs(present, shape))
         tasks = await self._send_orders(repairs, shape, now)
         endpoints = apply_plan(endpoints, repairs)
         for group in placement_groups(endpoints, shape):
@@ -249,19 +253,18 @@
             self.holder.accept_lease(found, self.clock())
         return False
 
-    def _planned_endpoints(self, service: str, now: float) -> list[Endpoint]:
+    def _planned_endpoints(self, service: str) -> list[Endpoint]:
         """Return a service's endpoints with the layers that they hold or will hold.
 
-        Left out are those that refuse connections, and those that carry out an order of
-        another holder until its effect is known. Other suspected ones count as holders.
+        Those that carry out an order of another holder are left out until its effect is
+        known. Suspected ones count as holders.
         """
-        refusing = self.routing_state.suspects.refusing(now)
         planned = []
         for endpoint in self.routing_state.members(service):
             order = self.pending.get(endpoint.id)
-            if order is None and endpoint.id not in refusing:
+            if order is None:
                 planned.append(endpoint)
-            elif order is not None and order.assignment is not None:
+            elif order.assignment is not None:
                 layers = order.assignment.layers
                 planned.append(attrs.evolve(endpoint, layers=layers))
         return planned
--- a/packages/relay/tests/relay/test_repair_orders.py
+++ b/packages/relay/tests/relay/test_repair_orders.py
@@ -191,6 +191,19 @@
     assert (layers == Layers(1, 2)) is (grade is Grade.GONE)
 
 
+def test_no_endpoint_moves_for_one_that_may_restart_while_others_hold_its_layers(
+    deployment, small
+):
+    """Only layers without any holder are repaired before a directory entry lapses."""
+    for name, layer in (("b", 0), ("c", 1), ("d", 1)):
+        deployment.list_endpoint(small(name, layer))
+    for name in "bc":
+        deployment.duty.routing_state.suspects.suspect(
+            name, "refused", deployment.clock.now, silent=True, grade=Grade.GONE
+        )
+    assert deployment.place_for(4 * PERIOD) == []
+
+
 def test_a_gap_is_ordered_once_while_orders_are_on_their_way(deployment, small):
     """Guards against duplicate plans that order two endpoints to the same range."""
     for name in "bc":
