Grade rejections and failed connections by who reports them

Cause: an endpoint that another one named in a rejection, and a slow one that made no connection in time, counted as lost, and so came last where their layers lack other holders.

Change: one that only another names is doubtful, one known as slow stays slow.

--- a/packages/core/src/lacewingcourse/core/pipelines/suspects.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/suspects.py
@@ -78,6 +78,19 @@
     return Grade.DOUBTFUL if silent else Grade.LOST
 
 
+def rejection_grade(misdirected: bool, named_by_itself: bool) -> Grade:
+    """Return the grade of an endpoint at fault for the rejection of a request.
+
+    Args:
+        misdirected: Whether it does not hold the layers that the request needs.
+        named_by_itself: Whether it sent the rejection, and was not named by another
+            endpoint.
+    """
+    if misdirected:
+        return Grade.GONE
+    return Grade.LOST if named_by_itself else Grade.DOUBTFUL
+
+
 class ObservationScope(IntEnum):
     """Which entries made an observation: this one, those of its zone, or any."""
 
--- a/packages/core/tests/pipelines/test_suspects.py
+++ b/packages/core/tests/pipelines/test_suspects.py
@@ -10,6 +10,7 @@
     Grade,
     Suspects,
     is_full,
+    rejection_grade,
 )
 
 
@@ -43,6 +44,21 @@
     assert is_full(misdirected, filled) is full
 
 
+@pytest.mark.parametrize(
+    ("misdirected", "by_itself", "grade"),
+    [
+        (True, True, Grade.GONE),
+        (True, False, Grade.GONE),
+        (False, True, Grade.LOST),
+        (False, False, Grade.DOUBTFUL),
+    ],
+)
+def test_an_endpoint_that_another_names_in_a_rejection_is_doubtful(
+    misdirected, by_itself, grade
+):
+    assert rejection_grade(misdirected, by_itself) is grade
+
+
 def test_only_endpoints_that_do_not_answer_are_silent():
     suspects = Suspects()
     suspects.suspect("a", "rejected with 503", now=0.0)
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -14,7 +14,7 @@
     retry_after_limit,
 )
 from lacewingcourse.core.pipelines.events import EventSplitter
-from lacewingcourse.core.pipelines.suspects import Grade, is_full
+from lacewingcourse.core.pipelines.suspects import Grade, is_full, rejection_grade
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.connections import (
     NotSent,
@@ -317,8 +317,10 @@
     def exclude_unreachable(self, job: Job, path: Path) -> None:
         """Exclude the first endpoint of a path, to which no connection was made."""
         endpoint = path.first.endpoint
-        reason = Unsent.UNREACHABLE.value
-        self.routing_state.suspects.suspect(endpoint, reason, self.sender.clock())
+        reason, now = Unsent.UNREACHABLE.value, self.sender.clock()
+        slow = self.routing_state.speeds.slowdown(endpoint, now) > 1.0
+        grade = Grade.SLOW if slow else Grade.LOST
+        self.routing_state.suspects.suspect(endpoint, reason, now, grade=grade)
         job.avoid.add(endpoint)
 
     def _result_of_unsent(self, sent: NotSent) -> AttemptResult | None:
@@ -343,7 +345,8 @@
             if is_full(result.misdirected, filled):
                 self.stalls.probe(at_fault[0], now)
             else:
-                grade = Grade.GONE if result.misdirected else Grade.LOST
+                by_itself = at_fault[0] == path.first
+                grade = rejection_grade(result.misdirected, by_itself)
                 self.routing_state.suspects.suspect(
                     endpoint, result.reason, now, grade=grade
                 )
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -16,6 +16,7 @@
 from lacewingcourse.core.pipelines.retry_budget import RetryBudget
 from lacewingcourse.core.pipelines.routing import RetrySafety
 from lacewingcourse.core.pipelines.shape import Layers
+from lacewingcourse.core.pipelines.suspects import Grade
 from lacewingcourse.relay.ports import AnswerHead, AnswerKind
 from lacewingcourse.relay.routing_state import RoutingState
 from lacewingcourse.relay.streams import StreamForwarder
@@ -188,3 +189,19 @@
     routing_state, recorder = rejected(status, taken)
     assert routing_state.suspects.excluded(0.0) == {"b"}
     assert recorder.probed == []
+
+
+@pytest.mark.parametrize(("slowdown", "grade"), [(1.0, Grade.LOST), (12.0, Grade.SLOW)])
+def test_a_slow_endpoint_without_a_connection_in_time_is_not_taken_for_lost(
+    slowdown, grade
+):
+    state = RoutingState()
+    state.speeds.update("a", slowdown, 0.0)
+    forwarder = SimpleNamespace(
+        routing_state=state, sender=SimpleNamespace(clock=lambda: 0.1)
+    )
+    job = SimpleNamespace(avoid=set())
+    path = SimpleNamespace(first=SimpleNamespace(endpoint="a"))
+    StreamForwarder.exclude_unreachable(forwarder, job, path)
+    assert state.suspects.grades(0.2) == {"a": grade}
+    assert job.avoid == {"a"}
