Apply a late report like one in time

Cause: a report after the timeout that showed a restart did not move the streams of the ended incarnation, and the endpoints that it named were not read.

Change: it goes the way of every report.

Result: 29 tests of the stall watcher pass.

--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -244,9 +244,8 @@
         now = self.clock()
         self.suspects.record_late_answer(part.endpoint, now)
         slowdown = found.slowdown if isinstance(found, EngineReport) else None
-        if slowdown is not None and not self.on_start(part.name, found.born):
-            self.speeds.update(part.endpoint, slowdown, now)
         self.log.log_event("late_report", endpoint=part.endpoint, slowdown=slowdown)
+        self._apply_probe(part, found, now)
 
     def _is_slow(self, endpoint: str, now: float) -> bool:
         """Return whether an endpoint reported lately that it runs slowly, or late."""
--- a/packages/relay/tests/relay/test_stall_watcher.py
+++ b/packages/relay/tests/relay/test_stall_watcher.py
@@ -455,6 +455,28 @@
     assert "late_report" in events
 
 
+def test_a_late_report_of_a_restart_moves_the_streams(make_watcher):
+    watcher = make_watcher(EngineReport())
+
+    async def report(address: str, timeout: float):
+        if address == "b:1":
+            await asyncio.sleep(0.1)
+            return EngineReport(born=STARTED_MS + 1)
+        return EngineReport()
+
+    watcher.reports = SimpleNamespace(report=report)
+    job = make_job(path_of("a", "b"))
+
+    async def run():
+        watcher.clock = asyncio.get_running_loop().time
+        watcher.begin(job, watcher.clock())
+        second = asyncio.ensure_future(watcher._fetch_report("b:1"))
+        await watcher._await_late_report(job.path.parts[1], second)
+
+    asyncio.run(run())
+    assert job.avoid == {"b"}
+
+
 @pytest.mark.parametrize("slow", [True, False], ids=["known as slow", "not known"])
 def test_probes_of_an_endpoint_that_does_not_respond_do_not_pile_up(probe_for, slow):
     """At most three probes for each timeout are sent, as before the second opinion."""
