--- a/packages/core/src/lacewingcourse/core/fairness.py
+++ b/packages/core/src/lacewingcourse/core/fairness.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from lacewingcourse.core.service_accounts import ServiceAccounts
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -76,30 +78,31 @@
     Attributes:
         limit: Requests that may wait.
         lanes: Waiting requests by organisation and class, oldest first.
-        accounts: Accounts of organisations with requests here.
+        table: Accounts of organisations with requests here.
         deeper: Count of the lanes with more requests than the index.
         size: Requests that wait.
         picks: Count of the picks.
-        level: Served cost that a new organisation starts with: the highest at which
-            a request was started.
     """
 
     limit: int = 1024
     lanes: dict[tuple[str, str], deque[Waiting]] = attrs.field(factory=dict)
-    accounts: dict[str, Account] = attrs.field(factory=dict)
+    table: ServiceAccounts[Account] = attrs.field(
+        factory=lambda: ServiceAccounts(Account)
+    )
     deeper: list[int] = attrs.field(factory=list)
     size: int = 0
     picks: int = 0
-    level: float = 0.0
     _arrivals: int = 0
     _mean_cost: float = 1.0
 
+    @property
+    def accounts(self) -> dict[str, Account]:
+        """Accounts of organisations with requests here."""
+        return self.table.accounts
+
     def account(self, organisation: str) -> Account:
         """Return an organisation's account; a new one starts level with the rest."""
-        account = self.accounts.get(organisation)
-        if account is None:
-            account = self.accounts[organisation] = Account(served=self.level)
-        return account
+        return self.table.account(organisation)
 
     def push(self, waiting: Waiting) -> None:
         """Add a request at the end of its lane."""
@@ -171,9 +174,7 @@
 
     def start(self, waiting: Waiting) -> None:
         """Charge a request that starts to its organisation."""
-        account = self.account(waiting.organisation)
-        self.level = max(self.level, account.served)
-        account.served += waiting.cost
+        account = self.table.charge(waiting.organisation, waiting.cost)
         account.running += 1
 
     def end(self, organisation: str) -> None:
--- a/packages/core/src/lacewingcourse/core/pipelines/scheduling.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/scheduling.py
@@ -1,7 +1,8 @@
-"""Scheduling of requests that compete for room: who starts next, who is refused."""
+"""Scheduling of requests that compete for room: interfaces."""
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -24,6 +25,11 @@
         latest_start: When it must start to be in time, seconds.
         resumed: Whether it continues an answer that its caller is already reading.
         due: Whether its caller was refused before and returns at the time it was given.
+        restricted: Whether it may use only some of the paths that others may use, so
+            that a lack of room for it says nothing of others.
+        caller_may_retry: Whether its caller may send it again if it is refused.
+        found: Why there was no room when it was last tried, None before.
+        tried_at: When it was last tried, seconds.
     """
 
     id: str
@@ -34,6 +40,10 @@
     latest_start: float
     resumed: bool = False
     due: bool = False
+    restricted: bool = False
+    caller_may_retry: bool = True
+    found: Refusal | None = None
+    tried_at: float = float("-inf")
 
 
 @attrs.frozen
@@ -49,6 +59,24 @@
     room: Path | object
 
 
+class RefusalCause(Enum):
+    """Why a scheduler refuses a request.
+
+    Attributes:
+        SHARE: It does not belong to what this entry may start.
+        LATE: It would not start in time with those before it.
+        WAITED: It found no room until its latest start.
+        QUEUE_FULL: Too many requests wait.
+        NOT_ALLOWED: Waiting would not help, such as while the entry drains.
+    """
+
+    SHARE = "share"
+    LATE = "late"
+    WAITED = "waited"
+    QUEUE_FULL = "queue_full"
+    NOT_ALLOWED = "not_allowed"
+
+
 @attrs.frozen
 class Refused:
     """A decision: a request is refused now.
@@ -56,10 +84,12 @@
     Attributes:
         request: The request.
         refusal: The kind of the refusal and its reason, without a return time.
+        cause: Why the scheduler refuses it.
     """
 
     request: QueuedRequest
     refusal: Refusal
+    cause: RefusalCause
 
 
 #: What the scheduler decides; a request without a decision waits.
@@ -69,7 +99,7 @@
 class RoomSource(Protocol):
     """Finds room for requests and takes it."""
 
-    def take(self, request: QueuedRequest, now: float) -> Path | Refusal:
+    def take(self, request: QueuedRequest, now: float) -> Path | object | Refusal:
         """Take room for a request so that the next choice sees it taken.
 
         Args:
@@ -102,3 +132,24 @@
 
     def has_precedence(self, request: QueuedRequest, now: float) -> bool:
         """Return whether no more urgent request waits at another entry."""
+
+
+class UnlimitedShare:
+    """The share of an entry that may start whatever has room."""
+
+    def record_arrival(self, request: QueuedRequest, now: float) -> None:
+        """Do nothing."""
+
+    def may_take(self, request: QueuedRequest, now: float) -> bool:
+        """Return true."""
+        return True
+
+    def record_start(self, request: QueuedRequest, now: float) -> None:
+        """Do nothing."""
+
+    def record_shortage(self, request: QueuedRequest, now: float) -> None:
+        """Do nothing."""
+
+    def has_precedence(self, request: QueuedRequest, now: float) -> bool:
+        """Return true."""
+        return True
