Give room to streams and calls in the order of the scheduler

A waiting request slept 30 ms and tried for itself: who tried first after room came free got it, a rank decided nothing, and calls had no order at all. The load of a request was counted only when it was sent, so two decisions in a row saw the same room.

Admission drives a scheduler for each service by events: arrivals, room freed here, gossip, changes of endpoints and configuration, and a pass each 30 ms while something waits. Room is taken with the decision and freed once. Retry times are computed in one place (retry_times.py).

--- a/packages/core/src/lacewingcourse/core/pipelines/admission_queue.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/admission_queue.py
@@ -1,11 +1,9 @@
-"""Queue of requests that wait for capacity on a path, and their time limits."""
+"""How long requests wait for room, and when refused callers may return."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from lacewingcourse.core.registry import Registry
 
 if TYPE_CHECKING:
@@ -105,52 +103,3 @@
         draw: A number from 0 to 1 that spreads the callers.
     """
     return next_in + draw * LIMIT_RETRY_JITTER
-
-
-@attrs.define(eq=False)
-class QueuedRequest:
-    """A request that waits for a path.
-
-    Attributes:
-        urgency: Its rank; 0 is served first.
-        tokens: Tokens that it needs.
-        since: When it was queued, seconds.
-        until: Time at which it is refused, seconds.
-    """
-
-    urgency: int
-    tokens: int
-    since: float
-    until: float
-
-
-@attrs.define
-class AdmissionQueue:
-    """The requests that wait at this entry, ordered by urgency and arrival.
-
-    A large request that does not fit yet is not overtaken by new ones of the same or
-    lower urgency once half of its waiting time has passed.
-
-    Attributes:
-        requests: The requests in order.
-    """
-
-    requests: list[QueuedRequest] = attrs.field(factory=list)
-
-    def push(self, request: QueuedRequest) -> None:
-        """Add a request."""
-        self.requests.append(request)
-        self.requests.sort(key=lambda queued: (queued.urgency, queued.since))
-
-    def discard(self, request: QueuedRequest) -> None:
-        """Remove a request if it is queued."""
-        if request in self.requests:
-            self.requests.remove(request)
-
-    def may_bypass(self, urgency: int, now: float) -> bool:
-        """Tell whether a new request may take capacity before the queued ones."""
-        for queued in self.requests:
-            half = queued.since + (queued.until - queued.since) / 2
-            if queued.urgency <= urgency and half <= now < queued.until:
-                return False
-        return True
--- a/packages/core/src/lacewingcourse/core/pipelines/request_scheduler.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/request_scheduler.py
@@ -124,7 +124,7 @@
         """
         self.rate.advance(now, self.shortage)
         decisions = self._start_in_order(now)
-        for request in [each for each in self._all() if each.latest_start <= now]:
+        for request in [each for each in self.waiting() if each.latest_start <= now]:
             self._discard(request)
             decisions.append(self._expired(request))
         return decisions
@@ -142,6 +142,10 @@
         earliest = min(request.latest_start for request in self._all())
         return max(now, min(now + MAX_WAKE_INTERVAL, earliest))
 
+    def waiting(self) -> list[QueuedRequest]:
+        """Return the requests that wait."""
+        return list(self._all())
+
     def depths(self) -> dict[int, int]:
         """Return the number of waiting requests by rank."""
         depths = {rank: len(queue) for rank, queue in self.ranks.items()}
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -153,10 +153,22 @@
             crash_guard.refusal,
         )
         zone = self.settings.zone
+        self.admission = Admission(
+            self.clock,
+            WAIT_POLICIES.get(self.settings.wait),
+            on_queued=self.log.queued,
+            on_decided=self.metrics.scheduled,
+        )
         calls = CallForwarder(
-            self.routing_state, sender, self.budget, zone, rng, self.log, crash_guard
+            self.routing_state,
+            sender,
+            self.budget,
+            zone,
+            rng,
+            self.log,
+            crash_guard,
+            self.admission,
         )
-        self.admission = Admission(self.clock, WAIT_POLICIES.get(self.settings.wait))
         finder = PathFinder(self.routing_state, rng, self.clock, self.pool)
         self.stalls = StallWatcher(
             self.platform.reports,
@@ -257,6 +269,7 @@
             self.ingress.restart_estimator.ends_in,
             self.boot_clock,
             crash_guard=crash_guard,
+            on_receive=self.admission.room_changed,
         )
         self.peers = PeerExchange(
             gossip,
@@ -307,6 +320,7 @@
             self.directory.freshness,
             self.clock,
             self.boot_clock,
+            self.admission,
         )
         metrics_handlers = {("GET", METRICS_PATH): page.respond}
         handlers = self.peers.handlers() | self.loans.handlers()
@@ -396,6 +410,8 @@
         self.loans.request_loan(service, request)
 
     def _notify_peers(self) -> None:
+        """Notify other entries of a change, after which waiting requests may start."""
+        self.admission.room_changed()
         self.peers.exchange_now()
 
     def _on_ready(self, request: ServerRequest) -> Reply:
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -2,25 +2,23 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.pipelines.admission_queue import (
-    retry_after_limit,
-    wait_in_time,
-)
+from lacewingcourse.core.pipelines.admission_queue import wait_in_time
 from lacewingcourse.core.pipelines.choice import choose_endpoint
 from lacewingcourse.core.pipelines.crashes import AnswerProgress
-from lacewingcourse.relay.admission import RETRY_PERIOD
+from lacewingcourse.relay.admission import RETRY_PERIOD, Admission
 from lacewingcourse.relay.connections import (
     NotSent,
     Unsent,
 )
 from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.limited_choice import choose_within_limits
+from lacewingcourse.relay.retry_times import CALL_RETRY_AFTER, RetryTimes
+from lacewingcourse.relay.room import TakenRoom, take_slot
 from lacewingcourse.relay.sending import (
     SERVER_ERROR,
     AnswerReader,
@@ -54,8 +52,6 @@
     Unsent.NO_RETRY: ErrorKind.RETRIES_EXHAUSTED,
     Unsent.CRASHES: ErrorKind.REQUEST_CRASHES_ENDPOINTS,
 }
-#: `Retry-After` of a refused call in seconds.
-CALL_RETRY_AFTER = 0.3
 
 
 @attrs.define
@@ -70,6 +66,8 @@
         rng: Source of random numbers.
         log: Decision log.
         crash_guard: Refuses calls that crash endpoints.
+        admission: Gives slots of endpoints to calls in their order.
+        retry_times: Computes when refused callers may return.
     """
 
     routing_state: RoutingState
@@ -79,11 +77,21 @@
     rng: Random
     log: DecisionLog
     crash_guard: CrashGuard = attrs.field()
+    admission: Admission = attrs.field()
+    retry_times: RetryTimes = attrs.field()
 
     @crash_guard.default
     def _own_crash_guard(self) -> CrashGuard:
         return CrashGuard(self.routing_state, self.log, self.sender.clock)
 
+    @admission.default
+    def _own_admission(self) -> Admission:
+        return Admission(self.sender.clock)
+
+    @retry_times.default
+    def _own_retry_times(self) -> RetryTimes:
+        return RetryTimes(self.routing_state.durations, self.rng)
+
     async def serve(self, job: Job) -> WholeAnswer | Refusal:
         """Return an endpoint's answer to a call, or the refusal if it has none."""
         try:
@@ -99,16 +107,16 @@
             now = self.sender.clock()
             if now >= job.deadline:
                 return last_answer or job.failure(ErrorKind.DEADLINE_EXCEEDED, None)
-            endpoint = self._choose(job, now)
-            if isinstance(endpoint, Refusal) and self._should_wait(job, endpoint, now):
-                await asyncio.sleep(RETRY_PERIOD)
-                continue
-            if isinstance(endpoint, Refusal):
-                job.reason = job.reason or endpoint.reason
-                return last_answer or job.failure(
-                    endpoint.kind, self._retry_after(endpoint)
-                )
-            result = await self._attempt(job, endpoint)
+            room = await self._wait_for_slot(job)
+            if isinstance(room, Refusal):
+                job.reason = job.reason or room.reason
+                wait = self.retry_times.for_call(job, room.retry_after)
+                return last_answer or job.failure(room.kind, wait)
+            endpoint, now = room.target, self.sender.clock()
+            try:
+                result = await self._attempt(job, endpoint)
+            finally:
+                room.release()
             if isinstance(result, NotSent) and result.cause is Unsent.OVER_LIMIT:
                 continue
             if isinstance(result, NotSent) and result.cause in UNSENT_ERROR_KINDS:
@@ -141,14 +149,26 @@
             if not job.may_try_another:
                 return self._failure(job, result)
 
-    def _should_wait(self, job: Job, refusal: Refusal, now: float) -> bool:
-        """Return whether a call without an endpoint may find one a moment later."""
-        if refusal.kind is ErrorKind.DRAINING:
-            return False
+    async def _wait_for_slot(self, job: Job) -> TakenRoom | Refusal:
+        """Return a slot of an endpoint, or why there is none.
+
+        Only a call that was not sent waits: any other has an answer to return, or its
+        caller has waited for an endpoint before.
+        """
+
+        def on_release() -> None:
+            self.admission.room_changed(job.service)
+
+        def take() -> TakenRoom | Refusal:
+            found = self._choose(job, self.sender.clock())
+            if isinstance(found, Refusal):
+                return found
+            return take_slot(self.routing_state.loads, found, on_release)
+
+        latest_start = wait_in_time(job.request.received_at, job.route.objective)
         if job.sends or job.avoid or job.caller.disconnected:
-            return False
-        next_at = now + (refusal.retry_after or 0.0)
-        return next_at < wait_in_time(job.request.received_at, job.route.objective)
+            latest_start = job.request.received_at
+        return await self.admission.room_for(job, 1, take, latest_start)
 
     def _choose(
         self, job: Job, now: float, besides: Collection[str] = ()
@@ -196,35 +216,24 @@
             limits, job, endpoints, lambda endpoint: endpoint.id, choose, now
         )
 
-    def _retry_after(self, refusal: Refusal) -> float:
-        """Return the `Retry-After` of a refused call in seconds."""
-        if refusal.retry_after is None:
-            return CALL_RETRY_AFTER
-        wait = retry_after_limit(refusal.retry_after, self.rng.random())
-        return max(CALL_RETRY_AFTER, wait)
-
     async def _attempt(
         self, job: Job, endpoint: Endpoint
     ) -> WholeAnswer | NoAnswer | NotSent:
         """Return an endpoint's answer to a call, or why there is none."""
-        self.routing_state.loads.begin_call(endpoint.id)
-        try:
-            fresh = not job.route.retry_safety.may_retry
-            result = await self._send(job, endpoint, fresh)
-            if not isinstance(result, NoAnswer) or not result.dropped:
-                return result
-            # Endpoints drop idle connections without notice; this is not a lost run.
-            self.sender.pool.close_idle(endpoint.address)
-            job.sends -= 1
-            job.record_outcome(result.outcome, result.reason)
-            again = await self._send(job, endpoint, fresh=True)
-            if isinstance(again, NotSent) and again.cause is Unsent.UNREACHABLE:
-                # The endpoint is gone, perhaps while it ran this call.
-                job.sends += 1
-                return result
-            return again
-        finally:
-            self.routing_state.loads.end_call(endpoint.id)
+        fresh = not job.route.retry_safety.may_retry
+        result = await self._send(job, endpoint, fresh)
+        if not isinstance(result, NoAnswer) or not result.dropped:
+            return result
+        # Endpoints drop idle connections without notice; this is not a lost run.
+        self.sender.pool.close_idle(endpoint.address)
+        job.sends -= 1
+        job.record_outcome(result.outcome, result.reason)
+        again = await self._send(job, endpoint, fresh=True)
+        if isinstance(again, NotSent) and again.cause is Unsent.UNREACHABLE:
+            # The endpoint is gone, perhaps while it ran this call.
+            job.sends += 1
+            return result
+        return again
 
     async def _send(
         self, job: Job, endpoint: Endpoint, fresh: bool
@@ -248,7 +257,7 @@
         job.current_exchange = sent
         age = now - self.routing_state.fleet.known_at
         limit = self.routing_state.limits.named(endpoint.id)
-        self.log.sent(job, endpoint.id, age, 0.0, limit)
+        self.log.sent(job, endpoint.id, age, job.waited, limit)
         if job.caller.disconnected:
             job.on_caller_disconnect()
         try:
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -19,6 +19,7 @@
 
     from lacewingcourse.core.errors import Refusal
     from lacewingcourse.core.pipelines.crashes import AnswerProgress
+    from lacewingcourse.core.pipelines.scheduling import QueuedRequest
     from lacewingcourse.core.pipelines.shutdown import AnswerTime
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.metrics import Metrics
@@ -30,7 +31,13 @@
 DEFAULT_LINES_PER_SECOND = 200
 #: Maximum lines per second by event, for events that occur with each request. Refusals
 #: and lost sends have higher limits than answers and sends, so they are left out last.
-MAX_LINES_PER_SECOND = {"served": 60, "sent": 60, "refused": 150, "defect": 5}
+MAX_LINES_PER_SECOND = {
+    "served": 60,
+    "sent": 60,
+    "queued": 30,
+    "refused": 150,
+    "defect": 5,
+}
 #: Maximum number of parts of a prompt in a line.
 MAX_LOGGED_PARTS = 12
 
@@ -198,7 +205,14 @@
                 the entry is ending and names a delay.
         """
         self.metrics.refused(refusal, job)
-        optional_fields = {"waits_for": waits_for} if waits_for else {}
+        optional_fields: dict[str, Any] = {"waits_for": waits_for} if waits_for else {}
+        if job is not None:
+            optional_fields |= {
+                "rank": job.urgency,
+                "organisation": job.organisation.name,
+                "refused_by": job.refused_by,
+                "waited_ms": _ms(job.waited),
+            }
         self._line(
             "refused",
             request=request.id,
@@ -215,6 +229,29 @@
             **optional_fields,
         )
 
+    def queued(self, job: Job, queued: QueuedRequest, depth: int) -> None:
+        """Log a request that waits for room.
+
+        Args:
+            job: The request.
+            queued: Its entry in the queue.
+            depth: Number of requests that wait, with this one.
+        """
+        found = queued.found
+        self._line(
+            "queued",
+            request=job.request.id,
+            route=job.route.name,
+            rank=queued.rank,
+            organisation=queued.organisation,
+            tokens=queued.tokens,
+            depth=depth,
+            left_ms=_ms(queued.latest_start - self.clock()),
+            resumed=queued.resumed,
+            due=queued.due,
+            reason=found.reason if found is not None else "behind others",
+        )
+
     def last_request(
         self, request: CallerRequest, taken: bool, time: AnswerTime, left: float
     ) -> None:
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -64,6 +64,7 @@
             the machine was suspended.
         stamps: Time stamps of received messages, to bound their transit times.
         crash_guard: Refuses requests that crash endpoints.
+        on_receive: Called after a message was applied.
     """
 
     name: str
@@ -80,6 +81,7 @@
     boot_clock: Callable[[], float] = attrs.field()
     stamps: StampTable = attrs.field()
     crash_guard: CrashGuard = attrs.field()
+    on_receive: Callable[[], None] = lambda: None
 
     @boot_clock.default
     def _loop_clock(self) -> Callable[[], float]:
@@ -214,6 +216,7 @@
         self.holder.from_peer(
             message.holder, message.fencing, holder_age, message.released
         )
+        self.on_receive()
 
     def _apply_limits(self, message: GossipMessage, now: float, transit: float) -> None:
         """Apply the limits that endpoints named to other entries."""
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -59,7 +59,8 @@
         first_event_at: When the first event was passed on, None before it.
         longest_gap: Longest time between two events passed on, seconds.
         last_event_at: When the last event was passed on, seconds.
-        waited: Seconds for which it waited for room on paths.
+        waited: Seconds for which it waited for room.
+        refused_by: Why the scheduler refused it room, empty if it did not.
         events: Number of times that events were passed on.
         watched: State of its stall detection, None if it is not watched.
         established: Whether its answer was once established, so that it does not crash
@@ -87,6 +88,7 @@
     longest_gap: float = 0.0
     last_event_at: float = 0.0
     waited: float = 0.0
+    refused_by: str = ""
     events: int = 0
     watched: WatchedStream | None = None
     established: bool = False
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -13,15 +13,20 @@
 )
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
+from lacewingcourse.core.pipelines.scheduling import Started
 from lacewingcourse.relay.small_server import Reply, ServerRequest
 
 if TYPE_CHECKING:
     from lacewingcourse.core.errors import Refusal
     from lacewingcourse.core.pipelines.crashes import AnswerProgress
+    from lacewingcourse.core.pipelines.scheduling import Decision
     from lacewingcourse.relay.job import Job
 
 #: HTTP path of the metrics.
 METRICS_PATH = "/metrics"
+#: Maximum number of organisations with a label of their own, and the label of others.
+MAX_ORGANISATIONS = 32
+OTHER_ORGANISATIONS = "others"
 #: Upper bounds of the latency buckets in seconds, around the objectives of calls and of
 #: first events.
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
@@ -120,6 +125,30 @@
             buckets=LATENCY_BUCKETS,
             **common_options,
         )
+        self.queue_depth = Gauge(
+            "lacewingcourse_relay_queue_depth",
+            "Requests that wait for room, by rank",
+            ["rank"],
+            **common_options,
+        )
+        self.oldest_wait = Gauge(
+            "lacewingcourse_relay_queue_oldest_wait_seconds",
+            "Since the request that waits longest arrived",
+            **common_options,
+        )
+        self.not_started = Counter(
+            "lacewingcourse_relay_room_refused",
+            "Requests that got no room: share, late, waited, queue_full, not_allowed",
+            ["cause", "rank"],
+            **common_options,
+        )
+        self.started_tokens = Counter(
+            "lacewingcourse_relay_started_tokens",
+            "Tokens of the requests that got room, by organisation",
+            ["organisation"],
+            **common_options,
+        )
+        self._organisations: set[str] = set()
         self.waited = Histogram(
             "lacewingcourse_relay_waited_seconds",
             "Time for which streams waited for room on a path",
@@ -205,6 +234,31 @@
         if job is not None:
             self._count_sends(job)
 
+    def scheduled(self, job: Job, decision: Decision) -> None:
+        """Count a request that got room, or got none."""
+        request = decision.request
+        if not isinstance(decision, Started):
+            self.not_started.labels(decision.cause.value, request.rank).inc()
+            return
+        name = request.organisation
+        if name not in self._organisations:
+            if len(self._organisations) >= MAX_ORGANISATIONS:
+                name = OTHER_ORGANISATIONS
+            else:
+                self._organisations.add(name)
+        self.started_tokens.labels(name).inc(request.tokens)
+
+    def show_queue(self, depths: dict[int, int], oldest_wait: float) -> None:
+        """Set the gauges of the queue.
+
+        Args:
+            depths: Number of waiting requests by rank.
+            oldest_wait: Seconds since the one that waits longest arrived.
+        """
+        for rank, depth in depths.items():
+            self.queue_depth.labels(rank).set(depth)
+        self.oldest_wait.set(oldest_wait)
+
     def lost(self, progress: AnswerProgress | None) -> None:
         """Count a send that got no whole answer."""
         self.lost_sends.labels(progress.value if progress else "connected").inc()
--- a/packages/relay/src/lacewingcourse/relay/metrics_page.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics_page.py
@@ -10,6 +10,7 @@
     from collections.abc import Callable
 
     from lacewingcourse.core.pipelines.freshness import Freshness
+    from lacewingcourse.relay.admission import Admission
     from lacewingcourse.relay.metrics import Metrics
     from lacewingcourse.relay.routing_state import RoutingState
     from lacewingcourse.relay.small_server import Reply, ServerRequest
@@ -27,6 +28,7 @@
         clock: Returns the present time in seconds.
         boot_clock: Returns the present time in seconds, including the time for which
             the machine was suspended; the ages use it.
+        admission: Requests that wait for room.
     """
 
     metrics: Metrics
@@ -35,6 +37,7 @@
     directory: Freshness
     clock: Callable[[], float]
     boot_clock: Callable[[], float]
+    admission: Admission
 
     def respond(self, request: ServerRequest) -> Reply:
         """Set the gauges, and return the metrics."""
@@ -48,6 +51,7 @@
         self.metrics.limited_endpoints.set(len(limited))
         refused = self.routing_state.parts.in_force(self.clock())
         self.metrics.refused_parts.set(len(refused))
+        self.metrics.show_queue(*self.admission.queue_state())
         return self.metrics.respond(request)
 
     def _count_endpoints(self, now: float) -> None:
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -8,11 +8,6 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
-from lacewingcourse.core.pipelines.admission_queue import (
-    retry_after,
-    retry_after_exhausted,
-    retry_after_limit,
-)
 from lacewingcourse.core.pipelines.events import EventSplitter
 from lacewingcourse.core.pipelines.suspects import is_full
 from lacewingcourse.relay.admission import RETRY_PERIOD
@@ -23,6 +18,8 @@
 from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.moving import Mover
 from lacewingcourse.relay.path_finder import demand_of
+from lacewingcourse.relay.retry_times import RetryTimes
+from lacewingcourse.relay.room import TakenRoom, take_path
 from lacewingcourse.relay.sending import Sender
 from lacewingcourse.relay.stream_attempt import StreamAttempt
 from lacewingcourse.relay.stream_state import (
@@ -73,13 +70,14 @@
         sender: Sends requests to endpoints.
         budget: Retry budget.
         rng: Random generator.
-        admission: Queue of requests that wait for room on a path.
+        admission: Gives room on paths to requests in their order.
         stalls: Detects streams that stall behind dead endpoints.
         log: Decision log.
         on_suspect: Called when an endpoint is excluded that other entries still use.
         on_denied: Called with the service and the request id when the retry budget
             denies a retry.
         crash_guard: Refuses streams that crash endpoints.
+        retry_times: Computes when refused callers may return.
     """
 
     routing_state: RoutingState
@@ -93,11 +91,16 @@
     on_suspect: Callable[[], None] = lambda: None
     on_denied: Callable[[str, str], None] = lambda service, request: None
     crash_guard: CrashGuard = attrs.field()
+    retry_times: RetryTimes = attrs.field()
 
     @crash_guard.default
     def _own_crash_guard(self) -> CrashGuard:
         return CrashGuard(self.routing_state, self.log, self.sender.clock)
 
+    @retry_times.default
+    def _own_retry_times(self) -> RetryTimes:
+        return RetryTimes(self.routing_state.durations, self.rng)
+
     async def serve(self, job: Job, shape: EngineShape) -> Refusal | None:
         """Forward a stream to the caller.
 
@@ -122,14 +125,16 @@
         replacement: Replacement | None = None
         while True:
             if replacement is not None:
-                path = replacement.path
+                room = self._take_path(state, replacement.path)
             else:
-                path = await self._wait_for_path(state)
-            if isinstance(path, Refusal):
-                return self._fail(state, path.kind, path.reason, path.retry_after)
-            now = self.sender.clock()
-            self._record_transfers(state, path, now)
-            result = await self._run_attempt(state, path, replacement)
+                room = await self._wait_for_room(state)
+            if isinstance(room, Refusal):
+                return self._fail(state, room.kind, room.reason, room.retry_after)
+            path = room.target
+            try:
+                result = await self._run_attempt(state, path, replacement)
+            finally:
+                room.release()
             replacement = result.replacement if result is not None else None
             if result is None:
                 self.exclude_unreachable(job, path)
@@ -155,14 +160,32 @@
             if result.end is AttemptEnd.FAILED or not job.may_send_again:
                 return self._fail(state, self._error_kind(result), "no attempt is left")
 
-    async def _wait_for_path(self, state: StreamState) -> Path | Refusal:
-        """Return a path, waiting for room if necessary, or why none was found."""
-        queued_at = self.sender.clock()
-        path = await self.admission.path_for(
-            state.job, state.demand, lambda: self.reserve_path(state)
+    async def _wait_for_room(self, state: StreamState) -> TakenRoom | Refusal:
+        """Return room on a path, waiting for it if necessary, or why there is none."""
+
+        def take() -> TakenRoom | Refusal:
+            path = self.reserve_path(state)
+            return path if isinstance(path, Refusal) else self._take_path(state, path)
+
+        return await self.admission.room_for(
+            state.job,
+            state.demand.tokens,
+            take,
+            self.admission.latest_start(state.job),
         )
-        state.job.waited += self.sender.clock() - queued_at
-        return path
+
+    def _take_path(self, state: StreamState, path: Path) -> TakenRoom:
+        """Take room on a path, and on the links that carry the prompt."""
+        now = self.sender.clock()
+        for pair in path.crossings:
+            seconds = state.shape.transfer_seconds(state.demand.prompt_tokens)
+            self.routing_state.links.record_transfer(pair, seconds, now)
+
+        def on_release() -> None:
+            self.admission.room_changed(state.job.service)
+
+        tokens = state.demand.tokens
+        return take_path(self.routing_state.loads, path, tokens, on_release)
 
     def reserve_path(
         self, state: StreamState, also_avoid: Collection[str] = ()
@@ -202,12 +225,6 @@
             return Refusal(ErrorKind.RETRIES_EXHAUSTED, Unsent.NO_RETRY.value)
         return None
 
-    def _record_transfers(self, state: StreamState, path: Path, now: float) -> None:
-        """Record the load that a prompt's transfer puts on the links of its path."""
-        for pair in path.crossings:
-            seconds = state.shape.transfer_seconds(state.demand.prompt_tokens)
-            self.routing_state.links.record_transfer(pair, seconds, now)
-
     async def _run_attempt(
         self, state: StreamState, path: Path, replacement: Replacement | None
     ) -> AttemptResult | None:
@@ -221,26 +238,22 @@
         """
         job = state.job
         job.path = path
-        self.routing_state.loads.begin(path, state.demand.tokens)
-        try:
-            fresh = not job.route.retry_safety.may_retry
-            result = await self._send_and_relay(state, fresh, replacement)
-            if result is None or result.end is not AttemptEnd.DROPPED:
-                return result
-            # Endpoints close pooled connections without notice. Counted as lost
-            # attempts, these would use up the route's attempts and the retry budget.
-            job.sends -= 1
-            self.sender.pool.close_idle(path.first.address)
-            retried = await self._send_and_relay(state, fresh=True)
-            if retried is None:
-                # The endpoint cannot be reached any more. It may have crashed while it
-                # ran this request.
-                job.sends += 1
-                self.exclude_unreachable(job, path)
-                return AttemptResult(AttemptEnd.LOST, result.reason, first_lost=True)
-            return retried
-        finally:
-            self.routing_state.loads.end(path, state.demand.tokens)
+        fresh = not job.route.retry_safety.may_retry
+        result = await self._send_and_relay(state, fresh, replacement)
+        if result is None or result.end is not AttemptEnd.DROPPED:
+            return result
+        # Endpoints close pooled connections without notice. Counted as lost attempts,
+        # these would use up the route's attempts and the retry budget.
+        job.sends -= 1
+        self.sender.pool.close_idle(path.first.address)
+        retried = await self._send_and_relay(state, fresh=True)
+        if retried is None:
+            # The endpoint cannot be reached any more. It may have crashed while it ran
+            # this request.
+            job.sends += 1
+            self.exclude_unreachable(job, path)
+            return AttemptResult(AttemptEnd.LOST, result.reason, first_lost=True)
+        return retried
 
     async def _send_and_relay(
         self, state: StreamState, fresh: bool, replacement: Replacement | None = None
@@ -397,14 +410,4 @@
         if job.caller.response_started:
             return Refusal(kind, cause, Outcome.PARTIAL)
         job.reason = job.reason or cause
-        wait = self._retry_after(job, kind)
-        if limit_wait is not None:
-            wait = max(wait, retry_after_limit(limit_wait, self.rng.random()))
-        return job.failure(kind, wait)
-
-    def _retry_after(self, job: Job, kind: ErrorKind) -> float:
-        """Return the seconds after which a refused caller should retry."""
-        draw = self.rng.random()
-        if kind is ErrorKind.RETRIES_EXHAUSTED:
-            return retry_after_exhausted(draw)
-        return retry_after(self.routing_state.durations.median(job.route.name), draw)
+        return job.failure(kind, self.retry_times.for_stream(job, kind, limit_wait))
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -124,7 +124,13 @@
     def _job(self) -> Job:
         route = route_of("desk", self.retry_safety, timeout=2.5, objective=0.2)
         request = SimpleNamespace(
-            host="h", target="/", key=None, body=b"", prompt_parts=(), received_at=0.0
+            id="r",
+            host="h",
+            target="/",
+            key=None,
+            body=b"",
+            prompt_parts=(),
+            received_at=0.0,
         )
         caller = SimpleNamespace(disconnected=False, response_started=False)
         return Job(request, route, "desk", Organisation(""), caller, False, 2.5)
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -17,6 +17,7 @@
 from lacewingcourse.core.pipelines.routing import RetrySafety
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.relay.ports import AnswerHead, AnswerKind
+from lacewingcourse.relay.room import TakenRoom
 from lacewingcourse.relay.routing_state import RoutingState
 from lacewingcourse.relay.streams import StreamForwarder
 from lacewingcourse.relay.upstream import (
@@ -101,11 +102,14 @@
     def __init__(self) -> None:
         self.given = False
 
-    async def path_for(self, job, demand, choose):
+    def latest_start(self, job):
+        return 0.0
+
+    async def room_for(self, job, tokens, take, latest_start):
         if self.given:
             return Refusal(ErrorKind.OVERLOADED, "no path")
         self.given = True
-        return PATH
+        return TakenRoom(PATH, lambda: None)
 
 
 class RejectingSender:
