--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -67,6 +67,7 @@
         stamps: Time stamps of received messages, to bound their transit times.
         crash_guard: Refuses requests that crash endpoints.
         unknown_grade_logged: Whether a grade that this build does not know was logged.
+        on_receive: Called after a message was applied.
     """
 
     name: str
@@ -84,6 +85,7 @@
     stamps: StampTable = attrs.field()
     crash_guard: CrashGuard = attrs.field()
     unknown_grade_logged: bool = False
+    on_receive: Callable[[], None] = lambda: None
 
     @boot_clock.default
     def _loop_clock(self) -> Callable[[], float]:
@@ -215,6 +217,7 @@
         self.holder.from_peer(
             message.holder, message.fencing, holder_age, message.released
         )
+        self.on_receive()
 
     def _apply_suspects(
         self, message: GossipMessage, now: float, seen_in_zone: bool
