Pause the collecting of room after it was in vain; spare arrivals without contention

The pause doubles, by rank.

Counters of organisations are looked up once, and the rate is not aged at arrivals that find an empty queue.

--- a/packages/core/src/lacewingcourse/core/pipelines/rank_queue.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/rank_queue.py
@@ -20,6 +20,9 @@
 #: Requests of average size by which an organisation that was served little may be
 #: behind the others: what it did not use long ago gives it no later claim.
 MAX_CREDIT = 8.0
+#: Bounds in seconds of the pause after a request has collected room in vain, which
+#: doubles each time: a request may be too large for every endpoint.
+MIN_COLLECT_PAUSE, MAX_COLLECT_PAUSE = 0.05, 30.0
 #: Weight of a request in the average size.
 MEAN_WEIGHT = 0.05
 
@@ -52,6 +55,8 @@
         table: Accounts by organisation.
         mean_tokens: Average tokens of a request.
         accounts_full: Whether an account was dropped because there were too many.
+        collect_pause: Seconds for which none collects room after one did in vain.
+        collects_from: Time from which requests may collect room, seconds.
     """
 
     lanes: dict[str, list[QueuedRequest]] = attrs.field(factory=dict)
@@ -60,6 +65,8 @@
     )
     mean_tokens: float = 0.0
     accounts_full: bool = False
+    collect_pause: float = MIN_COLLECT_PAUSE
+    collects_from: float = float("-inf")
 
     def __len__(self) -> int:
         return sum(len(lane) for lane in self.lanes.values())
@@ -82,6 +89,11 @@
             del self.lanes[request.organisation]
         return True
 
+    def pause_collecting(self, now: float) -> None:
+        """Let no request collect room for a while, as one did in vain."""
+        self.collects_from = now + self.collect_pause
+        self.collect_pause = min(2 * self.collect_pause, MAX_COLLECT_PAUSE)
+
     def charge(self, request: QueuedRequest) -> None:
         """Charge a request that starts to its organisation."""
         mean = self.mean_tokens or request.tokens
--- a/packages/core/src/lacewingcourse/core/pipelines/request_scheduler.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/request_scheduler.py
@@ -8,7 +8,12 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.pipelines.rank_queue import MAX_CREDIT, RankQueue, turn_of
+from lacewingcourse.core.pipelines.rank_queue import (
+    MAX_CREDIT,
+    MIN_COLLECT_PAUSE,
+    RankQueue,
+    turn_of,
+)
 from lacewingcourse.core.pipelines.room_rate import RoomRate
 from lacewingcourse.core.pipelines.scheduling import (
     QueuedRequest,
@@ -92,7 +97,6 @@
         Returns:
             The decisions; the request waits if none is about it.
         """
-        self.rate.advance(now, self.shortage)
         self.share.record_arrival(request, now)
         if not request.resumed and not self.share.may_take(request, now):
             return [Refused(request, self._over_share(request), RefusalCause.SHARE)]
@@ -100,8 +104,10 @@
             decision = self._try(request, now)
             if decision is not None:
                 return [decision]
+            self.rate.advance(now, False)
             self._push(request)
             return []
+        self.rate.advance(now, self.shortage)
         if self.size >= MAX_QUEUED and not request.resumed:
             full = Refusal(ErrorKind.OVERLOADED, f"{self.size} requests wait for room")
             return [Refused(request, full, RefusalCause.QUEUE_FULL)]
@@ -113,7 +119,7 @@
                 return [decision]
         if request.latest_start <= now:
             self._discard(request)
-            return [self._expired(request)]
+            return [self._expired(request, now)]
         return self._refuse_late(request, now)
 
     def room_changed(self, now: float) -> list[Decision]:
@@ -126,7 +132,7 @@
         decisions = self._start_in_order(now)
         for request in [each for each in self.waiting() if each.latest_start <= now]:
             self._discard(request)
-            decisions.append(self._expired(request))
+            decisions.append(self._expired(request, now))
         return decisions
 
     def leave(self, request: QueuedRequest, now: float) -> list[Decision]:
@@ -211,11 +217,11 @@
         for rank in waiting[1:]:
             lanes = self.ranks[rank].lanes.values()
             longest = max(
-                (lane[0] for lane in lanes), key=lambda each: _waited_share(each, now)
+                (lane[0] for lane in lanes), key=lambda each: each.waited_share(now)
             )
             if longest.tokens <= self.credits.get(rank, 0.0):
                 found.append(longest)
-        return max(found, key=lambda each: _waited_share(each, now), default=None)
+        return max(found, key=lambda each: each.waited_share(now), default=None)
 
     def _start_in_order(self, now: float) -> list[Decision]:
         """Try the waiting requests in order; return the decisions."""
@@ -242,7 +248,7 @@
             smallest = min(smallest, request.tokens)
             if first_blocked is None:
                 first_blocked = request
-                if _collects(request, now):
+                if self._collects(request, now):
                     smallest = 0
         self.shortage = shortage
         return decisions
@@ -257,18 +263,20 @@
             self._record_start(request, now)
             return Started(request, found)
         first, request.found, request.tried_at = request.found is None, found, now
-        if _lacks_room(request):
+        if request.lacks_room:
             self.shortage = True
             if first:
                 self.share.record_shortage(request, now)
         if _may_wait(request, now):
             return None
         if found.kind in TRANSIENT_KINDS:
-            return self._expired(request)
+            return self._expired(request, now)
         return Refused(request, found, RefusalCause.NOT_ALLOWED)
 
     def _record_start(self, request: QueuedRequest, now: float) -> None:
         self.share.record_start(request, now)
+        if request.found is not None and self._collects(request, now):
+            self._queue(request.rank).collect_pause = MIN_COLLECT_PAUSE
         self._queue(request.rank).charge(request)
         if not self.size:
             return
@@ -289,7 +297,7 @@
                 return True
             if _is_tried_alone(other):
                 continue
-            if other.tokens <= request.tokens or _collects(other, now):
+            if other.tokens <= request.tokens or self._collects(other, now):
                 return False
         return True
 
@@ -351,14 +359,17 @@
             return Refusal(ErrorKind.ORGANISATION_OVER_SHARE, reason)
         return Refusal(ErrorKind.OVERLOADED, reason)
 
-    def _expired(self, request: QueuedRequest) -> Refused:
-        return Refused(request, request.found or OTHERS_WAIT, RefusalCause.WAITED)
-
+    def _collects(self, request: QueuedRequest, now: float) -> bool:
+        """Return whether a request that lacks room keeps others from taking it."""
+        if _is_tried_alone(request) or now < self._queue(request.rank).collects_from:
+            return False
+        window = (request.latest_start - request.arrived_at) * (1.0 - COLLECTS_AFTER)
+        return now >= request.latest_start - min(window, MAX_COLLECT_TIME)
 
-def _lacks_room(request: QueuedRequest) -> bool:
-    """Return whether a request that was tried lacks room that others may get."""
-    found = request.found
-    return found.kind is ErrorKind.OVERLOADED and found.retry_after is None
+    def _expired(self, request: QueuedRequest, now: float) -> Refused:
+        if self._collects(request, now):
+            self._queue(request.rank).pause_collecting(now)
+        return Refused(request, request.found or OTHERS_WAIT, RefusalCause.WAITED)
 
 
 def _is_tried_alone(request: QueuedRequest) -> bool:
@@ -368,19 +379,7 @@
         return True
     if found is None or found.kind is ErrorKind.NO_ROUTE:
         return False
-    return not _lacks_room(request)
-
-
-def _waited_share(request: QueuedRequest, now: float) -> float:
-    """Return the share of its time that a request has waited."""
-    time = request.latest_start - request.arrived_at
-    return (now - request.arrived_at) / time if time > 0.0 else 1.0
-
-
-def _collects(request: QueuedRequest, now: float) -> bool:
-    """Return whether a request that lacks room keeps others from taking it."""
-    window = (request.latest_start - request.arrived_at) * (1.0 - COLLECTS_AFTER)
-    return now >= request.latest_start - min(window, MAX_COLLECT_TIME)
+    return not request.lacks_room
 
 
 def _may_wait(request: QueuedRequest, now: float) -> bool:
--- a/packages/core/src/lacewingcourse/core/pipelines/room_rate.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/room_rate.py
@@ -37,7 +37,7 @@
         last, self.observed_at = self.observed_at, now
         if last is None or now <= last:
             return
-        step = min(now - last, MAX_STEP)
+        step = min(now - last, MAX_STEP) if shortage else now - last
         kept = 0.5 ** (step / HALF_LIFE)
         self.seconds *= kept
         for rank in self.started:
--- a/packages/core/src/lacewingcourse/core/pipelines/scheduling.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/scheduling.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from lacewingcourse.core.errors import ErrorKind
+
 if TYPE_CHECKING:
     from lacewingcourse.core.errors import Refusal
     from lacewingcourse.core.pipelines.path import Path
@@ -45,6 +47,23 @@
     found: Refusal | None = None
     tried_at: float = float("-inf")
 
+    @property
+    def lacks_room(self) -> bool:
+        """Whether it was tried, and lacked room that others may get."""
+        found = self.found
+        if found is None or found.retry_after is not None:
+            return False
+        return found.kind is ErrorKind.OVERLOADED
+
+    def waited_share(self, now: float) -> float:
+        """Return the share of its time that it has waited.
+
+        Args:
+            now: Present time in seconds.
+        """
+        time = self.latest_start - self.arrived_at
+        return (now - self.arrived_at) / time if time > 0.0 else 1.0
+
 
 @attrs.frozen
 class Started:
--- a/packages/core/tests/pipelines/test_scheduling.py
+++ b/packages/core/tests/pipelines/test_scheduling.py
@@ -329,3 +329,17 @@
         assert scheduler.arrive(each, 0.0) == [Started(each, "room")]
     assert source.tries == len(arrivals)
     assert scheduler.next_wake(0.0) is None
+
+
+def test_request_too_large_for_every_endpoint_does_not_hold_others_up_for_long():
+    """Room collected for it stays idle each time, as no endpoint is large enough."""
+    scheduler, blocked = RequestScheduler(RoomCounter(5000)), 0
+    for step in range(3000):
+        now = step * 0.01
+        if step % 20 == 0:
+            scheduler.arrive(request(10**6, at=now), now)
+        small = request(at=now, wait=0.3, organisation="other")
+        blocked += started(scheduler.arrive(small, now)) != [small]
+        scheduler.room_changed(now + 0.005)
+        scheduler.source.free = 5000
+    assert blocked < 0.1 * 3000
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -148,7 +148,7 @@
             ["organisation"],
             **common_options,
         )
-        self._organisations: set[str] = set()
+        self._tokens_by_organisation: dict[str, Counter] = {}
         self.waited = Histogram(
             "lacewingcourse_relay_waited_seconds",
             "Time for which streams waited for room on a path",
@@ -240,13 +240,14 @@
         if not isinstance(decision, Started):
             self.not_started.labels(decision.cause.value, request.rank).inc()
             return
-        name = request.organisation
-        if name not in self._organisations:
-            if len(self._organisations) >= MAX_ORGANISATIONS:
-                name = OTHER_ORGANISATIONS
+        known, name = self._tokens_by_organisation, request.organisation
+        counter = known.get(name)
+        if counter is None:
+            if len(known) >= MAX_ORGANISATIONS:
+                counter = self.started_tokens.labels(OTHER_ORGANISATIONS)
             else:
-                self._organisations.add(name)
-        self.started_tokens.labels(name).inc(request.tokens)
+                counter = known[name] = self.started_tokens.labels(name)
+        counter.inc(request.tokens)
 
     def show_queue(self, depths: dict[int, int], oldest_wait: float) -> None:
         """Set the gauges of the queue.
