Choose only paths on which a stream is predicted to be in time

Cause: a path was taken as long as memory, slots and links lasted, however late the first event would come and whatever the start did to the streams that run there.

The choice is made as before; only if its path is not in time are the others compared. Without any, the refusal says whether waiting can help (`overloaded`) or not even an idle fleet would be in time (`deadline_unreachable`). `latest_start` and a wait policy of that name for the scheduler. Engines' `chunk` is decoded; it bounds what a step reads.

--- a/packages/core/src/lacewingcourse/core/pipelines/admission_queue.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/admission_queue.py
@@ -53,6 +53,34 @@
     return received + IN_TIME_SHARE * objective
 
 
+def latest_start(
+    received: float, objective: float, idle_first_event: float | None
+) -> float:
+    """Return when a stream must start to be in time, in seconds.
+
+    Args:
+        received: When it arrived, seconds.
+        objective: Seconds in which its route wants the first event.
+        idle_first_event: Seconds to its first event on an idle path, None if unknown.
+    """
+    in_time = received + IN_TIME_SHARE * objective
+    if idle_first_event is None or not idle_first_event >= 0:
+        return in_time
+    return max(in_time, received + objective - idle_first_event)
+
+
+@WAIT_POLICIES.register("latest_start")
+def wait_until_latest_start(
+    received: float, objective: float, idle_first_event: float | None = None
+) -> float:
+    """Wait as long as an idle path would still be in time.
+
+    This policy suits a scheduler that refuses on arrival what cannot start in time
+    behind those that wait already.
+    """
+    return latest_start(received, objective, idle_first_event)
+
+
 @WAIT_POLICIES.register("late")
 def wait_late(received: float, objective: float) -> float:
     """Wait for some objectives: prefer late answers to refusals."""
--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -7,10 +7,14 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.demand import NO_DEMAND, Demand
 from lacewingcourse.core.pipelines.links import MAX_LINK_UTILISATION
 from lacewingcourse.core.pipelines.load import NO_LOAD
 from lacewingcourse.core.pipelines.path_costs import path_costs_of
+from lacewingcourse.core.pipelines.prediction import StreamPredictor
+from lacewingcourse.core.pipelines.running_streams import RunningStreams
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
+from lacewingcourse.core.pipelines.time_ratios import TimeRatios
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -21,6 +25,7 @@
     from lacewingcourse.core.pipelines.load import LoadTable
     from lacewingcourse.core.pipelines.path import Part, Path
     from lacewingcourse.core.pipelines.path_costs import PathCosts
+    from lacewingcourse.core.pipelines.prediction import TimeLimits
     from lacewingcourse.core.pipelines.shape import EngineShape
 
 #: Share of an endpoint's request memory that new requests may fill. Answers exceed
@@ -48,28 +53,9 @@
 #: Calls per slot from which a plain endpoint counts as full: with more than twice as
 #: many calls as slots, a call waits longer than two other calls run.
 MAX_CALLS_PER_SLOT = 2.0
-
-
-@attrs.frozen
-class Demand:
-    """Tokens for which a request needs compute time and memory on a path.
-
-    Attributes:
-        prompt_tokens: Tokens of its prompt.
-        answer_tokens: Tokens that its answer is expected to have.
-    """
-
-    prompt_tokens: int
-    answer_tokens: int
-
-    @property
-    def tokens(self) -> int:
-        """Tokens that it is expected to hold in memory at its end."""
-        return self.prompt_tokens + self.answer_tokens
-
-
-#: Demand of no request, to read the present use of memory.
-NO_DEMAND = Demand(0, 0)
+#: Reasons of refusals for want of time.
+NONE_IN_TIME = "no path is in time"
+NEVER_IN_TIME = "no path is in time even if nothing else runs"
 
 
 class RandomSource(Protocol):
@@ -93,8 +79,11 @@
         loads: Loads of the endpoints.
         links: Utilisation of the links between zones.
         speeds: Endpoints that run slower than published.
+        running: Streams of this entry that run.
+        ratios: Ratios of the times that streams took to the published ones.
         sample_size: Paths that are sampled and compared before all are.
         costs_by_path: Cached costs of paths, by the path's identity.
+        predictor: Predicts the times of streams.
     """
 
     shape: EngineShape
@@ -102,8 +91,16 @@
     loads: LoadTable
     links: LinkUsage
     speeds: SpeedEstimator = attrs.field(factory=SpeedEstimator)
+    running: RunningStreams = attrs.field(factory=RunningStreams)
+    ratios: TimeRatios = attrs.field(factory=TimeRatios)
     sample_size: int = PATH_SAMPLE_SIZE
     costs_by_path: dict[int, PathCosts] = attrs.field(factory=dict, repr=False)
+    predictor: StreamPredictor = attrs.field(init=False, repr=False)
+
+    @predictor.default
+    def _own_predictor(self) -> StreamPredictor:
+        known = self.shape, self.loads, self.links, self.speeds
+        return StreamPredictor(*known, self._costs_of, self.running, self.ratios)
 
     def choose(
         self,
@@ -114,6 +111,7 @@
         now: float,
         share: float = MAX_MEMORY_SHARE,
         connected: Collection[str] = (),
+        limits: TimeLimits | None = None,
     ) -> Path | Refusal:
         """Return the path for a request, or the reason why there is none.
 
@@ -125,19 +123,32 @@
             now: Current time in seconds.
             share: Share of an endpoint's request memory that may be filled.
             connected: Addresses to which there is an idle connection.
+            limits: Limits of its times, None if it may be late.
         """
         usable = [p for p in paths if not p.uses(avoid)] if avoid else paths
         if not usable:
             return Refusal(ErrorKind.NO_ROUTE, "no path holds every layer")
         if len(usable) > self.sample_size:
             sampled = self._sample(usable, rng, connected)
-            found = self._choose_cheapest(sampled, demand, rng, now, share, connected)
+            scored = self._score(sampled, demand, now, share, connected)
+            found = self._choose_cheapest(scored, demand, rng, now, limits)
             if found is not None:
                 return found
-        found = self._choose_cheapest(usable, demand, rng, now, share, connected)
-        if found is None:
+        scored = self._score(usable, demand, now, share, connected)
+        found = self._choose_cheapest(scored, demand, rng, now, limits)
+        if found is not None:
+            return found
+        if not scored or limits is None:
             return Refusal(ErrorKind.OVERLOADED, "no path has memory for the request")
-        return found
+        time_left = self.predictor.time_to_start(usable, demand, limits, now)
+        if time_left is None:
+            return Refusal(ErrorKind.DEADLINE_UNREACHABLE, NEVER_IN_TIME)
+        if time_left >= 0:
+            return Refusal(ErrorKind.OVERLOADED, NONE_IN_TIME)
+        # It is late before its start, so room that no other needs serves it best.
+        overdue = attrs.evolve(limits, objective=float("inf"))
+        found = self._choose_cheapest(scored, demand, rng, now, overdue)
+        return found or Refusal(ErrorKind.OVERLOADED, NONE_IN_TIME)
 
     def _sample(
         self, paths: list[Path], rng: RandomSource, connected: Collection[str]
@@ -150,16 +161,15 @@
             paths, self.sample_size - len(connected_paths)
         )
 
-    def _choose_cheapest(
+    def _score(
         self,
         paths: list[Path],
         demand: Demand,
-        rng: RandomSource,
         now: float,
         share: float,
         connected: Collection[str],
-    ) -> Path | None:
-        """Return one of the paths of near-lowest cost, None if none has capacity.
+    ) -> list[tuple[float, Path]]:
+        """Return the costs of the paths that have capacity.
 
         Paths with an idle connection are preferred. Otherwise an entry that starts few
         streams per second, on many endpoints, would return to each endpoint only after
@@ -173,11 +183,29 @@
             if path.first.address not in connected:
                 cost *= NEW_CONNECTION_COST_FACTOR
             scored.append((cost, path))
-        if not scored:
-            return None
-        best = min(cost for cost, _ in scored)
-        near = [path for cost, path in scored if cost <= best * NEAR_BEST_COST_RATIO]
-        return rng.choice(near)
+        return scored
+
+    def _choose_cheapest(
+        self,
+        scored: list[tuple[float, Path]],
+        demand: Demand,
+        rng: RandomSource,
+        now: float,
+        limits: TimeLimits | None,
+    ) -> Path | None:
+        """Return one of the paths of near-lowest cost that keep the limits, or None.
+
+        Only if the path that would be chosen without limits does not keep them, those
+        of all paths are checked.
+        """
+        found = _near_cheapest(scored, rng)
+        if found is None or limits is None:
+            return found
+        in_time = self.predictor.is_in_time
+        if in_time(found, demand, limits, now):
+            return found
+        kept = [each for each in scored if in_time(each[1], demand, limits, now)]
+        return _near_cheapest(kept, rng)
 
     def fits(
         self, path: Path, demand: Demand, now: float, share: float = MAX_MEMORY_SHARE
@@ -304,6 +332,15 @@
         return found
 
 
+def _near_cheapest(scored: list[tuple[float, Path]], rng: RandomSource) -> Path | None:
+    """Return one of the paths of near-lowest cost, None if there are no paths."""
+    if not scored:
+        return None
+    best = min(cost for cost, _ in scored)
+    near = [path for cost, path in scored if cost <= best * NEAR_BEST_COST_RATIO]
+    return rng.choice(near)
+
+
 def choose_endpoint(
     endpoints: list[Endpoint],
     loads: LoadTable,
--- a/packages/core/src/lacewingcourse/core/pipelines/path_costs.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/path_costs.py
@@ -43,10 +43,14 @@
     Attributes:
         path: The path; holding it keeps `id(path)`, the cache key, from being reused.
         parts: The costs of its parts in order.
+        step_ms: Sum of the parts' milliseconds for each token of an answer.
+        prefill_ms_per_token: Sum of their milliseconds for each token of the prompt.
     """
 
     path: Path
     parts: tuple[PartCosts, ...]
+    step_ms: float
+    prefill_ms_per_token: float
 
 
 def path_costs_of(
@@ -62,14 +66,18 @@
     parts = tuple(
         _part_costs(part, endpoints.get(part.endpoint), shape) for part in path.parts
     )
-    return PathCosts(path, parts)
+    step_ms = sum(part.step_ms for part in parts)
+    prefill_ms = sum(part.prefill_ms_per_token for part in parts)
+    return PathCosts(path, parts, step_ms, prefill_ms)
 
 
 def _part_costs(part: Part, endpoint: Endpoint | None, shape: EngineShape) -> PartCosts:
     span = len(part.layers)
-    if endpoint is None or endpoint.layers is None:
+    known = endpoint is not None and endpoint.layers is not None
+    # A stream may still run on a kind that a new configuration has removed.
+    accelerator = shape.accelerators.get(endpoint.accelerator) if known else None
+    if accelerator is None:
         return PartCosts(part.endpoint, span, 0.0, 0.0, 0.0, 0.0)
-    accelerator = shape.accelerators[endpoint.accelerator]
     single_request_ms = shape.decode_step_ms(accelerator, span, 1.0)
     return PartCosts(
         endpoint=part.endpoint,
--- a/packages/core/src/lacewingcourse/core/pipelines/shape.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/shape.py
@@ -71,6 +71,7 @@
         usual_answer: Mean length of answers in tokens.
         accelerators: Kinds of accelerators by name.
         event_tokens: Tokens that each event of a stream holds.
+        chunk_tokens: Maximum number of prompt tokens that a step reads, 0 for any.
     """
 
     model: str
@@ -89,6 +90,7 @@
     usual_answer: int
     accelerators: dict[str, Accelerator]
     event_tokens: int = 1
+    chunk_tokens: int = 0
 
     @property
     def token_layer_bytes(self) -> float:
