Refuse streams that would be late, and learn from those that ran

The path finder passes the limits of a request's route to the choice, unless it was sent before, is resumed, or the policy `late` is set. Attempts are kept while they run; first events and longest pauses of first attempts feed the ratios. Lines `sent` and `served` have the predicted times, metrics count ratios and refusals for want of time, and `explain` has a cause for them. Tests' stubs of requests got the fields that are now read (route, sends, time of arrival).

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -157,7 +157,10 @@
             self.routing_state, sender, self.budget, zone, rng, self.log, crash_guard
         )
         self.admission = Admission(self.clock, WAIT_POLICIES.get(self.settings.wait))
-        finder = PathFinder(self.routing_state, rng, self.clock, self.pool)
+        refuses_late = self.settings.wait != "late"
+        finder = PathFinder(
+            self.routing_state, rng, self.clock, self.pool, refuses_late
+        )
         self.stalls = StallWatcher(
             self.platform.reports,
             self.routing_state.suspects,
--- a/packages/relay/src/lacewingcourse/relay/causes.py
+++ b/packages/relay/src/lacewingcourse/relay/causes.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.choice import NONE_IN_TIME
 from lacewingcourse.core.registry import Registry
 
 if TYPE_CHECKING:
@@ -163,6 +164,15 @@
     return history.refused_kind == "overloaded" and bool(history.end.get("limited"))
 
 
+@CAUSES.register("refused as no path was in time")
+def refused_for_time(history: RequestHistory) -> bool:
+    """Return whether it would have been late on every path, or made others late."""
+    reason = history.end.get("reason", "") if history.end else ""
+    return history.refused_kind == "deadline_unreachable" or (
+        history.refused_kind == "overloaded" and reason == NONE_IN_TIME
+    )
+
+
 @CAUSES.register("refused for want of room")
 def refused_for_room(history: RequestHistory) -> bool:
     """Return whether no path had memory for it in time."""
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -154,6 +154,8 @@
             path=_path(job),
             version=self.version(),
             reason=job.reason,
+            **_predicted(job),
+            **_seen(job),
         )
 
     def broken_off(self, job: Job, cause: Refusal, now: float) -> None:
@@ -303,9 +305,21 @@
             waited_ms=_ms(waited),
             limited=sorted(job.limited),
             version=self.version(),
+            **_predicted(job),
             **optional_fields,
         )
 
+    def predicted(self, service: str, kind: str, ratio: float | None) -> None:
+        """Count how a predicted time compares with the one that was seen.
+
+        Args:
+            service: Service of the stream.
+            kind: Which time: first_event or pause.
+            ratio: Seen time divided by the one that follows from published figures,
+                None if it was absurd and nothing was learned from it.
+        """
+        self.metrics.predicted(service, kind, ratio)
+
     def not_moved(self, job: Job, cause: Refusal, now: float) -> None:
         """Log that a stalled run is kept because no other path can replace it.
 
@@ -396,6 +410,24 @@
     return [f"{p.address}={p.layers.start}-{p.layers.end}" for p in parts]
 
 
+def _predicted(job: Job) -> dict[str, float]:
+    """Return the predicted times of a request's first attempt as fields of a line."""
+    if job.predicted is None:
+        return {}
+    return {
+        "predicted_first_ms": _ms(job.predicted.first_event),
+        "predicted_pause_ms": _ms(job.predicted.pause),
+        "others_pause_ms": _ms(job.predicted.others_pause),
+    }
+
+
+def _seen(job: Job) -> dict[str, float]:
+    """Return the time from the send of a request to its first event as a field."""
+    if job.predicted is None or job.sent_at is None or job.first_event_at is None:
+        return {}
+    return {"sent_first_ms": _ms(job.first_event_at - job.sent_at)}
+
+
 def _limit(named: float) -> float | None:
     """Return a limit in the form of log lines, None for no limit."""
     return None if named == NO_LIMIT else named
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -21,7 +21,9 @@
     from collections.abc import Callable
 
     from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.core.pipelines.prediction import StreamPrediction
     from lacewingcourse.core.pipelines.routing import Organisation, Route
+    from lacewingcourse.core.pipelines.running_streams import RunningStream
     from lacewingcourse.core.pipelines.stalls import WatchedStream
     from lacewingcourse.relay.caller import CallerExchange
     from lacewingcourse.relay.ports import CallerRequest
@@ -62,6 +64,10 @@
         waited: Seconds for which it waited for room on paths.
         events: Number of times that events were passed on.
         watched: State of its stall detection, None if it is not watched.
+        predicted: Predicted times of its first attempt as a stream, None before it and
+            for later ones.
+        running: Its attempt as a stream that runs, None without one.
+        sent_at: When its last attempt was sent, seconds, None before one.
         established: Whether its answer was once established, so that it does not crash
             the endpoints that begin to answer it.
         accepts: Returns whether a draining entry accepts it at a given time in seconds.
@@ -89,6 +95,9 @@
     waited: float = 0.0
     events: int = 0
     watched: WatchedStream | None = None
+    predicted: StreamPrediction | None = None
+    running: RunningStream | None = None
+    sent_at: float | None = None
     established: bool = False
     accepts: Callable[[float], bool] = lambda now: True
 
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -13,6 +13,7 @@
 )
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
+from lacewingcourse.core.pipelines.choice import NEVER_IN_TIME, NONE_IN_TIME
 from lacewingcourse.relay.small_server import Reply, ServerRequest
 
 if TYPE_CHECKING:
@@ -27,8 +28,12 @@
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
 #: Upper bounds of the pause buckets in seconds, around the pauses that routes allow.
 PAUSE_BUCKETS = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0)
+#: Upper bounds of the buckets of ratios of seen to predicted times.
+RATIO_BUCKETS = (0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0)
 #: Upper bounds of the store call buckets in seconds.
 STORE_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0)
+#: Labels of refusals for want of time, by reason.
+REFUSED_FOR_TIME = {NONE_IN_TIME: "loaded", NEVER_IN_TIME: "idle"}
 #: Upper bounds of the event loop lag buckets in seconds.
 LAG_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0)
 
@@ -102,6 +107,25 @@
             ["progress"],
             **common_options,
         )
+        self.time_ratio = Histogram(
+            "lacewingcourse_relay_time_ratio",
+            "Seen times of streams divided by those that follow from published figures",
+            ["service", "time"],
+            buckets=RATIO_BUCKETS,
+            **common_options,
+        )
+        self.absurd_times = Counter(
+            "lacewingcourse_relay_absurd_times",
+            "Seen times of streams that nothing was learned from",
+            ["time"],
+            **common_options,
+        )
+        self.refused_for_time = Counter(
+            "lacewingcourse_relay_refused_for_time",
+            "Streams refused as no path was in time: with what runs now, or if idle",
+            ["paths"],
+            **common_options,
+        )
         self.first_event = Histogram(
             "lacewingcourse_relay_first_event_seconds",
             "From a request's head to the first event passed on",
@@ -202,9 +226,19 @@
     def refused(self, refusal: Refusal, job: Job | None) -> None:
         """Count a request that ended without an answer of an endpoint."""
         self.requests.labels(refusal.kind.value).inc()
+        paths = REFUSED_FOR_TIME.get(refusal.reason)
+        if paths is not None:
+            self.refused_for_time.labels(paths).inc()
         if job is not None:
             self._count_sends(job)
 
+    def predicted(self, service: str, time: str, ratio: float | None) -> None:
+        """Observe the ratio of a seen to a predicted time, None for an absurd one."""
+        if ratio is None:
+            self.absurd_times.labels(time).inc()
+        else:
+            self.time_ratio.labels(service, time).observe(ratio)
+
     def lost(self, progress: AnswerProgress | None) -> None:
         """Count a send that got no whole answer."""
         self.lost_sends.labels(progress.value if progress else "connected").inc()
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -22,6 +22,7 @@
     from lacewingcourse.relay.sending import Sender
     from lacewingcourse.relay.stall_watcher import StallWatcher
     from lacewingcourse.relay.stream_state import AttemptResult, StreamState
+    from lacewingcourse.relay.stream_times import StreamTimes
 
 
 class Forwarder(Protocol):
@@ -34,6 +35,7 @@
         stalls: Detects streams that stall behind dead endpoints.
         log: Decision log.
         crash_guard: Refuses streams that crash endpoints.
+        times: Predicts streams, and learns from those that ran.
     """
 
     routing_state: RoutingState
@@ -42,6 +44,7 @@
     stalls: StallWatcher
     log: DecisionLog
     crash_guard: CrashGuard
+    times: StreamTimes
 
     def reserve_path(
         self, state: StreamState, also_avoid: Collection[str] = ()
--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -12,6 +12,7 @@
     MAX_MEMORY_SHARE_RESUMED,
     Demand,
 )
+from lacewingcourse.core.pipelines.prediction import TimeLimits
 from lacewingcourse.relay.limited_choice import choose_within_limits, is_no_route
 
 if TYPE_CHECKING:
@@ -38,12 +39,14 @@
         rng: Source of random numbers.
         clock: Returns the present time in seconds.
         pool: Connections to endpoints, None if none are kept.
+        refuses_late: Whether requests are refused that would be late.
     """
 
     routing_state: RoutingState
     rng: Random
     clock: Callable[[], float]
     pool: ConnectionPool | None = None
+    refuses_late: bool = True
 
     def find(
         self,
@@ -69,11 +72,30 @@
             else MAX_MEMORY_SHARE
         )
         avoided = job.avoid.union(besides) if besides else job.avoid
-        found = self._choose(job, shape, demand, avoided, share)
+        limits = self._limits(job) if self.refuses_late else None
+        found = self._choose(job, shape, demand, avoided, share, limits)
         if job.caller.response_started and job.avoid and is_no_route(found):
             return self._choose(job, shape, demand, besides, share)
         return found
 
+    def idle_first_event(
+        self, job: Job, shape: EngineShape, demand: Demand
+    ) -> float | None:
+        """Return the seconds to a request's first event on the fastest idle path.
+
+        None if there is no path. For `admission_queue.latest_start`.
+
+        Args:
+            job: The request.
+            shape: Figures of the service's engines.
+            demand: Its demand on a path.
+        """
+        now = self.clock()
+        predictor = self.routing_state.chooser(shape).predictor
+        paths = self.routing_state.paths(job.service, shape, now)
+        times = (predictor.idle_times(path, demand, now)[0] for path in paths)
+        return min(times, default=None)
+
     def is_idle(self, job: Job, avoid: Collection[str]) -> bool:
         """Return whether a path without some endpoints is idle enough for a request."""
         shape = self.routing_state.shape(job.service)
@@ -104,6 +126,7 @@
         demand: Demand,
         avoid: Collection[str],
         share: float,
+        limits: TimeLimits | None = None,
     ) -> Path | Refusal:
         """Return one of the candidate paths, or why none is usable."""
         now = self.clock()
@@ -115,13 +138,36 @@
         connected = self.pool.idle if self.pool is not None else ()
 
         def choose(among: list[Path]) -> Path | Refusal:
-            return chooser.choose(among, demand, avoid, self.rng, now, share, connected)
+            return chooser.choose(
+                among, demand, avoid, self.rng, now, share, connected, limits
+            )
 
-        limits = self.routing_state.send_limits
+        send_limits = self.routing_state.send_limits
         return choose_within_limits(
-            limits, job, paths, lambda path: path.first.endpoint, choose, now
+            send_limits, job, paths, lambda path: path.first.endpoint, choose, now
         )
 
+    def _limits(self, job: Job) -> TimeLimits | None:
+        """Return the limits of a request's times, None if it may be late.
+
+        A request that was sent before may have run, and one that is resumed has a
+        caller that already reads: neither is refused for the time that it takes.
+        """
+        if job.caller.response_started or job.sends or job.request.resume_after:
+            return None
+        return limits_of(job, self.clock())
+
+
+def limits_of(job: Job, now: float) -> TimeLimits:
+    """Return the limits of times that a request's route sets."""
+    route = job.route
+    return TimeLimits(
+        service=job.service,
+        objective=route.objective if route.objective > 0 else float("inf"),
+        max_event_gap=route.max_event_gap if route.max_event_gap > 0 else float("inf"),
+        elapsed=now - job.request.received_at,
+    )
+
 
 def demand_of(job: Job, shape: EngineShape) -> Demand:
     """Return the expected demand of a request on a path."""
--- a/packages/relay/src/lacewingcourse/relay/routing_state.py
+++ b/packages/relay/src/lacewingcourse/relay/routing_state.py
@@ -15,9 +15,11 @@
 from lacewingcourse.core.pipelines.path import Path, candidate_paths
 from lacewingcourse.core.pipelines.prompt_parts import PartHistory
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
+from lacewingcourse.core.pipelines.running_streams import RunningStreams
 from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
 from lacewingcourse.core.pipelines.suspects import Suspects
+from lacewingcourse.core.pipelines.time_ratios import TimeRatios
 from lacewingcourse.relay.loop_watch import LoopWatch
 
 if TYPE_CHECKING:
@@ -64,6 +66,8 @@
         send_limits: What may be sent to endpoints that name limits.
         candidates: Candidate paths by service, for the shapes used last.
         durations: How long recent answers took.
+        running: Streams of this entry that run.
+        ratios: Ratios of the times that streams took to the published ones.
         watch: Measures the sections of work that block the event loop.
         choosers: Path choosers by model for the shapes used last, each with the
             revision of the fleet for which it was made.
@@ -80,6 +84,8 @@
     send_limits: SendLimits = attrs.field(factory=SendLimits)
     candidates: dict[str, list[CandidateSet]] = attrs.field(factory=dict)
     durations: Durations = attrs.field(factory=Durations)
+    running: RunningStreams = attrs.field(factory=RunningStreams)
+    ratios: TimeRatios = attrs.field(factory=TimeRatios)
     watch: LoopWatch = attrs.field(factory=LoopWatch)
     choosers: dict[str, list[tuple[int, PathChooser]]] = attrs.field(factory=dict)
 
@@ -152,8 +158,15 @@
         for _, chooser in known:
             if chooser.shape == shape:
                 return chooser
-        endpoints = self.fleet.endpoints
-        created = PathChooser(shape, endpoints, self.loads, self.links, self.speeds)
+        created = PathChooser(
+            shape,
+            self.fleet.endpoints,
+            self.loads,
+            self.links,
+            self.speeds,
+            self.running,
+            self.ratios,
+        )
         kept = [(revision, created), *known]
         self.choosers[shape.model] = kept[:CACHED_SHAPES]
         return created
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -174,6 +174,7 @@
         if self.first_event_at is None:
             self.first_event_at = now
         self.job.record_events(now)
+        self.mover.forwarder.times.record_events(self.job, now)
         if not self.job.established:
             self._check_established(now)
         self.stalls.progress(self.job, now)
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -31,6 +31,7 @@
     Replacement,
     StreamState,
 )
+from lacewingcourse.relay.stream_times import StreamTimes
 from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
@@ -80,6 +81,7 @@
         on_denied: Called with the service and the request id when the retry budget
             denies a retry.
         crash_guard: Refuses streams that crash endpoints.
+        times: Predicts streams, and learns from those that ran.
     """
 
     routing_state: RoutingState
@@ -93,11 +95,16 @@
     on_suspect: Callable[[], None] = lambda: None
     on_denied: Callable[[str, str], None] = lambda service, request: None
     crash_guard: CrashGuard = attrs.field()
+    times: StreamTimes = attrs.field(init=False)
 
     @crash_guard.default
     def _own_crash_guard(self) -> CrashGuard:
         return CrashGuard(self.routing_state, self.log, self.sender.clock)
 
+    @times.default
+    def _own_times(self) -> StreamTimes:
+        return StreamTimes(self.routing_state, self.log)
+
     async def serve(self, job: Job, shape: EngineShape) -> Refusal | None:
         """Forward a stream to the caller.
 
@@ -136,6 +143,7 @@
                 continue
             if result.end is AttemptEnd.WHOLE and job.events:
                 self.crash_guard.record_established(job)
+                self.times.record_whole(job, self.sender.clock())
             if result.end in (AttemptEnd.WHOLE, AttemptEnd.ABANDONED):
                 return None
             if result.end is AttemptEnd.NOT_TAKEN:
@@ -221,6 +229,7 @@
         """
         job = state.job
         job.path = path
+        running = job.running = self.times.begin(state, path, self.sender.clock())
         self.routing_state.loads.begin(path, state.demand.tokens)
         try:
             fresh = not job.route.retry_safety.may_retry
@@ -241,6 +250,7 @@
             return retried
         finally:
             self.routing_state.loads.end(path, state.demand.tokens)
+            self.times.end(job, running)
 
     async def _send_and_relay(
         self, state: StreamState, fresh: bool, replacement: Replacement | None = None
@@ -310,7 +320,8 @@
         job.sends += 1
         job.sent_to.add(path.first.endpoint)
         job.path = path
-        age = self.sender.clock() - self.routing_state.fleet.known_at
+        job.sent_at = self.sender.clock()
+        age = job.sent_at - self.routing_state.fleet.known_at
         limit = self.routing_state.limits.named(path.first.endpoint)
         self.log.sent(job, path.first.endpoint, age, job.waited, limit)
 
--- a/packages/relay/tests/relay/test_path_finder.py
+++ b/packages/relay/tests/relay/test_path_finder.py
@@ -5,14 +5,22 @@
 from random import Random
 from types import SimpleNamespace
 
+import attrs
 import pytest
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.pipelines.choice import Demand
+from lacewingcourse.core.pipelines.choice import (
+    NEVER_IN_TIME,
+    NONE_IN_TIME,
+    Demand,
+)
 from lacewingcourse.core.pipelines.load import Load
+from lacewingcourse.core.pipelines.routing import RetrySafety
 from lacewingcourse.relay.path_finder import PathFinder
 from lacewingcourse.relay.routing_state import RoutingState
 
+from .routes import route_of
+
 DEMAND = Demand(1_000, 200)
 
 
@@ -37,10 +45,18 @@
 def job_of(avoid=(), allowed=None):
     """Return what the path finder needs of a request."""
     caller = SimpleNamespace(response_started=False)
-    request = SimpleNamespace(prompt=1_000, answer_hint=None, max_answer_tokens=0)
+    request = SimpleNamespace(
+        prompt=1_000,
+        answer_hint=None,
+        max_answer_tokens=0,
+        received_at=0.0,
+        resume_after="",
+    )
     return HashableNamespace(
         service="rooms",
         caller=caller,
+        route=route_of("rooms", RetrySafety.STREAM),
+        sends=0,
         avoid=set(avoid),
         request=request,
         allowed_endpoints=allowed,
@@ -82,6 +98,61 @@
         assert not finder.find(job, shape, DEMAND).uses("c")
 
 
+def slow_down(finder, *names):
+    """Let endpoints report that they run fifty times slower than published."""
+    for name in names:
+        finder.routing_state.speeds.update(name, 50.0, 0.0)
+
+
+def make_busy(finder, *names):
+    """Put requests on endpoints that take time and no memory."""
+    for name in names:
+        finder.routing_state.loads.from_peer(name, {name: Load(30_000, 1, 0.0)}, 0.0)
+
+
+def test_a_request_that_no_path_serves_in_time_is_refused_by_what_could_help(
+    finder, shape
+):
+    make_busy(finder, *"abcd")
+    found = finder.find(job_of(), shape, DEMAND)
+    assert (found.kind, found.reason) == (ErrorKind.OVERLOADED, NONE_IN_TIME)
+    slow_down(finder, *"abcd")
+    finder.routing_state.table.services["rooms"].shape = shape
+    found = finder.find(job_of(), shape, attrs.evolve(DEMAND, prompt_tokens=40_000))
+    assert (found.kind, found.reason) == (
+        ErrorKind.DEADLINE_UNREACHABLE,
+        NEVER_IN_TIME,
+    )
+
+
+@pytest.mark.parametrize("change", ["sent", "resumed", "reading", "no limit", "late"])
+def test_a_request_that_may_be_late_is_not_refused_for_time(finder, shape, change):
+    make_busy(finder, *"abcd")
+    job = job_of()
+    job.sends = int(change == "sent")
+    job.request.resume_after = "7" if change == "resumed" else ""
+    job.caller.response_started = change == "reading"
+    if change == "no limit":
+        job.route = attrs.evolve(job.route, objective=0.0, max_event_gap=0.0)
+    finder.refuses_late = change != "late"
+    assert not isinstance(finder.find(job, shape, DEMAND), Refusal)
+
+
+def test_a_path_is_taken_on_which_no_part_is_busy(finder, shape):
+    make_busy(finder, "a", "c")
+    for _ in range(20):
+        assert not finder.find(job_of(), shape, DEMAND).uses("ac")
+
+
+def test_an_idle_path_gives_the_latest_start(finder, shape):
+    found = finder.idle_first_event(job_of(), shape, DEMAND)
+    assert 0.0 < found < 0.1
+    assert finder.idle_first_event(job_of(), shape, Demand(50_000, 1)) > found
+    for name in "abcd":
+        finder.routing_state.fleet.remove(name, 0.0)
+    assert finder.idle_first_event(job_of(), shape, DEMAND) is None
+
+
 def name_limits(finder, *names):
     """Let endpoints name limits, without granting permits."""
     for name in names:
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -143,14 +143,22 @@
 def make_job():
     """Return a request with the attributes that the forwarder uses."""
     request = SimpleNamespace(
-        resume_after="", answer_hint=None, max_answer_tokens=20, prompt=100
+        resume_after="",
+        answer_hint=None,
+        max_answer_tokens=20,
+        prompt=100,
+        received_at=0.0,
     )
     job = SimpleNamespace(
         request=request,
         service="rooms",
         caller=SimpleNamespace(disconnected=False, response_started=False),
         route=SimpleNamespace(
-            name="rooms", max_attempts=2, retry_safety=RetrySafety.RESUMABLE_STREAM
+            name="rooms",
+            max_attempts=2,
+            retry_safety=RetrySafety.RESUMABLE_STREAM,
+            objective=0.5,
+            max_event_gap=0.2,
         ),
         waited=0.0,
         sends=0,
