--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -174,7 +174,10 @@
             crash_guard,
             self.admission,
         )
-        finder = PathFinder(self.routing_state, rng, self.clock, self.pool)
+        refuses_late = self.settings.wait != "late"
+        finder = PathFinder(
+            self.routing_state, rng, self.clock, self.pool, refuses_late
+        )
         self.stalls = StallWatcher(
             self.platform.reports,
             self.routing_state.suspects,
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -21,7 +21,9 @@
     from collections.abc import Callable
 
     from lacewingcourse.core.pipelines.path import Path
+    from lacewingcourse.core.pipelines.prediction import StreamPrediction
     from lacewingcourse.core.pipelines.routing import Organisation, Route
+    from lacewingcourse.core.pipelines.running_streams import RunningStream
     from lacewingcourse.core.pipelines.stalls import WatchedStream
     from lacewingcourse.relay.caller import CallerExchange
     from lacewingcourse.relay.ports import CallerRequest
@@ -63,6 +65,10 @@
         refused_by: Why the scheduler refused it room, empty if it did not.
         events: Number of times that events were passed on.
         watched: State of its stall detection, None if it is not watched.
+        predicted: Predicted times of its first attempt as a stream, None before it and
+            for later ones.
+        running: Its attempt as a stream that runs, None without one.
+        sent_at: When its last attempt was sent, seconds, None before one.
         established: Whether its answer was once established, so that it does not crash
             the endpoints that begin to answer it.
         accepts: Returns whether a draining entry accepts it at a given time in seconds.
@@ -91,6 +97,9 @@
     refused_by: str = ""
     events: int = 0
     watched: WatchedStream | None = None
+    predicted: StreamPrediction | None = None
+    running: RunningStream | None = None
+    sent_at: float | None = None
     established: bool = False
     accepts: Callable[[float], bool] = lambda now: True
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -28,6 +28,7 @@
     Replacement,
     StreamState,
 )
+from lacewingcourse.relay.stream_times import StreamTimes
 from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
@@ -78,6 +79,7 @@
             denies a retry.
         crash_guard: Refuses streams that crash endpoints.
         retry_times: Computes when refused callers may return.
+        times: Predicts streams, and learns from those that ran.
     """
 
     routing_state: RoutingState
@@ -92,6 +94,7 @@
     on_denied: Callable[[str, str], None] = lambda service, request: None
     crash_guard: CrashGuard = attrs.field()
     retry_times: RetryTimes = attrs.field()
+    times: StreamTimes = attrs.field(init=False)
 
     @crash_guard.default
     def _own_crash_guard(self) -> CrashGuard:
@@ -101,6 +104,10 @@
     def _own_retry_times(self) -> RetryTimes:
         return RetryTimes(self.routing_state.durations, self.rng)
 
+    @times.default
+    def _own_times(self) -> StreamTimes:
+        return StreamTimes(self.routing_state, self.log)
+
     async def serve(self, job: Job, shape: EngineShape) -> Refusal | None:
         """Forward a stream to the caller.
 
@@ -141,6 +148,7 @@
                 continue
             if result.end is AttemptEnd.WHOLE and job.events:
                 self.crash_guard.record_established(job)
+                self.times.record_whole(job, self.sender.clock())
             if result.end in (AttemptEnd.WHOLE, AttemptEnd.ABANDONED):
                 return None
             if result.end is AttemptEnd.NOT_TAKEN:
@@ -181,7 +189,10 @@
             seconds = state.shape.transfer_seconds(state.demand.prompt_tokens)
             self.routing_state.links.record_transfer(pair, seconds, now)
 
+        running = state.job.running = self.times.begin(state, path, now)
+
         def on_release() -> None:
+            self.times.end(state.job, running)
             self.admission.room_changed(state.job.service)
 
         tokens = state.demand.tokens
@@ -323,7 +334,8 @@
         job.sends += 1
         job.sent_to.add(path.first.endpoint)
         job.path = path
-        age = self.sender.clock() - self.routing_state.fleet.known_at
+        job.sent_at = self.sender.clock()
+        age = job.sent_at - self.routing_state.fleet.known_at
         limit = self.routing_state.limits.named(path.first.endpoint)
         self.log.sent(job, path.first.endpoint, age, job.waited, limit)
 
