Exchange the demand for room between entries, and show how it is divided

Gossip messages carry the demand of each service in the field room, bounded and with a default; hubs add it up and leave the receiver's own out. Housekeeping removes what is old, logs changes of a shortage and sets metrics. LACEWINGCOURSE_ROOM_SHARING chooses the policy. A report that makes no sense costs nothing but itself, and is logged once for each entry.

--- a/packages/core/src/lacewingcourse/core/pipelines/room_demand.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/room_demand.py
@@ -77,6 +77,16 @@
     unnamed: float = 0.0
     unnamed_count: int = 0
 
+    def add(self, other: RankDemand, sign: int = 1) -> None:
+        """Add the demand of other entries, or subtract it if the sign is -1."""
+        self.arrived += sign * other.arrived
+        self.certain += sign * other.certain
+        self.started += sign * other.started
+        self.waiting += sign * other.waiting
+        self.unnamed += sign * other.unnamed
+        # The same organisations come to many entries, so numbers don't add up.
+        self.unnamed_count = max(self.unnamed_count, other.unnamed_count)
+
 
 @attrs.define
 class RoomDemand:
@@ -96,20 +106,34 @@
     def add(self, other: RoomDemand) -> None:
         """Add the demand of another entry."""
         for rank, demand in other.ranks.items():
-            total = self.ranks.setdefault(rank, RankDemand())
-            total.arrived += demand.arrived
-            total.certain += demand.certain
-            total.started += demand.started
-            total.waiting += demand.waiting
-            total.unnamed += demand.unnamed
-            # The same organisations come to many entries, so numbers don't add up.
-            total.unnamed_count = max(total.unnamed_count, demand.unnamed_count)
+            self.ranks.setdefault(rank, RankDemand()).add(demand)
         for rank, rates in other.organisations.items():
-            named = self.organisations.setdefault(rank, {})
+            named = self.organisations.get(rank)
+            if named is None:
+                self.organisations[rank] = dict(rates)
+                continue
             for organisation, rate in rates.items():
                 named[organisation] = named.get(organisation, 0.0) + rate
         self.short_at = max(self.short_at, other.short_at)
 
+    def without(self, others: list[RoomDemand], short_at: float) -> RoomDemand:
+        """Return this sum without some of its parts.
+
+        Args:
+            others: The parts.
+            short_at: When a request of the rest last found no room, seconds.
+        """
+        rest = RoomDemand(short_at=short_at)
+        rest.add(attrs.evolve(self, short_at=short_at))
+        for other in others:
+            for rank, demand in other.ranks.items():
+                rest.ranks[rank].add(demand, -1)
+            for rank, rates in other.organisations.items():
+                named = rest.organisations[rank]
+                for organisation, rate in rates.items():
+                    named[organisation] -= rate
+        return rest
+
     @property
     def started(self) -> float:
         """Tokens per second that took room, over all ranks."""
@@ -159,12 +183,17 @@
     for rank, figures in sorted(demand.ranks.items()):
         measured = demand.organisations.get(rank, {})
         named = _largest(measured) if is_short else {}
-        organisations += [(rank, name, round(rate, 2)) for name, rate in named.items()]
+        organisations += [
+            (rank, name, round(rate, 2))
+            for name, rate in named.items()
+            if rate >= MIN_RATE
+        ]
         unnamed = figures.unnamed + sum(measured.values()) - sum(named.values())
         count = figures.unnamed_count + len(measured) - len(named)
         values = (figures.arrived, figures.certain, figures.started, figures.waiting)
         if max(values) >= MIN_RATE:
-            rounded = (round(value, 2) for value in (*values, max(0.0, unnamed)))
+            # Differences of sums may lie below 0 by an error of rounding.
+            rounded = [max(0.0, round(value, 2)) for value in (*values, unnamed)]
             ranks.append((rank, *rounded, min(count, MAX_COUNT)))
     return RoomReport(ranks, organisations, round(short_for, 3) if is_short else None)
 
--- a/packages/core/src/lacewingcourse/core/pipelines/room_shares.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/room_shares.py
@@ -70,6 +70,12 @@
         }
         return {service: report for service, report in found.items() if report}
 
+    def clear(self) -> None:
+        """Remove the demand of all peers, because the clock may have stood still."""
+        for share in self.services.values():
+            for peer in share.peer_names():
+                share.forget(peer)
+
     def expire(self, now: float) -> None:
         """Remove expired state."""
         for share in self.services.values():
--- a/packages/core/src/lacewingcourse/core/pipelines/room_sharing.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/room_sharing.py
@@ -27,6 +27,8 @@
 
     from lacewingcourse.core.pipelines.scheduling import QueuedRequest
 
+#: How the reason of a refusal begins that follows from the division of the room.
+SHARE_REASON = "room is short"
 #: Seconds after the last shortage anywhere for which room counts as short.
 SHORTAGE_TTL = 1.5
 #: Seconds of shortage before requests are refused for it: until then the queues of the
@@ -63,6 +65,8 @@
 
     Attributes:
         demand: Demand of all entries.
+        parts: Demand of each peer that is contained in it.
+        own: Demand of this entry that is contained in it.
         is_short: Whether an entry found no room lately.
         room: Tokens per second that can be started, infinity while room is not short.
         portions: What may start of each rank.
@@ -72,6 +76,8 @@
     """
 
     demand: RoomDemand = attrs.field(factory=RoomDemand)
+    parts: dict[str, RoomDemand] = attrs.field(factory=dict)
+    own: RoomDemand = attrs.field(factory=RoomDemand)
     is_short: bool = False
     room: float = inf
     portions: dict[int, RankPortion] = attrs.field(factory=dict)
@@ -107,12 +113,18 @@
     def forget(self, peer: str) -> None:
         """Remove the demand of a peer."""
 
+    def peer_names(self) -> list[str]:
+        """Return the peers whose demand is known."""
+
     def report(self, included: Callable[[str], bool], now: float) -> RoomReport | None:
         """Return the demand of this entry and some peers, None if there is none."""
 
     def expire(self, now: float) -> None:
         """Remove expired state."""
 
+    def take_refused(self) -> dict[int, int]:
+        """Return the requests by rank that were not admitted since the last call."""
+
 
 #: Policies by which entries share the room of a service, each made with the entry's
 #: name.
@@ -164,6 +176,10 @@
     def forget(self, peer: str) -> None:
         """Remove the demand of a peer."""
 
+    def peer_names(self) -> list[str]:
+        """Return the peers whose demand is known."""
+        return []
+
     def report(self, included: Callable[[str], bool], now: float) -> RoomReport | None:
         """Return the demand of this entry and some peers, None if there is none."""
         return None
@@ -171,6 +187,10 @@
     def expire(self, now: float) -> None:
         """Remove expired state."""
 
+    def take_refused(self) -> dict[int, int]:
+        """Return the requests by rank that were not admitted since the last call."""
+        return {}
+
 
 @ROOM_SHARING_POLICIES.register("deployment")
 @attrs.define
@@ -193,6 +213,7 @@
         short_since: When the present shortage was first seen, seconds, infinity while
             room is not short.
         starts_in_row: Starts at this entry since it last found no room.
+        refused: Requests by rank that were not admitted since this was last read.
     """
 
     entry: str = ""
@@ -203,6 +224,7 @@
     peak: tuple[float, float] = (0.0, 0.0)
     short_since: float = inf
     starts_in_row: int = 0
+    refused: dict[int, int] = attrs.field(factory=dict)
 
     def record_arrival(self, request: QueuedRequest, now: float) -> None:
         """Count the demand of a request that has arrived."""
@@ -228,6 +250,8 @@
         credit += fraction
         is_admitted = credit >= 1.0
         self.credits[key] = credit - is_admitted
+        if not is_admitted:
+            self.refused[key[0]] = self.refused.get(key[0], 0) + 1
         return is_admitted
 
     def record_start(self, request: QueuedRequest, now: float) -> None:
@@ -272,7 +296,7 @@
         portion = plan.portions.get(level_of(request.rank), WHOLE)
         fraction = plan.fraction(request.rank, request.organisation)
         return (
-            f"room is short: rank {request.rank} may start {portion.fraction:.2f} of "
+            f"{SHARE_REASON}: rank {request.rank} may start {portion.fraction:.2f} of "
             f"its demand, {request.organisation} {fraction:.2f}"
         )
 
@@ -288,10 +312,24 @@
         """Remove the demand of a peer."""
         self.peers.pop(peer, None)
 
+    def peer_names(self) -> list[str]:
+        """Return the peers whose demand is known."""
+        return list(self.peers)
+
     def report(self, included: Callable[[str], bool], now: float) -> RoomReport | None:
         """Return the demand of this entry and some peers, None if there is none."""
-        demands = [demand for peer, demand in self._fresh(now) if included(peer)]
-        found = report_of(sum_of([self.own.read(now), *demands]), SHORTAGE_TTL, now)
+        plan = self.plan(now)
+        counted = [part for peer, part in plan.parts.items() if included(peer)]
+        if not counted:
+            demand = self.own.read(now)
+        elif 2 * len(counted) < len(plan.parts):
+            demand = sum_of([plan.own, *counted])
+        else:
+            # A hub sends each entry of its zone the sum of all but that entry.
+            excluded = [part for peer, part in plan.parts.items() if not included(peer)]
+            short_at = max(part.short_at for part in (plan.own, *counted))
+            demand = plan.demand.without(excluded, short_at)
+        found = report_of(demand, SHORTAGE_TTL, now)
         return found if found.ranks else None
 
     def expire(self, now: float) -> None:
@@ -303,6 +341,11 @@
         if not self.plan(now).is_short:
             self.credits.clear()
 
+    def take_refused(self) -> dict[int, int]:
+        """Return the requests by rank that were not admitted since the last call."""
+        refused, self.refused = self.refused, {}
+        return refused
+
     def _fresh(self, now: float) -> list[tuple[str, RoomDemand]]:
         """Return the peers whose last report still counts, with their demand."""
         return [
@@ -319,20 +362,21 @@
         return crc32(f"{self.entry} {key}".encode()) / 2**32
 
     def _make_plan(self, now: float) -> RoomPlan:
-        demands = [demand for _, demand in self._fresh(now)]
-        own = self.own.read(now)
-        total = sum_of([own, *demands])
+        parts, own = dict(self._fresh(now)), self.own.read(now)
+        total = sum_of([own, *parts.values()])
+        plan = RoomPlan(total, parts, own, made_at=now)
         peak = self._recent_peak(total.started, now)
         idle_for = max(0.0, now - total.short_at)
         if idle_for > SHORTAGE_TTL:
             self.short_since = inf
-            return RoomPlan(total, made_at=now)
+            return plan
+        plan.is_short = True
         self.short_since = min(self.short_since, now)
         if now - self.short_since < ONSET_TIME:
-            return RoomPlan(total, True, made_at=now)
+            return plan
         growth = 2.0 ** (max(0.0, idle_for - GROWTH_DELAY) / GROWTH_TIME)
-        room = max(MIN_HEADROOM * total.started, MIN_PEAK_SHARE * peak) * growth
-        plan = RoomPlan(total, True, room, divide(room, total), made_at=now)
+        plan.room = max(MIN_HEADROOM * total.started, MIN_PEAK_SHARE * peak) * growth
+        plan.portions = divide(plan.room, total)
         if self.starts_in_row >= MIN_STARTS_IN_ROW:
             plan.own_portions = divide(MIN_HEADROOM * own.started, own)
         return plan
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import socket
+from functools import partial
 from typing import TYPE_CHECKING
 from uuid import uuid4
 
@@ -20,6 +21,7 @@
     RETRY_SHARING_POLICIES,
     RetryBudget,
 )
+from lacewingcourse.core.pipelines.room_sharing import ROOM_SHARING_POLICIES
 from lacewingcourse.core.pipelines.shutdown import LAST_REQUESTS
 from lacewingcourse.relay.address import split_address
 from lacewingcourse.relay.admission import Admission
@@ -44,6 +46,7 @@
 from lacewingcourse.relay.readiness import Readiness
 from lacewingcourse.relay.refusal_keeper import RefusalKeeper
 from lacewingcourse.relay.retry_loans import RetryLoans
+from lacewingcourse.relay.room_monitor import RoomMonitor
 from lacewingcourse.relay.routing_state import RoutingState
 from lacewingcourse.relay.sending import Sender
 from lacewingcourse.relay.settings_watch import SettingsWatch
@@ -143,6 +146,9 @@
         )
         send_limits = self.routing_state.send_limits
         send_limits.sharing = LIMIT_SHARING_POLICIES.get(self.settings.limit_sharing)()
+        self.routing_state.room.make = partial(
+            ROOM_SHARING_POLICIES.get(self.settings.room_sharing), self.settings.name
+        )
         sender = Sender(
             self.pool,
             self.platform.codec,
@@ -299,6 +305,7 @@
             self.clock,
             self._on_resume,
             self.refusal_keeper.on_change,
+            RoomMonitor(self.routing_state.room, self.log, self.metrics).check,
         )
         page = MetricsPage(
             self.metrics,
@@ -427,6 +434,7 @@
         self.holder.lease = None
         self.budget.drop_loans()
         self.routing_state.send_limits.sharing.clear()
+        self.routing_state.room.clear()
         self.readiness.add_suspended_time(suspended_for)
 
     def _on_term(self) -> None:
--- a/packages/relay/src/lacewingcourse/relay/causes.py
+++ b/packages/relay/src/lacewingcourse/relay/causes.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.room_sharing import SHARE_REASON
 from lacewingcourse.core.registry import Registry
 
 if TYPE_CHECKING:
@@ -163,6 +164,13 @@
     return history.refused_kind == "overloaded" and bool(history.end.get("limited"))
 
 
+@CAUSES.register("refused by its part of the room")
+def refused_by_share(history: RequestHistory) -> bool:
+    """Return whether its rank or organisation had its part of room that is short."""
+    reason = history.end.get("reason", "")
+    return bool(history.refused_kind) and reason.startswith(SHARE_REASON)
+
+
 @CAUSES.register("refused for want of room")
 def refused_for_room(history: RequestHistory) -> bool:
     """Return whether no path had memory for it in time."""
--- a/packages/relay/src/lacewingcourse/relay/explain.py
+++ b/packages/relay/src/lacewingcourse/relay/explain.py
@@ -20,6 +20,7 @@
 CONTEXT_EVENTS = frozenset(
     {"configuration", "configuration_source_lost", "configuration_source_regained"}
     | {"directory_lost", "directory_regained", "endpoint_gone", "endpoint_lapsed"}
+    | {"room_short", "room_divided", "room_enough"}
     | {"suspected", "limit", "duty_taken", "order", "leaving", "started", "reloaded"}
 )
 #: Fields that are shown in columns of their own or not at all.
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -17,6 +17,8 @@
     Scope,
     decode_limit,
     decode_loads,
+    decode_room,
+    encode_room,
 )
 
 if TYPE_CHECKING:
@@ -31,6 +33,8 @@
 
 #: Key of the sum of the loads of all other entries, as a hub sends it to a member.
 OTHERS_KEY = "others"
+#: Entries whose unusable reports are logged.
+MAX_UNUSABLE_REPORTS = 100
 #: Observation scope of a message's suspicions and losses, by the scope of its loads.
 OBSERVATION_SCOPES = {
     Scope.OWN: ObservationScope.OWN,
@@ -64,6 +68,8 @@
             the machine was suspended.
         stamps: Time stamps of received messages, to bound their transit times.
         crash_guard: Refuses requests that crash endpoints.
+        unusable_reports: Entries that sent a report of their demand for room which
+            cannot be used, as each is logged once.
     """
 
     name: str
@@ -80,6 +86,7 @@
     boot_clock: Callable[[], float] = attrs.field()
     stamps: StampTable = attrs.field()
     crash_guard: CrashGuard = attrs.field()
+    unusable_reports: set[str] = attrs.field(factory=set)
 
     @boot_clock.default
     def _loop_clock(self) -> Callable[[], float]:
@@ -155,6 +162,7 @@
             reads=self.platform_reachable,
             stamp=boot_now,
             echo=self.stamps.echo(receiver, boot_now),
+            room=encode_room(self.routing_state.room.reports(included, now)),
         )
 
     def transit_time(self, message: GossipMessage) -> float:
@@ -243,12 +251,31 @@
                 self._forget_except({OTHERS_KEY})
                 loads.from_peer(OTHERS_KEY, decode_loads(message), now)
                 links.from_peer(OTHERS_KEY, uses)
+                self._apply_room(OTHERS_KEY, message, now)
             return
         key = self._load_key(message, role)
         if key:
             self._forget(OTHERS_KEY)
             loads.from_peer(key, decode_loads(message), now)
             links.from_peer(key, uses)
+            self._apply_room(key, message, now)
+
+    def _apply_room(self, key: str, message: GossipMessage, now: float) -> None:
+        """Apply the demand of other entries for room, and log what cannot be used."""
+        reports, errors = decode_room(message.room)
+        for service in self.routing_state.room.from_peer(key, reports, now):
+            errors[service] = "a value or a number of values is out of range"
+        if not errors or message.name in self.unusable_reports:
+            return
+        if len(self.unusable_reports) < MAX_UNUSABLE_REPORTS:
+            self.unusable_reports.add(message.name)
+            service, reason = next(iter(errors.items()))
+            self.log.log_event(
+                "room_report_unusable",
+                peer=message.name,
+                service=service,
+                reason=reason,
+            )
 
     def _load_key(self, message: GossipMessage, role: Role) -> str:
         """Return the key to store loads under, empty if another sum contains them."""
@@ -270,6 +297,7 @@
     def _forget(self, key: str) -> None:
         self.routing_state.loads.forget(key)
         self.routing_state.links.forget(key)
+        self.routing_state.room.forget(key)
 
     def _load_filter(self, scope: Scope, receiver: str) -> Callable[[str], bool]:
         """Return which loads of others a message includes besides this entry's own."""
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -37,6 +37,8 @@
         clock: Returns the present time in seconds.
         on_thaw: Called with the seconds for which the machine was suspended.
         on_forgotten: Called with a prompt part whose refusal was forgotten.
+        observe_room: Called with the present time in each round, to report how room is
+            divided.
     """
 
     routing_state: RoutingState
@@ -47,6 +49,7 @@
     clock: Callable[[], float]
     on_thaw: Callable[[float], None]
     on_forgotten: Callable[[str], None] = lambda part: None
+    observe_room: Callable[[float], None] = lambda now: None
 
     async def run(self) -> None:
         """Run rounds until cancelled."""
@@ -71,6 +74,8 @@
             self.on_forgotten(part)
         self.routing_state.send_limits.expire(self.routing_state.fleet.endpoints, now)
         self.routing_state.send_limits.sharing.entries = self.book.count(now)
+        self.routing_state.room.expire(now)
+        self.observe_room(now)
         self.issuer.expire(now)
         self.budget.entries = max(self.book.count(now), self.budget.entries)
         self.budget.known_entries = 1 + len(self.book.peers)
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -165,6 +165,31 @@
             "Parts of prompts that are refused as they crash endpoints",
             **common_options,
         )
+        self.room_demand = Gauge(
+            "lacewingcourse_relay_room_demand",
+            "Tokens (calls of plain services) a second of all entries by rank: arrived,"
+            " started; waiting is a number",
+            ["service", "rank", "state"],
+            **common_options,
+        )
+        self.room_fraction = Gauge(
+            "lacewingcourse_relay_room_fraction",
+            "Fraction of the demand of a rank that may start",
+            ["service", "rank"],
+            **common_options,
+        )
+        self.room_short = Gauge(
+            "lacewingcourse_relay_room_short",
+            "Whether an entry found no room lately",
+            ["service"],
+            **common_options,
+        )
+        self.room_refusals = Counter(
+            "lacewingcourse_relay_room_refusals",
+            "Requests that did not belong to what this entry might start",
+            ["service", "rank"],
+            **common_options,
+        )
         self.unreadable_limits = Counter(
             "lacewingcourse_relay_unreadable_limits",
             "Limits named by endpoints that cannot be read",
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Any
 
 import attrs
 
@@ -10,6 +11,7 @@
 from lacewingcourse.core.pipelines.load import Load
 from lacewingcourse.core.pipelines.prompt_parts import PartReport
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
+from lacewingcourse.core.pipelines.room_demand import RoomReport
 from lacewingcourse.core.pipelines.stamps import Echo
 from lacewingcourse.relay.decoding import StrictDecoder, Undecodable
 
@@ -67,6 +69,8 @@
         reads: Whether the platform answers the sender.
         stamp: Time of the sender's clock at composition, seconds.
         echo: Last stamp that the sender received from the receiver, None before that.
+        room: Demand for room by service, as `encode_room` returns it. It is decoded
+            apart, so that a report which cannot be read costs nothing else.
     """
 
     name: str
@@ -96,6 +100,7 @@
     parts: dict[str, PartReport] = attrs.field(factory=dict)
     stamp: float = 0.0
     echo: Echo | None = None
+    room: Any = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -208,6 +213,29 @@
     }
 
 
+def encode_room(reports: dict[str, RoomReport]) -> dict[str, Any]:
+    """Return the demand for room by service as messages encode it."""
+    return DECODER.converter.unstructure(reports)
+
+
+def decode_room(document: Any) -> tuple[dict[str, RoomReport], dict[str, str]]:
+    """Return the demand for room that a message encodes, by service.
+
+    Returns:
+        The reports, and why others cannot be decoded, by service.
+    """
+    if not isinstance(document, dict):
+        return {}, {"": f"{type(document).__name__} in place of services"}
+    reports, errors = {}, {}
+    for service, encoded in document.items():
+        report = DECODER.structure(encoded, RoomReport)
+        if isinstance(report, Undecodable):
+            errors[service] = report.reason
+        else:
+            reports[service] = report
+    return reports, errors
+
+
 def encode(message: PeerMessage) -> bytes:
     """Return a message as JSON."""
     return DECODER.converter.dumps(message)
--- a/packages/relay/src/lacewingcourse/relay/routing_state.py
+++ b/packages/relay/src/lacewingcourse/relay/routing_state.py
@@ -14,6 +14,7 @@
 from lacewingcourse.core.pipelines.load import LoadTable
 from lacewingcourse.core.pipelines.path import Path, candidate_paths
 from lacewingcourse.core.pipelines.prompt_parts import PartHistory
+from lacewingcourse.core.pipelines.room_shares import RoomShares
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
 from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.core.pipelines.speed import SpeedEstimator
@@ -64,6 +65,7 @@
         send_limits: What may be sent to endpoints that name limits.
         candidates: Candidate paths by service, for the shapes used last.
         durations: How long recent answers took.
+        room: What this entry may start of the room of each service.
         watch: Measures the sections of work that block the event loop.
         choosers: Path choosers by model for the shapes used last, each with the
             revision of the fleet for which it was made.
@@ -80,6 +82,7 @@
     send_limits: SendLimits = attrs.field(factory=SendLimits)
     candidates: dict[str, list[CandidateSet]] = attrs.field(factory=dict)
     durations: Durations = attrs.field(factory=Durations)
+    room: RoomShares = attrs.field(factory=RoomShares)
     watch: LoopWatch = attrs.field(factory=LoopWatch)
     choosers: dict[str, list[tuple[int, PathChooser]]] = attrs.field(factory=dict)
 
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -54,6 +54,8 @@
             see `freshness.RETRY_DELAYS`.
         limit_sharing: Name of the policy by which entries share the limits of
             endpoints, see `limit_sharing.LIMIT_SHARING_POLICIES`.
+        room_sharing: Name of the policy by which entries share room that is short, see
+            `room_sharing.ROOM_SHARING_POLICIES`.
         last_requests: Name of the policy for which requests are accepted while the
             entry ends, see `shutdown.LAST_REQUESTS`.
     """
@@ -72,4 +74,5 @@
     retry_sharing: str = "lent"
     store_retry: str = "backoff"
     limit_sharing: str = "permits"
+    room_sharing: str = "deployment"
     last_requests: str = "redirected"
