--- a/packages/core/src/lacewingcourse/core/pipelines/request_scheduler.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/request_scheduler.py
@@ -99,7 +99,9 @@
         """
         self.share.record_arrival(request, now)
         if not request.resumed and not self.share.may_take(request, now):
-            return [Refused(request, self._over_share(request), RefusalCause.SHARE)]
+            return [
+                Refused(request, self._over_share(request, now), RefusalCause.SHARE)
+            ]
         if not self.size:
             decision = self._try(request, now)
             if decision is not None:
@@ -351,20 +353,11 @@
         )
         return Refused(request, Refusal(kind, reason), RefusalCause.LATE)
 
-    def _over_share(self, request: QueuedRequest) -> Refusal:
+    def _over_share(self, request: QueuedRequest, now: float) -> Refusal:
         """Return the refusal of a request outside this entry's share."""
-        reason = f"rank {request.rank} has no share of the room left at this entry"
-        if self._queue(request.rank).is_ahead(request.organisation):
-            reason = f"{request.organisation} has taken its share of the room"
-            return Refusal(ErrorKind.ORGANISATION_OVER_SHARE, reason)
-        return Refusal(ErrorKind.OVERLOADED, reason)
-
-    def _collects(self, request: QueuedRequest, now: float) -> bool:
-        """Return whether a request that lacks room keeps others from taking it."""
-        if _is_tried_alone(request) or now < self._queue(request.rank).collects_from:
-            return False
-        window = (request.latest_start - request.arrived_at) * (1.0 - COLLECTS_AFTER)
-        return now >= request.latest_start - min(window, MAX_COLLECT_TIME)
+        own_share = self._queue(request.rank).is_ahead(request.organisation)
+        kind = ErrorKind.ORGANISATION_OVER_SHARE if own_share else ErrorKind.OVERLOADED
+        return Refusal(kind, self.share.reason(request, now))
 
     def _expired(self, request: QueuedRequest, now: float) -> Refused:
         if self._collects(request, now):
--- a/packages/core/src/lacewingcourse/core/pipelines/scheduling.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/scheduling.py
@@ -152,6 +152,9 @@
     def has_precedence(self, request: QueuedRequest, now: float) -> bool:
         """Return whether no more urgent request waits at another entry."""
 
+    def reason(self, request: QueuedRequest, now: float) -> str:
+        """Return why a request does not belong to what this entry may start."""
+
 
 class UnlimitedShare:
     """The share of an entry that may start whatever has room."""
@@ -172,3 +175,7 @@
     def has_precedence(self, request: QueuedRequest, now: float) -> bool:
         """Return true."""
         return True
+
+    def reason(self, request: QueuedRequest, now: float) -> str:
+        """Return nothing, as every request may start."""
+        return ""
--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -65,7 +65,7 @@
     Attributes:
         clock: Returns the present time in seconds.
         wait: Returns the latest start of a stream from its arrival and objective.
-        share: What this entry may take of the room that all entries share.
+        share_of: Returns what this entry may take of the room of a service.
         is_due: Returns whether a caller returns at the time it was given.
         on_queued: Called with a request that waits, its queue entry, and the number of
             those that wait with it.
@@ -77,7 +77,7 @@
 
     clock: Callable[[], float]
     wait: Callable[[float, float], float] = wait_in_time
-    share: RoomShare = attrs.field(factory=UnlimitedShare)
+    share_of: Callable[[str], RoomShare] = lambda service: UnlimitedShare()
     is_due: Callable[[Job], bool] = lambda job: False
     on_queued: Callable[[Job, QueuedRequest, int], None] = lambda *fields: None
     on_decided: Callable[[Job, Decision], None] = lambda *fields: None
@@ -160,7 +160,8 @@
     def _scheduler(self, service: str) -> RequestScheduler:
         scheduler = self.schedulers.get(service)
         if scheduler is None:
-            scheduler = self.schedulers[service] = RequestScheduler(self, self.share)
+            share = self.share_of(service)
+            scheduler = self.schedulers[service] = RequestScheduler(self, share)
         return scheduler
 
     def _queue_entry(
--- a/packages/relay/src/lacewingcourse/relay/explain.py
+++ b/packages/relay/src/lacewingcourse/relay/explain.py
@@ -21,6 +21,7 @@
     {"configuration", "configuration_source_lost", "configuration_source_regained"}
     | {"directory_lost", "directory_regained", "endpoint_gone", "endpoint_lapsed"}
     | {"suspected", "late_report", "paths"}
+    | {"room_short", "room_divided", "room_enough"}
     | {"limit", "duty_taken", "order", "leaving", "started", "reloaded"}
 )
 #: Fields that are shown in columns of their own or not at all.
--- a/packages/relay/src/lacewingcourse/relay/routing_state.py
+++ b/packages/relay/src/lacewingcourse/relay/routing_state.py
@@ -14,6 +14,7 @@
 from lacewingcourse.core.pipelines.load import LoadTable
 from lacewingcourse.core.pipelines.path_selection import PathSelection, select_paths
 from lacewingcourse.core.pipelines.prompt_parts import PartHistory
+from lacewingcourse.core.pipelines.room_shares import RoomShares
 from lacewingcourse.core.pipelines.routing import RoutingTable, is_newer
 from lacewingcourse.core.pipelines.running_streams import RunningStreams
 from lacewingcourse.core.pipelines.send_limits import SendLimits
@@ -71,6 +72,7 @@
         durations: How long recent answers took.
         running: Streams of this entry that run.
         ratios: Ratios of the times that streams took to the published ones.
+        room: What this entry may start of the room of each service.
         watch: Measures the sections of work that block the event loop.
         choosers: Path choosers by model for the shapes used last, each with the
             revision of the fleet for which it was made.
@@ -91,6 +93,7 @@
     durations: Durations = attrs.field(factory=Durations)
     running: RunningStreams = attrs.field(factory=RunningStreams)
     ratios: TimeRatios = attrs.field(factory=TimeRatios)
+    room: RoomShares = attrs.field(factory=RoomShares)
     watch: LoopWatch = attrs.field(factory=LoopWatch)
     choosers: dict[str, list[tuple[int, PathChooser]]] = attrs.field(factory=dict)
     on_selection: Callable[[str, PathSelection], None] = lambda service, selection: None
