Pause the collecting of room only after a request that did collect

Each request that expired counted as one that had collected in vain, also retries and calls that never wait, so that large requests would hardly have collected under load. A request is marked when others are kept from room for it.

--- a/packages/core/src/lacewingcourse/core/pipelines/request_scheduler.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/request_scheduler.py
@@ -249,7 +249,7 @@
             if first_blocked is None:
                 first_blocked = request
                 if self._collects(request, now):
-                    smallest = 0
+                    smallest, request.has_collected = 0, True
         self.shortage = shortage
         return decisions
 
@@ -275,7 +275,7 @@
 
     def _record_start(self, request: QueuedRequest, now: float) -> None:
         self.share.record_start(request, now)
-        if request.found is not None and self._collects(request, now):
+        if request.has_collected:
             self._queue(request.rank).collect_pause = MIN_COLLECT_PAUSE
         self._queue(request.rank).charge(request)
         if not self.size:
@@ -367,7 +367,7 @@
         return now >= request.latest_start - min(window, MAX_COLLECT_TIME)
 
     def _expired(self, request: QueuedRequest, now: float) -> Refused:
-        if self._collects(request, now):
+        if request.has_collected:
             self._queue(request.rank).pause_collecting(now)
         return Refused(request, request.found or OTHERS_WAIT, RefusalCause.WAITED)
 
--- a/packages/core/src/lacewingcourse/core/pipelines/scheduling.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/scheduling.py
@@ -32,6 +32,7 @@
         caller_may_retry: Whether its caller may send it again if it is refused.
         found: Why there was no room when it was last tried, None before.
         tried_at: When it was last tried, seconds.
+        has_collected: Whether others were kept from room for it.
     """
 
     id: str
@@ -46,6 +47,7 @@
     caller_may_retry: bool = True
     found: Refusal | None = None
     tried_at: float = float("-inf")
+    has_collected: bool = False
 
     @property
     def lacks_room(self) -> bool:
