Withdraw a request from its queue whatever ends its wait

Only a cancelled one was withdrawn; one that failed otherwise, such as by an error of a callback, would have stayed queued, and each later pass of its service would have failed on it. Measured: packages/relay/tests/relay/test_admission.py passes.

--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -115,7 +115,8 @@
             if waiting.error is not None:
                 raise waiting.error
             return waiting.result
-        except asyncio.CancelledError:
+        except BaseException:
+            # A request that stayed queued here would be decided without a receiver.
             self._withdraw(request, waiting)
             raise
         finally:
