Restore the collecting of room after the merge, and go on after a failed pass

The merge had dropped RequestScheduler._collects: each pass over a queue failed, and every request that waited hung. A pass now schedules the next one whatever happens in it.

--- a/packages/core/src/lacewingcourse/core/pipelines/request_scheduler.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/request_scheduler.py
@@ -359,6 +359,13 @@
         kind = ErrorKind.ORGANISATION_OVER_SHARE if own_share else ErrorKind.OVERLOADED
         return Refusal(kind, self.share.reason(request, now))
 
+    def _collects(self, request: QueuedRequest, now: float) -> bool:
+        """Return whether a request that lacks room keeps others from taking it."""
+        if _is_tried_alone(request) or now < self._queue(request.rank).collects_from:
+            return False
+        window = (request.latest_start - request.arrived_at) * (1.0 - COLLECTS_AFTER)
+        return now >= request.latest_start - min(window, MAX_COLLECT_TIME)
+
     def _expired(self, request: QueuedRequest, now: float) -> Refused:
         if request.has_collected:
             self._queue(request.rank).pause_collecting(now)
--- a/packages/relay/src/lacewingcourse/relay/admission.py
+++ b/packages/relay/src/lacewingcourse/relay/admission.py
@@ -219,9 +219,12 @@
         """Start and refuse requests of a service, and schedule the next pass."""
         self.timers.pop(service, None)
         scheduler, now = self.schedulers[service], self.clock()
-        self._drop_ended(scheduler, now)
-        self._apply(scheduler.room_changed(now))
-        self._schedule_pass(service)
+        try:
+            self._drop_ended(scheduler, now)
+            self._apply(scheduler.room_changed(now))
+        finally:
+            # Requests must not wait for good after an error in one pass.
+            self._schedule_pass(service)
 
     def _drop_ended(self, scheduler: RequestScheduler, now: float) -> None:
         """Drop requests whose caller has left or that a draining entry refuses."""
