--- a/packages/core/tests/pipelines/test_room_sharing.py
+++ b/packages/core/tests/pipelines/test_room_sharing.py
@@ -63,18 +63,32 @@
     assert admitted(share, rank=9, now=0.1) == 100
 
 
-def test_entry_that_finds_room_is_not_held_back_by_one_that_does_not(share):
+def admitted_beside_a_peer_without_room(share, first_report: int) -> int:
+    """Return how many of the last 200 of 400 requests an entry with room admits.
+
+    Args:
+        share: The share of the entry.
+        first_report: Request from which on a peer reports that it starts nothing.
+    """
     found = []
     for step in range(400):
         now = step * 0.05
-        if step >= 40 and step % 4 == 0:
+        if step >= first_report and step % 4 == 0:
             share.from_peer("peer", report(1000, 0.0, rank=0), now)
         request = make_request(str(step), at=now)
         share.record_arrival(request, now)
         found.append(share.may_take(request, now))
         if found[-1]:
             share.record_start(request, now)
-    assert sum(found[200:]) >= 0.9 * 200
+    return sum(found[200:])
+
+
+def test_entry_that_finds_room_is_not_held_back_by_one_that_does_not(share):
+    assert admitted_beside_a_peer_without_room(share, first_report=40) >= 0.9 * 200
+
+
+def test_entry_that_has_just_started_finds_its_rate_beside_one_without_room(share):
+    assert admitted_beside_a_peer_without_room(share, first_report=0) >= 0.9 * 200
 
 
 def test_short_shortage_refuses_nobody(share):
