--- a/packages/relay/tests/relay/test_stream_times.py
+++ b/packages/relay/tests/relay/test_stream_times.py
@@ -2,23 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
-from types import SimpleNamespace
-
 import pytest
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
-from lacewingcourse.core.pipelines.choice import (
-    NEVER_IN_TIME,
-    NONE_IN_TIME,
-    Demand,
-)
-from lacewingcourse.relay.admission import Admission
+from lacewingcourse.core.pipelines.choice import NEVER_IN_TIME, NONE_IN_TIME
 from lacewingcourse.relay.causes import RequestHistory, cause_of
 from lacewingcourse.relay.metrics import Metrics
 
 from .stream_scenario import EVENT_INTERVAL, Engine, StreamScenario
-from .test_admission import ManualClock
+from .test_admission import RoomPlay, make_job
 from .virtual_time import run_virtual
 
 
@@ -74,17 +66,15 @@
 
 def test_a_request_that_cannot_be_in_time_is_refused_without_waiting():
     refusal = Refusal(ErrorKind.DEADLINE_UNREACHABLE, NEVER_IN_TIME)
-    clock = ManualClock(100.0)
-    job = SimpleNamespace(
-        caller=SimpleNamespace(response_started=False, disconnected=False),
-        request=SimpleNamespace(received_at=100.0),
-        route=SimpleNamespace(objective=0.5),
-        urgency=0,
-        deadline=120.0,
-    )
-    found = asyncio.run(Admission(clock).path_for(job, Demand(1, 1), lambda: refusal))
-    assert found is refusal
-    assert clock() == 100.0
+    play = RoomPlay()
+    job = make_job(received_at=0.0)
+
+    async def serve():
+        latest_start = play.admission.latest_start(job)
+        found = await play.admission.room_for(job, 2, lambda: refusal, latest_start)
+        return found, play.clock()
+
+    assert run_virtual(serve()) == (refusal, 0.0)
 
 
 @pytest.mark.parametrize(
