Log the delay that an endpoint asks for, and sends within it

An answer's Retry-After is decoded now (line backoff, backoff_unreadable), kept by incarnation, and each send within such a delay says so (backoff_ms of line sent, lacewingcourse_relay_backoff_sends_total). Nothing is decided by it: sends are as before.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -25,6 +25,7 @@
 from lacewingcourse.core.pipelines.shutdown import LAST_REQUESTS
 from lacewingcourse.relay.address import split_address
 from lacewingcourse.relay.admission import Admission
+from lacewingcourse.relay.backoff_reader import BackoffReader
 from lacewingcourse.relay.boot_clock import boot_time
 from lacewingcourse.relay.calls import CallForwarder
 from lacewingcourse.relay.connections import ConnectionPool
@@ -136,6 +137,12 @@
             self.clock,
             self.metrics.unreadable_limits.inc,
         )
+        backoffs = BackoffReader(
+            self.routing_state.backoffs,
+            self.log,
+            self.clock,
+            self.metrics.unreadable_backoffs.inc,
+        )
         self.refusal_keeper = RefusalKeeper(
             self.platform.refusals,
             self.routing_state.parts,
@@ -160,7 +167,7 @@
             self.clock,
             self.budget,
             send_limits,
-            limits.observe,
+            (limits.observe, backoffs.observe),
             crash_guard.refusal,
         )
         zone = self.settings.zone
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -257,7 +257,8 @@
         job.current_exchange = sent
         age = now - self.routing_state.fleet.known_at
         limit = self.routing_state.limits.named(endpoint.id)
-        self.log.sent(job, endpoint.id, age, job.waited, limit)
+        remaining = self.routing_state.backoffs.remaining(endpoint.id, now)
+        self.log.sent(job, endpoint.id, age, job.waited, limit, remaining)
         if job.caller.disconnected:
             job.on_caller_disconnect()
         try:
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -318,6 +318,7 @@
         age: float,
         waited: float,
         limit: float = NO_LIMIT,
+        backoff: float = 0.0,
     ) -> None:
         """Log a send, with the inputs of the choice of its endpoint.
 
@@ -327,10 +328,15 @@
             age: Age of the known directory, seconds.
             waited: Seconds for which the request waited for capacity.
             limit: Requests per second that the endpoint had named, `NO_LIMIT` for none.
+            backoff: Seconds that remain of the delay that it asked for, 0 for none.
         """
-        optional_fields = {} if limit == NO_LIMIT else {"limit": limit}
-        if optional_fields:
+        optional_fields = {}
+        if limit != NO_LIMIT:
+            optional_fields["limit"] = limit
             self.metrics.limited_send(job)
+        if backoff > 0.0:
+            optional_fields["backoff_ms"] = _ms(backoff)
+            self.metrics.backoff_send(job)
         self._line(
             "sent",
             request=job.request.id,
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -73,6 +73,7 @@
         for part in self.routing_state.parts.expire(now):
             self.on_forgotten(part)
         self.routing_state.send_limits.expire(self.routing_state.fleet.endpoints, now)
+        self.routing_state.backoffs.expire(now)
         self.routing_state.send_limits.sharing.entries = self.book.count(now)
         self.routing_state.room.expire(now)
         self.observe_room(now)
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -259,6 +259,22 @@
             "Limits named by endpoints that cannot be read",
             **common_options,
         )
+        self.backing_off = Gauge(
+            "lacewingcourse_relay_endpoints_in_backoff",
+            "Endpoints that asked this entry for a delay that has not passed",
+            **common_options,
+        )
+        self.backoff_sends = Counter(
+            "lacewingcourse_relay_backoff_sends",
+            "Sends to endpoints within the delay that they asked for",
+            ["attempt"],
+            **common_options,
+        )
+        self.unreadable_backoffs = Counter(
+            "lacewingcourse_relay_unreadable_backoffs",
+            "Delays named by endpoints that cannot be read",
+            **common_options,
+        )
         self.loop_lag = Histogram(
             "lacewingcourse_relay_loop_lag_seconds",
             "How late the loop came to a timer that rings twenty times a second",
@@ -339,6 +355,10 @@
         attempt = "first" if job.sends == 1 else "retry"
         self.limited_sends.labels(attempt).inc()
 
+    def backoff_send(self, job: Job) -> None:
+        """Count a send to an endpoint within the delay that it asked for."""
+        self.backoff_sends.labels("first" if job.sends == 1 else "retry").inc()
+
     def configuration_read(self, result: str) -> None:
         """Count a read of the configuration."""
         self.configuration_reads.labels(result).inc()
--- a/packages/relay/src/lacewingcourse/relay/metrics_page.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics_page.py
@@ -52,6 +52,8 @@
         self._count_endpoints(self.clock())
         limited = self.routing_state.limits.limited()
         self.metrics.limited_endpoints.set(len(limited))
+        backing_off = self.routing_state.backoffs.active(self.clock())
+        self.metrics.backing_off.set(len(backing_off))
         refused = self.routing_state.parts.in_force(self.clock())
         self.metrics.refused_parts.set(len(refused))
         self.metrics.show_queue(*self.admission.queue_state())
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -118,6 +118,8 @@
         reason: What is wrong with the answer, for the log.
         limit: Requests per second that the endpoint accepts from all entries together,
             `NO_LIMIT` if it names none.
+        retry_after: Seconds for which the endpoint asks for no further request, None if
+            it asks for none.
     """
 
     status: int
@@ -128,6 +130,7 @@
     keep_alive: float | None = None
     reason: str = ""
     limit: float | Undecodable = NO_LIMIT
+    retry_after: float | Undecodable | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/packages/relay/src/lacewingcourse/relay/routing_state.py
+++ b/packages/relay/src/lacewingcourse/relay/routing_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.backoff import BackoffTable
 from lacewingcourse.core.pipelines.choice import PathChooser
 from lacewingcourse.core.pipelines.crashes import CrashHistory
 from lacewingcourse.core.pipelines.durations import Durations
@@ -68,6 +69,7 @@
         crashes: Requests that crash endpoints.
         parts: Parts of prompts that crash endpoints.
         send_limits: What may be sent to endpoints that name limits.
+        backoffs: Delays that endpoints asked this entry for.
         candidates: Candidate paths by service, for the shapes used last.
         durations: How long recent answers took.
         running: Streams of this entry that run.
@@ -89,6 +91,7 @@
     crashes: CrashHistory = attrs.field(factory=CrashHistory)
     parts: PartHistory = attrs.field(factory=PartHistory)
     send_limits: SendLimits = attrs.field(factory=SendLimits)
+    backoffs: BackoffTable = attrs.field(factory=BackoffTable)
     candidates: dict[str, list[CandidateSet]] = attrs.field(factory=dict)
     durations: Durations = attrs.field(factory=Durations)
     running: RunningStreams = attrs.field(factory=RunningStreams)
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -27,7 +27,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from tornado.httputil import HTTPHeaders
 
@@ -54,8 +54,8 @@
         clock: Returns the current time in seconds.
         budget: Retry budget. Each send of a request beyond its first uses one retry.
         limits: Rate limits of endpoints.
-        on_head: Called for each response head with what was sent, the head, and the
-            time of the send in seconds.
+        head_observers: Called for each response head with what was sent, the head, and
+            the time of the send in seconds.
         crash_refusal: Returns why a request may not be sent as it crashes endpoints,
             None if it may.
     """
@@ -65,7 +65,7 @@
     clock: Callable[[], float]
     budget: RetryBudget
     limits: SendLimits = attrs.field(factory=SendLimits)
-    on_head: Callable[[Sending, AnswerHead, float], None] = lambda *news: None
+    head_observers: Sequence[Callable[[Sending, AnswerHead, float], None]] = ()
     crash_refusal: Callable[[Job], Refusal | None] = lambda job: None
 
     async def reserve(self, address: str, fresh: bool) -> Connection | NotSent:
@@ -132,7 +132,8 @@
 
         def accepts_head(status: int, headers: HTTPHeaders) -> bool:
             head = self.codec.head(status, headers, request)
-            self.on_head(sending, head, sent_at)
+            for observe in self.head_observers:
+                observe(sending, head, sent_at)
             return head.answer_kind is not AnswerKind.FOREIGN
 
         exchange = Exchange(connection, accepts_head)
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -337,7 +337,10 @@
         job.sent_at = self.sender.clock()
         age = job.sent_at - self.routing_state.fleet.known_at
         limit = self.routing_state.limits.named(path.first.endpoint)
-        self.log.sent(job, path.first.endpoint, age, job.waited, limit)
+        remaining = self.routing_state.backoffs.remaining(
+            path.first.endpoint, job.sent_at
+        )
+        self.log.sent(job, path.first.endpoint, age, job.waited, limit, remaining)
 
     def exclude_unreachable(self, job: Job, path: Path) -> None:
         """Exclude the first endpoint of a path, to which no connection was made."""
