Refuse a stream at once that every endpoint it may use has rejected

Cause: a stream that was sent to as many endpoints as its route allows may use only these. Once it avoids all of them, it still waited for a path until its latest start, half its objective.

Fix: such a stream has no attempt left, so it is refused with the last rejection. An answer that is being read may use avoided endpoints, as before.

--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -127,7 +127,7 @@
         attempts = self.sends - self.rejections
         if attempts >= self.route.max_attempts or self.caller.disconnected:
             return False
-        if self.rejections > MAX_REJECTIONS:
+        if self.rejections > MAX_REJECTIONS or not self.has_endpoint_left:
             return False
         repeatable = self.route.retry_safety.may_retry
         return repeatable or self.worst_outcome is not SendOutcome.MAY_HAVE_RUN
@@ -137,6 +137,17 @@
         """Endpoints that it may be sent to, None for any."""
         return self.sent_to if len(self.sent_to) >= self.route.max_attempts else None
 
+    @property
+    def has_endpoint_left(self) -> bool:
+        """Whether it does not avoid every endpoint that it may be sent to.
+
+        An answer that its caller is already reading may use endpoints that it avoids.
+        """
+        allowed = self.allowed_endpoints
+        if allowed is None or self.caller.response_started:
+            return True
+        return not allowed <= self.avoid
+
     @property
     def may_try_another(self) -> bool:
         """Whether it may be sent to an endpoint that it was not sent to before."""
--- a/packages/relay/tests/relay/test_backoff_sends.py
+++ b/packages/relay/tests/relay/test_backoff_sends.py
@@ -8,11 +8,12 @@
 import pytest
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
+from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.limited_choice import IN_BACKOFF
 from lacewingcourse.relay.sending import WholeAnswer
 
 from .stream_scenario import Engine, StreamScenario, whole_answer
-from .test_calls import FAST_SECONDS, CallPlay
+from .test_calls import FAST_SECONDS, REJECTED, CallPlay
 from .test_path_finder import DEMAND, job_of
 from .virtual_time import run_virtual
 
@@ -26,9 +27,16 @@
 
     Attributes:
         connect_seconds: Seconds that a connection takes.
+        objective: Seconds in which the first event is wanted.
     """
 
     connect_seconds: float = 0.0
+    objective: float = 0.5
+
+    def _job(self):
+        job = super()._job()
+        job.route = attrs.evolve(job.route, objective=self.objective)
+        return job
 
     async def reserve(self, address, fresh):
         await asyncio.sleep(self.connect_seconds)
@@ -138,3 +146,16 @@
     assert ended.outcome is Outcome.NOT_RUN
     assert ended.retry_after >= DELAY
     assert played.sends == []
+
+
+@pytest.mark.parametrize("objective", [0.5, 2.0])
+def test_stream_that_every_endpoint_it_may_use_rejected_is_refused_at_once(
+    shape, objective
+):
+    rejecting = Engine(status=REJECTED)
+    engines = {"a": rejecting, "c": rejecting}
+    played = BackoffStream(shape, engines, objective=objective)
+    ended = run_virtual(played.serve())
+    assert played.firsts == ["a", "c"]
+    assert ended.outcome is Outcome.NOT_RUN
+    assert played.ended_at < RETRY_PERIOD
