--- a/packages/relay/tests/relay/test_admission.py
+++ b/packages/relay/tests/relay/test_admission.py
@@ -13,8 +13,7 @@
 from lacewingcourse.core.pipelines.routing import Organisation
 from lacewingcourse.relay.admission import RETRY_PERIOD, Admission
 from lacewingcourse.relay.room import TakenRoom
-
-from .virtual_time import run_virtual
+from lacewingcourse.testing.virtual_time import run_virtual
 
 FULL = Refusal(ErrorKind.OVERLOADED, "no room")
 TOKENS = 900
--- a/packages/relay/tests/relay/test_backoff_sends.py
+++ b/packages/relay/tests/relay/test_backoff_sends.py
@@ -11,11 +11,11 @@
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.limited_choice import IN_BACKOFF
 from lacewingcourse.relay.sending import WholeAnswer
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .stream_scenario import Engine, StreamScenario, whole_answer
 from .test_calls import FAST_SECONDS, REJECTED, CallPlay
 from .test_path_finder import DEMAND, job_of
-from .virtual_time import run_virtual
 
 #: Delay in seconds that endpoints ask for, longer than any request waits.
 DELAY = 3.0
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -36,10 +36,10 @@
     End,
     Head,
 )
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .routes import route_of
 from .stream_scenario import NO_RETRIES, UNLIMITED_RETRIES, RecordingLog
-from .virtual_time import run_virtual
 
 #: Seconds that a slow endpoint takes, and a fast one.
 SLOW_SECONDS = 1.0
--- a/packages/relay/tests/relay/test_concurrent_retries.py
+++ b/packages/relay/tests/relay/test_concurrent_retries.py
@@ -15,6 +15,7 @@
 )
 from lacewingcourse.relay.connections import NotSent, Unsent
 from lacewingcourse.relay.sending import WholeAnswer
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .stream_scenario import (
     EVENT_INTERVAL,
@@ -24,7 +25,6 @@
     whole_answer,
 )
 from .test_calls import FAST_SECONDS, REJECTED, CallPlay
-from .virtual_time import run_virtual
 
 #: Requests on an endpoint, and retries left in the budget when it is lost.
 REQUESTS = 12
--- a/packages/relay/tests/relay/test_crash_guard.py
+++ b/packages/relay/tests/relay/test_crash_guard.py
@@ -7,9 +7,9 @@
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.crashes import AnswerProgress
 from lacewingcourse.relay.crash_guard import CrashGuard
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .stream_scenario import Engine, StreamScenario, whole_answer
-from .virtual_time import run_virtual
 
 PARTS = ("common", "bad", "own")
 #: An engine that sends the head of an answer and no event.
--- a/packages/relay/tests/relay/test_failover_safety.py
+++ b/packages/relay/tests/relay/test_failover_safety.py
@@ -18,6 +18,7 @@
 )
 from lacewingcourse.relay.ports import AnswerHead, AnswerKind
 from lacewingcourse.relay.upstream import End
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .stream_scenario import (
     NO_RETRIES,
@@ -27,7 +28,6 @@
     StreamScenario,
     whole_answer,
 )
-from .virtual_time import run_virtual
 
 SHORT_PAUSE = Engine(pause_after=5, pause=0.4)
 IN_PAUSE = 0.4
--- a/packages/relay/tests/relay/test_limit_permits.py
+++ b/packages/relay/tests/relay/test_limit_permits.py
@@ -18,9 +18,9 @@
     encode,
 )
 from lacewingcourse.relay.small_server import ServerRequest
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .stream_scenario import RecordingLog
-from .virtual_time import run_virtual
 
 NAMES = ["e0", "e1", "e2"]
 ENDPOINT = "a"
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -16,6 +16,7 @@
 from lacewingcourse.core.pipelines.admission_queue import RETRY_AFTER_ANSWERS
 from lacewingcourse.core.pipelines.routing import RetrySafety
 from lacewingcourse.core.pipelines.suspects import Grade
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .stream_scenario import (
     EVENT_COUNT,
@@ -25,7 +26,6 @@
     StreamScenario,
     whole_answer,
 )
-from .virtual_time import run_virtual
 
 #: An engine that pauses for a moment after its fifth event.
 SHORT_PAUSE = Engine(pause_after=5, pause=0.4)
--- a/packages/relay/tests/relay/test_peers.py
+++ b/packages/relay/tests/relay/test_peers.py
@@ -14,8 +14,7 @@
     PeerExchange,
 )
 from lacewingcourse.relay.small_server import SmallServer
-
-from .virtual_time import run_virtual
+from lacewingcourse.testing.virtual_time import run_virtual
 
 #: A version of a thousand routes.
 DOCUMENT = b"".join(
--- a/packages/relay/tests/relay/test_requests_while_draining.py
+++ b/packages/relay/tests/relay/test_requests_while_draining.py
@@ -29,10 +29,10 @@
 from lacewingcourse.relay.readiness import Readiness
 from lacewingcourse.relay.routing_state import RoutingState
 from lacewingcourse.relay.settings import RelaySettings
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .routes import route_of
 from .stream_scenario import CallerStub, RecordingLog
-from .virtual_time import run_virtual
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/relay/tests/relay/test_restart_estimate.py
+++ b/packages/relay/tests/relay/test_restart_estimate.py
@@ -18,11 +18,11 @@
 from lacewingcourse.relay.readiness import SHUTDOWN_MARGIN, Readiness
 from lacewingcourse.relay.restart_estimate import RestartEstimator
 from lacewingcourse.relay.routing_state import RoutingState
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .network import Network
 from .rolling_restart import GRACE, INTERVAL, MAX_EVENTS, RollingRestart
 from .routes import route_of
-from .virtual_time import run_virtual
 
 #: When the entry was asked to shut down, and the present time.
 DRAIN_STARTED_AT, NOW = 10.0, 12.0
--- a/packages/relay/tests/relay/test_retry_loans.py
+++ b/packages/relay/tests/relay/test_retry_loans.py
@@ -28,9 +28,9 @@
 )
 from lacewingcourse.relay.retry_loans import LOAN_PATH, RetryLoans
 from lacewingcourse.relay.small_server import ServerRequest
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .stream_scenario import RecordingLog
-from .virtual_time import run_virtual
 
 #: Window of the retry budget in seconds, and its slack: the retries of all entries that
 #: it allows besides a share of their requests.
--- a/packages/relay/tests/relay/test_rolling_restart.py
+++ b/packages/relay/tests/relay/test_rolling_restart.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from lacewingcourse.testing.virtual_time import run_virtual
+
 from .rolling_restart import MAX_EVENTS, DrawEventCount, RollingRestart
-from .virtual_time import run_virtual
 
 #: Seconds after the first entry is ready within which refused callers return.
 MAX_RETURN_DELAY = 1.5
--- a/packages/relay/tests/relay/test_sends_while_draining.py
+++ b/packages/relay/tests/relay/test_sends_while_draining.py
@@ -17,12 +17,12 @@
 from lacewingcourse.relay.readiness import Readiness
 from lacewingcourse.relay.routing_state import RoutingState
 from lacewingcourse.relay.sending import Sender, WholeAnswer
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .stream_scenario import Engine, StreamScenario, path_of, whole_answer
 from .test_calls import REJECTED, CallPlay
 from .test_drain import OTHER_ENTRY_READY_IN, LogRecorder, entry_with
 from .test_requests_while_draining import Caller
-from .virtual_time import run_virtual
 
 #: Seconds from the shutdown request within which an entry must have ended.
 GRACE = 8.0
--- a/packages/relay/tests/relay/test_staleness.py
+++ b/packages/relay/tests/relay/test_staleness.py
@@ -20,8 +20,7 @@
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.routing_state import RoutingState
 from lacewingcourse.relay.staleness import MAX_POLLS, POLL_INTERVAL, StalenessGuard
-
-from .virtual_time import run_virtual
+from lacewingcourse.testing.virtual_time import run_virtual
 
 #: Age in seconds above which the configuration is stale, and an age above it.
 LIMIT = 1.2
--- a/packages/relay/tests/relay/test_stream_times.py
+++ b/packages/relay/tests/relay/test_stream_times.py
@@ -8,10 +8,10 @@
 from lacewingcourse.core.pipelines.choice import NEVER_IN_TIME, NONE_IN_TIME
 from lacewingcourse.relay.causes import RequestHistory, cause_of
 from lacewingcourse.relay.metrics import Metrics
+from lacewingcourse.testing.virtual_time import run_virtual
 
 from .stream_scenario import EVENT_INTERVAL, Engine, StreamScenario
 from .test_admission import RoomPlay, make_job
-from .virtual_time import run_virtual
 
 
 @pytest.fixture
