Compare positions in the store by its epoch first

Cause: the store had come back from an older copy, whose offsets go back and are given out again. Entries compared them with those from before. Class: a position without the identity of what it is a position in.

Positions are pairs of epoch and offset, in followers and in messages between entries. Older records take back neither a leave nor a removal, endpoints that a copy lacks get the time to register again, and entries announce their addresses again.

--- a/packages/core/src/lacewingcourse/core/pipelines/fleet.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/fleet.py
@@ -96,6 +96,13 @@
             return self.sequence < known.sequence
         return self.incarnation.is_outdated(known.incarnation)
 
+    def was_listed_before(self, known: Endpoint) -> bool:
+        """Return whether this entry is not newer than another one of the incarnation.
+
+        A directory that comes back from an older copy lists such entries.
+        """
+        return self.id == known.id and 0 < self.sequence <= known.sequence
+
 
 @attrs.define
 class Fleet:
@@ -132,6 +139,10 @@
         last = known or self.ended.get(endpoint.name)
         if last is not None and endpoint.is_outdated(last):
             return EntryEffect.OUTDATED
+        if known is None and last is not None and endpoint.was_listed_before(last):
+            return EntryEffect.OUTDATED
+        if known is not None and known.leaving and endpoint.was_listed_before(known):
+            endpoint = attrs.evolve(endpoint, leaving=True)
         self.ended.pop(endpoint.name, None)
         self.lapsed.pop(endpoint.id, None)
         if known is None and recognised:
@@ -213,6 +224,10 @@
             self.returned_at = at
         self.known_at = max(self.known_at, at)
 
+    def directory_restored(self, now: float) -> None:
+        """Keep endpoints that an older copy of the directory lacks for some time."""
+        self.returned_at = now
+
     def expire(self, now: float) -> list[str]:
         """Drop the lapsed endpoints that are no longer kept; return their ids."""
         over = [name for name, until in self.lapsed.items() if until <= now]
--- a/packages/core/tests/pipelines/test_incarnation.py
+++ b/packages/core/tests/pipelines/test_incarnation.py
@@ -5,7 +5,11 @@
 import attrs
 import pytest
 
-from lacewingcourse.core.pipelines.fleet import EntryEffect, Fleet
+from lacewingcourse.core.pipelines.fleet import (
+    REREGISTRATION_GRACE,
+    EntryEffect,
+    Fleet,
+)
 from lacewingcourse.core.pipelines.incarnation import Incarnation
 
 from .conftest import holding, make_endpoint
@@ -105,3 +109,30 @@
     assert list(fleet.endpoints) == ["a@100"]
     fleet.keep_only(set(), now=50.0)
     assert fleet.endpoints == {}
+
+
+@pytest.mark.parametrize("born", [0, 5])
+def test_record_of_an_older_copy_does_not_take_back_that_an_endpoint_leaves(born):
+    fleet = Fleet()
+    fleet.put(entry(born, sequence=8, leaving=True))
+    fleet.put(entry(born, sequence=7))
+    assert fleet.current_incarnation("a").leaving
+
+
+@pytest.mark.parametrize("born", [0, 5])
+def test_record_of_an_older_copy_does_not_bring_back_a_removed_endpoint(born):
+    fleet = Fleet()
+    fleet.put(entry(born, sequence=8))
+    fleet.remove("a", now=100.0)
+    assert fleet.put(entry(born, sequence=8)) is EntryEffect.OUTDATED
+    assert fleet.put(entry(born, sequence=9)) is EntryEffect.CHANGED
+
+
+def test_endpoint_that_an_older_copy_lacks_is_kept_for_some_time():
+    fleet = Fleet()
+    fleet.put(entry(5))
+    fleet.directory_restored(now=100.0)
+    fleet.keep_only(set(), now=100.0)
+    assert fleet.current_incarnation("a") is not None
+    fleet.expire(now=100.0 + REREGISTRATION_GRACE)
+    assert fleet.current_incarnation("a") is None
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -22,6 +22,7 @@
 
     from lacewingcourse.core.pipelines.fleet import Endpoint
     from lacewingcourse.core.pipelines.freshness import Freshness, PropagationBudget
+    from lacewingcourse.core.pipelines.log_position import LogPosition
     from lacewingcourse.core.pipelines.routing import RoutingTable
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.peer_messages import FleetSnapshot
@@ -208,7 +209,7 @@
     on_restart: Callable[[str], None]
     on_unreadable: Callable[[], None]
     budget: PropagationBudget
-    position: int | None = None
+    position: LogPosition | None = None
     freshness: Freshness = attrs.field()
     reachable: bool = True
     logged_unreadable: dict[UnreadableEntry, None] = attrs.field(factory=dict)
@@ -270,7 +271,8 @@
             peer: Its name.
             transit_time: Seconds since they were requested.
         """
-        if self.position is not None and snapshot.position <= self.position:
+        position = snapshot.log_position
+        if self.position is not None and position <= self.position:
             return
         now = self.clock()
         age = snapshot.age + transit_time
@@ -278,7 +280,7 @@
         self.routing_state.fleet.confirm(now - age)
         with self.watch.section("endpoints from a peer"):
             changed = self.apply(
-                DirectoryUpdate(True, entries, snapshot.position),
+                DirectoryUpdate(True, entries, position),
                 now,
                 log_changes=False,
             )
@@ -287,6 +289,7 @@
                 "endpoints",
                 origin=peer,
                 position=snapshot.position,
+                epoch=snapshot.epoch,
                 changes=len(changed),
                 layers={e.id: _layer_bounds(e) for e in changed[:MAX_LOGGED_ENDPOINTS]},
             )
@@ -306,6 +309,7 @@
                 entry are in the log of that entry.
         """
         fleet = self.routing_state.fleet
+        self._check_epoch(update.position, now)
         changed: list[Endpoint] = []
         for entry in update.entries:
             if entry.endpoint is not None:
@@ -321,6 +325,19 @@
         self.position = update.position
         return changed
 
+    def _check_epoch(self, position: LogPosition, now: float) -> None:
+        """Give endpoints time to register again if the directory is an older copy."""
+        if self.position is None or self.position.epoch == position.epoch:
+            return
+        self.routing_state.fleet.directory_restored(now)
+        self.log.log_event(
+            "directory_restored",
+            epoch=position.epoch,
+            position=position.offset,
+            epoch_before=self.position.epoch,
+            position_before=self.position.offset,
+        )
+
     def _update_endpoint(self, endpoint: Endpoint, log_changes: bool) -> bool:
         """Apply an entry that describes an endpoint; return whether it changed."""
         known = self.routing_state.fleet.current_incarnation(endpoint.name)
--- a/packages/relay/src/lacewingcourse/relay/gossip.py
+++ b/packages/relay/src/lacewingcourse/relay/gossip.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.log_position import LOG_START
 from lacewingcourse.core.pipelines.peers import Role
 from lacewingcourse.core.pipelines.stamps import StampTable
 from lacewingcourse.core.pipelines.suspects import Grade, ObservationScope
@@ -125,6 +126,7 @@
         loads = self.routing_state.loads.total(included)
         links = self.routing_state.links.total(now, included)
         table, lease = self.routing_state.table, self.holder.lease
+        position = self.directory.position or LOG_START
         return GossipMessage(
             name=self.name,
             zone=self.book.zone,
@@ -132,7 +134,8 @@
             leaving=self.readiness.draining,
             version=table.version if table else 0,
             version_age=self.configuration.freshness.age(boot_now),
-            position=self.directory.position or 0,
+            position=position.offset,
+            epoch=position.epoch,
             position_age=self.directory.freshness.age(boot_now),
             scope=scope,
             loads={
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.load import Load
+from lacewingcourse.core.pipelines.log_position import UNKNOWN_EPOCH, LogPosition
 from lacewingcourse.core.pipelines.prompt_parts import PartReport
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
 from lacewingcourse.core.pipelines.room_demand import RoomReport
@@ -71,6 +72,7 @@
         reads: Whether the platform answers the sender.
         stamp: Time of the sender's clock at composition, seconds.
         echo: Last stamp that the sender received from the receiver, None before that.
+        epoch: Epoch of the directory to which the position belongs.
         room: Demand for room by service, as `encode_room` returns it. It is decoded
             apart, so that a report which cannot be read costs nothing else.
     """
@@ -103,8 +105,14 @@
     stamp: float = 0.0
     echo: Echo | None = None
     grades: dict[str, int] = attrs.field(factory=dict)
+    epoch: int = UNKNOWN_EPOCH
     room: Any = attrs.field(factory=dict)
 
+    @property
+    def log_position(self) -> LogPosition:
+        """Position up to which the sender has read the directory."""
+        return LogPosition(self.epoch, self.position)
+
 
 @attrs.frozen
 class FleetSnapshot:
@@ -115,12 +123,19 @@
         age: Seconds since that position was known to be the last one.
         endpoints: The endpoints.
         lapsed: Seconds for which endpoints are kept whose directory entry is gone.
+        epoch: Epoch of the directory to which the position belongs.
     """
 
     position: int
     age: float
     endpoints: list[Endpoint]
     lapsed: dict[str, float]
+    epoch: int = UNKNOWN_EPOCH
+
+    @property
+    def log_position(self) -> LogPosition:
+        """Position up to which the entry has read the directory."""
+        return LogPosition(self.epoch, self.position)
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/peers.py
+++ b/packages/relay/src/lacewingcourse/relay/peers.py
@@ -10,6 +10,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
 
+from lacewingcourse.core.pipelines.log_position import LOG_START
 from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.peer_messages import (
     FleetSnapshot,
@@ -130,15 +131,16 @@
         """Register this entry's address, and look for others while none is alive.
 
         Seeds may be stale, and an entry that knows of no live one would take over every
-        duty.
+        duty. The registry loses addresses when it comes back from an older copy.
         """
-        announced = False
+        announced_in: int | None = None
         while True:
-            if not announced:
+            epoch = (self.gossip.directory.position or LOG_START).epoch
+            if announced_in != epoch:
                 failed = await self.registry.announce(
                     self.gossip.name, self.gossip.address
                 )
-                announced = failed is None
+                announced_in = epoch if failed is None else None
             if len(self.book.alive(self.clock())) == 1:
                 await self._query_registry()
             await asyncio.sleep(REGISTRY_PERIOD)
@@ -216,9 +218,10 @@
 
     def _compare_fleet(self, message: GossipMessage, transit_time: float) -> None:
         """Fetch the endpoints of an entry that has read further, or confirm the own."""
-        if message.position > (self.gossip.directory.position or 0):
+        known = self.gossip.directory.position or LOG_START
+        if message.log_position > known:
             self._start_fetch("fleet", message, self._fetch_fleet)
-        elif message.position == self.gossip.directory.position:
+        elif message.log_position == self.gossip.directory.position:
             age = transit_time + message.position_age
             freshness = self.gossip.directory.freshness
             freshness.confirm(self.gossip.boot_clock() - age)
@@ -300,7 +303,8 @@
         now = self.clock()
         fleet = self.gossip.routing_state.fleet
         message = FleetSnapshot(
-            position=self.gossip.directory.position,
+            position=self.gossip.directory.position.offset,
+            epoch=self.gossip.directory.position.epoch,
             age=self.gossip.directory.freshness.age(self.gossip.boot_clock()),
             endpoints=list(fleet.endpoints.values()),
             lapsed={name: until - now for name, until in fleet.lapsed.items()},
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -15,6 +15,7 @@
 
     from lacewingcourse.core.errors import Refusal
     from lacewingcourse.core.pipelines.fleet import Endpoint
+    from lacewingcourse.core.pipelines.log_position import LogPosition
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.routing import RoutingTable
     from lacewingcourse.core.pipelines.shape import Layers
@@ -227,7 +228,7 @@
 
     whole: bool
     entries: tuple[EndpointEntry, ...]
-    position: int
+    position: LogPosition
     unreadable: tuple[UnreadableEntry, ...] = ()
 
 
@@ -267,7 +268,7 @@
 class EndpointDirectory(Protocol):
     """Directory of endpoints."""
 
-    async def poll(self, position: int | None) -> DirectoryUpdate | Unavailable:
+    async def poll(self, position: LogPosition | None) -> DirectoryUpdate | Unavailable:
         """Return the changes after a position, or a listing of all entries for None."""
 
 
