Send no requests to endpoints whose answers say that they leave

Cause: nobody read the word; only the directory told, late or not at all while the store is away.

Change: the head of an answer with the word marks the incarnation as leaving, whatever the directory lists, until a later incarnation. Answers of another endpoint at the address, and to other requests, don't count.

--- a/packages/core/src/lacewingcourse/core/pipelines/fleet.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/fleet.py
@@ -117,6 +117,8 @@
         revision: Number of changes that affect routing and placement.
         current_ids: Id of the current incarnation by the endpoint's name.
         ended: Last entries of removed endpoints by name, oldest first.
+        announced_leaving: Incarnations that said themselves that they leave, oldest
+            first.
     """
 
     endpoints: dict[str, Endpoint] = attrs.field(factory=dict)
@@ -126,6 +128,7 @@
     revision: int = 0
     current_ids: dict[str, str] = attrs.field(factory=dict)
     ended: dict[str, Endpoint] = attrs.field(factory=dict)
+    announced_leaving: dict[str, None] = attrs.field(factory=dict)
 
     def put(self, endpoint: Endpoint, recognised: bool = True) -> EntryEffect:
         """Apply a directory entry and return its effect.
@@ -141,7 +144,8 @@
             return EntryEffect.OUTDATED
         if known is None and last is not None and endpoint.was_listed_before(last):
             return EntryEffect.OUTDATED
-        if known is not None and known.leaving and endpoint.was_listed_before(known):
+        listed_before = known is not None and endpoint.was_listed_before(known)
+        if endpoint.id in self.announced_leaving or (listed_before and known.leaving):
             endpoint = attrs.evolve(endpoint, leaving=True)
         self.ended.pop(endpoint.name, None)
         self.lapsed.pop(endpoint.id, None)
@@ -180,6 +184,25 @@
         self.put(fresh)
         return True
 
+    def record_leaving(self, endpoint_id: str) -> bool:
+        """Apply an endpoint's own word that it leaves; return whether it is news.
+
+        It holds for this incarnation, whatever the directory lists.
+
+        Args:
+            endpoint_id: Id of the incarnation.
+        """
+        if endpoint_id in self.announced_leaving:
+            return False
+        self.announced_leaving[endpoint_id] = None
+        while len(self.announced_leaving) > MAX_ENDED:
+            del self.announced_leaving[next(iter(self.announced_leaving))]
+        known = self.endpoints.get(endpoint_id)
+        if known is None or known.leaving:
+            return False
+        self.put(attrs.evolve(known, leaving=True))
+        return True
+
     def remove(self, name: str, now: float) -> bool:
         """Apply the removal of an entry; return whether the endpoint was dropped.
 
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -36,6 +36,7 @@
 from lacewingcourse.relay.gossip import Gossip
 from lacewingcourse.relay.housekeeping import Housekeeping
 from lacewingcourse.relay.ingress import Ingress
+from lacewingcourse.relay.leaving_reader import LeavingReader
 from lacewingcourse.relay.limit_permits import PermitExchange
 from lacewingcourse.relay.limit_reader import LimitReader
 from lacewingcourse.relay.loop_watch import LoopWatch
@@ -144,6 +145,7 @@
             self.metrics.unreadable_backoffs.inc,
             lambda: self.admission.room_changed(),
         )
+        leaving = LeavingReader(self.routing_state.fleet, self.log)
         self.refusal_keeper = RefusalKeeper(
             self.platform.refusals,
             self.routing_state.parts,
@@ -169,7 +171,7 @@
             self.budget,
             send_limits,
             self.routing_state.backoffs,
-            (limits.observe, backoffs.observe),
+            (limits.observe, backoffs.observe, leaving.observe),
             crash_guard.refusal,
         )
         zone = self.settings.zone
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -126,6 +126,7 @@
         reason: What is wrong with the answer, for the log.
         limit: Requests per second that the endpoint accepts from all entries together,
             `NO_LIMIT` if it names none.
+        leaving: Whether the endpoint says that it is leaving.
         retry_after: Seconds for which the endpoint asks for no further request, None if
             it asks for none.
     """
@@ -138,6 +139,7 @@
     keep_alive: float | None = None
     reason: str = ""
     limit: float | Undecodable = NO_LIMIT
+    leaving: bool = False
     retry_after: float | Undecodable | None = None
 
     @property
