Show an answer cut to a fifth that ends as whole

One wrong digit in the id of one event makes the entry drop every later event of the same run, since their ids are lower, and end the caller's answer as complete: 12 of 57 events.

--- a/review/model_server.py
+++ b/review/model_server.py
@@ -7,7 +7,9 @@
 - `sound`: with all events, in order;
 - `garbage`: with the head of its answer, and random bytes without end as its body,
   until the caller closes;
-- `garbage-once`: the same for one answer only.
+- `garbage-once`: the same for one answer only;
+- `spoil-once`: with one wrong byte in one event of one answer: the first digit of its
+  id is a 9.
 """
 
 from __future__ import annotations
@@ -23,6 +25,8 @@
 HEARTBEAT = 1.2
 #: Bytes written at a time where an answer has no end.
 BLOCK = 64 * 1024
+#: The event of a run that is spoiled.
+SPOILED_EVENT = 12
 
 
 class ModelServer:
@@ -186,13 +190,22 @@
                 return False
             lines.append("Transfer-Encoding: chunked")
             writer.write("\r\n".join([*lines, "", ""]).encode())
+            spoiled = 0
+            if self.mode == "spoil-once":
+                self.mode, spoiled = "sound", after + SPOILED_EVENT
+                self.say(trouble="spoils an event", attempt=attempt, event=spoiled)
+            body = b""
             for number in range(after + 1, count + 1):
                 event = b"id: %d\ndata: word %d\n\n" % (number, number)
+                if number == spoiled:
+                    event = b"id: 9" + event[5:]
+                body += event
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
                 await asyncio.sleep(self.options.gap_ms / 1000)
             writer.write(b"0\r\n\r\n")
             await writer.drain()
+            self.say(wrote=attempt, body=body.decode())
             return True
         finally:
             self.running -= 1
