Take ports below those of outgoing connections in the cases

A port that the system gives to outgoing connections may be taken by one while an entry restarts, which a case would count as an end of the entry. A case that is asked to end now ends its processes.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -57,7 +57,8 @@
         whole = sent.status == 200 and sent.whole
         if whole and sent.body != expected:
             held = False
-            shown += f", whole, stamp {sent.headers.get('x-server-stamp')}: MIXED broken"
+            stamp = sent.headers.get("x-server-stamp")
+            shown += f", whole, stamp {stamp}: MIXED broken"
             if sent.body.endswith(expected):
                 extra = len(sent.body) - len(expected)
                 shown += f"; {extra} other bytes stand before a whole answer"
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -33,7 +33,7 @@
     while time.monotonic() < began + BEFORE + AFTER:
         if not done and time.monotonic() > began + BEFORE:
             done = True
-            rig.note("trouble: one event of one answer of m-1 has a wrong digit in its id")
+            rig.note("trouble: one event of one answer of m-1 has a wrong digit")
             await asyncio.to_thread(rig.set_mode, "m-1", "spoil-once 1")
         number = len(tasks)
         headers = {
--- a/review/rig.py
+++ b/review/rig.py
@@ -8,6 +8,7 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -48,6 +49,9 @@
     "stall_ms": 2000,
     "fencingEnforced": True,
 }
+#: Ports that cases take, and those that were taken.
+PORT_RANGE = (10_000, 32_000)
+given_ports: set[int] = set()
 #: Memory of an `edge` machine on the users' sheets, MB.
 MEMORY_MB = 300
 
@@ -57,10 +61,20 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
+    """Return a TCP port that is free now and that this process hasn't been given.
+
+    It lies below the range from which the system takes ports of outgoing connections.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in given_ports:
+            given_ports.add(port)
+            return port
 
 
 def call_route(**changes) -> dict:
@@ -149,6 +163,8 @@
         """Make a rig whose record is written into the folder of the case."""
         if not DEPENDENCIES.is_dir():
             raise CannotRun("target/deps is missing: build as the deploy file says")
+        # A case that is asked to end still ends the processes that it started.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.record_path = folder / "record.txt"
         self.record_path.write_text("")
