--- a/review/traffic.py
+++ b/review/traffic.py
@@ -98,7 +98,7 @@
         opening = asyncio.open_connection(host, int(port))
         reader, writer = await asyncio.wait_for(opening, CONNECT_TIME)
         writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-        await asyncio.wait_for(_read(reader, sent), deadline_ms / 1000 + 1.5)
+        await asyncio.wait_for(_read(reader, sent), deadline_ms / 1000)
         sent.ended_at = time.monotonic()
         sent.end = "answered"
     except TimeoutError:
