--- a/packages/core/src/lacewingcourse/core/pipelines/events.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/events.py
@@ -17,11 +17,13 @@
         pending: Bytes of an event that is not complete yet.
         last_id: Identifier of the last event forwarded, empty before the first.
         forwarded: Number of events forwarded.
+        dropped: Number of events dropped as repeats of an earlier run.
     """
 
     pending: bytes = b""
     last_id: str = ""
     forwarded: int = 0
+    dropped: int = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the complete events to forward.
@@ -60,6 +62,7 @@
         found = event_id(event)
         if found is not None:
             if not _is_after(found, self.last_id):
+                self.dropped += 1
                 return False
             self.last_id = found
         self.forwarded += 1
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -163,6 +163,7 @@
             path=_path(job),
             version=self.version(),
             reason=job.reason,
+            **_dropped(job),
             **_predicted(job),
             **_seen(job),
         )
@@ -190,6 +191,7 @@
             left_ms=_ms(job.deadline - now),
             path=_path(job),
             version=self.version(),
+            **_dropped(job),
         )
 
     def refused(
@@ -351,6 +353,7 @@
             limited=sorted(job.limited),
             version=self.version(),
             **_predicted(job),
+            **_resumed(job),
             **optional_fields,
         )
 
@@ -466,6 +469,16 @@
     }
 
 
+def _dropped(job: Job) -> dict[str, int]:
+    """Return the number of events of a stream that were dropped, if any, as a field."""
+    return {"dropped_events": job.dropped_events} if job.dropped_events else {}
+
+
+def _resumed(job: Job) -> dict[str, str]:
+    """Return where a send continues a stream, if it does, as a field."""
+    return {"resumed_after": job.resumed_after} if job.resumed_after else {}
+
+
 def _seen(job: Job) -> dict[str, float]:
     """Return the time from the send of a request to its first event as a field."""
     if job.predicted is None or job.sent_at is None or job.first_event_at is None:
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -64,6 +64,10 @@
         waited: Seconds for which it waited for room.
         refused_by: Why the scheduler refused it room, empty if it did not.
         events: Number of times that events were passed on.
+        dropped_events: Events of a stream that were not passed on as they repeat
+            earlier ones.
+        resumed_after: Identifier of the event after which its last send continues the
+            stream, empty for one from its beginning.
         watched: State of its stall detection, None if it is not watched.
         predicted: Predicted times of its first attempt as a stream, None before it and
             for later ones.
@@ -96,6 +100,8 @@
     waited: float = 0.0
     refused_by: str = ""
     events: int = 0
+    dropped_events: int = 0
+    resumed_after: str = ""
     watched: WatchedStream | None = None
     predicted: StreamPrediction | None = None
     running: RunningStream | None = None
@@ -204,7 +210,7 @@
         resume_after: str,
         incarnation: str = "",
     ) -> Sending:
-        """Return what to send to an endpoint.
+        """Return what to send to an endpoint, and record where it continues.
 
         Args:
             endpoint: Name under which the endpoint registers.
@@ -215,6 +221,7 @@
             incarnation: Id of the endpoint's incarnation, empty if it has none besides
                 its name.
         """
+        self.resumed_after = resume_after
         return Sending(
             endpoint=endpoint,
             address=address,
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -140,7 +140,9 @@
 
     def receive(self, data: bytes) -> None:
         """Add received bytes, and pass complete events on to the caller."""
-        self._forward_events(self.state.cutter.feed(data))
+        events = self.state.cutter.feed(data)
+        self.job.dropped_events = self.state.cutter.dropped
+        self._forward_events(events)
         if self.state.cutter.oversized:
             self.exchange.arrivals.put_nowait(End(False, "bytes that are no events"))
 
--- a/packages/relay/tests/relay/test_moving_streams.py
+++ b/packages/relay/tests/relay/test_moving_streams.py
@@ -253,3 +253,10 @@
     assert ended is None
     assert scenario.caller.body == whole_answer()
     assert scenario.firsts == firsts
+
+
+def test_a_send_that_continues_a_stream_records_after_which_event(stream):
+    """Guards against logs that do not tell whether a second run starts anew."""
+    scenario = stream(Engine(pause_after=5, breaks=True))
+    assert run_virtual(scenario.serve()) is None
+    assert scenario.job.resumed_after == "5"
