Continue a stream only after events whose ids name the end of the caller's copy

Cause: a resumable stream was sent again after any loss, whatever the caller had. Events without an id were passed on and left the position of the next run at the beginning; an id made larger by a wrong byte moved it too far. Ruled out: two answers on one connection (the second one had a run of its own), a first run taken for complete (it was logged as lost).

Why it works: a run begins after the position that it is given, so joined runs are right only if that position is the end of the caller's copy; ids that count up one by one are as many as the events.

--- a/packages/core/src/lacewingcourse/core/pipelines/events.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/events.py
@@ -4,6 +4,12 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.event_numbering import (
+    EventNumbering,
+    event_position,
+    parse_position,
+)
+
 #: Bytes of an unfinished event beyond which the stream is taken not to consist of
 #: events.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -18,12 +24,27 @@
         last_id: Identifier of the last event forwarded, empty before the first.
         forwarded: Number of events forwarded.
         dropped: Number of events dropped as repeats of an earlier run.
+        numbering: Numbering of the events forwarded.
     """
 
     pending: bytes = b""
     last_id: str = ""
     forwarded: int = 0
     dropped: int = 0
+    numbering: EventNumbering = attrs.field()
+
+    @numbering.default
+    def _numbering_after_last_id(self) -> EventNumbering:
+        start = parse_position(self.last_id.encode()) if self.last_id else 0
+        return EventNumbering(start)
+
+    @property
+    def is_continuable(self) -> bool:
+        """Whether another run can continue after the events forwarded.
+
+        Any run can if there are none.
+        """
+        return not self.forwarded or self.numbering.is_trusted
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the complete events to forward.
@@ -66,6 +87,7 @@
                 return False
             self.last_id = found
         self.forwarded += 1
+        self.numbering.record(event_position(event))
         return True
 
 
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -68,6 +68,8 @@
             earlier ones.
         resumed_after: Identifier of the event after which its last send continues the
             stream, empty for one from its beginning.
+        is_continuable: Whether another send can continue what its caller has of the
+            answer, or the caller has nothing of it yet.
         watched: State of its stall detection, None if it is not watched.
         predicted: Predicted times of its first attempt as a stream, None before it and
             for later ones.
@@ -102,6 +104,7 @@
     events: int = 0
     dropped_events: int = 0
     resumed_after: str = ""
+    is_continuable: bool = True
     watched: WatchedStream | None = None
     predicted: StreamPrediction | None = None
     running: RunningStream | None = None
@@ -128,8 +131,11 @@
         """Whether it may be sent again given the outcomes so far.
 
         A rejected send has not run, so it may be repeated. Once the request was sent to
-        as many endpoints as the route allows, only these may be used.
+        as many endpoints as the route allows, only these may be used. A second run must
+        not follow events whose position it cannot be given.
         """
+        if not self.is_continuable:
+            return False
         attempts = self.sends - self.rejections
         if attempts >= self.route.max_attempts or self.caller.disconnected:
             return False
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -142,6 +142,7 @@
         """Add received bytes, and pass complete events on to the caller."""
         events = self.state.cutter.feed(data)
         self.job.dropped_events = self.state.cutter.dropped
+        self.job.is_continuable = self.state.cutter.is_continuable
         self._forward_events(events)
         if self.state.cutter.oversized:
             self.exchange.arrivals.put_nowait(End(False, "bytes that are no events"))
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -60,6 +60,9 @@
 #: Ends of an attempt that was not sent, after which it is decided anew whether and
 #: where to send the request.
 NOT_SENT_YET = frozenset({AttemptEnd.NO_RETRY, AttemptEnd.LIMITED, AttemptEnd.CRASHES})
+#: Causes of a stream that ends incomplete after its last attempt.
+NO_ATTEMPT_LEFT = "no attempt is left"
+NOT_CONTINUABLE = "the ids of its events do not tell where another run continues"
 
 
 @attrs.define
@@ -167,7 +170,8 @@
             if result.end is AttemptEnd.OVERDUE:
                 return self._fail(state, ErrorKind.DEADLINE_EXCEEDED, result.reason)
             if result.end is AttemptEnd.FAILED or not job.may_send_again:
-                return self._fail(state, self._error_kind(result), "no attempt is left")
+                cause = NO_ATTEMPT_LEFT if job.is_continuable else NOT_CONTINUABLE
+                return self._fail(state, self._error_kind(result), cause)
 
     async def _wait_for_room(self, state: StreamState) -> TakenRoom | Refusal:
         """Return room on a path, waiting for it if necessary, or why there is none."""
--- a/packages/relay/tests/relay/stream_scenario.py
+++ b/packages/relay/tests/relay/stream_scenario.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 from types import SimpleNamespace
 
@@ -71,6 +72,9 @@
         drops: Whether it has closed the pooled connections to it.
         stops_after: Event after which it writes nothing more, None for none.
         accepts_after: Seconds after which its response begins.
+        chunks: Returns the bytes that it writes in place of sound events, after the
+            identifier of the last event that it was given; None for sound events.
+        end: End of a response of such bytes, None if it falls silent after them.
     """
 
     pause_after: int | None = None
@@ -80,12 +84,14 @@
     drops: bool = False
     stops_after: int | None = None
     accepts_after: float = 0.0
+    chunks: Callable[[str], list[bytes]] | None = None
+    end: End | None = End(True)
 
 
 class EngineRun:
     """An attempt on a scripted engine, in place of the HTTP exchange."""
 
-    def __init__(self, engine: Engine, after: int, fresh: bool) -> None:
+    def __init__(self, engine: Engine, after: str, fresh: bool) -> None:
         self.arrivals: asyncio.Queue = asyncio.Queue()
         self.sink = None
         self.reusable = True
@@ -98,7 +104,7 @@
         self.abandoned = True
         self._task.cancel()
 
-    async def _write(self, engine: Engine, after: int) -> None:
+    async def _write(self, engine: Engine, after: str) -> None:
         if self.was_dropped:
             self.arrivals.put_nowait(End(False, "closed"))
             return
@@ -110,7 +116,10 @@
         if engine.breaks and engine.pause_after == 0:
             self.arrivals.put_nowait(End(False, "ended early"))
             return
-        for number in range(after + 1, EVENT_COUNT + 1):
+        if engine.chunks is not None:
+            await self._write_chunks(engine, after)
+            return
+        for number in range(int(after or 0) + 1, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_INTERVAL)
             self._put(event(number))
             if number == engine.stops_after:
@@ -122,6 +131,13 @@
                     return
         self.arrivals.put_nowait(End(True))
 
+    async def _write_chunks(self, engine: Engine, after: str) -> None:
+        for chunk in engine.chunks(after):
+            await asyncio.sleep(EVENT_INTERVAL)
+            self._put(chunk)
+        if engine.end is not None:
+            self.arrivals.put_nowait(engine.end)
+
     def _put(self, data: bytes) -> None:
         if self.sink is not None:
             self.sink(data)
@@ -339,8 +355,8 @@
 
     def start(self, job, sending, connection) -> EngineRun:
         name = sending.path.first.endpoint
-        after = int(sending.resume_after or 0)
-        run = EngineRun(self.engines.get(name, Engine()), after, not connection.reused)
+        engine = self.engines.get(name, Engine())
+        run = EngineRun(engine, sending.resume_after, not connection.reused)
         self.runs.append((self.clock(), name, run))
         return run
 
