Let virtual time pass over cancelled timers

Cause: the loop of virtual time jumped to the first timer even if it was cancelled, and then waited in real time for the next one: 85 s for 400 streams, 4 s of them processor time.

Change: it jumps to the first timer that is not cancelled.

--- a/packages/testing/src/lacewingcourse/testing/virtual_time.py
+++ b/packages/testing/src/lacewingcourse/testing/virtual_time.py
@@ -22,8 +22,10 @@
         return self.now
 
     def _run_once(self) -> None:
-        if not self._ready and self._scheduled:
-            self.now = max(self.now, self._scheduled[0].when())
+        if not self._ready:
+            # A cancelled timer would make the loop wait in real time for the next one.
+            times = (t.when() for t in self._scheduled if not t.cancelled())
+            self.now = max(self.now, min(times, default=self.now))
         super()._run_once()
 
 
