Pass the events of one run on as they came, and check the seam to the next

Cause: each run, also the only one, went through a filter meant for a second run's repeats: an event whose id was not above the highest one was dropped, nothing counted it, and the end was judged by its framing alone. Ruled out: that the entry stopped reading (it saw the end when the engine wrote it), and that the caller's side dropped writes (dropped_events was 45).

Ids such as a superscript two or one of 5,000 digits raised out of the splitter.

Change: a first run is passed on byte for byte. A run that continues another one is checked to its end; an event that is not the next one fails the run, without blame for a crash. A standby is dropped by the number of events since it was sent, in place of times that may be equal. event_id became event_position, with the same answer in its test.

Why it works: a complete answer is all bytes of one run, or events that each are the next one.

--- a/packages/bench/src/lacewingcourse/bench/cli.py
+++ b/packages/bench/src/lacewingcourse/bench/cli.py
@@ -14,6 +14,7 @@
 
 from lacewingcourse.bench import (  # noqa: F401
     decisions,
+    events,
     failures,
     goodput,
     overhead,
--- a/packages/core/src/lacewingcourse/core/pipelines/event_numbering.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/event_numbering.py
@@ -8,6 +8,8 @@
 
 #: An event's id that is a position: a decimal number as a 64-bit integer holds it.
 POSITION = re.compile(rb"0|[1-9][0-9]{0,17}")
+#: The usual form of an event, which needs no further look at its lines.
+USUAL_EVENT = re.compile(rb"id: (0|[1-9][0-9]{0,17})\ndata: [^\r\n]*\n\n")
 #: Events that must agree on a numbering other than by one from the start, before it is
 #: trusted. A few wrong bytes may agree by chance.
 MIN_EVENTS_OF_OTHER_STEP = 4
@@ -59,6 +61,15 @@
 
     def record(self, position: int | None) -> None:
         """Record that the caller has another event."""
+        if self.is_regular:
+            self._advance(position)
+        self.last = position
+        self.events += 1
+
+    def _advance(self, position: int | None) -> None:
+        """Compare an event with the ones before."""
+        if self.step == 1 and position == self.last + 1:
+            return
         if not self.follows(position):
             self.is_regular = False
         elif self.events == 0:
@@ -67,8 +78,6 @@
             self.step = position - self.last
         elif position - self.last != self.step:
             self.step = 0
-        self.last = position
-        self.events += 1
 
 
 def parse_position(identifier: bytes) -> int | None:
@@ -78,6 +87,9 @@
 
 def event_position(event: bytes) -> int | None:
     """Return an event's position, None unless it has one id, a number, and data."""
+    usual = USUAL_EVENT.fullmatch(event)
+    if usual is not None:
+        return int(usual[1])
     lines = event.splitlines()
     identifiers = [line[3:] for line in lines if line.startswith(b"id:")]
     if len(identifiers) != 1 or not any(line.startswith(b"data:") for line in lines):
--- a/packages/core/src/lacewingcourse/core/pipelines/events.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/events.py
@@ -1,7 +1,9 @@
-"""Splitting of a server-sent event stream, and the position to resume it from."""
+"""Splitting of a server-sent event stream, and the seam between two of its runs."""
 
 from __future__ import annotations
 
+import re
+
 import attrs
 
 from lacewingcourse.core.pipelines.event_numbering import (
@@ -13,31 +15,67 @@
 #: Bytes of an unfinished event beyond which the stream is taken not to consist of
 #: events.
 MAX_EVENT_BYTES = 1024 * 1024
+#: End of an event: the end of its last line, and an empty line.
+EVENT_END = re.compile(rb"\n\r?\n")
+#: Bytes of that end that may have been received before the rest of it.
+PARTIAL_END_BYTES = 2
+#: Bytes of line ends.
+LINE_ENDS = b"\r\n"
+#: Failures of a run.
+OVERSIZED_EVENT = "bytes that are no events"
+NOT_THE_NEXT_EVENT = "an event that does not continue the stream"
 
 
 @attrs.define
 class EventSplitter:
-    """Splits the bytes of a stream into complete events.
+    """Splits the bytes of a stream's runs into the events to pass on to its caller.
+
+    The events of one run are passed on as they came: together they are the engine's
+    response, whatever it holds. A run that continues after events that the caller has
+    must go on with the next one. It may repeat the last ones, which are dropped.
 
     Attributes:
+        last_id: Identifier of the last event that the caller has, empty if it has none.
+        is_continuation: Whether the run continues after events that the caller has.
         pending: Bytes of an event that is not complete yet.
-        last_id: Identifier of the last event forwarded, empty before the first.
         forwarded: Number of events forwarded.
         dropped: Number of events dropped as repeats of an earlier run.
+        failure: Why no more of the run can be forwarded, empty if it can.
         numbering: Numbering of the events forwarded.
+        last_event: Last event forwarded, None before the first.
+        repeated: Position of the last event that the run has repeated, None if none.
+        forwarded_before: Number of events forwarded before the run.
     """
 
-    pending: bytes = b""
     last_id: str = ""
+    is_continuation: bool = attrs.field()
+    pending: bytes = b""
     forwarded: int = 0
     dropped: int = 0
+    failure: str = ""
     numbering: EventNumbering = attrs.field()
+    last_event: bytes | None = None
+    repeated: int | None = None
+    forwarded_before: int = 0
+
+    @is_continuation.default
+    def _continues_last_id(self) -> bool:
+        return bool(self.last_id)
 
     @numbering.default
     def _numbering_after_last_id(self) -> EventNumbering:
         start = parse_position(self.last_id.encode()) if self.last_id else 0
         return EventNumbering(start)
 
+    @classmethod
+    def for_request(cls, resume_after: str) -> EventSplitter:
+        """Return a splitter for a request whose caller has no event of the response.
+
+        Args:
+            resume_after: Identifier after which the caller asks for events, or empty.
+        """
+        return cls(resume_after, is_continuation=False)
+
     @property
     def is_continuable(self) -> bool:
         """Whether another run can continue after the events forwarded.
@@ -46,18 +84,34 @@
         """
         return not self.forwarded or self.numbering.is_trusted
 
-    def feed(self, data: bytes) -> bytes:
-        """Add received bytes; return the complete events to forward.
+    @property
+    def may_end(self) -> bool:
+        """Whether the stream is complete if its run ends here."""
+        if self.failure or self.pending.strip(LINE_ENDS):
+            return False
+        return self._has_new_events or self._is_at_end_of_copy
+
+    def begin_run(self) -> None:
+        """Prepare for the bytes of another run."""
+        self.discard_pending()
+        self.failure = ""
+        self.repeated = None
+        self.forwarded_before = self.forwarded
+        self.is_continuation = self.forwarded > 0
 
-        An event whose identifier does not follow the last one is dropped, since a run
-        that continues on another endpoint may repeat it.
-        """
-        self.pending += data
-        end = self._end()
-        if end < 0:
+    def feed(self, data: bytes) -> bytes:
+        """Add received bytes; return the complete events to forward."""
+        if self.failure:
             return b""
-        complete, self.pending = self.pending[:end], self.pending[end:]
-        return b"".join(filter(self._accept, _split(complete)))
+        events = self._split(data)
+        if len(self.pending) > MAX_EVENT_BYTES:
+            self.failure = OVERSIZED_EVENT
+        if self.is_continuation:
+            events = list(filter(self._accept, events))
+        else:
+            for event in events:
+                self._record(event, event_position(event))
+        return b"".join(events)
 
     def discard_pending(self) -> None:
         """Drop the incomplete event of a run that broke off.
@@ -66,48 +120,67 @@
         """
         self.pending = b""
 
-    @property
-    def oversized(self) -> bool:
-        """Whether the pending bytes are too many for an event."""
-        return len(self.pending) > MAX_EVENT_BYTES
-
-    def _end(self) -> int:
-        """Return the end of the last complete event in the pending bytes, or -1."""
-        lf = self.pending.rfind(b"\n\n")
-        crlf = self.pending.rfind(b"\r\n\r\n")
-        ends = [lf + 2 if lf >= 0 else -1, crlf + 4 if crlf >= 0 else -1]
-        return max(ends)
+    def _split(self, data: bytes) -> list[bytes]:
+        """Add received bytes; return the events that they complete, as they came."""
+        searched = max(0, len(self.pending) - PARTIAL_END_BYTES)
+        received = self.pending + data
+        events, start = [], 0
+        for end in EVENT_END.finditer(received, searched):
+            events.append(received[start : end.end()])
+            start = end.end()
+        self.pending = received[start:]
+        return events
 
     def _accept(self, event: bytes) -> bool:
-        """Tell whether an event is to be forwarded; record it if so."""
-        found = event_id(event)
-        if found is not None:
-            if not _is_after(found, self.last_id):
-                self.dropped += 1
+        """Return whether to forward an event of a continuation; record it if so."""
+        if self.failure:
+            return False
+        position = event_position(event)
+        if self._is_repeat(position, event):
+            self.repeated = position
+            self.dropped += 1
+            return False
+        if self._is_at_end_of_copy and self.numbering.follows(position):
+            self._record(event, position)
+            return True
+        self.failure = NOT_THE_NEXT_EVENT
+        if self._has_new_events:
+            # Where the run began is in doubt, and so are its events.
+            self.numbering.is_regular = False
+        return False
+
+    def _is_repeat(self, position: int | None, event: bytes) -> bool:
+        """Return whether a continuation's event is one that the caller has."""
+        last = self._last_position
+        if position is None or last is None or self._has_new_events:
+            return False
+        if position > last:
+            return False
+        if self.repeated is not None:
+            if position != self.repeated + (self.numbering.step or 1):
                 return False
-            self.last_id = found
-        self.forwarded += 1
-        self.numbering.record(event_position(event))
-        return True
-
-
-def event_id(event: bytes) -> str | None:
-    """Return the identifier of an event, None if it has none."""
-    for line in event.splitlines():
-        if line.startswith(b"id:"):
-            return line[3:].strip().decode("latin1")
-    return None
+        # Only the content tells a repeated event from the next one with a wrong id.
+        return position < last or self.last_event in (None, event)
 
+    def _record(self, event: bytes, position: int | None) -> None:
+        """Record an event that is forwarded."""
+        self.numbering.record(position)
+        self.forwarded += 1
+        self.last_event = event
+        if position is not None:
+            self.last_id = str(position)
 
-def _is_after(found: str, last: str) -> bool:
-    """Tell whether an identifier follows another one; only numbers have an order."""
-    if found.isdigit() and last.isdigit():
-        return int(found) > int(last)
-    return found != last
+    @property
+    def _has_new_events(self) -> bool:
+        """Whether events of the run were forwarded."""
+        return self.forwarded > self.forwarded_before
 
+    @property
+    def _last_position(self) -> int | None:
+        """Position of the last event that the caller has, None if unknown."""
+        return self.numbering.last if self.forwarded else self.numbering.start
 
-def _split(complete: bytes) -> list[bytes]:
-    """Return the events in a sequence of complete events, each with its end."""
-    separator = b"\r\n\r\n" if b"\r\n\r\n" in complete else b"\n\n"
-    parts = complete.split(separator)
-    return [part + separator for part in parts if part]
+    @property
+    def _is_at_end_of_copy(self) -> bool:
+        """Whether the run has repeated nothing, or all to the end of the copy."""
+        return self._has_new_events or self.repeated in (None, self._last_position)
--- a/packages/core/tests/pipelines/test_events.py
+++ b/packages/core/tests/pipelines/test_events.py
@@ -4,7 +4,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from lacewingcourse.core.pipelines.events import EventSplitter, event_id
+from lacewingcourse.core.pipelines.event_numbering import event_position
+from lacewingcourse.core.pipelines.events import EventSplitter
 
 
 def event(number: int, end: bytes = b"\n\n") -> bytes:
@@ -44,7 +45,7 @@
 
 def test_an_event_without_identifier_is_forwarded():
     assert EventSplitter().feed(b"data: x\n\n") == b"data: x\n\n"
-    assert event_id(b"data: x\n\n") is None
+    assert event_position(b"data: x\n\n") is None
 
 
 @settings(max_examples=200, derandomize=True, deadline=None)
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -117,7 +117,8 @@
         """Start an attempt on the path of a replacement; None if it was not sent."""
         forwarder, job, path = self.forwarder, self.job, found.path
         now = forwarder.sender.clock()
-        after = self.state.cutter.last_id
+        cutter = self.state.cutter
+        after, forwarded = cutter.last_id, cutter.forwarded
         first = path.first
         sending = job.sending(
             first.name, first.address, path, now, after, first.endpoint
@@ -129,7 +130,7 @@
         forwarder.record_send(job, path)
         forwarder.stalls.end(job)
         forwarder.stalls.begin(job, now)
-        return Standby(path, sent, now)
+        return Standby(path, sent, now, forwarded)
 
     def release_load(self, standby: Standby) -> None:
         """Remove a standby's load, once it has ended or the stream continues on it.
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -140,12 +140,15 @@
 
     def receive(self, data: bytes) -> None:
         """Add received bytes, and pass complete events on to the caller."""
-        events = self.state.cutter.feed(data)
-        self.job.dropped_events = self.state.cutter.dropped
-        self.job.is_continuable = self.state.cutter.is_continuable
+        cutter = self.state.cutter
+        if cutter.failure:
+            return
+        events = cutter.feed(data)
+        self.job.dropped_events = cutter.dropped
+        self.job.is_continuable = cutter.is_continuable
         self._forward_events(events)
-        if self.state.cutter.oversized:
-            self.exchange.arrivals.put_nowait(End(False, "bytes that are no events"))
+        if cutter.failure:
+            self.exchange.arrivals.put_nowait(End(False, cutter.failure))
 
     def _next_check_at(self, now: float) -> float:
         """Return when to check for a stall if nothing arrives until then, seconds."""
@@ -257,7 +260,7 @@
         if standby.failure is not None:
             self.mover.on_standby_failed(standby)
             return self.ended_result
-        if self.state.last_event_at > standby.started_at:
+        if self.state.cutter.forwarded > standby.forwarded:
             self.mover.drop_standby(standby)
             self._has_resumed(self.sender.clock())
             return None
@@ -323,7 +326,7 @@
         An engine that crashes closes its connection as well. A stream that only the
         close ends is therefore taken for broken off if it has no event.
         """
-        if not arrival.complete or self.state.cutter.pending:
+        if not arrival.complete or not self.state.cutter.may_end:
             return False
         return not arrival.by_close or self.first_event_at is not None
 
@@ -340,6 +343,9 @@
         now = self.sender.clock()
         if exchange.was_dropped and now < started_at + STALE_CONNECTION_WINDOW:
             return AttemptResult(AttemptEnd.DROPPED, reason)
+        if exchange is self.exchange and self.state.cutter.failure:
+            # Its engine has not crashed.
+            return AttemptResult(AttemptEnd.LOST, self.state.cutter.failure)
         answered = exchange is self.exchange and self.head is not None
         first_event_at = self.first_event_at if answered else None
         progress = answer_progress(answered, first_event_at, now)
@@ -349,8 +355,11 @@
 
     def _finish_response(self) -> None:
         """End the caller's response, which may have no events."""
+        line_ends = self.state.cutter.pending
         if not self.job.caller.response_started:
-            self._begin_response(b"")
+            self._begin_response(line_ends)
+        else:
+            self.job.caller.write(line_ends)
         self.job.caller.end()
 
     def _begin_response(self, events: bytes) -> None:
--- a/packages/relay/src/lacewingcourse/relay/stream_state.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -63,6 +63,7 @@
         path: Its path.
         exchange: The HTTP exchange that carries it.
         started_at: When it was sent, seconds.
+        forwarded: Number of events that the caller had then. It continues after them.
         head: Head of its response if it was accepted, else None.
         failure: How it ended if it was not accepted, else None.
     """
@@ -70,6 +71,7 @@
     path: Path
     exchange: Exchange
     started_at: float
+    forwarded: int
     head: Head | None = None
     failure: AttemptResult | None = None
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -123,7 +123,7 @@
             A refusal if the response could not be completed, None if it was, or if the
             caller left.
         """
-        cutter = EventSplitter(last_id=job.request.resume_after)
+        cutter = EventSplitter.for_request(job.request.resume_after)
         state = StreamState(job, shape, demand_of(job, shape), cutter)
         try:
             return await self._serve(state)
@@ -320,7 +320,7 @@
             self.stalls.begin(job, self.sender.clock())
             if job.caller.disconnected:
                 job.on_caller_disconnect()
-            state.cutter.discard_pending()
+            state.cutter.begin_run()
             mover = Mover(self, state, job.path)
             attempt = StreamAttempt(
                 state, sent, self.sender, self.stalls, self.log, mover, head
--- a/packages/relay/tests/relay/test_wrong_events.py
+++ b/packages/relay/tests/relay/test_wrong_events.py
@@ -5,9 +5,12 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 
 from lacewingcourse.core.errors import Outcome
+from lacewingcourse.relay.stream_attempt import StreamAttempt
 from lacewingcourse.relay.upstream import End
 from lacewingcourse.testing.virtual_time import run_virtual
 
@@ -46,6 +49,8 @@
         b"id: 3\n\n",
         b"id: 3\ndata: word 3\nid: 4\ndata: word 4\n\n",
         b"id: three\ndata: word 3\n\n",
+        b"id: 2\ndata: word 3\n\n",
+        b"\n\n",
     ],
 )
 def test_no_second_run_is_joined_to_events_whose_end_no_id_names(serve, last):
@@ -75,3 +80,106 @@
     assert scenario.firsts == ["a"]
     assert not scenario.caller.response_complete
     assert scenario.ended_at == scenario.job.deadline
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        [event(1), event(92), event(3), event(4)],
+        [event(1), event(1), event(2)],
+        [event(3), event(1)],
+        [event(1), b"id: \xb2\ndata: x\n\n", event(3)],
+        [b"id: " + b"9" * 5_000 + b"\ndata: x\n\n", event(2)],
+        [event(1), b"\n", event(2), b"\n\n\n", event(3)],
+        [b"id: 1\r\ndata: x\r\n\r\n" + event(2) + event(3)],
+        [event(1) + b"id: 2\r\ndata: x\r\n\r", b"\n"],
+        [event(1), b"\r\n"],
+        [b"data: x\n\n", b"data: x\n\n"],
+    ],
+)
+def test_a_run_that_ends_complete_is_passed_on_as_it_came(serve, chunks):
+    """One wrong digit in an id hid the 45 sound events that followed."""
+    scenario = serve(*chunks, end=End(True))
+    assert scenario.refusal is None
+    assert scenario.caller.body == b"".join(chunks)
+    assert scenario.caller.response_complete
+    assert scenario.firsts == ["a"]
+
+
+@pytest.fixture
+def continue_with(shape):
+    """Return a function that serves a stream whose second run writes given events.
+
+    The first run breaks off after three events.
+    """
+
+    def run(*chunks: bytes, end: End = End(True)) -> StreamScenario:
+        engines = {
+            "a": Engine(pause_after=3, breaks=True),
+            "c": Engine(chunks=lambda after: list(chunks), end=end),
+        }
+        scenario = StreamScenario(shape, engines)
+        scenario.refusal = run_virtual(scenario.serve())
+        return scenario
+
+    return run
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        [event(4), event(5)],
+        [event(3), event(4), event(5)],
+        [event(1) + event(2), event(3) + event(4), event(5)],
+    ],
+)
+def test_a_second_run_goes_on_with_the_next_event_or_repeats_the_last_ones(
+    continue_with, chunks
+):
+    scenario = continue_with(*chunks)
+    assert scenario.refusal is None
+    assert scenario.caller.body == b"".join(map(event, range(1, 6)))
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        [event(5), event(6)],
+        [event(94), event(5)],
+        [event(1), event(4)],
+        [event(3), event(5)],
+        [b"id: 3\ndata: word 4\n\n"],
+        [event(1), event(2)],
+        [event(4), event(4), event(5)],
+        [event(4), event(6)],
+        [event(4), event(3), event(5)],
+        [event(4), b"data: word 5\n\n", event(6)],
+        [b"data: word 4\n\n", event(5)],
+        [event(1), event(2), event(3), event(4), b"\x00\n\n"],
+    ],
+)
+def test_a_second_run_that_does_not_go_on_with_the_next_event_is_not_complete(
+    continue_with, chunks
+):
+    """Events of a second run were dropped by their ids, and its end taken as whole."""
+    scenario = continue_with(*chunks)
+    assert scenario.refusal.outcome is Outcome.PARTIAL
+    assert not scenario.caller.response_complete
+    expected = [event(n) for n in range(1, 5)]
+    assert b"".join(expected).startswith(scenario.caller.body)
+
+
+def test_a_standby_is_dropped_if_an_event_was_forwarded_since_it_was_sent():
+    """Their times were compared, which are equal if both happen at once."""
+    dropped = []
+    standby = SimpleNamespace(head="head", failure=None, started_at=1.0, forwarded=3)
+    state = SimpleNamespace(cutter=SimpleNamespace(forwarded=4), last_event_at=1.0)
+    attempt = SimpleNamespace(
+        standby=standby,
+        state=state,
+        mover=SimpleNamespace(drop_standby=dropped.append),
+        sender=SimpleNamespace(clock=lambda: 1.0),
+        _has_resumed=lambda now: None,
+    )
+    assert StreamAttempt._on_standby_settled(attempt) is None
+    assert dropped == [standby]
