Give an answer the head of the run that wrote its first event

What callers saw: when a run ended before its first event and another one followed, its whole body came with the headers and the stamp of the first engine, which had written none of it.

Cause: the head of the first success was kept, whether the answer had begun or not. Found by reading.

Change: until the answer has begun, the head is that of the present run. Once it has begun, it keeps the head of its first run, as before.

--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -167,7 +167,7 @@
         )
         if not self.head.succeeded:
             return await self._read_error_response(self.exchange, self.head)
-        if self.state.head is None:
+        if not self.job.caller.response_started:
             self.state.head = self.head
         return None
 
--- a/packages/relay/src/lacewingcourse/relay/stream_state.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -126,7 +126,8 @@
         demand: Memory and time that the request is expected to need on a path.
         cutter: Splits received bytes into events and keeps the id of the last one
             passed on.
-        head: Head of the first successful response, None before it.
+        head: Head of the response, which is that of the run with its first event; None
+            before a successful one.
         last_event_at: When the current attempt started or last passed on an event,
             seconds.
         failure: Error response of an engine, sent to the caller if no further attempt
--- a/packages/relay/tests/relay/stream_scenario.py
+++ b/packages/relay/tests/relay/stream_scenario.py
@@ -41,7 +41,9 @@
 
 #: Events of a response.
 EVENT_COUNT = 20
-#: Seconds between two of them.
+#: Header of a response that names the engine.
+ENGINE_HEADER = "X-Engine"
+#: Seconds between two events.
 EVENT_INTERVAL = 0.05
 #: Slack of a retry budget that never runs out, and of one that allows no retry.
 UNLIMITED_RETRIES = 10_000.0
@@ -91,10 +93,11 @@
 class EngineRun:
     """An attempt on a scripted engine, in place of the HTTP exchange."""
 
-    def __init__(self, engine: Engine, after: str, fresh: bool) -> None:
+    def __init__(self, engine: Engine, after: str, fresh: bool, name: str = "") -> None:
         self.arrivals: asyncio.Queue = asyncio.Queue()
         self.sink = None
         self.reusable = True
+        self.head = Head(engine.status, HTTPHeaders({ENGINE_HEADER: name}))
         self.abandoned = False
         self.was_dropped = engine.drops and not fresh
         self._task = asyncio.ensure_future(self._write(engine, after))
@@ -109,7 +112,7 @@
             self.arrivals.put_nowait(End(False, "closed"))
             return
         await asyncio.sleep(engine.accepts_after)
-        self.arrivals.put_nowait(Head(engine.status, HTTPHeaders()))
+        self.arrivals.put_nowait(self.head)
         if engine.status != 200:
             self.arrivals.put_nowait(End(True))
             return
@@ -318,10 +321,12 @@
     @property
     def codec(self):
         """A codec for which every response without success is a rejection."""
-        headers = {"Content-Length": str(len(whole_answer()))}
-        return SimpleNamespace(
-            head=self._head, for_caller=lambda head: HTTPHeaders(headers)
-        )
+        length = str(len(whole_answer()))
+
+        def for_caller(head: AnswerHead) -> HTTPHeaders:
+            return HTTPHeaders({**head.headers, "Content-Length": length})
+
+        return SimpleNamespace(head=self._head, for_caller=for_caller)
 
     def _head(self, status, headers, request) -> AnswerHead:
         answer_kind = AnswerKind.ANSWERED if status == 200 else AnswerKind.REJECTED
@@ -356,7 +361,7 @@
     def start(self, job, sending, connection) -> EngineRun:
         name = sending.path.first.endpoint
         engine = self.engines.get(name, Engine())
-        run = EngineRun(engine, sending.resume_after, not connection.reused)
+        run = EngineRun(engine, sending.resume_after, not connection.reused, name)
         self.runs.append((self.clock(), name, run))
         return run
 
--- a/packages/relay/tests/relay/test_wrong_events.py
+++ b/packages/relay/tests/relay/test_wrong_events.py
@@ -15,6 +15,7 @@
 from lacewingcourse.testing.virtual_time import run_virtual
 
 from .stream_scenario import (
+    ENGINE_HEADER,
     EVENT_COUNT,
     Engine,
     StreamScenario,
@@ -183,3 +184,13 @@
     )
     assert StreamAttempt._on_standby_settled(attempt) is None
     assert dropped == [standby]
+
+
+@pytest.mark.parametrize(("events", "engine"), [(0, "c"), (3, "a")])
+def test_an_answer_has_the_head_of_the_run_that_wrote_its_first_event(
+    serve, events, engine
+):
+    """A whole body of one engine had the head of another one, which wrote no event."""
+    scenario = serve(*map(event, range(1, events + 1)))
+    assert scenario.caller.body == whole_answer()
+    assert scenario.caller.headers[ENGINE_HEADER] == engine
