Let nobody in by a list of tenants that names nobody

Cause: the decoder asked whether the list of tenants is true, not whether the field is there, so that an empty one meant that no keys are used. Ruled out: that the version was not read (it decodes), and a key that outlives its version on a connection (each had a new one).

A new log line tells how many organisations a version lets in, and how many keys several of them hold.

--- a/packages/core/src/lacewingcourse/core/pipelines/routing.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/routing.py
@@ -124,7 +124,9 @@
         hosts: Routes by host and prefix.
         services: Services by name.
         limits: Limits on requests.
-        keys: Organisations by key, None if requests need no keys.
+        keys: Organisations by key, None if requests need no keys. Without a member no
+            key is known.
+        shared_keys: Number of keys that several organisations hold.
         document: The document as published, for entries that cannot read the platform.
     """
 
@@ -133,6 +135,7 @@
     services: dict[str, Service]
     limits: Limits
     keys: dict[str, Organisation] | None = None
+    shared_keys: int = 0
     document: bytes = b""
 
     def route(self, host: str, path: str) -> Route | Refusal:
@@ -153,6 +156,13 @@
             end = path.rfind("/", 0, end)
         return Refusal(ErrorKind.UNKNOWN_RESOURCE, "no route for the path")
 
+    @property
+    def organisations(self) -> int | None:
+        """Number of organisations with a key, None if requests need no keys."""
+        if self.keys is None:
+            return None
+        return len({holder.name for holder in self.keys.values()})
+
     def organisation(self, route: Route, key: str | None) -> Organisation | Refusal:
         """Return the organisation of a request, or why the request is refused.
 
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -448,9 +448,16 @@
         return Reply(200 if self.readiness.is_ready() else 503)
 
     def _on_configuration(self) -> None:
-        """Notify other entries of a version in force, and apply its limits."""
+        """Apply the limits of a version in force, log its keys, and notify others."""
         self._notify_peers()
-        self.ingress.apply_limits(self.routing_state.table.limits)
+        table = self.routing_state.table
+        self.ingress.apply_limits(table.limits)
+        self.log.log_event(
+            "keys",
+            version=table.version,
+            organisations=table.organisations,
+            shared_keys=table.shared_keys,
+        )
 
     def _on_lag(self, late: float, section: Section) -> None:
         """Log that the event loop was blocked, and by which work."""
--- a/packages/relay/src/lacewingcourse/relay/decoding.py
+++ b/packages/relay/src/lacewingcourse/relay/decoding.py
@@ -8,6 +8,7 @@
 import attrs
 import orjson
 from cattrs import ClassValidationError, IterableValidationError, transform_error
+from cattrs.cols import is_sequence, list_structure_factory
 from cattrs.gen import make_dict_structure_fn, override
 from cattrs.preconf.orjson import make_converter
 from cattrs.v import format_exception
@@ -15,6 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cattrs import BaseConverter
+
 T = TypeVar("T")
 
 #: Maximum number of characters of a reason, as a document may hold text of any length.
@@ -77,6 +80,7 @@
         for kind in (bool, str, int):
             self.converter.register_structure_hook(kind, _exact_type_hook(kind))
         self.converter.register_structure_hook(float, _structure_float)
+        self.converter.register_structure_hook_factory(is_sequence, _list_hook)
         if document_name is not None:
             self._document_name = document_name
             self.converter.register_structure_hook_factory(attrs.has, self._hook_for)
@@ -121,7 +125,8 @@
             name = explicit_name or self._document_name(attribute.name)
             self.document_names[attribute.name] = name
             overrides[attribute.name] = override(rename=name)
-        return make_dict_structure_fn(kind, self.converter, **overrides)
+        structure = make_dict_structure_fn(kind, self.converter, **overrides)
+        return _checked_hook(dict, structure)
 
 
 def _reason(error: BaseException, kind: type | None) -> str:
@@ -131,6 +136,24 @@
     return format_exception(error, kind)
 
 
+def _list_hook(kind: Any, converter: BaseConverter) -> Callable[[Any, Any], Any]:
+    """Return a hook for lists that accepts neither the letters of a text nor a map."""
+    return _checked_hook(list, list_structure_factory(kind, converter))
+
+
+def _checked_hook(
+    kind: type, structure: Callable[[Any, Any], Any]
+) -> Callable[[Any, Any], Any]:
+    """Return a structure hook that accepts values of one type only."""
+
+    def check_and_structure(value: Any, target: Any) -> Any:
+        if type(value) is not kind:
+            raise TypeError(f"{type(value).__name__} in place of {kind.__name__}")
+        return structure(value, target)
+
+    return check_and_structure
+
+
 def _exact_type_hook(kind: type) -> Callable[[Any, Any], Any]:
     """Return a hook that accepts values of one type; booleans do not count as `int`."""
 
