Give up an endpoint whose responses to other requests do not end

Cause: responses to other requests were skipped in a loop that read what lay in the socket without letting other tasks run, and without a limit in number or bytes.

Ruled out: a connection read on from the pool.

Change: 16 skipped responses or 1 MiB of their bodies end the exchange; other tasks get a turn after each of them and after each 256 KiB of a body.

Why it works: each exchange now reads a bounded number of bytes without a turn, and a bounded number of bytes that are not its answer.

--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -18,7 +18,7 @@
 from tornado.iostream import StreamClosedError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from lacewingcourse.relay.connections import Connection
 
@@ -26,6 +26,14 @@
 MAX_HEAD_BYTES = 64 * 1024
 #: Maximum size of a response body in bytes.
 MAX_BODY_BYTES = 64 * 1024 * 1024
+#: Maximum number of responses to other requests, and of informational ones, that are
+#: skipped. One that comes late stands before the expected one; more are no answers.
+MAX_SKIPPED_RESPONSES = 16
+#: Maximum number of bytes of their bodies.
+MAX_SKIPPED_BYTES = 1024 * 1024
+#: Bytes of a body after which other tasks get a turn. What has been received already is
+#: read without one.
+TURN_BYTES = 256 * 1024
 
 
 class SendOutcome(Enum):
@@ -121,6 +129,9 @@
         self.sink: Callable[[bytes], None] | None = None
         self._accepts_head = accepts_head
         self._skipping = False
+        self._skipped_responses = 0
+        self._skipped_bytes = 0
+        self._turn_bytes = 0
         self._until_close = False
         self._closes = False
         self._task: asyncio.Task | None = None
@@ -165,8 +176,11 @@
         self.received_any = True
         status = start_line.code
         if status < 200:
+            self._skip_response()
             return
         self._skipping = not self._accepts_head(status, headers)
+        if self._skipping:
+            self._skip_response()
         self._until_close = (
             "Content-Length" not in headers
             and "Transfer-Encoding" not in headers
@@ -177,14 +191,36 @@
         if not self._skipping:
             self.arrivals.put_nowait(Head(status, headers))
 
-    def data_received(self, chunk: bytes) -> None:
-        """Process bytes of the body."""
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Process bytes of the body; return what to wait for before reading on."""
         if self._skipping:
-            return
-        if self.sink is not None:
+            self._skipped_bytes += len(chunk)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                self._give_up("a response to another request that is too long")
+        elif self.sink is not None:
             self.sink(chunk)
         else:
             self.arrivals.put_nowait(Data(chunk))
+        return self._turn(len(chunk))
+
+    def _turn(self, size: int) -> Awaitable[None] | None:
+        """Count received bytes; return a turn of other tasks if one is due."""
+        self._turn_bytes += size
+        if self._turn_bytes < TURN_BYTES:
+            return None
+        self._turn_bytes = 0
+        return asyncio.sleep(0)
+
+    def _skip_response(self) -> None:
+        """Count a skipped response."""
+        self._skipped_responses += 1
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            self._give_up("too many responses to other requests")
+
+    def _give_up(self, reason: str) -> None:
+        """Close the connection because of what the endpoint writes."""
+        self.arrivals.put_nowait(End(False, reason))
+        self.connection.close()
 
     def finish(self) -> None:
         """Process the end of a response."""
@@ -217,6 +253,8 @@
                 if self.connection.stream.closed():
                     self.arrivals.put_nowait(End(False, "only a foreign answer"))
                     break
+                # The next one is read without a pause if it has been received already.
+                await asyncio.sleep(0)
                 http = HTTP1Connection(self.connection.stream, True, params)
                 http.finish()
         except (StreamClosedError, HTTPInputError, OSError) as error:
