--- a/packages/core/src/lacewingcourse/core/pipelines/event_numbering.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/event_numbering.py
@@ -42,9 +42,10 @@
     @property
     def is_trusted(self) -> bool:
         """Whether a run may continue after the last event."""
-        if not self.is_regular:
+        if not self.is_regular or self.events == 0:
             return False
-        return self.step == 1 or self.events >= MIN_EVENTS_OF_OTHER_STEP
+        counts_from_start = self.last == self.start + self.events
+        return counts_from_start or self.events >= MIN_EVENTS_OF_OTHER_STEP
 
     def follows(self, position: int | None) -> bool:
         """Return whether an event with this position is the next one."""
--- a/packages/core/tests/pipelines/test_event_numbering.py
+++ b/packages/core/tests/pipelines/test_event_numbering.py
@@ -39,6 +39,9 @@
     ("start", "positions"),
     [
         (0, [9]),
+        (0, [0]),
+        (0, [0, 1]),
+        (0, [0, 1, 2]),
         (0, [2, 4]),
         (0, [1, 9]),
         (0, [1, 9, 10, 11]),
