Check types and positions of events by one piece of code each

The check of a value's type stood in _exact_type_hook and in _checked_hook, and the form of a position in POSITION and in USUAL_EVENT. may_end asked for new events, which _is_at_end_of_copy asks as well, and _is_repeat used a word that stands for retries elsewhere; a duplicate event is meant.

Change: one type check, one pattern; the derived condition is gone; _is_duplicate. Behaviour stays as it is.

--- a/packages/core/src/lacewingcourse/core/pipelines/event_numbering.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/event_numbering.py
@@ -9,7 +9,7 @@
 #: An event's id that is a position: a decimal number as a 64-bit integer holds it.
 POSITION = re.compile(rb"0|[1-9][0-9]{0,17}")
 #: The usual form of an event, which needs no further look at its lines.
-USUAL_EVENT = re.compile(rb"id: (0|[1-9][0-9]{0,17})\ndata: [^\r\n]*\n\n")
+USUAL_EVENT = re.compile(rb"id: (%b)\ndata: [^\r\n]*\n\n" % POSITION.pattern)
 #: Events that must agree on a numbering other than by one from the start, before it is
 #: trusted. A few wrong bytes may agree by chance.
 MIN_EVENTS_OF_OTHER_STEP = 4
--- a/packages/core/src/lacewingcourse/core/pipelines/events.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/events.py
@@ -89,7 +89,7 @@
         """Whether the stream is complete if its run ends here."""
         if self.failure or self.pending.strip(LINE_ENDS):
             return False
-        return self._has_new_events or self._is_at_end_of_copy
+        return self._is_at_end_of_copy
 
     def begin_run(self) -> None:
         """Prepare for the bytes of another run."""
@@ -136,7 +136,7 @@
         if self.failure:
             return False
         position = event_position(event)
-        if self._is_repeat(position, event):
+        if self._is_duplicate(position, event):
             self.repeated = position
             self.dropped += 1
             return False
@@ -149,7 +149,7 @@
             self.numbering.is_regular = False
         return False
 
-    def _is_repeat(self, position: int | None, event: bytes) -> bool:
+    def _is_duplicate(self, position: int | None, event: bytes) -> bool:
         """Return whether a continuation's event is one that the caller has."""
         last = self._last_position
         if position is None or last is None or self._has_new_events:
--- a/packages/relay/src/lacewingcourse/relay/decoding.py
+++ b/packages/relay/src/lacewingcourse/relay/decoding.py
@@ -156,13 +156,7 @@
 
 def _exact_type_hook(kind: type) -> Callable[[Any, Any], Any]:
     """Return a hook that accepts values of one type; booleans do not count as `int`."""
-
-    def check_type(value: Any, _: Any) -> Any:
-        if type(value) is not kind:
-            raise TypeError(f"{type(value).__name__} in place of {kind.__name__}")
-        return value
-
-    return check_type
+    return _checked_hook(kind, lambda value, _: value)
 
 
 def _structure_float(value: Any, _: Any) -> float:
