Log when the close of a caller's connection was received, and where its request was

Cause: no line told when a caller's close came, when it was noticed, or what its request waited for then, so the hypotheses on GONE could not be told apart.

Change: a second epoll object reports closes of callers' connections by EPOLLRDHUP, also while bytes stand unread or are written; one line caller_closed for each, with the phase of the request, the time since its last send and since the last packet of the caller; 60 a second. Nothing acts on it yet.

--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -14,6 +14,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from lacewingcourse.relay.hangups import HangupMonitor, quiet_time
 from lacewingcourse.relay.idle import IdleTimeout, IdleTimer
 
 if TYPE_CHECKING:
@@ -51,6 +52,8 @@
         response_complete: Whether it ended complete.
         on_disconnect: Called when the caller closes the connection before the answer is
             complete.
+        on_close_received: Called once the close was received while the request is
+            served, with the seconds since then, None if unknown.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         self.response_ended = False
         self.response_complete = False
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_close_received: Callable[[float | None], None] | None = None
         self._version = ""
         self._serve = serve
         self._clock = clock
@@ -142,6 +146,18 @@
         if self._task is not None:
             self._task.cancel()
 
+    def on_hangup(self) -> None:
+        """Handle the kernel's report that the caller has closed the connection."""
+        stream = self.connection.stream
+        if not stream.closed():
+            self._report_close(quiet_time(stream.socket))
+
+    def _report_close(self, quiet: float | None) -> None:
+        """Report the close once, if it was received before the end of the answer."""
+        report, self.on_close_received = self.on_close_received, None
+        if report is not None and not self.response_ended:
+            report(quiet)
+
     def on_connection_close(self) -> None:
         """Handle a disconnect before the request was received completely."""
         self.disconnected = True
@@ -269,6 +285,7 @@
 
     def _on_close(self) -> None:
         self.disconnected = True
+        self._report_close(None)
         if self.on_disconnect is not None and not self.response_ended:
             self.on_disconnect()
 
@@ -285,6 +302,7 @@
     Attributes:
         open: Requests whose head was received and whose answer has not been flushed.
         idle: Idle timeout of the connections.
+        hangups: Reports connections that callers have closed.
         max_head_bytes: Limit of a request's head in bytes.
     """
 
@@ -296,6 +314,7 @@
     ) -> None:
         self.open: set[CallerExchange] = set()
         self.idle = IdleTimeout()
+        self.hangups = HangupMonitor()
         self.max_head_bytes = MAX_HEAD_BYTES
         self._serve = serve
         self._clock = clock
@@ -306,7 +325,7 @@
     ) -> HTTPMessageDelegate:
         """Return the delegate for the next request of a connection."""
         idle_timer = IdleTimer(request_conn, self.idle, self._clock)
-        return CallerExchange(
+        exchange = CallerExchange(
             request_conn,
             self._serve,
             self._clock,
@@ -315,3 +334,5 @@
             idle_timer,
             lambda: self.max_head_bytes,
         )
+        self.hangups.watch(request_conn.stream, exchange)
+        return exchange
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -21,6 +21,7 @@
     from lacewingcourse.core.pipelines.crashes import AnswerProgress
     from lacewingcourse.core.pipelines.scheduling import QueuedRequest
     from lacewingcourse.core.pipelines.shutdown import AnswerTime
+    from lacewingcourse.relay.caller import CallerExchange
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.metrics import Metrics
     from lacewingcourse.relay.ports import CallerRequest
@@ -37,6 +38,7 @@
     "queued": 30,
     "paths": 20,
     "late_report": 20,
+    "caller_closed": 60,
     "refused": 150,
     "defect": 5,
 }
@@ -168,6 +170,41 @@
             **_seen(job),
         )
 
+    def caller_closed(
+        self,
+        caller: CallerExchange,
+        job: Job | None,
+        quiet: float | None,
+        now: float,
+    ) -> None:
+        """Log that a caller closed its connection while its request was served.
+
+        Args:
+            caller: The exchange with the caller.
+            job: Its request, None if it was not routed yet.
+            quiet: Seconds since the close, None if unknown.
+            now: Present time in seconds.
+        """
+        fields: dict[str, Any] = {"phase": "routing"}
+        if job is not None:
+            sent_at = job.sent_at
+            fields = {
+                "request": job.request.id,
+                "route": job.route.name,
+                "phase": job.phase.value,
+                "sends": job.sends,
+                "since_sent_ms": None if sent_at is None else _ms(now - sent_at),
+                "events": job.events,
+            }
+        self._line(
+            "caller_closed",
+            **fields,
+            target=caller.target,
+            since_close_ms=None if quiet is None else _ms(quiet),
+            took_ms=_ms(now - caller.arrived_at),
+            gone=caller.disconnected,
+        )
+
     def broken_off(self, job: Job, cause: Refusal, now: float) -> None:
         """Log an answer that ended incomplete after the caller had received part of it.
 
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -88,6 +88,7 @@
     async def serve(self, caller: CallerExchange) -> None:
         """Serve one request of a caller; always answer it, even after an exception."""
         self.serving.add(caller)
+        caller.on_close_received = lambda quiet: self._log_close(caller, quiet)
         try:
             await self._serve(caller)
         except Exception as error:
@@ -100,6 +101,10 @@
             self.jobs.pop(caller, None)
             self.serving.discard(caller)
 
+    def _log_close(self, caller: CallerExchange, quiet: float | None) -> None:
+        """Log that a caller has closed its connection while its request is served."""
+        self.log.caller_closed(caller, self.jobs.get(caller), quiet, self.clock())
+
     def abort(self, caller: CallerExchange, now: float) -> None:
         """End an open request at the drain deadline, even if an exception is raised.
 
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from functools import cached_property
 from typing import TYPE_CHECKING
 
@@ -34,6 +35,24 @@
 MAX_REJECTIONS = 4
 
 
+class Phase(Enum):
+    """What a request that is being forwarded is about to get or has got.
+
+    Attributes:
+        WAITING: It waits for room, a permit or a retry, or is about to.
+        CONNECTING: It waits for a connection to an endpoint.
+        SENT: It was sent, and nothing of the answer was passed on by this send.
+        STREAMING: Events of an answer are passed on.
+        MOVING: Its stream has stalled, and another path is sought or tried.
+    """
+
+    WAITING = "waiting"
+    CONNECTING = "connecting"
+    SENT = "sent"
+    STREAMING = "streaming"
+    MOVING = "moving"
+
+
 @attrs.define(eq=False)
 class Job:
     """The state of a request while it is forwarded.
@@ -74,7 +93,8 @@
         predicted: Predicted times of its first attempt as a stream, None before it and
             for later ones.
         running: Its attempt as a stream that runs, None without one.
-        sent_at: When its last attempt was sent, seconds, None before one.
+        sent_at: When it was sent last, seconds, None before it.
+        phase: How far it has come.
         established: Whether its answer was once established, so that it does not crash
             the endpoints that begin to answer it.
         accepts: Returns whether a draining entry accepts it at a given time in seconds.
@@ -109,6 +129,7 @@
     predicted: StreamPrediction | None = None
     running: RunningStream | None = None
     sent_at: float | None = None
+    phase: Phase = Phase.WAITING
     established: bool = False
     accepts: Callable[[float], bool] = lambda now: True
 
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -15,6 +15,7 @@
     NotSent,
     Unsent,
 )
+from lacewingcourse.relay.job import Phase
 from lacewingcourse.relay.ports import AnswerHead, AnswerKind, Sending
 from lacewingcourse.relay.upstream import (
     Abandoned,
@@ -104,9 +105,11 @@
             reserved: Connection to send it over, None to acquire one.
         """
         started = self.clock()
+        job.phase = Phase.CONNECTING
         connection = reserved or await self.reserve(sending.address, fresh)
         if isinstance(connection, NotSent):
             self.release_holds(job)
+            job.phase = Phase.WAITING
             return connection
         now = self.clock()
         passed = now - started
@@ -115,7 +118,9 @@
         if cause is not None:
             self.release_holds(job)
             connection.close()
+            job.phase = Phase.WAITING
             return NotSent(cause)
+        job.phase, job.sent_at = Phase.SENT, now
         return self.start(job, sending, connection)
 
     def release_holds(self, job: Job) -> None:
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.core.pipelines.crashes import AnswerProgress, answer_progress
+from lacewingcourse.relay.job import Phase
 from lacewingcourse.relay.ports import AnswerKind
 from lacewingcourse.relay.sending import (
     SERVER_ERROR,
@@ -191,6 +192,7 @@
         self.state.last_event_at = now
         if self.first_event_at is None:
             self.first_event_at = now
+            self.job.phase = Phase.STREAMING
         self.job.record_events(now)
         self.mover.forwarder.times.record_events(self.job, now)
         if not self.job.established:
@@ -228,6 +230,7 @@
         first_search = self.moving_since is None
         if first_search:
             self.moving_since = now
+            self.job.phase = Phase.MOVING
         found = await self.mover.find_replacement()
         if isinstance(found, Refusal):
             if first_search:
@@ -308,6 +311,7 @@
         if self.state.last_event_at <= self.moving_since:
             return False
         self.moving_since = None
+        self.job.phase = Phase.STREAMING
         self.job.avoid.difference_update(p.endpoint for p in self.job.path.parts)
         self.stalls.resume(self.job, now)
         return True
