Notice closes at the servers of the product's own daemons whatever is buffered

A handler was begun for a request whose caller had closed before it was read, and was not told of a close while bytes stood unread behind its request, so that its engines worked on.

Cause: GuardedServer relied on the library's reading to notice a close, as the entry did.

Change: it asks the kernel before a request is handled, and watches its connections with the same monitor. The package depends on relay for it.

--- a/packages/daemon/src/lacewingcourse/daemon/server.py
+++ b/packages/daemon/src/lacewingcourse/daemon/server.py
@@ -18,6 +18,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.daemon.problems import PROBLEM_JSON, problem_of, retry_after
+from lacewingcourse.relay.hangups import HangupMonitor, has_hung_up
 from lacewingcourse.wire.codec import encode
 
 if TYPE_CHECKING:
@@ -148,6 +149,12 @@
         if self.refused:
             self._end()
             return
+        stream = self.connection.stream
+        if stream.closed() or has_hung_up(stream.socket):
+            # The sender has given up, and may have sent the request elsewhere.
+            stream.close()
+            self.inner.on_connection_close()
+            return
         self.inner.finish()
 
     def on_connection_close(self) -> None:
@@ -201,6 +208,15 @@
         self._read = stream.read_until_regex
         self._write = stream.write
 
+    def on_hangup(self) -> None:
+        """Close a connection that the peer has closed, unless bytes are being written.
+
+        The end of an answer may still be on its way to a peer that only ended its own
+        side; writing to one that has left fails.
+        """
+        if not self.stream.closed() and not self.stream.writing():
+            self.stream.close()
+
     async def read_until_regex(self, regex: bytes, max_bytes: int | None = None):
         """Read up to the end of a head."""
         first = await self.stream.read_bytes(1)
@@ -233,10 +249,12 @@
 
     Attributes:
         limits: The bounds.
+        hangups: Reports connections that their peers have closed.
     """
 
     def initialize(self, request_callback, limits: RequestLimits, **options) -> None:
         self.limits = limits
+        self.hangups = HangupMonitor()
         super().initialize(
             request_callback, max_header_size=CLOSE_HEADER_BYTES, **options
         )
@@ -249,4 +267,5 @@
         reader = HeadReader(stream, self.limits.header_timeout)
         stream.read_until_regex = reader.read_until_regex
         stream.write = reader.write
+        self.hangups.watch(stream, reader)
         super().handle_stream(stream, address)
