--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -172,7 +172,8 @@
     def _close_departed(self) -> None:
         """Close the connection; tornado then calls `_on_close`."""
         stream = self.connection.stream
-        self._report_departure(quiet_time(stream.socket))
+        if self._is_read:
+            self._report_departure(quiet_time(stream.socket))
         stream.close()
 
     def _report_departure(self, quiet: float | None) -> None:
@@ -181,7 +182,7 @@
         Args:
             quiet: Seconds since the close, None if unknown.
         """
-        if not self._is_read or self.response_ended or self._is_departure_reported:
+        if self.response_ended or self._is_departure_reported:
             return
         self._is_departure_reported = True
         self._on_departure(self, quiet)
--- a/packages/relay/src/lacewingcourse/relay/hangups.py
+++ b/packages/relay/src/lacewingcourse/relay/hangups.py
@@ -83,7 +83,7 @@
         self._started().register(descriptor, events)
 
     def _started(self) -> select.epoll:
-        """Return the kernel's list of connections, which the loop reads."""
+        """Return the epoll object of the connections, which the loop waits for."""
         if self._epoll is None:
             self._epoll = select.epoll()
             loop = asyncio.get_running_loop()
@@ -91,8 +91,13 @@
         return self._epoll
 
     def _on_events(self) -> None:
-        """Tell the listeners of the connections that were closed."""
+        """Tell the listeners of the connections that were closed.
+
+        Each has a turn of its own, as an error of one must not keep it from the others:
+        a close is reported only once.
+        """
+        loop = asyncio.get_running_loop()
         for descriptor, _ in self._epoll.poll(0):
             listener = self.listeners.get(descriptor)
             if listener is not None:
-                listener.on_hangup()
+                loop.call_soon(listener.on_hangup)
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -36,12 +36,12 @@
 
 
 class Phase(Enum):
-    """What a request that is being forwarded is about to get or has got.
+    """How far a request that is forwarded has come.
 
     Attributes:
-        WAITING: It waits for room, a permit or a retry, or is about to.
+        WAITING: It is about to be sent, and may wait for room, a permit or a retry.
         CONNECTING: It waits for a connection to an endpoint.
-        SENT: It was sent, and nothing of the answer was passed on by this send.
+        SENT: It was sent, and no event of that send's answer was passed on.
         STREAMING: Events of an answer are passed on.
         MOVING: Its stream has stalled, and another path is sought or tried.
     """
