Log the first bytes of a stream's run that are not its next event

Change: `unsound_event` names request, endpoint, attempt, position, what is wrong with the first such bytes of a run, and 48 of them with escapes; 20 lines a second at most, by a limit of its own. A counter by defect. What is passed on is as before.

--- a/packages/core/src/lacewingcourse/core/pipelines/events.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/events.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.event_form import EventDefect, read_event
 from lacewingcourse.core.pipelines.event_numbering import (
     EventNumbering,
     event_position,
@@ -26,6 +27,23 @@
 NOT_THE_NEXT_EVENT = "an event that does not continue the stream"
 
 
+@attrs.frozen
+class UnsoundBytes:
+    """Bytes of a run that are not the next event of its stream.
+
+    Attributes:
+        defect: What is wrong with them.
+        data: The bytes.
+        after: Identifier of the event before them, empty if it has none.
+        forwarded: Number of events forwarded before them.
+    """
+
+    defect: EventDefect
+    data: bytes
+    after: str
+    forwarded: int
+
+
 @attrs.define
 class EventSplitter:
     """Splits the bytes of a stream's runs into the events to pass on to its caller.
@@ -45,6 +63,7 @@
         last_event: Last event forwarded, None before the first.
         repeated: Position of the last event that the run has repeated, None if none.
         forwarded_before: Number of events forwarded before the run.
+        unsound: First bytes of the run that are not its next event, None if none.
     """
 
     last_id: str = ""
@@ -57,6 +76,7 @@
     last_event: bytes | None = None
     repeated: int | None = None
     forwarded_before: int = 0
+    unsound: UnsoundBytes | None = None
 
     @is_continuation.default
     def _continues_last_id(self) -> bool:
@@ -96,6 +116,7 @@
         self.discard_pending()
         self.failure = ""
         self.repeated = None
+        self.unsound = None
         self.forwarded_before = self.forwarded
         self.is_continuation = self.forwarded > 0
 
@@ -106,10 +127,12 @@
         events = self._split(data)
         if len(self.pending) > MAX_EVENT_BYTES:
             self.failure = OVERSIZED_EVENT
+            self._note(EventDefect.OVERSIZED, self.pending)
         if self.is_continuation:
             events = list(filter(self._accept, events))
         else:
             for event in events:
+                self._note_defect(event)
                 self._record(event, event_position(event))
         return b"".join(events)
 
@@ -144,6 +167,7 @@
             self._record(event, position)
             return True
         self.failure = NOT_THE_NEXT_EVENT
+        self._note(EventDefect.OUT_OF_PLACE, event)
         if self._has_new_events:
             # Where the run began is in doubt, and so are its events.
             self.numbering.is_regular = False
@@ -162,6 +186,24 @@
         # Only the content tells a repeated event from the next one with a wrong id.
         return position < last or self.last_event in (None, event)
 
+    def _note_defect(self, event: bytes) -> None:
+        """Note what is wrong with an event, if anything."""
+        found = read_event(event)
+        if isinstance(found, EventDefect):
+            self._note(found, event)
+        elif found is not None and self.numbering.is_regular:
+            last = self._last_position
+            if last is not None and self.numbering.events and found <= last:
+                self._note(EventDefect.NOT_RISING, event)
+            elif not self.numbering.follows(found):
+                self._note(EventDefect.GAP, event)
+
+    def _note(self, defect: EventDefect, data: bytes) -> None:
+        """Keep the first bytes of the run that are not its next event."""
+        if self.unsound is None:
+            last = "" if self.numbering.last is None else str(self.numbering.last)
+            self.unsound = UnsoundBytes(defect, data, last, self.forwarded)
+
     def _record(self, event: bytes, position: int | None) -> None:
         """Record an event that is forwarded."""
         self.numbering.record(position)
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -19,6 +19,7 @@
 
     from lacewingcourse.core.errors import Refusal
     from lacewingcourse.core.pipelines.crashes import AnswerProgress
+    from lacewingcourse.core.pipelines.events import UnsoundBytes
     from lacewingcourse.core.pipelines.scheduling import QueuedRequest
     from lacewingcourse.core.pipelines.shutdown import AnswerTime
     from lacewingcourse.relay.caller import CallerExchange
@@ -39,11 +40,14 @@
     "paths": 20,
     "late_report": 20,
     "caller_closed": 60,
+    "unsound_event": 20,
     "refused": 150,
     "defect": 5,
 }
 #: Maximum number of parts of a prompt in a line.
 MAX_LOGGED_PARTS = 12
+#: Maximum number of bytes of an endpoint's response in a line.
+MAX_LOGGED_BYTES = 48
 
 
 @attrs.define
@@ -430,6 +434,28 @@
             path=_path(job),
         )
 
+    def unsound_event(self, job: Job, unsound: UnsoundBytes) -> None:
+        """Log bytes of a stream's run that are not its next event.
+
+        Args:
+            job: The request.
+            unsound: The first such bytes of the run.
+        """
+        self.metrics.unsound_event(unsound.defect)
+        self._line(
+            "unsound_event",
+            request=job.request.id,
+            endpoint=job.path.first.endpoint if job.path else "",
+            attempt=job.sends,
+            defect=unsound.defect.value,
+            after=unsound.after,
+            position=unsound.forwarded,
+            size=len(unsound.data),
+            bytes=_escaped(unsound.data),
+            path=_path(job),
+            **_resumed(job),
+        )
+
     def standby_dropped(self, job: Job, ran: float) -> None:
         """Log that a standby run, started in parallel to another run, was closed.
 
@@ -527,6 +553,11 @@
     return {"sent_first_ms": _ms(job.first_event_at - job.sent_at)}
 
 
+def _escaped(data: bytes) -> str:
+    """Return the first of some bytes as ASCII text with escapes."""
+    return ascii(data[:MAX_LOGGED_BYTES])[2:-1]
+
+
 def _limit(named: float) -> float | None:
     """Return a limit in the form of log lines, None for no limit."""
     return None if named == NO_LIMIT else named
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from lacewingcourse.core.errors import Refusal
     from lacewingcourse.core.pipelines.crashes import AnswerProgress
+    from lacewingcourse.core.pipelines.event_form import EventDefect
     from lacewingcourse.core.pipelines.scheduling import Decision
     from lacewingcourse.relay.job import Job
 
@@ -119,6 +120,13 @@
             ["progress"],
             **common_options,
         )
+        self.unsound_events = Counter(
+            "lacewingcourse_relay_unsound_events",
+            "Runs of streams with bytes that are not their next event, by what is wrong"
+            " with the first ones",
+            ["defect"],
+            **common_options,
+        )
         self.time_ratio = Histogram(
             "lacewingcourse_relay_time_ratio",
             "Seen times of streams divided by those that follow from published figures",
@@ -361,6 +369,10 @@
         """Count a send that got no whole answer."""
         self.lost_sends.labels(progress.value if progress else "connected").inc()
 
+    def unsound_event(self, defect: EventDefect) -> None:
+        """Count a run with bytes that are not the next event of its stream."""
+        self.unsound_events.labels(defect.value).inc()
+
     def limited_send(self, job: Job) -> None:
         """Count a send to an endpoint that had named a limit."""
         attempt = "first" if job.sends == 1 else "retry"
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -151,7 +151,10 @@
         cutter = self.state.cutter
         if cutter.failure:
             return None
+        was_sound = cutter.unsound is None
         events = cutter.feed(data)
+        if was_sound and cutter.unsound is not None:
+            self.log.unsound_event(self.job, cutter.unsound)
         self.job.dropped_events = cutter.dropped
         self.job.is_continuable = cutter.is_continuable
         self.caller_wait = self._forward_events(events)
--- a/packages/relay/tests/relay/test_decisions.py
+++ b/packages/relay/tests/relay/test_decisions.py
@@ -8,10 +8,15 @@
 import subprocess
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
+from loguru import logger
 
-from lacewingcourse.relay.decisions import MAX_LINES_PER_SECOND, LineBudget
+from lacewingcourse.core.pipelines.event_form import EventDefect
+from lacewingcourse.core.pipelines.events import UnsoundBytes
+from lacewingcourse.relay.decisions import MAX_LINES_PER_SECOND, DecisionLog, LineBudget
+from lacewingcourse.relay.metrics import Metrics
 
 ROOT = Path(__file__).resolve().parents[4]
 SOURCES = ROOT / "packages/relay/src/lacewingcourse/relay"
@@ -82,3 +87,19 @@
     assert len(line) < 2_000
     document = json.loads(line)
     assert document["exception"].strip().endswith("ZeroDivisionError: division by zero")
+
+
+def test_unsound_bytes_are_logged_briefly_and_with_escapes():
+    log = DecisionLog(lambda: 5.0, Metrics(), lambda: 1)
+    job = SimpleNamespace(
+        request=SimpleNamespace(id="r"), path=None, sends=2, resumed_after="3"
+    )
+    lines = []
+    sink = logger.add(lambda message: lines.append(message.record["extra"]))
+    unsound = UnsoundBytes(EventDefect.NO_FIELD, b"\x00\xff\n" + b"x" * 500, "4", 4)
+    log.unsound_event(job, unsound)
+    logger.remove(sink)
+    (line,) = lines
+    assert line["bytes"] == "\\x00\\xff\\n" + "x" * 45
+    assert (line["defect"], line["after"], line["size"]) == ("no_field", "4", 503)
+    assert line["resumed_after"] == "3"
--- a/packages/relay/tests/relay/test_wrong_events.py
+++ b/packages/relay/tests/relay/test_wrong_events.py
@@ -76,6 +76,16 @@
     assert scenario.caller.body == whole_answer()
 
 
+def test_the_first_bytes_of_a_run_that_are_no_event_are_logged(serve):
+    scenario = serve(event(1), b"data: word 2\n\n", b"\x00\n\n", end=End(True))
+    assert scenario.log.events.count("unsound_event") == 1
+
+
+def test_a_sound_stream_has_no_line_of_an_unsound_event(serve):
+    scenario = serve(*map(event, range(1, EVENT_COUNT + 1)), end=End(True))
+    assert "unsound_event" not in scenario.log.events
+
+
 def test_a_stalled_run_that_cannot_be_continued_stays_open(serve):
     scenario = serve(event(1), b"data: word 2\n\n", end=None)
     assert scenario.firsts == ["a"]
