Pass on only sound events of a stream, each in its place

Callers saw: a piece without an id that no run of any engine had written, in the middle of a stream or behind it, inside an answer that ended as whole.

Cause: whatever a run wrote up to an empty line was passed on, as the bytes of one run were taken for the engine's response whatever they say. Only the seam between two runs was checked.

Change: three units in place of one: where events end (events.py), what is an event (event_form.py), which one is next (event_numbering.py); what a caller gets of each run follows from them (stream_copy.py). At the first bytes that are not the next event the run has failed. Another one follows where the ids of the caller's events prove their end; after ids that contradict each other none does, and the answer ends incomplete.

Why it works: what is in doubt is never passed on, so the caller's copy always consists of whole sound events, in first runs as in later ones, whatever frames the response; sound streams of every form pass unchanged.

--- a/packages/bench/src/lacewingcourse/bench/events.py
+++ b/packages/bench/src/lacewingcourse/bench/events.py
@@ -1,4 +1,4 @@
-"""Section `events`: processor time that an entry spends on splitting a stream."""
+"""Section `events`: processor time that an entry spends on checking a stream."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from lacewingcourse.bench.figures import Outcome, figure
 from lacewingcourse.bench.sections import SECTIONS
-from lacewingcourse.core.pipelines.events import EventSplitter
+from lacewingcourse.core.pipelines.stream_copy import StreamCopy
 
 if TYPE_CHECKING:
     from lacewingcourse.bench.sections import Options
@@ -25,9 +25,9 @@
     """Return the processor microseconds of one event of a stream."""
     started = time.process_time()
     for _ in range(STREAMS):
-        splitter = EventSplitter()
+        copy = StreamCopy()
         for chunk in chunks:
-            splitter.feed(chunk)
+            copy.feed(chunk)
     return (time.process_time() - started) / STREAMS / EVENTS * MICROSECONDS
 
 
--- a/packages/core/src/lacewingcourse/core/pipelines/event_numbering.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/event_numbering.py
@@ -2,22 +2,34 @@
 
 from __future__ import annotations
 
-import re
+from enum import Enum
 
 import attrs
 
-#: An event's id that is a position: a decimal number as a 64-bit integer holds it.
-POSITION = re.compile(rb"0|[1-9][0-9]{0,17}")
-#: The usual form of an event, which needs no further look at its lines.
-USUAL_EVENT = re.compile(rb"id: (%b)\ndata: [^\r\n]*\n\n" % POSITION.pattern)
-#: Events that must agree on a numbering other than by one from the start, before it is
-#: trusted. A few wrong bytes may agree by chance.
-MIN_EVENTS_OF_OTHER_STEP = 4
+from lacewingcourse.core.pipelines.event_form import EventDefect
+
+#: Events that must agree on a numbering before it is trusted, unless they count by one
+#: from the start. A few wrong bytes may agree by chance. The events of a stream that
+#: has counted regularly for so long are expected to go on like that.
+MIN_REGULAR_EVENTS = 4
+
+
+class EventOrder(Enum):
+    """Order of an event whose position is larger than the one before.
+
+    Attributes:
+        NEXT: It is the next one.
+        POSSIBLE: It is the next one unless its position is wrong, which the event or
+            the end that follows will show.
+    """
+
+    NEXT = "next"
+    POSSIBLE = "possible"
 
 
 @attrs.define
 class EventNumbering:
-    """Tells whether the last event's id names the end of what a caller has.
+    """Tells which event is the next one, and whether an id proves what a caller has.
 
     A run that continues a stream begins after the position that it is given. If that
     position is not the end of the caller's copy, events are missing or come twice. An
@@ -26,11 +38,11 @@
 
     Attributes:
         start: Position before the first event, None if it is unknown.
-        last: Position of the last event, None before the first or without a number.
+        last: Position of the last event, None before the first.
         step: Difference between the ids of two events, None until two are known. Zero
             after an event that is shorter than a step, which can only be the last.
         events: Number of events.
-        is_regular: Whether each id has followed the one before.
+        is_regular: Whether each id has followed the one before by the same step.
     """
 
     start: int | None = 0
@@ -45,54 +57,76 @@
         if not self.is_regular or self.events == 0:
             return False
         counts_from_start = self.last == self.start + self.events
-        return counts_from_start or self.events >= MIN_EVENTS_OF_OTHER_STEP
+        return counts_from_start or self.events >= MIN_REGULAR_EVENTS
+
+    @property
+    def is_established(self) -> bool:
+        """Whether enough events agree on the step for the next one to be known."""
+        return self.is_regular and self.events >= MIN_REGULAR_EVENTS
+
+    def advance(self, position: int | EventDefect | None) -> bool:
+        """Record an event if the stream counts by one and it is the next one.
 
-    def follows(self, position: int | None) -> bool:
-        """Return whether an event with this position is the next one."""
-        if position is None or self.start is None or not self.is_regular:
+        Args:
+            position: Its position, or what it is instead of an event.
+
+        Returns:
+            Whether it was recorded.
+        """
+        if self.step != 1 or position != self.last + 1:
             return False
+        self.last = position
+        self.events += 1
+        return True
+
+    def order_of(self, position: int) -> EventOrder | EventDefect:
+        """Return the order of an event, or why it cannot follow the last one.
+
+        Where ids increase by no rule, whether events are missing cannot be told.
+
+        Args:
+            position: Its position.
+        """
         if self.events == 0:
-            return True
-        advance = position - self.last
-        if self.step is None:
-            return advance > 0 and self.last - self.start in (0, advance)
-        if advance == self.step:
-            return advance > 0
-        return 0 < advance < self.step and self.events >= MIN_EVENTS_OF_OTHER_STEP
-
-    def record(self, position: int | None) -> None:
-        """Record that the caller has another event."""
+            return self._order_of_first(position)
+        if position <= self.last:
+            return EventDefect.NOT_RISING
+        if not self.is_regular or self.step is None:
+            return EventOrder.NEXT
+        if position == self.last + self.step:
+            return EventOrder.NEXT
+        if self.is_established and position > self.last + self.step:
+            return EventDefect.GAP
+        return EventOrder.POSSIBLE
+
+    def record(self, position: int) -> None:
+        """Record that the caller has another event, the order of which is known."""
         if self.is_regular:
-            self._advance(position)
+            self._learn(position)
         self.last = position
         self.events += 1
 
-    def _advance(self, position: int | None) -> None:
-        """Compare an event with the ones before."""
-        if self.step == 1 and position == self.last + 1:
-            return
-        if not self.follows(position):
+    def _order_of_first(self, position: int) -> EventOrder | EventDefect:
+        """Return the order of the first event."""
+        if self.start is None or position == self.start + 1:
+            return EventOrder.NEXT
+        # Streams may count from zero.
+        if position > self.start or position == self.start == 0:
+            return EventOrder.POSSIBLE
+        return EventDefect.NOT_RISING
+
+    def _learn(self, position: int) -> None:
+        """Learn the step from another event, or that there is none."""
+        if self.start is None:
             self.is_regular = False
         elif self.events == 0:
             self.step = 1 if position == self.start + 1 else None
         elif self.step is None:
             self.step = position - self.last
-        elif position - self.last != self.step:
+            is_first_step = self.last - self.start in (0, self.step)
+            self.is_regular = is_first_step and self.step > 0
+        elif position != self.last + self.step:
+            self.is_regular = (
+                self.is_established and self.last < position < self.last + self.step
+            )
             self.step = 0
-
-
-def parse_position(identifier: bytes) -> int | None:
-    """Return the position that an id names, None if it is no decimal number."""
-    return int(identifier) if POSITION.fullmatch(identifier) else None
-
-
-def event_position(event: bytes) -> int | None:
-    """Return an event's position, None unless it has one id, a number, and data."""
-    usual = USUAL_EVENT.fullmatch(event)
-    if usual is not None:
-        return int(usual[1])
-    lines = event.splitlines()
-    identifiers = [line[3:] for line in lines if line.startswith(b"id:")]
-    if len(identifiers) != 1 or not any(line.startswith(b"data:") for line in lines):
-        return None
-    return parse_position(identifiers[0].removeprefix(b" "))
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -19,9 +19,9 @@
 
     from lacewingcourse.core.errors import Refusal
     from lacewingcourse.core.pipelines.crashes import AnswerProgress
-    from lacewingcourse.core.pipelines.events import UnsoundBytes
     from lacewingcourse.core.pipelines.scheduling import QueuedRequest
     from lacewingcourse.core.pipelines.shutdown import AnswerTime
+    from lacewingcourse.core.pipelines.stream_copy import UnsoundBytes
     from lacewingcourse.relay.caller import CallerExchange
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.metrics import Metrics
@@ -40,7 +40,6 @@
     "paths": 20,
     "late_report": 20,
     "caller_closed": 60,
-    "unsound_event": 20,
     "refused": 150,
     "defect": 5,
 }
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -117,8 +117,7 @@
         """Start an attempt on the path of a replacement; None if it was not sent."""
         forwarder, job, path = self.forwarder, self.job, found.path
         now = forwarder.sender.clock()
-        cutter = self.state.cutter
-        after, forwarded = cutter.last_id, cutter.forwarded
+        after, forwarded = self.state.copy.last_id, self.state.copy.forwarded
         first = path.first
         sending = job.sending(
             first.name, first.address, path, now, after, first.endpoint
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -50,8 +50,6 @@
 ERROR_BODY_TIMEOUT = 0.5
 #: Reason of an attempt that is closed because another one replaces it.
 STALLED_REASON = "the stream stood still"
-#: Reason of an attempt that ended in the middle of an event.
-TRUNCATED_EVENT_REASON = "cut event"
 #: Reason of an attempt whose connection closed before any event.
 NO_EVENT_REASON = "closed before the first event"
 
@@ -148,20 +146,26 @@
         Returns:
             What to wait for before more is read, None if the caller can take more.
         """
-        cutter = self.state.cutter
-        if cutter.failure:
+        copy = self.state.copy
+        if copy.unsound is not None:
             return None
-        was_sound = cutter.unsound is None
-        events = cutter.feed(data)
-        if was_sound and cutter.unsound is not None:
-            self.log.unsound_event(self.job, cutter.unsound)
-        self.job.dropped_events = cutter.dropped
-        self.job.is_continuable = cutter.is_continuable
+        events = copy.feed(data)
+        self.job.dropped_events = copy.dropped
+        self.job.is_continuable = copy.is_continuable
         self.caller_wait = self._forward_events(events)
-        if cutter.failure:
-            self.exchange.arrivals.put_nowait(End(False, cutter.failure))
+        if copy.unsound is not None:
+            self.log.unsound_event(self.job, copy.unsound)
+            self.exchange.arrivals.put_nowait(End(False, copy.failure))
         return self.caller_wait
 
+    def _check_end(self) -> None:
+        """Log bytes behind the last event of a response that has ended complete."""
+        copy = self.state.copy
+        if copy.unsound is None:
+            copy.check_end()
+            if copy.unsound is not None:
+                self.log.unsound_event(self.job, copy.unsound)
+
     def _next_check_at(self, now: float) -> float:
         """Return when to check for a stall if nothing arrives until then, seconds."""
         if self._awaits_caller:
@@ -284,7 +288,7 @@
         if standby.failure is not None:
             self.mover.on_standby_failed(standby)
             return self.ended_result
-        if self.state.cutter.forwarded > standby.forwarded:
+        if self.state.copy.forwarded > standby.forwarded:
             self.mover.drop_standby(standby)
             self._has_resumed(self.sender.clock())
             return None
@@ -330,6 +334,8 @@
             self._close_attempt(arrival.reason)
             self.job.caller.abort()
             return AttemptResult(AttemptEnd.ABANDONED, arrival.reason)
+        if arrival.complete:
+            self._check_end()
         if self._is_complete(arrival):
             self.sender.release(self.exchange, self.head)
             self._finish_response()
@@ -338,7 +344,7 @@
             return self._on_lost(self.exchange, self.started_at, arrival)
         # An engine ends a stream that stalled behind another part. It has not crashed
         # itself, so this attempt does not count as lost.
-        self._close_attempt(arrival.reason or TRUNCATED_EVENT_REASON)
+        self._close_attempt(arrival.reason or self.state.copy.failure)
         result = AttemptResult(AttemptEnd.STALLED, self.job.reason)
         if self.standby is None:
             return result
@@ -351,9 +357,9 @@
         An engine that crashes closes its connection as well. A stream that only the
         close ends is therefore taken for broken off if it has no event.
         """
-        if not arrival.complete or not self.state.cutter.may_end:
+        if not arrival.complete or not self.state.copy.may_end:
             return False
-        return not arrival.by_close or self.first_event_at is not None
+        return not arrival.by_close or self.state.copy.has_new_events
 
     def _on_lost(
         self, exchange: Exchange, started_at: float, arrival: Arrival
@@ -361,16 +367,18 @@
         """Close an attempt that ended early, and return its result."""
         reason = getattr(arrival, "reason", "")
         if not reason:
-            cut = self.state.cutter.pending
-            reason = TRUNCATED_EVENT_REASON if cut else NO_EVENT_REASON
+            failure = self.state.copy.failure if exchange is self.exchange else ""
+            reason = failure or NO_EVENT_REASON
         exchange.abandon()
         self.job.record_outcome(SendOutcome.MAY_HAVE_RUN, reason)
         now = self.sender.clock()
         if exchange.was_dropped and now < started_at + STALE_CONNECTION_WINDOW:
             return AttemptResult(AttemptEnd.DROPPED, reason)
-        if exchange is self.exchange and self.state.cutter.failure:
+        by_close = getattr(arrival, "by_close", False)
+        is_unsound = exchange is self.exchange and self.state.copy.unsound is not None
+        if is_unsound and not by_close:
             # Its engine has not crashed.
-            return AttemptResult(AttemptEnd.LOST, self.state.cutter.failure)
+            return AttemptResult(AttemptEnd.LOST, reason)
         answered = exchange is self.exchange and self.head is not None
         first_event_at = self.first_event_at if answered else None
         progress = answer_progress(answered, first_event_at, now)
@@ -380,11 +388,14 @@
 
     def _finish_response(self) -> None:
         """End the caller's response, which may have no events."""
-        line_ends = self.state.cutter.pending
-        if not self.job.caller.response_started:
-            self._begin_response(line_ends)
+        has_event = self.state.copy.held is not None
+        rest = self.state.copy.finish()
+        if has_event:
+            self._forward_events(rest)
+        elif not self.job.caller.response_started:
+            self._begin_response(rest)
         else:
-            self.job.caller.write(line_ends)
+            self.job.caller.write(rest)
         self.job.caller.end()
 
     def _begin_response(self, events: bytes) -> asyncio.Future[None] | None:
--- a/packages/relay/src/lacewingcourse/relay/stream_state.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -11,9 +11,9 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.core.pipelines.choice import Demand
-    from lacewingcourse.core.pipelines.events import EventSplitter
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.shape import EngineShape
+    from lacewingcourse.core.pipelines.stream_copy import StreamCopy
     from lacewingcourse.relay.connections import Connection
     from lacewingcourse.relay.job import Job
     from lacewingcourse.relay.ports import AnswerHead
@@ -124,8 +124,7 @@
         job: The request.
         shape: Performance figures of the service's engines.
         demand: Memory and time that the request is expected to need on a path.
-        cutter: Splits received bytes into events and keeps the id of the last one
-            passed on.
+        copy: What the caller has of the stream, and which bytes it gets next.
         head: Head of the response, which is that of the run with its first event; None
             before a successful one.
         last_event_at: When the current attempt started or last passed on an event,
@@ -137,7 +136,7 @@
     job: Job
     shape: EngineShape
     demand: Demand
-    cutter: EventSplitter
+    copy: StreamCopy
     head: AnswerHead | None = None
     last_event_at: float = 0.0
     failure: WholeAnswer | None = None
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -8,7 +8,7 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
-from lacewingcourse.core.pipelines.events import EventSplitter
+from lacewingcourse.core.pipelines.stream_copy import StreamCopy
 from lacewingcourse.core.pipelines.suspects import Grade, is_full, rejection_grade
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.connections import (
@@ -124,8 +124,8 @@
             A refusal if the response could not be completed, None if it was, or if the
             caller left.
         """
-        cutter = EventSplitter.for_request(job.request.resume_after)
-        state = StreamState(job, shape, demand_of(job, shape), cutter)
+        copy = StreamCopy(job.request.resume_after)
+        state = StreamState(job, shape, demand_of(job, shape), copy)
         try:
             return await self._serve(state)
         finally:
@@ -290,7 +290,7 @@
         job = state.job
         now = self.sender.clock()
         first = job.path.first
-        after = state.cutter.last_id
+        after = state.copy.last_id
         if now >= job.deadline:
             if reserved is not None:
                 reserved.close()
@@ -321,7 +321,7 @@
             self.stalls.begin(job, self.sender.clock())
             if job.caller.disconnected:
                 job.on_caller_disconnect()
-            state.cutter.begin_run()
+            state.copy.begin_run()
             mover = Mover(self, state, job.path)
             attempt = StreamAttempt(
                 state, sent, self.sender, self.stalls, self.log, mover, head
--- a/packages/relay/tests/relay/test_decisions.py
+++ b/packages/relay/tests/relay/test_decisions.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from lacewingcourse.core.pipelines.event_form import EventDefect
-from lacewingcourse.core.pipelines.events import UnsoundBytes
+from lacewingcourse.core.pipelines.stream_copy import UnsoundBytes
 from lacewingcourse.relay.decisions import MAX_LINES_PER_SECOND, DecisionLog, LineBudget
 from lacewingcourse.relay.metrics import Metrics
 
