Refuse a stream that is larger than the memory of any path at once

A caller who named 10^8 tokens waited for up to half the objective of its route, and was refused then.

Cause: a request that fits on no path was taken for one that lacks room at present. It was counted as demand on its arrival, and as a shortage when no path was found.

Change: before it is queued, a stream is compared with the memory of the candidate paths with nothing else there. If none holds it, it is refused as `overloaded` with `Retry-After`, as the servers do with what is larger than their memory. While no path is known it waits as before.

Why it works: what has no room on idle paths gets none by waiting, and what is never counted distorts no division.

--- a/packages/core/src/lacewingcourse/core/pipelines/choice.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/choice.py
@@ -224,6 +224,13 @@
         """
         return self.cost(path, demand, now, share) is not None
 
+    def could_hold(self, path: Path, demand: Demand) -> bool:
+        """Return whether the memory of a path holds a request if no other runs."""
+        return all(
+            demand.tokens * part.span <= part.kv_capacity
+            for part in self._costs_of(path).parts
+        )
+
     def cost(
         self, path: Path, demand: Demand, now: float, share: float = MAX_MEMORY_SHARE
     ) -> float | None:
--- a/packages/core/src/lacewingcourse/core/pipelines/scheduling.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/scheduling.py
@@ -81,7 +81,7 @@
 
 
 class RefusalCause(Enum):
-    """Why a scheduler refuses a request.
+    """Why a request gets no room.
 
     Attributes:
         SHARE: It does not belong to what this entry may start.
@@ -89,6 +89,7 @@
         WAITED: It found no room until its latest start.
         QUEUE_FULL: Too many requests wait.
         NOT_ALLOWED: Waiting would not help, such as while the entry drains.
+        OVERSIZED: It is larger than the memory of any path.
     """
 
     SHARE = "share"
@@ -96,6 +97,7 @@
     WAITED = "waited"
     QUEUE_FULL = "queue_full"
     NOT_ALLOWED = "not_allowed"
+    OVERSIZED = "oversized"
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/path_finder.py
+++ b/packages/relay/src/lacewingcourse/relay/path_finder.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.pipelines.choice import (
     MAX_MEMORY_SHARE,
     MAX_MEMORY_SHARE_RESUMED,
@@ -78,6 +78,24 @@
             return self._choose(job, shape, demand, besides, share)
         return found
 
+    def oversized(self, job: Job, shape: EngineShape, demand: Demand) -> Refusal | None:
+        """Return why no path holds a request even if no other runs, None if one does.
+
+        It must neither wait nor count as demand for room: nothing that becomes free
+        serves it, and others would be refused in its favour.
+
+        Args:
+            job: The request.
+            shape: Figures of the service's engines.
+            demand: Its demand on a path.
+        """
+        chooser = self.routing_state.chooser(shape)
+        paths = self.routing_state.paths(job.service, shape, self.clock())
+        if not paths or any(chooser.could_hold(path, demand) for path in paths):
+            return None
+        reason = f"no path has memory for {demand.tokens} tokens"
+        return Refusal(ErrorKind.OVERLOADED, reason)
+
     def idle_first_event(
         self, job: Job, shape: EngineShape, demand: Demand
     ) -> float | None:
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.events import EventSplitter
+from lacewingcourse.core.pipelines.scheduling import RefusalCause
 from lacewingcourse.core.pipelines.suspects import Grade, is_full, rejection_grade
 from lacewingcourse.relay.admission import RETRY_PERIOD
 from lacewingcourse.relay.connections import (
@@ -126,6 +127,10 @@
         """
         cutter = EventSplitter.for_request(job.request.resume_after)
         state = StreamState(job, shape, demand_of(job, shape), cutter)
+        refusal = self.finder.oversized(job, shape, state.demand)
+        if refusal is not None:
+            job.refused_by = RefusalCause.OVERSIZED.value
+            return self._fail(state, refusal.kind, refusal.reason, refusal)
         try:
             return await self._serve(state)
         finally:
--- a/packages/relay/tests/relay/stream_scenario.py
+++ b/packages/relay/tests/relay/stream_scenario.py
@@ -260,7 +260,7 @@
         )
         forwarder = StreamForwarder(
             self.routing_state,
-            SimpleNamespace(find=self._find),
+            SimpleNamespace(find=self._find, oversized=lambda *demand: None),
             self,
             self.budget,
             Random(1),
--- a/packages/relay/tests/relay/test_path_finder.py
+++ b/packages/relay/tests/relay/test_path_finder.py
@@ -164,3 +164,19 @@
 def test_endpoint_at_its_limit_may_be_a_later_part_of_a_path(finder, shape):
     name_limits(finder, "c", "d")
     assert finder.find(job_of(), shape, DEMAND).uses("cd")
+
+
+@pytest.mark.parametrize(
+    ("prompt", "is_oversized"), [(49_800, False), (49_801, True), (10**12, True)]
+)
+def test_only_a_request_that_no_idle_path_holds_is_oversized(
+    finder, shape, prompt, is_oversized
+):
+    fill(finder, *"abcd")
+    found = finder.oversized(job_of(), shape, Demand(prompt, 200))
+    assert (found is not None) is is_oversized
+
+
+def test_no_request_is_oversized_while_no_path_is_known(finder, shape):
+    finder.routing_state.fleet.endpoints.clear()
+    assert finder.oversized(job_of(), shape, Demand(10**12, 200)) is None
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -14,9 +14,11 @@
 from lacewingcourse.core.pipelines.load import Load
 from lacewingcourse.core.pipelines.path import Part, Path
 from lacewingcourse.core.pipelines.retry_budget import RetryBudget
+from lacewingcourse.core.pipelines.room_sharing import DeploymentRoomShare
 from lacewingcourse.core.pipelines.routing import RetrySafety
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.core.pipelines.suspects import Grade
+from lacewingcourse.relay.admission import Admission
 from lacewingcourse.relay.ports import AnswerHead, AnswerKind
 from lacewingcourse.relay.room import TakenRoom
 from lacewingcourse.relay.routing_state import RoutingState
@@ -26,6 +28,8 @@
     Head,
 )
 
+from .stream_scenario import StreamScenario
+
 #: Tokens for which a part with one layer has memory.
 ROOM = 50_000
 PATH = Path(
@@ -82,7 +86,9 @@
         recorder = Recorder()
         forwarder = StreamForwarder(
             routing_state,
-            SimpleNamespace(find=lambda job, shape, demand: PATH),
+            SimpleNamespace(
+                find=lambda job, shape, demand: PATH, oversized=lambda *demand: None
+            ),
             RejectingSender(status),
             RetryBudget(0.2, 10.0, 20),
             Random(1),
@@ -205,6 +211,32 @@
     assert recorder.probed == []
 
 
+@pytest.mark.parametrize("prompt", [ROOM, 10**8, 10**12])
+def test_a_request_larger_than_any_memory_is_refused_at_once(finder, shape, prompt):
+    """It waited, and as demand for room it had less urgent requests refused."""
+    share = DeploymentRoomShare("entry")
+    admission = Admission(lambda: 0.0, share_of=lambda service: share)
+    recorder = Recorder()
+    forwarder = StreamForwarder(
+        finder.routing_state,
+        finder,
+        RejectingSender(503),
+        RetryBudget(0.2, 10.0, 20),
+        Random(1),
+        admission,
+        recorder,
+        recorder,
+    )
+    job = StreamScenario(shape, {})._job()
+    job.request.prompt = prompt
+    refusal = asyncio.run(asyncio.wait_for(forwarder.serve(job, shape), 1.0))
+    assert (refusal.kind, job.refused_by) == (ErrorKind.OVERLOADED, "oversized")
+    assert share.own.read(0.0).ranks == {}
+    assert (share.own.waiting, admission.schedulers) == ({}, {})
+    state = finder.routing_state
+    assert (state.loads.own, state.running.by_endpoint, state.links.own) == ({}, {}, {})
+
+
 @pytest.mark.parametrize(("slowdown", "grade"), [(1.0, Grade.LOST), (12.0, Grade.SLOW)])
 def test_a_slow_endpoint_without_a_connection_in_time_is_not_taken_for_lost(
     slowdown, grade
