Take a response with a status below 100 for no response

An engine that answered "HTTP/1.1 099" with a body had the request of its stream fail within the entry: the body arrived without a head, and its first event was passed on by a head that was not there. What ended with such a status counted as complete.

Cause: a status below 200 was skipped as an informational one, but the library reads a body after one below 100, and ends the response.

Change: such a response is given up, and its connection closed.

Why it works: nothing but an incomplete end arrives of it, which callers of plain services and of streams have handled before.

--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -26,6 +26,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 #: Maximum size of a response body in bytes.
 MAX_BODY_BYTES = 64 * 1024 * 1024
+#: Lowest HTTP status.
+LOWEST_STATUS = 100
 #: Maximum number of responses to other requests, and of informational ones, that are
 #: skipped. One that comes late stands before the expected one; more are no answers.
 MAX_SKIPPED_RESPONSES = 16
@@ -181,6 +183,11 @@
         """Process a response head; informational (1xx) ones are ignored."""
         self.received_any = True
         status = start_line.code
+        if status < LOWEST_STATUS:
+            # The library reads a body after such a status.
+            self._skipping = True
+            self._give_up(f"status {status}, which does not exist")
+            return
         if status < 200:
             self._skip_response()
             return
