Follow no redirects in calls to servers, the store and entries

A process that answers a report, an order, a read of the store or a message between entries with 302 had the entry send the call on to whatever address its Location names; the answer from there was taken for its own. An order that is redirected became a GET, whose 200 stands for "done".

Cause: the library follows redirects unless told otherwise, and no call told it.

Change: `fetch_whole`, through which all these calls pass, does not follow them. A 302 is a status as any other: a refused order, a report or a store that is not available.

Why it works: a call has one address, and only what comes from there is read.

--- a/packages/relay/src/lacewingcourse/relay/whole_responses.py
+++ b/packages/relay/src/lacewingcourse/relay/whole_responses.py
@@ -42,17 +42,20 @@
     """Return the response to a request, whatever its status.
 
     curl takes a response whose connection is closed within its head for a complete one
-    without a body.
+    without a body. Redirects are not followed: their target is another process, whose
+    response says nothing of the one that was asked.
 
     Args:
         client: A client that uses curl.
-        request: The request; its header callback is replaced.
+        request: The request; its header callback and following of redirects are
+            replaced.
 
     Raises:
         HTTPError: There is no response, or it ended within its head.
     """
     head = HeadProgress()
     request.header_callback = head.receive
+    request.follow_redirects = False
     response = await client.fetch(request, raise_error=False)
     if head.begun and not head.complete:
         raise HTTPError(NO_RESPONSE_STATUS, "the response ended within its head")
--- a/packages/relay/tests/relay/test_odd_heads.py
+++ b/packages/relay/tests/relay/test_odd_heads.py
@@ -6,10 +6,13 @@
 
 import pytest
 from hypothesis import given, settings, strategies as st
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError, HTTPRequest
 from tornado.httputil import HTTPHeaders
 
 from lacewingcourse.relay.connections import ConnectionPool
 from lacewingcourse.relay.upstream import Data, End, Exchange, Head
+from lacewingcourse.relay.whole_responses import fetch_whole
 
 from .test_caller import run
 
@@ -137,3 +140,54 @@
         head = b"Transfer-Encoding: chunked\r\n"
     body = chunk + b"\r\nok\r\n0\r\n\r\n"
     assert_well_formed(arrivals_of(response(status + b" X", head, body)))
+
+
+async def fetch(written: bytes, method: str = "GET") -> tuple[int, int]:
+    """Return the status of a response received with curl, and the requests sent.
+
+    The status is 599 for no response.
+    """
+    requests = 0
+
+    async def endpoint(reader, writer):
+        nonlocal requests
+        requests += 1
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(written)
+        writer.close()
+
+    async with await asyncio.start_server(endpoint, "127.0.0.1", 0) as server:
+        host, port = server.sockets[0].getsockname()
+        client = CurlAsyncHTTPClient(force_instance=True)
+        body = b"" if method == "POST" else None
+        url = f"http://{host}:{port}/"
+        request = HTTPRequest(url, method, body=body, request_timeout=5.0)
+        try:
+            status = (await fetch_whole(client, request)).code
+        except HTTPError as error:
+            status = error.code
+        client.close()
+        return status, requests
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize(
+    "target", [b"/", b"http://[::1", b"http://h:99999/", b"/ \xff"]
+)
+def test_a_redirect_is_not_followed(method, target):
+    """The answer of another process was taken for that of the one that was asked."""
+
+    async def test():
+        head = b"Location: %b\r\nContent-Length: 2\r\n" % target
+        assert await fetch(response(b"302 Found", head), method) == (302, 1)
+
+    run(test)
+
+
+@pytest.mark.parametrize("status", BAD_STATUSES, ids=lambda status: status[:8])
+def test_a_status_that_does_not_exist_is_no_response_to_curl(status):
+    async def test():
+        found, _ = await fetch(response(status + b" X"))
+        assert found != 200
+
+    run(test)
