Let no error end the background work of an entry

Seen: in the reports of other operators, processes stopped following the list. Here any error in a loop (following versions and servers, gossip, registry, loans, permits, refusals, placement, housekeeping, probes, lag, settings) ended it for good with one line `defect` that did not name it; the entry served on with what it knew, READY and with no metric for it.

Cause: each loop ran as a task whose error was only logged. Tasks that nothing awaits (exchanges, fetches, probes, permit requests) logged none. An exchange whose message could not be composed left its address marked as in progress, so that the entry was never contacted again. An error with one directory entry was met again with each read, as the position behind it was not kept; one with a service kept the services after it unplaced.

Change: `background.BackgroundTasks` begins a loop again after 0.1 s, then twice as long each time up to 2 s, and logs the error with its name. A process ends only by `Application.ended`, after SIGTERM. Tasks and callbacks log their errors likewise. The directory and the placement log an error with one entry or one service and go on with the next; an exchange composes its message where its mark is removed in any case.

The test of a defect in an order takes the name of the work, which `failed` is called with now.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -25,6 +25,7 @@
 from lacewingcourse.core.pipelines.shutdown import LAST_REQUESTS
 from lacewingcourse.relay.address import split_address
 from lacewingcourse.relay.admission import Admission
+from lacewingcourse.relay.background import BackgroundTasks
 from lacewingcourse.relay.backoff_reader import BackoffReader
 from lacewingcourse.relay.boot_clock import boot_time
 from lacewingcourse.relay.calls import CallForwarder
@@ -59,7 +60,7 @@
 from lacewingcourse.relay.suspicion_log import SuspicionLog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Awaitable, Callable
 
     from lacewingcourse.core.pipelines.suspects import Grade
     from lacewingcourse.relay.loop_watch import Section
@@ -76,6 +77,8 @@
         readiness: Whether it is ready.
         log: Decision log.
         suspicion_log: Logs suspicions of endpoints.
+        background: Work that runs until the process ends.
+        ended: Set when the process is to end; nothing else ends it.
     """
 
     def __init__(
@@ -124,7 +127,8 @@
         )
         self.ended = asyncio.Event()
         self.reloader = SettingsWatch(read_changed, self._apply, self.log)
-        self._tasks: list[asyncio.Task] = []
+        self.background = BackgroundTasks(self.log, self.clock)
+        self.loop.set_exception_handler(self.background.on_loop_error)
         self._compose()
 
     def _compose(self) -> None:
@@ -364,40 +368,39 @@
         self._listen(self.ready, self.settings.ready)
         if self.settings.peers:
             self._listen(self.peer_server, self.settings.peers)
-            self._start(self.peers.run())
-            self._start(self.peers.keep_registered())
-            self._start(self.loans.run())
-        self._start(self.permits.run())
-        self._start(self.refusal_keeper.run())
         if self.settings.metrics:
             self._listen(self.metrics_server, self.settings.metrics)
         self.loop.add_signal_handler(signal.SIGTERM, self._on_term)
         self.loop.add_signal_handler(signal.SIGHUP, self.reloader.on_signal)
-        self._start(self.configuration.run())
-        self._start(self.directory.run())
-        self._start(self.placement.run())
-        self._start(self.housekeeper.run())
-        self._start(self.stalls.run())
-        self._start(self.watch.run())
-        self._start(self.reloader.run())
+        for name, loop in self.loops().items():
+            self.background.repeat(name, loop)
         self.log.log_event("started", zone=self.settings.zone)
         await self.ended.wait()
         self.log.log_event("ended", open=len(self.ingress.callers.open))
 
+    def loops(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the loops that run until the process ends, by name."""
+        found = {
+            "permits": self.permits.run,
+            "refusals": self.refusal_keeper.run,
+            "configuration": self.configuration.run,
+            "directory": self.directory.run,
+            "placement": self.placement.run,
+            "housekeeping": self.housekeeper.run,
+            "stalls": self.stalls.run,
+            "loop watch": self.watch.run,
+            "settings": self.reloader.run,
+        }
+        if self.settings.peers:
+            found["gossip"] = self.peers.run
+            found["registry"] = self.peers.keep_registered
+            found["retry loans"] = self.loans.run
+        return found
+
     def _listen(self, server: HTTPServer, address: str) -> None:
         host, port = split_address(address)
         server.listen(port, host)
 
-    def _start(self, work: Coroutine) -> None:
-        task = asyncio.ensure_future(work)
-        task.add_done_callback(self._on_task_done)
-        self._tasks.append(task)
-
-    def _on_task_done(self, task: asyncio.Task) -> None:
-        """Log the error of a background task, none of which should end."""
-        if not task.cancelled() and task.exception() is not None:
-            self.log.failed(task.exception())
-
     def _version(self) -> int:
         table = self.routing_state.table
         return table.version if table else 0
@@ -489,7 +492,7 @@
             return
         # A blocked loop handles the signal late; the grace time counts from before it.
         self.ingress.start_drain(self.watch.previous_tick)
-        self._start(self._leave())
+        self.background.start("shutdown", self._leave())
         self._notify_peers()
         self.ingress.log_drain_start()
 
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -334,10 +334,16 @@
         """
         self._line(event, **fields)
 
-    def failed(self, error: Exception) -> None:
-        """Log an unexpected error with its traceback."""
+    def failed(self, error: Exception, task: str = "") -> None:
+        """Log an unexpected error with its traceback.
+
+        Args:
+            error: The error.
+            task: Name of the background work that it interrupted, empty for none.
+        """
         if self.budget.allow("defect", self.clock()):
-            logger.opt(exception=error).error("defect")
+            fields = {"task": task} if task else {}
+            logger.bind(**fields).opt(exception=error).error("defect")
         else:
             self.metrics.lines_left_out.inc()
 
--- a/packages/relay/src/lacewingcourse/relay/followers.py
+++ b/packages/relay/src/lacewingcourse/relay/followers.py
@@ -312,11 +312,15 @@
         self._check_epoch(update.position, now)
         changed: list[Endpoint] = []
         for entry in update.entries:
-            if entry.endpoint is not None:
-                if self._update_endpoint(entry.endpoint, log_changes):
-                    changed.append(entry.endpoint)
-            elif fleet.remove(entry.name, now):
-                self.log.log_event("endpoint_gone", endpoint=entry.name)
+            try:
+                if entry.endpoint is not None:
+                    if self._update_endpoint(entry.endpoint, log_changes):
+                        changed.append(entry.endpoint)
+                elif fleet.remove(entry.name, now):
+                    self.log.log_event("endpoint_gone", endpoint=entry.name)
+            except Exception as error:
+                # The position has to go on, or the same entry would be read for ever.
+                self.log.failed(error, f"directory entry {entry.name}")
         for unreadable in update.unreadable:
             self._note_unreadable(unreadable)
         if update.whole:
--- a/packages/relay/src/lacewingcourse/relay/limit_permits.py
+++ b/packages/relay/src/lacewingcourse/relay/limit_permits.py
@@ -10,6 +10,7 @@
 from lacewingcourse.core.pipelines.limit_sharing import PermitSharing
 from lacewingcourse.core.pipelines.permits import Grant, PermitDemand, issuer_of
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
+from lacewingcourse.relay.background import start_task
 from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.peer_messages import (
     PermitReply,
@@ -103,7 +104,8 @@
             self._apply_grant(endpoint, demand, grant, issuer_name, now)
             return
         self.pending.add(endpoint)
-        asyncio.ensure_future(self._request_permits(endpoint, demand, issuer_name))
+        work = self._request_permits(endpoint, demand, issuer_name)
+        start_task("permit request", work, self.log)
 
     async def _request_permits(
         self, endpoint: str, demand: PermitDemand, issuer_name: str
--- a/packages/relay/src/lacewingcourse/relay/peers.py
+++ b/packages/relay/src/lacewingcourse/relay/peers.py
@@ -11,6 +11,7 @@
 from tornado.httpclient import HTTPError, HTTPRequest
 
 from lacewingcourse.core.pipelines.log_position import LOG_START
+from lacewingcourse.relay.background import start_task
 from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.peer_messages import (
     FleetSnapshot,
@@ -169,11 +170,12 @@
         """Start an exchange with an entry unless one is in progress."""
         if address not in self.active_exchanges:
             self.active_exchanges.add(address)
-            message = encode(self.gossip.message_for(name, zone))
-            asyncio.ensure_future(self._exchange(address, message))
+            work = self._exchange(address, name, zone)
+            start_task("exchange", work, self.gossip.log)
 
-    async def _exchange(self, address: str, message: bytes) -> None:
+    async def _exchange(self, address: str, name: str, zone: str) -> None:
         try:
+            message = encode(self.gossip.message_for(name, zone))
             body = await self.fetch(address, GOSSIP_PATH, message)
             answer = self._decode(body, GossipMessage, address)
             if answer is not None:
@@ -241,7 +243,8 @@
         if any(now - began_at < HEDGE_DELAY for began_at in in_progress.values()):
             return
         in_progress[message.address] = now
-        asyncio.ensure_future(self._run_fetch(resource, message, fetch))
+        work = self._run_fetch(resource, message, fetch)
+        start_task(f"fetch of {resource}", work, self.gossip.log)
 
     async def _run_fetch(self, resource: str, message: GossipMessage, fetch) -> None:
         try:
--- a/packages/relay/src/lacewingcourse/relay/placement_duty.py
+++ b/packages/relay/src/lacewingcourse/relay/placement_duty.py
@@ -17,6 +17,7 @@
 from lacewingcourse.core.pipelines.rebalancing import search_rebalancing
 from lacewingcourse.core.pipelines.repair import search_repairs
 from lacewingcourse.core.pipelines.suspects import Grade
+from lacewingcourse.relay.background import start_task
 from lacewingcourse.relay.pending_order import PendingOrder
 from lacewingcourse.relay.ports import EngineReport, Lease, OrderOutcome, Unavailable
 
@@ -121,8 +122,13 @@
         if self.routing_state.table is None:
             return
         for service in self.routing_state.table.services.values():
-            if service.shape is not None:
+            if service.shape is None:
+                continue
+            try:
                 await self._place_service(service.name, service.shape, now)
+            except Exception as error:
+                # The other services are placed all the same.
+                self.log.failed(error, f"placement of {service.name}")
 
     def _note_changes(self, now: float) -> None:
         """Record changes of the fleet, and drop orders that have taken effect."""
@@ -145,7 +151,7 @@
                 # A second order would load the same layers again after the first one.
                 extended = attrs.evolve(order, until=now + ORDER_MARGIN)
                 self.pending[endpoint_id] = extended
-                self._start(self._drop_unless_busy(endpoint, extended))
+                self._start("order check", self._drop_unless_busy(endpoint, extended))
 
     async def _place_service(
         self, service: str, shape: EngineShape, now: float
@@ -183,19 +189,12 @@
             duration = self._expected_duration(
                 max(moved_layers, len(assignment.layers)), shape
             )
-            tasks.append(self._start(self._order(assignment, duration, now)))
+            tasks.append(self._start("order", self._order(assignment, duration, now)))
         return tasks
 
-    def _start(self, work: Coroutine[None, None, None]) -> asyncio.Task:
+    def _start(self, name: str, work: Coroutine[None, None, None]) -> asyncio.Task:
         """Start a task whose errors are logged."""
-        task = asyncio.ensure_future(work)
-        task.add_done_callback(self._on_task_done)
-        return task
-
-    def _on_task_done(self, task: asyncio.Task) -> None:
-        """Log the error of a failed task, whose result nothing else reads."""
-        if not task.cancelled() and task.exception() is not None:
-            self.log.failed(task.exception())
+        return start_task(name, work, self.log)
 
     def _count_moved_layers(self, plan: list[Assignment]) -> int:
         """Return the number of layers to be loaded by endpoints that hold others.
--- a/packages/relay/src/lacewingcourse/relay/stall_watcher.py
+++ b/packages/relay/src/lacewingcourse/relay/stall_watcher.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.core.pipelines.stalls import StallWatch
 from lacewingcourse.core.pipelines.suspects import Grade
+from lacewingcourse.relay.background import start_task
 from lacewingcourse.relay.decoding import Undecodable
 from lacewingcourse.relay.ports import EngineReport, Unavailable
 from lacewingcourse.relay.upstream import Stalled
@@ -183,7 +184,7 @@
             return
         self.probed_at[part.address] = now
         self.probing.add(part.address)
-        asyncio.ensure_future(self._run_probe(part))
+        start_task("probe", self._run_probe(part), self.log)
 
     async def _run_probe(self, part: Part) -> None:
         started = self.clock()
--- a/packages/relay/tests/relay/test_peers.py
+++ b/packages/relay/tests/relay/test_peers.py
@@ -26,7 +26,7 @@
 def make_exchange(document: bytes) -> PeerExchange:
     """Return the exchange of an entry that has a version in force."""
     table = SimpleNamespace(version=7, document=document)
-    gossip = SimpleNamespace(routing_state=SimpleNamespace(table=table))
+    gossip = SimpleNamespace(routing_state=SimpleNamespace(table=table), log=None)
     return PeerExchange(gossip, (), None, lambda: 0.0, lambda: None)
 
 
--- a/packages/relay/tests/relay/test_placement_duty.py
+++ b/packages/relay/tests/relay/test_placement_duty.py
@@ -169,7 +169,7 @@
         raise ValueError("a defect")
 
     duty.orders.place = fail
-    duty.log.failed = logged.append
+    duty.log.failed = lambda error, task: logged.append(error)
     place_until(uneven_layers, 40 * QUIET_TIME)
     assert logged
     assert all(str(error) == "a defect" for error in logged)
