Cut the traceback of a defect to a length that a pipe takes whole

Seen: the line of an endless recursion over two functions has 123,000 characters, as the log shortens only repeats of one line. A pipe takes 64 KiB at once, so the rest of the line and those after it may be lost.

Cause: the length of a traceback was not limited.

Change: the line holds its last 3,000 characters, with the error.

--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -46,6 +46,9 @@
 }
 #: Maximum number of parts of a prompt in a line.
 MAX_LOGGED_PARTS = 12
+#: Maximum number of characters of a traceback in a line, its last ones. The pipe that
+#: takes the line may cut a longer one.
+MAX_LOGGED_TRACEBACK = 3_000
 #: Maximum number of bytes of an endpoint's response in a line.
 MAX_LOGGED_BYTES = 48
 
@@ -97,7 +100,8 @@
             **record["extra"],
         }
         if record["exception"] is not None:
-            document["exception"] = str(message).partition("\n")[2]
+            traceback = str(message).partition("\n")[2]
+            document["exception"] = traceback[-MAX_LOGGED_TRACEBACK:]
         line = orjson.dumps(document, default=str) + b"\n"
         try:
             os.write(STDOUT, line)
--- a/packages/relay/tests/relay/test_decisions.py
+++ b/packages/relay/tests/relay/test_decisions.py
@@ -15,7 +15,12 @@
 
 from lacewingcourse.core.pipelines.event_form import EventDefect
 from lacewingcourse.core.pipelines.events import UnsoundBytes
-from lacewingcourse.relay.decisions import MAX_LINES_PER_SECOND, DecisionLog, LineBudget
+from lacewingcourse.relay.decisions import (
+    MAX_LINES_PER_SECOND,
+    MAX_LOGGED_TRACEBACK,
+    DecisionLog,
+    LineBudget,
+)
 from lacewingcourse.relay.metrics import Metrics
 
 ROOT = Path(__file__).resolve().parents[4]
@@ -89,6 +94,35 @@
     assert document["exception"].strip().endswith("ZeroDivisionError: division by zero")
 
 
+def descend(levels):
+    """Call a function that calls this one, for ever."""
+    return descend_further(levels)
+
+
+def descend_further(levels):
+    return descend(levels + 1)
+
+
+def test_the_traceback_of_an_endless_recursion_is_cut():
+    """Guards against a line of 123,000 bytes, which a pipe may cut."""
+    code = (
+        "from packages.relay.tests.relay import test_decisions as t\n"
+        "from lacewingcourse.relay import decisions\n"
+        "decisions.configure_decision_log('edge-1', 'INFO')\n"
+        "log = decisions.DecisionLog(lambda: 1.0, None, lambda: 1)\n"
+        "try:\n    t.descend(0)\n"
+        "except RecursionError as error:\n    log.failed(error, 'directory')\n"
+    )
+    completed = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, check=True
+    )
+    (line,) = completed.stdout.splitlines()
+    assert len(line) <= MAX_LOGGED_TRACEBACK + 500
+    document = json.loads(line)
+    assert document["task"] == "directory"
+    assert "RecursionError" in document["exception"]
+
+
 def test_unsound_bytes_are_logged_briefly_and_with_escapes():
     log = DecisionLog(lambda: 5.0, Metrics(), lambda: 1)
     job = SimpleNamespace(
