Keep the other items of a listing that holds one in another form

Seen: one item of the store's listing of newest records in another form (no key, a key or value of another type, an offset that is negative, a fraction or above 2^53, no object at all) made the whole page unreadable, and with it the listing: of versions, servers, leases, addresses of entries and refusals. An entry that starts, falls behind or meets a trimmed log lists, and learned nothing as long as the item stood.

Cause: the page was decoded as one document with all its items.

Change: each item is decoded on its own. One that cannot be read is told by `record_unreadable`, once for each topic, key and reason, and so are undecodable records of entries, which were skipped without a word. A listing goes on after the last key that can be read; a page that does not tell how to go on ends it as unavailable instead of asking for ever.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -109,6 +109,7 @@
         self.log = DecisionLog(
             self.clock, self.metrics, self._version, self._version_age
         )
+        platform.unreadable.log = self.log
         self.suspicion_log = SuspicionLog(self.log)
         self.routing_state.on_selection = self.suspicion_log.selected_paths
         self.readiness = Readiness(
--- a/packages/relay/src/lacewingcourse/relay/platform_ports.py
+++ b/packages/relay/src/lacewingcourse/relay/platform_ports.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from lacewingcourse.relay.unreadable_records import UnreadableRecords
+
 if TYPE_CHECKING:
     from lacewingcourse.relay.metrics import Metrics
     from lacewingcourse.relay.ports import (
@@ -34,6 +36,7 @@
         refusals: Store of the refusals of prompt parts.
         codec: Encodes and decodes requests and answers.
         metrics: Metrics that the entry and the clients of the platform share.
+        unreadable: Logs records of the store that cannot be read.
     """
 
     configuration: ConfigurationSource
@@ -45,3 +48,4 @@
     refusals: RefusalStore
     codec: RequestCodec
     metrics: Metrics
+    unreadable: UnreadableRecords = attrs.field(factory=UnreadableRecords)
