--- a/packages/relay/src/lacewingcourse/relay/whole_responses.py
+++ b/packages/relay/src/lacewingcourse/relay/whole_responses.py
@@ -49,11 +49,16 @@
         request: The request; its header callback is replaced.
 
     Raises:
-        HTTPError: There is no response, or it ended within its head.
+        HTTPError: There is no response, it ended within its head, or the request names
+            an impossible address.
     """
     head = HeadProgress()
     request.header_callback = head.receive
-    response = await client.fetch(request, raise_error=False)
+    try:
+        response = await client.fetch(request, raise_error=False)
+    except ValueError as error:
+        # curl takes no URL with other characters than ASCII ones.
+        raise HTTPError(NO_RESPONSE_STATUS, f"no request: {error}") from error
     if head.begun and not head.complete:
         raise HTTPError(NO_RESPONSE_STATUS, "the response ended within its head")
     return response
--- a/packages/relay/tests/relay/test_peers.py
+++ b/packages/relay/tests/relay/test_peers.py
@@ -5,6 +5,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
 from tornado.httpserver import HTTPServer
 
 from lacewingcourse.relay.peers import (
@@ -86,3 +87,16 @@
     assert peers._on_configuration(None).body is first.body
     peers.gossip.routing_state.table = SimpleNamespace(version=8, document=b"{}")
     assert peers._on_configuration(None).body != first.body
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["\x00", "é:1", "\u2028:1", "a b:1", "", "127.0.0.1:" + "9" * 5_000, "x" * 70_000],
+)
+def test_an_impossible_address_of_an_entry_answers_nothing(address):
+    """An error of the client ended the loop that borrows retries."""
+
+    async def fetched():
+        return await make_exchange(DOCUMENT).fetch(address, CONFIGURATION_PATH)
+
+    assert asyncio.run(fetched()) is None
