Refuse numbers beyond sense in messages and records of entries

Seen, in a trial with one odd number at each place of a message and 60 s of sound ones after it: a refusal of a part from the far future raised in each round of gossip; one from the future never ended at any entry; a fencing number or release far above the real ones, and a limit from the future, stayed with all entries. Read from the code and shown by tests: an age below zero made an entry take its version or directory for the newest for good, so that it read no further one, and a dead entry for alive; a number of entries of 2^53 left each of them no share of the retries; a loan of 2^53 retries took all memory; a lease record with a huge epoch gave a fencing number that no message can encode, which ends all gossip.

Cause: only the types of numbers were checked, and their range only in some documents of the platform.

Change: the decoder of all documents refuses numbers beyond 2^53, so that sums and products stay finite and encodable. Ages in messages have a type of their own and are 0 at the least. The four other values are bounded by what can be true.

Not solved: a fencing number up to 2^53 that no lease has, in a message of another entry, still displaces the real holder at all entries.

--- a/packages/core/src/lacewingcourse/core/pipelines/prompt_parts.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/prompt_parts.py
@@ -32,6 +32,8 @@
     AnswerProgress.UNANSWERED: 0.5,
     AnswerProgress.EARLY: 0.5,
 }
+#: Greatest weight of a loss.
+MAX_LOSS_WEIGHT = max(LOSS_WEIGHTS.values())
 #: Seconds for which a loss counts.
 LOSS_RETENTION = 60.0
 #: Seconds for which a part is refused at first. The time doubles with each refusal that
@@ -88,7 +90,7 @@
     @property
     def until(self) -> float:
         """When it ends, seconds."""
-        length = FIRST_REFUSAL_TIME * 2 ** min(self.count - 1, 10)
+        length = FIRST_REFUSAL_TIME * 2 ** min(max(0, self.count - 1), 10)
         return self.at + min(MAX_REFUSAL_TIME, length)
 
     @property
@@ -263,13 +265,15 @@
         found = []
         for part, report in reports.items():
             if report.sound is not None:
-                self._mark_sound(part, now - report.sound, now)
+                self._mark_sound(part, now - max(0.0, report.sound), now)
             for endpoint, (age, weight) in report.losses.items():
-                self._add_loss(part, endpoint, PartLoss(now - age, weight), now)
+                loss = PartLoss(now - max(0.0, age), min(weight, MAX_LOSS_WEIGHT))
+                self._add_loss(part, endpoint, loss, now)
             if report.refused is None:
                 continue
             companions = frozenset(report.companions)
-            refusal = PartRefusal(now - report.refused, report.count, companions)
+            refused_at = now - max(0.0, report.refused)
+            refusal = PartRefusal(refused_at, report.count, companions)
             if self._adopt(part, refusal, now):
                 found.append(part)
         return found
--- a/packages/relay/src/lacewingcourse/relay/decoding.py
+++ b/packages/relay/src/lacewingcourse/relay/decoding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any, NewType, TypeVar
 
 import attrs
 import orjson
@@ -22,6 +22,11 @@
 
 #: Maximum number of characters of a reason, as a document may hold text of any length.
 MAX_REASON_LENGTH = 200
+#: Greatest magnitude of a number. Sums and products of larger ones would be infinite or
+#: have no exact form in messages.
+MAX_NUMBER = 2**53
+#: Seconds since something that the sender of a document knows.
+Age = NewType("Age", float)
 #: Metadata key of an attribute that has another name in documents.
 DOCUMENT_NAME = "document_name"
 #: Path of a value in the library's error messages: names and indexes.
@@ -77,9 +82,11 @@
         """
         self.converter = make_converter()
         self.document_names: dict[str, str] = {}
-        for kind in (bool, str, int):
+        for kind in (bool, str):
             self.converter.register_structure_hook(kind, _exact_type_hook(kind))
+        self.converter.register_structure_hook(int, _structure_int)
         self.converter.register_structure_hook(float, _structure_float)
+        self.converter.register_structure_hook(Age, _structure_age)
         self.converter.register_structure_hook_factory(is_sequence, _list_hook)
         if document_name is not None:
             self._document_name = document_name
@@ -159,7 +166,29 @@
     return _checked_hook(kind, lambda value, _: value)
 
 
+def _structure_int(value: Any, _: Any) -> int:
+    if type(value) is not int:
+        raise TypeError(f"{type(value).__name__} in place of int")
+    return _checked_number(value)
+
+
 def _structure_float(value: Any, _: Any) -> float:
     if type(value) not in (int, float):
         raise TypeError(f"{type(value).__name__} in place of a number")
-    return float(value)
+    return float(_checked_number(value))
+
+
+def _structure_age(value: Any, _: Any) -> float:
+    """Return an age, 0 for a negative one: nothing is known from the future."""
+    return max(0.0, _structure_float(value, float))
+
+
+def _checked_number(value: float) -> float:
+    """Return a number.
+
+    Raises:
+        ValueError: Its magnitude is too large.
+    """
+    if not -MAX_NUMBER <= value <= MAX_NUMBER:
+        raise ValueError("a number is out of range")
+    return value
--- a/packages/relay/src/lacewingcourse/relay/duty_holder.py
+++ b/packages/relay/src/lacewingcourse/relay/duty_holder.py
@@ -70,8 +70,10 @@
             age: Seconds since any entry received a message from the holder.
             released: Fencing number of the last holder that released the duty.
         """
-        self.released = max(self.released, released)
-        heard_at = self.clock() - age
+        # A lease that nobody knows cannot have been released.
+        if released <= max(fencing, self.fencing):
+            self.released = max(self.released, released)
+        heard_at = self.clock() - max(0.0, age)
         if fencing > self.fencing:
             self.accept_lease(Lease(holder, fencing), heard_at)
         elif fencing == self.fencing:
--- a/packages/relay/src/lacewingcourse/relay/peer_messages.py
+++ b/packages/relay/src/lacewingcourse/relay/peer_messages.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import attrs
+from attrs.validators import le
 
 from lacewingcourse.core.pipelines.fleet import Endpoint
 from lacewingcourse.core.pipelines.load import Load
@@ -14,12 +15,23 @@
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
 from lacewingcourse.core.pipelines.room_demand import RoomReport
 from lacewingcourse.core.pipelines.stamps import Echo
-from lacewingcourse.relay.decoding import StrictDecoder, Undecodable
+from lacewingcourse.relay.decoding import Age, StrictDecoder, Undecodable
 
 #: Decoder of all messages between entries.
 DECODER = StrictDecoder()
 
 
+#: Largest number of entries that a message may tell of. The share of the retries of an
+#: entry shrinks with it.
+MAX_ENTRIES = 10_000
+
+
+def _are_entry_counts(_, attribute: attrs.Attribute, value: dict[str, int]) -> None:
+    """Raise ValueError unless all values are numbers of entries."""
+    if not all(0 <= count <= MAX_ENTRIES for count in value.values()):
+        raise ValueError(f"{attribute.name} holds no number of entries")
+
+
 class Scope(Enum):
     """Whose loads a message contains.
 
@@ -82,24 +94,24 @@
     address: str
     leaving: bool
     version: int
-    version_age: float
+    version_age: Age
     position: int
-    position_age: float
+    position_age: Age
     scope: Scope
     loads: dict[str, tuple[int, int, float]]
     links: list[tuple[str, str, float]]
     suspects: dict[str, float]
-    crashes: dict[str, dict[str, float]]
-    peers: dict[str, tuple[str, str, float]]
-    counts: dict[str, int]
+    crashes: dict[str, dict[str, Age]]
+    peers: dict[str, tuple[str, str, Age]]
+    counts: dict[str, int] = attrs.field(validator=_are_entry_counts)
     holder: str
     fencing: int
     silent: list[str] = attrs.field(factory=list)
     speeds: dict[str, tuple[float, float]] = attrs.field(factory=dict)
-    holder_age: float = 0.0
+    holder_age: Age = 0.0
     released: int = 0
     ends_in: float | None = None
-    limits: dict[str, tuple[float | None, float]] = attrs.field(factory=dict)
+    limits: dict[str, tuple[float | None, Age]] = attrs.field(factory=dict)
     reads: bool = True
     parts: dict[str, PartReport] = attrs.field(factory=dict)
     stamp: float = 0.0
@@ -127,7 +139,7 @@
     """
 
     position: int
-    age: float
+    age: Age
     endpoints: list[Endpoint]
     lapsed: dict[str, float]
     epoch: int = UNKNOWN_EPOCH
@@ -150,7 +162,7 @@
 
     service: str
     count: int
-    entries: int
+    entries: int = attrs.field(validator=le(MAX_ENTRIES))
 
 
 @attrs.frozen
@@ -181,9 +193,9 @@
     entry: str
     endpoint: str
     count: int
-    ages: list[float]
+    ages: list[Age]
     named: float | None
-    age: float
+    age: Age
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/retry_loans.py
+++ b/packages/relay/src/lacewingcourse/relay/retry_loans.py
@@ -94,7 +94,8 @@
         answers = await asyncio.gather(
             *(self.fetch(lender.address, LOAN_PATH, message) for lender in lenders)
         )
-        count = sum(self._decode_loan(answer) for answer in answers if answer)
+        lent = (self._decode_loan(answer) for answer in answers if answer)
+        count = sum(min(each, count) for each in lent)
         self.budget.borrow(service, count, asked_at)
         self.log.log_event(
             "retries_borrowed",
