Refuse messages of the own stack that hold no object instead of raising

Seen: a record of the log whose text is `[]`, `null`, `5` or `"x"`, or a message, page or listing of that kind, raised an AttributeError. The loop that follows the configuration, leases, homes, poison or burn rates ended with it ("a background task failed"); nothing of that stream was read any more.

Cause: the converter takes the keys of any document, and the decoder expected three kinds of its errors only.

Change: all errors that come of the content of a message are a refusal of kind INVALID_FIELD; bytes that are no JSON stay MALFORMED.

--- a/packages/wire/src/lacewingcourse/wire/codec.py
+++ b/packages/wire/src/lacewingcourse/wire/codec.py
@@ -5,9 +5,11 @@
 from typing import TYPE_CHECKING, TypeVar
 
 import cattrs
+import orjson
 from cattrs.preconf.orjson import make_converter
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.relay.decoding import CONTENT_ERRORS
 
 if TYPE_CHECKING:
     from typing import Any
@@ -23,7 +25,7 @@
 
 
 def decode(body: bytes, kind: type[T]) -> T | Refusal:
-    """Return the message that a JSON text holds.
+    """Return the message that a JSON text holds; never raises, whatever the text is.
 
     Args:
         body: The JSON text.
@@ -33,10 +35,12 @@
         The message, or a refusal of kind `MALFORMED` or `INVALID_FIELD`.
     """
     try:
-        return CONVERTER.loads(body, kind)
-    except ValueError as error:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
         return Refusal(ErrorKind.MALFORMED, f"not JSON: {error}")
-    except (cattrs.BaseValidationError, TypeError, KeyError) as error:
+    try:
+        return CONVERTER.structure(document, kind)
+    except (cattrs.BaseValidationError, *CONTENT_ERRORS) as error:
         return Refusal(ErrorKind.INVALID_FIELD, first_error(error))
 
 
