--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -45,6 +45,9 @@
 }
 #: Maximum number of parts of a prompt in a line.
 MAX_LOGGED_PARTS = 12
+#: Maximum number of characters of a traceback in a line, its last ones. The pipe that
+#: takes the line may cut a longer one.
+MAX_LOGGED_TRACEBACK = 3_000
 #: Maximum number of bytes of an endpoint's response in a line.
 MAX_LOGGED_BYTES = 48
 
@@ -96,7 +99,8 @@
             **record["extra"],
         }
         if record["exception"] is not None:
-            document["exception"] = str(message).partition("\n")[2]
+            traceback = str(message).partition("\n")[2]
+            document["exception"] = traceback[-MAX_LOGGED_TRACEBACK:]
         line = orjson.dumps(document, default=str) + b"\n"
         try:
             os.write(STDOUT, line)
@@ -333,10 +337,16 @@
         """
         self._line(event, **fields)
 
-    def failed(self, error: Exception) -> None:
-        """Log an unexpected error with its traceback."""
+    def failed(self, error: Exception, task: str = "") -> None:
+        """Log an unexpected error with its traceback.
+
+        Args:
+            error: The error.
+            task: Name of the background work that it interrupted, empty for none.
+        """
         if self.budget.allow("defect", self.clock()):
-            logger.opt(exception=error).error("defect")
+            fields = {"task": task} if task else {}
+            logger.bind(**fields).opt(exception=error).error("defect")
         else:
             self.metrics.lines_left_out.inc()
 
--- a/packages/relay/tests/relay/test_peers.py
+++ b/packages/relay/tests/relay/test_peers.py
@@ -5,6 +5,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
 from tornado.httpserver import HTTPServer
 
 from lacewingcourse.relay.peers import (
@@ -26,7 +27,7 @@
 def make_exchange(document: bytes) -> PeerExchange:
     """Return the exchange of an entry that has a version in force."""
     table = SimpleNamespace(version=7, document=document)
-    gossip = SimpleNamespace(routing_state=SimpleNamespace(table=table))
+    gossip = SimpleNamespace(routing_state=SimpleNamespace(table=table), log=None)
     return PeerExchange(gossip, (), None, lambda: 0.0, lambda: None)
 
 
@@ -86,3 +87,16 @@
     assert peers._on_configuration(None).body is first.body
     peers.gossip.routing_state.table = SimpleNamespace(version=8, document=b"{}")
     assert peers._on_configuration(None).body != first.body
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["\x00", "é:1", "\u2028:1", "a b:1", "", "127.0.0.1:" + "9" * 5_000, "x" * 70_000],
+)
+def test_an_impossible_address_of_an_entry_answers_nothing(address):
+    """An error of the client ended the loop that borrows retries."""
+
+    async def fetched():
+        return await make_exchange(DOCUMENT).fetch(address, CONFIGURATION_PATH)
+
+    assert asyncio.run(fetched()) is None
