--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import time
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -28,10 +29,11 @@
     GuardedServer,
     RequestLimits,
 )
+from lacewingcourse.relay.background import run_repeatedly
 from lacewingcourse.wire.client import PeerClient
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
     from socket import socket
 
 
@@ -43,6 +45,16 @@
 CANCEL_INTERVAL = 0.5
 
 
+def _log_failed(work: str, error: BaseException) -> None:
+    """Log an error in the background.
+
+    Args:
+        work: Name of the work that it interrupted.
+        error: The error.
+    """
+    logger.opt(exception=error).bind(work=work).error("a background task failed")
+
+
 @attrs.frozen
 class Readiness:
     """Whether a process takes new work.
@@ -149,10 +161,16 @@
         task.add_done_callback(self._ended)
         return task
 
+    def repeat(self, loop: Callable[[], Coroutine]) -> asyncio.Task:
+        """Run a loop in the background; after an error it begins again."""
+        name = getattr(loop, "func", loop).__qualname__
+        on_error = partial(_log_failed, name)
+        return self.spawn(run_repeatedly(loop, on_error, self.now))
+
     def _ended(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logger.opt(exception=task.exception()).error("a background task failed")
+            _log_failed(task.get_coro().__qualname__, task.exception())
 
     async def _end_tasks(self) -> None:
         """Cancel all tasks, again if one ends a wait in the same moment."""
--- a/packages/daemon/src/lacewingcourse/daemon/process.py
+++ b/packages/daemon/src/lacewingcourse/daemon/process.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
     from lacewingcourse.wire.client import PeerClient
 
@@ -25,3 +25,6 @@
 
     def spawn(self, work: Coroutine) -> asyncio.Task:
         """Run work in the background until it ends."""
+
+    def repeat(self, loop: Callable[[], Coroutine]) -> asyncio.Task:
+        """Run a loop in the background; after an error it begins again."""
--- a/packages/entry/src/lacewingcourse/entry/lease_holder.py
+++ b/packages/entry/src/lacewingcourse/entry/lease_holder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -103,10 +104,10 @@
 
     def start(self) -> None:
         """Start the background tasks."""
-        self.entry.spawn(self._read_for_ever())
-        self.entry.spawn(self._decide_for_ever())
+        self.entry.repeat(self._read_for_ever)
+        self.entry.repeat(self._decide_for_ever)
         for duty in self.duties.values():
-            self.entry.spawn(self._work_for_ever(duty))
+            self.entry.repeat(partial(self._work_for_ever, duty))
 
     def holds(self, duty: str) -> int | None:
         """Return the fencing number while this entry may act, else None."""
--- a/packages/relay/src/lacewingcourse/relay/background.py
+++ b/packages/relay/src/lacewingcourse/relay/background.py
@@ -43,6 +43,32 @@
         log.failed(task.exception(), name)
 
 
+async def run_repeatedly(
+    loop: Callable[[], Awaitable[None]],
+    on_error: Callable[[Exception], None],
+    clock: Callable[[], float],
+) -> None:
+    """Run a loop, again after each error, until it returns or is cancelled.
+
+    Args:
+        loop: The loop, which keeps its state elsewhere.
+        on_error: Called with each error.
+        clock: Returns the present time in seconds.
+    """
+    delay = RETRY_DELAY
+    while True:
+        began_at = clock()
+        try:
+            await loop()
+            return
+        except Exception as error:
+            on_error(error)
+        if clock() - began_at > RESET_TIME:
+            delay = RETRY_DELAY
+        await asyncio.sleep(delay)
+        delay = min(2 * delay, MAX_RETRY_DELAY)
+
+
 @attrs.define
 class BackgroundTasks:
     """Runs the loops of an entry, none of which an error ends.
@@ -64,7 +90,8 @@
             name: Name of the loop in log lines.
             loop: The loop, which keeps its state elsewhere.
         """
-        self.start(name, self._repeat(name, loop))
+        on_error = partial(self.log.failed, task=name)
+        self.start(name, run_repeatedly(loop, on_error, self.clock))
 
     def start(self, name: str, work: Coroutine[Any, Any, None]) -> None:
         """Start work that runs once."""
@@ -79,17 +106,3 @@
             self.log.failed(error, context.get("message", ""))
         else:
             loop.default_exception_handler(context)
-
-    async def _repeat(self, name: str, loop: Callable[[], Awaitable[None]]) -> None:
-        delay = RETRY_DELAY
-        while True:
-            began_at = self.clock()
-            try:
-                await loop()
-                return
-            except Exception as error:
-                self.log.failed(error, name)
-            if self.clock() - began_at > RESET_TIME:
-                delay = RETRY_DELAY
-            await asyncio.sleep(delay)
-            delay = min(2 * delay, MAX_RETRY_DELAY)
