--- a/packages/relay/tests/relay/test_odd_numbers.py
+++ b/packages/relay/tests/relay/test_odd_numbers.py
@@ -10,6 +10,7 @@
 
 import orjson
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from lacewingcourse.core.pipelines.peers import PEER_SILENCE_TIMEOUT
 from lacewingcourse.core.pipelines.prompt_parts import PartHistory, PartReport
@@ -140,3 +141,19 @@
     )
     asyncio.run(loans._borrow("rooms", 2))
     assert borrowed == [max(0, min(2, count))]
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(
+    st.sampled_from(list(numbers(MESSAGE))),
+    st.floats(-MAX_NUMBER, MAX_NUMBER) | st.integers(-MAX_NUMBER, MAX_NUMBER),
+)
+def test_no_number_in_a_message_raises_later(path, number):
+    network = Network({"east": 2})
+    entry = network.entries["east-00"]
+    message = decode(changed(path, number), GossipMessage)
+    if isinstance(message, GossipMessage):
+        entry.receive(message)
+    network.run_rounds(10)
+    answer = entry.message_for("east-01", "east")
+    assert isinstance(decode(encode(answer), GossipMessage), GossipMessage)
