--- a/packages/relay/src/lacewingcourse/relay/causes.py
+++ b/packages/relay/src/lacewingcourse/relay/causes.py
@@ -37,6 +37,7 @@
         request: Id of the request.
         sends: `sent` lines.
         losses: `lost` lines: sends without a response, or streams that broke off.
+        unsound: `unsound_event` lines: runs that wrote bytes that were not forwarded.
         end: Line of its end, None if its entry logged none.
         suspicions: Times at which any entry found endpoints dead, in order, seconds.
         objective: Milliseconds in which the first event is wanted.
@@ -47,6 +48,7 @@
     request: str
     sends: list[dict[str, Any]] = attrs.field(factory=list)
     losses: list[dict[str, Any]] = attrs.field(factory=list)
+    unsound: list[dict[str, Any]] = attrs.field(factory=list)
     end: dict[str, Any] | None = None
     suspicions: list[float] = attrs.field(factory=list)
     objective: float = 0.0
@@ -131,6 +133,12 @@
     )
 
 
+@CAUSES.register("broken off after bytes that were not the next event")
+def broken_off_unsound(history: RequestHistory) -> bool:
+    """Return whether its entry ended the response as an engine's bytes were unsound."""
+    return bool(history.unsound) and history.end["event"] == "broken_off"
+
+
 @CAUSES.register("broken off by its entry")
 def broken_off(history: RequestHistory) -> bool:
     """Return whether its entry ended the response before it was complete."""
@@ -199,6 +207,12 @@
     return bool(history.refused_kind)
 
 
+@CAUSES.register("run given up for bytes that were not the next event, then late")
+def given_up_unsound(history: RequestHistory) -> bool:
+    """Return whether a run of a late request was given up for unsound bytes."""
+    return bool(history.unsound)
+
+
 @CAUSES.register("cut by a lost endpoint, then late")
 def cut_by_loss(history: RequestHistory) -> bool:
     """Return whether an attempt was lost around when an endpoint was found dead."""
@@ -260,6 +274,8 @@
             history.sends.append(line)
         elif event == "lost":
             history.losses.append(line)
+        elif event == "unsound_event":
+            history.unsound.append(line)
         elif event in ("served", "refused", "broken_off"):
             history.end = line
             history.objective = line.get("objective_ms") or objective
--- a/packages/relay/tests/relay/test_causes.py
+++ b/packages/relay/tests/relay/test_causes.py
@@ -37,6 +37,7 @@
     "reason": "the stream stood still",
     "fault": "",
 }
+UNSOUND = LOST | {"event": "unsound_event", "defect": "no_id"}
 SUSPECTED = {"time": 9.4, "event": "suspected", "process": "edge-2"}
 
 
@@ -57,6 +58,15 @@
         ([SENT], "lost with its entry"),
         ([SENT, SERVED | {"gone": True, "whole": False}], "caller left"),
         ([SENT, LOST, broken_off("stage_lost")], "broken off by its entry"),
+        (
+            [SENT, UNSOUND, LOST, broken_off("stage_lost")],
+            "broken off after bytes that were not the next event",
+        ),
+        ([SENT, UNSOUND, LOST, SERVED], "in time"),
+        (
+            [SENT, UNSOUND, LOST, SERVED | {"gap_ms": 300.0}],
+            "run given up for bytes that were not the next event, then late",
+        ),
         ([refused("unauthenticated")], "not allowed by the configuration"),
         ([refused("draining")], "refused while leaving"),
         ([refused("overloaded")], "refused for want of room"),
