Give the stub of an entry the background tasks that SIGTERM starts

Seen: four tests of SIGTERM failed in the run of all tests of the relay: their stub of an entry lacked the attribute that starts the departure.

Change: the stub has it, and records the same as before.

--- a/packages/relay/tests/relay/test_sigterm.py
+++ b/packages/relay/tests/relay/test_sigterm.py
@@ -48,7 +48,9 @@
             routing_state=RoutingState(),
         )
         entry._leave = lambda: "drain"
-        entry._start = entry.started.append
+        entry.background = SimpleNamespace(
+            start=lambda name, work: entry.started.append(work)
+        )
         entry._notify_peers = lambda: entry.notified.append(entry.readiness.draining)
         return entry
 
