Let no standby follow a run that contradicted itself, nor a run leave none

Cause: a standby that had been accepted replaced the run whatever the run had done since, unless events of it were passed on; in that case it was dropped, also if the run had ended by then.

Change: it is dropped if the caller's copy cannot be continued, or if the run goes on; one that has failed is replaced, and what its standby repeats is left out at the seam. The endpoint that wrote unsound bytes is avoided also where the run stalled behind another part, and the log line names the path of the run and not that of its standby. A caller's own position 0 is no start from zero.

--- a/packages/core/src/lacewingcourse/core/pipelines/event_numbering.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/event_numbering.py
@@ -43,6 +43,7 @@
             after an event that is shorter than a step, which can only be the last.
         events: Number of events.
         is_regular: Whether each id has followed the one before by the same step.
+        may_count_from_zero: Whether the first event may have the position zero.
     """
 
     start: int | None = 0
@@ -50,6 +51,7 @@
     step: int | None = None
     events: int = 0
     is_regular: bool = True
+    may_count_from_zero: bool = False
 
     @property
     def is_trusted(self) -> bool:
@@ -110,8 +112,8 @@
         """Return the order of the first event."""
         if self.start is None or position == self.start + 1:
             return EventOrder.NEXT
-        # Streams may count from zero.
-        if position > self.start or position == self.start == 0:
+        is_zero = position == 0 and self.may_count_from_zero
+        if position > self.start or is_zero:
             return EventOrder.POSSIBLE
         return EventDefect.NOT_RISING
 
--- a/packages/core/src/lacewingcourse/core/pipelines/stream_copy.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/stream_copy.py
@@ -94,7 +94,9 @@
     @numbering.default
     def _numbering_after_resume_position(self) -> EventNumbering:
         after = self.resume_after
-        return EventNumbering(parse_position(after.encode()) if after else 0)
+        if not after:
+            return EventNumbering(may_count_from_zero=True)
+        return EventNumbering(parse_position(after.encode()))
 
     @property
     def last_id(self) -> str:
--- a/packages/core/tests/pipelines/test_event_numbering.py
+++ b/packages/core/tests/pipelines/test_event_numbering.py
@@ -10,7 +10,7 @@
 
 def numbering_of(positions, start=0) -> EventNumbering:
     """Return the numbering of events with these positions."""
-    numbering = EventNumbering(start)
+    numbering = EventNumbering(start, may_count_from_zero=start == 0)
     for position in positions:
         numbering.record(position)
     return numbering
@@ -88,3 +88,7 @@
     start, positions, position, order
 ):
     assert numbering_of(positions, start).order_of(position) is order
+
+
+def test_a_stream_that_goes_on_after_zero_does_not_begin_with_it_again():
+    assert EventNumbering(0).order_of(0) is EventDefect.NOT_RISING
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -19,6 +19,7 @@
 
     from lacewingcourse.core.errors import Refusal
     from lacewingcourse.core.pipelines.crashes import AnswerProgress
+    from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.scheduling import QueuedRequest
     from lacewingcourse.core.pipelines.shutdown import AnswerTime
     from lacewingcourse.core.pipelines.stream_copy import UnsoundBytes
@@ -443,25 +444,26 @@
             path=_path(job),
         )
 
-    def unsound_event(self, job: Job, unsound: UnsoundBytes) -> None:
+    def unsound_event(self, job: Job, path: Path, unsound: UnsoundBytes) -> None:
         """Log bytes of a stream's run that are not its next event.
 
         Args:
             job: The request.
+            path: Path of the run; another one may have been started beside it.
             unsound: The first such bytes of the run.
         """
         self.metrics.unsound_event(unsound.defect)
         self._line(
             "unsound_event",
             request=job.request.id,
-            endpoint=job.path.first.endpoint if job.path else "",
+            endpoint=path.first.endpoint,
             attempt=job.sends,
             defect=unsound.defect.value,
             after=unsound.after,
             position=unsound.forwarded,
             size=len(unsound.data),
             bytes=_escaped(unsound.data),
-            path=_path(job),
+            path=_parts_of(path),
             **_resumed(job),
         )
 
@@ -530,8 +532,12 @@
 
 def _path(job: Job) -> list[str]:
     """Return the parts of a request's path in the form of log lines."""
-    parts = job.path.parts if job.path else ()
-    return [f"{p.address}={p.layers.start}-{p.layers.end}" for p in parts]
+    return _parts_of(job.path) if job.path else []
+
+
+def _parts_of(path: Path) -> list[str]:
+    """Return the parts of a path in the form of log lines."""
+    return [f"{p.address}={p.layers.start}-{p.layers.end}" for p in path.parts]
 
 
 def _predicted(job: Job) -> dict[str, float]:
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -154,7 +154,7 @@
         self.job.is_continuable = copy.is_continuable
         self.caller_wait = self._forward_events(events)
         if copy.unsound is not None:
-            self.log.unsound_event(self.job, copy.unsound)
+            self.log.unsound_event(self.job, self.mover.path, copy.unsound)
             self.exchange.arrivals.put_nowait(End(False, copy.failure))
         return self.caller_wait
 
@@ -164,7 +164,7 @@
         if copy.unsound is None:
             copy.check_end()
             if copy.unsound is not None:
-                self.log.unsound_event(self.job, copy.unsound)
+                self.log.unsound_event(self.job, self.mover.path, copy.unsound)
 
     def _next_check_at(self, now: float) -> float:
         """Return when to check for a stall if nothing arrives until then, seconds."""
@@ -288,11 +288,14 @@
         if standby.failure is not None:
             self.mover.on_standby_failed(standby)
             return self.ended_result
-        if self.state.copy.forwarded > standby.forwarded:
+        has_ended = self.ended_result is not None
+        has_resumed = self.state.copy.forwarded > standby.forwarded
+        if not self.state.copy.is_continuable or (has_resumed and not has_ended):
             self.mover.drop_standby(standby)
-            self._has_resumed(self.sender.clock())
-            return None
-        if self.ended_result is None:
+            if not has_ended:
+                self._has_resumed(self.sender.clock())
+            return self.ended_result
+        if not has_ended:
             self._close_attempt(STALLED_REASON)
         self.mover.release_load(standby)
         replacement = Replacement(standby.path, standby=standby)
@@ -346,6 +349,9 @@
         # itself, so this attempt does not count as lost.
         self._close_attempt(arrival.reason or self.state.copy.failure)
         result = AttemptResult(AttemptEnd.STALLED, self.job.reason)
+        if self.state.copy.unsound is not None:
+            # The first part wrote the bytes, whichever part it had waited for.
+            self.job.avoid.add(self.mover.path.first.endpoint)
         if self.standby is None:
             return result
         self.ended_result = result
--- a/packages/relay/tests/relay/test_decisions.py
+++ b/packages/relay/tests/relay/test_decisions.py
@@ -23,6 +23,8 @@
 )
 from lacewingcourse.relay.metrics import Metrics
 
+from .stream_scenario import path_of
+
 ROOT = Path(__file__).resolve().parents[4]
 SOURCES = ROOT / "packages/relay/src/lacewingcourse/relay"
 PAGE = ROOT / "docs/OPERATIONS.md"
@@ -125,15 +127,13 @@
 
 def test_unsound_bytes_are_logged_briefly_and_with_escapes():
     log = DecisionLog(lambda: 5.0, Metrics(), lambda: 1)
-    job = SimpleNamespace(
-        request=SimpleNamespace(id="r"), path=None, sends=2, resumed_after="3"
-    )
+    job = SimpleNamespace(request=SimpleNamespace(id="r"), sends=2, resumed_after="3")
     lines = []
     sink = logger.add(lambda message: lines.append(message.record["extra"]))
     unsound = UnsoundBytes(EventDefect.NO_FIELD, b"\x00\xff\n" + b"x" * 500, "4", 4)
-    log.unsound_event(job, unsound)
+    log.unsound_event(job, path_of("a", "b"), unsound)
     logger.remove(sink)
     (line,) = lines
     assert line["bytes"] == "\\x00\\xff\\n" + "x" * 45
     assert (line["defect"], line["after"], line["size"]) == ("no_field", "4", 503)
-    assert line["resumed_after"] == "3"
+    assert (line["endpoint"], line["resumed_after"]) == ("a", "3")
--- a/packages/relay/tests/relay/test_wrong_events.py
+++ b/packages/relay/tests/relay/test_wrong_events.py
@@ -5,12 +5,9 @@
 
 from __future__ import annotations
 
-from types import SimpleNamespace
-
 import pytest
 
 from lacewingcourse.core.errors import Outcome
-from lacewingcourse.relay.stream_attempt import StreamAttempt
 from lacewingcourse.relay.upstream import End
 from lacewingcourse.testing.virtual_time import run_virtual
 
@@ -230,22 +227,6 @@
     assert b"".join(expected).startswith(scenario.caller.body)
 
 
-def test_a_standby_is_dropped_if_an_event_was_forwarded_since_it_was_sent():
-    """Their times were compared, which are equal if both happen at once."""
-    dropped = []
-    standby = SimpleNamespace(head="head", failure=None, started_at=1.0, forwarded=3)
-    state = SimpleNamespace(copy=SimpleNamespace(forwarded=4), last_event_at=1.0)
-    attempt = SimpleNamespace(
-        standby=standby,
-        state=state,
-        mover=SimpleNamespace(drop_standby=dropped.append),
-        sender=SimpleNamespace(clock=lambda: 1.0),
-        _has_resumed=lambda now: None,
-    )
-    assert StreamAttempt._on_standby_settled(attempt) is None
-    assert dropped == [standby]
-
-
 @pytest.mark.parametrize(("events", "engine"), [(0, "c"), (3, "a")])
 def test_an_answer_has_the_head_of_the_run_that_wrote_its_first_event(
     serve, events, engine
