Let bytes of an abandoned exchange reach nobody

Cause: an exchange whose reading waited for a slow caller went on, once it was abandoned, with what its connection had buffered, and gave that to the attempt, whose stream had begun another run by then.

Change: the bytes of an abandoned exchange go nowhere.

--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -155,8 +155,12 @@
         self.task = asyncio.ensure_future(self._read(http, params))
 
     def abandon(self) -> None:
-        """Close the connection, so that the endpoint stops its work."""
+        """Close the connection, so that the endpoint stops its work.
+
+        What was received before and is read later belongs to nobody.
+        """
         self.connection.close()
+        self.sink = lambda data: None
         if self._resumed is not None and not self._resumed.done():
             # Reading on ends the task, as the connection is closed.
             self._resumed.set_result(None)
