--- a/packages/core/src/lacewingcourse/core/pipelines/stream_copy.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/stream_copy.py
@@ -172,8 +172,11 @@
 
     @property
     def _is_inside_event(self) -> bool:
-        """Whether the bytes received last are a part of an event."""
-        return bool(self.splitter.pending.strip(LINE_ENDS))
+        """Whether the bytes received last are a part of an event or a comment."""
+        pending = self.splitter.pending
+        return bool(pending.strip(LINE_ENDS)) and not (
+            pending.endswith(b"\n") and read_event(pending) is None
+        )
 
     @property
     def _is_at_end_of_copy(self) -> bool:
@@ -226,8 +229,8 @@
         if order is EventOrder.NEXT:
             self.numbering.record(position)
             return before + self._forward(event)
-        is_known = self.is_continuation and not self.numbering.is_established
-        if order is EventOrder.POSSIBLE and not is_known:
+        must_be_next = self.is_continuation and not self.numbering.is_established
+        if order is EventOrder.POSSIBLE and not must_be_next:
             self.held = HeldEvent(position, self._with_comments(event))
         elif self.is_continuation:
             self._fail(EventDefect.OUT_OF_PLACE, event)
--- a/packages/core/tests/pipelines/test_stream_copy.py
+++ b/packages/core/tests/pipelines/test_stream_copy.py
@@ -136,6 +136,20 @@
     assert copy.unsound.defect is EventDefect.OVERSIZED
 
 
+@pytest.mark.parametrize("rest", [b": bye\n", b"\n", b"\r\n: bye\r\n"])
+def test_a_run_may_end_with_a_comment_or_line_ends(rest):
+    copy = StreamCopy()
+    copy.feed(event(1) + rest)
+    assert copy.may_end
+    assert copy.finish() == rest
+
+
+def test_a_run_that_ends_inside_a_comment_has_failed():
+    copy = StreamCopy()
+    copy.feed(event(1) + b": by")
+    assert not copy.may_end
+
+
 def test_a_run_that_ends_inside_an_event_has_failed():
     copy = StreamCopy()
     copy.feed(event(1) + b"id: 2")
--- a/packages/relay/tests/relay/test_foreign_bytes.py
+++ b/packages/relay/tests/relay/test_foreign_bytes.py
@@ -107,7 +107,9 @@
 ):
     scenario = serve(*with_foreign(FOREIGN[kind], 1), end=ENDS[end])
     assert scenario.refusal is None
+    assert scenario.caller.response_complete
     assert pieces_of(scenario.caller.body) == pieces_of(whole_answer())
+    assert scenario.firsts == ["a", "c"]
 
 
 @pytest.mark.parametrize("end", sorted(ENDS))
--- a/packages/relay/tests/relay/test_wrong_bytes.py
+++ b/packages/relay/tests/relay/test_wrong_bytes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from itertools import pairwise
 
 import attrs
 from hypothesis import HealthCheck, given, settings, strategies as st
@@ -150,8 +151,12 @@
 
 
 def is_one_run(body: bytes, run: Run) -> bool:
-    """Return whether a body is all of a run that ended complete."""
-    return run.written is not None and run.ends_complete and body == run.written
+    """Return whether a body is all of a run that ended complete, its ids rising."""
+    if run.written is None or not run.ends_complete or body != run.written:
+        return False
+    found = [read_event(one) for one in without_line_ends(split(body))]
+    are_events = all(isinstance(one, int) for one in found)
+    return are_events and all(one < other for one, other in pairwise(found))
 
 
 def is_two_runs(body: bytes, first: Run, second: Run) -> bool:
