Call loops that begin again after errors supervised, and count events once

Cause: `repeat` said neither what is repeated nor why; the field calls it supervising. Forwarding a held event wrote again what forwarding any other event records.

Change: `supervise` in place of `repeat` in `Daemon`, `Process` and `BackgroundTasks` (renames only). Behaviour is as before.

--- a/packages/agent/src/lacewingcourse/agent/application.py
+++ b/packages/agent/src/lacewingcourse/agent/application.py
@@ -129,12 +129,12 @@
 
     async def start_tasks(self) -> None:
         await self.probe()
-        self.repeat(self._probe_for_ever)
-        self.repeat(self.orders.learn)
-        self.repeat(self.follower.check_for_ever)
+        self.supervise(self._probe_for_ever)
+        self.supervise(self.orders.learn)
+        self.supervise(self.follower.check_for_ever)
         if self.stages is not None:
-            self.repeat(self.stages.work.watch)
-            self.repeat(self.stages.reap_orphans)
+            self.supervise(self.stages.work.watch)
+            self.supervise(self.stages.reap_orphans)
 
     async def _probe_for_ever(self) -> None:
         while True:
--- a/packages/agent/src/lacewingcourse/agent/journal.py
+++ b/packages/agent/src/lacewingcourse/agent/journal.py
@@ -109,10 +109,10 @@
 
     def start(self) -> None:
         """Start the background tasks."""
-        self.agent.repeat(self._follow_homes)
-        self.agent.repeat(self._follow_claims)
+        self.agent.supervise(self._follow_homes)
+        self.agent.supervise(self._follow_claims)
         self.agent.spawn(self._write())
-        self.agent.repeat(self._tend)
+        self.agent.supervise(self._tend)
 
     async def claim(self, claim: Claim, leased: bool = False) -> Verdict:
         """Decide about a claim; waits for the log where the key needs it."""
--- a/packages/core/src/lacewingcourse/core/pipelines/stream_copy.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/stream_copy.py
@@ -228,7 +228,7 @@
         order = self.numbering.order_of(position)
         if order is EventOrder.NEXT:
             self.numbering.record(position)
-            return before + self._forward(event)
+            return before + self._with_comments(self._forward(event))
         must_be_next = self.is_continuation and not self.numbering.is_established
         if order is EventOrder.POSSIBLE and not must_be_next:
             self.held = HeldEvent(position, self._with_comments(event))
@@ -250,11 +250,11 @@
         return position < last or self.last_event == event
 
     def _forward(self, event: bytes) -> bytes:
-        """Return an event that was recorded, with the comments before it."""
+        """Return an event that was recorded, as one that the caller has."""
         self.is_at_seam = False
         self.forwarded += 1
         self.last_event = event
-        return self._with_comments(event)
+        return event
 
     def _with_comments(self, event: bytes) -> bytes:
         """Return an event with the comments before it."""
@@ -270,10 +270,7 @@
             return b""
         held, self.held = self.held, None
         self.numbering.record(held.position)
-        self.is_at_seam = False
-        self.forwarded += 1
-        self.last_event = held.data
-        return held.data
+        return self._forward(held.data)
 
     def _fail(self, defect: EventDefect, data: bytes) -> None:
         """Forward no more of the run because of some of its bytes."""
--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -161,7 +161,7 @@
         task.add_done_callback(self._ended)
         return task
 
-    def repeat(self, loop: Callable[[], Coroutine]) -> asyncio.Task:
+    def supervise(self, loop: Callable[[], Coroutine]) -> asyncio.Task:
         """Run a loop in the background; after an error it begins again."""
         name = getattr(loop, "func", loop).__qualname__
         on_error = partial(_log_failed, name)
--- a/packages/daemon/src/lacewingcourse/daemon/process.py
+++ b/packages/daemon/src/lacewingcourse/daemon/process.py
@@ -26,5 +26,5 @@
     def spawn(self, work: Coroutine) -> asyncio.Task:
         """Run work in the background until it ends."""
 
-    def repeat(self, loop: Callable[[], Coroutine]) -> asyncio.Task:
+    def supervise(self, loop: Callable[[], Coroutine]) -> asyncio.Task:
         """Run a loop in the background; after an error it begins again."""
--- a/packages/daemon/tests/test_background.py
+++ b/packages/daemon/tests/test_background.py
@@ -45,7 +45,7 @@
 
     async def run() -> None:
         daemon = make_daemon()
-        daemon.repeat(partial(follow, 1) if bound else follow)
+        daemon.supervise(partial(follow, 1) if bound else follow)
         await asyncio.sleep(0.3)
         await daemon._end_tasks()
 
@@ -75,7 +75,7 @@
             candidates={},
             caught_up=False,
         )
-        daemon.repeat(partial(LeaseHolder._read_for_ever, holder))
+        daemon.supervise(partial(LeaseHolder._read_for_ever, holder))
         await asyncio.sleep(0.4)
         await daemon._end_tasks()
 
--- a/packages/entry/src/lacewingcourse/entry/application.py
+++ b/packages/entry/src/lacewingcourse/entry/application.py
@@ -164,17 +164,17 @@
         )
 
     async def start_tasks(self) -> None:
-        self.repeat(self.follower.follow_log)
-        self.repeat(self.follower.check_for_ever)
+        self.supervise(self.follower.follow_log)
+        self.supervise(self.follower.check_for_ever)
         self.leases.start()
         self.homes.start()
-        self.repeat(self.directory.follow_list)
-        self.repeat(self.directory.follow_agents)
-        self.repeat(self._check_progress_for_ever)
-        self.repeat(self.admission.review_for_ever)
-        self.repeat(self.recovery.review_for_ever)
-        self.repeat(self.poison.follow)
-        self.repeat(self.burn_log.append_for_ever)
+        self.supervise(self.directory.follow_list)
+        self.supervise(self.directory.follow_agents)
+        self.supervise(self._check_progress_for_ever)
+        self.supervise(self.admission.review_for_ever)
+        self.supervise(self.recovery.review_for_ever)
+        self.supervise(self.poison.follow)
+        self.supervise(self.burn_log.append_for_ever)
 
     async def _check_progress_for_ever(self) -> None:
         while True:
--- a/packages/entry/src/lacewingcourse/entry/home_keeper.py
+++ b/packages/entry/src/lacewingcourse/entry/home_keeper.py
@@ -70,8 +70,8 @@
 
     def start(self) -> None:
         """Start the background tasks."""
-        self.entry.repeat(self._follow)
-        self.entry.repeat(self._propose_for_ever)
+        self.entry.supervise(self._follow)
+        self.entry.supervise(self._propose_for_ever)
 
     def targets(self) -> dict[str, list[EndpointState]]:
         """Return the endpoints of each service and model that is configured."""
--- a/packages/entry/src/lacewingcourse/entry/lease_holder.py
+++ b/packages/entry/src/lacewingcourse/entry/lease_holder.py
@@ -104,10 +104,10 @@
 
     def start(self) -> None:
         """Start the background tasks."""
-        self.entry.repeat(self._read_for_ever)
-        self.entry.repeat(self._decide_for_ever)
+        self.entry.supervise(self._read_for_ever)
+        self.entry.supervise(self._decide_for_ever)
         for duty in self.duties.values():
-            self.entry.repeat(partial(self._work_for_ever, duty))
+            self.entry.supervise(partial(self._work_for_ever, duty))
 
     def holds(self, duty: str) -> int | None:
         """Return the fencing number while this entry may act, else None."""
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -374,7 +374,7 @@
         self.loop.add_signal_handler(signal.SIGTERM, self._on_term)
         self.loop.add_signal_handler(signal.SIGHUP, self.reloader.on_signal)
         for name, loop in self.loops().items():
-            self.background.repeat(name, loop)
+            self.background.supervise(name, loop)
         self.log.log_event("started", zone=self.settings.zone)
         await self.ended.wait()
         self.log.log_event("ended", open=len(self.ingress.callers.open))
--- a/packages/relay/src/lacewingcourse/relay/background.py
+++ b/packages/relay/src/lacewingcourse/relay/background.py
@@ -83,7 +83,7 @@
     clock: Callable[[], float]
     tasks: list[asyncio.Task] = attrs.field(factory=list)
 
-    def repeat(self, name: str, loop: Callable[[], Awaitable[None]]) -> None:
+    def supervise(self, name: str, loop: Callable[[], Awaitable[None]]) -> None:
         """Run a loop until cancelled; after an error it begins again.
 
         Args:
--- a/packages/relay/tests/relay/test_background.py
+++ b/packages/relay/tests/relay/test_background.py
@@ -141,7 +141,7 @@
     async def run():
         application = make_application()
         application.routing_state.limits.members["a"] = None
-        application.background.repeat(name, application.loops()[name])
+        application.background.supervise(name, application.loops()[name])
         await demand(application)
 
     run_virtual(run())
@@ -160,7 +160,7 @@
     async def run():
         clock = asyncio.get_running_loop().time
         log = DecisionLog(clock, Metrics(), lambda: 0)
-        BackgroundTasks(log, clock).repeat("work", fail)
+        BackgroundTasks(log, clock).supervise("work", fail)
         await asyncio.sleep(60.0)
 
     run_virtual(run())
