--- a/Makefile
+++ b/Makefile
@@ -20,11 +20,13 @@
 demo: setup
 	$(BIN)/lacewingcourse-local demo --entries 2 --endpoints 6
 
-# Tests of one file share a deployment, so a file goes to one worker as a whole.
+# Tests of one file share a deployment, so a file goes to one worker as a whole. Those
+# that measure a process have the machine for themselves.
 WORKERS ?= 4
 
 test: setup
-	$(BIN)/python -m pytest --numprocesses=$(WORKERS) --dist=loadfile
+	$(BIN)/python -m pytest --numprocesses=$(WORKERS) --dist=loadfile -m "not alone"
+	$(BIN)/python -m pytest -m alone
 
 check: setup
 	$(BIN)/black --check --quiet $(SOURCES)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import ExitStack
+from functools import partial
 
 import pytest
 
@@ -11,6 +12,14 @@
 from lacewingcourse.wire.client import new_http_client
 
 
+def _start(stack: ExitStack, **options) -> Deployment:
+    """Start a deployment that a stack of callbacks stops."""
+    started = Deployment(DeploymentOptions(**options))
+    stack.callback(started.down)
+    started.up()
+    return started
+
+
 @pytest.fixture(scope="module")
 def start_deployment():
     """Return a function that starts a deployment with options of its own.
@@ -18,14 +27,14 @@
     The deployment is stopped when the module's tests have ended.
     """
     with ExitStack() as stack:
+        yield partial(_start, stack)
 
-        def start(**options) -> Deployment:
-            started = Deployment(DeploymentOptions(**options))
-            stack.callback(started.down)
-            started.up()
-            return started
 
-        yield start
+@pytest.fixture
+def start_deployment_once():
+    """Return a function that starts a deployment, which is stopped after the test."""
+    with ExitStack() as stack:
+        yield partial(_start, stack)
 
 
 @pytest.fixture(scope="module")
