Bound what all callers together make an entry hold

What callers saw: under a crowd that sends large bodies, most of which stop short of their end, the process passed its memory and was ended, and with it the answers of everybody else. Bodies over the limit got 400 and mostly a reset. A body that had stopped was waited for beyond its own deadline.

Cause: each connection had a bound, all of them had none. Memory and descriptors of the settings file were read by nobody. A request was looked at once its last byte was there. The kernel's receive buffers grew by themselves, and a body existed twice while it was served and three times while it was sent. The library answers a body over the limit itself, with 400, and closes with unread bytes, which resets the connection.

A request whose body has not arrived is refused with 503 and a Retry-After, others are closed; requests that are complete stay. Receive buffers are 32 KiB, one copy of a body serves all. Size and head are checked at the head; 413, 431 and 408 (deadline of the caller or time limit of the route) are written at once, and the rest is read and dropped for a while. When descriptors run out, one is freed. Lines `clients_crowded` and `clients_calm`, three metrics, two settings.

Why it works: what has arrived is charged before more is read, so growth is bounded by one read for each connection; what remains in the kernel is bounded by the number of connections. Small requests have a quarter of the memory for themselves, and new connections go last, so ordinary callers get through.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -29,6 +29,8 @@
 from lacewingcourse.relay.backoff_reader import BackoffReader
 from lacewingcourse.relay.boot_clock import boot_time
 from lacewingcourse.relay.calls import CallForwarder
+from lacewingcourse.relay.client_monitor import ClientMonitor
+from lacewingcourse.relay.client_stream import Clients
 from lacewingcourse.relay.connections import ConnectionPool
 from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.decisions import DecisionLog
@@ -135,6 +137,7 @@
     def _compose(self) -> None:
         """Create the components with their dependencies."""
         rng = random.Random(self.settings.name)
+        self.caller_clients = Clients(self.settings.caller_limits(), self.clock)
         self.watch = LoopWatch(self.clock, self.metrics.loop_lag.observe, self._on_lag)
         self.routing_state.watch = self.watch
         limits = LimitReader(
@@ -237,6 +240,7 @@
             rng,
             StalenessGuard(self._version_age, budget.stale),
             crash_guard,
+            self.caller_clients,
         )
         self.ready = HTTPServer(
             SmallServer({("GET", self.settings.ready_path): self._on_ready})
@@ -345,6 +349,12 @@
             self.refusal_keeper.on_change,
             RoomMonitor(self.routing_state.room, self.log, self.metrics).check,
         )
+        self.client_monitor = ClientMonitor(
+            {"callers": self.caller_clients},
+            self.log.log_event,
+            self.metrics.closed_client,
+            self.clock,
+        )
         page = MetricsPage(
             self.metrics,
             self.routing_state,
@@ -353,6 +363,7 @@
             self.clock,
             self.boot_clock,
             self.admission,
+            self.client_monitor.groups,
         )
         metrics_handlers = {("GET", METRICS_PATH): page.respond}
         handlers = self.peers.handlers() | self.loans.handlers()
@@ -391,6 +402,7 @@
             "stalls": self.stalls.run,
             "loop watch": self.watch.run,
             "settings": self.reloader.run,
+            "clients": self.client_monitor.run,
         }
         if self.settings.peers:
             found["gossip"] = self.peers.run
@@ -505,8 +517,13 @@
         self.budget.slack = settings.bounds.retry_slack
         self.readiness.grace = settings.bounds.grace
         self.peers.seeds = settings.seeds
+        self._apply_client_limits(settings)
         self._apply_budgets(settings.bounds)
 
+    def _apply_client_limits(self, settings: RelaySettings) -> None:
+        """Apply the bounds of clients; they take effect at the monitor's next round."""
+        self.caller_clients.memory.limits = settings.caller_limits()
+
     def _apply_budgets(self, bounds: Bounds) -> None:
         """Apply the times within which changes must have been propagated."""
         self.configuration.budget = PropagationBudget(bounds.configuration)
--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
 from tornado.httputil import (
     HTTPHeaders,
     HTTPMessageDelegate,
@@ -14,6 +15,9 @@
 )
 from tornado.iostream import StreamClosedError
 
+from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.client_memory import LARGE_BYTES
+from lacewingcourse.relay.bounded_request import HEADERS_TOO_LARGE, BoundedRequest
 from lacewingcourse.relay.hangups import HangupMonitor, has_hung_up, quiet_time
 from lacewingcourse.relay.idle import IdleTimeout, IdleTimer
 
@@ -27,24 +31,17 @@
 #: Bytes of a head that tornado reads before a configuration sets the limit, or if the
 #: configured limit is smaller.
 MAX_HEAD_BYTES = 64 * 1024
-#: Status of a request whose head exceeds the configured limit.
-HEADERS_TOO_LARGE = 431
 #: Iterations of the loop, after the last byte of an answer, within which a connection
 #: has read the head of a pipelined request.
 NEXT_HEAD_LOOP_ITERATIONS = 4
-#: Bytes that a header takes besides its name and value.
-HEADER_SEPARATOR_BYTES = len(": \r\n")
+#: Seconds for which a body may arrive whose request names no time limit.
+DEFAULT_BODY_TIMEOUT = 60.0
 
 
-class CallerExchange(HTTPMessageDelegate):
+class CallerExchange(BoundedRequest):
     """One request of a caller and the answer to it.
 
     Attributes:
-        connection: Connection that carries it.
-        method: HTTP method.
-        target: Path with query.
-        headers: Headers of the request.
-        body: Body as far as it was received.
         arrived_at: When the head was received, seconds.
         disconnected: Whether the caller has closed the connection.
         response_started: Whether the head of the answer was written.
@@ -64,12 +61,9 @@
         idle_timer: IdleTimer,
         max_head_bytes: Callable[[], int],
         on_departure: Callable[[CallerExchange, float | None], None],
+        policy: ReceptionPolicy,
     ) -> None:
-        self.connection = connection
-        self.method = ""
-        self.target = ""
-        self.headers = HTTPHeaders()
-        self.body = bytearray()
+        super().__init__(connection, max_head_bytes, clock)
         self.arrived_at = 0.0
         self.disconnected = False
         self.response_started = False
@@ -78,16 +72,16 @@
         self.on_disconnect: Callable[[], None] | None = None
         self._version = ""
         self._serve = serve
-        self._clock = clock
         self._close_after_answer = close_after_answer
         self._open_requests = open_requests
         self._idle_timer = idle_timer
-        self._max_head_bytes = max_head_bytes
         self._on_departure = on_departure
+        self._policy = policy
         self._is_read = False
         self._is_departure_reported = False
         self._task: asyncio.Task | None = None
         self._closes_connection = False
+        self._body_deadline: float | None = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -95,26 +89,9 @@
         """Process the head; from here on the request counts as open."""
         self._idle_timer.stop()
         self._open_requests.add(self)
-        self._apply_body_limit()
         self.arrived_at = self._clock()
         self._version = start_line.version
-        self.method = start_line.method
-        self.target = start_line.path
-        self.headers = headers
-
-    def _apply_body_limit(self) -> None:
-        """Apply the body limit of the configuration in force.
-
-        Tornado reads the limit when the connection starts to wait for a request, and
-        another version may have come into force since.
-        """
-        limit = self.connection.params.max_body_size
-        if limit is not None:
-            self.connection.set_max_body_size(limit)
-
-    def data_received(self, chunk: bytes) -> None:
-        """Append a chunk of the body."""
-        self.body += chunk
+        self.receive_head(start_line, headers)
 
     def finish(self) -> None:
         """Serve the request, which has been received completely.
@@ -123,25 +100,52 @@
         its request was not read, and may have sent it elsewhere. Tornado also reads a
         pipelined request from its buffer after the connection has been closed.
         """
+        if self.refused:
+            self.end_refused()
+            return
         self._is_read = True
         if self.has_left():
             self.on_connection_close()
             return
+        self.account.on_complete()
+        # The same object serves the decisions, the sends and the retries.
+        self.body = bytes(self.body)
         self.connection.set_close_callback(self._on_close)
-        if self._head_bytes() > self._max_head_bytes():
+        if self.is_head_too_large:
             self.answer(HEADERS_TOO_LARGE, HTTPHeaders(), b"")
-            self._when_flushed(self._remove_from_open)
+            self._when_flushed(self._on_flushed)
             return
         self._task = asyncio.ensure_future(self._serve(self))
         self._task.add_done_callback(self._on_served)
 
-    def _head_bytes(self) -> int:
-        """Return the approximate size of the head in bytes."""
-        fields = self.headers.get_all()
-        sizes = (
-            len(name) + len(value) + HEADER_SEPARATOR_BYTES for name, value in fields
-        )
-        return len(self.method) + len(self.target) + sum(sizes)
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuse the request before it has been received completely."""
+        self._policy.reject(self, refusal)
+
+    def answer_unread(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        """Answer before the request has been received completely."""
+        super().answer_unread(status, headers, body)
+        self.response_started = self.response_ended = True
+        self._when_flushed(self._remove_from_open)
+
+    def end_refused(self) -> None:
+        """Close the connection of a refused request once its answer has left."""
+        self._when_flushed(super().end_refused)
+
+    def check(self, now: float) -> None:
+        """Refuse the request if it can no longer be answered in time.
+
+        Args:
+            now: Present time in seconds.
+        """
+        if self.refused:
+            super().check(now)
+            return
+        if self._body_deadline is None:
+            self._body_deadline = self.arrived_at + self._policy.body_timeout(self)
+        if now >= self._body_deadline:
+            reason = "the body did not arrive before the deadline"
+            self.refuse(Refusal(ErrorKind.REQUEST_TIMEOUT, reason))
 
     def cancel(self) -> None:
         """Cancel the task that serves the request, so that it writes nothing more."""
@@ -274,8 +278,10 @@
             return
         headers["Content-Length"] = str(len(body))
         sent = b"" if self.method == "HEAD" else body
-        self.begin(status, headers, sent)
+        flushed = self.begin(status, headers, sent)
         self.end()
+        if flushed is not None and len(sent) > LARGE_BYTES:
+            self.account.on_answer(len(sent))
 
     def _when_flushed(self, callback: Callable[[], None]) -> None:
         """Run a callback once everything written has left this process."""
@@ -293,7 +299,11 @@
 
         Bytes that are buffered for a slow caller are lost if the process ends before.
         """
-        self._when_flushed(self._remove_from_open)
+        self._when_flushed(self._on_flushed)
+
+    def _on_flushed(self) -> None:
+        self.account.end(self)
+        self._remove_from_open()
 
     def _remove_from_open(self, iterations: int = NEXT_HEAD_LOOP_ITERATIONS) -> None:
         """Remove the request from the open ones once a pipelined request is open.
@@ -325,6 +335,27 @@
         future.exception()
 
 
+@attrs.define
+class ReceptionPolicy:
+    """What callers' requests are bound to while they arrive.
+
+    Attributes:
+        body_timeout: Returns the seconds, from its head, within which a request's body
+            must have arrived for it to be answered.
+        reject: Called with a request that is refused before it has been received
+            completely, and why; answers it with `answer_unread`.
+    """
+
+    body_timeout: Callable[[CallerExchange], float] = (
+        lambda exchange: DEFAULT_BODY_TIMEOUT
+    )
+    reject: Callable[[CallerExchange, Refusal], None] = (
+        lambda exchange, refusal: exchange.answer_unread(
+            refusal.answer.status, HTTPHeaders(), b""
+        )
+    )
+
+
 class CallerConnections(HTTPServerConnectionDelegate):
     """The connections of callers.
 
@@ -335,6 +366,7 @@
         on_departure: Called with a request whose caller has left before the end of its
             answer, and the seconds since then, None if unknown.
         max_head_bytes: Limit of a request's head in bytes.
+        policy: What requests are bound to while they arrive.
     """
 
     def __init__(
@@ -350,6 +382,7 @@
             lambda caller, quiet: None
         )
         self.max_head_bytes = MAX_HEAD_BYTES
+        self.policy = ReceptionPolicy()
         self._serve = serve
         self._clock = clock
         self._close_after_answer = close_after_answer
@@ -368,6 +401,7 @@
             idle_timer,
             lambda: self.max_head_bytes,
             self.on_departure,
+            self.policy,
         )
         self.hangups.watch(request_conn.stream, exchange)
         return exchange
--- /dev/null
+++ b/packages/relay/src/lacewingcourse/relay/client_stream.py
@@ -0,0 +1,284 @@
+"""Connections of clients, whose bytes are counted."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING, Protocol
+
+from tornado.iostream import IOStream
+
+from lacewingcourse.core.pipelines.client_memory import (
+    BODY_BUFFER_BYTES,
+    CONNECTION_BYTES,
+    FIELD_BYTES,
+    REQUEST_BYTES,
+    ClientLimits,
+    ClientMemory,
+    Shortage,
+    Stage,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tornado.httputil import HTTPHeaders
+
+#: Bytes read from the kernel at a time.
+READ_BYTES = 16 * 1024
+#: Receive buffer requested of the kernel for each connection, in bytes; it takes twice
+#: as much for its own records.
+RECEIVE_BUFFER_BYTES = 32 * 1024
+#: Bytes of a connection's buffer in this process: a head that is too long, and what was
+#: read with its last bytes.
+MAX_BUFFER_BYTES = 256 * 1024
+#: Limits of connections that nothing bounds.
+UNBOUNDED = ClientLimits(memory=2**62, connections=2**31)
+
+
+class ClientRequest(Protocol):
+    """A request that is being received or answered."""
+
+    def on_shortage(self, shortage: Shortage) -> None:
+        """Give up what the request holds, and its connection soon or at once."""
+
+    def check(self, now: float) -> None:
+        """Give up a request whose time has passed."""
+
+
+class Account:
+    """What one connection holds, reported to the decision who has to go.
+
+    Attributes:
+        clients: All connections.
+        use: The part of the decision's state that concerns this one.
+        request: Request that is being received or answered, None between two.
+        is_open: Whether the connection is open.
+    """
+
+    def __init__(self, clients: Clients) -> None:
+        self.clients = clients
+        self.use = clients.memory.open(clients.clock())
+        self.request: ClientRequest | None = None
+        self.is_open = True
+        self._head_bytes = 0
+        self._kept = 0
+        self._is_small = False
+
+    def on_read(self, count: int) -> None:
+        """Count bytes of a head read from the kernel; a body is counted elsewhere."""
+        self.use.stage = Stage.HEAD
+        self._head_bytes += count
+        if self._head_bytes > READ_BYTES:
+            self.use.record_movement(count, self.clients.clock())
+            self._set_kept(self._head_bytes)
+            self.clients.relieve_soon()
+
+    def on_written(self, count: int) -> None:
+        """Count bytes of a large answer written to the kernel."""
+        self.use.record_movement(count, self.clients.clock())
+        self._set_kept(max(0, self._kept - count))
+
+    def begin(self, request: ClientRequest) -> None:
+        """Account for a request that is about to arrive."""
+        self.request = request
+        self._reset()
+
+    def on_head(
+        self, headers: HTTPHeaders, size: int, has_body: bool, length: int | None
+    ) -> None:
+        """Account for a decoded head.
+
+        Args:
+            headers: Its headers.
+            size: Its size in bytes.
+            has_body: Whether a body follows.
+            length: Bytes that the body announces, None if it announces none.
+        """
+        self.use.stage = Stage.BODY if has_body else Stage.SERVED
+        kept = size + FIELD_BYTES * len(headers) - REQUEST_BYTES
+        self._is_small = length is not None and length <= READ_BYTES
+        if self._is_small:
+            # Accounting for each piece would cost more than it is worth.
+            kept += length
+        elif has_body:
+            kept += BODY_BUFFER_BYTES
+        if kept > 0 or self._kept:
+            self._set_kept(max(kept, 0))
+            self.clients.relieve_soon()
+
+    def on_body(self, count: int) -> None:
+        """Account for bytes of a body, and close connections if that was too much."""
+        if self._is_small:
+            return
+        self.use.record_movement(count, self.clients.clock())
+        self._set_kept(self._kept + count)
+        self.clients.relieve()
+
+    def on_complete(self) -> None:
+        """Account for a request that was received completely."""
+        self.use.stage = Stage.SERVED
+
+    def on_answer(self, size: int) -> None:
+        """Account for a large answer that is being written in place of its request."""
+        self.use.stage = Stage.ANSWER
+        self._set_kept(size)
+        self.clients.relieve_soon()
+
+    def on_refused(self) -> None:
+        """Account for a request that was refused and holds nothing any more."""
+        self.use.stage = Stage.REFUSED
+        self._set_kept(0)
+
+    def end(self, request: ClientRequest) -> None:
+        """Account for the end of a request, unless another one has begun."""
+        if self.request is request:
+            self.request = None
+            self._reset()
+
+    def close(self) -> None:
+        """Account for the close of the connection."""
+        self.is_open = False
+        self.clients.memory.close(self.use)
+
+    def _reset(self) -> None:
+        self.use.stage = Stage.IDLE
+        self._head_bytes = 0
+        if self._kept:
+            self._set_kept(0)
+
+    def _set_kept(self, kept: int) -> None:
+        if kept != self._kept and self.is_open:
+            self._kept = kept
+            self.clients.memory.set_held(self.use, CONNECTION_BYTES + kept)
+
+
+class ClientStream(IOStream):
+    """A connection of a client.
+
+    Attributes:
+        account: What it holds.
+    """
+
+    def __init__(self, connection: socket.socket, clients: Clients) -> None:
+        super().__init__(
+            connection, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=READ_BYTES
+        )
+        self.account = Account(clients)
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the kernel; tornado calls this."""
+        try:
+            count = self.socket.recv_into(buf, len(buf))
+        except BlockingIOError:
+            return None
+        finally:
+            # A view that is kept would keep the library from resizing its buffer.
+            del buf
+        if count and self.account.use.stage in _BEFORE_BODY:
+            self.account.on_read(count)
+        return count
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Write to the kernel; tornado calls this."""
+        try:
+            count = self.socket.send(data)
+        finally:
+            del data
+        if self.account.use.stage is Stage.ANSWER:
+            self.account.on_written(count)
+        return count
+
+    def close_fd(self) -> None:
+        """Close the socket; tornado calls this."""
+        self.account.close()
+        self.account.clients.streams.pop(self.account.use, None)
+        super().close_fd()
+
+
+class Clients:
+    """The connections of clients to some listeners.
+
+    Attributes:
+        memory: Decides who has to go.
+        clock: Returns the present time in seconds.
+        streams: The connections by their use.
+        on_closed: Called with what is short and the stage of each connection that is
+            given up.
+    """
+
+    def __init__(self, limits: ClientLimits, clock: Callable[[], float]) -> None:
+        self.memory = ClientMemory(limits)
+        self.clock = clock
+        self.streams: dict[object, ClientStream] = {}
+        self.on_closed: Callable[[Shortage, Stage], None] = lambda shortage, stage: None
+        self._relief: asyncio.Handle | None = None
+
+    def open(self, connection: socket.socket) -> ClientStream:
+        """Return the stream of a new connection; others may be closed for it."""
+        try:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+        except OSError:
+            # The connection has been reset, or the system keeps its own size.
+            pass
+        stream = ClientStream(connection, self)
+        self.streams[stream.account.use] = stream
+        self.relieve()
+        return stream
+
+    def relieve(self) -> None:
+        """Give up connections until nothing is short."""
+        shortage = self.memory.shortage
+        if shortage is None:
+            return
+        for use in self.memory.closed_first(self.clock()):
+            stream = self.streams.get(use)
+            if stream is not None:
+                self._give_up(stream, shortage)
+
+    def relieve_soon(self) -> None:
+        """Give up connections once the library has handled what it is reading."""
+        if self._relief is None and self.memory.shortage is not None:
+            self._relief = asyncio.get_running_loop().call_soon(self._relieve_now)
+
+    def relieve_one(self) -> bool:
+        """Give up the connection that moves the least; return whether there is one."""
+        now = self.clock()
+        uses = [use for use in self.memory.uses if use.may_be_closed]
+        if not uses:
+            return False
+        use = min(uses, key=lambda each: each.connection_rank(now))
+        self._give_up(self.streams[use], Shortage.CONNECTIONS)
+        return True
+
+    def check(self, now: float) -> None:
+        """Give up requests whose time has passed.
+
+        Args:
+            now: Present time in seconds.
+        """
+        for stream in list(self.streams.values()):
+            request = stream.account.request
+            if request is not None and stream.account.use.stage in _UNFINISHED:
+                request.check(now)
+        self.relieve()
+
+    def _relieve_now(self) -> None:
+        self._relief = None
+        self.relieve()
+
+    def _give_up(self, stream: ClientStream, shortage: Shortage) -> None:
+        account = stream.account
+        self.on_closed(shortage, account.use.stage)
+        if account.request is not None and account.use.stage is Stage.BODY:
+            account.request.on_shortage(shortage)
+        else:
+            stream.close()
+
+
+#: Stages in which bytes belong to a head.
+_BEFORE_BODY = frozenset({Stage.IDLE, Stage.HEAD})
+#: Stages of requests that may end because of their time.
+_UNFINISHED = frozenset({Stage.BODY, Stage.REFUSED})
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -41,6 +41,8 @@
 #: Greatest jitter in seconds that is added to the time until the first entry is back,
 #: so that callers refused together do not return together.
 RETRY_JITTER = 0.5
+#: Seconds for which the body of a request without a route may arrive.
+DEFAULT_BODY_TIMEOUT = 30.0
 #: Reason of a request that a draining entry refuses or aborts.
 DRAINING_REASON = Unsent.LEAVING.value
 
@@ -104,6 +106,44 @@
             self.jobs.pop(caller, None)
             self.serving.discard(caller)
 
+    def body_timeout(self, caller: CallerExchange) -> float:
+        """Return the seconds within which the body of a request must arrive.
+
+        A request that its caller or its route gives up before cannot be served.
+
+        Args:
+            caller: Exchange of the request.
+        """
+        request = self.codec.decode(
+            caller.method, caller.target, caller.headers, caller.arrived_at
+        )
+        table = self.routing_state.table
+        if isinstance(request, Refusal) or table is None:
+            return DEFAULT_BODY_TIMEOUT
+        route = table.route(request.host, request.path)
+        limit = DEFAULT_BODY_TIMEOUT if isinstance(route, Refusal) else route.timeout
+        return limit if request.timeout is None else min(limit, request.timeout)
+
+    def reject_unread(self, caller: CallerExchange, refusal: Refusal) -> None:
+        """Refuse a request before it has been received completely.
+
+        Args:
+            caller: Exchange of the request.
+            refusal: Why; the request has not run.
+        """
+        request = self.codec.decode(
+            caller.method, caller.target, caller.headers, caller.arrived_at
+        )
+        if isinstance(request, Refusal):
+            request = None
+        if refusal.retry_after is not None:
+            wait = refusal.retry_after + self.rng.uniform(0.0, RETRY_JITTER)
+            refusal = attrs.evolve(refusal, retry_after=wait)
+        refusal = self._with_retry_after(refusal)
+        if request is not None:
+            self.log.refused(request, refusal, None)
+        caller.answer_unread(*self.codec.refusal(refusal, request))
+
     def log_departure(self, caller: CallerExchange, quiet: float | None) -> None:
         """Log that a caller has left before the end of its answer.
 
--- a/packages/relay/src/lacewingcourse/relay/ingress.py
+++ b/packages/relay/src/lacewingcourse/relay/ingress.py
@@ -17,6 +17,7 @@
     from lacewingcourse.core.pipelines.peers import PeerTable
     from lacewingcourse.core.pipelines.routing import Limits
     from lacewingcourse.relay.calls import CallForwarder
+    from lacewingcourse.relay.client_stream import Clients
     from lacewingcourse.relay.crash_guard import CrashGuard
     from lacewingcourse.relay.decisions import DecisionLog
     from lacewingcourse.relay.ports import RequestCodec
@@ -51,6 +52,7 @@
         rng: Random,
         guard: StalenessGuard,
         crash_guard: CrashGuard,
+        clients: Clients,
     ) -> None:
         """Initialize the components.
 
@@ -66,6 +68,7 @@
             rng: Source of random numbers.
             guard: Decides whether refusals for unknown routes and keys can be trusted.
             crash_guard: Refuses requests that crash endpoints.
+            clients: Connections of callers.
         """
         self.log = log
         self.clock = clock
@@ -88,10 +91,14 @@
             self.gateway.serve, clock, lambda: readiness.draining
         )
         self.callers.on_departure = self.gateway.log_departure
+        self.callers.policy.body_timeout = self.gateway.body_timeout
+        self.callers.policy.reject = self.gateway.reject_unread
         self.restart_estimator = RestartEstimator(
             readiness, self.callers, self.gateway, book, clock
         )
-        self.server = CallerServer(self.callers, max_header_size=MAX_HEAD_BYTES)
+        self.server = CallerServer(
+            self.callers, clients=clients, max_header_size=MAX_HEAD_BYTES
+        )
         # Idle connections are closed by `IdleTimer`.
         self.server.conn_params.header_timeout = None
         self.drainer = Drainer(
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from lacewingcourse.core.errors import Refusal
+    from lacewingcourse.core.pipelines.client_memory import ClientMemory
     from lacewingcourse.core.pipelines.crashes import AnswerProgress
     from lacewingcourse.core.pipelines.event_form import EventDefect
     from lacewingcourse.core.pipelines.scheduling import Decision
@@ -97,6 +98,25 @@
             ["phase"],
             **common_options,
         )
+        self.closed_clients = Counter(
+            "lacewingcourse_relay_closed_clients",
+            "Connections given up for want of memory or connections, by whose they were"
+            " and how far their request had come: idle, head, body, answer, refused",
+            ["group", "cause", "stage"],
+            **common_options,
+        )
+        self.client_bytes = Gauge(
+            "lacewingcourse_relay_client_bytes",
+            "Bytes charged to connections of clients: held, limit",
+            ["group", "state"],
+            **common_options,
+        )
+        self.client_connections = Gauge(
+            "lacewingcourse_relay_client_connections",
+            "Connections of clients: open, limit",
+            ["group", "state"],
+            **common_options,
+        )
         self.last_requests = Counter(
             "lacewingcourse_relay_last_requests",
             "Requests that came while the entry was ending: taken or refused",
@@ -302,6 +322,18 @@
             **common_options,
         )
 
+    def closed_client(self, group: str, cause: str, stage: str) -> None:
+        """Count a connection of a client that was given up."""
+        self.closed_clients.labels(group, cause, stage).inc()
+
+    def show_clients(self, group: str, memory: ClientMemory) -> None:
+        """Set the gauges of the connections of some clients."""
+        self.client_bytes.labels(group, "held").set(memory.held)
+        self.client_bytes.labels(group, "limit").set(memory.limits.memory)
+        self.client_connections.labels(group, "open").set(len(memory.uses))
+        limit = memory.limits.connections
+        self.client_connections.labels(group, "limit").set(limit)
+
     def served(self, job: Job, now: float) -> None:
         """Count a request that an endpoint answered."""
         received = job.request.received_at
--- a/packages/relay/src/lacewingcourse/relay/metrics_page.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics_page.py
@@ -14,6 +14,7 @@
 
     from lacewingcourse.core.pipelines.freshness import Freshness
     from lacewingcourse.relay.admission import Admission
+    from lacewingcourse.relay.client_stream import Clients
     from lacewingcourse.relay.metrics import Metrics
     from lacewingcourse.relay.routing_state import RoutingState
     from lacewingcourse.relay.small_server import Reply, ServerRequest
@@ -32,6 +33,7 @@
         boot_clock: Returns the present time in seconds, including the time for which
             the machine was suspended; the ages use it.
         admission: Requests that wait for room.
+        clients: The connections of clients by whose they are.
     """
 
     metrics: Metrics
@@ -41,6 +43,7 @@
     clock: Callable[[], float]
     boot_clock: Callable[[], float]
     admission: Admission
+    clients: dict[str, Clients] = attrs.field(factory=dict)
 
     def respond(self, request: ServerRequest) -> Reply:
         """Set the gauges, and return the metrics."""
@@ -57,6 +60,8 @@
         refused = self.routing_state.parts.in_force(self.clock())
         self.metrics.refused_parts.set(len(refused))
         self.metrics.show_queue(*self.admission.queue_state())
+        for group, clients in self.clients.items():
+            self.metrics.show_clients(group, clients.memory)
         return self.metrics.respond(request)
 
     def _count_endpoints(self, now: float) -> None:
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -4,6 +4,12 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.client_memory import ClientLimits, caller_limits
+
+#: Bytes of memory and descriptors of a process whose settings name none.
+DEFAULT_MEMORY = 512 * 1024 * 1024
+DEFAULT_DESCRIPTORS = 4096
+
 
 @attrs.frozen
 class Bounds:
@@ -58,6 +64,12 @@
             `room_sharing.ROOM_SHARING_POLICIES`.
         last_requests: Name of the policy for which requests are accepted while the
             entry ends, see `shutdown.LAST_REQUESTS`.
+        memory: Bytes of memory that the process may use.
+        descriptors: Descriptors that it may open.
+        caller_memory: Bytes that callers may hold together, None to derive it from the
+            memory of the process.
+        caller_connections: Connections of callers, None to derive it from the memory
+            and the descriptors.
     """
 
     name: str
@@ -76,3 +88,15 @@
     limit_sharing: str = "permits"
     room_sharing: str = "deployment"
     last_requests: str = "redirected"
+    memory: int = DEFAULT_MEMORY
+    descriptors: int = DEFAULT_DESCRIPTORS
+    caller_memory: int | None = None
+    caller_connections: int | None = None
+
+    def caller_limits(self) -> ClientLimits:
+        """Return the limits of callers' connections."""
+        derived = caller_limits(self.memory, self.descriptors)
+        return ClientLimits(
+            self.caller_memory or derived.memory,
+            self.caller_connections or derived.connections,
+        )
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -26,6 +26,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 #: Maximum size of a response body in bytes.
 MAX_BODY_BYTES = 64 * 1024 * 1024
+#: Bytes of a request's body that are written in one piece with its head.
+MAX_JOINED_BYTES = 64 * 1024
 #: Lowest HTTP status.
 LOWEST_STATUS = 100
 #: Maximum number of responses to other requests, and of informational ones, that are
@@ -150,7 +152,12 @@
         )
         http = HTTP1Connection(self.connection.stream, True, params)
         line = RequestStartLine(method, target, "HTTP/1.1")
-        http.write_headers(line, headers, body)
+        if len(body) > MAX_JOINED_BYTES:
+            # Joined to the head it would be copied for as long as it is written.
+            http.write_headers(line, headers)
+            http.write(body)
+        else:
+            http.write_headers(line, headers, body)
         http.finish()
         self.task = asyncio.ensure_future(self._read(http, params))
 
--- a/packages/relay/tests/relay/test_background.py
+++ b/packages/relay/tests/relay/test_background.py
@@ -19,6 +19,7 @@
     BackgroundTasks,
     start_task,
 )
+from lacewingcourse.relay.client_monitor import ClientMonitor
 from lacewingcourse.relay.decisions import DecisionLog
 from lacewingcourse.relay.duty_holder import DutyHolder
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
@@ -64,6 +65,7 @@
     "stalls": (StallWatcher, "check"),
     "loop watch": (LoopWatch, "record"),
     "settings": (SettingsWatch, "reload"),
+    "clients": (ClientMonitor, "report_ends"),
 }
 
 
--- a/packages/testing/src/lacewingcourse/testing/crowd.py
+++ b/packages/testing/src/lacewingcourse/testing/crowd.py
@@ -216,16 +216,19 @@
         connection.setblocking(False)
         self.members.append(Member(connection, iter(request), reads))
 
-    def run(self, until: Callable[[], bool] = lambda: False) -> None:
+    def run(
+        self, until: Callable[[], bool] = lambda: False, quiet: float = QUIET
+    ) -> None:
         """Send and receive until nothing moves any more.
 
         Args:
             until: Returns whether to stop before that.
+            quiet: Seconds without any movement after which it stops.
         """
         started = moved_at = time.monotonic()
         while not until():
             now = time.monotonic()
-            if now - moved_at > QUIET or now - started > MAX_RUN:
+            if now - moved_at > quiet or now - started > MAX_RUN:
                 return
             if self.turn():
                 moved_at = time.monotonic()
@@ -251,6 +254,10 @@
                     moved |= member.send(self.piece)
         return moved
 
+    def is_closed(self) -> bool:
+        """Return whether the other side has closed every connection."""
+        return all(member.is_closed for member in self.members)
+
     def leave(self) -> None:
         """Close all connections."""
         for member in self.members:
