Let bodies in small chunks take turns

What callers saw: while 150 clients sent bodies in chunks of one byte, none of three ordinary requests was answered within 25 s.

Cause: the library reads 256 chunks of a connection before others get on, some milliseconds of work, in each iteration of the loop for each of them.

Change: after 64 chunks a connection waits for its turn, and one has it in each iteration of the loop.

Why it works: an iteration takes no longer with more such connections; a request needs some iterations.

--- a/packages/relay/src/lacewingcourse/relay/client_stream.py
+++ b/packages/relay/src/lacewingcourse/relay/client_stream.py
@@ -1,9 +1,10 @@
-"""Connections of clients, whose bytes are counted."""
+"""Connections of clients, whose bytes are counted and whose small chunks take turns."""
 
 from __future__ import annotations
 
 import asyncio
 import socket
+from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
 from tornado.iostream import IOStream
@@ -20,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from tornado.httputil import HTTPHeaders
 
@@ -32,10 +33,44 @@
 #: Bytes of a connection's buffer in this process: a head that is too long, and what was
 #: read with its last bytes.
 MAX_BUFFER_BYTES = 256 * 1024
+#: Chunks of a body that are read in one turn.
+CHUNKS_PER_TURN = 64
 #: Limits of connections that nothing bounds.
 UNBOUNDED = ClientLimits(memory=2**62, connections=2**31)
 
 
+class Turns:
+    """Lets one of several tasks continue in each iteration of the loop.
+
+    Attributes:
+        waiting: Those that wait, in order.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: deque[asyncio.Future[None]] = deque()
+        self._is_scheduled = False
+
+    def wait(self) -> asyncio.Future[None]:
+        """Return a future that is done when the turn has come."""
+        loop = asyncio.get_running_loop()
+        turn = loop.create_future()
+        self.waiting.append(turn)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            loop.call_soon(self._next)
+        return turn
+
+    def _next(self) -> None:
+        while self.waiting:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                break
+        self._is_scheduled = bool(self.waiting)
+        if self._is_scheduled:
+            asyncio.get_running_loop().call_soon(self._next)
+
+
 class ClientRequest(Protocol):
     """A request that is being received or answered."""
 
@@ -165,6 +200,8 @@
             connection, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=READ_BYTES
         )
         self.account = Account(clients)
+        self._turns = clients.turns
+        self._chunks = 0
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the kernel; tornado calls this."""
@@ -189,6 +226,19 @@
             self.account.on_written(count)
         return count
 
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Read a line, which is the size of a chunk; many chunks take several turns."""
+        self._chunks += 1
+        if self._chunks % CHUNKS_PER_TURN:
+            return super().read_until(delimiter, max_bytes)
+        return self._read_in_turn(delimiter, max_bytes)
+
+    async def _read_in_turn(self, delimiter: bytes, max_bytes: int | None) -> bytes:
+        await self._turns.wait()
+        return await super().read_until(delimiter, max_bytes)
+
     def close_fd(self) -> None:
         """Close the socket; tornado calls this."""
         self.account.close()
@@ -203,6 +253,7 @@
         memory: Decides who has to go.
         clock: Returns the present time in seconds.
         streams: The connections by their use.
+        turns: Lets those that send small chunks continue one at a time.
         on_closed: Called with what is short and the stage of each connection that is
             given up.
     """
@@ -211,6 +262,7 @@
         self.memory = ClientMemory(limits)
         self.clock = clock
         self.streams: dict[object, ClientStream] = {}
+        self.turns = Turns()
         self.on_closed: Callable[[Shortage, Stage], None] = lambda shortage, stage: None
         self._relief: asyncio.Handle | None = None
 
--- a/packages/relay/tests/relay/test_client_stream.py
+++ b/packages/relay/tests/relay/test_client_stream.py
@@ -19,7 +19,7 @@
 from lacewingcourse.relay.caller import CallerConnections
 from lacewingcourse.relay.caller_server import CallerServer
 from lacewingcourse.relay.client_monitor import CALM_TIME, ClientMonitor
-from lacewingcourse.relay.client_stream import Clients
+from lacewingcourse.relay.client_stream import Clients, Turns
 
 #: Seconds after which a test fails because nothing arrives.
 TIMEOUT = 10.0
@@ -161,6 +161,30 @@
     run(test)
 
 
+def test_one_task_continues_in_each_iteration_of_the_loop():
+    async def test():
+        turns, order = Turns(), []
+
+        async def work(name):
+            for _ in range(3):
+                await turns.wait()
+                order.append(name)
+
+        iterations = 0
+
+        async def count():
+            nonlocal iterations
+            while len(order) < 9:
+                iterations += 1
+                await asyncio.sleep(0)
+
+        await asyncio.gather(*(work(name) for name in "abc"), count())
+        assert order == list("abcabcabc")
+        assert iterations >= 9
+
+    run(test)
+
+
 def test_a_shortage_is_logged_when_it_begins_and_when_it_is_over():
     lines, counted, now = [], [], 100.0
     clients = Clients(ClientLimits(MEBIBYTE, 10), lambda: now)
