Bound the ports for readiness, metrics and other entries

What callers saw: the process passed its memory by bodies sent to ports that are not for callers; in a first form of the test one held 8.8 GB.

Cause: these servers had the library's defaults: bodies and buffers of 100 MB, any number of connections, and no time limit.

Change: they share bounds of their own, an eighth of the memory of clients and a tenth of the descriptors. Messages of other entries may have 1 MiB, the others no body.

Why it works: a crowd there takes nothing from callers' connections and the other way round, so readiness is answered while callers' bounds are reached.

--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -10,9 +10,8 @@
 from typing import TYPE_CHECKING
 from uuid import uuid4
 
-from tornado.httpserver import HTTPServer
-
 from lacewingcourse.core.pipelines.admission_queue import WAIT_POLICIES
+from lacewingcourse.core.pipelines.client_memory import internal_limits
 from lacewingcourse.core.pipelines.freshness import RETRY_DELAYS, PropagationBudget
 from lacewingcourse.core.pipelines.limit_sharing import LIMIT_SHARING_POLICIES
 from lacewingcourse.core.pipelines.peers import PeerTable
@@ -55,7 +54,11 @@
 from lacewingcourse.relay.routing_state import RoutingState
 from lacewingcourse.relay.sending import Sender
 from lacewingcourse.relay.settings_watch import SettingsWatch
-from lacewingcourse.relay.small_server import Reply, ServerRequest, SmallServer
+from lacewingcourse.relay.small_server import (
+    Reply,
+    ServerRequest,
+    small_http_server,
+)
 from lacewingcourse.relay.staleness import StalenessGuard
 from lacewingcourse.relay.stall_watcher import StallWatcher
 from lacewingcourse.relay.streams import StreamForwarder
@@ -64,11 +67,16 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from tornado.httpserver import HTTPServer
+
     from lacewingcourse.core.pipelines.suspects import Grade
     from lacewingcourse.relay.loop_watch import Section
     from lacewingcourse.relay.platform_ports import Platform
     from lacewingcourse.relay.settings import Bounds, RelaySettings
 
+#: Bytes of a message of another entry.
+MAX_MESSAGE_BYTES = 1024 * 1024
+
 
 class Application:
     """One entry.
@@ -137,7 +145,9 @@
     def _compose(self) -> None:
         """Create the components with their dependencies."""
         rng = random.Random(self.settings.name)
+        memory, descriptors = self.settings.memory, self.settings.descriptors
         self.caller_clients = Clients(self.settings.caller_limits(), self.clock)
+        self.other_clients = Clients(internal_limits(memory, descriptors), self.clock)
         self.watch = LoopWatch(self.clock, self.metrics.loop_lag.observe, self._on_lag)
         self.routing_state.watch = self.watch
         limits = LimitReader(
@@ -242,8 +252,10 @@
             crash_guard,
             self.caller_clients,
         )
-        self.ready = HTTPServer(
-            SmallServer({("GET", self.settings.ready_path): self._on_ready})
+        self.ready = small_http_server(
+            {("GET", self.settings.ready_path): self._on_ready},
+            self.other_clients,
+            max_body_bytes=0,
         )
         self.configuration = ConfigurationFollower(
             self.platform.configuration,
@@ -350,7 +362,7 @@
             RoomMonitor(self.routing_state.room, self.log, self.metrics).check,
         )
         self.client_monitor = ClientMonitor(
-            {"callers": self.caller_clients},
+            {"callers": self.caller_clients, "others": self.other_clients},
             self.log.log_event,
             self.metrics.closed_client,
             self.clock,
@@ -368,8 +380,12 @@
         metrics_handlers = {("GET", METRICS_PATH): page.respond}
         handlers = self.peers.handlers() | self.loans.handlers()
         handlers |= self.permits.handlers()
-        self.peer_server = HTTPServer(SmallServer(handlers | metrics_handlers))
-        self.metrics_server = HTTPServer(SmallServer(metrics_handlers))
+        self.peer_server = small_http_server(
+            handlers | metrics_handlers, self.other_clients, MAX_MESSAGE_BYTES
+        )
+        self.metrics_server = small_http_server(
+            metrics_handlers, self.other_clients, max_body_bytes=0
+        )
 
     async def run(self) -> None:
         """Serve until the shutdown is complete."""
@@ -523,6 +539,8 @@
     def _apply_client_limits(self, settings: RelaySettings) -> None:
         """Apply the bounds of clients; they take effect at the monitor's next round."""
         self.caller_clients.memory.limits = settings.caller_limits()
+        others = internal_limits(settings.memory, settings.descriptors)
+        self.other_clients.memory.limits = others
 
     def _apply_budgets(self, bounds: Bounds) -> None:
         """Apply the times within which changes must have been propagated."""
