Return the memory of large bodies once they are gone

What callers saw: the second and third wave of a crowd took an entry further than the first, over its memory in the end.

Cause: the C library raises the size from which it maps a block by itself to the largest block it has seen freed, so bodies went to the heap and left holes there. And the body of a caller that left lived on in cycles of references until a collection.

--- a/packages/relay/src/lacewingcourse/relay/bounded_request.py
+++ b/packages/relay/src/lacewingcourse/relay/bounded_request.py
@@ -139,6 +139,10 @@
         if shortage is shortage.CONNECTIONS:
             self.end_refused()
 
+    def on_connection_close(self) -> None:
+        """Drop the body; cycles of references keep this object for a while."""
+        self.body = bytearray()
+
     def check(self, now: float) -> None:
         """End a refused request whose rest does not arrive.
 
--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -193,6 +193,7 @@
 
     def on_connection_close(self) -> None:
         """Handle a disconnect before the request was received completely."""
+        super().on_connection_close()
         self.disconnected = True
         self._open_requests.discard(self)
 
@@ -302,6 +303,7 @@
         self._when_flushed(self._on_flushed)
 
     def _on_flushed(self) -> None:
+        self.body = b""
         self.account.end(self)
         self._remove_from_open()
 
