Refuse no head within the limit for its number of fields

What callers saw: a head within the limit got 431 if it had many short fields.

Cause: each field was counted with a colon, a space and a line end, but the space is optional: 2,700 fields counted as 2,700 bytes more than were sent.

Change: the space is not counted; a head may be a byte a field larger.

--- a/packages/relay/src/lacewingcourse/relay/bounded_request.py
+++ b/packages/relay/src/lacewingcourse/relay/bounded_request.py
@@ -32,8 +32,8 @@
 LINGER_IDLE = 0.5
 #: The same in bytes, as a multiple of the largest legal body.
 LINGER_BODIES = 2
-#: Bytes that a header takes besides its name and value.
-HEADER_SEPARATOR_BYTES = len(": \r\n")
+#: Bytes that a header takes at least besides its name and value.
+HEADER_SEPARATOR_BYTES = len(":\r\n")
 #: `Retry-After` in seconds of a request that was given up for want of memory: others
 #: move on within it, or are given up themselves.
 SHORTAGE_RETRY_AFTER = 1.0
