Cut long texts in log lines

Cause: a line holds the identifier of its request, which may be as long as a head; such lines are cut by the pipe, or stall its reader.

Change: texts in a line have 300 characters at the most.

Evidence: `test_long_texts_are_cut_in_lines` (new; the line had 60,000).

--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -49,6 +49,8 @@
 #: Maximum number of characters of a traceback in a line, its last ones. The pipe that
 #: takes the line may cut a longer one.
 MAX_LOGGED_TRACEBACK = 3_000
+#: Maximum number of characters of a text in a line.
+MAX_LOGGED_TEXT = 300
 #: Maximum number of bytes of an endpoint's response in a line.
 MAX_LOGGED_BYTES = 48
 
@@ -527,7 +529,19 @@
         if self.budget.left_out and event != "left_out":
             count, self.budget.left_out = self.budget.left_out, 0
             logger.bind(lines=count).info("left_out")
-        logger.bind(**fields).info(event)
+        logger.bind(**_bounded(fields)).info(event)
+
+
+def _bounded(fields: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields of a line, long texts cut: callers choose some of them."""
+    return {
+        name: (
+            value[:MAX_LOGGED_TEXT]
+            if type(value) is str and len(value) > MAX_LOGGED_TEXT
+            else value
+        )
+        for name, value in fields.items()
+    }
 
 
 def _path(job: Job) -> list[str]:
--- a/packages/relay/tests/relay/test_decisions.py
+++ b/packages/relay/tests/relay/test_decisions.py
@@ -17,6 +17,7 @@
 from lacewingcourse.core.pipelines.stream_copy import UnsoundBytes
 from lacewingcourse.relay.decisions import (
     MAX_LINES_PER_SECOND,
+    MAX_LOGGED_TEXT,
     MAX_LOGGED_TRACEBACK,
     DecisionLog,
     LineBudget,
@@ -56,6 +57,18 @@
     assert logged_events() == documented_events()
 
 
+def test_long_texts_are_cut_in_lines():
+    lines = []
+    sink = logger.add(lambda message: lines.append(message.record["extra"]))
+    try:
+        log = DecisionLog(lambda: 0.0, Metrics(), lambda: 1)
+        log.log_event("refused", request="i" * 60_000, sends=2)
+    finally:
+        logger.remove(sink)
+    assert len(lines[0]["request"]) == MAX_LOGGED_TEXT
+    assert lines[0]["sends"] == 2
+
+
 def test_lines_beyond_the_limit_of_an_event_are_counted():
     budget = LineBudget()
     limit = MAX_LINES_PER_SECOND["served"]
