Bound what clients make the own entries and agents hold

What callers saw: the same as at an entry on the platform: 150 clients with bodies of 1 MiB took an entry to 272 MB, and an agent to 279, where 160 were granted; 600 silent ones took 630 descriptors of 400.

Cause: the servers of the own daemons bound each request, not all of them.

Change: they are `ClientServer`s, with the bounds of an entry for their one port. Settings `memory_mb` and `max_descriptors`, metric `lacewingcourse_closed_clients_total`, the same two log lines. An answer that refuses a body is no longer followed by an invitation to send it.

--- a/packages/daemon/src/lacewingcourse/daemon/common_settings.py
+++ b/packages/daemon/src/lacewingcourse/daemon/common_settings.py
@@ -124,6 +124,24 @@
     )
 
 
+def memory_mb() -> int:
+    """Return the setting for the memory of the process."""
+    return environ.var(
+        default="512",
+        converter=count,
+        help="MiB of memory that the process may use; bounds what clients hold",
+    )
+
+
+def max_descriptors() -> int:
+    """Return the setting for the descriptors of the process."""
+    return environ.var(
+        default="4096",
+        converter=count,
+        help="Descriptors that the process may open; bounds its connections",
+    )
+
+
 def idle_timeout() -> float:
     """Return the setting for idle connections."""
     return environ.var(
@@ -174,5 +192,7 @@
     "log_level",
     "log_url",
     "max_body_bytes",
+    "max_descriptors",
+    "memory_mb",
     "shared_secret",
 ]
--- a/packages/daemon/src/lacewingcourse/daemon/daemon.py
+++ b/packages/daemon/src/lacewingcourse/daemon/daemon.py
@@ -15,6 +15,7 @@
 from tornado.web import Application
 
 from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.pipelines.client_memory import MEBIBYTE, caller_limits
 from lacewingcourse.daemon.configuration import ConfigurationMetrics
 from lacewingcourse.daemon.handlers import (
     HealthHandler,
@@ -23,13 +24,11 @@
     StateHandler,
     UnknownPathHandler,
 )
-from lacewingcourse.daemon.server import (
-    CLOSE_HEADER_BYTES,
-    WIRE_FACTOR,
-    GuardedServer,
-    RequestLimits,
-)
+from lacewingcourse.daemon.server import GuardedServer, RequestLimits
+from lacewingcourse.relay.allocator import return_large_blocks
 from lacewingcourse.relay.background import run_repeatedly
+from lacewingcourse.relay.client_monitor import ClientMonitor
+from lacewingcourse.relay.client_stream import Clients
 from lacewingcourse.wire.client import PeerClient
 
 if TYPE_CHECKING:
@@ -55,6 +54,11 @@
     logger.opt(exception=error).bind(work=work).error("a background task failed")
 
 
+def _log_clients(event: str, **fields: Any) -> None:
+    """Log that clients hold too much, or no longer."""
+    logger.bind(**fields).warning(event)
+
+
 @attrs.frozen
 class Readiness:
     """Whether a process takes new work.
@@ -77,6 +81,7 @@
         registry: Where the counters are registered.
         strangers: Messages whose proof was missing or wrong.
         configuration: Counters of the configuration.
+        closed_clients: Connections given up for want of memory or connections.
         log_operations: Appends and reads of the log.
     """
 
@@ -89,6 +94,12 @@
             "Messages whose proof was missing or wrong",
             registry=self.registry,
         )
+        self.closed_clients = Counter(
+            "lacewingcourse_closed_clients",
+            "Connections given up for want of memory or connections",
+            ("group", "cause", "stage"),
+            registry=self.registry,
+        )
         self.log_operations = Counter(
             "lacewingcourse_log_operations",
             "Operations on the log",
@@ -96,6 +107,10 @@
             registry=self.registry,
         )
 
+    def closed_client(self, group: str, cause: str, stage: str) -> None:
+        """Count a connection of a client that was given up."""
+        self.closed_clients.labels(group, cause, stage).inc()
+
     def on_log(self, operation: str, stream: str, result: object) -> None:
         """Count an operation on the log.
 
@@ -212,13 +227,20 @@
     async def run(self) -> None:
         """Serve until asked to end, then drain."""
         settings = self.settings
+        return_large_blocks()
+        memory = settings.memory_mb * MEBIBYTE
+        limits = caller_limits(memory, settings.max_descriptors)
+        clients = Clients(limits, self.now)
         server = GuardedServer(
             self.application(),
             RequestLimits(
                 settings.max_body_bytes, settings.header_timeout, settings.body_timeout
             ),
+            clients=clients,
             idle_connection_timeout=settings.idle_timeout,
-            max_buffer_size=settings.max_body_bytes * WIRE_FACTOR + CLOSE_HEADER_BYTES,
+        )
+        monitor = ClientMonitor(
+            {"all": clients}, _log_clients, self.metrics.closed_client, self.now
         )
         sockets = self._bind()
         self.port = sockets[0].getsockname()[1]
@@ -226,6 +248,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
+        self.supervise(monitor.run)
         await self.start_tasks()
         logger.info("started", port=self.port)
         await self.stopping.wait()
--- a/packages/daemon/src/lacewingcourse/daemon/server.py
+++ b/packages/daemon/src/lacewingcourse/daemon/server.py
@@ -12,12 +12,13 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.daemon.problems import PROBLEM_JSON, problem_of, retry_after
+from lacewingcourse.relay.bounded_request import shortage_refusal
+from lacewingcourse.relay.client_server import ClientServer
 from lacewingcourse.relay.hangups import HangupMonitor, has_hung_up
 from lacewingcourse.wire.codec import encode
 
@@ -25,6 +26,9 @@
     from tornado.http1connection import HTTP1Connection
     from tornado.iostream import IOStream
 
+    from lacewingcourse.core.pipelines.client_memory import Shortage
+    from lacewingcourse.relay.client_stream import Account
+
 #: Bytes of headers that a request may have.
 MAX_HEADER_BYTES = 16 * 1024
 #: Bytes of headers above which the connection is closed without an answer.
@@ -95,6 +99,7 @@
         inner: Takes the request.
         connection: The request's connection.
         limits: The bounds.
+        account: What the connection holds.
         body_bytes: Bytes that the body may have.
         received: Bytes of the body so far.
         refused: Whether the request was refused.
@@ -109,12 +114,16 @@
         self.inner = inner
         self.connection = connection
         self.limits = limits
+        self.account: Account = connection.stream.account
+        self.account.begin(self)
         self.body_bytes = limits.body_bytes
         self.received = 0
         self.refused = False
+        self._headers = HTTPHeaders()
         self._timer: asyncio.TimerHandle | None = None
 
     def headers_received(self, start_line, headers):
+        self._headers = headers
         self.body_bytes = self.limits.body_bytes_of(start_line.path)
         # The bound is counted here; the library would close without an answer.
         self.connection.set_max_body_size(sys.maxsize)
@@ -122,15 +131,18 @@
             len(name) + len(value) + HEADER_OVERHEAD
             for name, value in headers.get_all()
         )
+        length = headers.get("Content-Length", "0")
+        has_body = length != "0" or "Transfer-Encoding" in headers
+        announced = int(length) if length.isdecimal() and len(length) < 10 else None
+        self.account.on_head(headers, size, has_body, announced)
         if size + len(start_line.path) > MAX_HEADER_BYTES:
             reason = f"the headers have more than {MAX_HEADER_BYTES} bytes"
             self._refuse(Refusal(ErrorKind.TOO_LARGE, reason))
             return None
-        length = headers.get("Content-Length", "0")
         if length.isdecimal() and int(length) > self.body_bytes:
             self._refuse_body()
             return None
-        if length != "0" or "Transfer-Encoding" in headers:
+        if has_body:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(self.limits.body_timeout, self._too_slow)
         return self.inner.headers_received(start_line, headers)
@@ -142,7 +154,9 @@
         if self.received > self.body_bytes:
             self._refuse_body()
             return None
-        return self.inner.data_received(chunk)
+        found = self.inner.data_received(chunk)
+        self.account.on_body(len(chunk))
+        return found
 
     def finish(self) -> None:
         self._stop_timer()
@@ -155,6 +169,7 @@
             stream.close()
             self.inner.on_connection_close()
             return
+        self.account.on_complete()
         self.inner.finish()
 
     def on_connection_close(self) -> None:
@@ -162,6 +177,15 @@
         if not self.refused:
             self.inner.on_connection_close()
 
+    def on_shortage(self, shortage: Shortage) -> None:
+        """Refuse the request for want of memory, or close if connections are short."""
+        self._refuse(shortage_refusal())
+        if shortage is shortage.CONNECTIONS:
+            self._end()
+
+    def check(self, now: float) -> None:
+        """Do nothing: timers of this object end what takes too long."""
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -180,6 +204,12 @@
         """Answer now; the connection ends when the rest was read, or soon after."""
         self.refused = True
         self._stop_timer()
+        # Otherwise the library would invite the body after the answer.
+        self._headers.pop("Expect", None)
+        # What the inner delegate has collected is dropped with it.
+        self.inner.on_connection_close()
+        self.inner = None
+        self.account.on_refused()
         body = encode(problem_of(refusal))
         status = refusal.answer.status
         line = ResponseStartLine("HTTP/1.1", status, HTTPStatus(status).phrase)
@@ -244,7 +274,7 @@
         return self._write(data)
 
 
-class GuardedServer(HTTPServer):
+class GuardedServer(ClientServer):
     """An HTTP server whose requests are bounded.
 
     Attributes:
--- a/packages/daemon/tests/test_departed_callers.py
+++ b/packages/daemon/tests/test_departed_callers.py
@@ -38,7 +38,7 @@
     handlers = [("/.*", Handler, {"started": started, "left": left})]
     server = GuardedServer(Application(handlers), limits=RequestLimits(1000, 5.0, 5.0))
     server.listen(0, "127.0.0.1")
-    (listening,) = server._sockets.values()
+    (listening,) = server.listen_sockets
     yield listening.getsockname(), started, left
     server.stop()
     await server.close_all_connections()
--- a/packages/entry/src/lacewingcourse/entry/settings.py
+++ b/packages/entry/src/lacewingcourse/entry/settings.py
@@ -78,6 +78,8 @@
     log_format: str = common.log_format()
     log_level: str = common.log_level()
     max_body_bytes: int = common.max_body_bytes()
+    memory_mb: int = common.memory_mb()
+    max_descriptors: int = common.max_descriptors()
     idle_timeout: float = common.idle_timeout()
     header_timeout: float = common.header_timeout()
     body_timeout: float = common.body_timeout()
