--- a/packages/relay/src/lacewingcourse/relay/client_stream.py
+++ b/packages/relay/src/lacewingcourse/relay/client_stream.py
@@ -35,6 +35,10 @@
 MAX_BUFFER_BYTES = 256 * 1024
 #: Chunks of a body that are read in one turn.
 CHUNKS_PER_TURN = 64
+#: Stages in which bytes belong to a head.
+BEFORE_BODY = frozenset({Stage.IDLE, Stage.HEAD})
+#: Stages of requests that may end because of their time.
+UNFINISHED = frozenset({Stage.BODY, Stage.REFUSED})
 #: Limits of connections that nothing bounds.
 UNBOUNDED = ClientLimits(memory=2**62, connections=2**31)
 
@@ -212,7 +216,7 @@
         finally:
             # A view that is kept would keep the library from resizing its buffer.
             del buf
-        if count and self.account.use.stage in _BEFORE_BODY:
+        if count and self.account.use.stage in BEFORE_BODY:
             self.account.on_read(count)
         return count
 
@@ -313,7 +317,7 @@
         """
         for stream in list(self.streams.values()):
             request = stream.account.request
-            if request is not None and stream.account.use.stage in _UNFINISHED:
+            if request is not None and stream.account.use.stage in UNFINISHED:
                 request.check(now)
         self.relieve()
 
@@ -328,9 +332,3 @@
             account.request.on_shortage(shortage)
         else:
             stream.close()
-
-
-#: Stages in which bytes belong to a head.
-_BEFORE_BODY = frozenset({Stage.IDLE, Stage.HEAD})
-#: Stages of requests that may end because of their time.
-_UNFINISHED = frozenset({Stage.BODY, Stage.REFUSED})
