Charge bodies in chunks to the own entries and agents

Cause: a head without a length was read as one of length 0, so a body in chunks counted as a small one, whose pieces are not charged.

Change: the length of a body in chunks is unknown, as at an entry on the platform; both read it by one function, which also takes lengths of thousands of digits for too large in place of raising.

--- a/packages/daemon/src/lacewingcourse/daemon/server.py
+++ b/packages/daemon/src/lacewingcourse/daemon/server.py
@@ -17,7 +17,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.daemon.problems import PROBLEM_JSON, problem_of, retry_after
-from lacewingcourse.relay.bounded_request import shortage_refusal
+from lacewingcourse.relay.bounded_request import parse_length, shortage_refusal
 from lacewingcourse.relay.client_server import ClientServer
 from lacewingcourse.relay.hangups import HangupMonitor, has_hung_up
 from lacewingcourse.wire.codec import encode
@@ -131,15 +131,16 @@
             len(name) + len(value) + HEADER_OVERHEAD
             for name, value in headers.get_all()
         )
-        length = headers.get("Content-Length", "0")
-        has_body = length != "0" or "Transfer-Encoding" in headers
-        announced = int(length) if length.isdecimal() and len(length) < 10 else None
-        self.account.on_head(headers, size, has_body, announced)
+        length = parse_length(headers.get("Content-Length"))
+        if "Transfer-Encoding" in headers:
+            length = None
+        has_body = length != 0
+        self.account.on_head(headers, size, has_body, length)
         if size + len(start_line.path) > MAX_HEADER_BYTES:
             reason = f"the headers have more than {MAX_HEADER_BYTES} bytes"
             self._refuse(Refusal(ErrorKind.TOO_LARGE, reason))
             return None
-        if length.isdecimal() and int(length) > self.body_bytes:
+        if length is not None and length > self.body_bytes:
             self._refuse_body()
             return None
         if has_body:
--- a/packages/relay/src/lacewingcourse/relay/bounded_request.py
+++ b/packages/relay/src/lacewingcourse/relay/bounded_request.py
@@ -87,7 +87,7 @@
         self.headers = headers
         # The size is checked here: the library answers 400 and resets the connection.
         self.connection.set_max_body_size(sys.maxsize)
-        length = _parse_length(headers.get("Content-Length"))
+        length = parse_length(headers.get("Content-Length"))
         if "Transfer-Encoding" in headers:
             length = None
         has_body = length != 0
@@ -191,7 +191,7 @@
             self.connection.close()
 
 
-def _parse_length(value: str | None) -> int | None:
+def parse_length(value: str | None) -> int | None:
     """Return the length that a head announces, None if it is no number.
 
     The library refuses one that is no number; without any there is no body, unless it
