Let the two readers of requests share their pieces, and name each bound once

The time limit of a body without a route stood in two modules with two values.

Behaviour of processes is as before: the larger one of the two time limits was in force for connections without a gateway only, as some tests make them. No assertion was changed.

--- a/packages/core/src/lacewingcourse/core/pipelines/client_memory.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/client_memory.py
@@ -267,18 +267,22 @@
             now: Present time in seconds.
         """
         if self.shortage is Shortage.CONNECTIONS:
-            return self._stillest(now)
+            kept = int(self.limits.connections * RELIEF_SHARE)
+            return self.stillest(now, len(self.uses) - kept)
         if self.shortage is Shortage.MEMORY:
             return self._heaviest(now)
         return []
 
-    def _stillest(self, now: float) -> list[ConnectionUse]:
-        """Return enough of the connections that move the least."""
+    def stillest(self, now: float, count: int) -> list[ConnectionUse]:
+        """Return some of the connections that move the least, the first to go first.
 
-        excess = len(self.uses) - int(self.limits.connections * RELIEF_SHARE)
+        Args:
+            now: Present time in seconds.
+            count: Number of connections; fewer if no more may be given up.
+        """
         candidates = [use for use in self.uses if use.may_be_closed]
         candidates.sort(key=lambda use: use.connection_rank(now))
-        return candidates[:excess]
+        return candidates[:count]
 
     def _heaviest(self, now: float) -> list[ConnectionUse]:
         """Return enough of those that hold the most and move the least."""
--- a/packages/daemon/src/lacewingcourse/daemon/server.py
+++ b/packages/daemon/src/lacewingcourse/daemon/server.py
@@ -16,8 +16,9 @@
 from tornado.iostream import StreamClosedError
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.client_memory import Shortage
 from lacewingcourse.daemon.problems import PROBLEM_JSON, problem_of, retry_after
-from lacewingcourse.relay.bounded_request import parse_length, shortage_refusal
+from lacewingcourse.relay.bounded_request import announced_length, shortage_refusal
 from lacewingcourse.relay.client_server import ClientServer
 from lacewingcourse.relay.hangups import HangupMonitor, has_hung_up
 from lacewingcourse.wire.codec import encode
@@ -26,7 +27,6 @@
     from tornado.http1connection import HTTP1Connection
     from tornado.iostream import IOStream
 
-    from lacewingcourse.core.pipelines.client_memory import Shortage
     from lacewingcourse.relay.client_stream import Account
 
 #: Bytes of headers that a request may have.
@@ -131,9 +131,7 @@
             len(name) + len(value) + HEADER_OVERHEAD
             for name, value in headers.get_all()
         )
-        length = parse_length(headers.get("Content-Length"))
-        if "Transfer-Encoding" in headers:
-            length = None
+        length = announced_length(headers)
         has_body = length != 0
         self.account.on_head(headers, size, has_body, length)
         if size + len(start_line.path) > MAX_HEADER_BYTES:
@@ -181,7 +179,7 @@
     def on_shortage(self, shortage: Shortage) -> None:
         """Refuse the request for want of memory, or close if connections are short."""
         self._refuse(shortage_refusal())
-        if shortage is shortage.CONNECTIONS:
+        if shortage is Shortage.CONNECTIONS:
             self._end()
 
     def check(self, now: float) -> None:
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -11,7 +11,6 @@
 from uuid import uuid4
 
 from lacewingcourse.core.pipelines.admission_queue import WAIT_POLICIES
-from lacewingcourse.core.pipelines.client_memory import internal_limits
 from lacewingcourse.core.pipelines.freshness import RETRY_DELAYS, PropagationBudget
 from lacewingcourse.core.pipelines.limit_sharing import LIMIT_SHARING_POLICIES
 from lacewingcourse.core.pipelines.peers import PeerTable
@@ -145,9 +144,8 @@
     def _compose(self) -> None:
         """Create the components with their dependencies."""
         rng = random.Random(self.settings.name)
-        memory, descriptors = self.settings.memory, self.settings.descriptors
         self.caller_clients = Clients(self.settings.caller_limits(), self.clock)
-        self.other_clients = Clients(internal_limits(memory, descriptors), self.clock)
+        self.other_clients = Clients(self.settings.other_limits(), self.clock)
         self.watch = LoopWatch(self.clock, self.metrics.loop_lag.observe, self._on_lag)
         self.routing_state.watch = self.watch
         limits = LimitReader(
@@ -539,8 +537,7 @@
     def _apply_client_limits(self, settings: RelaySettings) -> None:
         """Apply the bounds of clients; they take effect at the monitor's next round."""
         self.caller_clients.memory.limits = settings.caller_limits()
-        others = internal_limits(settings.memory, settings.descriptors)
-        self.other_clients.memory.limits = others
+        self.other_clients.memory.limits = settings.other_limits()
 
     def _apply_budgets(self, bounds: Bounds) -> None:
         """Apply the times within which changes must have been propagated."""
--- a/packages/relay/src/lacewingcourse/relay/bounded_request.py
+++ b/packages/relay/src/lacewingcourse/relay/bounded_request.py
@@ -13,16 +13,16 @@
 )
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.client_memory import Shortage
 from lacewingcourse.relay.client_stream import UNBOUNDED, Account, Clients
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
     from tornado.http1connection import HTTP1Connection
     from tornado.httputil import RequestStartLine
 
-    from lacewingcourse.core.pipelines.client_memory import Shortage
-
 #: Bytes of a body before a configuration sets the limit.
 DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 #: Seconds for which the rest of a refused request is read and dropped. Closing a
@@ -87,9 +87,7 @@
         self.headers = headers
         # The size is checked here: the library answers 400 and resets the connection.
         self.connection.set_max_body_size(sys.maxsize)
-        length = parse_length(headers.get("Content-Length"))
-        if "Transfer-Encoding" in headers:
-            length = None
+        length = announced_length(headers)
         has_body = length != 0
         size = self._head_bytes()
         self.account.on_head(headers, size, has_body, length)
@@ -136,7 +134,7 @@
     def on_shortage(self, shortage: Shortage) -> None:
         """Refuse the request for want of memory, or close if connections are short."""
         self.refuse(shortage_refusal())
-        if shortage is shortage.CONNECTIONS:
+        if shortage is Shortage.CONNECTIONS:
             self.end_refused()
 
     def on_connection_close(self) -> None:
@@ -178,25 +176,37 @@
         self.headers.pop("Expect", None)
         headers["Content-Length"] = str(len(body))
         headers["Connection"] = "close"
-        if self.headers.get("Connection", "").lower() == "keep-alive":
-            del self.headers["Connection"]
+        self._suppress_keep_alive()
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         sent = b"" if self.method == "HEAD" else body
-        self.connection.write_headers(line, headers, sent).add_done_callback(_ignore)
+        self.connection.write_headers(line, headers, sent).add_done_callback(
+            consume_exception
+        )
         self.account.on_refused()
 
+    def _suppress_keep_alive(self) -> None:
+        """Prevent tornado from sending `Connection: Keep-Alive` to an HTTP/1.0 caller.
+
+        Tornado replaces the header that the answer sets with that one if the request
+        asked for it.
+        """
+        if self.headers.get("Connection", "").lower() == "keep-alive":
+            del self.headers["Connection"]
+
     def end_refused(self) -> None:
         """Close the connection of a refused request."""
         if not self.connection.stream.closed():
             self.connection.close()
 
 
-def parse_length(value: str | None) -> int | None:
-    """Return the length that a head announces, None if it is no number.
+def announced_length(headers: HTTPHeaders) -> int | None:
+    """Return the length of the body that a head announces, None if it names none.
 
-    The library refuses one that is no number; without any there is no body, unless it
-    comes in chunks.
+    A body in chunks names none. The library refuses a length that is no number.
     """
+    if "Transfer-Encoding" in headers:
+        return None
+    value = headers.get("Content-Length")
     if value is None:
         return 0
     if not (value.isascii() and value.isdecimal()):
@@ -213,7 +223,7 @@
     )
 
 
-def _ignore(future) -> None:
-    """Discard the exception of a write to a connection that was closed meanwhile."""
+def consume_exception(future: asyncio.Future) -> None:
+    """Discard the exception of a write; a close is handled elsewhere."""
     if not future.cancelled():
         future.exception()
--- a/packages/relay/src/lacewingcourse/relay/caller.py
+++ b/packages/relay/src/lacewingcourse/relay/caller.py
@@ -17,7 +17,11 @@
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
 from lacewingcourse.core.pipelines.client_memory import LARGE_BYTES
-from lacewingcourse.relay.bounded_request import HEADERS_TOO_LARGE, BoundedRequest
+from lacewingcourse.relay.bounded_request import (
+    HEADERS_TOO_LARGE,
+    BoundedRequest,
+    consume_exception,
+)
 from lacewingcourse.relay.hangups import HangupMonitor, has_hung_up, quiet_time
 from lacewingcourse.relay.idle import IdleTimeout, IdleTimer
 
@@ -35,7 +39,7 @@
 #: has read the head of a pipelined request.
 NEXT_HEAD_LOOP_ITERATIONS = 4
 #: Seconds for which a body may arrive whose request names no time limit.
-DEFAULT_BODY_TIMEOUT = 60.0
+DEFAULT_BODY_TIMEOUT = 30.0
 
 
 class CallerExchange(BoundedRequest):
@@ -215,14 +219,6 @@
         self._ignore_write_error(self.connection.write_headers(line, headers, first))
         return self._flushed()
 
-    def _suppress_keep_alive(self) -> None:
-        """Prevent tornado from sending `Connection: Keep-Alive` to an HTTP/1.0 caller.
-
-        Tornado replaces the header set here with that one if the request asked for it.
-        """
-        if self.headers.get("Connection", "").lower() == "keep-alive":
-            del self.headers["Connection"]
-
     def _is_delimited_by_close(self, headers: HTTPHeaders) -> bool:
         """Return whether the answer can only be ended by closing the connection.
 
@@ -292,7 +288,7 @@
             return
         # An empty write completes only after all earlier writes.
         pending = stream.write(b"")
-        pending.add_done_callback(_consume_exception)
+        pending.add_done_callback(consume_exception)
         pending.add_done_callback(lambda future: callback())
 
     def _on_served(self, task: asyncio.Task) -> None:
@@ -322,7 +318,7 @@
             self.connection.stream.set_nodelay(True)
 
     def _ignore_write_error(self, future: asyncio.Future) -> None:
-        future.add_done_callback(_consume_exception)
+        future.add_done_callback(consume_exception)
 
     def _on_close(self) -> None:
         self.disconnected = True
@@ -331,12 +327,6 @@
             self.on_disconnect()
 
 
-def _consume_exception(future: asyncio.Future) -> None:
-    """Discard the exception of a write; the close callback handles the disconnect."""
-    if not future.cancelled():
-        future.exception()
-
-
 @attrs.define
 class ReceptionPolicy:
     """What callers' requests are bound to while they arrive.
--- a/packages/relay/src/lacewingcourse/relay/client_server.py
+++ b/packages/relay/src/lacewingcourse/relay/client_server.py
@@ -7,7 +7,6 @@
 
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream
 
 from lacewingcourse.relay.client_stream import READ_BYTES, UNBOUNDED, Clients
 
@@ -82,13 +81,9 @@
         except OSError:
             self._on_descriptors_exhausted(listen_socket)
             return False
-        self.handle_stream(self.open(connection), address)
+        self.handle_stream(self.clients.open(connection), address)
         return True
 
-    def open(self, connection: socket.socket) -> IOStream:
-        """Return the stream of a new connection."""
-        return self.clients.open(connection)
-
     def _on_descriptors_exhausted(self, listen_socket: socket.socket) -> None:
         """Free a descriptor, or stop accepting for a while: the loop would not rest."""
         if not self._is_listening or self.clients.relieve_one():
--- a/packages/relay/src/lacewingcourse/relay/client_stream.py
+++ b/packages/relay/src/lacewingcourse/relay/client_stream.py
@@ -301,13 +301,10 @@
 
     def relieve_one(self) -> bool:
         """Give up the connection that moves the least; return whether there is one."""
-        now = self.clock()
-        uses = [use for use in self.memory.uses if use.may_be_closed]
-        if not uses:
-            return False
-        use = min(uses, key=lambda each: each.connection_rank(now))
-        self._give_up(self.streams[use], Shortage.CONNECTIONS)
-        return True
+        found = self.memory.stillest(self.clock(), 1)
+        for use in found:
+            self._give_up(self.streams[use], Shortage.CONNECTIONS)
+        return bool(found)
 
     def check(self, now: float) -> None:
         """Give up requests whose time has passed.
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.relay.admission import RETRY_PERIOD
+from lacewingcourse.relay.caller import DEFAULT_BODY_TIMEOUT
 from lacewingcourse.relay.connections import Unsent
 from lacewingcourse.relay.crash_guard import CrashGuard
 from lacewingcourse.relay.job import Job
@@ -41,8 +42,6 @@
 #: Greatest jitter in seconds that is added to the time until the first entry is back,
 #: so that callers refused together do not return together.
 RETRY_JITTER = 0.5
-#: Seconds for which the body of a request without a route may arrive.
-DEFAULT_BODY_TIMEOUT = 30.0
 #: Reason of a request that a draining entry refuses or aborts.
 DRAINING_REASON = Unsent.LEAVING.value
 
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -4,7 +4,11 @@
 
 import attrs
 
-from lacewingcourse.core.pipelines.client_memory import ClientLimits, caller_limits
+from lacewingcourse.core.pipelines.client_memory import (
+    ClientLimits,
+    caller_limits,
+    internal_limits,
+)
 
 #: Bytes of memory and descriptors of a process whose settings name none.
 DEFAULT_MEMORY = 512 * 1024 * 1024
@@ -93,6 +97,10 @@
     caller_memory: int | None = None
     caller_connections: int | None = None
 
+    def other_limits(self) -> ClientLimits:
+        """Return the limits of all connections that are not of callers."""
+        return internal_limits(self.memory, self.descriptors)
+
     def caller_limits(self) -> ClientLimits:
         """Return the limits of callers' connections."""
         derived = caller_limits(self.memory, self.descriptors)
