--- a/review/common-2/rig2.py
+++ b/review/common-2/rig2.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -96,6 +97,7 @@
         folder: Folder of the case.
         check: Called with the deployment and the record; returns whether the rule held.
     """
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(COULD_NOT_RUN))
     record = Record(folder / "record.txt")
     record.note(f"disruption: {'yes' if trouble() else 'no'}")
     status = COULD_NOT_RUN
