Decide on another send from all sends so far, also the last one

Cause: CallForwarder._serve asked Job.may_try_another before it recorded that the failed call had run, so the send counted as one that had never left. Each sender booked its own sends, and nothing kept a decision from preceding the booking.

Change: SendHistory (core) holds each send from before its first byte. It counts as one that may have run until the reader of its answer concludes it. It alone decides whether a request may run again, for calls and streams; Sender._claim_send, which each send passes, asks it. The counters in Job are gone. Related paths by the same cause: a switch to another endpoint while a send is open, dropped standbys, a failure answered before a lost retry, a rejection cut in its body.

--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -10,6 +10,7 @@
 from lacewingcourse.core.pipelines.admission_queue import wait_in_time
 from lacewingcourse.core.pipelines.choice import choose_endpoint
 from lacewingcourse.core.pipelines.crashes import AnswerProgress
+from lacewingcourse.core.pipelines.send_history import SendOutcome
 from lacewingcourse.relay.admission import RETRY_PERIOD, Admission
 from lacewingcourse.relay.connections import (
     NotSent,
@@ -26,7 +27,6 @@
     Sender,
     WholeAnswer,
 )
-from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -52,6 +52,7 @@
     Unsent.NO_RETRY: ErrorKind.RETRIES_EXHAUSTED,
     Unsent.CRASHES: ErrorKind.REQUEST_CRASHES_ENDPOINTS,
     Unsent.CALLER_LEFT: ErrorKind.CALLER_GONE,
+    Unsent.MAY_HAVE_RUN: ErrorKind.ENDPOINT_FAILED,
 }
 #: Causes of a call that was not sent, after which an endpoint is chosen anew.
 NOT_SENT_YET = frozenset({Unsent.OVER_LIMIT, Unsent.BACKING_OFF})
@@ -141,16 +142,16 @@
             if isinstance(result, WholeAnswer):
                 if result.head.status < SERVER_ERROR or not job.may_try_another:
                     return result
-                job.record_outcome(SendOutcome.ANSWERED, f"status {result.head.status}")
+                job.reason = f"status {result.head.status}"
                 last_answer = result
                 continue
-            job.record_outcome(result.outcome, result.reason)
+            job.reason = result.reason
             self.log.lost(job, endpoint.id, result.reason)
             if result.connection_lost:
                 progress = AnswerProgress.UNANSWERED
                 self.crash_guard.record_loss(job, endpoint.id, progress)
             if not job.may_try_another:
-                return self._failure(job, result)
+                return last_answer or self._failure(job, result)
 
     async def _wait_for_slot(self, job: Job) -> TakenRoom | Refusal:
         """Return a slot of an endpoint, or why there is none.
@@ -231,16 +232,14 @@
         """Return an endpoint's answer to a call, or why there is none."""
         fresh = not job.route.retry_safety.may_retry
         result = await self._send(job, endpoint, fresh)
-        if not isinstance(result, NoAnswer) or not result.dropped:
+        if not isinstance(result, NoAnswer) or result.outcome is not SendOutcome.STALE:
             return result
         # Endpoints drop idle connections without notice; this is not a lost run.
         self.sender.pool.close_idle(endpoint.address)
-        job.sends -= 1
-        job.record_outcome(result.outcome, result.reason)
+        job.reason = result.reason
         again = await self._send(job, endpoint, fresh=True)
         if isinstance(again, NotSent) and again.cause is Unsent.UNREACHABLE:
-            # The endpoint is gone, perhaps while it ran this call.
-            job.sends += 1
+            job.history.charge_stale()
             return result
         return again
 
@@ -261,8 +260,6 @@
         sent = await self.sender.send(job, sending, fresh)
         if isinstance(sent, NotSent):
             return sent
-        job.sends += 1
-        job.sent_to.add(endpoint.id)
         job.current_exchange = sent
         age = now - self.routing_state.fleet.known_at
         limit = self.routing_state.limits.named(endpoint.id)
@@ -307,7 +304,7 @@
 
     def _answer_timeout_at(self, job: Job, now: float) -> float:
         """Return the time until which to wait before another endpoint is tried."""
-        if not job.route.retry_safety.may_retry or not job.may_try_another:
+        if not job.may_try_another:
             return job.deadline
         patience = max(0.1, PATIENCE_OBJECTIVES * job.route.objective)
         return min(job.deadline, now + patience)
--- a/packages/relay/src/lacewingcourse/relay/connections.py
+++ b/packages/relay/src/lacewingcourse/relay/connections.py
@@ -36,6 +36,7 @@
     BACKING_OFF = "the endpoint asked for a delay that has not passed"
     CRASHES = "it crashes the endpoints that answer it"
     CALLER_LEFT = "its caller has left"
+    MAY_HAVE_RUN = "it may have run, and must not run twice"
 
 
 @attrs.frozen
--- a/packages/relay/src/lacewingcourse/relay/decisions.py
+++ b/packages/relay/src/lacewingcourse/relay/decisions.py
@@ -512,7 +512,7 @@
             request=job.request.id,
             endpoint=endpoint,
             attempt=job.sends,
-            outcome=job.worst_outcome.value,
+            outcome=job.history.outcome.value,
             events=job.events,
             reason=reason,
             fault=fault,
--- a/packages/relay/src/lacewingcourse/relay/gateway.py
+++ b/packages/relay/src/lacewingcourse/relay/gateway.py
@@ -15,7 +15,6 @@
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.sending import WholeAnswer
 from lacewingcourse.relay.staleness import StalenessGuard
-from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -212,11 +211,9 @@
 
     def _abandon_send(self, job: Job) -> None:
         """Abandon the exchange with an endpoint for a request that is aborted."""
-        if job.current_exchange is None:
-            job.reason = DRAINING_REASON
-            return
-        job.record_outcome(SendOutcome.MAY_HAVE_RUN, DRAINING_REASON)
-        job.current_exchange.abandon()
+        job.reason = DRAINING_REASON
+        if job.current_exchange is not None:
+            job.current_exchange.abandon()
 
     async def _serve(self, caller: CallerExchange) -> None:
         request = self.codec.decode(
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -10,13 +10,14 @@
 
 from lacewingcourse.core.errors import ErrorKind, Outcome, Refusal
 from lacewingcourse.core.pipelines.crashes import fingerprint_of
+from lacewingcourse.core.pipelines.send_history import (
+    RequestOutcome,
+    Send,
+    SendHistory,
+)
 from lacewingcourse.relay.connections import Unsent
 from lacewingcourse.relay.ports import Sending
-from lacewingcourse.relay.upstream import (
-    Abandoned,
-    Exchange,
-    SendOutcome,
-)
+from lacewingcourse.relay.upstream import Abandoned, Exchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -66,11 +67,7 @@
         strip_key: Whether the caller's key is removed before forwarding.
         deadline: Time at which the time limit of the route or of the caller expires,
             seconds.
-        sends: Sends that reached an endpoint.
-        rejections: Those that an endpoint rejected without running them.
-        sent_to: Endpoints that it was sent to; for a stream, the first ones of its
-            paths.
-        worst_outcome: Worst outcome of any send so far.
+        history: Its sends and their outcomes.
         avoid: Endpoints that it is not sent to again.
         limited: Endpoints that it was not sent to because they are at their limits.
         current_exchange: Exchange with an endpoint that is in progress, None without
@@ -107,10 +104,7 @@
     caller: CallerExchange
     strip_key: bool
     deadline: float
-    sends: int = 0
-    rejections: int = 0
-    sent_to: set[str] = attrs.field(factory=set)
-    worst_outcome: SendOutcome = SendOutcome.NEVER_LEFT
+    history: SendHistory = attrs.field(factory=SendHistory)
     avoid: set[str] = attrs.field(factory=set)
     limited: set[str] = attrs.field(factory=set)
     current_exchange: Exchange | None = None
@@ -147,6 +141,25 @@
         parts = self.request.prompt_parts[:-1]
         return tuple(f"{self.service} {part}" for part in parts)
 
+    @property
+    def sends(self) -> int:
+        """Number of sends, without those over stale connections."""
+        return self.history.attempts
+
+    @property
+    def rejections(self) -> int:
+        """Number of sends that an endpoint rejected without running them."""
+        return self.history.rejections
+
+    def begin_send(self, endpoint: str) -> Send:
+        """Record the start of a send to an endpoint."""
+        return self.history.begin(endpoint)
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether another send runs it no more often than its route allows."""
+        return self.history.allows_send(self.route.retry_safety)
+
     @property
     def may_send_again(self) -> bool:
         """Whether it may be sent again given the outcomes so far.
@@ -155,20 +168,18 @@
         as many endpoints as the route allows, only these may be used. A second run must
         not follow events whose position it cannot be given.
         """
-        if not self.is_continuable:
+        if not self.is_continuable or not self.may_run_again:
             return False
         attempts = self.sends - self.rejections
         if attempts >= self.route.max_attempts or self.caller.disconnected:
             return False
-        if self.rejections > MAX_REJECTIONS or not self.has_endpoint_left:
-            return False
-        repeatable = self.route.retry_safety.may_retry
-        return repeatable or self.worst_outcome is not SendOutcome.MAY_HAVE_RUN
+        return self.rejections <= MAX_REJECTIONS and self.has_endpoint_left
 
     @property
     def allowed_endpoints(self) -> set[str] | None:
         """Endpoints that it may be sent to, None for any."""
-        return self.sent_to if len(self.sent_to) >= self.route.max_attempts else None
+        sent_to = self.history.endpoints
+        return sent_to if len(sent_to) >= self.route.max_attempts else None
 
     @property
     def has_endpoint_left(self) -> bool:
@@ -208,7 +219,7 @@
         """Whether its caller can be told that it has not run, and may send it again."""
         return (
             not self.caller.response_started
-            and self.worst_outcome is not SendOutcome.MAY_HAVE_RUN
+            and self.history.outcome is not RequestOutcome.MAY_HAVE_RUN
         )
 
     def record_events(self, now: float) -> None:
@@ -261,16 +272,6 @@
             incarnation=incarnation or endpoint,
         )
 
-    def record_outcome(self, outcome: SendOutcome, reason: str) -> None:
-        """Record the outcome of a send."""
-        self.reason = reason
-        if outcome is SendOutcome.REJECTED:
-            self.rejections += 1
-        if outcome in (SendOutcome.MAY_HAVE_RUN, SendOutcome.ANSWERED):
-            self.worst_outcome = SendOutcome.MAY_HAVE_RUN
-        elif self.worst_outcome is SendOutcome.NEVER_LEFT:
-            self.worst_outcome = outcome
-
     def on_caller_disconnect(self) -> None:
         """Stop the endpoint's work because the caller has disconnected."""
         if self.current_exchange is not None:
@@ -287,7 +288,7 @@
             retry_after: Seconds after which its caller may retry if it has not run,
                 None if unknown.
         """
-        if self.worst_outcome is not SendOutcome.MAY_HAVE_RUN:
+        if self.history.outcome is not RequestOutcome.MAY_HAVE_RUN:
             if kind is ErrorKind.REQUEST_CRASHES_ENDPOINTS:
                 retry_after = None
             return Refusal(kind, self.reason, Outcome.NOT_RUN, retry_after)
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -7,6 +7,7 @@
 import attrs
 
 from lacewingcourse.core.errors import ErrorKind, Refusal
+from lacewingcourse.core.pipelines.send_history import SendOutcome
 from lacewingcourse.core.pipelines.suspects import Grade
 from lacewingcourse.relay.connections import NotSent, Unsent
 from lacewingcourse.relay.stream_state import AttemptEnd, Replacement, Standby
@@ -55,8 +56,8 @@
     def reserve_retry(self, job: Job) -> Refusal | None:
         """Hold a retry for a request; return why it may not be sent, None if it may."""
 
-    def record_send(self, job: Job, path: Path) -> None:
-        """Record that an attempt was sent on a path."""
+    def log_send(self, job: Job, path: Path) -> None:
+        """Log that an attempt was sent on a path."""
 
     def exclude_unreachable(self, job: Job, path: Path) -> None:
         """Exclude the first endpoint of a path, to which no connection was made."""
@@ -126,7 +127,7 @@
         if isinstance(sent, NotSent):
             return None
         forwarder.routing_state.loads.begin(path, self.state.demand.tokens)
-        forwarder.record_send(job, path)
+        forwarder.log_send(job, path)
         forwarder.stalls.end(job)
         forwarder.stalls.begin(job, now)
         return Standby(path, sent, now, forwarded)
@@ -141,6 +142,7 @@
     def drop_standby(self, standby: Standby) -> None:
         """Close a standby that is not needed, and keep the current attempt."""
         standby.exchange.abandon()
+        standby.exchange.send.conclude(SendOutcome.MAY_HAVE_RUN)
         ran = self.forwarder.sender.clock() - standby.started_at
         self.forwarder.log.standby_dropped(self.job, ran)
         self._restore_current(standby)
@@ -149,7 +151,6 @@
         """Record the failure of a standby, and keep the current attempt."""
         if standby.failure.end is AttemptEnd.DROPPED:
             # A stale connection costs no attempt; the next one uses a new connection.
-            self.job.sends -= 1
             self.fresh = True
             self.forwarder.sender.pool.close_idle(standby.path.first.address)
         else:
--- a/packages/relay/src/lacewingcourse/relay/ports.py
+++ b/packages/relay/src/lacewingcourse/relay/ports.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.core.pipelines.incarnation import UNKNOWN_START
 from lacewingcourse.core.pipelines.request_limits import NO_LIMIT
+from lacewingcourse.core.pipelines.send_history import SendOutcome
 
 if TYPE_CHECKING:
     from tornado.httputil import HTTPHeaders
@@ -109,6 +110,18 @@
     FOREIGN = "foreign"
     BROKEN = "broken"
 
+    @property
+    def send_outcome(self) -> SendOutcome:
+        """What such an answer says of the send."""
+        return SEND_OUTCOMES.get(self, SendOutcome.MAY_HAVE_RUN)
+
+
+#: What answers that say something of a run say of it.
+SEND_OUTCOMES = {
+    AnswerKind.ANSWERED: SendOutcome.ANSWERED,
+    AnswerKind.REJECTED: SendOutcome.REJECTED,
+}
+
 
 @attrs.frozen
 class AnswerHead:
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -8,6 +8,7 @@
 import attrs
 
 from lacewingcourse.core.pipelines.backoff import BackoffTable
+from lacewingcourse.core.pipelines.send_history import SendOutcome
 from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.relay.connections import (
     Connection,
@@ -24,7 +25,6 @@
     End,
     Exchange,
     Head,
-    SendOutcome,
     Stalled,
 )
 
@@ -121,7 +121,10 @@
             job.phase = Phase.WAITING
             return NotSent(cause)
         job.phase, job.sent_at = Phase.SENT, now
-        return self.start(job, sending, connection)
+        send = job.begin_send(sending.incarnation)
+        exchange = self.start(job, sending, connection)
+        exchange.send = send
+        return exchange
 
     def release_holds(self, job: Job) -> None:
         """Release the retry and the rate limit permit that a request holds."""
@@ -156,6 +159,8 @@
         """
         if job.caller.has_left():
             return Unsent.CALLER_LEFT
+        if not job.may_run_again:
+            return Unsent.MAY_HAVE_RUN
         if job.drain_refusal(now) is not None:
             return Unsent.LEAVING
         if sending.time_left <= 0:
@@ -215,23 +220,21 @@
     """A sentinel value: a send produced no response that may be passed on.
 
     Attributes:
-        outcome: How far the request got.
+        outcome: What is known of the send.
         reason: What happened.
         timed_out: Whether the request's deadline passed.
         connection_lost: Whether the connection closed before the response was complete.
-        dropped: Whether it was a stale pooled connection.
     """
 
     outcome: SendOutcome
     reason: str
     timed_out: bool = False
     connection_lost: bool = False
-    dropped: bool = False
 
 
 @attrs.define
 class AnswerReader:
-    """Reads the response of a plain service.
+    """Reads the response of a plain service, and concludes its send.
 
     Attributes:
         sender: Sender of the request.
@@ -280,21 +283,27 @@
             timed_out: Whether the request's deadline passed.
         """
         self.exchange.abandon()
+        self.exchange.send.conclude(SendOutcome.MAY_HAVE_RUN)
         return NoAnswer(SendOutcome.MAY_HAVE_RUN, reason, timed_out)
 
     def _classify(self, end: End) -> WholeAnswer | NoAnswer:
         """Return the result of a response that has ended."""
         head = self.head
+        outcome = self._outcome(end)
+        self.exchange.send.conclude(outcome)
+        if outcome is SendOutcome.REJECTED:
+            return NoAnswer(outcome, f"rejected with {head.status}")
         if head is None or not end.complete:
             reason = end.reason or "no head"
-            soon = self.sender.clock() < self.sent_at + STALE_CONNECTION_WINDOW
-            dropped = self.exchange.was_dropped and soon
-            return NoAnswer(
-                SendOutcome.MAY_HAVE_RUN, reason, connection_lost=True, dropped=dropped
-            )
-        if head.answer_kind is AnswerKind.REJECTED:
-            reason = f"rejected with {head.status}"
-            return NoAnswer(SendOutcome.REJECTED, reason)
-        if head.answer_kind is not AnswerKind.ANSWERED:
-            return NoAnswer(SendOutcome.MAY_HAVE_RUN, head.reason)
+            return NoAnswer(outcome, reason, connection_lost=True)
+        if outcome is not SendOutcome.ANSWERED:
+            return NoAnswer(outcome, head.reason)
         return WholeAnswer(head, bytes(self.body))
+
+    def _outcome(self, end: End) -> SendOutcome:
+        """Return what a response that has ended says of the send."""
+        if self.head is not None:
+            return self.head.answer_kind.send_outcome
+        soon = self.sender.clock() < self.sent_at + STALE_CONNECTION_WINDOW
+        is_stale = self.exchange.was_dropped and soon
+        return SendOutcome.STALE if is_stale else SendOutcome.MAY_HAVE_RUN
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -9,6 +9,7 @@
 
 from lacewingcourse.core.errors import Refusal
 from lacewingcourse.core.pipelines.crashes import AnswerProgress, answer_progress
+from lacewingcourse.core.pipelines.send_history import SendOutcome
 from lacewingcourse.relay.job import Phase
 from lacewingcourse.relay.ports import AnswerKind
 from lacewingcourse.relay.sending import (
@@ -23,7 +24,6 @@
     Data,
     End,
     Head,
-    SendOutcome,
     Stalled,
     StandbySettled,
 )
@@ -329,7 +329,8 @@
     def _close_attempt(self, reason: str) -> None:
         """Close this attempt and record that it may have run."""
         self.exchange.abandon()
-        self.job.record_outcome(SendOutcome.MAY_HAVE_RUN, reason)
+        self.exchange.send.conclude(SendOutcome.MAY_HAVE_RUN)
+        self.job.reason = reason
 
     def _on_end(self, arrival: End | Abandoned) -> AttemptResult | None:
         """Return the result of an ended attempt, None while a standby is pending."""
@@ -340,6 +341,7 @@
         if arrival.complete:
             self._check_end()
         if self._is_complete(arrival):
+            self.exchange.send.conclude(SendOutcome.ANSWERED)
             self.sender.release(self.exchange, self.head)
             self._finish_response()
             return AttemptResult(AttemptEnd.WHOLE)
@@ -376,10 +378,12 @@
             failure = self.state.copy.failure if exchange is self.exchange else ""
             reason = failure or NO_EVENT_REASON
         exchange.abandon()
-        self.job.record_outcome(SendOutcome.MAY_HAVE_RUN, reason)
+        self.job.reason = reason
         now = self.sender.clock()
         if exchange.was_dropped and now < started_at + STALE_CONNECTION_WINDOW:
+            exchange.send.conclude(SendOutcome.STALE)
             return AttemptResult(AttemptEnd.DROPPED, reason)
+        exchange.send.conclude(SendOutcome.MAY_HAVE_RUN)
         by_close = getattr(arrival, "by_close", False)
         is_unsound = exchange is self.exchange and self.state.copy.unsound is not None
         if is_unsound and not by_close:
@@ -432,17 +436,15 @@
                 break
         whole = isinstance(arrival, End) and arrival.complete
         self.sender.release(exchange, head if whole else None)
+        exchange.send.conclude(head.answer_kind.send_outcome)
         if isinstance(arrival, Abandoned):
             return AttemptResult(AttemptEnd.ABANDONED, arrival.reason)
         if head.answer_kind is AnswerKind.REJECTED:
-            reason = f"rejected with {head.status}"
-            job.record_outcome(SendOutcome.REJECTED, reason)
+            job.reason = f"rejected with {head.status}"
             return AttemptResult(
-                AttemptEnd.REJECTED, reason, head.fault_address, head.misdirected
+                AttemptEnd.REJECTED, job.reason, head.fault_address, head.misdirected
             )
-        job.record_outcome(
-            SendOutcome.MAY_HAVE_RUN, f"status {head.status} {head.reason}"
-        )
+        job.reason = f"status {head.status} {head.reason}"
         if (
             head.answer_kind is not AnswerKind.ANSWERED
             or not whole
--- a/packages/relay/src/lacewingcourse/relay/stream_state.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -37,6 +37,7 @@
         NO_RETRY: It was not sent: the retry budget is used up.
         LIMITED: It was not sent: the endpoint's rate limit is reached.
         CRASHES: It was not sent: it crashes the endpoints that answer it.
+        MAY_HAVE_RUN: It was not sent: the request may have run, and must not run twice.
         FAILED: The engine reported an error that is passed on to the caller.
     """
 
@@ -52,6 +53,7 @@
     NO_RETRY = "no_retry"
     LIMITED = "limited"
     CRASHES = "crashes"
+    MAY_HAVE_RUN = "may_have_run"
     FAILED = "failed"
 
 
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -30,7 +30,6 @@
     StreamState,
 )
 from lacewingcourse.relay.stream_times import StreamTimes
-from lacewingcourse.relay.upstream import SendOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -58,6 +57,7 @@
     Unsent.BACKING_OFF: AttemptEnd.LIMITED,
     Unsent.CRASHES: AttemptEnd.CRASHES,
     Unsent.CALLER_LEFT: AttemptEnd.ABANDONED,
+    Unsent.MAY_HAVE_RUN: AttemptEnd.MAY_HAVE_RUN,
 }
 #: Ends of an attempt that was not sent, after which it is decided anew whether and
 #: where to send the request.
@@ -163,6 +163,8 @@
                 return None
             if result.end is AttemptEnd.NOT_TAKEN:
                 return self._fail(state, ErrorKind.DRAINING, result.reason)
+            if result.end is AttemptEnd.MAY_HAVE_RUN:
+                return self._fail(state, ErrorKind.ENDPOINT_FAILED, result.reason)
             if result.end is AttemptEnd.HELD:
                 if not job.caller.response_started or job.caller.disconnected:
                     return self._fail(state, ErrorKind.OVERLOADED, result.reason)
@@ -265,14 +267,13 @@
         if result is None or result.end is not AttemptEnd.DROPPED:
             return result
         # Endpoints close pooled connections without notice. Counted as lost attempts,
-        # these would use up the route's attempts and the retry budget.
-        job.sends -= 1
+        # these would use up the route's attempts.
         self.sender.pool.close_idle(path.first.address)
         retried = await self._send_and_relay(state, fresh=True)
         if retried is None:
             # The endpoint cannot be reached any more. It may have crashed while it ran
             # this request.
-            job.sends += 1
+            job.history.charge_stale()
             self.exclude_unreachable(job, path)
             return AttemptResult(AttemptEnd.LOST, result.reason, first_lost=True)
         return retried
@@ -305,9 +306,9 @@
         )
         sent = await self.sender.send(job, sending, fresh, reserved)
         if isinstance(sent, NotSent):
-            job.record_outcome(SendOutcome.NEVER_LEFT, sent.reason)
+            job.reason = sent.reason
             return self._result_of_unsent(sent)
-        self.record_send(job, job.path)
+        self.log_send(job, job.path)
         return await self._relay_response(state, sent, None)
 
     async def _relay_response(
@@ -340,12 +341,9 @@
             job.current_exchange = None
             self.stalls.end(job)
 
-    def record_send(self, job: Job, path: Path) -> None:
-        """Record that an attempt was sent on a path."""
-        job.sends += 1
-        job.sent_to.add(path.first.endpoint)
+    def log_send(self, job: Job, path: Path) -> None:
+        """Log that an attempt was sent on a path."""
         job.path = path
-        job.sent_at = self.sender.clock()
         age = job.sent_at - self.routing_state.fleet.known_at
         limit = self.routing_state.limits.named(path.first.endpoint)
         remaining = self.routing_state.backoffs.remaining(
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -20,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from lacewingcourse.core.pipelines.send_history import Send
     from lacewingcourse.relay.connections import Connection
 
 #: Maximum size of a response head in bytes.
@@ -40,18 +40,6 @@
 TURN_BYTES = 256 * 1024
 
 
-class SendOutcome(Enum):
-    """How far a request got.
-
-    It decides what the caller may be told, and whether the request may be sent again.
-    """
-
-    NEVER_LEFT = "never_left"
-    MAY_HAVE_RUN = "may_have_run"
-    REJECTED = "rejected"
-    ANSWERED = "answered"
-
-
 @attrs.frozen
 class Head:
     """A response head was received."""
@@ -113,6 +101,8 @@
 
     Attributes:
         connection: Connection that carries it.
+        send: Entry of this send in its request's history, concluded by who reads the
+            response. None for an exchange that belongs to no request.
         arrivals: Received items that were not processed yet.
         complete: Whether the response was read to its end.
         received_any: Whether any part of a response was received.
@@ -129,6 +119,7 @@
         accepts_head: Callable[[int, HTTPHeaders], bool],
     ) -> None:
         self.connection = connection
+        self.send: Send | None = None
         self.arrivals: asyncio.Queue[Arrival] = asyncio.Queue()
         self.complete = False
         self.received_any = False
--- a/packages/relay/tests/relay/test_drain.py
+++ b/packages/relay/tests/relay/test_drain.py
@@ -110,6 +110,7 @@
 
     async def send_and_wait_forever(job, shape):
         job.current_exchange = exchange
+        job.begin_send("a")
         try:
             if started:
                 job.caller.begin(200, HTTPHeaders(), b"some")
--- a/packages/relay/tests/relay/test_failover_safety.py
+++ b/packages/relay/tests/relay/test_failover_safety.py
@@ -223,6 +223,8 @@
         name = sending.path.first.endpoint
         if name == "a" and not fresh:
             run = LateClosedRun(0, 1.0)
+            run.send = request.begin_send(name)
+            request.sent_at = self.clock()
             self.runs.append((self.clock(), name, run))
             return run
         return await super().send(request, sending, fresh, reserved)
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -16,6 +16,7 @@
 from lacewingcourse.core.pipelines.retry_budget import RetryBudget
 from lacewingcourse.core.pipelines.room_sharing import DeploymentRoomShare
 from lacewingcourse.core.pipelines.routing import RetrySafety
+from lacewingcourse.core.pipelines.send_history import Send
 from lacewingcourse.core.pipelines.shape import Layers
 from lacewingcourse.core.pipelines.suspects import Grade
 from lacewingcourse.relay.admission import Admission
@@ -142,7 +143,8 @@
         arrivals = asyncio.Queue()
         arrivals.put_nowait(Head(self.status, HTTPHeaders()))
         arrivals.put_nowait(End(True, ""))
-        return SimpleNamespace(arrivals=arrivals)
+        send = request.begin_send(sending.incarnation)
+        return SimpleNamespace(arrivals=arrivals, send=send)
 
     def release(self, exchange, head) -> None:
         """Return no connection to a pool."""
@@ -175,7 +177,8 @@
         ),
         waited=0.0,
         sends=0,
-        sent_to=set(),
+        sent_at=0.0,
+        begin_send=Send,
         allowed_endpoints=None,
         deadline=10.0,
         avoid=set(),
@@ -183,8 +186,7 @@
         may_send_again=True,
         may_move=True,
     )
-    job.sending = lambda *args: None
-    job.record_outcome = lambda outcome, reason: None
+    job.sending = lambda *args: SimpleNamespace(incarnation="a")
     job.failure = lambda kind, after: Refusal(kind, job.reason)
     return job
 
