Take a status that does not exist for no answer, above 599 too

Callers saw: status 600 or 999 as a server in trouble had written it, with its signature (MIXED). 000 and the like gave 502 before already.

Cause: Exchange knew the lowest status only, and fetch_whole, which reads answers with curl for agents and own processes, neither end.

Change: one pair of ranges for both. An answer outside ends the exchange as bytes that are no answer do: it may have run, and a request that may run again gets its next attempt.

--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -28,8 +28,9 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 #: Bytes of a request's body that are written in one piece with its head.
 MAX_JOINED_BYTES = 64 * 1024
-#: Lowest HTTP status.
-LOWEST_STATUS = 100
+#: Statuses of informational responses, and of final ones.
+INFORMATIONAL_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
 #: Maximum number of responses to other requests, and of informational ones, that are
 #: skipped. One that comes late stands before the expected one; more are no answers.
 MAX_SKIPPED_RESPONSES = 16
@@ -185,14 +186,14 @@
         """Process a response head; informational (1xx) ones are ignored."""
         self.received_any = True
         status = start_line.code
-        if status < LOWEST_STATUS:
+        if status in INFORMATIONAL_STATUSES:
+            self._skip_response()
+            return
+        if status not in FINAL_STATUSES:
             # The library reads a body after such a status.
             self._skipping = True
             self._give_up(f"status {status}, which does not exist")
             return
-        if status < 200:
-            self._skip_response()
-            return
         self._skipping = not self._accepts_head(status, headers)
         if self._skipping:
             self._skip_response()
--- a/packages/relay/src/lacewingcourse/relay/whole_responses.py
+++ b/packages/relay/src/lacewingcourse/relay/whole_responses.py
@@ -7,6 +7,8 @@
 import attrs
 from tornado.httpclient import HTTPError
 
+from lacewingcourse.relay.upstream import FINAL_STATUSES
+
 if TYPE_CHECKING:
     from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 
@@ -51,8 +53,8 @@
             replaced.
 
     Raises:
-        HTTPError: There is no response, it ended within its head, or the request names
-            an impossible address.
+        HTTPError: There is no response, it ended within its head, its status is no final
+            one, or the request names an impossible address.
     """
     head = HeadProgress()
     request.header_callback = head.receive
@@ -64,4 +66,7 @@
         raise HTTPError(NO_RESPONSE_STATUS, f"no request: {error}") from error
     if head.begun and not head.complete:
         raise HTTPError(NO_RESPONSE_STATUS, "the response ended within its head")
+    if response.code not in FINAL_STATUSES:
+        reason = f"status {response.code}, which ends no request"
+        raise HTTPError(NO_RESPONSE_STATUS, reason)
     return response
--- a/packages/relay/tests/relay/test_odd_heads.py
+++ b/packages/relay/tests/relay/test_odd_heads.py
@@ -12,14 +12,14 @@
 
 from lacewingcourse.relay.connections import ConnectionPool
 from lacewingcourse.relay.upstream import Data, End, Exchange, Head
-from lacewingcourse.relay.whole_responses import fetch_whole
+from lacewingcourse.relay.whole_responses import NO_RESPONSE_STATUS, fetch_whole
 
 from .test_caller import run
 
 DIGITS = b"9" * 5_000
 #: Status codes that are none, or that stand for no final response.
 BAD_STATUSES = [b"", b"-200", b"+200", b"2e2", b"20", b"1000", b"inf", b"\xb2", DIGITS]
-BAD_STATUSES += [b"000", b"007", b"099", b"101", b"199"]
+BAD_STATUSES += [b"000", b"007", b"099", b"101", b"199", b"600", b"700", b"999"]
 #: Lengths that are none, or that a response does not reach.
 BAD_LENGTHS = [b"", b"-1", b"+2", b"2.0", b"2e0", b"0x2", b"inf", b"nan", b"\xb2"]
 BAD_LENGTHS += [b"2,3", b"18446744073709551616", DIGITS]
@@ -72,7 +72,7 @@
 def assert_well_formed(arrivals: list) -> None:
     """Assert that a body arrives only after the head of its response."""
     if isinstance(arrivals[0], Head):
-        assert 200 <= arrivals[0].status <= 999
+        assert 200 <= arrivals[0].status <= 599
         assert all(isinstance(arrival, Data) for arrival in arrivals[1:-1])
     else:
         assert len(arrivals) == 1
@@ -188,6 +188,6 @@
 def test_a_status_that_does_not_exist_is_no_response_to_curl(status):
     async def test():
         found, _ = await fetch(response(status + b" X"))
-        assert found != 200
+        assert found == NO_RESPONSE_STATUS
 
     run(test)
