Count sends after bytes that are no answer, and after stale connections

Servers saw: up to four arrivals of a request whose route allows two attempts, after answers that are no HTTP on kept connections. Neither the attempts nor the retry budget of the service counted the repeats.

Cause: Exchange.was_dropped asked whether a head was decoded, not whether bytes had come, and each stale connection's send was taken back from the count and repeated free of the budget.

Change: only a connection without a byte since the send is stale. A request risks a stale connection once (Job.needs_new_connection), and the repeat is charged to the budget, though it still needs no retry to be left. Mover and the forwarders no longer pass on whether a connection must be new.

--- a/packages/core/src/lacewingcourse/core/pipelines/retry_budget.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/retry_budget.py
@@ -156,6 +156,16 @@
             self.retries.setdefault(service, []).append(now)
         return True
 
+    def charge(self, service: str, now: float) -> None:
+        """Count a send beyond the first one that needed no retry to be left.
+
+        Args:
+            service: The service.
+            now: Present time in seconds.
+        """
+        if not self.take(service, now):
+            self.retries.setdefault(service, []).append(now)
+
     def want(self, service: str, request: str) -> None:
         """Record a request that lacks a retry."""
         self.wanted.setdefault(service, set()).add(request)
--- a/packages/core/src/lacewingcourse/core/pipelines/send_history.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/send_history.py
@@ -113,6 +113,11 @@
         """
         return safety.may_retry or self.outcome is not RequestOutcome.MAY_HAVE_RUN
 
+    @property
+    def has_stale(self) -> bool:
+        """Whether a send went over a stale connection."""
+        return self.attempts < len(self.sends)
+
     def charge_stale(self) -> None:
         """Count sends over stale connections as attempts.
 
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -230,34 +230,27 @@
         self, job: Job, endpoint: Endpoint
     ) -> WholeAnswer | NoAnswer | NotSent:
         """Return an endpoint's answer to a call, or why there is none."""
-        fresh = not job.route.retry_safety.may_retry
-        result = await self._send(job, endpoint, fresh)
+        result = await self._send(job, endpoint)
         if not isinstance(result, NoAnswer) or result.outcome is not SendOutcome.STALE:
             return result
         # Endpoints drop idle connections without notice; this is not a lost run.
         self.sender.pool.close_idle(endpoint.address)
         job.reason = result.reason
-        again = await self._send(job, endpoint, fresh=True)
+        again = await self._send(job, endpoint)
         if isinstance(again, NotSent) and again.cause is Unsent.UNREACHABLE:
             job.history.charge_stale()
             return result
         return again
 
     async def _send(
-        self, job: Job, endpoint: Endpoint, fresh: bool
+        self, job: Job, endpoint: Endpoint
     ) -> WholeAnswer | NoAnswer | NotSent:
-        """Send a call to an endpoint and read its answer.
-
-        Args:
-            job: The call.
-            endpoint: The endpoint.
-            fresh: Whether to send it over a new connection.
-        """
+        """Send a call to an endpoint and read its answer."""
         now = self.sender.clock()
         sending = job.sending(
             endpoint.name, endpoint.address, None, now, "", endpoint.id
         )
-        sent = await self.sender.send(job, sending, fresh)
+        sent = await self.sender.send(job, sending, job.needs_new_connection)
         if isinstance(sent, NotSent):
             return sent
         job.current_exchange = sent
--- a/packages/relay/src/lacewingcourse/relay/connections.py
+++ b/packages/relay/src/lacewingcourse/relay/connections.py
@@ -56,7 +56,25 @@
 
 
 class EndpointStream(IOStream):
-    """The byte stream of a connection to an endpoint."""
+    """The byte stream of a connection to an endpoint.
+
+    Attributes:
+        received_bytes: Number of bytes read from the kernel so far.
+    """
+
+    received_bytes = 0
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the kernel; tornado calls this."""
+        try:
+            count = self.socket.recv_into(buf, len(buf))
+        except BlockingIOError:
+            return None
+        finally:
+            # A view that is kept would keep the library from resizing its buffer.
+            del buf
+        self.received_bytes += count
+        return count
 
     @property
     def clean(self) -> bool:
--- a/packages/relay/src/lacewingcourse/relay/job.py
+++ b/packages/relay/src/lacewingcourse/relay/job.py
@@ -160,6 +160,15 @@
         """Whether another send runs it no more often than its route allows."""
         return self.history.allows_send(self.route.retry_safety)
 
+    @property
+    def needs_new_connection(self) -> bool:
+        """Whether it must not be sent over a pooled connection.
+
+        The endpoint may be closing a pooled connection at this moment, and then it is
+        unknown whether the request ran. One that may run again takes that risk once.
+        """
+        return not self.route.retry_safety.may_retry or self.history.has_stale
+
     @property
     def may_send_again(self) -> bool:
         """Whether it may be sent again given the outcomes so far.
--- a/packages/relay/src/lacewingcourse/relay/moving.py
+++ b/packages/relay/src/lacewingcourse/relay/moving.py
@@ -77,13 +77,11 @@
         forwarder: Forwards the stream.
         state: The stream.
         path: Path of the stalled attempt.
-        fresh: Whether the next attempt uses a new connection.
     """
 
     forwarder: Forwarder
     state: StreamState
     path: Path
-    fresh: bool = False
 
     @property
     def job(self) -> Job:
@@ -96,7 +94,9 @@
         if isinstance(found, Refusal):
             return found
         path, has_room = found
-        connection = await self.forwarder.sender.reserve(path.first.address, self.fresh)
+        connection = await self.forwarder.sender.reserve(
+            path.first.address, self.job.needs_new_connection
+        )
         if isinstance(connection, NotSent):
             self._release_holds()
             if connection.cause is Unsent.UNREACHABLE:
@@ -123,7 +123,9 @@
         sending = job.sending(
             first.name, first.address, path, now, after, first.endpoint
         )
-        sent = await forwarder.sender.send(job, sending, self.fresh, found.connection)
+        sent = await forwarder.sender.send(
+            job, sending, job.needs_new_connection, found.connection
+        )
         if isinstance(sent, NotSent):
             return None
         forwarder.routing_state.loads.begin(path, self.state.demand.tokens)
@@ -151,7 +153,6 @@
         """Record the failure of a standby, and keep the current attempt."""
         if standby.failure.end is AttemptEnd.DROPPED:
             # A stale connection costs no attempt; the next one uses a new connection.
-            self.fresh = True
             self.forwarder.sender.pool.close_idle(standby.path.first.address)
         else:
             self.forwarder.record_failure(self.job, standby.path, standby.failure)
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -75,10 +75,6 @@
     async def reserve(self, address: str, fresh: bool) -> Connection | NotSent:
         """Return an idle or new connection to an endpoint, or why there is none.
 
-        The endpoint may be closing a pooled connection at this moment, and then it is
-        unknown whether the request ran. A request that may run only once therefore
-        needs a new connection.
-
         Args:
             address: Address of the endpoint.
             fresh: Whether the connection must be new.
@@ -171,8 +167,12 @@
             return Unsent.BACKING_OFF
         if not self.limits.may_send(sending.incarnation, job, now):
             return Unsent.OVER_LIMIT
-        if job.sends and not self.budget.take(job.service, now, job):
-            return Unsent.NO_RETRY
+        if job.sends:
+            if not self.budget.take(job.service, now, job):
+                return Unsent.NO_RETRY
+        elif job.history.sends:
+            # The endpoint may have received the send over the stale connection.
+            self.budget.charge(job.service, now)
         self.limits.take(sending.incarnation, job, now)
         self.backoffs.record_send(sending.incarnations, now)
         return None
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -262,14 +262,13 @@
         """
         job = state.job
         job.path = path
-        fresh = not job.route.retry_safety.may_retry
-        result = await self._send_and_relay(state, fresh, replacement)
+        result = await self._send_and_relay(state, replacement)
         if result is None or result.end is not AttemptEnd.DROPPED:
             return result
         # Endpoints close pooled connections without notice. Counted as lost attempts,
         # these would use up the route's attempts.
         self.sender.pool.close_idle(path.first.address)
-        retried = await self._send_and_relay(state, fresh=True)
+        retried = await self._send_and_relay(state)
         if retried is None:
             # The endpoint cannot be reached any more. It may have crashed while it ran
             # this request.
@@ -279,13 +278,12 @@
         return retried
 
     async def _send_and_relay(
-        self, state: StreamState, fresh: bool, replacement: Replacement | None = None
+        self, state: StreamState, replacement: Replacement | None = None
     ) -> AttemptResult | None:
         """Send a stream on its path and relay the response; None if it was not sent.
 
         Args:
             state: The stream.
-            fresh: Whether to send it over a new connection.
             replacement: Replacement of a stalled attempt: an open standby, or a
                 connection to send over. None if this attempt replaces none.
         """
@@ -304,7 +302,7 @@
         sending = job.sending(
             first.name, first.address, job.path, now, after, first.endpoint
         )
-        sent = await self.sender.send(job, sending, fresh, reserved)
+        sent = await self.sender.send(job, sending, job.needs_new_connection, reserved)
         if isinstance(sent, NotSent):
             job.reason = sent.reason
             return self._result_of_unsent(sent)
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -106,7 +106,6 @@
             response. None for an exchange that belongs to no request.
         arrivals: Received items that were not processed yet.
         complete: Whether the response was read to its end.
-        received_any: Whether any part of a response was received.
         sink: Called with body bytes as they are received, None to put them into
             `arrivals`. Returns what to wait for before reading on, None to read on at
             once. Events of a stream go through it without a task switch, which saves a
@@ -123,13 +122,13 @@
         self.send: Send | None = None
         self.arrivals: asyncio.Queue[Arrival] = asyncio.Queue()
         self.complete = False
-        self.received_any = False
         self.sink: Callable[[bytes], Awaitable[None] | None] | None = None
         self._accepts_head = accepts_head
         self._skipping = False
         self._skipped_responses = 0
         self._skipped_bytes = 0
         self._turn_bytes = 0
+        self._received_before = 0
         self._until_close = False
         self._closes = False
         self.task: asyncio.Task | None = None
@@ -142,6 +141,7 @@
         params = HTTP1ConnectionParameters(
             max_header_size=MAX_HEAD_BYTES, max_body_size=MAX_BODY_BYTES
         )
+        self._received_before = self.connection.stream.received_bytes
         http = HTTP1Connection(self.connection.stream, True, params)
         line = RequestStartLine(method, target, "HTTP/1.1")
         if len(body) > MAX_JOINED_BYTES:
@@ -178,13 +178,14 @@
         A pooled connection that closes before any byte of a response has nearly always
         been closed by the endpoint while it was idle. The request may still have run.
         """
-        return self.connection.reused and not self.received_any
+        if not self.connection.reused:
+            return False
+        return self.connection.stream.received_bytes == self._received_before
 
     def headers_received(
         self, start_line: ResponseStartLine | RequestStartLine, headers: HTTPHeaders
     ) -> None:
         """Process a response head; informational (1xx) ones are ignored."""
-        self.received_any = True
         status = start_line.code
         if status in INFORMATIONAL_STATUSES:
             self._skip_response()
--- a/packages/relay/src/lacewingcourse/relay/whole_responses.py
+++ b/packages/relay/src/lacewingcourse/relay/whole_responses.py
@@ -53,8 +53,8 @@
             replaced.
 
     Raises:
-        HTTPError: There is no response, it ended within its head, its status is no final
-            one, or the request names an impossible address.
+        HTTPError: There is no response, it ended within its head, its status is not
+            that of a final response, or the request names an impossible address.
     """
     head = HeadProgress()
     request.header_callback = head.receive
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -179,6 +179,7 @@
         sends=0,
         sent_at=0.0,
         begin_send=Send,
+        needs_new_connection=False,
         allowed_endpoints=None,
         deadline=10.0,
         avoid=set(),
