Bound what all answers hold, and leave out endpoints without end

Callers saw: an entry that servers in trouble wrote to without end held all of it and passed its memory (peaks of 233 to 258 MB of 200); where it did not, half of the calls failed, as these servers failed fastest and got the most.

Cause: answers had a bound each and none together, windows were autotuned, and an endpoint that wrote bytes which are no answer was avoided by that one request only.

Change: AnswerMemory charges bodies, unfinished events, comments and heads of many fields, bounded by the settings' memory; the largest gives way, as what has no end outgrows the others. AnswerFaults leaves endpoints out for oversized answers at once and for three malformed ones in succession, as one in fifty may be spoiled. Tiny chunks end an answer.

--- a/packages/core/src/lacewingcourse/core/pipelines/stream_copy.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/stream_copy.py
@@ -130,6 +130,12 @@
             return False
         return not self.is_continuation or self._is_at_end_of_copy
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes received and neither forwarded nor dropped."""
+        held = 0 if self.held is None else len(self.held.data)
+        return len(self.splitter.pending) + len(self.comments) + held
+
     def begin_run(self) -> None:
         """Prepare for the bytes of another run."""
         self._discard()
--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -11,6 +11,7 @@
 from uuid import uuid4
 
 from lacewingcourse.core.pipelines.admission_queue import WAIT_POLICIES
+from lacewingcourse.core.pipelines.answer_memory import AnswerMemory
 from lacewingcourse.core.pipelines.freshness import RETRY_DELAYS, PropagationBudget
 from lacewingcourse.core.pipelines.limit_sharing import LIMIT_SHARING_POLICIES
 from lacewingcourse.core.pipelines.peers import PeerTable
@@ -35,6 +36,7 @@
 from lacewingcourse.relay.duty_holder import DutyHolder
 from lacewingcourse.relay.followers import ConfigurationFollower, DirectoryFollower
 from lacewingcourse.relay.gossip import Gossip
+from lacewingcourse.relay.held_answers import HeldAnswers
 from lacewingcourse.relay.housekeeping import Housekeeping
 from lacewingcourse.relay.ingress import Ingress
 from lacewingcourse.relay.leaving_reader import LeavingReader
@@ -175,6 +177,10 @@
             self._notify_peers,
             self.refusal_keeper.on_change,
         )
+        self.answers = HeldAnswers(
+            AnswerMemory(self.settings.answer_limit()),
+            self.metrics.given_up_answers.inc,
+        )
         send_limits = self.routing_state.send_limits
         send_limits.sharing = LIMIT_SHARING_POLICIES.get(self.settings.limit_sharing)()
         self.routing_state.room.make = partial(
@@ -189,6 +195,7 @@
             self.routing_state.backoffs,
             (limits.observe, backoffs.observe, leaving.observe),
             crash_guard.refusal,
+            self.answers,
         )
         zone = self.settings.zone
         self.admission = Admission(
@@ -535,7 +542,11 @@
         self._apply_budgets(settings.bounds)
 
     def _apply_client_limits(self, settings: RelaySettings) -> None:
-        """Apply the bounds of clients; they take effect at the monitor's next round."""
+        """Apply the bounds of clients and answers.
+
+        Those of clients take effect at the monitor's next round.
+        """
+        self.answers.memory.limit = settings.answer_limit()
         self.caller_clients.memory.limits = settings.caller_limits()
         self.other_clients.memory.limits = settings.other_limits()
 
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -101,7 +101,7 @@
         try:
             return await self._serve(job)
         finally:
-            self.sender.release_holds(job)
+            self.sender.end(job)
 
     async def _serve(self, job: Job) -> WholeAnswer | Refusal:
         """Send a call until it is answered or cannot be sent again."""
@@ -139,6 +139,7 @@
                     )
                 continue
             job.avoid.add(endpoint.id)
+            self._record_form(endpoint, result)
             if isinstance(result, WholeAnswer):
                 if result.head.status < SERVER_ERROR or not job.may_try_another:
                     return result
@@ -153,6 +154,15 @@
             if not job.may_try_another:
                 return last_answer or self._failure(job, result)
 
+    def _record_form(self, endpoint: Endpoint, result: WholeAnswer | NoAnswer) -> None:
+        """Leave an endpoint out for a while if it writes bytes that are no answers."""
+        faults = self.routing_state.answer_faults
+        if isinstance(result, WholeAnswer):
+            faults.record_sound(endpoint.id)
+        elif result.fault is not None and faults.record(endpoint.id, result.fault):
+            now = self.sender.clock()
+            self.routing_state.suspects.suspect(endpoint.id, result.reason, now)
+
     async def _wait_for_slot(self, job: Job) -> TakenRoom | Refusal:
         """Return a slot of an endpoint, or why there is none.
 
@@ -277,7 +287,7 @@
         A slow endpoint is abandoned only if another one may be sent the call: closing
         its exchange first would lose an answer that may still come in time.
         """
-        reader = AnswerReader(self.sender, exchange, job.request, sent_at)
+        reader = AnswerReader(self.sender, exchange, job, sent_at)
         answer = await reader.read(self._answer_timeout_at(job, sent_at))
         while answer is None:
             now = self.sender.clock()
--- a/packages/relay/src/lacewingcourse/relay/connections.py
+++ b/packages/relay/src/lacewingcourse/relay/connections.py
@@ -5,12 +5,16 @@
 import asyncio
 import socket
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import attrs
 from tornado.iostream import IOStream, StreamClosedError
 
 from lacewingcourse.relay.address import split_address
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
 #: Seconds in which a connection to an endpoint must be made. Network delays are a few
 #: milliseconds; a SYN packet that was dropped is sent again only after a second.
 CONNECT_TIMEOUT = 0.35
@@ -20,6 +24,13 @@
 KEEP_ALIVE_SHARE = 0.6
 #: Maximum number of idle connections per address.
 MAX_IDLE_PER_ADDRESS = 64
+#: Receive buffer requested of the kernel for each connection, in bytes; it takes twice
+#: as much for its own records. Unread bytes count as memory of the process.
+RECEIVE_BUFFER_BYTES = 64 * 1024
+#: Chunks on a connection after which their mean size must reach a minimum, and that
+#: minimum in bytes with their framing. Each chunk costs processor time.
+MAX_TINY_CHUNKS = 2000
+MIN_CHUNK_BYTES = 12
 #: Milliseconds after which unacknowledged data closes a connection (TCP_USER_TIMEOUT).
 USER_TIMEOUT_MS = 1500
 
@@ -55,14 +66,22 @@
         return self.cause.value
 
 
+class TinyChunksError(Exception):
+    """An endpoint writes chunks that hold next to nothing."""
+
+
 class EndpointStream(IOStream):
     """The byte stream of a connection to an endpoint.
 
     Attributes:
         received_bytes: Number of bytes read from the kernel so far.
+        at_end: Whether the endpoint has ended its side.
+        chunks: Number of chunks read so far.
     """
 
     received_bytes = 0
+    at_end = False
+    chunks = 0
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the kernel; tornado calls this."""
@@ -74,8 +93,19 @@
             # A view that is kept would keep the library from resizing its buffer.
             del buf
         self.received_bytes += count
+        self.at_end = not count
         return count
 
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Read a line, which is the size of a chunk."""
+        self.chunks += 1
+        if self.chunks > MAX_TINY_CHUNKS:
+            if self.received_bytes < self.chunks * MIN_CHUNK_BYTES:
+                self.close(TinyChunksError("chunks that hold next to nothing"))
+        return super().read_until(delimiter, max_bytes)
+
     @property
     def clean(self) -> bool:
         """Whether it is open and has no unread data."""
@@ -141,6 +171,7 @@
         sock = self._socket()
         if sock is None:
             return NotSent(Unsent.NO_DESCRIPTOR)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         stream = EndpointStream(sock)
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -69,10 +69,12 @@
             self.routing_state.links.forget(peer)
         self.routing_state.suspects.expire(now)
         self.routing_state.speeds.expire(now)
+        endpoints = self.routing_state.fleet.endpoints
+        self.routing_state.answer_faults.keep_only(set(endpoints))
         self.routing_state.crashes.expire(now)
         for part in self.routing_state.parts.expire(now):
             self.on_forgotten(part)
-        self.routing_state.send_limits.expire(self.routing_state.fleet.endpoints, now)
+        self.routing_state.send_limits.expire(endpoints, now)
         self.routing_state.backoffs.expire(now)
         self.routing_state.send_limits.sharing.entries = self.book.count(now)
         self.routing_state.room.expire(now)
--- a/packages/relay/src/lacewingcourse/relay/metrics.py
+++ b/packages/relay/src/lacewingcourse/relay/metrics.py
@@ -105,6 +105,11 @@
             ["group", "cause", "stage"],
             **common_options,
         )
+        self.given_up_answers = Counter(
+            "lacewingcourse_relay_given_up_answers",
+            "Answers of endpoints given up because all of them held too much memory",
+            **common_options,
+        )
         self.client_bytes = Gauge(
             "lacewingcourse_relay_client_bytes",
             "Bytes charged to connections of clients: held, limit",
--- a/packages/relay/src/lacewingcourse/relay/peers.py
+++ b/packages/relay/src/lacewingcourse/relay/peers.py
@@ -42,6 +42,8 @@
 REGISTRY_PERIOD = 2.0
 #: Maximum number of concurrent requests to other entries.
 MAX_EXCHANGES = 24
+#: Maximum size of a response in bytes: a list of all endpoints is the largest.
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 #: gzip level for a version, the fastest one: routes are alike, so that higher levels
 #: save little more.
 COMPRESSION_LEVEL = 1
@@ -91,7 +93,9 @@
     on_unreadable: Callable[[], None]
     client: CurlAsyncHTTPClient = attrs.field(
         factory=lambda: CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_EXCHANGES
+            force_instance=True,
+            max_clients=MAX_EXCHANGES,
+            max_body_size=MAX_RESPONSE_BYTES,
         )
     )
     active_exchanges: set[str] = attrs.field(factory=set)
--- a/packages/relay/src/lacewingcourse/relay/routing_state.py
+++ b/packages/relay/src/lacewingcourse/relay/routing_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.answer_faults import AnswerFaults
 from lacewingcourse.core.pipelines.backoff import BackoffTable
 from lacewingcourse.core.pipelines.choice import PathChooser
 from lacewingcourse.core.pipelines.crashes import CrashHistory
@@ -66,6 +67,7 @@
         links: Utilisation of the links between availability zones.
         suspects: Endpoints that are excluded for a while after a failure.
         speeds: Endpoints that run slower than published.
+        answer_faults: Faults of endpoints' answers.
         crashes: Requests that crash endpoints.
         parts: Parts of prompts that crash endpoints.
         send_limits: What may be sent to endpoints that name limits.
@@ -90,6 +92,7 @@
     links: LinkUsage = attrs.field(factory=LinkUsage)
     suspects: Suspects = attrs.field(factory=Suspects)
     speeds: SpeedEstimator = attrs.field(factory=SpeedEstimator)
+    answer_faults: AnswerFaults = attrs.field(factory=AnswerFaults)
     crashes: CrashHistory = attrs.field(factory=CrashHistory)
     parts: PartHistory = attrs.field(factory=PartHistory)
     send_limits: SendLimits = attrs.field(factory=SendLimits)
--- a/packages/relay/src/lacewingcourse/relay/sending.py
+++ b/packages/relay/src/lacewingcourse/relay/sending.py
@@ -7,7 +7,9 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.answer_faults import AnswerFault
 from lacewingcourse.core.pipelines.backoff import BackoffTable
+from lacewingcourse.core.pipelines.client_memory import FIELD_BYTES
 from lacewingcourse.core.pipelines.send_history import SendOutcome
 from lacewingcourse.core.pipelines.send_limits import SendLimits
 from lacewingcourse.relay.connections import (
@@ -16,6 +18,7 @@
     NotSent,
     Unsent,
 )
+from lacewingcourse.relay.held_answers import FREE_BYTES, HeldAnswers
 from lacewingcourse.relay.job import Phase
 from lacewingcourse.relay.ports import AnswerHead, AnswerKind, Sending
 from lacewingcourse.relay.upstream import (
@@ -36,7 +39,7 @@
     from lacewingcourse.core.errors import Refusal
     from lacewingcourse.core.pipelines.retry_budget import RetryBudget
     from lacewingcourse.relay.job import Job
-    from lacewingcourse.relay.ports import CallerRequest, RequestCodec
+    from lacewingcourse.relay.ports import RequestCodec
 
 
 #: Lowest HTTP status that reports a failure of the endpoint itself.
@@ -44,6 +47,8 @@
 #: Seconds after a send within which the close of a pooled connection means that it was
 #: stale. After a later close the endpoint may have crashed while it ran the request.
 STALE_CONNECTION_WINDOW = 0.1
+#: Fields of a response head above which they are charged to the memory of answers.
+MAX_FREE_FIELDS = 64
 
 
 @attrs.define
@@ -59,6 +64,7 @@
         backoffs: Delays that endpoints asked for.
         head_observers: Called for each response head with what was sent, the head, and
             the time of the send in seconds.
+        answers: Charges answers to the memory of the process.
         crash_refusal: Returns why a request may not be sent as it crashes endpoints,
             None if it may.
     """
@@ -71,6 +77,7 @@
     backoffs: BackoffTable = attrs.field(factory=BackoffTable)
     head_observers: Sequence[Callable[[Sending, AnswerHead, float], None]] = ()
     crash_refusal: Callable[[Job], Refusal | None] = lambda job: None
+    answers: HeldAnswers = attrs.field(factory=HeldAnswers)
 
     async def reserve(self, address: str, fresh: bool) -> Connection | NotSent:
         """Return an idle or new connection to an endpoint, or why there is none.
@@ -127,6 +134,11 @@
         self.budget.release(job.service, job)
         self.limits.release(job)
 
+    def end(self, job: Job) -> None:
+        """Release all that a request holds, as it has ended."""
+        self.release_holds(job)
+        self.answers.release(job)
+
     def start(self, job: Job, sending: Sending, connection: Connection) -> Exchange:
         """Send a request over a connection without further checks.
 
@@ -138,6 +150,8 @@
         request, sent_at = job.request, self.clock()
 
         def accepts_head(status: int, headers: HTTPHeaders) -> bool:
+            if len(headers) > MAX_FREE_FIELDS:
+                self.answers.add(job, FIELD_BYTES * len(headers))
             head = self.codec.head(status, headers, request)
             for observe in self.head_observers:
                 observe(sending, head, sent_at)
@@ -224,12 +238,15 @@
         reason: What happened.
         timed_out: Whether the request's deadline passed.
         connection_lost: Whether the connection closed before the response was complete.
+        fault: What is wrong with the bytes that the endpoint wrote, None if nothing is
+            known to be.
     """
 
     outcome: SendOutcome
     reason: str
     timed_out: bool = False
     connection_lost: bool = False
+    fault: AnswerFault | None = None
 
 
 @attrs.define
@@ -239,7 +256,7 @@
     Attributes:
         sender: Sender of the request.
         exchange: HTTP exchange of the request.
-        request: The caller's request.
+        job: The request.
         sent_at: When it was sent, seconds.
         head: Head of the response, None before it.
         body: Body received so far.
@@ -247,7 +264,7 @@
 
     sender: Sender
     exchange: Exchange
-    request: CallerRequest
+    job: Job
     sent_at: float
     head: AnswerHead | None = None
     body: bytearray = attrs.field(factory=bytearray)
@@ -263,10 +280,10 @@
             arrival = await next_arrival(self.exchange, until, now)
             if isinstance(arrival, Head):
                 self.head = self.sender.codec.head(
-                    arrival.status, arrival.headers, self.request
+                    arrival.status, arrival.headers, self.job.request
                 )
             elif isinstance(arrival, Data):
-                self.body += arrival.data
+                self._receive(arrival.data)
             elif isinstance(arrival, Abandoned):
                 return self.abandon(arrival.reason)
             elif isinstance(arrival, End):
@@ -275,6 +292,21 @@
             else:
                 return None
 
+    def _receive(self, data: bytes) -> None:
+        """Add bytes of the body, and charge those of one that is not small."""
+        before = len(self.body)
+        self.body += data
+        count = len(self.body)
+        if count > FREE_BYTES:
+            charged = before if before > FREE_BYTES else 0
+            self.sender.answers.add(self.job, count - charged)
+
+    def _drop_body(self) -> None:
+        """Drop a body that is not passed on."""
+        if len(self.body) > FREE_BYTES:
+            self.sender.answers.add(self.job, -len(self.body))
+        self.body = bytearray()
+
     def abandon(self, reason: str, timed_out: bool = False) -> NoAnswer:
         """Close the exchange, so that the endpoint stops its work.
 
@@ -282,6 +314,7 @@
             reason: Why it is closed.
             timed_out: Whether the request's deadline passed.
         """
+        self._drop_body()
         self.exchange.abandon()
         self.exchange.send.conclude(SendOutcome.MAY_HAVE_RUN)
         return NoAnswer(SendOutcome.MAY_HAVE_RUN, reason, timed_out)
@@ -291,14 +324,15 @@
         head = self.head
         outcome = self._outcome(end)
         self.exchange.send.conclude(outcome)
+        if outcome is SendOutcome.ANSWERED and end.complete:
+            return WholeAnswer(head, bytes(self.body))
+        self._drop_body()
         if outcome is SendOutcome.REJECTED:
             return NoAnswer(outcome, f"rejected with {head.status}")
         if head is None or not end.complete:
-            reason = end.reason or "no head"
-            return NoAnswer(outcome, reason, connection_lost=True)
-        if outcome is not SendOutcome.ANSWERED:
-            return NoAnswer(outcome, head.reason)
-        return WholeAnswer(head, bytes(self.body))
+            reason, is_lost = end.reason or "no head", end.fault is None
+            return NoAnswer(outcome, reason, connection_lost=is_lost, fault=end.fault)
+        return NoAnswer(outcome, head.reason)
 
     def _outcome(self, end: End) -> SendOutcome:
         """Return what a response that has ended says of the send."""
--- a/packages/relay/src/lacewingcourse/relay/settings.py
+++ b/packages/relay/src/lacewingcourse/relay/settings.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from lacewingcourse.core.pipelines.answer_memory import answer_limit
 from lacewingcourse.core.pipelines.client_memory import (
     ClientLimits,
     caller_limits,
@@ -97,6 +98,10 @@
     caller_memory: int | None = None
     caller_connections: int | None = None
 
+    def answer_limit(self) -> int:
+        """Return the bytes that the answers of endpoints may hold together."""
+        return answer_limit(self.memory)
+
     def other_limits(self) -> ClientLimits:
         """Return the limits of all connections that are not of callers."""
         return internal_limits(self.memory, self.descriptors)
--- a/packages/relay/src/lacewingcourse/relay/stream_attempt.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_attempt.py
@@ -8,8 +8,11 @@
 import attrs
 
 from lacewingcourse.core.errors import Refusal
+from lacewingcourse.core.pipelines.answer_faults import AnswerFault
 from lacewingcourse.core.pipelines.crashes import AnswerProgress, answer_progress
+from lacewingcourse.core.pipelines.event_form import EventDefect
 from lacewingcourse.core.pipelines.send_history import SendOutcome
+from lacewingcourse.relay.held_answers import FREE_BYTES
 from lacewingcourse.relay.job import Phase
 from lacewingcourse.relay.ports import AnswerKind
 from lacewingcourse.relay.sending import (
@@ -84,6 +87,7 @@
         standby_task: Task that waits for the standby's response.
         ended_result: Result of this attempt if it ended while the standby was still
             pending, None otherwise.
+        charged: Bytes that are charged for what was received and not passed on.
     """
 
     state: StreamState
@@ -101,6 +105,7 @@
     standby: Standby | None = None
     standby_task: asyncio.Task | None = None
     ended_result: AttemptResult | None = None
+    charged: int = 0
 
     @property
     def job(self) -> Job:
@@ -112,6 +117,7 @@
         try:
             return await self._relay()
         finally:
+            self._charge(0)
             if self.standby is not None:
                 self.standby_task.cancel()
                 self.mover.drop_standby(self.standby)
@@ -153,11 +159,21 @@
         self.job.dropped_events = copy.dropped
         self.job.is_continuable = copy.is_continuable
         self.caller_wait = self._forward_events(events)
+        if copy.held_bytes > FREE_BYTES or self.charged:
+            self._charge(copy.held_bytes)
         if copy.unsound is not None:
             self.log.unsound_event(self.job, self.mover.path, copy.unsound)
-            self.exchange.arrivals.put_nowait(End(False, copy.failure))
+            is_oversized = copy.unsound.defect is EventDefect.OVERSIZED
+            fault = AnswerFault.OVERSIZED if is_oversized else None
+            self.exchange.arrivals.put_nowait(End(False, copy.failure, fault=fault))
         return self.caller_wait
 
+    def _charge(self, held: int) -> None:
+        """Charge what was received and not passed on to the memory of answers."""
+        if held != self.charged:
+            change, self.charged = held - self.charged, held
+            self.sender.answers.add(self.job, change)
+
     def _check_end(self) -> None:
         """Log bytes behind the last event of a response that has ended complete."""
         copy = self.state.copy
@@ -384,6 +400,9 @@
             exchange.send.conclude(SendOutcome.STALE)
             return AttemptResult(AttemptEnd.DROPPED, reason)
         exchange.send.conclude(SendOutcome.MAY_HAVE_RUN)
+        fault = getattr(arrival, "fault", None)
+        if fault is not None:
+            return AttemptResult(AttemptEnd.LOST, reason, fault=fault)
         by_close = getattr(arrival, "by_close", False)
         is_unsound = exchange is self.exchange and self.state.copy.unsound is not None
         if is_unsound and not by_close:
@@ -432,10 +451,14 @@
             arrival = await next_arrival(exchange, until, now)
             if isinstance(arrival, Data):
                 body += arrival.data
+                self.sender.answers.add(job, len(arrival.data))
             elif not isinstance(arrival, Head):
                 break
         whole = isinstance(arrival, End) and arrival.complete
         self.sender.release(exchange, head if whole else None)
+        is_own = head.answer_kind is AnswerKind.ANSWERED and whole
+        if not is_own or job.caller.response_started:
+            self.sender.answers.add(job, -len(body))
         exchange.send.conclude(head.answer_kind.send_outcome)
         if isinstance(arrival, Abandoned):
             return AttemptResult(AttemptEnd.ABANDONED, arrival.reason)
@@ -445,12 +468,9 @@
                 AttemptEnd.REJECTED, job.reason, head.fault_address, head.misdirected
             )
         job.reason = f"status {head.status} {head.reason}"
-        if (
-            head.answer_kind is not AnswerKind.ANSWERED
-            or not whole
-            or job.caller.response_started
-        ):
-            return AttemptResult(AttemptEnd.LOST, job.reason)
+        if not is_own or job.caller.response_started:
+            fault = getattr(arrival, "fault", None)
+            return AttemptResult(AttemptEnd.LOST, job.reason, fault=fault)
         self.state.failure = WholeAnswer(head, bytes(body))
         # Errors below 500 concern the request itself; another engine would return the
         # same.
--- a/packages/relay/src/lacewingcourse/relay/stream_state.py
+++ b/packages/relay/src/lacewingcourse/relay/stream_state.py
@@ -10,6 +10,7 @@
 from lacewingcourse.core.pipelines.crashes import AnswerProgress
 
 if TYPE_CHECKING:
+    from lacewingcourse.core.pipelines.answer_faults import AnswerFault
     from lacewingcourse.core.pipelines.choice import Demand
     from lacewingcourse.core.pipelines.path import Path
     from lacewingcourse.core.pipelines.shape import EngineShape
@@ -107,6 +108,8 @@
         first_lost: Whether the connection to the first part broke.
         progress: How far the first part had come with the answer.
         replacement: What the stream continues with, None if it is still to be found.
+        fault: What is wrong with the bytes of the first part, None if nothing is known
+            to be, or if they only are no events.
     """
 
     end: AttemptEnd
@@ -116,6 +119,7 @@
     first_lost: bool = False
     progress: AnswerProgress = AnswerProgress.UNANSWERED
     replacement: Replacement | None = None
+    fault: AnswerFault | None = None
 
 
 @attrs.define
--- a/packages/relay/src/lacewingcourse/relay/streams.py
+++ b/packages/relay/src/lacewingcourse/relay/streams.py
@@ -134,7 +134,7 @@
         try:
             return await self._serve(state)
         finally:
-            self.sender.release_holds(job)
+            self.sender.end(job)
 
     async def _serve(self, state: StreamState) -> Refusal | None:
         """Make attempts until the response is complete or no further one is allowed."""
@@ -156,6 +156,8 @@
             if result is None:
                 self.exclude_unreachable(job, path)
                 continue
+            if result.end is AttemptEnd.WHOLE:
+                self.routing_state.answer_faults.record_sound(path.first.endpoint)
             if result.end is AttemptEnd.WHOLE and job.events:
                 self.crash_guard.record_established(job)
                 self.times.record_whole(job, self.sender.clock())
@@ -388,6 +390,8 @@
                 # Gossip reaches the other entries one round later. Until then each of
                 # them sends requests to this endpoint, and each request costs a retry.
                 self.on_suspect()
+        elif result.fault is not None:
+            self._record_fault(job, path.first.endpoint, result)
         elif result.first_lost:
             job.avoid.add(path.first.endpoint)
             self.crash_guard.record_loss(job, path.first.endpoint, result.progress)
@@ -400,6 +404,15 @@
         progress = result.progress if result.first_lost else None
         self.log.lost(job, path.first.endpoint, result.reason, fault, filled, progress)
 
+    def _record_fault(self, job: Job, endpoint: str, result: AttemptResult) -> None:
+        """Leave an endpoint out for a while if it writes bytes that are no answers."""
+        job.avoid.add(endpoint)
+        if self.routing_state.answer_faults.record(endpoint, result.fault):
+            self.routing_state.suspects.suspect(
+                endpoint, result.reason, self.sender.clock(), grade=Grade.LOST
+            )
+            self.on_suspect()
+
     def _memory_share(self, job: Job, part: Part) -> float:
         """Return the estimated share of a part's memory that is in use."""
         shape = self.routing_state.shape(job.service)
--- a/packages/relay/src/lacewingcourse/relay/upstream.py
+++ b/packages/relay/src/lacewingcourse/relay/upstream.py
@@ -14,7 +14,10 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
+
+from lacewingcourse.core.pipelines.answer_faults import AnswerFault
+from lacewingcourse.relay.connections import TinyChunksError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -64,11 +67,14 @@
         complete: Whether it is complete by its HTTP framing.
         reason: What happened if it is not.
         by_close: Whether only the close of the connection marks its end.
+        fault: What is wrong with its bytes, None unless this side closed the connection
+            for them.
     """
 
     complete: bool
     reason: str = ""
     by_close: bool = False
+    fault: AnswerFault | None = None
 
 
 @attrs.frozen
@@ -129,6 +135,7 @@
         self._skipped_bytes = 0
         self._turn_bytes = 0
         self._received_before = 0
+        self._has_head = False
         self._until_close = False
         self._closes = False
         self.task: asyncio.Task | None = None
@@ -193,7 +200,8 @@
         if status not in FINAL_STATUSES:
             # The library reads a body after such a status.
             self._skipping = True
-            self._give_up(f"status {status}, which does not exist")
+            reason = f"status {status}, which does not exist"
+            self.give_up(reason, AnswerFault.MALFORMED)
             return
         self._skipping = not self._accepts_head(status, headers)
         if self._skipping:
@@ -206,6 +214,7 @@
         if headers.get("Connection", "").lower() == "close":
             self._closes = True
         if not self._skipping:
+            self._has_head = True
             self.arrivals.put_nowait(Head(status, headers))
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
@@ -213,7 +222,8 @@
         if self._skipping:
             self._skipped_bytes += len(chunk)
             if self._skipped_bytes > MAX_SKIPPED_BYTES:
-                self._give_up("a response to another request that is too long")
+                reason = "a response to another request that is too long"
+                self.give_up(reason, AnswerFault.OVERSIZED)
         elif self.sink is not None:
             wait = self.sink(chunk)
             if wait is not None:
@@ -240,13 +250,26 @@
         """Count a skipped response."""
         self._skipped_responses += 1
         if self._skipped_responses > MAX_SKIPPED_RESPONSES:
-            self._give_up("too many responses to other requests")
+            reason = "too many responses to other requests"
+            self.give_up(reason, AnswerFault.OVERSIZED)
 
-    def _give_up(self, reason: str) -> None:
+    def give_up(self, reason: str, fault: AnswerFault) -> None:
         """Close the connection because of what the endpoint writes."""
-        self.arrivals.put_nowait(End(False, reason))
+        self.arrivals.put_nowait(End(False, reason, fault=fault))
         self.connection.close()
 
+    def _found_fault(self) -> AnswerFault | None:
+        """Return why this side closed the connection, None if the other one did."""
+        stream = self.connection.stream
+        if isinstance(stream.error, TinyChunksError):
+            return AnswerFault.OVERSIZED
+        if isinstance(stream.error, UnsatisfiableReadError) and not self._has_head:
+            return AnswerFault.OVERSIZED
+        is_reset = isinstance(stream.error, OSError)
+        if stream.at_end or is_reset or not stream.closed():
+            return None
+        return AnswerFault.MALFORMED
+
     def finish(self) -> None:
         """Process the end of a response."""
         if self._skipping:
@@ -261,7 +284,8 @@
     def on_connection_close(self) -> None:
         """Process the close of the connection in the middle of a response."""
         if not self._skipping:
-            self.arrivals.put_nowait(End(False, "ended early"))
+            fault = self._found_fault()
+            self.arrivals.put_nowait(End(False, "ended early", fault=fault))
 
     async def _read(
         self,
@@ -283,4 +307,5 @@
                 http = HTTP1Connection(self.connection.stream, True, params)
                 http.finish()
         except (StreamClosedError, HTTPInputError, OSError) as error:
-            self.arrivals.put_nowait(End(False, f"closed: {error}"))
+            fault = self._found_fault()
+            self.arrivals.put_nowait(End(False, f"closed: {error}", fault=fault))
--- a/packages/relay/tests/relay/stream_scenario.py
+++ b/packages/relay/tests/relay/stream_scenario.py
@@ -25,6 +25,7 @@
     Unsent,
 )
 from lacewingcourse.relay.crash_guard import CrashGuard
+from lacewingcourse.relay.held_answers import HeldAnswers
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.ports import AnswerHead, AnswerKind, EngineReport
 from lacewingcourse.relay.routing_state import RoutingState
@@ -227,6 +228,7 @@
         self.caller = CallerStub()
         self.ended_at = 0.0
         self.pool = ConnectionPool()
+        self.answers = HeldAnswers()
         self.log = RecordingLog()
         self.budget = RetryBudget(0.0, 10.0, self.slack)
         self.routing_state = RoutingState()
@@ -346,6 +348,7 @@
 
     #: The checks of a send are those of the real sender.
     release_holds = Sender.release_holds
+    end = Sender.end
     _claim_send = Sender._claim_send
 
     @property
--- a/packages/relay/tests/relay/test_calls.py
+++ b/packages/relay/tests/relay/test_calls.py
@@ -27,6 +27,7 @@
     NotSent,
     Unsent,
 )
+from lacewingcourse.relay.held_answers import HeldAnswers
 from lacewingcourse.relay.job import Job
 from lacewingcourse.relay.ports import AnswerHead, AnswerKind
 from lacewingcourse.relay.routing_state import RoutingState
@@ -101,6 +102,7 @@
         self.budget = RetryBudget(0.0, 10.0, self.slack)
         self.routing_state = RoutingState()
         self.pool = ConnectionPool()
+        self.answers = HeldAnswers()
         self.codec = SimpleNamespace(head=self._head)
 
     def clock(self) -> float:
@@ -151,6 +153,7 @@
 
     #: Retries and limits are checked by the real sender.
     release_holds = Sender.release_holds
+    end = Sender.end
     _claim_send = Sender._claim_send
     crash_refusal = staticmethod(lambda job: None)
 
--- a/packages/relay/tests/relay/test_streams.py
+++ b/packages/relay/tests/relay/test_streams.py
@@ -126,6 +126,7 @@
     def __init__(self, status: int) -> None:
         self.status = status
         self.codec = SimpleNamespace(head=self.head)
+        self.answers = SimpleNamespace(add=lambda job, count: None)
 
     def clock(self) -> float:
         return 0.0
@@ -152,6 +153,9 @@
     def release_holds(self, job) -> None:
         """Do nothing, as no retry or permit is held."""
 
+    def end(self, job) -> None:
+        """Do nothing, as nothing is held."""
+
 
 def make_job():
     """Return a request with the attributes that the forwarder uses."""
