Bound the comments and empty lines before an event by their number

Cause: each pair of line ends was read as an event of its own, up to 1 MiB of them a stream: some 500,000 pieces, 0.5 to 1 s of processor time.

The test of StreamCopy fails before.

--- a/packages/core/src/lacewingcourse/core/pipelines/stream_copy.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/stream_copy.py
@@ -16,6 +16,9 @@
 #: Bytes of an unfinished event, or of comments before one, beyond which the stream is
 #: taken not to consist of events.
 MAX_EVENT_BYTES = 1024 * 1024
+#: Comments and pairs of line ends in succession beyond which the same holds. Each of
+#: them costs as much processor time as an event.
+MAX_COMMENTS = 1000
 #: Byte order mark, with which a stream may begin.
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 #: Defects after which it is not known which events of the run have a wrong id.
@@ -75,6 +78,7 @@
         repeated: Position of the last event that the run has repeated, None if none.
         held: Event that is held back, None if none.
         comments: Comments and line ends that stand before the next event.
+        comment_count: Number of them.
     """
 
     resume_after: str = ""
@@ -90,6 +94,7 @@
     repeated: int | None = None
     held: HeldEvent | None = None
     comments: bytearray = attrs.field(factory=bytearray)
+    comment_count: int = 0
 
     @numbering.default
     def _numbering_after_resume_position(self) -> EventNumbering:
@@ -200,7 +205,9 @@
             return self._take_event(event, position)
         if position is None:
             self.comments += event
-            if len(self.comments) > MAX_EVENT_BYTES:
+            self.comment_count += 1
+            too_many = self.comment_count > MAX_COMMENTS
+            if too_many or len(self.comments) > MAX_EVENT_BYTES:
                 self._fail(EventDefect.OVERSIZED, event)
             return b""
         is_first = not (self.forwarded or self.held or self.comments)
@@ -217,7 +224,7 @@
             if self._is_duplicate(position, event):
                 self.repeated = position
                 self.dropped += 1
-                self.comments.clear()
+                self._clear_comments()
                 return b""
             if not self._is_at_end_of_copy:
                 self._fail(EventDefect.OUT_OF_PLACE, event)
@@ -267,7 +274,7 @@
         if not self.comments:
             return event
         event = bytes(self.comments) + event
-        self.comments.clear()
+        self._clear_comments()
         return event
 
     def _forward_held(self) -> bytes:
@@ -294,4 +301,9 @@
         """Drop what was received and not forwarded."""
         self.splitter.discard()
         self.held = None
+        self._clear_comments()
+
+    def _clear_comments(self) -> None:
+        """Drop the comments before the next event."""
         self.comments.clear()
+        self.comment_count = 0
--- a/packages/core/tests/pipelines/test_stream_copy.py
+++ b/packages/core/tests/pipelines/test_stream_copy.py
@@ -5,7 +5,11 @@
 import pytest
 
 from lacewingcourse.core.pipelines.event_form import EventDefect
-from lacewingcourse.core.pipelines.stream_copy import MAX_EVENT_BYTES, StreamCopy
+from lacewingcourse.core.pipelines.stream_copy import (
+    MAX_COMMENTS,
+    MAX_EVENT_BYTES,
+    StreamCopy,
+)
 
 
 def event(number: int, end: bytes = b"\n\n") -> bytes:
@@ -157,3 +161,16 @@
     copy.check_end()
     assert copy.unsound.defect is EventDefect.TRUNCATED
     assert copy.is_continuable
+
+
+@pytest.mark.parametrize("comment", [b"\n\n", b"\n\r\n", b": wait\n\n"])
+def test_comments_without_end_are_read_up_to_a_number(comment):
+    """Guards against line ends without end, each of which was read as an event."""
+    copy = StreamCopy()
+    for _ in range(3):
+        assert copy.feed(comment * MAX_COMMENTS) == b""
+        number = copy.forwarded + 1
+        event = b"id: %d\ndata: a\n\n" % number
+        assert copy.feed(event) == comment * MAX_COMMENTS + event
+    copy.feed(comment * (MAX_COMMENTS + 1))
+    assert copy.unsound.defect is EventDefect.OVERSIZED
