Take a field that a line end has cut for no field

Cause: a line `data` without a colon counted as empty data, and the rest of the line, which begins with the colon, as a comment.

Change: a field without a colon counts only before another field. Before a comment or at the end of its event the run has failed before that event.

--- a/packages/core/src/lacewingcourse/core/pipelines/event_form.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/event_form.py
@@ -11,7 +11,7 @@
 USUAL_EVENT = re.compile(rb"id: (%b)\ndata: [^\r\n]*\n\n" % POSITION.pattern)
 #: Name of a field. The format ignores fields with unknown names.
 FIELD_NAME = re.compile(rb"[a-z][a-z0-9_-]*")
-#: Fields that may stand in a line without a colon, and are empty then.
+#: Fields that may stand in a line without a colon before another field, and are empty.
 BARE_FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
 #: Bytes of line ends.
 LINE_ENDS = b"\r\n"
@@ -71,9 +71,9 @@
 def _read_lines(lines: list[bytes]) -> int | EventDefect | None:
     """Return the position of the event in some lines, or why they are none."""
     fields: dict[bytes, list[bytes]] = {}
-    for line in lines:
+    for number, line in enumerate(lines):
         name, colon, value = line.partition(b":")
-        if not colon and name not in BARE_FIELDS:
+        if not colon and not _is_bare_field(name, lines[number + 1 :]):
             return EventDefect.NO_FIELD
         if name and not FIELD_NAME.fullmatch(name):
             return EventDefect.NO_FIELD
@@ -90,3 +90,17 @@
     if position is None:
         return EventDefect.BAD_ID
     return position if b"data" in fields else EventDefect.NO_DATA
+
+
+def _is_bare_field(name: bytes, following: list[bytes]) -> bool:
+    """Return whether a line without a colon is a field.
+
+    One before a comment, or at the end, may be a field that a line end has cut before
+    its colon.
+
+    Args:
+        name: The line.
+        following: The lines after it.
+    """
+    is_cut = not following or following[0].startswith(b":")
+    return name in BARE_FIELDS and not is_cut
