--- a/packages/relay/src/lacewingcourse/relay/application.py
+++ b/packages/relay/src/lacewingcourse/relay/application.py
@@ -503,6 +503,7 @@
             late_ms=round(late * 1000),
             work=section.name,
             took_ms=round(section.seconds * 1000),
+            processor_ms=round(self.watch.processor_seconds * 1000),
         )
 
     def _on_resume(self, suspended_for: float) -> None:
--- a/packages/relay/src/lacewingcourse/relay/calls.py
+++ b/packages/relay/src/lacewingcourse/relay/calls.py
@@ -139,7 +139,7 @@
                     )
                 continue
             job.avoid.add(endpoint.id)
-            self._record_form(endpoint, result)
+            self._record_soundness(endpoint, result)
             if isinstance(result, WholeAnswer):
                 if result.head.status < SERVER_ERROR or not job.may_try_another:
                     return result
@@ -154,7 +154,9 @@
             if not job.may_try_another:
                 return last_answer or self._failure(job, result)
 
-    def _record_form(self, endpoint: Endpoint, result: WholeAnswer | NoAnswer) -> None:
+    def _record_soundness(
+        self, endpoint: Endpoint, result: WholeAnswer | NoAnswer
+    ) -> None:
         """Leave an endpoint out for a while if it writes bytes that are no answers."""
         faults = self.routing_state.answer_faults
         if isinstance(result, WholeAnswer):
--- a/packages/relay/src/lacewingcourse/relay/loop_watch.py
+++ b/packages/relay/src/lacewingcourse/relay/loop_watch.py
@@ -44,6 +44,10 @@
         on_late: Called with the lateness and the longest section if a tick was late.
         longest: The longest named section since the last tick.
         last_tick: Time of the last tick, seconds.
+        processor_clock: Returns the processor time of this process in seconds.
+        processor_seconds: Processor time of this process between the last two ticks.
+            Less than the lateness of a tick shows that the machine, not the work, is
+            the cause.
         previous_tick: Time of the tick before that, seconds. The loop has since handled
             every event that had arrived by then, however long it was blocked.
     """
@@ -51,6 +55,8 @@
     clock: Callable[[], float] = time.monotonic
     observe: Callable[[float], None] = lambda seconds: None
     on_late: Callable[[float, Section], None] = lambda seconds, section: None
+    processor_clock: Callable[[], float] = time.process_time
+    processor_seconds: float = 0.0
     longest: Section = Section(UNNAMED_WORK, 0.0)
     last_tick: float = attrs.field()
     previous_tick: float = attrs.field()
@@ -74,9 +80,10 @@
     async def run(self) -> None:
         """Measure the lateness of periodic ticks until cancelled."""
         while True:
-            expected = self.clock() + PERIOD
+            expected, used = self.clock() + PERIOD, self.processor_clock()
             await asyncio.sleep(PERIOD)
             now = self.clock()
+            self.processor_seconds = self.processor_clock() - used
             self.previous_tick, self.last_tick = self.last_tick, now
             self.record(now - expected)
 
--- a/packages/relay/tests/relay/test_loop_watch.py
+++ b/packages/relay/tests/relay/test_loop_watch.py
@@ -105,3 +105,24 @@
         watch_task.cancel()
 
     run(test)
+
+
+@pytest.mark.parametrize("is_busy", [True, False])
+def test_processor_time_tells_work_from_a_machine_that_is_busy(is_busy):
+    async def test():
+        watch = LoopWatch()
+        ticking = asyncio.ensure_future(watch.run())
+        await asyncio.sleep(2 * PERIOD)
+        if is_busy:
+            until = time.process_time() + 3 * PERIOD
+            while time.process_time() < until:
+                pass
+        else:
+            time.sleep(3 * PERIOD)
+        before = watch.last_tick
+        while watch.last_tick == before:
+            await asyncio.sleep(0)
+        assert (watch.processor_seconds > 2 * PERIOD) is is_busy
+        ticking.cancel()
+
+    run(test)
