Let the library read from the kernel, and look up faulty endpoints only

Cause: reading the change again. Connections to endpoints repeated the library's body of read_from_fd, as those of clients did before; and each round of housekeeping, four a second, built a set of all endpoints to find those with faults that have left, most often none.

Change: both streams call the library's method and add what is theirs; AnswerFaults looks up its own few members. Behaviour is the same.

--- a/packages/core/src/lacewingcourse/core/pipelines/answer_faults.py
+++ b/packages/core/src/lacewingcourse/core/pipelines/answer_faults.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from collections.abc import Container
+
 #: Malformed answers in succession after which an endpoint is left out. A single one may
 #: be spoiled on an endpoint that serves well otherwise.
 MAX_MALFORMED = 3
@@ -51,7 +55,7 @@
         """Record a sound answer of an endpoint."""
         self.malformed.pop(endpoint, None)
 
-    def keep_only(self, endpoints: set[str]) -> None:
+    def keep_only(self, endpoints: Container[str]) -> None:
         """Forget the endpoints that are not among some."""
-        for endpoint in self.malformed.keys() - endpoints:
+        for endpoint in [each for each in self.malformed if each not in endpoints]:
             del self.malformed[endpoint]
--- a/packages/relay/src/lacewingcourse/relay/client_stream.py
+++ b/packages/relay/src/lacewingcourse/relay/client_stream.py
@@ -225,9 +225,7 @@
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the kernel; tornado calls this."""
         try:
-            count = self.socket.recv_into(buf, len(buf))
-        except BlockingIOError:
-            return None
+            count = super().read_from_fd(buf)
         finally:
             # A view that is kept would keep the library from resizing its buffer.
             del buf
--- a/packages/relay/src/lacewingcourse/relay/connections.py
+++ b/packages/relay/src/lacewingcourse/relay/connections.py
@@ -86,14 +86,13 @@
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the kernel; tornado calls this."""
         try:
-            count = self.socket.recv_into(buf, len(buf))
-        except BlockingIOError:
-            return None
+            count = super().read_from_fd(buf)
         finally:
             # A view that is kept would keep the library from resizing its buffer.
             del buf
-        self.received_bytes += count
-        self.at_end = not count
+        if count is not None:
+            self.received_bytes += count
+            self.at_end = not count
         return count
 
     def read_until(
--- a/packages/relay/src/lacewingcourse/relay/housekeeping.py
+++ b/packages/relay/src/lacewingcourse/relay/housekeeping.py
@@ -70,7 +70,7 @@
         self.routing_state.suspects.expire(now)
         self.routing_state.speeds.expire(now)
         endpoints = self.routing_state.fleet.endpoints
-        self.routing_state.answer_faults.keep_only(set(endpoints))
+        self.routing_state.answer_faults.keep_only(endpoints)
         self.routing_state.crashes.expire(now)
         for part in self.routing_state.parts.expire(now):
             self.on_forgotten(part)
